--- /dev/null
+++ b/greengageflow/effects.py
@@ -0,0 +1,54 @@
+"""What the core asks the outside to do.
+
+The core does no input or output: its methods take the time and what arrived, and
+yield effects, which ``router`` carries out. A method that yields must be iterated
+to the end, or it does nothing.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+from greengageflow.errors import ErrorKind
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send ``message`` (one of ``messages``) to the router on host ``to``."""
+
+    to: str
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Send a waiting request to its endpoint now.
+
+    Args:
+        request: Id of the request.
+        endpoint: Endpoint whose slot was granted.
+        grant: Id of the grant.
+    """
+
+    request: str
+    endpoint: str
+    grant: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Give a waiting request its final answer: it was not run.
+
+    Args:
+        request: Id of the request.
+        kind: Error kind of the answer.
+        message: What happened.
+        retry_after_s: When to come back, in seconds; None for the table's word.
+    """
+
+    request: str
+    kind: ErrorKind
+    message: str
+    retry_after_s: float | None = None
+
+
+Effect = Send | Start | Refuse
--- /dev/null
+++ b/greengageflow/errors.py
@@ -0,0 +1,124 @@
+"""The closed list of error kinds and the one table from kind to answer."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Ran(StrEnum):
+    """Whether the endpoint ran the request; ``NO`` is a promise."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(StrEnum):
+    """Every way in which a request can fail."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    NOT_FOUND = "not_found"
+    UNKNOWN_TARGET = "unknown_target"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    KEY_REQUIRED = "idempotency_key_required"
+    KEY_CONFLICT = "idempotency_key_conflict"
+    KEY_EXPIRED = "idempotency_key_expired"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_ENDPOINT = "no_endpoint"
+    STOPPING = "stopping"
+    NOT_CONFIGURED = "not_configured"
+    LOG_UNAVAILABLE = "log_unavailable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_CUT = "endpoint_cut"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller is told for one error kind.
+
+    Args:
+        status: HTTP status code.
+        ran: Whether the request ran, unless the raiser knows better.
+        retry_after_s: When to come back, in seconds; None when trying again
+            cannot help.
+    """
+
+    status: int
+    ran: Ran = Ran.NO
+    retry_after_s: float | None = None
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400),
+    ErrorKind.UNAUTHORIZED: Answer(401),
+    ErrorKind.NOT_FOUND: Answer(404),
+    ErrorKind.UNKNOWN_TARGET: Answer(404),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(405),
+    ErrorKind.BODY_TOO_LARGE: Answer(413),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431),
+    ErrorKind.REQUEST_TIMEOUT: Answer(408, retry_after_s=1),
+    ErrorKind.KEY_REQUIRED: Answer(400),
+    ErrorKind.KEY_CONFLICT: Answer(409),
+    ErrorKind.KEY_EXPIRED: Answer(409, Ran.UNKNOWN),
+    ErrorKind.QUEUE_FULL: Answer(429, retry_after_s=1),
+    ErrorKind.DEADLINE: Answer(503, retry_after_s=1),
+    ErrorKind.NO_ENDPOINT: Answer(503, retry_after_s=1),
+    ErrorKind.STOPPING: Answer(503, retry_after_s=1),
+    ErrorKind.NOT_CONFIGURED: Answer(503, retry_after_s=1),
+    ErrorKind.LOG_UNAVAILABLE: Answer(503, retry_after_s=2),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(504, Ran.UNKNOWN, retry_after_s=2),
+    ErrorKind.ENDPOINT_FAILED: Answer(502, Ran.UNKNOWN, retry_after_s=1),
+    ErrorKind.ENDPOINT_CUT: Answer(502, Ran.UNKNOWN, retry_after_s=1),
+    ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, retry_after_s=1),
+}
+
+
+class RouterError(Exception):
+    """A request failed in one of the known ways.
+
+    Args:
+        kind: The error kind, which selects the answer.
+        message: What happened, for the caller to read.
+        ran: Overrides the table's word on whether the request ran.
+        retry_after_s: Overrides the table's retry time, in seconds.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        ran: Ran | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        answer = ANSWERS[kind]
+        self.kind = kind
+        self.message = message
+        self.ran = answer.ran if ran is None else ran
+        self.retry_after_s = (
+            answer.retry_after_s if retry_after_s is None else retry_after_s
+        )
+
+    @property
+    def status(self) -> int:
+        """HTTP status code of the answer."""
+        return ANSWERS[self.kind].status
+
+    @property
+    def body(self) -> dict[str, object]:
+        """JSON object sent to the caller."""
+        return {
+            "error": {
+                "kind": self.kind.value,
+                "message": self.message,
+                "ran": self.ran.value,
+                "retry_after_s": self.retry_after_s,
+            }
+        }
--- /dev/null
+++ b/greengageflow/messages.py
@@ -0,0 +1,418 @@
+"""Messages between routers and their wire form.
+
+Every message is a frozen dataclass. On the wire it is a msgpack array: the type's
+number, then the fields in order, nested dataclasses as arrays again. Numbers are
+never reused, and fields are only appended with a default, so that old and new
+routers understand each other while a fleet changes over.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from types import MappingProxyType
+from typing import Any
+
+import msgpack
+
+
+@dataclass(frozen=True, slots=True)
+class PeerId:
+    """One life of one router process.
+
+    Args:
+        host: Host name from the settings, unique in the fleet.
+        boot: Number of this life; a later life of the host has a larger one.
+    """
+
+    host: str
+    boot: int
+
+
+# Fair shares: demand, grants and service counters.
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """An entry router states how many requests an account has waiting there.
+
+    It replaces what the same router said before about the same account and pool,
+    so duplicates and late copies (lower ``seq``) change nothing.
+
+    Args:
+        seq: Grows with each statement of this life of the sender.
+        account: Client account.
+        pool: Pool that may serve the requests.
+        waiting: Requests waiting; 0 withdraws the demand.
+        cost: Expected cost of the first one, in tokens.
+        affinity: Endpoint that holds the prompt's prefix, or empty.
+    """
+
+    seq: int
+    account: str
+    pool: str
+    waiting: int
+    cost: float = 0.0
+    affinity: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """An owner gives one slot of an endpoint to an entry router.
+
+    Args:
+        grant: Unique id, ``{owner host}:{owner boot}:{number}``.
+        account: Client account that it is for.
+        pool: Pool of the endpoint.
+        endpoint: Endpoint whose slot it is.
+        expires_s: Seconds after which the owner takes the slot back if it was
+            not taken up by ``GrantTaken``.
+    """
+
+    grant: str
+    account: str
+    pool: str
+    endpoint: str
+    expires_s: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class GrantTaken:
+    """The entry router uses a grant; also sent to a new owner of the endpoint.
+
+    Args:
+        grant: Id of the grant.
+        endpoint: Endpoint whose slot is in use.
+        account: Client account that uses it.
+        cost: Estimated cost, in tokens.
+        deadline_s: Seconds until the request will have ended at the latest.
+    """
+
+    grant: str
+    endpoint: str
+    account: str
+    cost: float
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class GrantReturned:
+    """A slot comes back, used or not.
+
+    Args:
+        grant: Id of the grant.
+        endpoint: Endpoint whose slot it was.
+        served: Tokens that the endpoint produced; 0 when it was not used.
+        seconds: Time for which the endpoint was busy.
+        failed: True when the endpoint could not be reached or broke.
+    """
+
+    grant: str
+    endpoint: str
+    served: float = 0.0
+    seconds: float = 0.0
+    failed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AccountService:
+    """Service of one account at one origin.
+
+    Args:
+        account: Client account.
+        served: Tokens served since the origin started; never falls.
+        pending: Tokens estimated for requests in flight.
+        waiting: Requests that wait.
+    """
+
+    account: str
+    served: float
+    pending: float = 0.0
+    waiting: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ShareReport:
+    """An entry router tells a collector of its zone what it served.
+
+    Args:
+        seq: Grows with each report of this life of the sender.
+        services: Changed accounts of the collector's shards; absolute values.
+    """
+
+    seq: int
+    services: tuple[AccountService, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneTotals:
+    """A collector tells its peers in other zones its zone's totals.
+
+    Args:
+        zone: Availability zone that the totals are of.
+        services: Totals of the zone for changed accounts.
+    """
+
+    zone: str
+    services: tuple[AccountService, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetTotals:
+    """A collector tells the routers of its zone the fleet's totals."""
+
+    services: tuple[AccountService, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WorkCall:
+    """An owner with a free slot and nothing to grant asks for demand."""
+
+    pool: str
+    free: int
+
+
+# Membership.
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """What is known of one router.
+
+    Args:
+        host: Host name.
+        boot: Life of the host.
+        bump: Raised by the member itself to refute a suspicion.
+        status: ``alive``, ``suspect``, ``stopping`` or ``dead``.
+        ip: IP number of its peer side.
+        port: TCP port of its peer side.
+        zone: Availability zone.
+    """
+
+    host: str
+    boot: int
+    bump: int
+    status: str
+    ip: str
+    port: int
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Probe of a member, with news riding on it.
+
+    Args:
+        seq: Echoed by the ``Ack``.
+        revision: Newest configuration revision of the sender.
+        digest: Digest of the sender's view, to notice a stale one.
+        news: Members whose state changed lately.
+    """
+
+    seq: int
+    revision: int
+    digest: int
+    news: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ack:
+    """Answer to a ``Ping``; same fields."""
+
+    seq: int
+    revision: int
+    digest: int
+    news: tuple[Member, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PingRequest:
+    """Asks a peer to probe ``target`` for the sender."""
+
+    seq: int
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class ViewRequest:
+    """Asks for the whole view, sent with one's own digest."""
+
+    digest: int
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """The whole view of the sender."""
+
+    members: tuple[Member, ...]
+
+
+# Configuration.
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRequest:
+    """Asks a peer for a configuration newer than ``revision``."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigState:
+    """A folded configuration as a snapshot document.
+
+    Args:
+        revision: Revision of the state.
+        offset: Log offset up to which it was folded.
+        document: JSON text of the snapshot.
+    """
+
+    revision: int
+    offset: int
+    document: str
+
+
+# Protected actions.
+
+
+@dataclass(frozen=True, slots=True)
+class IntentRequest:
+    """An entry router asks the partition's writer to record an intent.
+
+    Args:
+        nonce: Unique id of this attempt.
+        key: Account and idempotency key, joined by a newline.
+        digest: SHA-256 of the request, hexadecimal.
+        wait_s: Seconds for which the entry router waits for the verdict.
+    """
+
+    nonce: str
+    key: str
+    digest: str
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class IntentVerdict:
+    """The writer's answer.
+
+    Args:
+        nonce: Echo of the request.
+        verdict: ``first`` (the asker alone may send), ``done`` (outcome known),
+            ``taken`` (another attempt may have sent), ``conflict`` (same key,
+            other request), ``expired``, ``unavailable`` (nothing may be sent).
+        status: HTTP status of the recorded outcome.
+        content_type: Content type of the recorded outcome.
+        body: Body of the recorded outcome.
+    """
+
+    nonce: str
+    verdict: str
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeReport:
+    """An entry router hands over the outcome of a protected action.
+
+    Args:
+        nonce: Attempt that it belongs to.
+        key: Account and idempotency key, joined by a newline.
+        ran: ``yes``, ``no`` (the key is released) or ``unknown``.
+        status: HTTP status of the answer.
+        content_type: Content type of the answer.
+        body: Body of the answer, bounded.
+    """
+
+    nonce: str
+    key: str
+    ran: str
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeStored:
+    """The writer has the outcome in the log."""
+
+    nonce: str
+
+
+TYPES: Mapping[int, type] = MappingProxyType(
+    {
+        1: Demand,
+        2: Grant,
+        3: GrantTaken,
+        4: GrantReturned,
+        5: ShareReport,
+        6: ZoneTotals,
+        7: FleetTotals,
+        8: WorkCall,
+        20: Ping,
+        21: Ack,
+        22: PingRequest,
+        23: ViewRequest,
+        24: View,
+        40: ConfigRequest,
+        41: ConfigState,
+        60: IntentRequest,
+        61: IntentVerdict,
+        62: OutcomeReport,
+        63: OutcomeStored,
+    }
+)
+_NUMBERS = {type_: number for number, type_ in TYPES.items()}
+_FIELDS = {
+    type_: tuple(field.name for field in fields(type_))
+    for type_ in (*TYPES.values(), AccountService, Member)
+}
+_NESTED = {
+    (ShareReport, "services"): AccountService,
+    (ZoneTotals, "services"): AccountService,
+    (FleetTotals, "services"): AccountService,
+    (Ping, "news"): Member,
+    (Ack, "news"): Member,
+    (View, "members"): Member,
+}
+
+
+class MessageError(ValueError):
+    """Bytes from a peer are not a known message."""
+
+
+def _row(item: Any) -> list[Any]:
+    return [getattr(item, name) for name in _FIELDS[type(item)]]
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, tuple):
+        return [_row(item) for item in value]
+    return value
+
+
+def encode(sender: PeerId, message: Any) -> bytes:
+    """Return the wire form of ``message`` from ``sender``."""
+    row = [_plain(value) for value in _row(message)]
+    return msgpack.packb([sender.host, sender.boot, _NUMBERS[type(message)], *row])
+
+
+def decode(data: bytes) -> tuple[PeerId, Any]:
+    """Return the sender and the message in ``data``.
+
+    Raises:
+        MessageError: The bytes are broken or of an unknown type.
+    """
+    try:
+        host, boot, number, *row = msgpack.unpackb(data)
+        type_ = TYPES[number]
+        names = _FIELDS[type_]
+        args = [
+            tuple(nested(*part) for part in value)
+            if (nested := _NESTED.get((type_, name)))
+            else value
+            for name, value in zip(names, row, strict=False)
+        ]
+        return PeerId(host, boot), type_(*args)
+    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as exc:
+        raise MessageError(f"not a message of ours: {exc}") from exc
--- /dev/null
+++ b/greengageflow/timers.py
@@ -0,0 +1,68 @@
+"""The timer service that every part of a process subscribes to."""
+
+from collections.abc import Callable, Iterator
+from heapq import heappop, heappush
+from itertools import count
+from time import monotonic
+
+from circuits import BaseComponent, handler
+
+
+class Subscription:
+    """One timer; call ``cancel`` to end it."""
+
+    __slots__ = ("call", "interval_s", "live")
+
+    def __init__(self, call: Callable[[], None], interval_s: float | None) -> None:
+        self.call = call
+        self.interval_s = interval_s
+        self.live = True
+
+    def cancel(self) -> None:
+        """Stop calling the subscriber."""
+        self.live = False
+
+
+class Timers(BaseComponent):
+    """Calls subscribers when their time has come, on the circuits loop.
+
+    Example:
+        >>> timers = Timers().register(app)
+        >>> timers.every(1.0, send_heartbeat)
+        >>> timers.after(0.2, give_up).cancel()
+    """
+
+    channel = "timers"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._heap: list[tuple[float, int, Subscription]] = []
+        self._order = count()
+
+    def after(self, delay_s: float, call: Callable[[], None]) -> Subscription:
+        """Call once after ``delay_s`` seconds."""
+        return self._push(delay_s, Subscription(call, None))
+
+    def every(self, interval_s: float, call: Callable[[], None]) -> Subscription:
+        """Call every ``interval_s`` seconds, first after one interval."""
+        return self._push(interval_s, Subscription(call, interval_s))
+
+    def _push(self, delay_s: float, sub: Subscription) -> Subscription:
+        heappush(self._heap, (monotonic() + delay_s, next(self._order), sub))
+        return sub
+
+    def _due(self, now: float) -> Iterator[Subscription]:
+        while self._heap and self._heap[0][0] <= now:
+            _, _, sub = heappop(self._heap)
+            if sub.live:
+                yield sub
+
+    @handler("generate_events", channel="*", priority=1)
+    def _on_generate_events(self, event) -> None:
+        for sub in list(self._due(monotonic())):
+            sub.call()
+            if sub.interval_s is not None and sub.live:
+                self._push(sub.interval_s, sub)
+            event.reduce_time_left(0)
+        if self._heap:
+            event.reduce_time_left(max(0.0, self._heap[0][0] - monotonic()))
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,37 @@
+from contextlib import suppress
+
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengageflow import messages
+from greengageflow.messages import Member, MessageError, PeerId, Ping, decode, encode
+
+st.register_type_strategy(int, st.integers(-(2**63), 2**63 - 1))
+
+
+@settings(max_examples=200)
+@given(st.data())
+def test_every_message_survives_the_wire(data):
+    type_ = data.draw(st.sampled_from(list(messages.TYPES.values())))
+    message = data.draw(st.from_type(type_))
+    sender = PeerId("r1", 7)
+    assert decode(encode(sender, message)) == (sender, message)
+
+
+@settings(max_examples=200)
+@given(st.binary(max_size=64))
+def test_broken_bytes_raise_only_message_error(data):
+    with suppress(MessageError):
+        decode(data)
+
+
+def test_an_old_sender_may_leave_out_new_fields():
+    data = msgpack.packb(["r1", 7, 20, 1, 2, 3])
+    assert decode(data)[1] == Ping(1, 2, 3)
+
+
+def test_news_comes_back_as_members():
+    member = Member("r2", 1, 0, "alive", "127.0.0.2", 7000, "z1")
+    _, ping = decode(encode(PeerId("r1", 7), Ping(1, 2, 3, (member,))))
+    assert ping.news == (member,)
