--- /dev/null
+++ b/greengageflow/action_entry.py
@@ -0,0 +1,245 @@
+"""The entry router's side of protected actions: ask, send once, report.
+
+An attempt goes ``asking`` → ``holding`` (it alone may send) → ``sent`` →
+``reporting`` (until the log has its outcome). An attempt that ends before it was
+sent is released, and never sends after that, whatever arrives late.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import Enum, auto
+from itertools import count
+
+from greengageflow.actions import partition_of
+from greengageflow.effects import Effect, MayRun, Refuse, Replay, Send
+from greengageflow.errors import ErrorKind, Ran
+from greengageflow.messages import (
+    IntentRequest,
+    IntentVerdict,
+    OutcomeReport,
+    OutcomeStored,
+    PeerId,
+)
+
+ASK_AGAIN_S = 0.5
+VERDICT_WAIT_S = 5.0
+REPORTS_KEPT = 10_000
+
+
+class _Phase(Enum):
+    ASKING = auto()
+    WAITING = auto()
+    HOLDING = auto()
+    SENT = auto()
+
+
+@dataclass(slots=True)
+class _Attempt:
+    request: str
+    key: str
+    digest: str
+    nonce: str
+    deadline: float
+    give_up: float
+    phase: _Phase = _Phase.ASKING
+    next_ask: float = 0.0
+
+
+@dataclass(slots=True)
+class _Report:
+    message: OutcomeReport
+    next_send: float
+    until: float
+
+
+class ActionEntry:
+    """Protected actions that entered at this router.
+
+    Args:
+        own: This router.
+        writer_of: Returns the host that writes a stream of the log.
+        holder_lives: Returns whether the router ``{host}:{boot}`` may still be
+            running an attempt.
+        verdict_wait_s: Longest wait for the log's verdict, in seconds.
+        report_keep_s: Seconds for which an outcome that the log did not take is
+            offered again.
+    """
+
+    def __init__(
+        self,
+        own: PeerId,
+        writer_of: Callable[[str], str],
+        holder_lives: Callable[[str], bool],
+        *,
+        verdict_wait_s: float = VERDICT_WAIT_S,
+        report_keep_s: float = 600.0,
+    ) -> None:
+        self._own = own
+        self._writer_of = writer_of
+        self._holder_lives = holder_lives
+        self._verdict_wait_s = verdict_wait_s
+        self._report_keep_s = report_keep_s
+        self._numbers = count(1)
+        self._attempts: dict[str, _Attempt] = {}
+        self._nonces: dict[str, _Attempt] = {}
+        self._reports: dict[str, _Report] = {}
+
+    @property
+    def unreported(self) -> int:
+        """Number of outcomes and releases that the log does not have yet."""
+        return len(self._reports)
+
+    def begin(
+        self, now: float, request: str, key: str, digest: str, deadline: float
+    ) -> Iterator[Effect]:
+        """Ask whether ``request`` is the first of its key.
+
+        Args:
+            now: Monotonic time in seconds.
+            request: Id of the request.
+            key: Account and idempotency key, joined by a newline.
+            digest: SHA-256 of the request, hexadecimal.
+            deadline: Monotonic time after which it must not be sent.
+        """
+        nonce = f"{self._own.host}:{self._own.boot}:{next(self._numbers)}"
+        give_up = min(deadline, now + self._verdict_wait_s)
+        attempt = _Attempt(request, key, digest, nonce, deadline, give_up)
+        self._attempts[request] = attempt
+        self._nonces[nonce] = attempt
+        yield self._ask(now, attempt)
+
+    def _ask(self, now: float, attempt: _Attempt) -> Send:
+        attempt.next_ask = now + ASK_AGAIN_S
+        until = attempt.give_up
+        if attempt.phase is _Phase.WAITING:
+            until = attempt.deadline
+        message = IntentRequest(
+            attempt.nonce, attempt.key, attempt.digest, max(0.0, until - now)
+        )
+        return Send(self._writer(attempt.key), message)
+
+    def _writer(self, key: str) -> str:
+        return self._writer_of(partition_of(key))
+
+    def on_verdict(
+        self, now: float, sender: PeerId, verdict: IntentVerdict
+    ) -> Iterator[Effect]:
+        """Take the writer's answer."""
+        attempt = self._nonces.get(verdict.nonce)
+        if attempt is None or attempt.phase in (_Phase.HOLDING, _Phase.SENT):
+            return
+        request = attempt.request
+        match verdict.verdict:
+            case "first":
+                attempt.phase = _Phase.HOLDING
+                yield MayRun(request)
+            case "taken" if self._holder_lives(verdict.holder):
+                attempt.phase = _Phase.WAITING
+            case "taken" | "unknown":
+                self._drop(attempt)
+                yield _unknown(request)
+            case "done":
+                self._drop(attempt)
+                yield Replay(
+                    request, verdict.status, verdict.content_type, verdict.body
+                )
+            case "large":
+                self._drop(attempt)
+                text = "the action ran; its answer was too large to keep"
+                yield Refuse(request, ErrorKind.ANSWER_NOT_KEPT, text)
+            case "conflict":
+                self._drop(attempt)
+                text = "the idempotency key was used for another request"
+                yield Refuse(request, ErrorKind.KEY_CONFLICT, text)
+            case _:
+                self._drop(attempt)
+                yield _unavailable(request)
+
+    def may_send(self, now: float, request: str) -> bool:
+        """Return whether ``request`` may be sent now, for the only time.
+
+        Call it right before the first byte: a process that was frozen after the
+        verdict wakes here, past the deadline at which its caller was answered.
+        """
+        attempt = self._attempts.get(request)
+        if attempt is None or attempt.phase is not _Phase.HOLDING:
+            return False
+        if now >= attempt.deadline:
+            return False
+        attempt.phase = _Phase.SENT
+        return True
+
+    def give_up(self, now: float, request: str) -> Iterator[Effect]:
+        """End an attempt that was not sent, and free its key."""
+        attempt = self._attempts.get(request)
+        if attempt is None:
+            return
+        self._drop(attempt)
+        yield from self._end(
+            now, attempt, OutcomeReport(attempt.nonce, attempt.key, "no")
+        )
+
+    def ended(
+        self,
+        now: float,
+        request: str,
+        ran: Ran,
+        *,
+        status: int = 0,
+        content_type: str = "",
+        body: bytes = b"",
+    ) -> Iterator[Effect]:
+        """Record how a sent attempt ended."""
+        attempt = self._attempts.get(request)
+        if attempt is None:
+            return
+        self._drop(attempt)
+        report = OutcomeReport(
+            attempt.nonce, attempt.key, ran.value, status, content_type, body
+        )
+        yield from self._end(now, attempt, report)
+
+    def _end(
+        self, now: float, attempt: _Attempt, report: OutcomeReport
+    ) -> Iterator[Effect]:
+        if len(self._reports) < REPORTS_KEPT:
+            until = now + self._report_keep_s
+            self._reports[attempt.nonce] = _Report(report, now + ASK_AGAIN_S, until)
+        yield Send(self._writer(attempt.key), report)
+
+    def on_stored(self, stored: OutcomeStored) -> None:
+        """Forget an outcome that the log has."""
+        self._reports.pop(stored.nonce, None)
+
+    def _drop(self, attempt: _Attempt) -> None:
+        del self._attempts[attempt.request]
+        del self._nonces[attempt.nonce]
+
+    def on_tick(self, now: float) -> Iterator[Effect]:
+        """Ask again, report again, and refuse what has waited too long."""
+        for attempt in list(self._attempts.values()):
+            match attempt.phase:
+                case _Phase.ASKING if now >= attempt.give_up:
+                    yield from self.give_up(now, attempt.request)
+                    yield _unavailable(attempt.request)
+                case _Phase.WAITING if now >= attempt.deadline:
+                    self._drop(attempt)
+                    yield _unknown(attempt.request)
+                case _Phase.ASKING | _Phase.WAITING if now >= attempt.next_ask:
+                    yield self._ask(now, attempt)
+        for nonce, report in list(self._reports.items()):
+            if now >= report.until:
+                del self._reports[nonce]
+            elif now >= report.next_send:
+                report.next_send = now + ASK_AGAIN_S
+                yield Send(self._writer(report.message.key), report.message)
+
+
+def _unavailable(request: str) -> Refuse:
+    text = "the log did not confirm the action in time; it was not sent"
+    return Refuse(request, ErrorKind.LOG_UNAVAILABLE, text)
+
+
+def _unknown(request: str) -> Refuse:
+    text = "an earlier attempt with this key was sent; how it ended is not known"
+    return Refuse(request, ErrorKind.OUTCOME_UNKNOWN, text, ran=Ran.UNKNOWN)
--- /dev/null
+++ b/greengageflow/actions.py
@@ -0,0 +1,248 @@
+"""Protected actions: what the log says about each idempotency key.
+
+Before the one send, an *intent* (key, request digest, nonce) is appended to the
+key's stream. The first intent for a key, in offset order, may send, once. The
+outcome is appended after; a *release* frees a key whose attempt sent nothing.
+Every reader folds the same records, so the log's order alone decides.
+"""
+
+import base64
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from hashlib import blake2b
+from typing import Any
+
+PARTITIONS = 16
+STREAM_PREFIX = "actions-"
+BODY_KEPT = 16 * 1024
+BODIES_KEPT = 2 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Intent:
+    """An attempt wants to run the action of ``key``.
+
+    Args:
+        key: Account and idempotency key, joined by a newline.
+        nonce: Unique id of the attempt.
+        digest: SHA-256 of the request, hexadecimal.
+        holder: ``{host}:{boot}`` of the router that will send.
+    """
+
+    key: str
+    nonce: str
+    digest: str
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The attempt ended.
+
+    Args:
+        key: Account and idempotency key, joined by a newline.
+        nonce: Attempt that it belongs to.
+        ran: ``yes`` or ``unknown``.
+        status: HTTP status of the answer.
+        content_type: Content type of the answer.
+        body: Body of the answer.
+        kept: False when the body was too large to keep.
+    """
+
+    key: str
+    nonce: str
+    ran: str
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    kept: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """The attempt sent nothing and never will; the key is free again."""
+
+    key: str
+    nonce: str
+
+
+ActionRecord = Intent | Outcome | Release
+
+
+def partition_of(key: str) -> str:
+    """Return the name of the log stream that holds ``key``."""
+    digest = blake2b(key.encode(), digest_size=4).digest()
+    return f"{STREAM_PREFIX}{int.from_bytes(digest) % PARTITIONS}"
+
+
+def to_json(record: ActionRecord) -> dict[str, Any]:
+    """Return the JSON form of ``record`` for the log."""
+    match record:
+        case Intent(key, nonce, digest, holder):
+            return {"t": "intent", "k": key, "n": nonce, "d": digest, "h": holder}
+        case Release(key, nonce):
+            return {"t": "release", "k": key, "n": nonce}
+        case Outcome():
+            body = base64.b64encode(record.body).decode()
+            return {
+                "t": "outcome",
+                "k": record.key,
+                "n": record.nonce,
+                "r": record.ran,
+                "s": record.status,
+                "c": record.content_type,
+                "b": body,
+                "kept": record.kept,
+            }
+
+
+def from_json(data: Any) -> ActionRecord | None:
+    """Return the record in ``data``, or None when it is not one of ours."""
+    try:
+        match data["t"]:
+            case "intent":
+                return Intent(data["k"], data["n"], data["d"], data["h"])
+            case "release":
+                return Release(data["k"], data["n"])
+            case "outcome":
+                body = base64.b64decode(data["b"], validate=True)
+                return Outcome(
+                    data["k"],
+                    data["n"],
+                    data["r"],
+                    int(data["s"]),
+                    data["c"],
+                    body,
+                    bool(data["kept"]),
+                )
+    except (KeyError, TypeError, ValueError):
+        return None
+    return None
+
+
+def bounded(outcome: Outcome) -> Outcome:
+    """Return ``outcome`` without its body when that is too large for the log."""
+    if len(outcome.body) <= BODY_KEPT:
+        return outcome
+    return replace(outcome, body=b"", kept=False)
+
+
+@dataclass(frozen=True, slots=True)
+class KeyState:
+    """What the log says about one key.
+
+    Args:
+        nonce: Attempt that alone may send.
+        digest: Digest of its request.
+        holder: Router that sends.
+        expires: Unix time at which the key is forgotten, by the log's clock.
+        outcome: How the attempt ended, once known.
+    """
+
+    nonce: str
+    digest: str
+    holder: str
+    expires: float
+    outcome: Outcome | None = None
+
+
+class ActionFold:
+    """Folds the records of one action stream, in offset order.
+
+    Args:
+        expiry_s: Seconds for which a key is remembered after its last intent;
+            must be shorter than the log's retention.
+    """
+
+    def __init__(self, expiry_s: float) -> None:
+        self._expiry_s = expiry_s
+        self._keys: dict[str, KeyState] = {}
+        # A copy of an intent can follow its release in the log, when an append
+        # whose answer was lost is repeated. Taken as new, it would hold the key
+        # for an attempt that gave up; so released nonces are remembered.
+        self._released: dict[str, float] = {}
+        self._bodies: deque[str] = deque()
+        self._body_bytes = 0
+        self._time = 0.0
+        self._last_sweep = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of keys held."""
+        return len(self._keys)
+
+    def state(self, key: str) -> KeyState | None:
+        """Return what is known of ``key``, or None when it is free."""
+        return self._keys.get(key)
+
+    def released(self, nonce: str) -> bool:
+        """Return whether the attempt was given up."""
+        return nonce in self._released
+
+    def apply(self, time: float, record: ActionRecord) -> None:
+        """Fold one record that the log took at ``time`` (unix seconds)."""
+        time = self._time = max(self._time, time)
+        self._sweep(time)
+        state = self._keys.get(record.key)
+        if state and state.expires <= time:
+            self._forget(record.key)
+            state = None
+        match record:
+            case Intent():
+                self._apply_intent(time, record, state)
+            case Outcome(nonce=nonce) if state and state.nonce == nonce:
+                if state.outcome is None:
+                    self._keys[record.key] = replace(state, outcome=record)
+                    self._bound_bodies(record)
+            case Release(key, nonce):
+                self._released[nonce] = time + self._expiry_s
+                if state and state.nonce == nonce and state.outcome is None:
+                    del self._keys[key]
+
+    def _apply_intent(
+        self, time: float, intent: Intent, state: KeyState | None
+    ) -> None:
+        if intent.nonce in self._released:
+            return
+        expires = time + self._expiry_s
+        if state is None:
+            self._keys[intent.key] = KeyState(
+                intent.nonce, intent.digest, intent.holder, expires
+            )
+        else:
+            # Every intent extends the key, the losing ones too: a reader that
+            # starts after the first one lapsed then frees the key at the same
+            # time as one that saw it, and the two never name different firsts.
+            self._keys[intent.key] = replace(state, expires=expires)
+
+    def _bound_bodies(self, outcome: Outcome) -> None:
+        self._bodies.append(outcome.key)
+        self._body_bytes += len(outcome.body)
+        while self._body_bytes > BODIES_KEPT:
+            key = self._bodies.popleft()
+            state = self._keys.get(key)
+            if state and state.outcome:
+                self._body_bytes -= len(state.outcome.body)
+                bare = replace(state.outcome, body=b"", kept=False)
+                self._keys[key] = replace(state, outcome=bare)
+
+    def _sweep(self, time: float) -> None:
+        # Frees memory only: whether a key is free is decided exactly, record by
+        # record, or readers that started at different offsets would differ.
+        if time - self._last_sweep < 1.0:
+            return
+        self._last_sweep = time
+        for key in list(self._expired(time)):
+            self._forget(key)
+        for nonce in [n for n, until in self._released.items() if until <= time]:
+            del self._released[nonce]
+
+    def _forget(self, key: str) -> None:
+        state = self._keys.pop(key)
+        if state.outcome:
+            self._body_bytes -= len(state.outcome.body)
+
+    def _expired(self, time: float) -> Iterator[str]:
+        for key, state in self._keys.items():
+            if state.expires <= time:
+                yield key
--- a/greengageflow/effects.py
+++ b/greengageflow/effects.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from greengageflow.errors import ErrorKind
+from greengageflow.errors import ErrorKind, Ran
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,19 +36,54 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Give a waiting request its final answer: it was not run.
+    """Give a waiting request its final answer.
 
     Args:
         request: Id of the request.
         kind: Error kind of the answer.
         message: What happened.
         retry_after_s: When to come back, in seconds; None for the table's word.
+        ran: Whether it ran; None for the table's word.
     """
 
     request: str
     kind: ErrorKind
     message: str
     retry_after_s: float | None = None
+    ran: Ran | None = None
 
 
-Effect = Send | Start | Refuse
+@dataclass(frozen=True, slots=True)
+class AppendRecords:
+    """Append ``records`` (JSON values) to ``stream`` of the log, as one append."""
+
+    stream: str
+    records: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecords:
+    """Read ``stream`` of the log from ``from_offset``, without waiting."""
+
+    stream: str
+    from_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class MayRun:
+    """The protected action ``request`` is the first of its key; it may be sent."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """Give ``request`` the recorded answer of an earlier attempt."""
+
+    request: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+Effect = Send | Start | Refuse | AppendRecords | ReadRecords | MayRun | Replay
--- a/greengageflow/errors.py
+++ b/greengageflow/errors.py
@@ -25,7 +25,7 @@
     REQUEST_TIMEOUT = "request_timeout"
     KEY_REQUIRED = "idempotency_key_required"
     KEY_CONFLICT = "idempotency_key_conflict"
-    KEY_EXPIRED = "idempotency_key_expired"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     NO_ENDPOINT = "no_endpoint"
@@ -65,7 +65,7 @@
     ErrorKind.REQUEST_TIMEOUT: Answer(408, retry_after_s=1),
     ErrorKind.KEY_REQUIRED: Answer(400),
     ErrorKind.KEY_CONFLICT: Answer(409),
-    ErrorKind.KEY_EXPIRED: Answer(409, Ran.UNKNOWN),
+    ErrorKind.ANSWER_NOT_KEPT: Answer(410, Ran.YES),
     ErrorKind.QUEUE_FULL: Answer(429, retry_after_s=1),
     ErrorKind.DEADLINE: Answer(503, retry_after_s=1),
     ErrorKind.NO_ENDPOINT: Answer(503, retry_after_s=1),
--- /dev/null
+++ b/greengageflow/log_client.py
@@ -0,0 +1,189 @@
+"""The platform's log service, over the outbound HTTP pool."""
+
+import json
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from greengageflow.http_pool import Failure, HttpPool, HttpRequest, Response
+
+READ_LIMIT = 500
+READ_BYTES = 8 * 1024 * 1024
+ANSWER_TIMEOUT_S = 5.0
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """One record of a stream.
+
+    Args:
+        offset: Position in the stream.
+        time: Unix time at which the log took it, in seconds.
+        record: The JSON value that was appended.
+    """
+
+    offset: int
+    time: float
+    record: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Records:
+    """Records read, in order of their offsets."""
+
+    records: tuple[LogRecord, ...]
+    first_offset: int
+    next_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lapsed:
+    """The offset asked for is older than what the log keeps."""
+
+    first_offset: int
+    next_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """Records are in the log from ``first_offset`` on."""
+
+    first_offset: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class LogFailure:
+    """The log did not answer as asked.
+
+    Args:
+        effect_unknown: True when the records may be in the log all the same.
+        message: What happened.
+        retry_after_s: When the log asked to come back, in seconds.
+    """
+
+    effect_unknown: bool
+    message: str
+    retry_after_s: float | None = None
+
+
+ReadResult = Records | Lapsed | LogFailure
+AppendResult = Appended | LogFailure
+
+
+def _retry_after(response: Response) -> float | None:
+    for name, value in response.headers:
+        if name.lower() == "retry-after" and value.isdigit():
+            return float(value)
+    return None
+
+
+def _refusal(response: Response) -> LogFailure:
+    return LogFailure(False, f"log answered {response.status}", _retry_after(response))
+
+
+class LogClient:
+    """Appends to and reads from streams of the log.
+
+    Args:
+        pool: Outbound HTTP connections.
+        ip: IP number of the log.
+        port: TCP port of the log.
+    """
+
+    def __init__(self, pool: HttpPool, ip: str, port: int) -> None:
+        self._pool = pool
+        self._ip = ip
+        self._port = port
+        self.appends = 0
+        self.reads = 0
+
+    def append(
+        self,
+        stream: str,
+        records: Sequence[Any],
+        on_done: Callable[[AppendResult], None],
+    ) -> None:
+        """Append ``records`` as one append, all or nothing."""
+
+        def done(answer: Response | Failure) -> None:
+            on_done(_append_result(answer))
+
+        self.appends += 1
+        body = json.dumps({"records": list(records)}).encode()
+        # A reused connection that dies leaves the effect unknown; the caller
+        # appends again under the same nonce, so the pool must not do it unseen.
+        req = HttpRequest(
+            "POST",
+            self._ip,
+            self._port,
+            f"/streams/{stream}/records",
+            JSON_HEADERS,
+            body,
+            idle_timeout_s=ANSWER_TIMEOUT_S,
+            retry_stale=False,
+        )
+        self._pool.fetch(req, done)
+
+    def read(
+        self,
+        stream: str,
+        from_offset: int,
+        wait_s: float,
+        on_done: Callable[[ReadResult], None],
+    ) -> None:
+        """Read records from ``from_offset``, waiting up to ``wait_s`` for one."""
+
+        def done(answer: Response | Failure) -> None:
+            on_done(_read_result(answer))
+
+        self.reads += 1
+        path = (
+            f"/streams/{stream}/records?from={from_offset}"
+            f"&limit={READ_LIMIT}&wait_s={wait_s:g}"
+        )
+        req = HttpRequest(
+            "GET",
+            self._ip,
+            self._port,
+            path,
+            idle_timeout_s=wait_s + ANSWER_TIMEOUT_S,
+        )
+        self._pool.fetch(req, done, limit=READ_BYTES)
+
+
+def _append_result(answer: Response | Failure) -> AppendResult:
+    match answer:
+        case Failure(sent=sent, message=message):
+            return LogFailure(sent, message)
+        case Response(status=200):
+            try:
+                data = answer.json()
+                return Appended(int(data["first_offset"]), int(data["count"]))
+            except (ValueError, KeyError, TypeError) as exc:
+                return LogFailure(True, f"log answered nonsense: {exc!r}")
+    return _refusal(answer)
+
+
+def _read_result(answer: Response | Failure) -> ReadResult:
+    match answer:
+        case Failure(message=message):
+            return LogFailure(False, message)
+        case Response(status=200 | 410):
+            try:
+                return _read_body(answer.status, answer.json())
+            except (ValueError, KeyError, TypeError) as exc:
+                return LogFailure(False, f"log answered nonsense: {exc!r}")
+    return _refusal(answer)
+
+
+def _read_body(status: int, data: Any) -> ReadResult:
+    first, end = int(data["first_offset"]), int(data["next_offset"])
+    if status == 410:
+        return Lapsed(first, end)
+    records = tuple(
+        LogRecord(int(row["offset"]), float(row["time"]), row["record"])
+        for row in data["records"]
+    )
+    return Records(records, first, end)
--- a/greengageflow/messages.py
+++ b/greengageflow/messages.py
@@ -297,11 +297,14 @@
     Args:
         nonce: Echo of the request.
         verdict: ``first`` (the asker alone may send), ``done`` (outcome known),
-            ``taken`` (another attempt may have sent), ``conflict`` (same key,
-            other request), ``expired``, ``unavailable`` (nothing may be sent).
+            ``taken`` (another attempt may have sent), ``unknown`` (an attempt
+            sent, how it ended is not known), ``large`` (it ran, its answer was
+            too large to keep), ``conflict`` (same key, other request),
+            ``released`` (this attempt was given up).
         status: HTTP status of the recorded outcome.
         content_type: Content type of the recorded outcome.
         body: Body of the recorded outcome.
+        holder: For ``taken``, ``{host}:{boot}`` of the router that may send.
     """
 
     nonce: str
@@ -309,6 +312,7 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    holder: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_actions.py
@@ -0,0 +1,210 @@
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from greengageflow.action_entry import ActionEntry
+from greengageflow.action_writer import ActionWriter
+from greengageflow.actions import (
+    ActionFold,
+    Intent,
+    Outcome,
+    Release,
+    from_json,
+    to_json,
+)
+from greengageflow.effects import AppendRecords, MayRun, ReadRecords, Refuse, Send
+from greengageflow.errors import Ran
+from greengageflow.log_client import Appended, LogFailure, LogRecord, Records
+from greengageflow.messages import (
+    IntentRequest,
+    IntentVerdict,
+    OutcomeReport,
+    OutcomeStored,
+    PeerId,
+)
+
+KEY = "acme\nvisit-1"
+
+
+def test_a_released_attempt_does_not_take_the_key_by_a_late_copy():
+    """The caller was told that the action was not run, and tries again later.
+
+    The append of its intent lost its answer and was repeated, so a copy stands
+    behind the release. Taken as new, the copy would hold the key for nobody.
+    """
+    fold = ActionFold(600)
+    fold.apply(1, Intent(KEY, "n1", "d", "r1:1"))
+    fold.apply(2, Release(KEY, "n1"))
+    fold.apply(3, Intent(KEY, "n1", "d", "r1:1"))
+    assert fold.state(KEY) is None
+    fold.apply(4, Intent(KEY, "n2", "d", "r2:1"))
+    assert fold.state(KEY).nonce == "n2"
+
+
+def test_readers_that_start_late_free_a_key_at_the_same_time():
+    """Two writers must never name different firsts for one key.
+
+    The log forgot the first intent before the second writer began to read. If the
+    losing intent did not extend the key, the first writer would free it earlier.
+    """
+    rows = [
+        (0, Intent(KEY, "n1", "d", "r1:1")),
+        (500, Intent(KEY, "n2", "d", "r2:1")),
+        (700, Intent(KEY, "n3", "d", "r3:1")),
+        (1200, Intent(KEY, "n4", "d", "r1:1")),
+    ]
+    early, late = ActionFold(600), ActionFold(600)
+    for time, record in rows:
+        early.apply(time, record)
+    for time, record in rows[1:]:
+        late.apply(time, record)
+    assert early.state(KEY).nonce != "n3"
+    assert late.state(KEY).nonce != "n3"
+    assert early.state(KEY).expires == late.state(KEY).expires
+
+
+def test_memory_for_answers_is_bounded_and_says_so():
+    fold = ActionFold(600)
+    for n in range(300):
+        fold.apply(1, Intent(f"k{n}", f"n{n}", "d", "r1:1"))
+        fold.apply(1, Outcome(f"k{n}", f"n{n}", "yes", 200, "t", b"x" * 16_000))
+    assert fold.state("k0").outcome.kept is False
+    assert fold.state("k299").outcome.kept is True
+
+
+class ActionMachine(RuleBasedStateMachine):
+    """Entries, writers and a log in memory; messages are lost, copied, reordered."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.log = {}
+        self.mail = []
+        self.writers = {}
+        self.entries = {}
+        self.boots = Counter()
+        self.sent = Counter()
+        self.told_not_run = set()
+        self.number = 0
+        self.writer = "r1"
+        for host in ("r1", "r2", "r3"):
+            self.restart_host(host)
+
+    def restart_host(self, host):
+        self.boots[host] += 1
+        own = PeerId(host, self.boots[host])
+        self.writers[host] = ActionWriter(600)
+        self.entries[host] = ActionEntry(
+            own, lambda _: self.writer, lambda _: True, verdict_wait_s=3
+        )
+
+    def run(self, host, effects):
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    sender = PeerId(host, self.boots[host])
+                    self.mail.append((sender, to, message))
+                case AppendRecords(stream, records):
+                    self.mail.append((host, "append", stream, records))
+                case ReadRecords(stream, start):
+                    rows = self.log.get(stream, [])
+                    result = Records(tuple(rows[start:]), 0, len(rows))
+                    self.run(host, self.writers[host].on_read(self.now, stream, result))
+                case MayRun(request):
+                    self.mail.append((host, "send", request))
+                case Refuse(request, ran=None):
+                    self.told_not_run.add(request)
+
+    @rule(host=st.sampled_from(["r1", "r2", "r3"]))
+    def caller_asks(self, host):
+        self.number += 1
+        request = f"q{self.number}"
+        entry = self.entries[host]
+        self.run(host, entry.begin(self.now, request, KEY, "d", self.now + 20))
+
+    @rule(pick=st.integers(0, 99), fate=st.sampled_from(["ok", "ok", "lose", "copy"]))
+    def something_happens(self, pick, fate):
+        if not self.mail:
+            return
+        index = pick % len(self.mail)
+        item = self.mail[index] if fate == "copy" else self.mail.pop(index)
+        match item:
+            case host, "send", request:
+                if fate != "copy":
+                    self.send(host, request, fate)
+            case host, "append", stream, records:
+                if fate != "copy":
+                    self.append(host, stream, records, fate)
+            case sender, to, message if fate != "lose":
+                self.deliver(sender, to, message)
+
+    @rule(count=st.integers(1, 8))
+    def all_goes_well(self, count):
+        for _ in range(count):
+            self.something_happens(0, "ok")
+
+    def send(self, host, request, fate):
+        entry = self.entries[host]
+        if fate == "lose":
+            self.run(host, entry.give_up(self.now, request))
+            self.told_not_run.add(request)
+        elif entry.may_send(self.now, request):
+            self.sent[request] += 1
+            assert request not in self.told_not_run
+            self.run(host, entry.ended(self.now, request, Ran.YES, status=200))
+
+    def append(self, host, stream, records, fate):
+        rows = self.log.setdefault(stream, [])
+        result = Appended(len(rows), len(records))
+        for record in records:
+            rows.append(LogRecord(len(rows), self.now, record))
+        if fate == "lose":
+            result = LogFailure(True, "answer lost")
+        writer = self.writers[host]
+        if writer._streams.get(stream) and writer._streams[stream].appending:
+            self.run(host, writer.on_append(self.now, stream, result))
+
+    def deliver(self, sender, to, message):
+        match message:
+            case IntentRequest() | OutcomeReport():
+                self.run(to, self.writers[to].receive(self.now, sender, message))
+            case IntentVerdict():
+                self.run(to, self.entries[to].on_verdict(self.now, sender, message))
+            case OutcomeStored():
+                self.entries[to].on_stored(message)
+
+    @rule(step=st.sampled_from([0.2, 1.0, 4.0]))
+    def time_passes(self, step):
+        self.now += step
+        for host in self.entries:
+            self.run(host, self.entries[host].on_tick(self.now))
+            self.run(host, self.writers[host].on_tick(self.now))
+
+    @rule(host=st.sampled_from(["r1", "r2", "r3"]))
+    def host_restarts(self, host):
+        self.mail = [m for m in self.mail if m[0] != host]
+        self.restart_host(host)
+
+    @rule(host=st.sampled_from(["r1", "r2", "r3"]))
+    def writer_moves(self, host):
+        self.writer = host
+
+    @invariant()
+    def at_most_once(self):
+        assert sum(self.sent.values()) <= 1
+
+
+TestActionMachine = ActionMachine.TestCase
+TestActionMachine.settings = settings(max_examples=200, stateful_step_count=50)
+
+
+def test_records_survive_the_log():
+    for record in (
+        Intent(KEY, "n", "d", "r1:1"),
+        Release(KEY, "n"),
+        Outcome(KEY, "n", "yes", 200, "text/plain", b"\x00\xff"),
+    ):
+        assert from_json(to_json(record)) == record
+    assert from_json({"t": "outcome", "k": 1}) is None
