Configuration: two schemas and the fold of the log into one state

Operators race each other with records of old and new schemas. Each record names the revision that it replaces, and the fold accepts it only when that one is in force at its offset, so a race has one winner without any talk between routers. Defaults belong to the schema, not to the catalog, or two releases would fold one log into two configurations.

Taking any record that a router understands was ruled out: old and new routers would then disagree. The highest schema is itself a record.

--- a/greengageflow/_check.py
+++ b/greengageflow/_check.py
@@ -92,6 +92,10 @@
     return Field(check, _describe(check), False, default)
 
 
+def _any_invalid(found: Iterable[Any]) -> bool:
+    return any(part is INVALID for part in found)
+
+
 def _describe(check: Check) -> str:
     return getattr(check, "expected", "a value")
 
@@ -206,7 +210,7 @@
                 result = INVALID
             seen.add(key)
             found.append(result)
-        return INVALID if INVALID in found else tuple(found)
+        return INVALID if _any_invalid(found) else tuple(found)
 
     check.expected = "a list"
     return check
@@ -238,7 +242,7 @@
                 found[key] = INVALID
             else:
                 found[key] = field.default
-        return INVALID if INVALID in found.values() else make(**found)
+        return INVALID if _any_invalid(found.values()) else make(**found)
 
     check.expected = "an object"
     return check
--- /dev/null
+++ b/greengageflow/_schema1.py
@@ -0,0 +1,175 @@
+"""Schema 1 of a configuration: three flat lists.
+
+It cannot say an account's queue limit, a pool's cost hint and deadline, a repeatable
+exception below a protected prefix, whether an endpoint checks fencing numbers or
+resumes streams, and the policy. Those values are kept from the present configuration
+for accounts, pools and endpoints of the same name.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+from greengageflow._check import (
+    boolean,
+    choice,
+    integer,
+    ip_number,
+    name,
+    number,
+    optional,
+    record,
+    refine,
+    required,
+    sequence,
+)
+from greengageflow._schema_common import (
+    DEFAULT_COST_HINT,
+    DEFAULT_DEADLINE_S,
+    DEFAULT_QUEUE_LIMIT,
+    by_name,
+    key_hash,
+    path_prefix,
+    routes,
+    shared_keys,
+    unknown_pools,
+    unsuitable_pools,
+)
+from greengageflow.catalog import (
+    ClientAccount,
+    Endpoint,
+    FleetConfig,
+    Pool,
+    PoolKind,
+)
+
+NUMBER = 1
+_DEFAULT_SLOTS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class _Pool:
+    name: str
+    kind: PoolKind
+    protected: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Form:
+    accounts: tuple[ClientAccount, ...]
+    pools: tuple[_Pool, ...]
+    endpoints: tuple[Endpoint, ...]
+
+
+_ACCOUNT = record(
+    ClientAccount,
+    name=required(name()),
+    weight=optional(number(0.001, 1e6), 1.0),
+    key_hashes=optional(sequence(key_hash()), ()),
+)
+_POOL = record(
+    _Pool,
+    name=required(name()),
+    kind=required(choice(PoolKind, PoolKind)),
+    protected=optional(sequence(path_prefix()), ()),
+)
+_ENDPOINT = record(
+    Endpoint,
+    name=required(name()),
+    pool=required(name()),
+    host=required(ip_number()),
+    port=required(integer(1, 65535)),
+    zone=optional(name(), ""),
+    slots=optional(integer(1, 100_000), _DEFAULT_SLOTS),
+    generation=optional(integer(1, 2**53), 1),
+    leaving=optional(boolean(), False),
+)
+
+
+def _consistent(form: _Form, path: str) -> Iterator[Any]:
+    yield from shared_keys(form.accounts, path)
+    yield from unsuitable_pools(form.pools, path)
+    yield from unknown_pools(form.pools, form.endpoints, path)
+
+
+CHECK = refine(
+    record(
+        _Form,
+        accounts=optional(sequence(_ACCOUNT, unique="name"), ()),
+        pools=optional(sequence(_POOL, unique="name"), ()),
+        endpoints=optional(sequence(_ENDPOINT, unique="name"), ()),
+    ),
+    _consistent,
+)
+
+
+def merge(present: FleetConfig, form: _Form) -> FleetConfig:
+    """Return ``present`` with all that schema 1 can say replaced by ``form``."""
+    return replace(
+        present,
+        accounts=by_name(_account(present, item) for item in form.accounts),
+        pools=by_name(_pool(present, item) for item in form.pools),
+        endpoints=by_name(_endpoint(present, item) for item in form.endpoints),
+    )
+
+
+def _account(present: FleetConfig, item: ClientAccount) -> ClientAccount:
+    old = present.accounts.get(item.name)
+    queue_limit = DEFAULT_QUEUE_LIMIT if old is None else old.queue_limit
+    return replace(item, queue_limit=queue_limit)
+
+
+def _pool(present: FleetConfig, item: _Pool) -> Pool:
+    old = present.pools.get(item.name)
+    if old is None or old.kind is not item.kind:
+        old = Pool(
+            item.name,
+            item.kind,
+            cost_hint=DEFAULT_COST_HINT,
+            deadline_s=DEFAULT_DEADLINE_S,
+        )
+    repeatable = {route.prefix for route in old.routes if route.repeatable}
+    return replace(old, routes=routes(item.protected, repeatable))
+
+
+def _endpoint(present: FleetConfig, item: Endpoint) -> Endpoint:
+    old = present.endpoints.get(item.name)
+    if old is None or old.pool != item.pool:
+        return replace(item, checks_fencing=False, resumes=False)
+    return replace(item, checks_fencing=old.checks_fencing, resumes=old.resumes)
+
+
+def dump(config: FleetConfig) -> dict[str, Any]:
+    """Return what schema 1 can say of ``config``."""
+    return {
+        "accounts": [
+            {
+                "name": account.name,
+                "weight": account.weight,
+                "key_hashes": list(account.key_hashes),
+            }
+            for account in config.accounts.values()
+        ],
+        "pools": [_dump_pool(pool) for pool in config.pools.values()],
+        "endpoints": [
+            {
+                "name": endpoint.name,
+                "pool": endpoint.pool,
+                "host": endpoint.host,
+                "port": endpoint.port,
+                **({"zone": endpoint.zone} if endpoint.zone else {}),
+                "slots": endpoint.slots,
+                "generation": endpoint.generation,
+                "leaving": endpoint.leaving,
+            }
+            for endpoint in config.endpoints.values()
+        ],
+    }
+
+
+def _dump_pool(pool: Pool) -> dict[str, Any]:
+    return {
+        "name": pool.name,
+        "kind": pool.kind.value,
+        "protected": [route.prefix for route in pool.routes if not route.repeatable],
+    }
--- /dev/null
+++ b/greengageflow/_schema_common.py
@@ -0,0 +1,82 @@
+"""Checks that several configuration schemas share."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from types import MappingProxyType
+from typing import Any
+
+from greengageflow._check import Check, Fault, WrongValue, matching
+from greengageflow.catalog import ClientAccount, Policy, PoolKind, Route
+
+# Part of schemas 1 and 2, which never change: not taken from the defaults of the
+# catalog, or two releases would fold the same log into different configurations.
+DEFAULT_QUEUE_LIMIT = 64
+DEFAULT_COST_HINT = 200.0
+DEFAULT_DEADLINE_S = 60.0
+DEFAULT_POLICY = Policy(
+    owners_asked=8,
+    share_interval_s=0.5,
+    action_expiry_s=600.0,
+    retry_ratio=0.1,
+    body_limit=1_048_576,
+)
+
+
+def by_name(items: Iterable[Any]) -> Mapping[str, Any]:
+    """Return the items by name, in the order of their names."""
+    found = {item.name: item for item in items}
+    return MappingProxyType(dict(sorted(found.items())))
+
+
+def routes(protected: Iterable[str], repeatable: Iterable[str]) -> tuple[Route, ...]:
+    """Return routes in the order of their prefixes; ``protected`` goes first."""
+    found = dict.fromkeys(repeatable, True) | dict.fromkeys(protected, False)
+    return tuple(Route(prefix, found[prefix]) for prefix in sorted(found))
+
+
+def key_hash() -> Check:
+    """Check for the hash of a bearer key."""
+    return matching("[0-9a-f]{64}", "a SHA-256 hash of 64 digits from 0-9a-f")
+
+
+def path_prefix() -> Check:
+    """Check for a path prefix below a service."""
+    return matching("/[!-~]{0,255}", "a path that starts with /")
+
+
+def unknown_pools(
+    pools: Iterable[Any], endpoints: Iterable[Any], path: str
+) -> Iterator[Fault]:
+    """Yield a fault for each endpoint whose pool is not there."""
+    names = {pool.name for pool in pools}
+    for endpoint in endpoints:
+        if endpoint.pool not in names:
+            yield WrongValue(
+                f"{path}.endpoints[{endpoint.name}].pool".lstrip("."),
+                "the name of a pool of this configuration",
+                endpoint.pool,
+            )
+
+
+def unsuitable_pools(pools: Iterable[Any], path: str) -> Iterator[Fault]:
+    """Yield a fault for each service whose name cannot stand in a URL's path."""
+    for pool in pools:
+        if pool.kind is PoolKind.SERVICE and "/" in pool.name:
+            yield WrongValue(
+                f"{path}.pools[{pool.name}].name".lstrip("."),
+                "a service name without /, since it stands in the callers' URL",
+                pool.name,
+            )
+
+
+def shared_keys(accounts: Iterable[ClientAccount], path: str) -> Iterator[Fault]:
+    """Yield a fault for each key that would let a caller into two accounts."""
+    owners: dict[str, str] = {}
+    for account in accounts:
+        for digest in account.key_hashes:
+            owner = owners.setdefault(digest, account.name)
+            if owner != account.name:
+                yield WrongValue(
+                    f"{path}.accounts[{account.name}].key_hashes".lstrip("."),
+                    f"keys of its own, not one of {owner}",
+                    digest,
+                )
--- /dev/null
+++ b/greengageflow/fold.py
@@ -0,0 +1,363 @@
+"""The deterministic fold of the configuration stream.
+
+Routers that fold the same prefix of the log hold the same state, without talking
+to each other. So nothing local enters: no clock, no host, no software version. What
+this software cannot read stops the fold instead of being guessed.
+"""
+
+import json
+from collections import deque
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Any
+
+from greengageflow._schema_common import DEFAULT_POLICY
+from greengageflow.catalog import FleetConfig
+from greengageflow.schema import (
+    BASE_SCHEMA,
+    SCHEMAS,
+    AllowSchemaRecord,
+    ConfigRecord,
+    Head,
+    RecordKind,
+    SnapshotRecord,
+    parse_head,
+    parse_record,
+    snapshot_document,
+)
+
+HISTORY_LENGTH = 100
+_FAULTS_SHOWN = 5
+
+
+class Reason(StrEnum):
+    """Why a record was not accepted."""
+
+    MALFORMED = "malformed"
+    SCHEMA_NOT_ALLOWED = "schema_not_allowed"
+    INVALID = "invalid"
+    LOST = "lost"
+    NOT_UNDERSTOOD = "not_understood"
+    INCOMPLETE = "incomplete"
+    REPEATED = "repeated"
+    SNAPSHOT_KNOWN = "snapshot_known"
+    SNAPSHOT_STALE = "snapshot_stale"
+    SNAPSHOT_WRONG = "snapshot_wrong"
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The record is in force; so say all routers."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The record changes nothing; so say all routers."""
+
+    reason: Reason
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """The state was taken from a snapshot, since earlier records are lost."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Skipped:
+    """This router passed over a record, which changed nothing here."""
+
+    reason: Reason
+    text: str
+
+
+Outcome = Accepted | Rejected | Adopted | Skipped
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """What became of one record.
+
+    Args:
+        offset: Log offset of the record.
+        author: Who published it, as far as it says.
+        nonce: Unique text by which its publisher knows it again, or empty.
+        outcome: What became of it.
+    """
+
+    offset: int
+    author: str
+    nonce: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """All that a prefix of the log folds into.
+
+    Args:
+        config: Configuration in force.
+        highest: Highest schema that may be published.
+        offset: Offset of the last record folded; -1 before the first.
+    """
+
+    config: FleetConfig = FleetConfig(policy=DEFAULT_POLICY)
+    highest: int = BASE_SCHEMA
+    offset: int = -1
+
+    @property
+    def revision(self) -> int:
+        """Number of accepted records."""
+        return self.config.revision
+
+
+class Fold:
+    """Folds records into the configuration in force.
+
+    Args:
+        understood: Schemas that this software reads; fewer in tests only.
+        history_length: Decisions kept for operators.
+    """
+
+    def __init__(
+        self,
+        *,
+        understood: frozenset[int] = frozenset(SCHEMAS),
+        history_length: int = HISTORY_LENGTH,
+    ) -> None:
+        self._understood = understood
+        self._state = State()
+        self._history: deque[Decision] = deque(maxlen=history_length)
+        self._lost_before = 0
+        self._scanned = -1
+        self.halted = ""
+
+    @property
+    def state(self) -> State:
+        """All that the log was folded into."""
+        return self._state
+
+    @property
+    def config(self) -> FleetConfig:
+        """Configuration in force."""
+        return self._state.config
+
+    @property
+    def offset(self) -> int:
+        """Offset of the last record folded; -1 before the first."""
+        return self._state.offset
+
+    @property
+    def complete(self) -> bool:
+        """False while lost records keep this router from judging new ones."""
+        return self._lost_before <= self.offset + 1
+
+    @property
+    def next_offset(self) -> int:
+        """Offset from which to read on."""
+        return self.offset + 1 if self.complete else self._scanned + 1
+
+    @property
+    def understood(self) -> frozenset[int]:
+        """Schemas that this software reads."""
+        return self._understood
+
+    @property
+    def history(self) -> tuple[Decision, ...]:
+        """The last decisions, oldest first."""
+        return tuple(self._history)
+
+    def skip_to(self, first_offset: int) -> None:
+        """Note that records before ``first_offset`` can no longer be read."""
+        if first_offset > self.next_offset:
+            self._lost_before = first_offset
+            self._scanned = first_offset - 1
+
+    def apply(self, offset: int, value: Any) -> Outcome:
+        """Judge the record at ``offset``, which must be ``next_offset``.
+
+        Args:
+            offset: Log offset of the record; one before ``next_offset`` is a
+                copy and changes nothing.
+            value: The record's JSON value.
+
+        Raises:
+            ValueError: ``offset`` is past ``next_offset``.
+        """
+        if offset > self.next_offset:
+            raise ValueError(f"record {offset} follows {self.next_offset - 1}")
+        if offset < self.next_offset:
+            return Skipped(Reason.REPEATED, "folded before")
+        outcome = self._judge(offset, value)
+        if self.halted:
+            return outcome
+        self._history.append(_decision(offset, value, outcome))
+        match outcome:
+            case Adopted():
+                pass
+            case _ if self.complete:
+                self._state = replace(self._state, offset=offset)
+            case _:
+                self._scanned = offset
+        return outcome
+
+    def restore(self, document: str) -> bool:
+        """Take over a peer's newer state; return whether it was newer.
+
+        Args:
+            document: JSON text as ``snapshot`` gives it.
+
+        Raises:
+            ExceptionGroup: The document is broken.
+        """
+        try:
+            value = json.loads(document)
+        except (ValueError, RecursionError) as exc:
+            raise ExceptionGroup("snapshot of a peer", [exc]) from None
+        head = parse_head(value)
+        if head.schema not in self._understood or head.kind is not RecordKind.SNAPSHOT:
+            return False
+        return self._adopt(parse_record(value, head))
+
+    def snapshot(self, author: str) -> dict[str, Any]:
+        """Return the state as a record for the log or for a peer."""
+        record = SnapshotRecord(
+            revision=self._state.revision,
+            through_offset=self.offset,
+            config_offset=self.config.offset,
+            highest=self._state.highest,
+            schema=self._snapshot_schema,
+            form=None,
+            author=author,
+        )
+        return snapshot_document(record, self.config)
+
+    @property
+    def _snapshot_schema(self) -> int:
+        """Highest allowed schema that is known here; it can say all there is."""
+        return max(n for n in self._understood if n <= self._state.highest)
+
+    def _judge(self, offset: int, value: Any) -> Outcome:
+        try:
+            head = parse_head(value)
+        except ExceptionGroup as exc:
+            return self._refusal(Reason.MALFORMED, _texts(exc))
+        if head.kind is RecordKind.SNAPSHOT:
+            return self._judge_snapshot(offset, value, head)
+        if not self.complete:
+            text = f"records before {self._lost_before} are lost"
+            return Skipped(Reason.INCOMPLETE, text)
+        if head.schema > self._state.highest:
+            return Rejected(
+                Reason.SCHEMA_NOT_ALLOWED,
+                f"schema {head.schema}, but {self._state.highest} is the highest"
+                " allowed",
+            )
+        if head.schema not in self._understood:
+            return self._halt(offset, head)
+        try:
+            record = parse_record(value, head)
+        except ExceptionGroup as exc:
+            return Rejected(Reason.INVALID, _texts(exc))
+        return self._judge_change(offset, record)
+
+    def _refusal(self, reason: Reason, text: str) -> Outcome:
+        return Rejected(reason, text) if self.complete else Skipped(reason, text)
+
+    def _halt(self, offset: int, head: Head) -> Outcome:
+        # Guessing what an allowed but unknown schema means would leave this
+        # router with a configuration of its own; it keeps the present one.
+        self.halted = (
+            f"record {offset} has schema {head.schema}, which this release does not"
+            " understand"
+        )
+        return Skipped(Reason.NOT_UNDERSTOOD, self.halted)
+
+    def _judge_change(
+        self, offset: int, record: ConfigRecord | AllowSchemaRecord
+    ) -> Outcome:
+        state = self._state
+        if record.replaces != state.revision:
+            return Rejected(
+                Reason.LOST,
+                f"replaces revision {record.replaces}, but {state.revision} is in"
+                " force",
+            )
+        revision = state.revision + 1
+        match record:
+            case ConfigRecord():
+                merged = SCHEMAS[record.schema].merge(state.config, record.form)
+                config = replace(merged, revision=revision, offset=offset)
+                self._state = replace(state, config=config)
+            case AllowSchemaRecord() if record.highest <= state.highest:
+                return Rejected(
+                    Reason.INVALID,
+                    f"highest: expected more than {state.highest}, which is allowed"
+                    " already",
+                )
+            case AllowSchemaRecord():
+                config = replace(state.config, revision=revision, offset=offset)
+                self._state = replace(state, config=config, highest=record.highest)
+        return Accepted(revision)
+
+    def _judge_snapshot(self, offset: int, value: Any, head: Head) -> Outcome:
+        if head.schema not in self._understood:
+            return Skipped(Reason.NOT_UNDERSTOOD, f"snapshot of schema {head.schema}")
+        try:
+            record = parse_record(value, head)
+        except ExceptionGroup as exc:
+            return self._refusal(Reason.INVALID, _texts(exc))
+        if self.complete:
+            return self._compare(record)
+        if record.through_offset + 1 < self._lost_before:
+            text = f"reaches {record.through_offset}, lost before {self._lost_before}"
+            return Skipped(Reason.SNAPSHOT_STALE, text)
+        if record.through_offset < offset and self._adopt(record):
+            return Adopted(self._state.revision)
+        return Skipped(Reason.SNAPSHOT_WRONG, "contradicts what is known here")
+
+    def _compare(self, record: SnapshotRecord) -> Outcome:
+        """Tell whether a snapshot agrees; the folded state stands anyway."""
+        if record.revision < self._state.revision:
+            return Skipped(Reason.SNAPSHOT_STALE, f"revision {record.revision}")
+        known = replace(self._state, offset=record.through_offset)
+        if _state_of(record) != known:
+            text = f"revision {record.revision} differs from the folded one"
+            return Skipped(Reason.SNAPSHOT_WRONG, text)
+        return Skipped(Reason.SNAPSHOT_KNOWN, f"revision {record.revision}")
+
+    def _adopt(self, record: SnapshotRecord) -> bool:
+        newer = record.through_offset > self.offset
+        if not newer or record.revision < self._state.revision:
+            return False
+        self._state = _state_of(record)
+        self.halted = ""
+        return True
+
+
+def _state_of(record: SnapshotRecord) -> State:
+    merged = SCHEMAS[record.schema].merge(State().config, record.form)
+    config = replace(merged, revision=record.revision, offset=record.config_offset)
+    return State(config, record.highest, record.through_offset)
+
+
+def _decision(offset: int, value: Any, outcome: Outcome) -> Decision:
+    author, nonce = (_text_field(value, name) for name in ("author", "nonce"))
+    return Decision(offset, author, nonce, outcome)
+
+
+def _text_field(value: Any, name: str) -> str:
+    found = value.get(name, "") if type(value) is dict else ""
+    return found[:256] if type(found) is str else ""
+
+
+def _texts(group: ExceptionGroup) -> str:
+    shown = [str(exc) for exc in group.exceptions[:_FAULTS_SHOWN]]
+    more = len(group.exceptions) - len(shown)
+    if more:
+        shown.append(f"and {more} more")
+    return "; ".join(shown)
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -14,6 +14,7 @@
     choice,
     integer,
     ip_number,
+    matching,
     name,
     number,
     optional,
@@ -116,6 +117,7 @@
     timing: Timing = Timing()
 
     def __post_init__(self) -> None:
+        """Fill in what follows from other settings."""
         if not self.peer_ip:
             object.__setattr__(self, "peer_ip", self.ip)
 
@@ -125,6 +127,14 @@
         return self.peer_advertise or Address(self.peer_ip, self.peer_port)
 
 
+def _host() -> Check:
+    # Ids of grants are joined by colons, so a host name may not hold one.
+    return matching(
+        "[A-Za-z0-9][A-Za-z0-9._-]{0,127}",
+        "a host name of 1 to 128 letters, digits and ._-",
+    )
+
+
 def _port() -> Check:
     return integer(1, 65535)
 
@@ -157,13 +167,13 @@
 def _router_settings() -> Check:
     seed = record(
         Seed,
-        host=required(name()),
+        host=required(_host()),
         ip=required(ip_number()),
         port=required(_port()),
     )
     settings = record(
         RouterSettings,
-        host=required(name()),
+        host=required(_host()),
         zone=required(name()),
         ip=required(ip_number()),
         caller_port=required(_port()),
