--- /dev/null
+++ b/greengageflow/events.py
@@ -0,0 +1,172 @@
+"""Numbered log events, one closed table; ``docs/EVENTS.md`` is the catalogue."""
+
+import sys
+from collections import defaultdict
+from dataclasses import dataclass
+from enum import Enum
+from time import monotonic
+from typing import Any, TextIO
+
+from loguru import logger
+
+_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level: <7} {message}"
+
+
+@dataclass(frozen=True, slots=True)
+class EventType:
+    """What is fixed of one event.
+
+    Args:
+        number: Its number, never used again.
+        level: Level that it is logged at.
+        template: Text with the names of its fields in braces.
+    """
+
+    number: str
+    level: str
+    template: str
+
+
+class Event(Enum):
+    """Every event that is logged.
+
+    GG1 is the process, GG2 the configuration, GG3 the platform, GG4 members, GG5
+    endpoints, GG6 requests.
+    """
+
+    STARTED = EventType("GG101", "INFO", "router {host} started in zone {zone}")
+    SETTINGS_REJECTED = EventType("GG102", "ERROR", "settings refused: {fault}")
+    STOPPING = EventType("GG103", "INFO", "stopping, {running} requests in flight")
+    STOPPED = EventType("GG104", "INFO", "stopped, {cut} requests cut")
+    INTERNAL = EventType("GG105", "ERROR", "fault in the program: {error}")
+
+    CONFIG_ACCEPTED = EventType(
+        "GG201", "INFO", "revision {revision} of {author} in force, offset {offset}"
+    )
+    CONFIG_REJECTED = EventType(
+        "GG202", "WARNING", "record {offset} of {author} refused, {reason}: {text}"
+    )
+    CONFIG_LAPSED = EventType(
+        "GG203", "WARNING", "records {offset} to {first_offset} are lost in the log"
+    )
+    CONFIG_ADOPTED = EventType(
+        "GG204", "INFO", "revision {revision} taken from {source}"
+    )
+    CONFIG_HALTED = EventType("GG205", "ERROR", "configuration stays: {text}")
+    SNAPSHOT_WRITTEN = EventType(
+        "GG206", "INFO", "snapshot of revision {revision} appended at {offset}"
+    )
+    SNAPSHOT_WRONG = EventType(
+        "GG207", "ERROR", "snapshot {offset} of {author} is wrong: {text}"
+    )
+    LOG_SHORTER = EventType(
+        "GG208", "ERROR", "log ends at {next_offset}, {known} was read before"
+    )
+
+    LOG_OUTAGE = EventType("GG301", "WARNING", "log {stream} unavailable: {error}")
+    LOG_BACK = EventType("GG302", "INFO", "log {stream} back after {seconds:.1f} s")
+    HOST_LIST_OUTAGE = EventType("GG303", "WARNING", "host list unavailable: {error}")
+    HOST_LIST_BACK = EventType("GG304", "INFO", "host list back after {seconds:.1f} s")
+
+    MEMBER_JOINED = EventType("GG401", "INFO", "member {host} joined, boot {boot}")
+    MEMBER_SUSPECT = EventType("GG402", "WARNING", "member {host} is suspect")
+    MEMBER_DEAD = EventType("GG403", "WARNING", "member {host} is dead")
+    MEMBER_STOPPING = EventType("GG404", "INFO", "member {host} is stopping")
+
+    ENDPOINT_LEAVING = EventType(
+        "GG501", "INFO", "endpoint {endpoint} is leaving, said by {source}"
+    )
+    ENDPOINT_RESTED = EventType(
+        "GG502", "WARNING", "endpoint {endpoint} rests {seconds:.1f} s: {error}"
+    )
+    ENDPOINT_BACK = EventType("GG503", "INFO", "endpoint {endpoint} is back")
+    SLOTS_CHANGED = EventType(
+        "GG504", "INFO", "endpoint {endpoint} uses {slots} slots, before {before}"
+    )
+
+    QUEUE_FULL = EventType(
+        "GG601", "WARNING", "queue of account {account} is full at {limit}"
+    )
+    STREAM_CUT = EventType(
+        "GG602", "WARNING", "request {request} cut by {endpoint} after {pieces} pieces"
+    )
+    STREAM_RESUMED = EventType(
+        "GG603", "INFO", "request {request} resumed on {endpoint} from {pieces}"
+    )
+    PIECE_DROPPED = EventType(
+        "GG604",
+        "ERROR",
+        "piece of {found} dropped from request {request} on {endpoint}",
+    )
+    ACTION_UNKNOWN = EventType(
+        "GG605", "ERROR", "protected action {request} of {account}: outcome unknown"
+    )
+
+    @property
+    def number(self) -> str:
+        """Its number."""
+        return self.value.number
+
+
+class EventLog:
+    """Writes events, with a limit for each kind of event.
+
+    Without a limit an account that floods a full queue would have the router write
+    a line for each refusal, and the loop would do little else.
+
+    Args:
+        limit: Most events of one kind in one window; 0 for no limit.
+        window_s: Length of a window, in seconds.
+    """
+
+    def __init__(self, *, limit: int = 50, window_s: float = 10.0) -> None:
+        self._limit = limit
+        self._window_s = window_s
+        self._window_end = 0.0
+        self._counts: defaultdict[Event, int] = defaultdict(int)
+
+    def log(self, event: Event, **fields: Any) -> None:
+        """Write one event; a field that is not given shows as ``?``."""
+        self._turn_window(monotonic())
+        self._counts[event] += 1
+        if not self._limit or self._counts[event] <= self._limit:
+            self._write(event, fields)
+
+    def _turn_window(self, now: float) -> None:
+        if now < self._window_end:
+            return
+        self._window_end = now + self._window_s
+        counts = dict(self._counts)
+        self._counts.clear()
+        for event, count in counts.items():
+            if self._limit and count > self._limit:
+                left_out = count - self._limit
+                logger.warning(f"{event.number} {left_out} more of these left out")
+
+    def _write(self, event: Event, fields: dict[str, Any]) -> None:
+        text = _fill(event.value.template, fields)
+        bound = logger.bind(event=event.number, **fields)
+        # Passed as an argument, so that braces in a field are not taken for more.
+        bound.log(event.value.level, "{} {}", event.number, text)
+
+
+def _fill(template: str, fields: dict[str, Any]) -> str:
+    try:
+        return template.format(**fields)
+    except (KeyError, ValueError):
+        # An event must not end the request that it tells of.
+        return f"{template} {fields}"
+
+
+_events = EventLog()
+
+
+def log(event: Event, **fields: Any) -> None:
+    """Write one event to the log of this process."""
+    _events.log(event, **fields)
+
+
+def setup_logging(level: str = "INFO", sink: TextIO | None = None) -> None:
+    """Send events of at least ``level`` to ``sink``, the standard error by default."""
+    logger.remove()
+    logger.add(sink or sys.stderr, level=level, format=_FORMAT, diagnose=False)
