--- /dev/null
+++ b/greengageflow/standin.py
@@ -0,0 +1,45 @@
+"""Program ``greengage-standin``: small fakes of the platform's services."""
+
+from collections.abc import Callable
+from inspect import signature
+
+import fire
+
+from greengageflow._standin_http import StandIn
+from greengageflow.standin_engine import EngineStandIn
+from greengageflow.standin_hosts import HostsStandIn
+from greengageflow.standin_log import LogStandIn
+from greengageflow.standin_service import ServiceStandIn
+from greengageflow.standin_weights import WeightsStandIn
+
+KINDS: dict[str, type[StandIn]] = {
+    "log": LogStandIn,
+    "hosts": HostsStandIn,
+    "weights": WeightsStandIn,
+    "engine": EngineStandIn,
+    "service": ServiceStandIn,
+}
+
+
+def _command(kind: type[StandIn]) -> Callable[..., None]:
+    def run(**options: object) -> None:
+        kind(**options).run()
+
+    # fire reads the flags and the help from these two.
+    init = signature(kind.__init__)
+    options = [one for one in init.parameters.values() if one.name != "self"]
+    run.__signature__ = init.replace(
+        parameters=[one.replace(kind=one.KEYWORD_ONLY) for one in options],
+    )
+    run.__doc__ = kind.__doc__
+    return run
+
+
+def main() -> None:
+    """Run the command line; each command runs one stand-in until SIGTERM."""
+    commands = {name: _command(kind) for name, kind in KINDS.items()}
+    fire.Fire(commands, name="greengage-standin")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/greengageflow/standin_engine.py
@@ -0,0 +1,417 @@
+"""Stand-in for a model engine that batches continuously."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, replace
+from random import Random
+from socket import socket
+from time import monotonic, time
+
+from greengageflow._engine_batch import (
+    Batch,
+    Execution,
+    PrefixCache,
+    State,
+    Work,
+    answer_length,
+    prompt_text,
+)
+from greengageflow._standin_http import BadCallError, Call, Reply, StandIn
+
+EVENT_STREAM = "text/event-stream"
+DONE = b"data: [DONE]\n\n"
+
+
+@dataclass(slots=True, eq=False)
+class _Output:
+    """Where the pieces of an execution go."""
+
+    call: Call
+    execution: Execution
+    streamed: bool
+    next_seq: int = 0
+    sent: int = 0
+    last: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A change of the prefix cache, shown from ``shown_at`` (monotonic)."""
+
+    seq: int
+    op: str
+    prefix: str
+    shown_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedOrder:
+    """An order as it came, and whether it was taken."""
+
+    order: dict
+    status: int
+    time: float
+
+
+class EngineStandIn(StandIn):
+    """A model engine: it admits requests as they come and knows no priorities.
+
+    Example:
+        greengage-standin engine --port 7200 --name e1 --resumes --max_batch 16
+
+    Args:
+        host: IP number to listen on.
+        port: TCP port; 0 for any free one.
+        name: Name of the replica; its answers depend on it.
+        seed: Seed of the answers' lengths and of lost cache events.
+        base_pace_s: Seconds a step takes; a step gives each running request a token.
+        per_request_pace_s: Seconds a step takes more for each running request.
+        prefill_s_per_token: Seconds for each prompt token that is not cached.
+        max_batch: Most requests that run at once, the rest wait; 0 for no limit.
+        cache_blocks: Prompt blocks that fit into the prefix cache.
+        load_lag_s: Age that the load report may reach, in seconds.
+        event_lag_s: Delay of cache events, in seconds.
+        event_loss: Part of the cache events that is lost, 0 to 1.
+        median_tokens: Median answer length in tokens (lognormal).
+        sigma: Spread of the answer lengths (lognormal).
+        resumes: Keep the answers and resume cut streams.
+        resume_grace_s: Seconds that a cut stream runs on before it is cancelled,
+            when the engine resumes.
+        checks_fencing: Refuse orders with an old fencing number.
+    """
+
+    control_paths = frozenset({"/executions"})
+
+    def __init__(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        name: str = "engine",
+        seed: int = 1,
+        base_pace_s: float = 0.01,
+        per_request_pace_s: float = 0.0005,
+        prefill_s_per_token: float = 0.0001,
+        max_batch: int = 0,
+        cache_blocks: int = 4096,
+        load_lag_s: float = 0.5,
+        event_lag_s: float = 0.5,
+        event_loss: float = 0.1,
+        median_tokens: float = 150.0,
+        sigma: float = 1.0,
+        resumes: bool = False,
+        resume_grace_s: float = 2.0,
+        checks_fencing: bool = False,
+    ) -> None:
+        super().__init__(host, port)
+        self._name = str(name)
+        self._seed = seed
+        self._prefill_s_per_token = prefill_s_per_token
+        self._load_lag_s = load_lag_s
+        self._event_lag_s = event_lag_s
+        self._event_loss = event_loss
+        self._median_tokens = median_tokens
+        self._sigma = sigma
+        self._resumes = resumes
+        self._resume_grace_s = resume_grace_s
+        self._checks_fencing = checks_fencing
+        self._random = Random(seed)
+        self._batch = Batch(base_pace_s, per_request_pace_s, max_batch)
+        self._prefixes = PrefixCache(cache_blocks)
+        self._executions: list[Execution] = []
+        self._latest: dict[str, Execution] = {}
+        self._outputs: dict[int, _Output] = {}
+        self._by_sock: dict[socket, _Output] = {}
+        self._events: list[CacheEvent] = []
+        self._event_seq = 0
+        self._orders: list[ReceivedOrder] = []
+        self._fencing = -1
+        self._leaving = False
+        self._stepping = False
+        self._report = self._load()
+        if load_lag_s > 0:
+            self.timers.every(load_lag_s, self._refresh_report)
+
+    def operation(self, call: Call) -> str:
+        """Return the last segment of the path, such as ``completions``."""
+        return call.parts[-1]
+
+    def answer(self, call: Call) -> Reply | None:
+        """Answer a completion, an order or a question."""
+        match call.method, call.path:
+            case "POST", "/v1/chat/completions":
+                return self._complete(call)
+            case "POST", "/cancel":
+                return self._cancel(call)
+            case "GET", "/load":
+                return Reply(200, self._report if self._load_lag_s else self._load())
+            case "GET", "/cache-events":
+                return self._cache_events(int(call.number("from", 0)))
+            case "POST", "/orders":
+                return self._order(call)
+            case "GET", "/orders":
+                return Reply(200, {"orders": [asdict(one) for one in self._orders]})
+            case "POST", "/leaving":
+                self._leaving = bool(call.json.get("leaving", True))
+                return Reply(200, {"leaving": self._leaving})
+            case "GET", "/executions":
+                return Reply(
+                    200, {"executions": [one.wire for one in self._executions]}
+                )
+        return Reply(404, {"error": "no such path"})
+
+    def faults_changed(self) -> None:
+        """Go on when a stall is over."""
+        self._wake()
+
+    def gone(self, sock: socket) -> None:
+        """Cancel what a closed connection was waiting for."""
+        output = self._by_sock.pop(sock, None)
+        if output is None:
+            return
+        execution = output.execution
+        if self._outputs.get(execution.number) is output:
+            del self._outputs[execution.number]
+        if self._resumes:
+            self.timers.after(self._resume_grace_s, lambda: self._give_up(execution))
+        else:
+            self._batch.cancel(execution, time())
+
+    def _give_up(self, execution: Execution) -> None:
+        if execution.number not in self._outputs:
+            self._batch.cancel(execution, time())
+
+    # Completions
+
+    def _complete(self, call: Call) -> Reply | None:
+        body = call.json
+        request_id = call.header("X-Request-Id") or f"own-{len(self._executions)}"
+        streamed = bool(body.get("stream"))
+        start = call.header("X-Resume-From")
+        if start is not None and self._resumes:
+            return self._resume(call, request_id, int(start))
+        execution = self._execute(call, body, request_id)
+        output = _Output(call, execution, streamed)
+        if call.faulty and streamed and self.faults.lose_answers > 0:
+            lost = self.faults.lose_answers - 1
+            self.faults = replace(self.faults, lose_answers=lost)
+            self.cut(call)
+        else:
+            self._attach(output)
+        self._wake()
+        return None
+
+    def _execute(self, call: Call, body: dict, request_id: str) -> Execution:
+        try:
+            prompt = prompt_text(body.get("messages"))
+            tokens, reason = answer_length(
+                body, request_id, self._seed, self._median_tokens, self._sigma
+            )
+        except (AttributeError, TypeError, ValueError) as exc:
+            raise BadCallError(str(exc)) from exc
+        work = Work(
+            request_id=request_id,
+            key=call.header("Idempotency-Key"),
+            account=call.header("X-Account"),
+            prompt=prompt,
+            tokens=tokens,
+            finish_reason=reason,
+        )
+        uncached = max(0, work.prompt_tokens - self._prefixes.cached_tokens(prompt))
+        prefill_s = uncached * self._prefill_s_per_token + self.faults.slow_start_s
+        execution = Execution(
+            number=len(self._executions),
+            engine=self._name,
+            work=work,
+            ready_at=monotonic() + prefill_s,
+            started=time(),
+        )
+        self._note_events(prompt)
+        self._executions.append(execution)
+        self._latest[request_id] = execution
+        self._batch.add(execution)
+        return execution
+
+    def _attach(self, output: _Output) -> None:
+        self._outputs[output.execution.number] = output
+        self._by_sock[output.call.sock] = output
+        if output.streamed:
+            self.open_stream(output.call, EVENT_STREAM)
+
+    def _resume(self, call: Call, request_id: str, start: int) -> Reply | None:
+        execution = self._latest.get(request_id)
+        if execution is None:
+            return Reply(404, {"error": "unknown request"})
+        if execution.state is State.CANCELLED or start > execution.work.tokens:
+            return Reply(410, {"error": "nothing to resume"})
+        execution.resumed_from.append(start)
+        old = self._outputs.pop(execution.number, None)
+        if old is not None:
+            # The old connection may be half-open; two readers would share pieces.
+            self._by_sock.pop(old.call.sock, None)
+            self.cut(old.call)
+        output = _Output(call, execution, streamed=True, next_seq=start)
+        self._attach(output)
+        self._deliver(output)
+        return None
+
+    # Steps
+
+    def _wake(self) -> None:
+        if not self._stepping and self._batch.running and not self.faults.stall:
+            self._stepping = True
+            self.timers.after(self._batch.pace_s, self._step)
+
+    def _step(self) -> None:
+        self._stepping = False
+        if self.faults.stall:
+            return
+        for execution in self._batch.step(monotonic(), time()):
+            output = self._outputs.get(execution.number)
+            if output is not None:
+                self._deliver(output)
+        self._wake()
+
+    def _deliver(self, output: _Output) -> None:
+        execution = output.execution
+        if not output.streamed:
+            if execution.state is State.DONE:
+                self._detach(output)
+                self.reply(output.call, self._whole(execution))
+            return
+        data = b"".join(self._due(output))
+        if data:
+            self.push(output.call, data)
+        if self._cut_now(output):
+            left = self.faults.cut_times - 1
+            after = self.faults.cut_after if left > 0 else None
+            self.faults = replace(self.faults, cut_times=left, cut_after=after)
+            self.cut(output.call)
+        elif execution.state is State.DONE:
+            self._detach(output)
+            self.push(output.call, DONE)
+            self.end_stream(output.call)
+
+    def _detach(self, output: _Output) -> None:
+        self._outputs.pop(output.execution.number, None)
+        self._by_sock.pop(output.call.sock, None)
+
+    def _cut_now(self, output: _Output) -> bool:
+        after = self.faults.cut_after
+        return after is not None and output.sent >= after
+
+    def _due(self, output: _Output) -> Iterator[bytes]:
+        while output.next_seq < output.execution.produced:
+            if self._cut_now(output):
+                return
+            piece = self._event(output.execution, output.next_seq)
+            if self.faults.cross:
+                yield self._crossed(output)
+            yield piece
+            if self.faults.duplicate:
+                yield piece
+            if self.faults.late and output.last:
+                yield output.last
+            output.last = piece
+            output.next_seq += 1
+            output.sent += 1
+
+    def _event(self, execution: Execution, seq: int) -> bytes:
+        last = seq == execution.work.tokens - 1
+        reason = json.dumps(execution.work.finish_reason if last else None)
+        usage = f', "usage": {json.dumps(execution.usage)}' if last else ""
+        content = json.dumps(execution.piece(seq), ensure_ascii=False)
+        return (
+            f'data: {{"id": {json.dumps(execution.work.request_id)}, "seq": {seq}, '
+            f'"choices": [{{"index": 0, "delta": {{"content": {content}}}, '
+            f'"finish_reason": {reason}}}]{usage}}}\n\n'
+        ).encode()
+
+    def _crossed(self, output: _Output) -> bytes:
+        mine = output.execution
+        others = (one for one in self._latest.values() if one is not mine)
+        other = next(others, None)
+        event = {
+            "id": other.work.request_id if other else "another",
+            "seq": output.next_seq,
+            "choices": [
+                {"index": 0, "delta": {"content": "crossed "}, "finish_reason": None}
+            ],
+        }
+        return f"data: {json.dumps(event)}\n\n".encode()
+
+    def _whole(self, execution: Execution) -> Reply:
+        crossed = self.faults.cross
+        message = {
+            "role": "assistant",
+            "content": "crossed " if crossed else execution.text,
+        }
+        choice = {
+            "index": 0,
+            "message": message,
+            "finish_reason": execution.work.finish_reason,
+        }
+        return Reply(
+            200,
+            {
+                "id": "another" if crossed else execution.work.request_id,
+                "object": "chat.completion",
+                "choices": [choice],
+                "usage": execution.usage,
+            },
+        )
+
+    def _cancel(self, call: Call) -> Reply:
+        execution = self._latest.get(str(call.json.get("id")))
+        if execution is None:
+            return Reply(404, {"error": "unknown request"})
+        cancelled = self._batch.cancel(execution, time())
+        output = self._outputs.get(execution.number)
+        if cancelled and output is not None:
+            self._detach(output)
+            self.cut(output.call)
+        return Reply(200, {"cancelled": cancelled})
+
+    # Reports and orders
+
+    def _load(self) -> dict[str, object]:
+        return {
+            "running": self._batch.running,
+            "waiting": self._batch.waiting,
+            "pace_s": self._batch.pace_s,
+            "at": time(),
+            "leaving": self._leaving,
+        }
+
+    def _refresh_report(self) -> None:
+        self._report = self._load()
+
+    def _note_events(self, prompt: str) -> None:
+        shown_at = monotonic() + self._event_lag_s
+        for op, prefix in self._prefixes.store(prompt):
+            if self._random.random() >= self._event_loss:
+                event = CacheEvent(self._event_seq, op, prefix, shown_at)
+                self._events.append(event)
+            self._event_seq += 1
+
+    def _cache_events(self, start: int) -> Reply:
+        now = monotonic()
+        events = [
+            {"seq": one.seq, "op": one.op, "prefix": one.prefix}
+            for one in self._events
+            if one.seq >= start and one.shown_at <= now
+        ]
+        return Reply(200, {"events": events})
+
+    def _order(self, call: Call) -> Reply:
+        order = call.json
+        fencing = order.get("fencing")
+        if order.get("order") not in ("load", "role") or not isinstance(fencing, int):
+            raise BadCallError("an order is load or role, with a fencing number")
+        old = self._checks_fencing and fencing < self._fencing
+        status = 409 if old else 200
+        self._orders.append(ReceivedOrder(order, status, time()))
+        if old:
+            return Reply(409, {"error": "old fencing number", "fencing": self._fencing})
+        self._fencing = max(self._fencing, fencing)
+        return Reply(200, {"order": order["order"], "fencing": fencing})
--- /dev/null
+++ b/greengageflow/standin_log.py
@@ -0,0 +1,190 @@
+"""Stand-in for the platform's append-only log service."""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import islice
+from time import monotonic, time
+
+from greengageflow._standin_http import BadCallError, Call, Reply, StandIn
+from greengageflow.timers import Subscription
+
+APPEND = "append"
+READ = "read"
+MAX_READ = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One kept record; ``time`` is in unix seconds."""
+
+    offset: int
+    time: float
+    record: object
+
+    @property
+    def wire(self) -> dict[str, object]:
+        """The record as readers get it."""
+        return {"offset": self.offset, "time": self.time, "record": self.record}
+
+
+@dataclass(slots=True, eq=False)
+class _Reader:
+    call: Call
+    start: int
+    limit: int
+    timeout: Subscription | None = None
+
+
+@dataclass(slots=True)
+class _Stream:
+    records: deque[Record] = field(default_factory=deque)
+    next_offset: int = 0
+    readers: list[_Reader] = field(default_factory=list)
+
+    @property
+    def first_offset(self) -> int:
+        return self.next_offset - len(self.records)
+
+    def append(self, values: list[object], now: float) -> int:
+        first = self.next_offset
+        for value in values:
+            self.records.append(Record(self.next_offset, now, value))
+            self.next_offset += 1
+        return first
+
+    def forget(self, before: float, most: int) -> None:
+        while self.records and (
+            self.records[0].time < before or len(self.records) > most
+        ):
+            self.records.popleft()
+
+    def read(self, start: int, limit: int) -> Iterator[Record]:
+        # Readers are mostly near the end, and a deque is quick from both ends.
+        behind = max(0, self.next_offset - start)
+        tail = list(islice(reversed(self.records), behind))
+        return islice(reversed(tail), limit)
+
+    @property
+    def bounds(self) -> dict[str, int]:
+        return {"first_offset": self.first_offset, "next_offset": self.next_offset}
+
+
+class LogStandIn(StandIn):
+    """The log service: offsets, limited appends, limited retention, long polls.
+
+    Example:
+        greengage-standin log --port 7100 --appends_per_s 300 --keep_s 900
+
+    Args:
+        host: IP number to listen on.
+        port: TCP port; 0 for any free one.
+        appends_per_s: Appends a second over all streams, whatever their size.
+        keep_s: Seconds for which a record is kept.
+        keep_records: Most records that a stream keeps.
+    """
+
+    control_paths = frozenset({"/stats"})
+
+    def __init__(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        appends_per_s: float = 300.0,
+        keep_s: float = 3600.0,
+        keep_records: int = 1_000_000,
+    ) -> None:
+        super().__init__(host, port)
+        self._rate = appends_per_s
+        self._keep_s = keep_s
+        self._keep_records = keep_records
+        self._tokens = appends_per_s
+        self._refilled = monotonic()
+        self._streams: dict[str, _Stream] = {}
+        self._stats = dict.fromkeys(
+            ("appends", "records", "bytes", "refused", "reads"), 0
+        )
+
+    def operation(self, call: Call) -> str:
+        """Return ``append`` or ``read``."""
+        return APPEND if call.method == "POST" else READ
+
+    def answer(self, call: Call) -> Reply | None:
+        """Answer an append, a read, or a question for the statistics."""
+        if call.path == "/stats":
+            return Reply(200, self._stats)
+        match call.method, call.parts:
+            case "POST", ["streams", name, "records"]:
+                return self._append(call, name)
+            case "GET", ["streams", name, "records"]:
+                return self._read(call, name)
+        return Reply(404, {"error": "no such path"})
+
+    def gone(self, sock) -> None:
+        """Forget the long polls of a closed connection."""
+        for stream in self._streams.values():
+            stream.readers = [one for one in stream.readers if one.call.sock != sock]
+
+    def _admit(self) -> bool:
+        now = monotonic()
+        grown = self._tokens + (now - self._refilled) * self._rate
+        self._tokens = min(max(1.0, self._rate), grown)
+        self._refilled = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _append(self, call: Call, name: str) -> Reply:
+        values = call.json.get("records")
+        if not isinstance(values, list) or not values:
+            raise BadCallError("records must be a list that is not empty")
+        if not self._admit():
+            self._stats["refused"] += 1
+            return Reply(429, {"error": "too many appends"}, {"Retry-After": "1"})
+        stream = self._streams.setdefault(name, _Stream())
+        first = stream.append(values, time())
+        self._stats["appends"] += 1
+        self._stats["records"] += len(values)
+        self._stats["bytes"] += len(call.data)
+        self._wake(stream)
+        return Reply(200, {"first_offset": first, "count": len(values)})
+
+    def _wake(self, stream: _Stream) -> None:
+        readers, stream.readers = stream.readers, []
+        for reader in readers:
+            if reader.timeout is not None:
+                reader.timeout.cancel()
+            self.reply(reader.call, self._page(stream, reader))
+
+    def _read(self, call: Call, name: str) -> Reply | None:
+        start = int(call.number("from", 0))
+        limit = min(MAX_READ, int(call.number("limit", 1000)))
+        wait_s = call.number("wait_s", 0)
+        self._stats["reads"] += 1
+        stream = self._streams.get(name)
+        if stream is None and wait_s > 0:
+            # Streams come into being with their first append, but a reader may
+            # wait for it.
+            stream = self._streams.setdefault(name, _Stream())
+        if stream is None:
+            stream = _Stream()
+        reader = _Reader(call, start, limit)
+        if start < stream.next_offset or wait_s <= 0:
+            return self._page(stream, reader)
+        stream.readers.append(reader)
+        reader.timeout = self.timers.after(wait_s, lambda: self._up(stream, reader))
+        return None
+
+    def _up(self, stream: _Stream, reader: _Reader) -> None:
+        if reader in stream.readers:
+            stream.readers.remove(reader)
+            self.reply(reader.call, self._page(stream, reader))
+
+    def _page(self, stream: _Stream, reader: _Reader) -> Reply:
+        stream.forget(time() - self._keep_s, self._keep_records)
+        if reader.start < stream.first_offset:
+            return Reply(410, {"error": "forgotten", **stream.bounds})
+        records = [one.wire for one in stream.read(reader.start, reader.limit)]
+        return Reply(200, {"records": records, **stream.bounds})
--- /dev/null
+++ b/greengageflow/standin_service.py
@@ -0,0 +1,97 @@
+"""Stand-in for a plain service whose calls have effects."""
+
+from dataclasses import asdict, dataclass
+from hashlib import sha256
+from time import time
+
+from greengageflow._standin_http import Call, Reply, StandIn
+
+BY_KEY = "by-key"
+
+
+@dataclass(frozen=True, slots=True)
+class Effect:
+    """One call that took effect; ``time`` is in unix seconds."""
+
+    number: int
+    method: str
+    path: str
+    body_sha256: str
+    request_id: str | None
+    key: str | None
+    time: float
+
+
+class ServiceStandIn(StandIn):
+    """A service that records every effect and never drops a repeated key.
+
+    Example:
+        greengage-standin service --port 7300 --latency_s 0.05
+
+    Args:
+        host: IP number to listen on.
+        port: TCP port; 0 for any free one.
+        name: Name of the replica, given in each answer.
+        latency_s: Seconds between the effect and the answer.
+    """
+
+    control_paths = frozenset({"/effects"})
+
+    def __init__(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        name: str = "service",
+        latency_s: float = 0.0,
+    ) -> None:
+        super().__init__(host, port)
+        self._name = str(name)
+        self._latency_s = latency_s
+        self._effects: list[Effect] = []
+
+    def operation(self, call: Call) -> str:
+        """Return ``ask`` for a question by key, else the method in lower case."""
+        return "ask" if call.parts[:2] == ["effects", BY_KEY] else call.method.lower()
+
+    def answer(self, call: Call) -> Reply | None:
+        """Take an effect, or tell of those taken."""
+        match call.parts:
+            case ["effects"]:
+                return Reply(200, {"effects": [asdict(one) for one in self._effects]})
+            case ["effects", "by-key", key]:
+                return self._by_key(key)
+        effect = self._take(call)
+        reply = Reply(
+            200,
+            {
+                "service": self._name,
+                "request_id": effect.request_id,
+                "effect": effect.number,
+                "path": effect.path,
+                "key": effect.key,
+            },
+        )
+        if self._latency_s <= 0:
+            return reply
+        self.timers.after(self._latency_s, lambda: self.reply(call, reply))
+        return None
+
+    def _take(self, call: Call) -> Effect:
+        effect = Effect(
+            number=len(self._effects),
+            method=call.method,
+            path=call.path,
+            body_sha256=sha256(call.data).hexdigest(),
+            request_id=call.header("X-Request-Id"),
+            key=call.header("Idempotency-Key"),
+            time=time(),
+        )
+        self._effects.append(effect)
+        return effect
+
+    def _by_key(self, key: str) -> Reply:
+        for effect in self._effects:
+            if effect.key == key:
+                return Reply(200, asdict(effect))
+        return Reply(404, {"error": "no effect with this key"})
--- /dev/null
+++ b/greengageflow/standin_weights.py
@@ -0,0 +1,50 @@
+"""Stand-in for the platform's rate-limited weight store."""
+
+from hashlib import sha256
+from time import monotonic
+
+from greengageflow._standin_http import Call, Reply, StandIn
+
+
+class WeightsStandIn(StandIn):
+    """The weight store: the same bytes for the same model and version.
+
+    Example:
+        greengage-standin weights --port 7102 --size 1000000
+
+    Args:
+        host: IP number to listen on.
+        port: TCP port; 0 for any free one.
+        size: Bytes of each answer.
+        reads_per_s: Reads a second that it grants.
+    """
+
+    def __init__(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        size: int = 65_536,
+        reads_per_s: float = 2.0,
+    ) -> None:
+        super().__init__(host, port)
+        self._size = size
+        self._interval_s = 1 / reads_per_s
+        self._next_at = monotonic()
+
+    def answer(self, call: Call) -> Reply:
+        """Answer with the bytes, or 429 when asked too often."""
+        match call.method, call.parts:
+            case "GET", ["weights", model, version]:
+                return self._read(f"{model}/{version}")
+        return Reply(404, {"error": "no such path"})
+
+    def _read(self, name: str) -> Reply:
+        now = monotonic()
+        if now < self._next_at:
+            after = f"{self._next_at - now:.3f}"
+            return Reply(429, {"error": "too many reads"}, {"Retry-After": after})
+        self._next_at = now + self._interval_s
+        digest = sha256(name.encode()).digest()
+        copies = self._size // len(digest) + 1
+        return Reply(200, (digest * copies)[: self._size])
