Messages between routers over ZeroMQ: PeerLink

One bound PULL socket and PUSH sockets opened on demand, since 360 nodes in a full mesh would hold 359 connections each for messages that mostly go to a few. ROUTER/DEALER was ruled out: identity travels in each message anyway.

IMMEDIATE is set so that ZeroMQ's queue dies with a connection; the first messages wait in the link, at most a second, until the connection stands.

--- /dev/null
+++ b/greengageflow/peers.py
@@ -0,0 +1,347 @@
+"""Messages between routers over ZeroMQ.
+
+Each router binds one PULL socket, and opens a PUSH socket to another router when it
+first has something to say to it. Delivery is best effort: a message for a router
+that is slow, cut off or unknown is dropped and counted, and never blocks the loop.
+"""
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from time import monotonic
+from typing import Any
+
+import zmq
+from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import BasePoller, Poller
+from circuits.core.utils import findcmp
+
+from greengageflow.messages import MessageError, PeerId, decode, encode
+
+DRAIN_LIMIT = 500
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 1000
+CONNECT_TIMEOUT_MS = 2000
+HANDSHAKE_MS = 3000
+HEARTBEAT_MS = 3000
+HEARTBEAT_TIMEOUT_MS = 3000
+HEARTBEAT_TTL_MS = 12_000
+
+OnMessage = Callable[[PeerId, Any], None]
+
+
+class Drain(Event):
+    """Messages may still wait in the inbox; read on."""
+
+
+@dataclass(slots=True)
+class PeerCounters:
+    """Control traffic of one router since it started.
+
+    Args:
+        messages_in: Messages received and decoded.
+        messages_out: Messages handed to ZeroMQ.
+        bytes_in: Bytes received, without the framing of ZeroMQ and TCP.
+        bytes_out: Bytes handed to ZeroMQ, counted likewise.
+        dropped: Messages dropped: no address, peer slow or cut off.
+        broken: Messages received that could not be decoded.
+        out_by_type: Bytes handed to ZeroMQ for each message type's name.
+    """
+
+    messages_in: int = 0
+    messages_out: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+    dropped: int = 0
+    broken: int = 0
+    out_by_type: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(slots=True)
+class _Outlet:
+    """One outgoing socket and what waits until its connection stands."""
+
+    sock: zmq.Socket
+    fd: int
+    used_at: float
+    waiting: deque[tuple[float, str, bytes]] = field(default_factory=deque)
+    polled: bool = False
+
+
+class PeerLink(BaseComponent):
+    """Sends messages to other routers and hands over those that arrive.
+
+    Args:
+        identity: This life of this router, named in each message.
+        ip: IP number to listen on.
+        port: TCP port to listen on; 0 takes a free one, see ``port``.
+        on_message: Called with the sender and the message, on the loop.
+        source_ip: Local address of outgoing connections; ``ip`` by default.
+        queue_limit: Messages that may wait in ZeroMQ for one peer.
+        wait_limit: Messages that may wait for a connection to one peer.
+        wait_s: Seconds that a message may wait for a connection.
+        idle_s: Seconds after which an unused outgoing connection is closed.
+
+    Example:
+        >>> link = PeerLink(PeerId("r1", 1), "127.0.0.1", 7000, router.receive)
+        >>> link.register(app)
+        >>> link.set_address("r2", "127.0.0.2", 7000)
+        >>> link.send("r2", WorkCall("scribe", 3))
+    """
+
+    channel = "peers"
+
+    def __init__(
+        self,
+        identity: PeerId,
+        ip: str,
+        port: int,
+        on_message: OnMessage,
+        *,
+        source_ip: str | None = None,
+        queue_limit: int = 1000,
+        wait_limit: int = 200,
+        wait_s: float = 1.0,
+        idle_s: float = 30.0,
+        channel: str = channel,
+    ) -> None:
+        super().__init__(channel=channel)
+        self.identity = identity
+        self.counters = PeerCounters()
+        self._on_message = on_message
+        self._source_ip = source_ip or ip
+        self._queue_limit = queue_limit
+        self._wait_limit = wait_limit
+        self._wait_s = wait_s
+        self._idle_s = idle_s
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._outlets: OrderedDict[str, _Outlet] = OrderedDict()
+        self._outlet_hosts: dict[int, str] = {}
+        self._own_messages: deque[Any] = deque()
+        self._poller: BasePoller | None = None
+        self._drain_fired = False
+        self._context = zmq.Context()
+        self._inbox = self._open_inbox(ip, port)
+        self._inbox_fd: int = self._inbox.getsockopt(zmq.FD)
+
+    @property
+    def port(self) -> int:
+        """TCP port that the link listens on."""
+        endpoint: bytes = self._inbox.getsockopt(zmq.LAST_ENDPOINT)
+        return int(endpoint.rstrip(b"\0").rpartition(b":")[2])
+
+    @property
+    def connections(self) -> int:
+        """Outgoing sockets that are open."""
+        return len(self._outlets)
+
+    def set_address(self, host: str, ip: str, port: int) -> None:
+        """Say where ``host`` listens; a connection to another place is closed."""
+        if self._addresses.get(host) != (ip, port):
+            self._close_outlet(host)
+            self._addresses[host] = (ip, port)
+
+    def forget(self, host: str) -> None:
+        """Close the connection to ``host`` and drop what waits for it.
+
+        The address stays, so that a later message opens a new connection.
+        """
+        self._close_outlet(host)
+
+    def send(self, to_host: str, message: Any) -> None:
+        """Send ``message`` to the router on ``to_host``, at best effort."""
+        if to_host == self.identity.host:
+            self._own_messages.append(message)
+            self._drain_later()
+            return
+        now = monotonic()
+        self._close_idle(now)
+        outlet = self._outlet(to_host, now)
+        if outlet is None:
+            self.counters.dropped += 1
+            return
+        kind = type(message).__name__
+        outlet.waiting.append((now, kind, encode(self.identity, message)))
+        self._flush(outlet, now)
+
+    def close(self, *, linger_s: float = 0.0) -> None:
+        """Close all sockets.
+
+        Args:
+            linger_s: Seconds that last messages may take to leave; this call
+                blocks that long at most.
+        """
+        if self._context.closed:
+            return
+        for host in list(self._outlets):
+            self._close_outlet(host, linger_s)
+        if self._poller is not None:
+            self._poller.discard(self._inbox_fd)
+        self._inbox.close(linger=0)
+        self._context.term()
+
+    def _open_inbox(self, ip: str, port: int) -> zmq.Socket:
+        sock = self._context.socket(zmq.PULL)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.RCVHWM, self._queue_limit)
+        sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
+        sock.bind(f"tcp://{ip}:{port}")
+        return sock
+
+    def _outlet(self, host: str, now: float) -> _Outlet | None:
+        outlet = self._outlets.get(host)
+        if outlet is None:
+            address = self._addresses.get(host)
+            if address is None:
+                return None
+            outlet = self._outlets[host] = self._open_outlet(*address, now)
+            self._outlet_hosts[outlet.fd] = host
+        outlet.used_at = now
+        self._outlets.move_to_end(host)
+        return outlet
+
+    def _open_outlet(self, ip: str, port: int, now: float) -> _Outlet:
+        sock = self._context.socket(zmq.PUSH)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.SNDHWM, self._queue_limit)
+        # Without IMMEDIATE, ZeroMQ keeps its queue over a cut and delivers it when
+        # the connection is back: a grant would arrive minutes after it was taken
+        # back. With it the queue dies with the connection.
+        sock.setsockopt(zmq.IMMEDIATE, 1)
+        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
+        sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TTL_MS)
+        sock.connect(f"tcp://{self._source_ip}:0;{ip}:{port}")
+        return _Outlet(sock, sock.getsockopt(zmq.FD), now)
+
+    def _close_outlet(self, host: str, linger_s: float = 0.0) -> None:
+        outlet = self._outlets.pop(host, None)
+        if outlet is None:
+            return
+        del self._outlet_hosts[outlet.fd]
+        self._poll_outlet(outlet, False)
+        self.counters.dropped += len(outlet.waiting)
+        outlet.sock.close(linger=int(linger_s * 1000))
+
+    def _close_idle(self, now: float) -> None:
+        while self._outlets:
+            host, outlet = next(iter(self._outlets.items()))
+            if now - outlet.used_at < self._idle_s:
+                return
+            self._close_outlet(host)
+
+    def _flush(self, outlet: _Outlet, now: float) -> None:
+        """Send what waits, in order, as far as ZeroMQ takes it."""
+        waiting = outlet.waiting
+        while waiting:
+            since, kind, data = waiting[0]
+            if now - since > self._wait_s or len(waiting) > self._wait_limit:
+                waiting.popleft()
+                self.counters.dropped += 1
+                continue
+            try:
+                outlet.sock.send(data, zmq.NOBLOCK)
+            except zmq.Again:
+                break
+            waiting.popleft()
+            self._count_out(kind, len(data))
+        self._poll_outlet(outlet, bool(waiting))
+
+    def _count_out(self, kind: str, size: int) -> None:
+        self.counters.messages_out += 1
+        self.counters.bytes_out += size
+        self.counters.out_by_type[kind] += size
+
+    def _poll_outlet(self, outlet: _Outlet, wanted: bool) -> None:
+        """Poll an outgoing socket only while messages wait for it.
+
+        Its descriptor turns readable for each internal event of ZeroMQ and stays
+        so until the socket is used; polled always, it would spin the loop.
+        """
+        if self._poller is None or outlet.polled == wanted:
+            return
+        outlet.polled = wanted
+        if wanted:
+            self._poller.addReader(self, outlet.fd)
+        else:
+            self._poller.discard(outlet.fd)
+
+    @handler("registered", "started", channel="*")
+    def _on_registered(self, component: Any, *_: Any) -> None:
+        if self._poller is not None:
+            return
+        poller = findcmp(self.root, BasePoller)
+        if poller is None:
+            if component is not self:
+                return
+            poller = Poller().register(self)
+        self._poller = poller
+        poller.addReader(self, self._inbox_fd)
+        self._drain_later()
+
+    @handler("stopped", channel="*")
+    def _on_stopped(self, *_: Any) -> None:
+        self.close()
+
+    @handler("_read")
+    def _on_readable(self, fd: int) -> None:
+        if fd == self._inbox_fd:
+            self._drain()
+        elif (host := self._outlet_hosts.get(fd)) is not None:
+            self._flush(self._outlets[host], monotonic())
+
+    @handler("Drain")
+    def _on_drain(self) -> None:
+        self._drain_fired = False
+        self._drain()
+
+    def _drain_later(self) -> None:
+        if not self._drain_fired:
+            self._drain_fired = True
+            self.fire(Drain(), self)
+
+    def _drain(self) -> None:
+        """Read the inbox until it is empty, or read on after the loop's next turn.
+
+        ZeroMQ's descriptor tells of a change, not of a state: after one message is
+        read, the others wait in silence until the next arrives. So an unread rest
+        has to be scheduled here, also when a handler of a message fails.
+        """
+        errors = []
+        for _ in range(DRAIN_LIMIT):
+            try:
+                if not self._take_one():
+                    break
+            except Exception as exc:
+                errors.append(exc)
+        else:
+            self._drain_later()
+        if errors:
+            raise ExceptionGroup("handling peer messages failed", errors)
+
+    def _take_one(self) -> bool:
+        if self._own_messages:
+            self._on_message(self.identity, self._own_messages.popleft())
+            return True
+        if self._context.closed:
+            return False
+        try:
+            data = self._inbox.recv(zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        self._receive(data)
+        return True
+
+    def _receive(self, data: bytes) -> None:
+        self.counters.bytes_in += len(data)
+        try:
+            sender, message = decode(data)
+        except MessageError:
+            self.counters.broken += 1
+            return
+        self.counters.messages_in += 1
+        self._on_message(sender, message)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,193 @@
+import socket
+from time import monotonic
+
+import zmq
+from circuits import Component, handler
+
+from greengageflow.messages import PeerId, WorkCall
+from greengageflow.peers import PeerLink
+
+LIMIT_S = 20.0
+IP = "127.0.0.1"
+
+
+class Script(Component):
+    """Runs a generator on the loop; each condition it yields is waited for."""
+
+    def __init__(self, steps):
+        super().__init__()
+        self.steps = steps
+        self.condition = lambda: True
+        self.end = monotonic() + LIMIT_S
+        self.done = False
+
+    @handler("generate_events", channel="*", priority=1)
+    def _on_generate_events(self, event):
+        event.reduce_time_left(0.002)
+        if self.done:
+            return
+        if monotonic() > self.end:
+            self.root.stop()
+        elif self.condition():
+            self.condition = next(self.steps, None)
+            self.done = self.condition is None
+            if self.done:
+                self.root.stop()
+
+
+class Node:
+    def __init__(self, app, host, boot=1, port=0, **options):
+        self.got = []
+        self.link = PeerLink(
+            PeerId(host, boot),
+            IP,
+            port,
+            self.receive,
+            channel=f"{host}-{boot}",
+            **options,
+        ).register(app)
+
+    def receive(self, sender, message):
+        self.got.append((sender, message))
+
+
+def run(app, steps):
+    script = Script(steps).register(app)
+    app.run()
+    assert script.done, "a condition was not met"
+
+
+def introduce(*nodes):
+    for one in nodes:
+        for other in nodes:
+            one.link.set_address(other.link.identity.host, IP, other.link.port)
+
+
+def test_a_flood_both_ways_arrives_whole_and_in_order():
+    """Each of two routers sends the other far more messages than one wake-up of
+    the loop reads. The descriptor of ZeroMQ only tells of changes, so a link that
+    does not read on by itself leaves the rest lying and the routers wait for ever.
+    """
+    app = Component()
+    one, two = (Node(app, host, queue_limit=10_000) for host in ("r1", "r2"))
+    introduce(one, two)
+
+    def steps():
+        one.link.send("r2", WorkCall("first", 0))
+        two.link.send("r1", WorkCall("first", 0))
+        yield lambda: one.got and two.got
+        for number in range(3000):
+            one.link.send("r2", WorkCall("p", number))
+            two.link.send("r1", WorkCall("p", number))
+        yield lambda: len(one.got) == len(two.got) == 3001
+
+    run(app, steps())
+    assert [message.free for _, message in two.got[1:]] == list(range(3000))
+    assert one.got[1][0] == PeerId("r2", 1)
+    assert one.link.counters.dropped == 0
+
+
+def test_a_peer_that_restarts_on_its_port_is_reached_again_without_old_messages():
+    """A router is killed, others go on sending, and its next life listens on the
+    same port. What was sent meanwhile is dropped after a second and counted, not
+    kept, since a grant that arrives late hands out a slot twice.
+    """
+    app = Component()
+    one, two = Node(app, "r1", wait_s=0.1), Node(app, "r2")
+    introduce(one, two)
+    counters = one.link.counters
+    later = []
+
+    def steps():
+        one.link.send("r2", WorkCall("p", 1))
+        yield lambda: two.got
+        two.link.close()
+        yield lambda: send_and(WorkCall("p", 2), counters.dropped > 20)
+        later.append(Node(app, "r2", boot=2, port=one.port_of_two))
+        yield lambda: send_and(WorkCall("p", 3), later[0].got)
+
+    def send_and(message, condition):
+        one.link.send("r2", message)
+        return condition
+
+    one.port_of_two = two.link.port
+    run(app, steps())
+    assert {message.free for _, message in later[0].got} <= {2, 3}
+
+
+def test_a_peer_that_accepts_and_never_answers_costs_only_a_bounded_queue():
+    """A frozen router's kernel still accepts connections, so each send seems to
+    go well. Messages to it are dropped beyond the bound and the loop goes on.
+    """
+    app = Component()
+    one, two = Node(app, "r1", wait_limit=50), Node(app, "r2")
+    introduce(one, two)
+    frozen = socket.create_server((IP, 0))
+    one.link.set_address("frozen", *frozen.getsockname())
+
+    def steps():
+        for number in range(500):
+            one.link.send("frozen", WorkCall("p", number))
+        assert one.link.counters.dropped == 450
+        one.link.send("r2", WorkCall("p", 1))
+        yield lambda: two.got
+        one.link.forget("frozen")
+        assert one.link.counters.dropped == 500
+
+    run(app, steps())
+    frozen.close()
+
+
+def test_broken_bytes_and_failing_handlers_do_not_stop_the_inbox():
+    app = Component()
+    one, two = Node(app, "r1"), Node(app, "r2")
+    introduce(one, two)
+    failures = []
+
+    @handler("exception", channel="*")
+    def on_exception(self, type_, value, *_, **__):
+        failures.append(value)
+
+    app.addHandler(on_exception)
+    receive = two.receive
+
+    def fail_on_first(sender, message):
+        receive(sender, message)
+        if message.free == 1:
+            raise RuntimeError("a bug in a handler")
+
+    two.link._on_message = fail_on_first
+
+    def steps():
+        with zmq.Context() as context, context.socket(zmq.PUSH) as raw:
+            raw.connect(f"tcp://{IP}:{two.link.port}")
+            for data in (b"", b"\xc1", b"\x93\x01\x02\x03", b"\xff" * 100):
+                raw.send(data)
+            yield lambda: two.link.counters.broken == 4
+        for number in (1, 2, 3):
+            one.link.send("r2", WorkCall("p", number))
+        yield lambda: len(two.got) == 3
+
+    run(app, steps())
+    assert [type(failure) for failure in failures] == [ExceptionGroup]
+
+
+def test_idle_connections_close_and_own_messages_come_back():
+    app = Component()
+    one, two, three = (Node(app, host, idle_s=0.05) for host in ("r1", "r2", "r3"))
+    introduce(one, two, three)
+
+    def steps():
+        one.link.send("r1", WorkCall("p", 0))
+        one.link.send("unknown", WorkCall("p", 0))
+        one.link.send("r2", WorkCall("p", 1))
+        yield lambda: two.got and one.got
+        yield (
+            lambda: (
+                one.link.send("r3", WorkCall("p", 2))
+                or (three.got and one.link.connections == 1)
+            )
+        )
+
+    run(app, steps())
+    assert one.link.counters.dropped == 1
