Outbound HTTP pool: h11 over the circuits poller

circuits.web.client gives an answer only when it is whole, so it cannot stream; h11 parses instead, on sockets that the circuits poller watches. Receivers are called directly, once for each read, since a circuits event for each piece would cost more than the piece.

--- /dev/null
+++ b/greengageflow/http_pool.py
@@ -0,0 +1,512 @@
+"""Outbound HTTP/1.1 over non-blocking sockets on the circuits poller.
+
+``circuits.web.client`` hands over an answer only when it is whole, so that it cannot
+stream; here h11 parses and receivers get the body as it arrives.
+"""
+
+import json
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from socket import socket
+from time import monotonic
+from typing import Any, Protocol
+
+import h11
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller, EPoll
+from circuits.core.utils import findcmp
+
+from greengageflow._http_conn import (
+    AnswerBroken,
+    AnswerCut,
+    Chunk,
+    Connection,
+    End,
+    Head,
+)
+from greengageflow.timers import Subscription, Timers
+
+SWEEP_S = 0.1
+DEFAULT_FETCH_LIMIT = 1_048_576
+
+
+class FailureKind(StrEnum):
+    """Why an exchange did not bring a whole answer."""
+
+    CONNECT = "connect"
+    """There was no connection: refused, unreachable, or too slow."""
+    TIMEOUT = "timeout"
+    """Nothing moved for the idle time."""
+    CUT = "cut"
+    """The connection ended before the answer did."""
+    BROKEN = "broken"
+    """The answer is not HTTP/1.1, or too large."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One request to send.
+
+    Args:
+        method: HTTP method.
+        ip: IP number of the other side.
+        port: TCP port of the other side.
+        path: Path and query.
+        headers: Names and values; ``Host`` and ``Content-Length`` are added.
+        body: Whole body.
+        connect_timeout_s: Longest time for connecting, in seconds.
+        idle_timeout_s: Longest time in which no byte moves, in seconds.
+        retry_stale: True when the request may be sent again on a new connection
+            if a reused one was closed before a byte of the answer came. False
+            also means that a new connection is used in the first place.
+    """
+
+    method: str
+    ip: str
+    port: int
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    connect_timeout_s: float = 2.0
+    idle_timeout_s: float = 30.0
+    retry_stale: bool = True
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port."""
+        return self.ip, self.port
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """One whole answer.
+
+    Args:
+        status: HTTP status code.
+        headers: Names in lower case and values.
+        body: Whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body as JSON.
+
+        Raises:
+            ValueError: The body is not JSON.
+        """
+        return json.loads(self.body)
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the first value of header ``name`` (lower case)."""
+        return Head(self.status, self.headers).header(name, default)
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """An exchange brought no whole answer.
+
+    Args:
+        kind: Why.
+        sent: False only when certainly no byte of the request left.
+        message: What happened, for people.
+    """
+
+    kind: FailureKind
+    sent: bool
+    message: str
+
+
+class Receiver(Protocol):
+    """Gets an answer as it arrives: ``on_end`` or ``on_failure`` comes once, last."""
+
+    def on_head(self, head: Head) -> None:
+        """Take status and headers."""
+
+    def on_data(self, data: bytes) -> None:
+        """Take the body bytes of one read."""
+
+    def on_end(self) -> None:
+        """Note that the answer is whole."""
+
+    def on_failure(self, failure: Failure) -> None:
+        """Note that no more of the answer will come."""
+
+
+class Exchange:
+    """One request and its answer under way."""
+
+    def __init__(
+        self, pool: "HttpPool", request: HttpRequest, receiver: Receiver
+    ) -> None:
+        self.request = request
+        self.receiver = receiver
+        self.conn: Connection | None = None
+        self.paused = False
+        self.live = True
+        self.moved_at = monotonic()
+        self._pool = pool
+
+    @property
+    def limit_s(self) -> float:
+        """Seconds without progress after which the exchange fails."""
+        if self.conn is not None and self.conn.connected:
+            return self.request.idle_timeout_s
+        return self.request.connect_timeout_s
+
+    def pause(self) -> None:
+        """Stop reading, so that the sender comes to wait."""
+        if self.live and not self.paused:
+            self.paused = True
+            self._pool._watch(self)
+
+    def resume(self) -> None:
+        """Read again after ``pause``."""
+        if self.live and self.paused:
+            self.paused = False
+            self.moved_at = monotonic()
+            self._pool._watch(self)
+
+    def cancel(self) -> None:
+        """Close the connection; the receiver hears nothing more."""
+        if self.live:
+            self.live = False
+            self._pool._drop(self)
+
+
+class _Collector:
+    """Receiver that gathers a whole answer of at most ``limit`` bytes."""
+
+    def __init__(
+        self, on_done: Callable[[Response | Failure], None], limit: int
+    ) -> None:
+        self.exchange: Exchange | None = None
+        self._on_done = on_done
+        self._limit = limit
+        self._head = Head(0, ())
+        self._body = bytearray()
+
+    def on_head(self, head: Head) -> None:
+        self._head = head
+
+    def on_data(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > self._limit and self.exchange is not None:
+            self.exchange.cancel()
+            message = f"answer larger than {self._limit} bytes"
+            self._on_done(Failure(FailureKind.BROKEN, True, message))
+
+    def on_end(self) -> None:
+        head = self._head
+        self._on_done(Response(head.status, head.headers, bytes(self._body)))
+
+    def on_failure(self, failure: Failure) -> None:
+        self._on_done(failure)
+
+
+class HttpPool(BaseComponent):
+    """Sends requests and keeps connections for reuse.
+
+    Receivers are called from the loop, never from within ``open``.
+
+    Args:
+        timers: Timer service.
+        source_ip: Local IP number of outgoing connections, or None.
+        max_idle: Most idle connections kept for one address.
+        idle_s: Seconds after which an idle connection is closed.
+    """
+
+    channel = "http_pool"
+
+    def __init__(
+        self,
+        timers: Timers,
+        *,
+        source_ip: str | None = None,
+        max_idle: int = 16,
+        idle_s: float = 20.0,
+    ) -> None:
+        super().__init__()
+        self._timers = timers
+        self._source_ip = source_ip
+        self._max_idle = max_idle
+        self._idle_s = idle_s
+        self._poller: BasePoller | None = None
+        self._active: dict[socket, Exchange] = {}
+        self._idle: dict[socket, tuple[Connection, float]] = {}
+        self._idle_by_address: dict[tuple[str, int], deque[Connection]] = defaultdict(
+            deque
+        )
+        self._sweep: Subscription | None = None
+
+    @property
+    def active(self) -> int:
+        """Exchanges under way."""
+        return len(self._active)
+
+    @property
+    def idle(self) -> int:
+        """Connections kept for reuse."""
+        return len(self._idle)
+
+    def open(self, request: HttpRequest, receiver: Receiver) -> Exchange:
+        """Send ``request`` and hand the answer to ``receiver`` as it arrives.
+
+        Raises:
+            h11.LocalProtocolError: The request is not valid HTTP.
+        """
+        exchange = Exchange(self, request, receiver)
+        conn = self._take_idle(request.address) if request.retry_stale else None
+        if conn is None:
+            self._connect(exchange)
+        else:
+            self._start(exchange, conn)
+        return exchange
+
+    def fetch(
+        self,
+        request: HttpRequest,
+        on_done: Callable[[Response | Failure], None],
+        limit: int = DEFAULT_FETCH_LIMIT,
+    ) -> Exchange:
+        """Send ``request`` and call ``on_done`` once with the whole answer.
+
+        Args:
+            request: What to send.
+            on_done: Gets the answer or why there is none.
+            limit: Most bytes of the body; more is a failure.
+
+        Raises:
+            h11.LocalProtocolError: The request is not valid HTTP.
+        """
+        collector = _Collector(on_done, limit)
+        collector.exchange = self.open(request, collector)
+        return collector.exchange
+
+    # Connections.
+
+    def _find_poller(self) -> BasePoller:
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller) or EPoll().register(self)
+        return self._poller
+
+    def _take_idle(self, address: tuple[str, int]) -> Connection | None:
+        conns = self._idle_by_address.get(address)
+        while conns:
+            conn = conns.pop()
+            del self._idle[conn.sock]
+            if not conn.is_stale():
+                conn.reused = True
+                return conn
+            self._close(conn)
+        return None
+
+    def _connect(self, exchange: Exchange) -> None:
+        try:
+            conn = Connection(exchange.request.address, self._source_ip)
+        except OSError as exc:
+            failure = Failure(FailureKind.CONNECT, False, str(exc))
+            self._timers.after(0, lambda: self._report(exchange, failure))
+            return
+        self._find_poller().addReader(self, conn.sock)
+        self._start(exchange, conn)
+
+    def _start(self, exchange: Exchange, conn: Connection) -> None:
+        request = exchange.request
+        try:
+            conn.load(request.method, request.path, request.headers, request.body)
+        except h11.LocalProtocolError:
+            self._close(conn)
+            raise
+        exchange.conn = conn
+        exchange.moved_at = monotonic()
+        self._active[conn.sock] = exchange
+        self._watch(exchange)
+        self._plan_sweep()
+
+    def _watch(self, exchange: Exchange) -> None:
+        conn = exchange.conn
+        if conn is None:
+            return
+        poller = self._find_poller()
+        reading = poller.isReading(conn.sock)
+        if exchange.paused and reading:
+            poller.removeReader(conn.sock)
+        elif not exchange.paused and not reading:
+            poller.addReader(self, conn.sock)
+        writing = poller.isWriting(conn.sock)
+        if conn.wants_write and not writing:
+            poller.addWriter(self, conn.sock)
+        elif writing and not conn.wants_write:
+            poller.removeWriter(conn.sock)
+
+    def _close(self, conn: Connection) -> None:
+        # The poller looks a socket up by its file number, which is gone once it
+        # is closed: a later socket with that number would get its events.
+        self._find_poller().discard(conn.sock)
+        conn.close()
+
+    def _keep(self, conn: Connection) -> None:
+        conns = self._idle_by_address[conn.address]
+        if len(conns) >= self._max_idle:
+            self._close(conn)
+            return
+        conns.append(conn)
+        self._idle[conn.sock] = (conn, monotonic())
+        self._plan_sweep()
+
+    def _forget_idle(self, conn: Connection) -> None:
+        del self._idle[conn.sock]
+        conns = self._idle_by_address[conn.address]
+        conns.remove(conn)
+        if not conns:
+            del self._idle_by_address[conn.address]
+        self._close(conn)
+
+    # Ends of exchanges.
+
+    def _drop(self, exchange: Exchange) -> None:
+        conn = exchange.conn
+        if conn is not None and self._active.pop(conn.sock, None) is not None:
+            self._close(conn)
+
+    def _report(self, exchange: Exchange, failure: Failure) -> None:
+        if exchange.live:
+            exchange.live = False
+            exchange.receiver.on_failure(failure)
+
+    def _fail(self, exchange: Exchange, kind: FailureKind, message: str) -> None:
+        conn = exchange.conn
+        sent = conn is not None and conn.sent_any
+        self._drop(exchange)
+        self._report(exchange, Failure(kind, sent, message))
+
+    def _fail_cut(self, exchange: Exchange, message: str) -> None:
+        conn = exchange.conn
+        if not conn.connected:
+            self._fail(exchange, FailureKind.CONNECT, message)
+        elif conn.reused and not conn.heard_any:
+            # The other side closes idle connections as it likes; its close and
+            # our request cross. Only a reused connection does so, hence once.
+            self._drop(exchange)
+            self._connect(exchange)
+        else:
+            self._fail(exchange, FailureKind.CUT, message)
+
+    def _finish(self, exchange: Exchange, end: End) -> None:
+        conn = exchange.conn
+        del self._active[conn.sock]
+        exchange.live = False
+        if exchange.paused:
+            self._find_poller().addReader(self, conn.sock)
+        if end.reusable:
+            self._keep(conn)
+        else:
+            self._close(conn)
+        exchange.receiver.on_end()
+
+    # Events of the poller.
+
+    @handler("_read")
+    def _on_read(self, sock: socket) -> None:
+        exchange = self._active.get(sock)
+        if exchange is not None:
+            self._receive(exchange)
+        elif sock in self._idle:
+            self._forget_idle(self._idle[sock][0])
+
+    def _receive(self, exchange: Exchange) -> None:
+        if exchange.paused or not exchange.conn.connected:
+            return
+        exchange.moved_at = monotonic()
+        try:
+            for arrival in exchange.conn.receive():
+                self._deliver(exchange, arrival)
+                if not exchange.live:
+                    return
+        except AnswerCut as exc:
+            self._fail_cut(exchange, str(exc))
+        except AnswerBroken as exc:
+            self._fail(exchange, FailureKind.BROKEN, str(exc))
+
+    def _deliver(self, exchange: Exchange, arrival: Head | Chunk | End) -> None:
+        match arrival:
+            case Head():
+                exchange.receiver.on_head(arrival)
+            case Chunk(data):
+                exchange.receiver.on_data(data)
+            case End():
+                self._finish(exchange, arrival)
+
+    @handler("_write")
+    def _on_write(self, sock: socket) -> None:
+        exchange = self._active.get(sock)
+        if exchange is None:
+            return
+        conn = exchange.conn
+        try:
+            if not conn.connected:
+                conn.check_connected()
+            conn.flush()
+        except OSError as exc:
+            self._on_broken_write(exchange, str(exc))
+            return
+        exchange.moved_at = monotonic()
+        self._watch(exchange)
+
+    def _on_broken_write(self, exchange: Exchange, message: str) -> None:
+        # A server may answer early (413) and close while the body is still being
+        # sent; its answer is then in the socket's buffer and worth more than ours.
+        if exchange.conn.connected:
+            exchange.paused = False
+            self._receive(exchange)
+        if exchange.live and exchange.conn.sock in self._active:
+            self._fail_cut(exchange, message)
+
+    @handler("_disconnect")
+    def _on_disconnect(self, sock: socket) -> None:
+        exchange = self._active.get(sock)
+        if exchange is not None:
+            self._on_broken_write(exchange, "connection lost")
+        elif sock in self._idle:
+            self._forget_idle(self._idle[sock][0])
+
+    # Timeouts.
+
+    def _plan_sweep(self) -> None:
+        if self._sweep is None:
+            self._sweep = self._timers.after(SWEEP_S, self._on_sweep)
+
+    def _late(self, now: float) -> Iterator[Exchange]:
+        for exchange in list(self._active.values()):
+            if not exchange.paused and now - exchange.moved_at > exchange.limit_s:
+                yield exchange
+
+    def _on_sweep(self) -> None:
+        self._sweep = None
+        now = monotonic()
+        for exchange in self._late(now):
+            if exchange.live:
+                self._expire(exchange)
+        for conn, since in list(self._idle.values()):
+            if now - since > self._idle_s:
+                self._forget_idle(conn)
+        if self._active or self._idle:
+            self._plan_sweep()
+
+    def _expire(self, exchange: Exchange) -> None:
+        if exchange.conn.connected:
+            self._fail(exchange, FailureKind.TIMEOUT, "no byte moved in time")
+        else:
+            self._fail(exchange, FailureKind.CONNECT, "not connected in time")
+
+    @handler("stopped", channel="*")
+    def _on_stopped(self, _manager: object) -> None:
+        for exchange in list(self._active.values()):
+            exchange.cancel()
+        for conn, _ in list(self._idle.values()):
+            self._forget_idle(conn)
