--- /dev/null
+++ b/greengageflow/control.py
@@ -0,0 +1,296 @@
+"""Drives the core: delivers messages to its parts and carries out their effects."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from time import monotonic
+from typing import Any, Protocol
+
+from greengageflow.action_entry import ActionEntry
+from greengageflow.action_writer import ActionWriter
+from greengageflow.catalog import FleetConfig
+from greengageflow.collector import Collector
+from greengageflow.effects import (
+    AppendRecords,
+    Connect,
+    Disconnect,
+    Effect,
+    MayRun,
+    ReadRecords,
+    Refuse,
+    Replay,
+    Send,
+    Start,
+)
+from greengageflow.entry import EntryQueue
+from greengageflow.log_client import AppendResult, LogClient, ReadResult
+from greengageflow.membership import Membership
+from greengageflow.messages import (
+    Ack,
+    ConfigRequest,
+    ConfigState,
+    Demand,
+    FleetTotals,
+    Grant,
+    GrantReturned,
+    GrantTaken,
+    IntentRequest,
+    IntentVerdict,
+    OutcomeReport,
+    OutcomeStored,
+    PeerId,
+    Ping,
+    PingRequest,
+    ShareReport,
+    View,
+    ViewRequest,
+    WorkCall,
+    ZoneTotals,
+)
+from greengageflow.owner import EndpointOwner
+from greengageflow.peers import PeerLink
+from greengageflow.placement import FleetView, LiveMember
+from greengageflow.roster import Roster
+from greengageflow.shares import ServiceLedger
+from greengageflow.timers import Subscription, Timers
+
+OWNER_TICK_S = 0.05
+ACTION_TICK_S = 0.1
+
+
+class RequestSide(Protocol):
+    """What the core decides about requests."""
+
+    def on_start(self, start: Start) -> None:
+        """Send a request to its endpoint."""
+
+    def on_refuse(self, refuse: Refuse) -> None:
+        """Refuse a request."""
+
+    def on_may_run(self, request: str) -> None:
+        """Go on with a protected action."""
+
+    def on_replay(self, replay: Replay) -> None:
+        """Answer with the recorded answer."""
+
+
+class Control:
+    """One router's part in the fleet.
+
+    Args:
+        own: This life of this router.
+        link: Messages to other routers.
+        timers: Timer service.
+        log_client: The platform's log.
+        membership: Which routers live.
+        roster: Hosts that bear slots.
+        on_config_message: Takes ``ConfigRequest`` and ``ConfigState``.
+        on_newer_revision: Takes a host and the revision it has in force.
+    """
+
+    def __init__(
+        self,
+        own: PeerId,
+        link: PeerLink,
+        timers: Timers,
+        log_client: LogClient,
+        membership: Membership,
+        roster: Roster,
+        *,
+        on_config_message: Callable[[str, Any], None],
+        on_newer_revision: Callable[[str, int], None],
+    ) -> None:
+        self.own = own
+        self.ledger = ServiceLedger(own)
+        self.entry = EntryQueue(own, self.ledger)
+        self.owner = EndpointOwner(own, self.ledger)
+        self.collector = Collector(own, self.ledger)
+        self.writer = ActionWriter()
+        self.actions = ActionEntry(own, self._writer_of, self._holder_lives)
+        self.membership = membership
+        self.roster = roster
+        self.requests: RequestSide | None = None
+        self.view = FleetView(own, {own.host: LiveMember(own.boot)}, frozenset())
+        self._link = link
+        self._timers = timers
+        self._log = log_client
+        self._on_config_message = on_config_message
+        self._on_newer_revision = on_newer_revision
+        self._local: deque[Any] = deque()
+        self._delivering = False
+        self._view_seen: tuple[int, frozenset[str]] | None = None
+        self._entry_timer: Subscription | None = None
+        self._entry_due = float("inf")
+        self._share_timer: Subscription | None = None
+        self._share_interval_s = 0.0
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._timers.every(self.membership.tick_s, self._on_membership_tick)
+        self._timers.every(OWNER_TICK_S, self._on_owner_tick)
+        self._timers.every(ACTION_TICK_S, self._on_action_tick)
+        self._on_membership_tick()
+
+    def on_config(self, cfg: FleetConfig) -> None:
+        """Take over a configuration."""
+        now = monotonic()
+        self.membership.revision = cfg.revision
+        self.ledger.on_config(cfg)
+        self.run(self.entry.on_config(now, cfg))
+        self.run(self.owner.on_config(now, cfg))
+        if cfg.policy.share_interval_s != self._share_interval_s:
+            self._share_interval_s = cfg.policy.share_interval_s
+            if self._share_timer is not None:
+                self._share_timer.cancel()
+            self._share_timer = self._timers.every(
+                self._share_interval_s, self._on_share_tick
+            )
+
+    # Messages and effects.
+
+    def receive(self, sender: PeerId, message: Any) -> None:
+        """Take a message of a router, this one included."""
+        now = monotonic()
+        match message:
+            case Demand() | GrantTaken() | GrantReturned():
+                self.run(self.owner.receive(now, sender, message))
+            case Grant() | WorkCall():
+                self.run(self.entry.receive(now, sender, message))
+            case ShareReport() | ZoneTotals():
+                self.collector.receive(now, sender, message)
+            case FleetTotals():
+                self.ledger.on_totals(sender, message)
+            case Ping() | Ack() | PingRequest() | ViewRequest() | View():
+                self.run(self.membership.receive(now, sender, message))
+                self._after_membership()
+            case ConfigRequest() | ConfigState():
+                self._on_config_message(sender.host, message)
+            case IntentRequest() | OutcomeReport():
+                self.run(self.writer.receive(now, sender, message))
+            case IntentVerdict():
+                self.run(self.actions.on_verdict(now, sender, message))
+            case OutcomeStored():
+                self.actions.on_stored(message)
+
+    def run(self, effects: Iterable[Effect]) -> None:
+        """Carry out effects, then deliver what this router sent to itself."""
+        # Taken as a whole first: an effect may call the same part of the core
+        # again, which must not happen in the middle of its own change.
+        for effect in tuple(effects):
+            self._carry_out(effect)
+        if self._delivering:
+            return
+        self._delivering = True
+        try:
+            while self._local:
+                self.receive(self.own, self._local.popleft())
+        finally:
+            self._delivering = False
+        self._plan_entry_tick()
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(to, message) if to == self.own.host:
+                self._local.append(message)
+            case Send(to, message):
+                self._link.send(to, message)
+            case Start():
+                self.requests.on_start(effect)
+            case Refuse():
+                self.requests.on_refuse(effect)
+            case MayRun(request):
+                self.requests.on_may_run(request)
+            case Replay():
+                self.requests.on_replay(effect)
+            case AppendRecords(stream, records):
+                self._log.append(stream, records, self._append_taker(stream))
+            case ReadRecords(stream, from_offset):
+                self._log.read(stream, from_offset, 0.0, self._read_taker(stream))
+            case Connect(host, ip, port):
+                self._link.set_address(host, ip, port)
+            case Disconnect(host):
+                self._link.forget(host)
+
+    def _append_taker(self, stream: str) -> Callable[[AppendResult], None]:
+        def take(result: AppendResult) -> None:
+            self.run(self.writer.on_append(monotonic(), stream, result))
+
+        return take
+
+    def _read_taker(self, stream: str) -> Callable[[ReadResult], None]:
+        def take(result: ReadResult) -> None:
+            self.run(self.writer.on_read(monotonic(), stream, result))
+
+        return take
+
+    def send(self, host: str, message: Any) -> None:
+        """Send a message to a host, this one included."""
+        self.run((Send(host, message),))
+
+    # Protected actions.
+
+    def _writer_of(self, stream: str) -> str:
+        return self.view.owner_of(stream) or self.own.host
+
+    def _holder_lives(self, holder: str) -> bool:
+        host, _, boot = holder.rpartition(":")
+        return self.view.is_live(PeerId(host, int(boot)))
+
+    # Time.
+
+    def _on_membership_tick(self) -> None:
+        self.run(self.membership.on_tick(monotonic()))
+        self._after_membership()
+
+    def _after_membership(self) -> None:
+        newer = self.membership.newer_revision()
+        if newer is not None:
+            self._on_newer_revision(newer, self.membership.revision + 1)
+        self.refresh_view()
+
+    def refresh_view(self) -> None:
+        """Tell the parts when members or the roster have changed."""
+        members = self.membership.members
+        self.roster.on_members(members.keys())
+        roster = frozenset(self.roster.hosts)
+        seen = self.membership.view_version, roster
+        if seen == self._view_seen:
+            return
+        self._view_seen = seen
+        live = {
+            host: LiveMember(member.peer.boot, member.zone, member.stopping)
+            for host, member in members.items()
+        }
+        if self.own.host not in live:
+            return
+        now = monotonic()
+        self.view = view = self.view.succeeded(live, roster)
+        self.collector.on_view(now, view)
+        self.run(self.entry.on_view(now, view))
+        self.run(self.owner.on_view(now, view))
+
+    def _on_owner_tick(self) -> None:
+        self.run(self.owner.on_tick(monotonic()))
+
+    def _on_action_tick(self) -> None:
+        now = monotonic()
+        self.run(self.actions.on_tick(now))
+        self.run(self.writer.on_tick(now))
+
+    def _on_share_tick(self) -> None:
+        self.run(self.ledger.report(self.view))
+        self.run(self.collector.report(monotonic()))
+
+    def _plan_entry_tick(self) -> None:
+        now = monotonic()
+        due = self.entry.next_tick(now)
+        if due >= self._entry_due:
+            return
+        if self._entry_timer is not None:
+            self._entry_timer.cancel()
+        self._entry_due = due
+        self._entry_timer = self._timers.after(due - now, self._on_entry_tick)
+
+    def _on_entry_tick(self) -> None:
+        self._entry_due = float("inf")
+        self._entry_timer = None
+        self.run(self.entry.on_tick(monotonic()))
--- /dev/null
+++ b/greengageflow/dispatch.py
@@ -0,0 +1,474 @@
+"""Takes callers' requests through queue, grant and endpoint to their answers."""
+
+from collections.abc import Iterator
+from hashlib import sha256
+from hmac import compare_digest
+from itertools import count
+from time import monotonic
+
+from greengageflow.affinity import PrefixMap, prefix_of
+from greengageflow.callers import ChatCall, ServiceCall, StatusCall
+from greengageflow.catalog import ClientAccount, FleetConfig, Pool, PoolKind, Route
+from greengageflow.control import Control
+from greengageflow.effects import Refuse, Replay, Start
+from greengageflow.endpoint_run import EndpointRuns, RunEnd
+from greengageflow.engine_client import Completed, Cut, Refused, Unreachable
+from greengageflow.entry import WaitingRequest
+from greengageflow.errors import ErrorKind, Ran, RouterError
+from greengageflow.flight import Flight, Phase
+from greengageflow.limits import RetryBudget
+from greengageflow.metrics import Metric, Metrics
+from greengageflow.service_client import ServiceAnswer
+from greengageflow.status import StatusSource
+from greengageflow.tracing import Tracing
+
+MOST_ATTEMPTS = 3
+CALLER_FAULTS = frozenset({400, 404, 405, 413, 415, 422})
+
+
+class Dispatcher:
+    """Handles the calls of one router; see ``callers.RequestHandler``.
+
+    Args:
+        control: The core.
+        runs: Sends requests to endpoints.
+        tracing: Spans of the hops.
+        metrics: Counters and timers.
+        status: Answers ``/status``.
+    """
+
+    def __init__(
+        self,
+        control: Control,
+        runs: EndpointRuns,
+        *,
+        tracing: Tracing,
+        metrics: Metrics,
+        status: StatusSource,
+    ) -> None:
+        self.stopping = False
+        self.refusing = False
+        self._control = control
+        self._runs = runs
+        self._tracing = tracing
+        self._metrics = metrics
+        self._status = status
+        self._cfg = FleetConfig()
+        self._accounts: dict[str, ClientAccount] = {}
+        self._flights: dict[str, Flight] = {}
+        self._by_call: dict[int, Flight] = {}
+        self._numbers = count(1)
+        self._prefixes = PrefixMap()
+        self._budget = RetryBudget(self._cfg.policy.retry_ratio)
+
+    @property
+    def flights(self) -> int:
+        """Requests that have no final answer yet."""
+        return len(self._flights)
+
+    def find(self, request: str) -> Flight | None:
+        """Return the request under way with this id."""
+        return self._flights.get(request)
+
+    def on_config(self, cfg: FleetConfig) -> None:
+        """Take over a configuration."""
+        self._cfg = cfg
+        self._accounts = {
+            key_hash: account
+            for account in cfg.accounts.values()
+            for key_hash in account.key_hashes
+        }
+        self._budget.ratio = cfg.policy.retry_ratio
+
+    # Calls.
+
+    def unready(self) -> RouterError | None:
+        """Return why the balancer should send nothing here, or None."""
+        if self.stopping:
+            return RouterError(ErrorKind.STOPPING, "this router is stopping")
+        if not self._cfg.revision:
+            return RouterError(ErrorKind.NOT_CONFIGURED, "no configuration yet")
+        return None
+
+    def on_call(self, call: ChatCall | ServiceCall | StatusCall) -> None:
+        """Take a call and answer it, now or later."""
+        if isinstance(call, StatusCall):
+            call.reply.json(200, self._status.status())
+            return
+        try:
+            flight = self._admit(call)
+        except RouterError as exc:
+            self._metrics.count(Metric.REFUSED, part=exc.kind.value)
+            call.reply.error(exc)
+            return
+        self._flights[flight.id] = flight
+        self._by_call[id(call)] = flight
+        self._metrics.count(Metric.REQUESTS, part=flight.pool.name)
+        flight.span = self._tracing.start(
+            "caller",
+            traceparent=call.traceparent,
+            attributes={"request": flight.id, "account": flight.account.name},
+        )
+        self._budget.on_attempt()
+        if flight.protected:
+            self._ask_log(flight)
+        else:
+            self._queue(flight)
+
+    def _admit(self, call: ChatCall | ServiceCall) -> Flight:
+        if self.refusing:
+            raise RouterError(ErrorKind.STOPPING, "this router is stopping")
+        if not self._cfg.revision:
+            raise RouterError(ErrorKind.NOT_CONFIGURED, "no configuration yet")
+        account = self._account(call.account_key)
+        pool = self._pool(call)
+        deadline_s = min(call.deadline_s or pool.deadline_s, pool.deadline_s)
+        host, boot = self._control.own.host, self._control.own.boot
+        flight = Flight(
+            id=f"{host}-{boot}-{next(self._numbers)}",
+            call=call,
+            account=account,
+            pool=pool,
+            cost=call.cost_hint or pool.cost_hint,
+            deadline=monotonic() + deadline_s,
+        )
+        if call.idempotency_key:
+            flight.action_key = f"{account.name}\n{call.idempotency_key}"
+        match call:
+            case ChatCall():
+                flight.prefix = prefix_of(call.model, call.body)
+            case ServiceCall():
+                _demand_key(call, pool)
+        return flight
+
+    def _account(self, key: str) -> ClientAccount:
+        if not key:
+            raise RouterError(ErrorKind.UNAUTHORIZED, "no bearer key")
+        key_hash = sha256(key.encode()).hexdigest()
+        account = self._accounts.get(key_hash)
+        if account is None or not any(
+            compare_digest(key_hash, known) for known in account.key_hashes
+        ):
+            raise RouterError(ErrorKind.UNAUTHORIZED, "unknown bearer key")
+        return account
+
+    def _pool(self, call: ChatCall | ServiceCall) -> Pool:
+        match call:
+            case ChatCall(model=name):
+                kind = PoolKind.MODEL
+            case ServiceCall(service=name):
+                kind = PoolKind.SERVICE
+        pool = self._cfg.pools.get(name)
+        if pool is None or pool.kind is not kind:
+            raise RouterError(ErrorKind.UNKNOWN_TARGET, f"no {kind.value} {name!r}")
+        return pool
+
+    def on_gone(self, call: ChatCall | ServiceCall | StatusCall) -> None:
+        """Give up what a caller that left had asked for."""
+        flight = self._by_call.get(id(call))
+        if flight is None:
+            return
+        if flight.phase is Phase.RUNNING and flight.protected:
+            # It was sent and may take effect: the outcome goes to the log all the
+            # same, or a retry with the same key would learn only "unknown".
+            return
+        if flight.phase is Phase.RUNNING:
+            self._stop_run(flight)
+        elif flight.phase is Phase.QUEUED:
+            self._control.run(self._control.entry.cancel(monotonic(), flight.id))
+        self._release(flight)
+        self._end(flight, "gone")
+
+    # Queue and grant.
+
+    def _ask_log(self, flight: Flight) -> None:
+        flight.phase = Phase.ASKING
+        flight.hop = self._tracing.start("action", parent=flight.span)
+        digest = sha256(repr(_identity(flight.call)).encode()).hexdigest()
+        self._control.run(
+            self._control.actions.begin(
+                monotonic(), flight.id, flight.action_key, digest, flight.deadline
+            )
+        )
+
+    def on_may_run(self, request: str) -> None:
+        """Go on with a protected action that is the first of its key."""
+        flight = self._flights.get(request)
+        if flight is None:
+            give_up = self._control.actions.give_up(monotonic(), request)
+            self._control.run(give_up)
+            return
+        self._tracing.finish(flight.hop)
+        self._queue(flight)
+
+    def _queue(self, flight: Flight) -> None:
+        flight.phase = Phase.QUEUED
+        flight.queued = monotonic()
+        flight.hop = self._tracing.start("queue", parent=flight.span)
+        waiting = WaitingRequest(
+            flight.id,
+            flight.account.name,
+            flight.pool.name,
+            flight.cost,
+            flight.deadline,
+            self._prefixes.endpoint(flight.prefix),
+        )
+        self._control.run(self._control.entry.submit(flight.queued, waiting))
+
+    def on_refuse(self, refuse: Refuse) -> None:
+        """Give a waiting request its final answer."""
+        flight = self._flights.get(refuse.request)
+        if flight is None:
+            return
+        self._refuse(
+            flight,
+            RouterError(
+                refuse.kind,
+                refuse.message,
+                ran=refuse.ran,
+                retry_after_s=refuse.retry_after_s,
+            ),
+        )
+
+    def on_replay(self, replay: Replay) -> None:
+        """Answer a repeated protected action with the recorded answer."""
+        flight = self._flights.get(replay.request)
+        if flight is None:
+            return
+        headers = (
+            ("Content-Type", replay.content_type or "application/octet-stream"),
+            ("Idempotent-Replayed", "true"),
+        )
+        flight.call.reply.raw(replay.status, headers, replay.body)
+        self._metrics.count(Metric.ACTIONS, part="replayed")
+        self._end(flight, "replayed")
+
+    def on_start(self, start: Start) -> None:
+        """Send a request to the endpoint whose slot was granted."""
+        flight = self._flights.get(start.request)
+        now = monotonic()
+        if flight is None:
+            self._give_back(start.grant)
+            return
+        self._tracing.finish(flight.hop, endpoint=start.endpoint)
+        self._metrics.timing(
+            Metric.QUEUE_TIME, now - flight.queued, part=flight.pool.name
+        )
+        flight.grant = start.grant
+        flight.endpoint = self._cfg.endpoints.get(start.endpoint)
+        grant_span = self._tracing.start("grant", parent=flight.span)
+        self._tracing.finish(grant_span, grant=start.grant)
+        if flight.endpoint is None:
+            self._give_back(start.grant, flight)
+            self._retry(flight, RouterError(ErrorKind.NO_ENDPOINT, "endpoint is gone"))
+        elif now >= flight.deadline or not self._may_send(flight):
+            text = "the deadline passed before the request could be sent"
+            self._refuse(flight, RouterError(ErrorKind.DEADLINE, text))
+        else:
+            self._send(flight, now)
+
+    def _may_send(self, flight: Flight) -> bool:
+        if not flight.protected:
+            return True
+        return self._control.actions.may_send(monotonic(), flight.id)
+
+    def _send(self, flight: Flight, now: float) -> None:
+        flight.phase = Phase.RUNNING
+        flight.started = now
+        flight.attempts += 1
+        flight.pieces = 0
+        flight.hop = self._tracing.start(
+            "endpoint",
+            parent=flight.span,
+            attributes={"endpoint": flight.endpoint.name, "attempt": flight.attempts},
+        )
+        received = flight.call.traceparent
+        traceparent = self._tracing.traceparent(flight.hop, received)
+        self._prefixes.note(flight.prefix, flight.endpoint.name)
+        self._runs.start(flight, traceparent, self)
+
+    # What the endpoint did; see ``endpoint_run.RunListener``.
+
+    def on_progress(self, flight: Flight, pieces: int) -> None:
+        """Charge pieces as they stream."""
+        self._control.entry.progress(flight.grant, pieces)
+
+    def on_run_end(self, flight: Flight, end: RunEnd) -> None:
+        """Take how a run ended."""
+        match end:
+            case Completed():
+                self._complete(flight, end)
+            case ServiceAnswer():
+                self._answer(flight, end)
+            case Refused(status, message) if status in CALLER_FAULTS:
+                self._give_back(flight.grant, flight)
+                exc = RouterError(ErrorKind.BAD_REQUEST, message, ran=Ran.NO)
+                self._refuse_sent(flight, exc)
+            case Refused(message=message, retry_after_s=wait):
+                self._give_back(flight.grant, flight, failed=True)
+                self._retry(flight, _failed(message, wait))
+            case Unreachable(message):
+                self._give_back(flight.grant, flight, failed=True)
+                self._retry(flight, _failed(message, None))
+            case Cut():
+                self._cut(flight, end)
+
+    def _complete(self, flight: Flight, end: Completed) -> None:
+        served = end.usage.completion_tokens if end.usage else flight.pieces
+        self._give_back(flight.grant, flight, served=float(served))
+        self._runs.answer_completed(flight, end)
+        content_type, body = self._runs.recorded(flight, end)
+        self._record(flight, Ran.YES, 200, content_type, body)
+        self._metrics.count(Metric.ANSWERED, part=flight.pool.name)
+        self._metrics.count(Metric.SERVED, served, part=flight.account.name)
+        self._end(flight, "complete", tokens=served)
+
+    def _answer(self, flight: Flight, end: ServiceAnswer) -> None:
+        self._give_back(flight.grant, flight, served=flight.cost)
+        headers = (*end.headers, ("X-Request-Id", flight.wire_id))
+        flight.call.reply.raw(end.status, headers, end.body)
+        self._record(flight, Ran.YES, end.status, end.content_type, end.body)
+        self._metrics.count(Metric.ANSWERED, part=flight.pool.name)
+        self._end(flight, "complete", status=end.status)
+
+    def _cut(self, flight: Flight, end: Cut) -> None:
+        self._give_back(
+            flight.grant, flight, served=float(flight.pieces), failed=True
+        )
+        text = f"endpoint {flight.endpoint.name}: {end.message}"
+        exc = RouterError(ErrorKind.ENDPOINT_CUT, text, ran=end.ran)
+        repeatable = not flight.protected and isinstance(flight.call, ChatCall)
+        if repeatable and not flight.call.reply.streaming:
+            self._retry(flight, exc)
+        else:
+            self._refuse_sent(flight, exc)
+
+    # Ends.
+
+    def _retry(self, flight: Flight, exc: RouterError) -> None:
+        """Queue again what certainly did not run or may run again."""
+        if flight.protected:
+            self._refuse_sent(flight, exc)
+            return
+        late = monotonic() >= flight.deadline
+        if late or flight.attempts >= MOST_ATTEMPTS or not self._budget.take():
+            self._refuse(flight, exc)
+            return
+        self._tracing.finish(flight.hop, error=exc.message)
+        self._metrics.count(Metric.RETRIES, part=flight.pool.name)
+        self._queue(flight)
+
+    def _refuse_sent(self, flight: Flight, exc: RouterError) -> None:
+        if exc.ran is not Ran.NO:
+            self._record(flight, exc.ran)
+        elif flight.protected:
+            ended = self._control.actions.ended(monotonic(), flight.id, Ran.NO)
+            self._control.run(ended)
+        self._refuse(flight, exc)
+
+    def _refuse(self, flight: Flight, exc: RouterError) -> None:
+        if flight.phase is not Phase.RUNNING and flight.grant:
+            self._give_back(flight.grant)
+        self._release(flight)
+        self._metrics.count(Metric.REFUSED, part=exc.kind.value)
+        headers = [("X-Request-Id", flight.wire_id)]
+        flight.call.reply.error(exc, headers)
+        self._end(flight, exc.kind.value)
+
+    def _record(
+        self,
+        flight: Flight,
+        ran: Ran,
+        status: int = 0,
+        content_type: str = "",
+        body: bytes = b"",
+    ) -> None:
+        if not flight.protected:
+            return
+        self._control.run(
+            self._control.actions.ended(
+                monotonic(),
+                flight.id,
+                ran,
+                status=status,
+                content_type=content_type,
+                body=body,
+            )
+        )
+
+    def _release(self, flight: Flight) -> None:
+        if flight.protected:
+            give_up = self._control.actions.give_up(monotonic(), flight.id)
+            self._control.run(give_up)
+
+    def _give_back(
+        self,
+        grant: str,
+        flight: Flight | None = None,
+        *,
+        served: float = 0.0,
+        failed: bool = False,
+    ) -> None:
+        now = monotonic()
+        seconds = now - flight.started if flight else 0.0
+        if flight:
+            flight.grant = ""
+        self._control.run(
+            self._control.entry.finished(now, grant, served, seconds, failed)
+        )
+
+    def _stop_run(self, flight: Flight) -> None:
+        flight.run.cancel()
+        self._give_back(flight.grant, flight, served=float(flight.pieces))
+
+    def _end(self, flight: Flight, result: str, **attributes: object) -> None:
+        now = monotonic()
+        self._metrics.timing(
+            Metric.REQUEST_TIME, now - flight.arrived, part=flight.pool.name
+        )
+        self._tracing.finish(flight.hop)
+        self._tracing.finish(flight.span, result=result, **attributes)
+        del self._flights[flight.id]
+        del self._by_call[id(flight.call)]
+
+    def on_tick(self) -> None:
+        """Cut what runs past its deadline; the caller has stopped waiting."""
+        now = monotonic()
+        for flight in list(self._late(now)):
+            self._stop_run(flight)
+            ran = Ran.YES if flight.pieces else Ran.UNKNOWN
+            text = "the deadline passed while the endpoint worked"
+            self._refuse_sent(flight, RouterError(ErrorKind.DEADLINE, text, ran=ran))
+
+    def _late(self, now: float) -> Iterator[Flight]:
+        for flight in self._flights.values():
+            if flight.phase is Phase.RUNNING and now >= flight.deadline:
+                yield flight
+
+
+def _demand_key(call: ServiceCall, pool: Pool) -> None:
+    route = route_of(pool, call.path)
+    if not route.repeatable and not call.idempotency_key:
+        text = f"{call.path}: this route needs an Idempotency-Key header"
+        raise RouterError(ErrorKind.KEY_REQUIRED, text)
+
+
+def route_of(pool: Pool, path: str) -> Route:
+    """Return the route with the longest matching prefix."""
+    matching = [route for route in pool.routes if path.startswith(route.prefix)]
+    return max(matching, key=lambda route: len(route.prefix), default=Route(""))
+
+
+def _identity(call: ChatCall | ServiceCall) -> object:
+    """Return what makes two requests with one idempotency key the same."""
+    match call:
+        case ChatCall(body=body):
+            return body
+        case ServiceCall():
+            return (call.method, call.service, call.target, call.body)
+
+
+def _failed(message: str, retry_after_s: float | None) -> RouterError:
+    return RouterError(
+        ErrorKind.ENDPOINT_FAILED, message, ran=Ran.NO, retry_after_s=retry_after_s
+    )
--- /dev/null
+++ b/greengageflow/endpoint_run.py
@@ -0,0 +1,155 @@
+"""Runs a request on its endpoint and passes the answer to the caller."""
+
+from typing import Protocol
+
+from greengageflow.actions import BODY_KEPT
+from greengageflow.callers import ChatCall, ServiceCall
+from greengageflow.engine_client import (
+    Completed,
+    EngineCall,
+    EngineEnd,
+    EngineRequest,
+    Piece,
+)
+from greengageflow.flight import Flight
+from greengageflow.http_pool import HttpPool
+from greengageflow.reply import JSON_TYPE, STREAM_END
+from greengageflow.service_client import ServiceEnd, ServiceRequest, call_service
+from greengageflow.timers import Timers
+
+RunEnd = EngineEnd | ServiceEnd
+STREAM_TYPE = "text/event-stream"
+
+
+class RunListener(Protocol):
+    """Hears of a run."""
+
+    def on_progress(self, flight: Flight, pieces: int) -> None:
+        """Note that so many pieces were passed on."""
+
+    def on_run_end(self, flight: Flight, end: RunEnd) -> None:
+        """Note how the run ended; last call."""
+
+
+class _EngineRun:
+    """Passes the pieces of one engine's answer on, as fast as the caller reads."""
+
+    def __init__(self, flight: Flight, listener: RunListener) -> None:
+        self._flight = flight
+        self._listener = listener
+
+    def on_pieces(self, pieces: list[Piece]) -> None:
+        """Pass pieces on and hold the engine back when the caller is slow."""
+        flight = self._flight
+        reply = flight.call.reply
+        if not reply.streaming:
+            reply.start_stream((("X-Request-Id", flight.wire_id),))
+        raw = b"".join(piece.raw for piece in pieces)
+        reply.piece(raw)
+        flight.pieces += len(pieces)
+        if flight.protected and len(flight.kept) <= BODY_KEPT:
+            flight.kept += raw
+        self._listener.on_progress(flight, len(pieces))
+        if reply.blocked:
+            reply.on_drain = flight.run.resume
+            flight.run.pause()
+
+    def on_end(self, end: EngineEnd) -> None:
+        """Pass the end on."""
+        self._listener.on_run_end(self._flight, end)
+
+
+class EndpointRuns:
+    """Starts runs.
+
+    Args:
+        pool: Outbound connections.
+        timers: Timer service.
+        connect_timeout_s: Longest time for connecting, in seconds.
+    """
+
+    def __init__(
+        self, pool: HttpPool, timers: Timers, *, connect_timeout_s: float = 1.0
+    ) -> None:
+        self._pool = pool
+        self._timers = timers
+        self._connect_timeout_s = connect_timeout_s
+
+    def start(self, flight: Flight, traceparent: str, listener: RunListener) -> None:
+        """Send the request of ``flight`` to its endpoint."""
+        match flight.call:
+            case ChatCall():
+                self._start_chat(flight, flight.call, traceparent, listener)
+            case ServiceCall():
+                self._start_service(flight, flight.call, traceparent, listener)
+
+    def _start_chat(
+        self,
+        flight: Flight,
+        call: ChatCall,
+        traceparent: str,
+        listener: RunListener,
+    ) -> None:
+        endpoint = flight.endpoint
+        flight.kept.clear()
+        request = EngineRequest(
+            endpoint.host,
+            endpoint.port,
+            flight.wire_id,
+            call.body,
+            traceparent,
+            call.idempotency_key,
+            endpoint.resumes,
+            connect_timeout_s=self._connect_timeout_s,
+        )
+        run = EngineCall(
+            self._pool, self._timers, request, _EngineRun(flight, listener)
+        )
+        flight.run = run
+        run.start()
+
+    def _start_service(
+        self,
+        flight: Flight,
+        call: ServiceCall,
+        traceparent: str,
+        listener: RunListener,
+    ) -> None:
+        endpoint = flight.endpoint
+        request = ServiceRequest(
+            endpoint.host,
+            endpoint.port,
+            call.method,
+            call.target,
+            flight.wire_id,
+            call.headers,
+            call.body,
+            traceparent,
+            call.idempotency_key,
+            protected=flight.protected,
+            connect_timeout_s=self._connect_timeout_s,
+        )
+
+        def done(end: ServiceEnd) -> None:
+            listener.on_run_end(flight, end)
+
+        flight.run = call_service(self._pool, request, done)
+
+    @staticmethod
+    def answer_completed(flight: Flight, end: Completed) -> None:
+        """Give the caller the end of a complete answer."""
+        reply = flight.call.reply
+        if flight.call.stream:
+            reply.end_stream()
+        else:
+            headers = (("Content-Type", JSON_TYPE), ("X-Request-Id", flight.wire_id))
+            reply.raw(200, headers, end.body)
+
+    @staticmethod
+    def recorded(flight: Flight, end: Completed) -> tuple[str, bytes]:
+        """Return content type and body to keep for repeats of the request."""
+        if flight.call.stream:
+            return STREAM_TYPE, bytes(flight.kept) + STREAM_END
+        return JSON_TYPE, end.body
+
+
--- /dev/null
+++ b/greengageflow/flight.py
@@ -0,0 +1,68 @@
+"""One request of a caller, from its arrival to its answer."""
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from time import monotonic
+
+from opentelemetry.trace import Span
+
+from greengageflow.callers import ChatCall, ServiceCall
+from greengageflow.catalog import ClientAccount, Endpoint, Pool
+from greengageflow.engine_client import EngineCall
+from greengageflow.http_pool import Exchange
+
+
+class Phase(Enum):
+    """Where a request is."""
+
+    NEW = auto()
+    ASKING = auto()
+    QUEUED = auto()
+    RUNNING = auto()
+
+
+@dataclass(slots=True)
+class Flight:
+    """A request under way.
+
+    Args:
+        id: Request id, unique in the fleet.
+        call: What the caller asked for.
+        account: Client account that it is charged to.
+        pool: Pool that may serve it.
+        cost: Expected cost, in tokens.
+        deadline: Monotonic time by which it must have ended.
+        action_key: Account and idempotency key of a protected action, or empty.
+        prefix: Digest of the prompt's beginning, or empty.
+    """
+
+    id: str
+    call: ChatCall | ServiceCall
+    account: ClientAccount
+    pool: Pool
+    cost: float
+    deadline: float
+    action_key: str = ""
+    prefix: bytes = b""
+    arrived: float = field(default_factory=monotonic)
+    queued: float = 0.0
+    started: float = 0.0
+    grant: str = ""
+    endpoint: Endpoint | None = None
+    run: EngineCall | Exchange | None = None
+    attempts: int = 0
+    pieces: int = 0
+    kept: bytearray = field(default_factory=bytearray)
+    phase: Phase = Phase.NEW
+    span: Span | None = None
+    hop: Span | None = None
+
+    @property
+    def wire_id(self) -> str:
+        """Id that the endpoint knows the present attempt by."""
+        return self.id if self.attempts <= 1 else f"{self.id}.{self.attempts}"
+
+    @property
+    def protected(self) -> bool:
+        """True when the request must run at most once."""
+        return bool(self.action_key)
--- /dev/null
+++ b/greengageflow/router.py
@@ -0,0 +1,233 @@
+"""``greengage-router``: the daemon of one host."""
+
+import sys
+from collections.abc import Callable
+from time import time
+
+import fire
+from circuits import BaseComponent, Event, handler
+
+from greengageflow.callers import CallerServer, Limits
+from greengageflow.catalog import FleetConfig
+from greengageflow.config_follower import ConfigFollower
+from greengageflow.config_roles import config_roles
+from greengageflow.control import Control
+from greengageflow.dispatch import Dispatcher
+from greengageflow.endpoint_run import EndpointRuns
+from greengageflow.endpoint_watch import EndpointWatch
+from greengageflow.events import Event as LogEvent
+from greengageflow.events import log, setup_logging
+from greengageflow.host_list import HostList
+from greengageflow.http_pool import HttpPool
+from greengageflow.log_client import LogClient
+from greengageflow.membership import Membership, Seed
+from greengageflow.messages import Member, PeerId
+from greengageflow.metrics import Metrics
+from greengageflow.peers import PeerLink
+from greengageflow.roster import Roster
+from greengageflow.settings import RouterSettings, load_settings
+from greengageflow.status import StatusSource
+from greengageflow.timers import Timers
+from greengageflow.tracing import Tracing
+
+DISPATCH_TICK_S = 0.25
+STOP_TICK_S = 0.1
+GAUGE_TICK_S = 5.0
+
+
+class Router(BaseComponent):
+    """All parts of one router process.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    channel = "router"
+
+    def __init__(self, settings: RouterSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        own = PeerId(settings.host, int(time() * 1000))
+        self._own = own
+        self._timers = Timers().register(self)
+        self._pool = HttpPool(self._timers, source_ip=settings.ip).register(self)
+        self._log_client = LogClient(self._pool, settings.log.ip, settings.log.port)
+        self._metrics = Metrics(settings.statsd, settings.host)
+        self._link = PeerLink(
+            own, settings.peer_ip, settings.peer_port, self._on_peer_message
+        ).register(self)
+        self._control = self._make_control()
+        self._follower = self._make_follower()
+        self._status = StatusSource(
+            self._control,
+            self._follower,
+            self._link,
+            self._log_client,
+            state=lambda: "stopping" if self._dispatcher.stopping else "running",
+        )
+        self._dispatcher = Dispatcher(
+            self._control,
+            EndpointRuns(
+                self._pool,
+                self._timers,
+                connect_timeout_s=settings.timing.connect_timeout_s,
+            ),
+            tracing=Tracing(settings.host, _span_writer(settings.trace_file)),
+            metrics=self._metrics,
+            status=self._status,
+        )
+        self._control.requests = self._dispatcher
+        self._callers = CallerServer(
+            settings.ip,
+            settings.caller_port,
+            self._dispatcher,
+            self._timers,
+            limits=Limits(),
+        ).register(self)
+        self._watch = EndpointWatch(self._pool, self._timers, self._control.owner)
+        self._stop_began = 0.0
+
+    def _make_control(self) -> Control:
+        settings = self._settings
+        address = settings.peer_address
+        member = Member(
+            self._own.host,
+            self._own.boot,
+            0,
+            "alive",
+            address.ip,
+            address.port,
+            settings.zone,
+        )
+        seeds = [Seed(seed.host, seed.ip, seed.port) for seed in settings.seeds]
+        membership = Membership(
+            member, seeds, period_s=settings.timing.probe_interval_s
+        )
+        return Control(
+            self._own,
+            self._link,
+            self._timers,
+            self._log_client,
+            membership,
+            Roster(self._own.host),
+            on_config_message=self._on_config_message,
+            on_newer_revision=self._on_newer_revision,
+        )
+
+    def _make_follower(self) -> ConfigFollower:
+        return ConfigFollower(
+            self._own.host,
+            self._log_client,
+            self._timers,
+            on_config=self._on_config,
+            send=self._control.send,
+            peers=lambda: tuple(self._control.view.live),
+            roles=lambda: config_roles(self._control.view),
+            wait_s=self._settings.timing.log_wait_s,
+            poll_s=self._settings.timing.config_poll_s,
+        )
+
+    # Wiring.
+
+    def _on_peer_message(self, sender: PeerId, message: object) -> None:
+        self._control.receive(sender, message)
+
+    def _on_config_message(self, host: str, message: object) -> None:
+        self._follower.received(host, message)
+
+    def _on_newer_revision(self, host: str, revision: int) -> None:
+        self._follower.peer_revision(host, revision)
+
+    def _on_config(self, cfg: FleetConfig) -> None:
+        self._dispatcher.on_config(cfg)
+        self._callers.set_body_limit(cfg.policy.body_limit)
+        self._watch.on_config(cfg)
+        self._control.on_config(cfg)
+
+    # Life.
+
+    @handler("started", channel="*")
+    def _on_started(self, *_args: object) -> None:
+        settings = self._settings
+        log(LogEvent.STARTED, host=settings.host, zone=settings.zone)
+        self._control.start()
+        self._follower.start()
+        self._watch.start()
+        if settings.host_list is not None:
+            self._host_list = HostList(
+                self._pool,
+                self._timers,
+                settings.host_list.ip,
+                settings.host_list.port,
+                self._on_hosts,
+                interval_s=settings.timing.host_list_interval_s,
+            )
+            self._host_list.start()
+        self._timers.every(DISPATCH_TICK_S, self._dispatcher.on_tick)
+
+    @handler("signal", channel="*", priority=100)
+    def _on_signal(self, event: Event, *_args: object) -> None:
+        # The default handler ends the loop at once, which would cut every answer.
+        event.stop()
+        if self._dispatcher.stopping:
+            return
+        log(LogEvent.STOPPING, running=self._dispatcher.flights)
+        self._dispatcher.stopping = True
+        self._control.membership.stop()
+        self._control.refresh_view()
+        self._timers.after(self._settings.timing.stop_grace_s, self._refuse_new)
+
+    def _refuse_new(self) -> None:
+        self._dispatcher.refusing = True
+        self._stop_began = self._timers.now
+        self._timers.every(STOP_TICK_S, self._stop_when_done)
+
+    def _stop_when_done(self) -> None:
+        waited = self._timers.now - self._stop_began
+        left = self._dispatcher.flights
+        busy = left or self._callers.answering or self._control.actions.unreported
+        if busy and waited < self._settings.timing.stop_timeout_s:
+            return
+        self._control.run(self._control.membership.leave(self._timers.now))
+        log(LogEvent.STOPPED, cut=left)
+        self._timers.after(STOP_TICK_S, self.stop)
+
+
+def _span_writer(trace_file: str | None) -> Callable[[str], None] | None:
+    if trace_file is None:
+        return None
+    out = sys.stdout if trace_file == "-" else open(trace_file, "a", buffering=1)
+
+    def write(line: str) -> None:
+        print(line, file=out, flush=True)
+
+    return write
+
+
+def run(settings: str) -> None:
+    """Run one router until it is told to stop (SIGTERM).
+
+    Args:
+        settings: Path of the JSON settings; ``greengage-ctl settings example``
+            prints a working file.
+
+    Example:
+        greengage-router --settings=r1.json
+    """
+    try:
+        cfg = load_settings(settings)
+    except ExceptionGroup as group:
+        for exc in group.exceptions:
+            print(f"{settings}: {exc}", file=sys.stderr)
+        sys.exit(2)
+    setup_logging(cfg.log_level)
+    Router(cfg).run()
+
+
+def main() -> None:
+    """Run the program."""
+    fire.Fire(run, name="greengage-router")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/greengageflow/status.py
@@ -0,0 +1,103 @@
+"""What ``GET /status`` tells operators."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from greengageflow.config_follower import ConfigFollower
+from greengageflow.control import Control
+from greengageflow.log_client import LogClient
+from greengageflow.peers import PeerLink
+
+
+class StatusSource:
+    """Gathers the state of one router.
+
+    Args:
+        control: The core.
+        follower: The configuration.
+        link: Messages to other routers.
+        log_client: The platform's log.
+        state: Returns ``running`` or ``stopping``.
+    """
+
+    def __init__(
+        self,
+        control: Control,
+        follower: ConfigFollower,
+        link: PeerLink,
+        log_client: LogClient,
+        *,
+        state: Callable[[], str],
+    ) -> None:
+        self._control = control
+        self._follower = follower
+        self._link = link
+        self._log = log_client
+        self._state = state
+
+    def status(self) -> dict[str, Any]:
+        """Return the JSON object."""
+        control = self._control
+        return {
+            "host": control.own.host,
+            "boot": control.own.boot,
+            "zone": control.view.zone,
+            "state": self._state(),
+            "config": self._follower.status,
+            "history": [_decision(item) for item in self._follower.fold.history],
+            "members": dict(self._members()),
+            "roster": sorted(control.view.roster),
+            "endpoints": list(control.owner.status()),
+            "waiting": control.entry.waiting,
+            "running": control.entry.running,
+            "accounts": dict(self._accounts()),
+            "actions": {
+                "unreported": control.actions.unreported,
+                "keys": control.writer.keys_known,
+                "outbox": control.writer.outbox_size,
+            },
+            "control": self._traffic(),
+        }
+
+    def _members(self) -> Iterator[tuple[str, Any]]:
+        for host, member in self._control.view.live.items():
+            state = "stopping" if member.stopping else "live"
+            yield host, {"boot": member.boot, "zone": member.zone, "state": state}
+
+    def _accounts(self) -> Iterator[tuple[str, Any]]:
+        ledger = self._control.ledger
+        for account, row in ledger.totals.items():
+            yield (
+                account,
+                {
+                    "served": row.served,
+                    "pending": row.pending,
+                    "waiting": row.waiting,
+                    "level": round(ledger.level(account), 1),
+                },
+            )
+
+    def _traffic(self) -> dict[str, Any]:
+        counters = self._link.counters
+        return {
+            "bytes_in": counters.bytes_in,
+            "bytes_out": counters.bytes_out,
+            "messages_in": counters.messages_in,
+            "messages_out": counters.messages_out,
+            "dropped": counters.dropped,
+            "out_by_type": dict(counters.out_by_type),
+            "log_appends": self._log.appends,
+            "log_reads": self._log.reads,
+        }
+
+
+def _decision(item: Any) -> dict[str, Any]:
+    return {
+        "offset": item.offset,
+        "author": item.author,
+        "nonce": item.nonce,
+        "outcome": type(item.outcome).__name__.lower(),
+        "revision": getattr(item.outcome, "revision", None),
+        "reason": getattr(item.outcome, "reason", None),
+        "text": getattr(item.outcome, "text", ""),
+    }
--- a/greengageflow/timers.py
+++ b/greengageflow/timers.py
@@ -39,6 +39,11 @@
         self._heap: list[tuple[float, int, Subscription]] = []
         self._order = count()
 
+    @property
+    def now(self) -> float:
+        """Monotonic time in seconds, the clock of all parts."""
+        return monotonic()
+
     def after(self, delay_s: float, call: Callable[[], None]) -> Subscription:
         """Call once after ``delay_s`` seconds."""
         return self._push(delay_s, Subscription(call, None))
