--- /dev/null
+++ b/greengageflow/_demand.py
@@ -0,0 +1,90 @@
+"""What entry routers said that waits there, as one owner holds it."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from greengageflow.messages import Demand, PeerId
+from greengageflow.placement import FleetView
+
+FORGET_S = 20.0
+
+
+@dataclass(slots=True)
+class Waiting:
+    """Demand of one account at one entry router.
+
+    Args:
+        peer: The entry router.
+        seq: Number of the statement.
+        waiting: Requests that wait there and have no grant of ours yet.
+        cost: Expected cost of one of them, in tokens.
+        since: Time at which it began to wait.
+        heard_at: Time of the last statement.
+        granted: Serial number of our last grant to it.
+    """
+
+    peer: PeerId
+    seq: int
+    waiting: int
+    cost: float
+    since: float
+    heard_at: float
+    granted: int = 0
+
+
+class DemandBook:
+    """Demands of one pool per account and entry router."""
+
+    def __init__(self) -> None:
+        self.heard_at = float("-inf")
+        self._accounts: dict[str, dict[str, Waiting]] = {}
+        self._serial = 0
+
+    def put(self, now: float, sender: PeerId, demand: Demand) -> None:
+        """Take in a statement; late copies change nothing."""
+        entries = self._accounts.setdefault(demand.account, {})
+        old = entries.get(sender.host)
+        if old and (sender.boot, demand.seq) <= (old.peer.boot, old.seq):
+            return
+        if demand.waiting:
+            self.heard_at = now
+        fresh = old is None or not old.waiting
+        entries[sender.host] = Waiting(
+            sender,
+            demand.seq,
+            demand.waiting,
+            demand.cost,
+            now if fresh else old.since,
+            now,
+            old.granted if old else 0,
+        )
+
+    def candidates(self, view: FleetView) -> Iterator[tuple[str, Waiting]]:
+        """Yield each account that waits, with the entry router that is next."""
+        for account, entries in self._accounts.items():
+            ready = [
+                entry
+                for entry in entries.values()
+                if entry.waiting > 0 and view.is_live(entry.peer)
+            ]
+            if ready:
+                yield account, min(ready, key=lambda entry: entry.granted)
+
+    def take(self, entry: Waiting) -> None:
+        """Count one request of an entry router as granted."""
+        self._serial += 1
+        entry.granted = self._serial
+        entry.waiting -= 1
+
+    def any_waiting(self, view: FleetView) -> bool:
+        """Tell whether a live entry router has something waiting."""
+        return next(self.candidates(view), None) is not None
+
+    def forget(self, now: float, view: FleetView) -> None:
+        """Drop what was not refreshed and what dead routers said."""
+        for account, entries in list(self._accounts.items()):
+            for host, entry in list(entries.items()):
+                if now - entry.heard_at > FORGET_S or view.is_gone(entry.peer):
+                    del entries[host]
+            if not entries:
+                del self._accounts[account]
--- a/greengageflow/messages.py
+++ b/greengageflow/messages.py
@@ -63,8 +63,8 @@
         account: Client account that it is for.
         pool: Pool of the endpoint.
         endpoint: Endpoint whose slot it is.
-        expires_s: Seconds after which the owner takes the slot back if it was
-            not taken up by ``GrantTaken``.
+        expires_s: Seconds after which the owner asks again, with the same grant,
+            if neither ``GrantTaken`` nor ``GrantReturned`` answered it.
     """
 
     grant: str
@@ -121,12 +121,18 @@
         served: Tokens served since the origin started; never falls.
         pending: Tokens estimated for requests in flight.
         waiting: Requests that wait.
+        raised: Tokens added so that an account that was idle saves up no credit;
+            in totals only, never falls.
+        forgiven: Tokens left out so that debt stays bounded; in totals only, never
+            falls.
     """
 
     account: str
     served: float
     pending: float = 0.0
     waiting: int = 0
+    raised: float = 0.0
+    forgiven: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,10 +142,13 @@
     Args:
         seq: Grows with each report of this life of the sender.
         services: Changed accounts of the collector's shards; absolute values.
+        full: True when it lists every account of these shards that the sender
+            has counted.
     """
 
     seq: int
     services: tuple[AccountService, ...]
+    full: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,9 +166,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetTotals:
-    """A collector tells the routers of its zone the fleet's totals."""
+    """A collector tells the routers of its zone the fleet's totals.
+
+    Args:
+        services: Totals of the fleet for changed accounts.
+        seq: Grows with each message of this life of the sender.
+    """
 
     services: tuple[AccountService, ...]
+    seq: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/greengageflow/placement.py
@@ -0,0 +1,152 @@
+"""Which router owns which endpoint, and which slots one side may use.
+
+Every router works this out by itself with rendezvous hashing over the same view, so
+there is no election and no message.
+"""
+
+from bisect import insort
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from greengageflow.messages import PeerId
+
+Rank = tuple[tuple[int, str], ...]
+"""Hosts with their scores for one key, best first (scores are negated)."""
+
+_SCORE_BYTES = 8
+
+
+def _score(key: str, host: str) -> int:
+    digest = blake2b(f"{key}\0{host}".encode(), digest_size=_SCORE_BYTES).digest()
+    return -int.from_bytes(digest)
+
+
+@dataclass(frozen=True, slots=True)
+class LiveMember:
+    """A router that answers.
+
+    Args:
+        boot: Life of the host.
+        zone: Availability zone.
+        stopping: True when it must get nothing new to own.
+    """
+
+    boot: int
+    zone: str = ""
+    stopping: bool = False
+
+
+@dataclass(frozen=True)
+class FleetView:
+    """The members that one router sees, and what follows from them.
+
+    Args:
+        own: This router.
+        live: Routers that answer, this one included, by host.
+        roster: Hosts of the platform's list and the live ones; a host leaves it
+            only when the list drops it.
+        split: True to let each router own its part of the slots of every endpoint,
+            for comparison with owned endpoints.
+    """
+
+    own: PeerId
+    live: Mapping[str, LiveMember]
+    roster: frozenset[str]
+    split: bool = False
+    _ranks: dict[str, Rank] = field(default_factory=dict, repr=False, compare=False)
+    _older: dict[str, Rank] = field(default_factory=dict, repr=False, compare=False)
+    _owners: dict[str, str | None] = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
+
+    def succeeded(
+        self, live: Mapping[str, LiveMember], roster: frozenset[str]
+    ) -> "FleetView":
+        """Return the next view, which takes over the ranks worked out so far."""
+        roster = roster | live.keys()
+        if roster == self.roster:
+            return FleetView(self.own, live, roster, self.split, self._ranks)
+        return FleetView(self.own, live, roster, self.split, _older=self._ranks)
+
+    def ranked(self, key: str) -> Rank:
+        """Return the roster in rendezvous order for ``key``."""
+        rank = self._ranks.get(key)
+        if rank is None:
+            rank = self._ranks[key] = self._new_rank(key)
+        return rank
+
+    def _new_rank(self, key: str) -> Rank:
+        rank = [item for item in self._older.pop(key, ()) if item[1] in self.roster]
+        known = {host for _, host in rank}
+        for host in self.roster - known:
+            insort(rank, (_score(key, host), host))
+        return tuple(rank)
+
+    def owner_of(self, endpoint: str) -> str | None:
+        """Return the host that grants the endpoint's slots, if there is one."""
+        if self.split:
+            return self.own.host
+        if endpoint not in self._owners:
+            self._owners[endpoint] = self._first_able(endpoint, None)
+        return self._owners[endpoint]
+
+    def collector_of(self, zone: str, shard: int) -> str | None:
+        """Return the host that collects a shard's service reports in a zone."""
+        key = f"collector\0{zone}\0{shard}"
+        if key not in self._owners:
+            self._owners[key] = self._first_able(key, zone)
+        return self._owners[key]
+
+    def _first_able(self, key: str, zone: str | None) -> str | None:
+        for _, host in self.ranked(key):
+            member = self.live.get(host)
+            if member is None or member.stopping:
+                continue
+            if zone is None or member.zone == zone:
+                return host
+        return None
+
+    def borne_slots(self, endpoint: str, slots: int) -> int:
+        """Return how many of an endpoint's slots this side may use.
+
+        Slot k is borne by the k-th host of the roster in rendezvous order. Were all
+        slots used on both sides of a partition, the endpoint would get twice its
+        load; each side counts only those that its live members bear, and these sets
+        are disjoint.
+        """
+        rank = self.ranked(endpoint)
+        bearers = (rank[k % len(rank)][1] for k in range(slots))
+        if self.split:
+            return sum(host == self.own.host for host in bearers)
+        return sum(host in self.live for host in bearers)
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of this router."""
+        member = self.live.get(self.own.host)
+        return member.zone if member else ""
+
+    @property
+    def zones(self) -> set[str]:
+        """Availability zones with a live router."""
+        return {member.zone for member in self.live.values()}
+
+    def zone_hosts(self, zone: str) -> list[str]:
+        """Return the live routers of a zone, in order of name."""
+        return sorted(h for h, member in self.live.items() if member.zone == zone)
+
+    def is_live(self, peer: PeerId) -> bool:
+        """Tell whether this very life of a host answers."""
+        member = self.live.get(peer.host)
+        return member is not None and member.boot == peer.boot
+
+    def is_gone(self, peer: PeerId) -> bool:
+        """Tell whether this life of a host is surely over.
+
+        A host that merely does not answer may still run requests.
+        """
+        member = self.live.get(peer.host)
+        if member is not None:
+            return member.boot != peer.boot
+        return peer.host not in self.roster
--- /dev/null
+++ b/greengageflow/shares.py
@@ -0,0 +1,197 @@
+"""The fleet's service per account, as one router knows it.
+
+``ServiceLedger`` holds this router's own counters, which it reports to the collectors
+of its zone, and the fleet's totals, which come back from them. ``collector`` has the
+other end.
+"""
+
+from collections.abc import Iterator, Mapping
+from hashlib import blake2b
+
+from greengageflow.catalog import FleetConfig
+from greengageflow.effects import Send
+from greengageflow.messages import AccountService, FleetTotals, PeerId, ShareReport
+from greengageflow.placement import FleetView
+
+SHARDS = 8
+FULL_REPORT_EVERY = 10
+
+
+def shard_of(account: str, shards: int = SHARDS) -> int:
+    """Return the shard of an account; the same on every router."""
+    return int.from_bytes(blake2b(account.encode(), digest_size=4).digest()) % shards
+
+
+class Meter:
+    """Counts the service of one request at its entry router.
+
+    Args:
+        counter: Where the account's service is summed.
+        cost: Expected cost, in tokens, pending until it is served or settled.
+    """
+
+    __slots__ = ("_counter", "_pending", "served")
+
+    def __init__(self, counter: "_Counter", cost: float) -> None:
+        self._counter = counter
+        self._pending = max(0.0, cost)
+        self.served = 0.0
+        counter.pending += self._pending
+
+    def charge(self, tokens: float) -> None:
+        """Count tokens that were served just now."""
+        self.served += tokens
+        self._counter.served += tokens
+        covered = min(self._pending, tokens)
+        self._pending -= covered
+        self._counter.pending -= covered
+
+    def settle(self, served: float) -> None:
+        """End the request; ``served`` is its total, and never lowers the count."""
+        self.charge(max(0.0, served - self.served))
+        self._counter.pending -= self._pending
+        self._pending = 0.0
+
+
+class _Counter:
+    __slots__ = ("pending", "served", "waiting")
+
+    def __init__(self) -> None:
+        self.served = 0.0
+        self.pending = 0.0
+        self.waiting = 0
+
+    def snapshot(self, account: str) -> AccountService:
+        pending = max(0, round(self.pending))
+        return AccountService(account, round(self.served), pending, self.waiting)
+
+
+class ServiceLedger:
+    """Service counters of one router and the fleet's totals.
+
+    Args:
+        own: This router.
+        shards: Number of shards of accounts.
+        alone: True to leave out the fleet's totals, for comparison.
+    """
+
+    def __init__(
+        self, own: PeerId, *, shards: int = SHARDS, alone: bool = False
+    ) -> None:
+        self.shards = shards
+        self._own = own
+        self._alone = alone
+        self._counters: dict[str, _Counter] = {}
+        self._totals: dict[str, AccountService] = {}
+        self._weights: dict[str, float] = {}
+        self._sent: dict[str, AccountService] = {}
+        self._heard: dict[PeerId, int] = {}
+        self._collectors: tuple[tuple[int, str], ...] = ()
+        self._seq = 0
+        self._floor: float | None = None
+
+    def on_config(self, cfg: FleetConfig) -> None:
+        """Take over the accounts' weights."""
+        self._weights = {name: acc.weight for name, acc in cfg.accounts.items()}
+        self._floor = None
+
+    @property
+    def totals(self) -> Mapping[str, AccountService]:
+        """The fleet's totals per account, as last heard."""
+        return self._totals
+
+    # This router's own service.
+
+    def expect(self, account: str, cost: float) -> Meter:
+        """Start counting one request."""
+        return Meter(self._counter(account), cost)
+
+    def set_waiting(self, account: str, waiting: int) -> None:
+        """State how many requests of an account wait here."""
+        self._counter(account).waiting = waiting
+
+    def _counter(self, account: str) -> _Counter:
+        counter = self._counters.get(account)
+        if counter is None:
+            counter = self._counters[account] = _Counter()
+        return counter
+
+    def report(self, view: FleetView) -> Iterator[Send]:
+        """Yield one report a collector; call it each share interval."""
+        self._seq += 1
+        collectors = self._find_collectors(view)
+        full = collectors != self._collectors or self._seq % FULL_REPORT_EVERY == 0
+        if full:
+            self._sent.clear()
+        self._collectors = collectors
+        rows = {host: [] for _, host in set(collectors) if full}
+        for account, counter in self._counters.items():
+            row = counter.snapshot(account)
+            _, host = collectors[shard_of(account, self.shards)]
+            if self._sent.get(account) != row:
+                self._sent[account] = row
+                rows.setdefault(host, []).append(row)
+        for host, services in rows.items():
+            if host:
+                yield Send(host, ShareReport(self._seq, tuple(services), full))
+
+    def _find_collectors(self, view: FleetView) -> tuple[tuple[int, str], ...]:
+        hosts = (view.collector_of(view.zone, shard) for shard in range(self.shards))
+        return tuple((view.live[h].boot, h) if h else (0, "") for h in hosts)
+
+    # The fleet's service.
+
+    def on_totals(self, sender: PeerId, message: FleetTotals) -> None:
+        """Take in totals from a collector; late copies change nothing."""
+        if message.seq <= self._heard.get(sender, 0):
+            return
+        self._heard[sender] = message.seq
+        for row in message.services:
+            self._totals[row.account] = row
+        self._floor = None
+
+    def weight(self, account: str) -> float:
+        """Return the account's weight; 1 when it is not known."""
+        return self._weights.get(account, 1.0)
+
+    def level(self, account: str) -> float:
+        """Return the account's virtual service: weighted, with offsets.
+
+        An account that nowhere in the fleet was backlogged counts as being at the
+        floor at least: it saves up no credit while it does not ask.
+        """
+        row = self._row(account)
+        level = level_of(row, self.weight(account))
+        return level if row.waiting else max(level, self.floor)
+
+    def _row(self, account: str) -> AccountService:
+        total = None if self._alone else self._totals.get(account)
+        if total is not None:
+            return total
+        counter = self._counters.get(account) or _Counter()
+        return counter.snapshot(account)
+
+    @property
+    def floor(self) -> float:
+        """Least level of the backlogged accounts, else the greatest of all."""
+        if self._floor is None:
+            names = self._counters if self._alone else self._totals
+            rows = [self._row(name) for name in names]
+            self._floor = floor_of(rows, self._weights)
+        return self._floor
+
+
+def level_of(row: AccountService, weight: float) -> float:
+    """Return the virtual service of an account with these totals."""
+    return (row.served + row.pending + row.raised - row.forgiven) / weight
+
+
+def floor_of(rows: list[AccountService], weights: Mapping[str, float]) -> float:
+    """Return the level at which an account that was idle joins in."""
+    levels = [
+        (row.waiting, level_of(row, weights.get(row.account, 1.0))) for row in rows
+    ]
+    backlogged = [level for waiting, level in levels if waiting]
+    if backlogged:
+        return min(backlogged)
+    return max((level for _, level in levels), default=0.0)
