Membership core: probes, suspicion, refutation, rejoin, pause

Each router probes one member a period and helps itself by three others; changes ride on the same messages; views are compared by a digest and exchanged on a lasting difference. A rumour of death is taken for a suspicion, so that a healed partition does not empty the views; a router that was paused itself excuses the others.

New effects Connect and Disconnect name addresses to the link; status 'left' is a death by own word.

--- /dev/null
+++ b/greengageflow/_view.py
@@ -0,0 +1,198 @@
+"""The table of members behind ``membership``: who wins, digest and news."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+from hashlib import blake2b
+from math import ceil, log2
+
+from greengageflow.messages import Member
+
+ALIVE = "alive"
+STOPPING = "stopping"
+SUSPECT = "suspect"
+DEAD = "dead"
+LEFT = "left"
+
+# Of two statements about one life with the same bump, the later in this order wins.
+RANKS = {ALIVE: 0, STOPPING: 1, SUSPECT: 2, DEAD: 3, LEFT: 4}
+REPEAT_FACTOR = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A member with what this router adds to it.
+
+    Args:
+        member: Newest statement about the member.
+        stopping: The member said in this life that it stops.
+        deadline: When a suspect is declared dead, in seconds; else infinite.
+    """
+
+    member: Member
+    stopping: bool
+    deadline: float
+
+    @property
+    def live(self) -> bool:
+        """Whether the member counts as live; a suspect does."""
+        return self.member.status not in (DEAD, LEFT)
+
+
+def _valid(member: Member) -> bool:
+    return (
+        isinstance(member.host, str)
+        and isinstance(member.boot, int)
+        and isinstance(member.bump, int)
+        and isinstance(member.ip, str)
+        and isinstance(member.port, int)
+        and isinstance(member.zone, str)
+        and member.status in RANKS
+    )
+
+
+def _order(member: Member) -> tuple[int, int, int]:
+    return member.boot, member.bump, RANKS[member.status]
+
+
+def _hash(entry: Entry) -> int:
+    member = entry.member
+    text = f"{member.host}\n{member.boot}\n{entry.stopping}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest())
+
+
+class View:
+    """What one router knows of all members, its own entry included.
+
+    Args:
+        own: The member that this router is.
+        suspicion_s: Seconds between a suspicion and the death that follows.
+    """
+
+    def __init__(self, own: Member, *, suspicion_s: float) -> None:
+        self._own_host = own.host
+        self._suspicion_s = suspicion_s
+        self._entries: dict[str, Entry] = {}
+        self._news: dict[str, int] = {}
+        self._live_count = 0
+        self.digest = 0
+        self.version = 0
+        self.newer_boot: int | None = None
+        self._put(Entry(own, False, float("inf")))
+
+    @property
+    def own(self) -> Member:
+        """This router's own entry."""
+        return self._entries[self._own_host].member
+
+    @property
+    def entries(self) -> Iterable[Entry]:
+        """All entries, live or not."""
+        return self._entries.values()
+
+    @property
+    def live_count(self) -> int:
+        """Number of live members, this router included."""
+        return self._live_count
+
+    @property
+    def has_news(self) -> bool:
+        """Whether changes are still to be told."""
+        return bool(self._news)
+
+    def get(self, host: str) -> Entry | None:
+        """Return the entry of ``host``."""
+        return self._entries.get(host)
+
+    def merge(self, member: Member, now: float) -> bool:
+        """Take in a statement about a member; return whether it was news."""
+        if not _valid(member):
+            return False
+        if member.host == self._own_host:
+            return self._answer(member)
+        known = self._entries.get(member.host)
+        if known is None:
+            # A dead stranger is no one's concern; taking it in would let routers
+            # hand each other members that all of them have forgotten long ago.
+            return RANKS[member.status] < RANKS[DEAD] and self._take(member, None, now)
+        if known.live and member.status == DEAD and known.member.boot == member.boot:
+            # The other half of a healed partition holds everyone here for dead.
+            # Believed at once, this would empty the view of live members until each
+            # has spoken up. As a suspicion it leaves them the time to do so.
+            member = replace(member, status=SUSPECT)
+        return _order(member) > _order(known.member) and self._take(member, known, now)
+
+    def suspect(self, host: str, now: float) -> None:
+        """Note that ``host`` does not answer."""
+        entry = self._entries.get(host)
+        if entry is not None and entry.live and entry.member.status != SUSPECT:
+            self._take(replace(entry.member, status=SUSPECT), entry, now)
+
+    def expire(self, now: float) -> Iterator[str]:
+        """Declare suspects dead whose time is up; yield their hosts."""
+        for entry in [e for e in self._entries.values() if e.deadline <= now]:
+            self._take(replace(entry.member, status=DEAD), entry, now)
+            yield entry.member.host
+
+    def restart_deadlines(self, now: float) -> None:
+        """Give every suspect its whole time again."""
+        for host, entry in self._entries.items():
+            if entry.member.status == SUSPECT:
+                self._entries[host] = replace(entry, deadline=now + self._suspicion_s)
+
+    def set_own_status(self, status: str) -> None:
+        """State this router's own status, as a newer word than any before."""
+        self._restate(self.own.bump + 1, status)
+
+    def forget(self, host: str) -> None:
+        """Drop ``host`` unless it is live."""
+        entry = self._entries.get(host)
+        if entry is not None and not entry.live:
+            del self._entries[host]
+            self._news.pop(host, None)
+
+    def take_news(self, limit: int) -> Iterator[Member]:
+        """Yield up to ``limit`` changes, least told first, and count them as told."""
+        repeats = REPEAT_FACTOR * ceil(log2(self._live_count + 1))
+        for host in sorted(self._news, key=self._news.__getitem__)[:limit]:
+            yield self._entries[host].member
+            self._news[host] += 1
+            if self._news[host] >= repeats:
+                del self._news[host]
+
+    def _answer(self, member: Member) -> bool:
+        """Refute what others say of this router."""
+        own = self.own
+        if member.boot > own.boot:
+            self.newer_boot = member.boot
+            return False
+        if member.boot < own.boot or _order(member) <= _order(own):
+            return False
+        self._restate(member.bump + 1, own.status)
+        return True
+
+    def _restate(self, bump: int, status: str) -> None:
+        stopping = status == STOPPING
+        self._put(
+            Entry(replace(self.own, bump=bump, status=status), stopping, float("inf"))
+        )
+        self._news[self._own_host] = 0
+
+    def _take(self, member: Member, known: Entry | None, now: float) -> bool:
+        same_life = known is not None and known.member.boot == member.boot
+        stopping = member.status == STOPPING or (same_life and known.stopping)
+        suspect = member.status == SUSPECT
+        deadline = now + self._suspicion_s if suspect else float("inf")
+        self._put(Entry(member, stopping, deadline))
+        self._news[member.host] = 0
+        return True
+
+    def _put(self, entry: Entry) -> None:
+        host = entry.member.host
+        known = self._entries.get(host)
+        old = _hash(known) if known is not None and known.live else 0
+        new = _hash(entry) if entry.live else 0
+        self._entries[host] = entry
+        self._live_count += bool(new) - bool(old)
+        if old != new:
+            self.digest ^= old ^ new
+            self.version += 1
--- a/greengageflow/effects.py
+++ b/greengageflow/effects.py
@@ -19,6 +19,28 @@
     message: Any
 
 
+@dataclass(frozen=True, slots=True)
+class Connect:
+    """Messages to the router on ``host`` go to this address from now on.
+
+    Args:
+        host: Host name.
+        ip: IP number of its peer side.
+        port: TCP port of its peer side.
+    """
+
+    host: str
+    ip: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Disconnect:
+    """The router on ``host`` is gone: drop what waits to be sent to it."""
+
+    host: str
+
+
 @dataclass(frozen=True, slots=True)
 class Start:
     """Send a waiting request to its endpoint now.
@@ -51,4 +73,4 @@
     retry_after_s: float | None = None
 
 
-Effect = Send | Start | Refuse
+Effect = Send | Connect | Disconnect | Start | Refuse
--- a/greengageflow/messages.py
+++ b/greengageflow/messages.py
@@ -181,7 +181,7 @@
         host: Host name.
         boot: Life of the host.
         bump: Raised by the member itself to refute a suspicion.
-        status: ``alive``, ``suspect``, ``stopping`` or ``dead``.
+        status: ``alive``, ``stopping``, ``suspect``, ``dead`` or ``left``.
         ip: IP number of its peer side.
         port: TCP port of its peer side.
         zone: Availability zone.
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,111 @@
+"""Routers' membership cores joined by an in-memory network, in simulated time."""
+
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from greengageflow.effects import Connect, Disconnect, Send
+from greengageflow.membership import Membership, Seed
+from greengageflow.messages import Member, PeerId, decode, encode
+
+
+class Router:
+    def __init__(self, fleet, name, boot, seeds):
+        self.peer = PeerId(name, boot)
+        self.contacts = {}
+        self.paused_until = 0.0
+        self.inbox = []
+        own = Member(name, boot, 0, "alive", "127.0.0.1", int(name[1:]), "z1")
+        self.core = Membership(
+            own,
+            [Seed(seed, "127.0.0.1", int(seed[1:])) for seed in seeds],
+            seed=fleet.random.random(),
+        )
+
+
+class Fleet:
+    def __init__(self, size, *, seed=1, loss=0.0, copies=0.0, seeds=2):
+        self.random = Random(seed)
+        self.now = 1000.0
+        self.loss = loss
+        self.copies = copies
+        self.cut = lambda a, b: False
+        self.routers = {}
+        self.bytes_out = 0
+        self.messages_out = 0
+        self._queue = []
+        self._order = count()
+        self._seeds = [f"r{n}" for n in range(1, seeds + 1)]
+        for number in range(1, size + 1):
+            self.start(f"r{number}")
+
+    def start(self, name, boot=1):
+        router = self.routers[name] = Router(self, name, boot, self._seeds)
+        self._at(self.now + self.random.random(), self._tick, router)
+        return router
+
+    def kill(self, name):
+        return self.routers.pop(name)
+
+    def core(self, name):
+        return self.routers[name].core
+
+    def run(self, seconds):
+        self.run_until(lambda: False, seconds)
+
+    def run_until(self, condition, limit_s=60.0):
+        """Run until the condition holds; return the seconds that it took."""
+        start = checked = self.now
+        while self._queue and self.now < start + limit_s:
+            if self.now >= checked + 0.1:
+                checked = self.now
+                if condition():
+                    return self.now - start
+            self.now, _, call, args = heappop(self._queue)
+            call(*args)
+        return None
+
+    def agreed(self):
+        live = set(self.routers)
+        return all(set(r.core.members) == live for r in self.routers.values())
+
+    def carry_out(self, router, effects):
+        for effect in effects:
+            match effect:
+                case Connect(host, _, port):
+                    router.contacts[host] = port
+                case Disconnect():
+                    pass
+                case Send(to, message):
+                    self._send(router, to, message)
+
+    def _at(self, when, call, *args):
+        heappush(self._queue, (when, next(self._order), call, args))
+
+    def _tick(self, router):
+        if self.routers.get(router.peer.host) is not router:
+            return
+        if router.paused_until > self.now:
+            self._at(router.paused_until, self._tick, router)
+            return
+        self.carry_out(router, router.core.on_tick(self.now))
+        self._at(self.now + router.core.tick_s, self._tick, router)
+
+    def _send(self, router, to, message):
+        assert to in router.contacts, "no address was given for the peer"
+        data = encode(router.peer, message)
+        self.bytes_out += len(data)
+        self.messages_out += 1
+        for _ in range(1 + (self.random.random() < self.copies)):
+            if self.random.random() >= self.loss:
+                delay = self.random.uniform(0.0005, 0.003)
+                self._at(self.now + delay, self._arrive, router.peer.host, to, data)
+
+    def _arrive(self, host, to, data):
+        router = self.routers.get(to)
+        if router is None or self.cut(host, to):
+            return
+        if router.paused_until > self.now:
+            self._at(router.paused_until, self._arrive, host, to, data)
+            return
+        self.carry_out(router, router.core.receive(self.now, *decode(data)))
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,133 @@
+import pytest
+from fleet import Fleet
+
+from greengageflow.membership import Membership
+from greengageflow.messages import Member, PeerId, Ping
+
+
+def settled(size=9, **options):
+    fleet = Fleet(size, **options)
+    assert fleet.run_until(fleet.agreed)
+    fleet.run(5)
+    return fleet
+
+
+def hosts(fleet, name):
+    return set(fleet.core(name).members)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_dead_router_is_noticed_by_all_and_its_next_life_too(seed):
+    """A router is killed; a tenth of all messages are lost and a tenth doubled.
+    All others drop it from their view. It comes back with an empty memory and a
+    new boot number, and everyone knows the new life, not the old.
+    """
+    fleet = settled(seed=seed, loss=0.1, copies=0.1)
+    fleet.kill("r5")
+    assert fleet.run_until(fleet.agreed)
+    fleet.start("r5", boot=2)
+    assert fleet.run_until(fleet.agreed)
+    assert {r.core.members["r5"].peer.boot for r in fleet.routers.values()} == {2}
+
+
+def test_nobody_is_dropped_while_messages_are_lost():
+    """A fifth of the messages vanish. Suspicions arise, but the suspects hear of
+    them and refute, so that no live router leaves anyone's view.
+    """
+    fleet = settled(loss=0.2)
+    fewest = []
+    fleet.run_until(
+        lambda: fewest.append(min(len(r.core.members) for r in fleet.routers.values())),
+        300,
+    )
+    assert min(fewest) == 9
+
+
+def test_halves_rejoin_by_themselves_and_neither_view_shrinks_on_the_way():
+    """A partition lasts until each half holds the other for dead, then heals. The
+    statements of the other half, which has everyone here for dead, must not empty
+    this half's view for the time that the refutations take.
+    """
+    fleet = settled()
+    half = {"r1", "r2", "r3", "r4"}
+    fleet.cut = lambda a, b: (a in half) != (b in half)
+    assert fleet.run_until(
+        lambda: hosts(fleet, "r1") == half and len(hosts(fleet, "r9")) == 5
+    )
+    fleet.run(3600)
+    fleet.cut = lambda a, b: False
+    fewest = []
+
+    def rejoined():
+        fewest.append(min(len(r.core.members) for r in fleet.routers.values()))
+        return fleet.agreed()
+
+    assert fleet.run_until(rejoined)
+    assert min(fewest) >= 4
+
+
+def test_a_woken_router_accuses_nobody_and_comes_back():
+    """A router is frozen until the others hold it for dead, then woken. Its probe
+    and its suspicions look long overdue, for it was away itself: it must keep all
+    others in its view, hear that it is held for dead, refute, and be back.
+    """
+    fleet = settled()
+    fleet.routers["r3"].paused_until = fleet.now + 60
+    fleet.run(30)
+    assert "r3" not in hosts(fleet, "r1")
+    fewest = []
+
+    def back():
+        fewest.append(len(hosts(fleet, "r3")))
+        return "r3" in hosts(fleet, "r1") and fleet.agreed()
+
+    assert fleet.run_until(back)
+    assert min(fewest) == 9
+    assert fleet.core("r3").pauses == 1
+
+
+def test_a_stopping_router_stays_live_and_a_leaving_one_goes_at_once():
+    fleet = settled()
+    fleet.core("r4").stop()
+    assert fleet.run_until(
+        lambda: all(r.core.members["r4"].stopping for r in fleet.routers.values())
+    )
+    router = fleet.routers["r4"]
+    fleet.carry_out(router, router.core.leave(fleet.now))
+    fleet.kill("r4")
+    assert fleet.run_until(fleet.agreed, limit_s=2.0)
+
+
+def test_a_whole_fleet_that_restarts_at_once_finds_itself():
+    fleet = settled()
+    for name in sorted(fleet.routers):
+        fleet.kill(name)
+        fleet.start(name, boot=2)
+    assert fleet.run_until(fleet.agreed)
+    assert {m.peer.boot for m in fleet.core("r1").members.values()} == {2}
+
+
+def test_a_newer_configuration_at_a_peer_is_noticed():
+    fleet = settled()
+    fleet.core("r7").revision = 12
+    assert fleet.run_until(lambda: fleet.core("r1").newer_revision())
+    fleet.core("r1").revision = 12
+    assert fleet.core("r1").newer_revision() is None
+
+
+def test_an_old_life_is_ignored_and_told():
+    member = Member("r1", 5, 0, "alive", "127.0.0.1", 1, "z1")
+    core = Membership(member, seed=1)
+    other = Member("r2", 7, 0, "alive", "127.0.0.1", 2, "z1")
+    assert list(core.receive(0.0, PeerId("r2", 7), Ping(1, 0, 0, (other,))))
+    assert not list(core.receive(0.1, PeerId("r2", 6), Ping(2, 0, 0)))
+    later = Member("r1", 6, 0, "alive", "127.0.0.1", 1, "z1")
+    list(core.receive(0.2, PeerId("r2", 7), Ping(3, 0, 0, (later,))))
+    assert core.newer_boot == 6
+
+
+def test_statements_of_wrong_types_are_ignored():
+    core = Membership(Member("r1", 5, 0, "alive", "127.0.0.1", 1, "z1"), seed=1)
+    wrong = Member("r2", "x", None, "alive", "127.0.0.1", 2, "z1")
+    assert not list(core.receive(0.0, PeerId("r2", 7), Ping(1, 0, 0, (wrong,))))
+    assert set(core.members) == {"r1"}
