--- a/greengageflow/dispatch.py
+++ b/greengageflow/dispatch.py
@@ -332,9 +332,7 @@
         self._end(flight, "complete", status=end.status)
 
     def _cut(self, flight: Flight, end: Cut) -> None:
-        self._give_back(
-            flight.grant, flight, served=float(flight.pieces), failed=True
-        )
+        self._give_back(flight.grant, flight, served=float(flight.pieces), failed=True)
         text = f"endpoint {flight.endpoint.name}: {end.message}"
         exc = RouterError(ErrorKind.ENDPOINT_CUT, text, ran=end.ran)
         repeatable = not flight.protected and isinstance(flight.call, ChatCall)
--- a/greengageflow/endpoint_run.py
+++ b/greengageflow/endpoint_run.py
@@ -151,5 +151,3 @@
         if flight.call.stream:
             return STREAM_TYPE, bytes(flight.kept) + STREAM_END
         return JSON_TYPE, end.body
-
-
--- a/greengageflow/lab.py
+++ b/greengageflow/lab.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
 from hashlib import sha256
@@ -84,10 +84,19 @@
 
     Args:
         plan: What to start.
+        route: Takes a name and an address and returns the address to use instead,
+            to put a proxy before ``log``, ``hosts``, each endpoint and the peer side
+            of each router (``peer-r1``).
     """
 
-    def __init__(self, plan: LabPlan) -> None:
+    def __init__(
+        self,
+        plan: LabPlan,
+        *,
+        route: Callable[[str, Address], Address] | None = None,
+    ) -> None:
         self.plan = plan
+        self._route = route or (lambda _name, address: address)
         self.log: Process | None = None
         self.hosts: Process | None = None
         self.engines: dict[str, Process] = {}
@@ -134,7 +143,8 @@
             options = dict(plan.service_options)
             self.services[f"s{number}"] = self._launch_standin("service", options)
         for name, process in (*self.engines.items(), *self.services.items()):
-            self.endpoint_addresses[name] = await_ready(process).address
+            address = await_ready(process).address
+            self.endpoint_addresses[name] = self._route(name, address)
 
     @staticmethod
     def _launch_standin(kind: str, options: Mapping[str, Any]) -> Process:
@@ -145,38 +155,38 @@
 
     def prepare_routers(self) -> None:
         """Choose the routers' addresses and write their settings."""
-        plan = self.plan
-        for number in range(1, plan.routers + 1):
+        log = _address(self._route("log", self.log.address))
+        hosts = _address(self._route("hosts", self.hosts.address))
+        for number in range(1, self.plan.routers + 1):
             ip = f"127.0.1.{number}"
+            peer = ip, free_port(ip)
             self.settings[f"r{number}"] = {
                 "host": f"r{number}",
-                "zone": plan.zone(number - 1),
+                "zone": self.plan.zone(number - 1),
                 "ip": ip,
                 "caller_port": free_port(ip),
-                "peer_port": free_port(ip),
-                "log": _address(self.log.address),
-                "host_list": _address(self.hosts.address),
-                "timing": {"probe_interval_s": 0.5, **plan.timing},
+                "peer_port": peer[1],
+                "peer_advertise": _address(self._route(f"peer-r{number}", peer)),
+                "log": log,
+                "host_list": hosts,
+                "timing": {"probe_interval_s": 0.5, **self.plan.timing},
             }
         seeds = [
-            {"host": cfg["host"], "ip": cfg["ip"], "port": cfg["peer_port"]}
+            {"host": cfg["host"], **cfg["peer_advertise"]}
             for cfg in list(self.settings.values())[:3]
         ]
         for host, cfg in self.settings.items():
             cfg["seeds"] = [seed for seed in seeds if seed["host"] != host]
         self.set_host_list(self.settings)
 
-    def set_host_list(
-        self, routers: Any, *, leaving: tuple[str, ...] = ()
-    ) -> None:
+    def set_host_list(self, routers: Any, *, leaving: tuple[str, ...] = ()) -> None:
         """State which hosts the platform lists."""
         rows = [
             {
                 "host": host,
                 "state": "leaving" if host in leaving else "live",
                 "kind": "router",
-                "ip": self.settings[host]["ip"],
-                "port": self.settings[host]["peer_port"],
+                **self.settings[host]["peer_advertise"],
                 "zone": self.settings[host]["zone"],
             }
             for host in routers
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -65,9 +65,9 @@
             self._follower,
             self._link,
             self._log_client,
-            state=lambda: "stopping" if self._dispatcher.stopping else "running",
+            state=lambda: "stopping" if self._requests.stopping else "running",
         )
-        self._dispatcher = Dispatcher(
+        self._requests = Dispatcher(
             self._control,
             EndpointRuns(
                 self._pool,
@@ -78,11 +78,11 @@
             metrics=self._metrics,
             status=self._status,
         )
-        self._control.requests = self._dispatcher
+        self._control.requests = self._requests
         self._callers = CallerServer(
             settings.ip,
             settings.caller_port,
-            self._dispatcher,
+            self._requests,
             self._timers,
             limits=Limits(),
         ).register(self)
@@ -158,7 +158,7 @@
         self._follower.peer_revision(host, revision)
 
     def _on_config(self, cfg: FleetConfig) -> None:
-        self._dispatcher.on_config(cfg)
+        self._requests.on_config(cfg)
         self._callers.set_body_limit(cfg.policy.body_limit)
         self._watch.on_config(cfg)
         self._control.on_config(cfg)
@@ -182,7 +182,7 @@
                 interval_s=settings.timing.host_list_interval_s,
             )
             self._host_list.start()
-        self._timers.every(DISPATCH_TICK_S, self._dispatcher.on_tick)
+        self._timers.every(DISPATCH_TICK_S, self._requests.on_tick)
         ip, port = self._callers.address
         print(json.dumps({"ready": True, "host": ip, "port": port}), flush=True)
 
@@ -190,22 +190,22 @@
     def _on_signal(self, event: Event, *_args: object) -> None:
         # The default handler ends the loop at once, which would cut every answer.
         event.stop()
-        if self._dispatcher.stopping:
+        if self._requests.stopping:
             return
-        log(LogEvent.STOPPING, running=self._dispatcher.flights)
-        self._dispatcher.stopping = True
+        log(LogEvent.STOPPING, running=self._requests.flights)
+        self._requests.stopping = True
         self._control.membership.stop()
         self._control.refresh_view()
         self._timers.after(self._settings.timing.stop_grace_s, self._refuse_new)
 
     def _refuse_new(self) -> None:
-        self._dispatcher.refusing = True
+        self._requests.refusing = True
         self._stop_began = self._timers.now
         self._timers.every(STOP_TICK_S, self._stop_when_done)
 
     def _stop_when_done(self) -> None:
         waited = self._timers.now - self._stop_began
-        left = self._dispatcher.flights
+        left = self._requests.flights
         busy = left or self._callers.answering or self._control.actions.unreported
         if busy and waited < self._settings.timing.stop_timeout_s:
             return
