--- a/greengageflow/membership.py
+++ b/greengageflow/membership.py
@@ -84,7 +84,7 @@
         own: The member that this router is; its ``bump`` and ``status`` count.
         seeds: Routers to look for.
         period_s: Seconds between two probes.
-        suspicion_periods: Periods from a suspicion to the death that follows.
+        suspicion_s: Seconds from a suspicion to the death that follows.
         seed: Seed of the random choices.
 
     Attributes:
@@ -98,13 +98,13 @@
         seeds: Iterable[Seed] = (),
         *,
         period_s: float = 0.5,
-        suspicion_periods: float = 6.0,
+        suspicion_s: float = 3.0,
         seed: int | None = None,
     ) -> None:
         self.revision = 0
         self.pauses = 0
         self._period_s = period_s
-        self._view = ViewTable(own, suspicion_s=suspicion_periods * period_s)
+        self._view = ViewTable(own, suspicion_s=suspicion_s)
         self._random = Random(seed)
         self._seeds: dict[str, Seed] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
@@ -167,6 +167,11 @@
         revision, host = self._newest
         return host if revision > self.revision else None
 
+    @property
+    def newest_revision(self) -> int:
+        """Newest configuration revision that this router has heard of."""
+        return max(self.revision, self._newest[0])
+
     def set_seeds(self, seeds: Iterable[Seed]) -> None:
         """Replace the routers to look for: settings and the platform's list."""
         own = self._view.own.host
--- a/greengageflow/peers.py
+++ b/greengageflow/peers.py
@@ -117,7 +117,6 @@
         self._addresses: dict[str, tuple[str, int]] = {}
         self._outlets: OrderedDict[str, _Outlet] = OrderedDict()
         self._outlet_hosts: dict[int, str] = {}
-        self._own_messages: deque[Any] = deque()
         self._poller: BasePoller | None = None
         self._drain_fired = False
         self._context = zmq.Context()
@@ -150,10 +149,6 @@
 
     def send(self, to_host: str, message: Any) -> None:
         """Send ``message`` to the router on ``to_host``, at best effort."""
-        if to_host == self.identity.host:
-            self._own_messages.append(message)
-            self._drain_later()
-            return
         now = monotonic()
         self._close_idle(now)
         outlet = self._outlet(to_host, now)
@@ -324,9 +319,6 @@
             raise ExceptionGroup("handling peer messages failed", errors)
 
     def _take_one(self) -> bool:
-        if self._own_messages:
-            self._on_message(self.identity, self._own_messages.popleft())
-            return True
         if self._context.closed:
             return False
         try:
