Stand-ins: faults of the engine tested; a fault-injecting TCP proxy for tests

The proxy holds, cuts, delays and half-opens connections by source address and route, so that a partition is one rule and a lost answer another; it connects on from the client's own address. The engine's files are split by job. A step is due a pace after the last was due, not after it ran: late timers slowed the batch.

--- a/greengageflow/_engine_batch.py
+++ b/greengageflow/_engine_batch.py
@@ -1,7 +1,7 @@
-"""The engine stand-in's batch and prefix cache, without input or output."""
+"""The engine stand-in's batch, without input or output."""
 
 import json
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -10,10 +10,7 @@
 from random import Random
 from zlib import crc32
 
-BLOCK_CHARS = 256
 CHARS_PER_TOKEN = 4
-STORED = "stored"
-EVICTED = "evicted"
 
 _WORD_STEP = 2_654_435_761
 _WORD_MASK = 0xFFFFFFFF
@@ -129,49 +126,6 @@
         }
 
 
-class PrefixCache:
-    """Prompt blocks in limited memory, the least recently used go first.
-
-    A prefix is named by the first 16 hexadecimal digits of the SHA-256 of the
-    prompt's first k blocks of ``BLOCK_CHARS`` characters.
-
-    Args:
-        limit: Blocks that fit.
-    """
-
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._blocks: OrderedDict[str, None] = OrderedDict()
-
-    @staticmethod
-    def names(prompt: str) -> Iterator[str]:
-        """Yield the names of a prompt's prefixes, the shortest first."""
-        digest = sha256()
-        for end in range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS):
-            digest.update(prompt[end - BLOCK_CHARS : end].encode())
-            yield digest.hexdigest()[:16]
-
-    def cached_tokens(self, prompt: str) -> int:
-        """Return how many leading tokens of a prompt are cached."""
-        count = 0
-        for name in self.names(prompt):
-            if name not in self._blocks:
-                break
-            count += 1
-        return count * BLOCK_CHARS // CHARS_PER_TOKEN
-
-    def store(self, prompt: str) -> Iterator[tuple[str, str]]:
-        """Keep a prompt's blocks; yield (operation, prefix) of each change."""
-        for name in self.names(prompt):
-            if name not in self._blocks:
-                yield STORED, name
-            self._blocks[name] = None
-            self._blocks.move_to_end(name)
-        while len(self._blocks) > self._limit:
-            name, _ = self._blocks.popitem(last=False)
-            yield EVICTED, name
-
-
 class Batch:
     """Running executions, which advance together, and those that wait.
 
--- /dev/null
+++ b/greengageflow/_engine_cache.py
@@ -0,0 +1,97 @@
+"""The engine stand-in's prefix cache and the events that tell of it."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from hashlib import sha256
+from random import Random
+
+from greengageflow._engine_batch import CHARS_PER_TOKEN
+
+BLOCK_CHARS = 256
+STORED = "stored"
+EVICTED = "evicted"
+
+
+class PrefixCache:
+    """Prompt blocks in limited memory, the least recently used go first.
+
+    A prefix is named by the first 16 hexadecimal digits of the SHA-256 of the
+    prompt's first k blocks of ``BLOCK_CHARS`` characters.
+
+    Args:
+        limit: Blocks that fit.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._blocks: OrderedDict[str, None] = OrderedDict()
+
+    @staticmethod
+    def names(prompt: str) -> Iterator[str]:
+        """Yield the names of a prompt's prefixes, the shortest first."""
+        digest = sha256()
+        for end in range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS):
+            digest.update(prompt[end - BLOCK_CHARS : end].encode())
+            yield digest.hexdigest()[:16]
+
+    def cached_tokens(self, prompt: str) -> int:
+        """Return how many leading tokens of a prompt are cached."""
+        count = 0
+        for name in self.names(prompt):
+            if name not in self._blocks:
+                break
+            count += 1
+        return count * BLOCK_CHARS // CHARS_PER_TOKEN
+
+    def store(self, prompt: str) -> Iterator[tuple[str, str]]:
+        """Keep a prompt's blocks; yield (operation, prefix) of each change."""
+        for name in self.names(prompt):
+            if name not in self._blocks:
+                yield STORED, name
+            self._blocks[name] = None
+            self._blocks.move_to_end(name)
+        while len(self._blocks) > self._limit:
+            name, _ = self._blocks.popitem(last=False)
+            yield EVICTED, name
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A change of the prefix cache; readers see it from ``shown_at`` on."""
+
+    seq: int
+    op: str
+    prefix: str
+    shown_at: float
+
+
+class CacheEvents:
+    """Cache events as an engine publishes them: late, and some never.
+
+    Args:
+        lag_s: Delay in seconds.
+        loss: Part of the events that is lost, 0 to 1.
+        seed: Seed that chooses the lost ones.
+    """
+
+    def __init__(self, lag_s: float, loss: float, seed: int) -> None:
+        self._lag_s = lag_s
+        self._loss = loss
+        self._random = Random(seed)
+        self._events: list[CacheEvent] = []
+        self._next_seq = 0
+
+    def add(self, changes: Iterator[tuple[str, str]], now: float) -> None:
+        """Publish changes of the cache; a lost one leaves a gap in ``seq``."""
+        for op, prefix in changes:
+            if self._random.random() >= self._loss:
+                event = CacheEvent(self._next_seq, op, prefix, now + self._lag_s)
+                self._events.append(event)
+            self._next_seq += 1
+
+    def since(self, start: int, now: float) -> Iterator[dict[str, object]]:
+        """Yield what readers see from a sequence number on."""
+        for one in self._events:
+            if one.seq >= start and one.shown_at <= now:
+                yield {"seq": one.seq, "op": one.op, "prefix": one.prefix}
--- /dev/null
+++ b/greengageflow/_engine_wire.py
@@ -0,0 +1,51 @@
+"""The engine stand-in's answers in the OpenAI style."""
+
+import json
+
+from greengageflow._engine_batch import Execution
+
+ANOTHER = "another"
+CROSSED = "crossed "
+DONE = b"data: [DONE]\n\n"
+
+
+def piece_event(execution: Execution, seq: int) -> bytes:
+    """Return one piece as a server-sent event."""
+    # Written out because a piece is made some thousand times a second.
+    last = seq == execution.work.tokens - 1
+    reason = json.dumps(execution.work.finish_reason if last else None)
+    usage = f', "usage": {json.dumps(execution.usage)}' if last else ""
+    content = json.dumps(execution.piece(seq), ensure_ascii=False)
+    return (
+        f'data: {{"id": {json.dumps(execution.work.request_id)}, "seq": {seq}, '
+        f'"choices": [{{"index": 0, "delta": {{"content": {content}}}, '
+        f'"finish_reason": {reason}}}]{usage}}}\n\n'
+    ).encode()
+
+
+def crossed_event(request_id: str, seq: int) -> bytes:
+    """Return a piece that belongs to another request."""
+    choice = {"index": 0, "delta": {"content": CROSSED}, "finish_reason": None}
+    event = {"id": request_id, "seq": seq, "choices": [choice]}
+    return f"data: {json.dumps(event)}\n\n".encode()
+
+
+def whole_answer(execution: Execution, *, crossed: bool = False) -> dict[str, object]:
+    """Return the answer to a request that is not streamed.
+
+    Args:
+        execution: A finished execution.
+        crossed: Answer with another request's id and text.
+    """
+    content = CROSSED if crossed else execution.text
+    choice = {
+        "index": 0,
+        "message": {"role": "assistant", "content": content},
+        "finish_reason": execution.work.finish_reason,
+    }
+    return {
+        "id": ANOTHER if crossed else execution.work.request_id,
+        "object": "chat.completion",
+        "choices": [choice],
+        "usage": execution.usage,
+    }
--- a/greengageflow/_standin_http.py
+++ b/greengageflow/_standin_http.py
@@ -3,7 +3,7 @@
 import json
 import sys
 from collections.abc import Callable, Mapping
-from dataclasses import asdict, dataclass, field, fields, replace
+from dataclasses import asdict, dataclass, field, replace
 from socket import socket
 from urllib.parse import parse_qs
 
@@ -14,52 +14,12 @@
 from circuits.web.events import response, stream
 from circuits.web.wrappers import Request, Response
 
+from greengageflow._standin_faults import FAULT_NAMES, Faults
 from greengageflow.timers import Timers
 
 JSON_TYPE = "application/json"
 
 
-@dataclass(frozen=True, slots=True)
-class Faults:
-    """Faults of a stand-in, as set by ``POST /fault``; all off by default.
-
-    Args:
-        down: Answer 503 and do nothing.
-        delay_s: Seconds to wait before the effect.
-        answer_delay_s: Seconds to wait between the effect and the answer.
-        lose_answers: Number of requests that take effect and whose connection is
-            then cut without an answer.
-        only: Operation that the four faults above are restricted to.
-        contains: Text that a request body must hold for them to apply.
-        skip: Number of matching requests to leave alone first.
-        cut_after: Engine: cut a stream after this many pieces.
-        cut_times: Engine: number of streams that ``cut_after`` cuts.
-        duplicate: Engine: send every piece twice.
-        cross: Engine: send a piece of another request before each piece.
-        late: Engine: send every piece again one step later.
-        stall: Engine: stop advancing.
-        slow_start_s: Engine: seconds added before a request's first piece.
-    """
-
-    down: bool = False
-    delay_s: float = 0.0
-    answer_delay_s: float = 0.0
-    lose_answers: int = 0
-    only: str = ""
-    contains: str = ""
-    skip: int = 0
-    cut_after: int | None = None
-    cut_times: int = 1
-    duplicate: bool = False
-    cross: bool = False
-    late: bool = False
-    stall: bool = False
-    slow_start_s: float = 0.0
-
-
-FAULT_NAMES = frozenset(item.name for item in fields(Faults))
-
-
 class BadCallError(Exception):
     """The request of the caller makes no sense."""
 
@@ -180,8 +140,7 @@
     def reply(self, call: Call, reply: Reply) -> None:
         """Send an answer, unless a fault loses it."""
         if call.faulty and self.faults.lose_answers > 0:
-            lost = self.faults.lose_answers - 1
-            self.faults = replace(self.faults, lose_answers=lost)
+            self.faults = self.faults.lost()
             self.cut(call)
             return
         self._write_reply(call, reply)
@@ -287,7 +246,7 @@
         if not self._applies(call):
             return call
         if self.faults.skip > 0:
-            self.faults = replace(self.faults, skip=self.faults.skip - 1)
+            self.faults = self.faults.skipped()
             return call
         return replace(call, faulty=True)
 
--- a/greengageflow/standin_engine.py
+++ b/greengageflow/standin_engine.py
@@ -1,25 +1,29 @@
 """Stand-in for a model engine that batches continuously."""
 
-import json
 from collections.abc import Iterator
-from dataclasses import asdict, dataclass, replace
-from random import Random
+from dataclasses import asdict, dataclass
 from socket import socket
 from time import monotonic, time
 
 from greengageflow._engine_batch import (
     Batch,
     Execution,
-    PrefixCache,
     State,
     Work,
     answer_length,
     prompt_text,
 )
+from greengageflow._engine_cache import CacheEvents, PrefixCache
+from greengageflow._engine_wire import (
+    ANOTHER,
+    DONE,
+    crossed_event,
+    piece_event,
+    whole_answer,
+)
 from greengageflow._standin_http import BadCallError, Call, Reply, StandIn
 
 EVENT_STREAM = "text/event-stream"
-DONE = b"data: [DONE]\n\n"
 
 
 @dataclass(slots=True, eq=False)
@@ -34,16 +38,6 @@
     last: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEvent:
-    """A change of the prefix cache, shown from ``shown_at`` (monotonic)."""
-
-    seq: int
-    op: str
-    prefix: str
-    shown_at: float
-
-
 @dataclass(frozen=True, slots=True)
 class ReceivedOrder:
     """An order as it came, and whether it was taken."""
@@ -108,26 +102,23 @@
         self._seed = seed
         self._prefill_s_per_token = prefill_s_per_token
         self._load_lag_s = load_lag_s
-        self._event_lag_s = event_lag_s
-        self._event_loss = event_loss
         self._median_tokens = median_tokens
         self._sigma = sigma
         self._resumes = resumes
         self._resume_grace_s = resume_grace_s
         self._checks_fencing = checks_fencing
-        self._random = Random(seed)
         self._batch = Batch(base_pace_s, per_request_pace_s, max_batch)
         self._prefixes = PrefixCache(cache_blocks)
         self._executions: list[Execution] = []
         self._latest: dict[str, Execution] = {}
         self._outputs: dict[int, _Output] = {}
         self._by_sock: dict[socket, _Output] = {}
-        self._events: list[CacheEvent] = []
-        self._event_seq = 0
+        self._events = CacheEvents(event_lag_s, event_loss, seed)
         self._orders: list[ReceivedOrder] = []
         self._fencing = -1
         self._leaving = False
         self._stepping = False
+        self._step_due = 0.0
         self._report = self._load()
         if load_lag_s > 0:
             self.timers.every(load_lag_s, self._refresh_report)
@@ -146,7 +137,9 @@
             case "GET", "/load":
                 return Reply(200, self._report if self._load_lag_s else self._load())
             case "GET", "/cache-events":
-                return self._cache_events(int(call.number("from", 0)))
+                start = int(call.number("from", 0))
+                events = list(self._events.since(start, monotonic()))
+                return Reply(200, {"events": events})
             case "POST", "/orders":
                 return self._order(call)
             case "GET", "/orders":
@@ -193,8 +186,7 @@
         execution = self._execute(call, body, request_id)
         output = _Output(call, execution, streamed)
         if call.faulty and streamed and self.faults.lose_answers > 0:
-            lost = self.faults.lose_answers - 1
-            self.faults = replace(self.faults, lose_answers=lost)
+            self.faults = self.faults.lost()
             self.cut(call)
         else:
             self._attach(output)
@@ -226,7 +218,7 @@
             ready_at=monotonic() + prefill_s,
             started=time(),
         )
-        self._note_events(prompt)
+        self._events.add(self._prefixes.store(prompt), monotonic())
         self._executions.append(execution)
         self._latest[request_id] = execution
         self._batch.add(execution)
@@ -258,34 +250,40 @@
     # Steps
 
     def _wake(self) -> None:
-        if not self._stepping and self._batch.running and not self.faults.stall:
-            self._stepping = True
-            self.timers.after(self._batch.pace_s, self._step)
+        if not self._stepping:
+            self._plan_step(monotonic())
+
+    def _plan_step(self, since: float) -> None:
+        self._stepping = bool(self._batch.running) and not self.faults.stall
+        if self._stepping:
+            self._step_due = since + self._batch.pace_s
+            self.timers.after(max(0.0, self._step_due - monotonic()), self._step)
 
     def _step(self) -> None:
-        self._stepping = False
         if self.faults.stall:
+            self._stepping = False
             return
         for execution in self._batch.step(monotonic(), time()):
             output = self._outputs.get(execution.number)
             if output is not None:
                 self._deliver(output)
-        self._wake()
+        # From when this step was due, so that a late timer does not slow the batch;
+        # an overloaded engine makes up for one step at most.
+        self._plan_step(max(self._step_due, monotonic() - self._batch.pace_s))
 
     def _deliver(self, output: _Output) -> None:
         execution = output.execution
         if not output.streamed:
             if execution.state is State.DONE:
                 self._detach(output)
-                self.reply(output.call, self._whole(execution))
+                whole = whole_answer(execution, crossed=self.faults.cross)
+                self.reply(output.call, Reply(200, whole))
             return
         data = b"".join(self._due(output))
         if data:
             self.push(output.call, data)
         if self._cut_now(output):
-            left = self.faults.cut_times - 1
-            after = self.faults.cut_after if left > 0 else None
-            self.faults = replace(self.faults, cut_times=left, cut_after=after)
+            self.faults = self.faults.cut()
             self.cut(output.call)
         elif execution.state is State.DONE:
             self._detach(output)
@@ -304,9 +302,9 @@
         while output.next_seq < output.execution.produced:
             if self._cut_now(output):
                 return
-            piece = self._event(output.execution, output.next_seq)
+            piece = piece_event(output.execution, output.next_seq)
             if self.faults.cross:
-                yield self._crossed(output)
+                yield crossed_event(self._another(output), output.next_seq)
             yield piece
             if self.faults.duplicate:
                 yield piece
@@ -316,50 +314,10 @@
             output.next_seq += 1
             output.sent += 1
 
-    def _event(self, execution: Execution, seq: int) -> bytes:
-        last = seq == execution.work.tokens - 1
-        reason = json.dumps(execution.work.finish_reason if last else None)
-        usage = f', "usage": {json.dumps(execution.usage)}' if last else ""
-        content = json.dumps(execution.piece(seq), ensure_ascii=False)
-        return (
-            f'data: {{"id": {json.dumps(execution.work.request_id)}, "seq": {seq}, '
-            f'"choices": [{{"index": 0, "delta": {{"content": {content}}}, '
-            f'"finish_reason": {reason}}}]{usage}}}\n\n'
-        ).encode()
-
-    def _crossed(self, output: _Output) -> bytes:
-        mine = output.execution
-        others = (one for one in self._latest.values() if one is not mine)
-        other = next(others, None)
-        event = {
-            "id": other.work.request_id if other else "another",
-            "seq": output.next_seq,
-            "choices": [
-                {"index": 0, "delta": {"content": "crossed "}, "finish_reason": None}
-            ],
-        }
-        return f"data: {json.dumps(event)}\n\n".encode()
-
-    def _whole(self, execution: Execution) -> Reply:
-        crossed = self.faults.cross
-        message = {
-            "role": "assistant",
-            "content": "crossed " if crossed else execution.text,
-        }
-        choice = {
-            "index": 0,
-            "message": message,
-            "finish_reason": execution.work.finish_reason,
-        }
-        return Reply(
-            200,
-            {
-                "id": "another" if crossed else execution.work.request_id,
-                "object": "chat.completion",
-                "choices": [choice],
-                "usage": execution.usage,
-            },
-        )
+    def _another(self, output: _Output) -> str:
+        mine = output.execution.work.request_id
+        others = (one for one in reversed(self._latest) if one != mine)
+        return next(others, ANOTHER)
 
     def _cancel(self, call: Call) -> Reply:
         execution = self._latest.get(str(call.json.get("id")))
@@ -386,23 +344,6 @@
     def _refresh_report(self) -> None:
         self._report = self._load()
 
-    def _note_events(self, prompt: str) -> None:
-        shown_at = monotonic() + self._event_lag_s
-        for op, prefix in self._prefixes.store(prompt):
-            if self._random.random() >= self._event_loss:
-                event = CacheEvent(self._event_seq, op, prefix, shown_at)
-                self._events.append(event)
-            self._event_seq += 1
-
-    def _cache_events(self, start: int) -> Reply:
-        now = monotonic()
-        events = [
-            {"seq": one.seq, "op": one.op, "prefix": one.prefix}
-            for one in self._events
-            if one.seq >= start and one.shown_at <= now
-        ]
-        return Reply(200, {"events": events})
-
     def _order(self, call: Call) -> Reply:
         order = call.json
         fencing = order.get("fencing")
--- /dev/null
+++ b/tests/fault_proxy.py
@@ -0,0 +1,257 @@
+"""TCP proxy with faults, run as a process: ``python -m tests.fault_proxy``.
+
+It prints the address of its control port, which answers a JSON line with another:
+
+- ``{"op": "route", "name", "target": [host, port], "listen": [host, port]}`` opens a
+  listener and names its address. A second call moves the target.
+- ``{"op": "rules", "rules": [...]}`` replaces all rules. A rule has ``do`` (an
+  ``Action``) and may have ``source`` (a client's IP number), ``route``, ``way``
+  (``up`` to the target or ``down``), ``delay_s``, and ``times``, the number of
+  connections it takes. The first that matches a connection decides.
+
+The connection to the target comes from the client's own IP number.
+"""
+
+import json
+import socket
+import struct
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import StrEnum
+from functools import partial
+from selectors import EVENT_READ, EVENT_WRITE, DefaultSelector
+
+CHUNK = 65_536
+MOST_QUEUED = 64
+RESET = struct.pack("ii", 1, 0)
+
+
+class Action(StrEnum):
+    CUT = "cut"  # reset it, old or new
+    FREEZE = "freeze"  # hold all bytes until the rule goes
+    DELAY = "delay"  # pass every byte later
+    HALF_OPEN = "half_open"  # accept, swallow, never answer, even afterwards
+    DROP_REPLY = "drop_reply"  # pass the request, reset at the answer's first byte
+
+
+@dataclass(slots=True, eq=False)
+class Rule:
+    do: Action
+    source: str | None = None
+    route: str | None = None
+    way: str | None = None
+    delay_s: float = 0.0
+    times: int | None = None
+    taken: set["Link"] = field(default_factory=set)
+
+    def takes(self, link: "Link") -> bool:
+        here = self.source in (None, link.source) and self.route in (None, link.route)
+        spent = self.times is not None and len(self.taken) >= self.times
+        if not here or (spent and link not in self.taken):
+            return False
+        self.taken.add(link)
+        return True
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """One direction of a connection; the queue holds (due, bytes)."""
+
+    way: str
+    src: socket.socket
+    dst: socket.socket
+    queue: deque[tuple[float, bytes]] = field(default_factory=deque)
+    ended: bool = False
+
+    def write(self) -> None:
+        due, data = self.queue.popleft()
+        sent = 0
+        try:
+            sent = self.dst.send(data)
+        finally:
+            if sent < len(data):
+                self.queue.appendleft((due, data[sent:]))
+
+
+@dataclass(eq=False)
+class Link:
+    """One proxied connection."""
+
+    route: str
+    source: str
+    client: socket.socket
+    server: socket.socket
+    rule: Rule | None = None
+    dead: bool = False
+    closed: bool = False
+
+    def __post_init__(self) -> None:
+        up = Flow("up", self.client, self.server)
+        self.flows = up, Flow("down", self.server, self.client)
+
+    def does(self, action: Action, flow: Flow) -> bool:
+        rule = self.rule
+        return bool(rule) and rule.do is action and rule.way in (None, flow.way)
+
+
+class Proxy:
+    def __init__(self) -> None:
+        self._selector = DefaultSelector()
+        self._rules: list[Rule] = []
+        self._links: set[Link] = set()
+        self._targets: dict[str, tuple[str, int]] = {}
+        self._listeners: dict[str, socket.socket] = {}
+
+    def run(self, host: str) -> None:
+        host, port = self._listen((host, 0), self._accept_control).getsockname()
+        print(json.dumps({"ready": True, "host": host, "port": port}), flush=True)
+        while True:
+            for key, mask in self._selector.select(self._pause()):
+                # An earlier one of this round may have closed this one.
+                if key.fileobj.fileno() >= 0:
+                    key.data(mask)
+            for _, link in list(self._dues()):
+                self._update(link)
+
+    def _listen(self, address: tuple[str, int], call: Callable) -> socket.socket:
+        sock = socket.create_server(address, backlog=512)
+        self._selector.register(sock, EVENT_READ, partial(call, sock))
+        return sock
+
+    def _accept_control(self, listener: socket.socket, mask: int) -> None:
+        conn, _ = listener.accept()
+        call = partial(self._command, conn, conn.makefile("rw"))
+        self._selector.register(conn, EVENT_READ, call)
+
+    def _command(self, conn: socket.socket, file, mask: int) -> None:
+        if line := file.readline():
+            file.write(json.dumps(self._obey(json.loads(line))) + "\n")
+            file.flush()
+        else:
+            self._selector.unregister(conn)
+            conn.close()
+
+    def _obey(self, command: dict) -> dict:
+        match command:
+            case {"op": "route", "name": name, "target": target, **options}:
+                self._targets[name] = tuple(target)
+                if name not in self._listeners:
+                    address = tuple(options.get("listen", ("127.0.0.1", 0)))
+                    call = partial(self._accept, name)
+                    self._listeners[name] = self._listen(address, call)
+                return {"listen": self._listeners[name].getsockname()}
+            case {"op": "rules", "rules": rules}:
+                self._rules = [
+                    Rule(**{**one, "do": Action(one["do"])}) for one in rules
+                ]
+                for link in list(self._links):
+                    self._judge(link)
+                return {"links": len(self._links)}
+        return {"error": "unknown command"}
+
+    def _accept(self, name: str, listener: socket.socket, mask: int) -> None:
+        client, (source, _) = listener.accept()
+        server = socket.socket()
+        for sock in (client, server):
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = Link(name, source, client, server)
+        self._links.add(link)
+        with suppress(OSError):
+            server.bind((source, 0))
+        self._judge(link)
+        if not (link.dead or link.closed):
+            # A failure shows as an error of the first read or write.
+            server.connect_ex(self._targets[name])
+
+    def _judge(self, link: Link) -> None:
+        link.rule = next((one for one in self._rules if one.takes(link)), None)
+        if link.rule and link.rule.do is Action.CUT:
+            self._close(link, reset=True)
+        elif link.rule and link.rule.do is Action.HALF_OPEN:
+            link.dead = True
+            self._watch(link, link.server, 0)
+            link.server.close()
+        self._update(link)
+
+    def _close(self, link: Link, reset: bool = False) -> None:
+        link.closed = True
+        self._links.discard(link)
+        for sock in (link.client, link.server):
+            self._watch(link, sock, 0)
+            if reset and sock.fileno() >= 0:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.close()
+
+    def _watch(self, link: Link, sock: socket.socket, mask: int) -> None:
+        known = sock.fileno() >= 0 and self._selector.get_map().get(sock)
+        if known and not mask:
+            self._selector.unregister(sock)
+        elif known and known.events != mask:
+            self._selector.modify(sock, mask, known.data)
+        elif mask and not known:
+            self._selector.register(sock, mask, partial(self._serve, link, sock))
+
+    def _update(self, link: Link) -> None:
+        if link.closed:
+            return
+        if link.dead:
+            self._watch(link, link.client, EVENT_READ)
+            return
+        now = time.monotonic()
+        for reading, writing in (link.flows, link.flows[::-1]):
+            held = link.does(Action.FREEZE, reading)
+            full = len(reading.queue) >= MOST_QUEUED
+            mask = 0 if reading.ended or full or held else EVENT_READ
+            due = writing.queue and writing.queue[0][0] <= now
+            if due and not link.does(Action.FREEZE, writing):
+                mask |= EVENT_WRITE
+            self._watch(link, reading.src, mask)
+
+    def _serve(self, link: Link, sock: socket.socket, mask: int) -> None:
+        reading, writing = link.flows if sock is link.client else link.flows[::-1]
+        try:
+            if mask & EVENT_READ:
+                self._read(link, reading)
+            if mask & EVENT_WRITE and not link.closed:
+                writing.write()
+            # No half-closing: HTTP and ZeroMQ never do it.
+            if any(flow.ended and not flow.queue for flow in link.flows):
+                self._close(link)
+        except BlockingIOError:
+            pass
+        except OSError:
+            self._close(link, reset=True)
+        self._update(link)
+
+    def _read(self, link: Link, flow: Flow) -> None:
+        data = flow.src.recv(CHUNK)
+        if not data:
+            flow.ended = True
+        elif flow.way == "down" and link.does(Action.DROP_REPLY, flow):
+            self._close(link, reset=True)
+        elif not link.dead:
+            delay_s = link.rule.delay_s if link.does(Action.DELAY, flow) else 0
+            due = time.monotonic() + delay_s
+            # What was delayed before must not be overtaken.
+            last = flow.queue[-1][0] if flow.queue else 0
+            flow.queue.append((max(due, last), data))
+
+    def _dues(self) -> Iterator[tuple[float, Link]]:
+        for link in self._links:
+            for flow in link.flows:
+                if flow.queue and not link.does(Action.FREEZE, flow):
+                    yield flow.queue[0][0], link
+
+    def _pause(self) -> float | None:
+        now = time.monotonic()
+        later = [due - now for due, _ in self._dues() if due > now]
+        return min(later, default=None)
+
+
+if __name__ == "__main__":
+    Proxy().run(sys.argv[1] if len(sys.argv) > 1 else "127.0.0.1")
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,12 +1,27 @@
-from http.client import RemoteDisconnected
+import json
+from concurrent.futures import ThreadPoolExecutor
+from http.client import (
+    HTTPConnection,
+    HTTPException,
+    IncompleteRead,
+    RemoteDisconnected,
+)
 
 import pytest
 
-from tests.support import sse_events, standin, wait_for
+from tests.support import LIMIT_S, call, fault_proxy, sse_events, standin, wait_for
 
 CHAT = "/v1/chat/completions"
 
 
+def executions(engine):
+    return engine.call("GET", "/executions").json["executions"]
+
+
+def states(engine):
+    return [one["state"] for one in executions(engine)]
+
+
 def test_log_append_whose_answer_is_lost_is_there_once():
     """The caller sees a cut connection, not an answer.
 
@@ -32,7 +47,7 @@
         assert last["choices"][0]["finish_reason"] == "stop"
         assert [one["seq"] for one in [*pieces, last]] == list(range(20))
         texts = (one["choices"][0]["delta"]["content"] for one in [*pieces, last])
-        (execution,) = engine.call("GET", "/executions").json["executions"]
+        (execution,) = executions(engine)
         assert execution["text"] == "".join(texts)
         assert (execution["request_id"], execution["state"]) == ("q1", "done")
 
@@ -50,3 +65,168 @@
     with standin("hosts") as hosts:
         assert hosts.stop() == 0
         assert wait_for(lambda: hosts.popen.poll() is not None, "end")
+
+
+def test_proxy_drops_a_reply_after_the_effect():
+    """The caller sees its connection reset although the service ran the call.
+
+    The proxy passes the request and resets the connection at the answer's first
+    byte; another source address and the second connection are not touched.
+    """
+    with standin("service") as service, fault_proxy() as proxy:
+        address = proxy.route("service", service.address)
+        proxy.rules({"do": "drop_reply", "source": "127.0.0.1", "times": 1})
+        with pytest.raises(OSError):
+            call(address, "POST", "/pay", {})
+        assert call(address, "POST", "/pay", {}).json["effect"] == 1
+
+
+@pytest.mark.parametrize("action", ["freeze", "half_open"])
+def test_proxy_holds_bytes(action):
+    """The caller sees no answer until its own timeout.
+
+    A frozen connection's bytes arrive once the rule goes; a half-open one's never
+    do, so the service gets no call.
+    """
+    with standin("service") as service, fault_proxy() as proxy:
+        address = proxy.route("service", service.address)
+        proxy.rules({"do": action, "route": "service"})
+        with pytest.raises(TimeoutError):
+            call(address, "POST", "/pay", {}, timeout_s=0.3)
+        proxy.rules({"do": "delay", "delay_s": 0.05})
+        assert call(address, "POST", "/pay", {}).status == 200
+        expected = 2 if action == "freeze" else 1
+
+        def effects():
+            return len(service.call("GET", "/effects").json["effects"])
+
+        wait_for(lambda: effects() == expected, "the frozen call's effect")
+
+
+def test_proxy_cuts_what_is_open():
+    """The caller's stream ends without its last event, in the middle."""
+    with standin("engine", base_pace_s=0.01) as engine, fault_proxy() as proxy:
+        address = proxy.route("engine", engine.address)
+        conn = HTTPConnection(*address, timeout=LIMIT_S)
+        body = {"messages": [], "stream": True, "x_tokens": 100_000}
+        conn.request("POST", CHAT, json.dumps(body))
+        res = conn.getresponse()
+        assert res.readline()
+        proxy.rules({"do": "cut"})
+        with pytest.raises((OSError, HTTPException)):
+            res.read()
+        conn.close()
+        wait_for(lambda: states(engine) == ["cancelled"], "cancelled")
+
+
+def chat(engine, request_id, headers=(), **body):
+    body = {"messages": [{"content": "hi"}], "stream": True, "x_tokens": 20, **body}
+    headers = {"X-Request-Id": request_id, **dict(headers)}
+    return engine.call("POST", CHAT, body, headers=headers)
+
+
+def test_engine_resumes_a_cut_stream_without_running_it_again():
+    """The caller's stream breaks off after five pieces, without its last event.
+
+    The engine goes on for a while; a request to resume from piece 5 gets the rest
+    of the same execution. An id that it doesn't know is not run.
+    """
+    with standin("engine", base_pace_s=0.001, resumes=True) as engine:
+        engine.fault(cut_after=5)
+        with pytest.raises(IncompleteRead) as cut:
+            chat(engine, "q1")
+        first = list(sse_events(cut.value.partial))
+        rest = list(sse_events(chat(engine, "q1", {"X-Resume-From": "5"}).data))
+        assert [one["seq"] for one in [*first, *rest[:-1]]] == list(range(20))
+        (execution,) = executions(engine)
+        assert execution["resumed_from"] == [5]
+        assert chat(engine, "q2", {"X-Resume-From": "5"}).status == 404
+
+
+@pytest.mark.parametrize(
+    ("fault", "seqs"),
+    [
+        ("duplicate", [0, 0, 1, 1, 2, 2]),
+        ("late", [0, 1, 0, 2, 1]),
+        ("cross", [0, 0, 1, 1, 2, 2]),
+    ],
+)
+def test_engine_sends_wrong_pieces(fault, seqs):
+    """The caller gets pieces again, late, or of another request, then right ones."""
+    with standin("engine", base_pace_s=0.001) as engine:
+        engine.fault(**{fault: True})
+        *pieces, done = sse_events(chat(engine, "q1", x_tokens=3).data)
+        assert [one["seq"] for one in pieces] == seqs
+        others = [one for one in pieces if one["id"] != "q1"]
+        assert len(others) == (3 if fault == "cross" else 0)
+
+
+def test_engine_queues_beyond_its_batch_and_cancels():
+    with standin("engine", max_batch=1, load_lag_s=0) as engine:
+        engine.fault(stall=True)
+        conns = []
+        for request_id in ("q1", "q2"):
+            conn = HTTPConnection(*engine.address, timeout=LIMIT_S)
+            conn.request("POST", CHAT, '{"messages": []}', {"X-Request-Id": request_id})
+            conns.append(conn)
+            wait_for(lambda: len(executions(engine)) == len(conns), "execution")
+        load = engine.call("GET", "/load").json
+        assert (load["running"], load["waiting"]) == (1, 1)
+        assert engine.call("POST", "/cancel", {"id": "q1"}).json["cancelled"]
+        assert states(engine) == ["cancelled", "running"]
+        conns[1].close()
+        wait_for(lambda: states(engine) == ["cancelled"] * 2, "cancelled")
+        conns[0].close()
+
+
+def test_engine_caches_prefixes_and_tells_of_it():
+    prompt = [{"content": "x" * 600}]
+    with standin("engine", event_lag_s=0, event_loss=0, cache_blocks=2) as engine:
+        chat(engine, "q1", messages=prompt, x_tokens=1)
+        chat(engine, "q2", messages=[{"content": "y" * 300}], x_tokens=1)
+        events = engine.call("GET", "/cache-events?from=0").json["events"]
+        assert [one["op"] for one in events] == ["stored"] * 3 + ["evicted"]
+        assert events[3]["prefix"] == events[0]["prefix"]
+
+
+@pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 200)])
+def test_engine_meets_an_old_fencing_number(checks, status):
+    """The giver of an old order is refused, but only by an engine that checks."""
+    with standin("engine", checks_fencing=checks) as engine:
+        for fencing in (7, 7):
+            order = {"order": "role", "fencing": fencing}
+            assert engine.call("POST", "/orders", order).status == 200
+        old = engine.call("POST", "/orders", {"order": "role", "fencing": 6})
+        assert old.status == status
+
+
+def test_log_limits_forgets_and_wakes_readers():
+    records = "/streams/s/records"
+    with standin("log", appends_per_s=2, keep_records=1) as log:
+        with ThreadPoolExecutor(1) as pool:
+            read = pool.submit(log.call, "GET", f"{records}?from=0&wait_s=20")
+            assert log.call("POST", records, {"records": ["a"]}).status == 200
+            assert read.result().json["records"][0]["record"] == "a"
+        assert log.call("POST", records, {"records": ["b"]}).status == 200
+        refused = log.call("POST", records, {"records": ["c"]})
+        assert (refused.status, refused.headers["retry-after"]) == (429, "1")
+        gone = log.call("GET", f"{records}?from=0")
+        assert (gone.status, gone.json["first_offset"]) == (410, 1)
+
+
+def test_weights_are_the_same_and_limited():
+    with standin("weights", size=100, reads_per_s=0.01) as weights:
+        assert len(weights.call("GET", "/weights/m/v1").data) == 100
+        assert weights.call("GET", "/weights/m/v1").status == 429
+
+
+def test_faults_can_be_narrowed():
+    """Only the second append that holds the text fails; reads go on."""
+    with standin("log") as log:
+        log.fault(down=True, only="append", contains="outcome", skip=1)
+        texts = ["intent", "outcome", "outcome", "intent"]
+        path = "/streams/s/records"
+        sent = [log.call("POST", path, {"records": [one]}) for one in texts]
+        assert [one.status for one in sent] == [200, 200, 503, 200]
+        assert log.call("GET", path).json["next_offset"] == 3
+        assert log.call("POST", "/fault", {"dwon": 1}).status == 400
