--- a/greengageflow/_check.py
+++ b/greengageflow/_check.py
@@ -278,27 +278,3 @@
             if faults:
                 raise ExceptionGroup(title, faults) from None
             return stop.value
-
-
-def parse_json(text: str | bytes, title: str) -> Any:
-    """Return the value of a JSON text.
-
-    Raises:
-        ExceptionGroup: Holds one ``Fault`` that says where the text is broken or
-            which name occurs twice in one object.
-    """
-    try:
-        return json.loads(text, object_pairs_hook=_without_duplicates)
-    except Fault as exc:
-        raise ExceptionGroup(title, [exc]) from None
-    except (ValueError, RecursionError) as exc:
-        raise ExceptionGroup(title, [Fault("", f"JSON ({exc})")]) from None
-
-
-def _without_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    found = dict(pairs)
-    if len(found) < len(pairs):
-        names = [key for key, _ in pairs]
-        twice = sorted({key for key in names if names.count(key) > 1})
-        raise Fault(", ".join(twice), "each name once in an object")
-    return found
--- /dev/null
+++ b/greengageflow/config_follower.py
@@ -0,0 +1,302 @@
+"""Keeps one router's configuration up to date from the log and from its peers."""
+
+import json
+from collections.abc import Callable, Sequence
+from random import Random
+from time import monotonic, time
+from typing import Any, Protocol
+
+from greengageflow._config_watch import SnapshotClock, log_outcome
+from greengageflow.catalog import FleetConfig
+from greengageflow.config_roles import Roles
+from greengageflow.events import Event, log
+from greengageflow.fold import Fold
+from greengageflow.log_client import Appended, Lapsed, LogFailure, LogRecord, Records
+from greengageflow.messages import ConfigRequest, ConfigState
+from greengageflow.timers import Subscription, Timers
+
+STREAM = "config"
+_PAUSE_S = 0.1
+_ASK_INTERVAL_S = 1.0
+_SNAPSHOT_CHECK_S = 5.0
+_FIRST_BACKOFF_S = 0.2
+_LONGEST_BACKOFF_S = 5.0
+
+
+class ConfigLog(Protocol):
+    """The part of the log client that the follower uses."""
+
+    def read(
+        self, stream: str, from_offset: int, wait_s: float, on_done: Callable
+    ) -> None:
+        """Call ``on_done`` with ``Records``, ``Lapsed`` or ``LogFailure``."""
+
+    def append(self, stream: str, records: Sequence[Any], on_done: Callable) -> None:
+        """Call ``on_done`` with ``Appended`` or ``LogFailure``."""
+
+
+class ConfigFollower:
+    """Follows the configuration stream.
+
+    Readers poll the log without pause; the others learn of a new revision by
+    ``peer_revision`` and ask that peer for it, and poll the log now and then in
+    case no peer tells them. What is in force never goes back.
+
+    Args:
+        host: Host of this router.
+        log_client: The platform's log.
+        timers: Timer service.
+        on_config: Called with each configuration that comes into force.
+        send: Sends a message to a host.
+        peers: Returns hosts that may be asked.
+        roles: Returns what this router does for the others.
+        fold: Fold to start from.
+        wait_s: Long poll of readers, in seconds.
+        poll_s: Longest time between two polls of the others, in seconds.
+        snapshot_interval_s: Time after which the state is appended again, in
+            seconds; well below half of the log's retention.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        log_client: ConfigLog,
+        timers: Timers,
+        *,
+        on_config: Callable[[FleetConfig], None],
+        send: Callable[[str, Any], None] = lambda _host, _message: None,
+        peers: Callable[[], Sequence[str]] = tuple,
+        roles: Callable[[], Roles] = Roles,
+        fold: Fold | None = None,
+        wait_s: float = 1.0,
+        poll_s: float = 10.0,
+        snapshot_interval_s: float = 600.0,
+        rng: Random | None = None,
+    ) -> None:
+        self.fold = fold or Fold()
+        self._host = host
+        self._log = log_client
+        self._timers = timers
+        self._on_config = on_config
+        self._send = send
+        self._peers = peers
+        self._roles = roles
+        self._wait_s = wait_s
+        self._poll_s = poll_s
+        self._rng = rng or Random()
+        self._snapshots = SnapshotClock(snapshot_interval_s)
+        self._live = False
+        self._given = 0
+        self._failures = 0
+        self._outage_start = 0.0
+        self._asked_at = -_ASK_INTERVAL_S
+        self._unreadable = 0
+        self._document: ConfigState | None = None
+        self._asked_from = 0
+        self._shorter = False
+        self._snapshot_timer: Subscription | None = None
+
+    @property
+    def config(self) -> FleetConfig:
+        """Configuration in force."""
+        return self.fold.config
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, as told to peers."""
+        return self.fold.config.revision
+
+    @property
+    def status(self) -> dict[str, Any]:
+        """JSON object for ``/status`` under ``config``."""
+        return {
+            "revision": self.revision,
+            "offset": self.fold.offset,
+            "schemas": sorted(self.fold.understood),
+            "highest_schema": self.fold.state.highest,
+            "complete": self.fold.complete,
+            "halted": self.fold.halted,
+            "log": "down" if self._failures else "up",
+            "reader": self._roles().reader,
+        }
+
+    def start(self) -> None:
+        """Ask peers and begin to read."""
+        self._live = True
+        self._ask_anyone()
+        self._read()
+        self._snapshot_timer = self._timers.every(
+            _SNAPSHOT_CHECK_S, self._check_snapshot
+        )
+
+    def stop(self) -> None:
+        """Read and append no more."""
+        self._live = False
+        if self._snapshot_timer is not None:
+            self._snapshot_timer.cancel()
+
+    def peer_revision(self, host: str, revision: int) -> None:
+        """Take note of the revision that a peer has in force."""
+        newer = revision > max(self.revision, self._unreadable)
+        if newer and not self.fold.halted:
+            self._ask(host)
+
+    def received(self, host: str, message: ConfigRequest | ConfigState) -> None:
+        """Take a message of a peer."""
+        match message:
+            case ConfigRequest():
+                if self.revision > message.revision:
+                    self._send(host, self._state_message())
+            case ConfigState():
+                self._restore(host, message)
+
+    def _ask_anyone(self) -> None:
+        hosts = [host for host in self._peers() if host != self._host]
+        if hosts:
+            self._ask(self._rng.choice(hosts))
+
+    def _ask(self, host: str) -> None:
+        # Every ping of a fleet that is ahead would otherwise fetch the same state.
+        now = monotonic()
+        if now - self._asked_at < _ASK_INTERVAL_S:
+            return
+        self._asked_at = now
+        revision = self.revision if self.fold.complete else -1
+        self._send(host, ConfigRequest(revision))
+
+    def _state_message(self) -> ConfigState:
+        fold = self.fold
+        if self._document is None or self._document.offset != fold.offset:
+            document = json.dumps(fold.snapshot(self._host), separators=(",", ":"))
+            self._document = ConfigState(self.revision, fold.offset, document)
+        return self._document
+
+    def _restore(self, host: str, message: ConfigState) -> None:
+        try:
+            newer = self.fold.restore(message.document)
+        except ExceptionGroup as exc:
+            newer = False
+            log(Event.INTERNAL, error=f"state of {host}: {exc.exceptions[0]}")
+        if newer:
+            log(Event.CONFIG_ADOPTED, revision=self.revision, source=host)
+            self._give()
+        elif message.revision > self.revision:
+            self._unreadable = message.revision
+
+    def _give(self) -> None:
+        if self.revision > self._given:
+            self._given = self.revision
+            self._on_config(self.config)
+
+    def _read(self) -> None:
+        if not self._live:
+            return
+        if self.fold.halted:
+            self._later(self._poll_s)
+            return
+        wait_s = self._wait_s if self._roles().reader else 0.0
+        self._asked_from = self.fold.next_offset
+        self._log.read(STREAM, self._asked_from, wait_s, self._on_read)
+
+    def _later(self, delay_s: float) -> None:
+        self._timers.after(delay_s, self._read)
+
+    def _on_read(self, result: Records | Lapsed | LogFailure) -> None:
+        if not self._live:
+            return
+        match result:
+            case LogFailure():
+                self._on_failure(result)
+            case Lapsed():
+                self._on_answer()
+                self._on_lapsed(result)
+            case Records():
+                self._on_answer()
+                self._on_records(result)
+
+    def _on_failure(self, failure: LogFailure) -> None:
+        if not self._failures:
+            self._outage_start = monotonic()
+            log(Event.LOG_OUTAGE, stream=STREAM, error=failure.message)
+        self._failures += 1
+        if not self.revision:
+            self._ask_anyone()
+        longest = min(_FIRST_BACKOFF_S * 2**self._failures, _LONGEST_BACKOFF_S)
+        delay = longest * self._rng.uniform(0.5, 1.0)
+        self._later(max(delay, failure.retry_after_s or 0.0))
+
+    def _on_answer(self) -> None:
+        if self._failures:
+            seconds = monotonic() - self._outage_start
+            log(Event.LOG_BACK, stream=STREAM, seconds=seconds)
+        self._failures = 0
+
+    def _on_lapsed(self, lapsed: Lapsed) -> None:
+        self._snapshots.first_offset = lapsed.first_offset
+        self._skip_to(lapsed.first_offset)
+        self._later(_PAUSE_S)
+
+    def _skip_to(self, first_offset: int) -> None:
+        """Pass over lost records, unless a peer has brought their outcome."""
+        offset = self.fold.next_offset
+        if first_offset > offset:
+            log(Event.CONFIG_LAPSED, offset=offset, first_offset=first_offset)
+            self.fold.skip_to(first_offset)
+            self._ask_anyone()
+
+    def _on_records(self, result: Records) -> None:
+        self._snapshots.first_offset = result.first_offset
+        # Compared with what was asked: a peer may have brought a later state since.
+        if result.next_offset < self._asked_from:
+            self._on_shorter(result.next_offset)
+            return
+        self._shorter = False
+        if result.records:
+            self._skip_to(result.records[0].offset)
+        for record in result.records:
+            if record.offset > self.fold.next_offset or self.fold.halted:
+                # The fold went back to the records after a snapshot, or cannot go on.
+                break
+            self._apply(record)
+        self._give()
+        self._schedule(result)
+
+    def _on_shorter(self, next_offset: int) -> None:
+        # Another log, or one that was emptied: its records speak of revisions that
+        # never were, so the configuration in force stays.
+        if not self._shorter:
+            log(Event.LOG_SHORTER, next_offset=next_offset, known=self._asked_from)
+        self._shorter = True
+        self._later(self._poll_s)
+
+    def _schedule(self, result: Records) -> None:
+        if self.fold.next_offset < result.next_offset:
+            self._later(0.0 if result.records else _PAUSE_S)
+        elif self._roles().reader:
+            self._later(_PAUSE_S)
+        else:
+            self._later(self._poll_s * self._rng.uniform(0.7, 1.0))
+
+    def _apply(self, record: LogRecord) -> None:
+        outcome = self.fold.apply(record.offset, record.record)
+        self._snapshots.note(record, outcome)
+        author = ""
+        if isinstance(record.record, dict):
+            author = str(record.record.get("author", ""))[:128]
+        log_outcome(record.offset, author, outcome)
+
+    def _check_snapshot(self) -> None:
+        fold = self.fold
+        able = self._live and self.revision and fold.complete and not fold.halted
+        if able and self._snapshots.due(time()) and self._roles().writer:
+            records = [fold.snapshot(self._host)]
+            self._log.append(STREAM, records, self._on_append)
+
+    def _on_append(self, result: Appended | LogFailure) -> None:
+        if isinstance(result, Appended):
+            log(
+                Event.SNAPSHOT_WRITTEN,
+                revision=self.revision,
+                offset=result.first_offset,
+            )
--- a/greengageflow/schema.py
+++ b/greengageflow/schema.py
@@ -118,8 +118,8 @@
 
     Args:
         revision: Revision of the state.
-        through_offset: Offset of the last record folded into it.
-        config_offset: Offset of the record that made the configuration.
+        through_offset: Offset of the last record folded into it, -1 for none.
+        config_offset: Offset of the record that made the configuration, or -1.
         highest: Highest schema that may be published.
         schema: Schema of ``form``.
         form: The configuration as checked by its schema.
@@ -204,8 +204,8 @@
         case RecordKind.SNAPSHOT:
             own = {
                 "revision": required(_whole(0)),
-                "through_offset": required(_whole(0)),
-                "config_offset": required(integer(-1, HIGHEST_NUMBER)),
+                "through_offset": required(_whole(-1)),
+                "config_offset": required(_whole(-1)),
                 "highest": required(_whole(1)),
                 "author": optional(string(), ""),
                 "config": required(schema.check),
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -18,7 +18,6 @@
     name,
     number,
     optional,
-    parse_json,
     record,
     refine,
     required,
@@ -26,9 +25,10 @@
     sequence,
     string,
 )
+from greengageflow._json_text import parse_json
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-_LONGEST_S = 3600.0
+_LONGEST_S = 86_400.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +60,8 @@
         log_wait_s: Long-poll of the log.
         log_timeout_s: Wait for an answer of the log, beyond a long-poll.
         config_poll_s: Fallback poll of routers that learn from their peers.
+        snapshot_interval_s: Between two snapshots of the configuration in the log;
+            well below half of its retention.
         connect_timeout_s: Wait for a connection to an endpoint.
         keep_alive_s: Idle time after which a connection is closed.
         stop_timeout_s: Longest time that a planned stop waits for requests.
@@ -72,6 +74,7 @@
     log_wait_s: float = 1.0
     log_timeout_s: float = 2.0
     config_poll_s: float = 10.0
+    snapshot_interval_s: float = 600.0
     connect_timeout_s: float = 1.0
     keep_alive_s: float = 30.0
     stop_timeout_s: float = 120.0
