--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -3,6 +3,7 @@
 import json
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from time import time
 
 import fire
@@ -217,10 +218,7 @@
 def _span_writer(trace_file: str | None) -> Callable[[str], None] | None:
     if trace_file is None:
         return None
-    if trace_file == "-":
-        out = sys.stdout
-    else:
-        out = open(trace_file, "a")  # noqa: SIM115 (stays open as long as it runs)
+    out = sys.stdout if trace_file == "-" else Path(trace_file).open("a")  # noqa: SIM115
 
     def write(line: str) -> None:
         print(line, file=out, flush=True)
