--- a/greengageflow/_config_watch.py
+++ b/greengageflow/_config_watch.py
@@ -1,6 +1,7 @@
-"""What a follower notes of the records that it folds."""
+"""What a follower reads from, and what it notes of the records."""
 
-from time import time
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
 
 from greengageflow.decisions import (
     Accepted,
@@ -14,6 +15,18 @@
 from greengageflow.log_client import LogRecord
 
 
+class ConfigLog(Protocol):
+    """The part of the log client that the follower uses."""
+
+    def read(
+        self, stream: str, from_offset: int, wait_s: float, on_done: Callable
+    ) -> None:
+        """Call ``on_done`` with ``Records``, ``Lapsed`` or ``LogFailure``."""
+
+    def append(self, stream: str, records: Sequence[Any], on_done: Callable) -> None:
+        """Call ``on_done`` with ``Appended`` or ``LogFailure``."""
+
+
 class SnapshotClock:
     """Knows when the state must be appended again.
 
@@ -21,12 +34,13 @@
 
     Args:
         interval_s: Time after which a snapshot is old, in seconds.
+        start: Unix time from which the first one is due.
     """
 
-    def __init__(self, interval_s: float) -> None:
+    def __init__(self, interval_s: float, start: float) -> None:
         self.first_offset = 0
         self._interval_s = interval_s
-        self._time = time()
+        self._time = start
         self._offset = -1
 
     def note(self, record: LogRecord, outcome: Outcome) -> None:
--- a/greengageflow/config_follower.py
+++ b/greengageflow/config_follower.py
@@ -2,11 +2,12 @@
 
 import json
 from collections.abc import Callable, Sequence
+from math import inf
 from random import Random
 from time import monotonic, time
-from typing import Any, Protocol
+from typing import Any
 
-from greengageflow._config_watch import SnapshotClock, log_outcome
+from greengageflow._config_watch import ConfigLog, SnapshotClock, log_outcome
 from greengageflow.catalog import FleetConfig
 from greengageflow.config_roles import Roles
 from greengageflow.events import Event, log
@@ -21,18 +22,8 @@
 _SNAPSHOT_CHECK_S = 5.0
 _FIRST_BACKOFF_S = 0.2
 _LONGEST_BACKOFF_S = 5.0
-
-
-class ConfigLog(Protocol):
-    """The part of the log client that the follower uses."""
-
-    def read(
-        self, stream: str, from_offset: int, wait_s: float, on_done: Callable
-    ) -> None:
-        """Call ``on_done`` with ``Records``, ``Lapsed`` or ``LogFailure``."""
-
-    def append(self, stream: str, records: Sequence[Any], on_done: Callable) -> None:
-        """Call ``on_done`` with ``Appended`` or ``LogFailure``."""
+_MISSING_RECORDS = -1
+"""Revision in a ``ConfigRequest`` of a router that any complete state helps."""
 
 
 class ConfigFollower:
@@ -56,6 +47,9 @@
         snapshot_interval_s: Time after which the state is appended again, in
             seconds; well below half of the log's retention.
         rng: Source of jitter.
+        now: Monotonic clock, in seconds.
+        wall: Unix clock, in seconds; compared with the log's times only to tell
+            when a snapshot is due.
     """
 
     def __init__(
@@ -73,6 +67,8 @@
         poll_s: float = 10.0,
         snapshot_interval_s: float = 600.0,
         rng: Random | None = None,
+        now: Callable[[], float] = monotonic,
+        wall: Callable[[], float] = time,
     ) -> None:
         self.fold = fold or Fold()
         self._host = host
@@ -85,12 +81,14 @@
         self._wait_s = wait_s
         self._poll_s = poll_s
         self._rng = rng or Random()
-        self._snapshots = SnapshotClock(snapshot_interval_s)
+        self._now = now
+        self._wall = wall
+        self._snapshots = SnapshotClock(snapshot_interval_s, wall())
         self._live = False
         self._given = 0
         self._failures = 0
         self._outage_start = 0.0
-        self._asked_at = -_ASK_INTERVAL_S
+        self._asked_at = -inf
         self._unreadable = 0
         self._document: ConfigState | None = None
         self._asked_from = 0
@@ -117,10 +115,16 @@
             "highest_schema": self.fold.state.highest,
             "complete": self.fold.complete,
             "halted": self.fold.halted,
-            "log": "down" if self._failures else "up",
+            "log": self._log_state,
             "reader": self._roles().reader,
         }
 
+    @property
+    def _log_state(self) -> str:
+        if self._failures:
+            return "down"
+        return "shorter" if self._shorter else "up"
+
     def start(self) -> None:
         """Ask peers and begin to read."""
         self._live = True
@@ -138,15 +142,16 @@
 
     def peer_revision(self, host: str, revision: int) -> None:
         """Take note of the revision that a peer has in force."""
-        newer = revision > max(self.revision, self._unreadable)
-        if newer and not self.fold.halted:
+        if revision > max(self.revision, self._unreadable):
             self._ask(host)
 
     def received(self, host: str, message: ConfigRequest | ConfigState) -> None:
         """Take a message of a peer."""
         match message:
-            case ConfigRequest():
-                if self.revision > message.revision:
+            case ConfigRequest(revision):
+                # One that misses records is not helped by another that does.
+                missing = revision == _MISSING_RECORDS and not self.fold.complete
+                if self.revision > revision and not missing:
                     self._send(host, self._state_message())
             case ConfigState():
                 self._restore(host, message)
@@ -158,12 +163,12 @@
 
     def _ask(self, host: str) -> None:
         # Every ping of a fleet that is ahead would otherwise fetch the same state.
-        now = monotonic()
+        now = self._now()
         if now - self._asked_at < _ASK_INTERVAL_S:
             return
         self._asked_at = now
-        revision = self.revision if self.fold.complete else -1
-        self._send(host, ConfigRequest(revision))
+        missing = self.revision and not self.fold.complete
+        self._send(host, ConfigRequest(_MISSING_RECORDS if missing else self.revision))
 
     def _state_message(self) -> ConfigState:
         fold = self.fold
@@ -217,18 +222,16 @@
 
     def _on_failure(self, failure: LogFailure) -> None:
         if not self._failures:
-            self._outage_start = monotonic()
+            self._outage_start = self._now()
             log(Event.LOG_OUTAGE, stream=STREAM, error=failure.message)
         self._failures += 1
-        if not self.revision:
-            self._ask_anyone()
         longest = min(_FIRST_BACKOFF_S * 2**self._failures, _LONGEST_BACKOFF_S)
         delay = longest * self._rng.uniform(0.5, 1.0)
         self._later(max(delay, failure.retry_after_s or 0.0))
 
     def _on_answer(self) -> None:
         if self._failures:
-            seconds = monotonic() - self._outage_start
+            seconds = self._now() - self._outage_start
             log(Event.LOG_BACK, stream=STREAM, seconds=seconds)
         self._failures = 0
 
@@ -260,6 +263,8 @@
                 break
             self._apply(record)
         self._give()
+        if not self.fold.complete:
+            self._ask_anyone()
         self._schedule(result)
 
     def _on_shorter(self, next_offset: int) -> None:
@@ -289,7 +294,7 @@
     def _check_snapshot(self) -> None:
         fold = self.fold
         able = self._live and self.revision and fold.complete and not fold.halted
-        if able and self._snapshots.due(time()) and self._roles().writer:
+        if able and self._snapshots.due(self._wall()) and self._roles().writer:
             records = [fold.snapshot(self._host)]
             self._log.append(STREAM, records, self._on_append)
 
