--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -64,6 +64,8 @@
             well below half of its retention.
         connect_timeout_s: Wait for a connection to an endpoint.
         keep_alive_s: Idle time after which a connection is closed.
+        stop_grace_s: Time for the balancer to see the router unhealthy, before a
+            planned stop refuses new requests.
         stop_timeout_s: Longest time that a planned stop waits for requests.
     """
 
@@ -77,6 +79,7 @@
     snapshot_interval_s: float = 600.0
     connect_timeout_s: float = 1.0
     keep_alive_s: float = 30.0
+    stop_grace_s: float = 2.0
     stop_timeout_s: float = 120.0
 
 
