Load client: seeded open and closed loops of chats and service calls, and a check

Demo and benches need requests of many accounts at several routers, and a word on whether each caller got its whole answer. The check compares text byte for byte with what the engines recorded, and finds requests that ran though they were refused as not run, and keys that took effect twice. h11 over selectors rather than circuits: the client stands outside of the system, and its loop must not share a fault with what it measures.

--- /dev/null
+++ b/greengageflow/_load_conn.py
@@ -0,0 +1,166 @@
+"""One HTTP/1.1 connection of the load client, by h11 over ``selectors``."""
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from selectors import EVENT_READ, EVENT_WRITE, BaseSelector
+from time import monotonic
+
+import h11
+
+CHUNK = 65_536
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """One HTTP request to send."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """What came back so far; times are monotonic seconds.
+
+    Args:
+        sent: When the request was handed to the socket.
+        times: When each part of the body came.
+        at_end: When it ended or failed.
+        ended: Whether the answer is whole as far as HTTP can tell.
+        failed: Why the connection failed, or empty.
+    """
+
+    sent: float
+    status: int | None = None
+    headers: dict[str, str] = field(default_factory=dict)
+    parts: list[bytes] = field(default_factory=list)
+    times: list[float] = field(default_factory=list)
+    at_end: float = 0.0
+    ended: bool = False
+    failed: str = ""
+
+    @property
+    def data(self) -> bytes:
+        """The body so far."""
+        return b"".join(self.parts)
+
+
+class LoadConnection:
+    """A connection that carries one exchange at a time.
+
+    Args:
+        selector: Selector of the client's loop; the data of a key is called.
+        address: Router to connect to.
+
+    Attributes:
+        usable: Whether another exchange can follow.
+        exchange: The one under way, or None.
+    """
+
+    def __init__(self, selector: BaseSelector, address: Address) -> None:
+        self.address = address
+        self.usable = True
+        self._selector = selector
+        self._http = h11.Connection(h11.CLIENT)
+        self.exchange: Exchange | None = None
+        self._done: Callable[[Exchange], None] | None = None
+        self._out = b""
+        self._sock = socket.socket()
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # A refusal shows as an error of the first write or read.
+        self._sock.connect_ex(address)
+        selector.register(self._sock, EVENT_READ, self._on_ready)
+
+    def send(self, call: HttpCall, done: Callable[[Exchange], None]) -> Exchange:
+        """Start an exchange; ``done`` is called once, at its end or failure."""
+        self.exchange = Exchange(monotonic())
+        self._done = done
+        headers = [("Host", f"{self.address[0]}:{self.address[1]}"), *call.headers]
+        headers.append(("Content-Length", str(len(call.body))))
+        request = h11.Request(method=call.method, target=call.path, headers=headers)
+        parts = [request, h11.Data(data=call.body), h11.EndOfMessage()]
+        self._out = b"".join(map(self._http.send, parts))
+        self._selector.modify(self._sock, EVENT_READ | EVENT_WRITE, self._on_ready)
+        return self.exchange
+
+    def close(self, why: str = "") -> None:
+        """Close; an exchange under way fails with ``why``."""
+        if not self.usable:
+            return
+        self.usable = False
+        with suppress(KeyError):
+            self._selector.unregister(self._sock)
+        self._sock.close()
+        if self.exchange is not None:
+            self.exchange.failed = why
+            self._finish()
+
+    def _finish(self) -> None:
+        exchange, self.exchange = self.exchange, None
+        exchange.at_end = monotonic()
+        self._done(exchange)
+
+    def _on_ready(self, mask: int) -> None:
+        try:
+            if mask & EVENT_WRITE:
+                self._write()
+            if mask & EVENT_READ:
+                self._read()
+        except BlockingIOError:
+            return
+        except (OSError, h11.RemoteProtocolError) as exc:
+            self.close(type(exc).__name__)
+
+    def _write(self) -> None:
+        self._out = self._out[self._sock.send(self._out) :]
+        if not self._out:
+            self._selector.modify(self._sock, EVENT_READ, self._on_ready)
+
+    def _read(self) -> None:
+        data = self._sock.recv(CHUNK)
+        if self.exchange is None:
+            # An idle connection has nothing to read but its end.
+            self.close()
+            return
+        self._http.receive_data(data)
+        while self.exchange is not None and self._take(self._http.next_event()):
+            pass
+        if not data:
+            self.close("closed early")
+
+    def _take(self, event: object) -> bool:
+        exchange = self.exchange
+        match event:
+            case h11.Response():
+                exchange.status = event.status_code
+                exchange.headers = {
+                    name.decode(): value.decode("latin-1")
+                    for name, value in event.headers
+                }
+            case h11.Data():
+                exchange.parts.append(bytes(event.data))
+                exchange.times.append(monotonic())
+            case h11.EndOfMessage():
+                exchange.ended = True
+                self._next_cycle()
+                self._finish()
+            case h11.InformationalResponse():
+                pass
+            case _:
+                return False
+        return True
+
+    def _next_cycle(self) -> None:
+        if self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            self._http.start_next_cycle()
+            return
+        self.usable = False
+        self._selector.unregister(self._sock)
+        self._sock.close()
--- /dev/null
+++ b/greengageflow/_load_result.py
@@ -0,0 +1,112 @@
+"""Reads what a caller of the load client got."""
+
+import json
+from collections.abc import Iterator
+from contextlib import suppress
+from dataclasses import dataclass
+
+from greengageflow._load_conn import Exchange
+from greengageflow._load_jobs import CHAT, Job
+from greengageflow.load_plan import CONNECTION, ChatLoad, Result
+
+DONE = "[DONE]"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What the body of an answer says; see ``load_plan.Result``."""
+
+    text: str = ""
+    complete: bool = False
+    error: str = ""
+    ran: str = ""
+
+
+def _json(data: bytes | str) -> dict:
+    with suppress(ValueError):
+        value = json.loads(data)
+        if isinstance(value, dict):
+            return value
+    return {}
+
+
+def _refusal(value: dict, text: str = "") -> Answer:
+    error = value.get("error")
+    if not isinstance(error, dict):
+        return Answer(text, error="unreadable")
+    return Answer(text, False, str(error.get("kind", "")), str(error.get("ran", "")))
+
+
+def _sse(data: bytes) -> Iterator[str]:
+    # The last one may be broken off, so it only counts with its blank line.
+    for line in data.split(b"\n\n")[:-1]:
+        if line.startswith(b"data:"):
+            yield line[len(b"data:") :].strip().decode(errors="replace")
+
+
+def _streamed(data: bytes) -> Answer:
+    texts: list[str] = []
+    finished = False
+    for line in _sse(data):
+        if line == DONE:
+            return Answer("".join(texts), finished)
+        value = _json(line)
+        if "error" in value:
+            return _refusal(value, "".join(texts))
+        for choice in value.get("choices", ()):
+            texts.append(choice.get("delta", {}).get("content") or "")
+            finished = finished or choice.get("finish_reason") is not None
+    return Answer("".join(texts))
+
+
+def _whole(data: bytes) -> Answer:
+    for choice in _json(data).get("choices", ()):
+        text = choice.get("message", {}).get("content") or ""
+        return Answer(text, choice.get("finish_reason") is not None)
+    return Answer()
+
+
+def _answer(job: Job, exchange: Exchange) -> Answer:
+    data = exchange.data
+    match job.load:
+        case _ if exchange.status is not None and exchange.status >= 300:
+            return _refusal(_json(data))
+        case ChatLoad(stream=True):
+            return _streamed(data)
+        case ChatLoad():
+            return _whole(data)
+    return Answer(data.decode(errors="replace"), exchange.ended)
+
+
+def result_of(job: Job, exchange: Exchange, due: float, unix: float) -> Result:
+    """Return the result of one request.
+
+    Args:
+        job: What was sent.
+        exchange: What came back; its times are monotonic.
+        due: When the plan wanted it sent (monotonic).
+        unix: What turns a monotonic time into unix seconds.
+    """
+    answer = _answer(job, exchange)
+    error = answer.error
+    if not error and not (exchange.ended and answer.complete):
+        error = CONNECTION
+    times = tuple(unix + one for one in exchange.times)
+    return Result(
+        account=job.load.account,
+        router=job.router,
+        kind=job.kind,
+        request_id=exchange.headers.get("x-request-id", ""),
+        key=job.key,
+        tokens=job.tokens,
+        due=unix + due,
+        sent=unix + exchange.sent,
+        first=times[0] if times else None,
+        end=unix + exchange.at_end,
+        status=exchange.status,
+        error=error,
+        ran=answer.ran,
+        text=answer.text,
+        complete=not error,
+        times=times if job.kind == CHAT else (),
+    )
--- /dev/null
+++ b/greengageflow/load.py
@@ -0,0 +1,150 @@
+"""Load client of the demo and the benches.
+
+One loop on one thread sends what a plan says to several routers. Open loop: Poisson
+arrivals, whatever is under way. Closed loop: a number of requests outstanding.
+"""
+
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from selectors import DefaultSelector
+from time import monotonic, time
+
+from greengageflow._load_conn import Address, Exchange, LoadConnection
+from greengageflow._load_jobs import Job, jobs_of
+from greengageflow._load_result import result_of
+from greengageflow.load_plan import ChatLoad, Load, LoadPlan, Result, ServiceLoad
+
+
+class LoadClient:
+    """Runs a plan.
+
+    Example:
+        >>> results = LoadClient(plan).run()
+        >>> verify(results, executions).faults
+        ()
+
+    Args:
+        plan: What to send.
+    """
+
+    def __init__(self, plan: LoadPlan) -> None:
+        self._plan = plan
+        self._selector = DefaultSelector()
+        self._agenda: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._idle: dict[Address, list[LoadConnection]] = defaultdict(list)
+        self._open = 0
+        self._deadlines: deque[tuple[float, LoadConnection, Exchange]] = deque()
+        self._results: list[Result] = []
+        self._start = monotonic()
+        self._unix = time() - monotonic()
+
+    def run(
+        self, events: Iterable[tuple[float, Callable[[], None]]] = ()
+    ) -> list[Result]:
+        """Send everything, wait for the answers, return them as they ended.
+
+        Args:
+            events: (seconds from the start, call) of what else should happen; a
+                call holds the loop up while it runs.
+        """
+        self._start = monotonic()
+        for delay_s, event in events:
+            self._at(self._start + delay_s, event)
+        for number, load in enumerate(self._plan.loads):
+            self._plan_load(load, Random(f"{self._plan.seed}/{number}/{load.account}"))
+        while self._open or self._agenda:
+            self._turn()
+        for conns in self._idle.values():
+            for conn in conns:
+                conn.close()
+        return self._results
+
+    def _at(self, when: float, call: Callable[[], None]) -> None:
+        heappush(self._agenda, (when, next(self._order), call))
+
+    def _turn(self) -> None:
+        for key, mask in self._selector.select(self._pause()):
+            # An earlier one of this round may have closed this one.
+            if key.fileobj.fileno() >= 0:
+                key.data(mask)
+        now = monotonic()
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, conn, exchange = self._deadlines.popleft()
+            if conn.exchange is exchange:
+                conn.close("timeout")
+        while self._agenda and self._agenda[0][0] <= monotonic():
+            heappop(self._agenda)[2]()
+
+    def _pause(self) -> float | None:
+        while (
+            self._deadlines
+            and self._deadlines[0][1].exchange is not (self._deadlines[0][2])
+        ):
+            self._deadlines.popleft()
+        dues = [queue[0][0] for queue in (self._agenda, self._deadlines) if queue]
+        return max(0.0, min(dues) - monotonic()) if dues else None
+
+    def _stop(self, load: Load) -> float:
+        stop_s = self._plan.duration_s if load.stop_s is None else load.stop_s
+        return self._start + min(stop_s, self._plan.duration_s)
+
+    def _plan_load(self, load: ChatLoad | ServiceLoad, random: Random) -> None:
+        jobs = jobs_of(self._plan, load, random)
+        start = self._start + load.start_s
+        for _ in range(load.outstanding):
+            self._at(start, partial(self._send_next, load, jobs, start))
+        if load.rate_per_s > 0:
+            # Arrivals have a generator of their own, so that the answers' order
+            # cannot change them.
+            self._arrive(load, jobs, Random(random.getrandbits(64)), start)
+
+    def _arrive(
+        self, load: Load, jobs: Iterator[Job], random: Random, last: float
+    ) -> None:
+        due = last + random.expovariate(load.rate_per_s)
+        if due < self._stop(load):
+            self._at(due, partial(self._arrived, load, jobs, random, due))
+
+    def _arrived(
+        self, load: Load, jobs: Iterator[Job], random: Random, due: float
+    ) -> None:
+        self._send(next(jobs), due, lambda _result: None)
+        self._arrive(load, jobs, random, due)
+
+    def _send_next(self, load: Load, jobs: Iterator[Job], due: float) -> None:
+        if due < self._stop(load):
+            self._send(next(jobs), due, partial(self._answered, load, jobs))
+
+    def _answered(self, load: Load, jobs: Iterator[Job], result: Result) -> None:
+        pause_s = 0.0 if result.complete else self._plan.backoff_s
+        due = monotonic() + pause_s
+        self._at(due, partial(self._send_next, load, jobs, due))
+
+    def _send(self, job: Job, due: float, then: Callable[[Result], None]) -> None:
+        idle = [one for one in self._idle[job.router] if one.usable]
+        conn = idle.pop() if idle else LoadConnection(self._selector, job.router)
+        self._idle[job.router] = idle
+        self._open += 1
+        exchange = conn.send(job.call, partial(self._ended, conn, job, due, then))
+        # All wait equally long, so the first to expire is the first sent.
+        self._deadlines.append((exchange.sent + self._plan.timeout_s, conn, exchange))
+
+    def _ended(
+        self,
+        conn: LoadConnection,
+        job: Job,
+        due: float,
+        then: Callable[[Result], None],
+        exchange: Exchange,
+    ) -> None:
+        self._open -= 1
+        if conn.usable:
+            self._idle[job.router].append(conn)
+        result = result_of(job, exchange, due, self._unix)
+        self._results.append(result)
+        then(result)
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,103 @@
+from contextlib import ExitStack
+from dataclasses import replace
+
+import pytest
+
+from greengageflow.load import LoadClient
+from greengageflow.load_check import verify
+from greengageflow.load_plan import ChatLoad, LoadPlan, ServiceLoad
+from tests.support import fault_proxy, standin
+
+
+@pytest.fixture
+def engine():
+    with standin("engine", base_pace_s=0.001) as engine:
+        yield engine
+
+
+def executions(engine):
+    return engine.call("GET", "/executions").json["executions"]
+
+
+def chat_plan(*routers, **options):
+    options = {"account": "a", "key": "k", "model": "m", "median_tokens": 20, **options}
+    load = ChatLoad(**options)
+    return LoadPlan(routers=routers, loads=(load,), duration_s=0.5, timeout_s=20)
+
+
+def with_ids(results, done):
+    """Engines send no X-Request-Id, which a router adds: go by the text."""
+    ids = {one["text"]: one["request_id"] for one in done}
+    return [replace(one, request_id=ids.get(one.text, "?")) for one in results]
+
+
+@pytest.mark.parametrize("stream", [True, False])
+@pytest.mark.parametrize("loop", [{"outstanding": 4}, {"rate_per_s": 40.0}])
+def test_answers_are_whole_and_as_long_as_planned(engine, stream, loop):
+    results = LoadClient(chat_plan(engine.address, stream=stream, **loop)).run()
+    done = executions(engine)
+    assert len(results) == len(done) > 4
+    assert sorted(one.tokens for one in results) == sorted(
+        one["pieces"] for one in done
+    )
+    verdict = verify(with_ids(results, done), done)
+    assert (verdict.complete, verdict.faults) == (len(results), ())
+
+
+def test_arrivals_depend_on_the_seed_alone(engine):
+    plan = chat_plan(engine.address, rate_per_s=40.0)
+    runs = [LoadClient(plan).run() for _ in range(2)]
+    sent = [sorted(one.tokens for one in run) for run in runs]
+    assert sent[0] == sent[1]
+
+
+def test_verify_finds_broken_promises(engine):
+    """Each answer is altered as a broken router would: the verdict names them.
+
+    A piece of another's text, a whole answer that lacks its end, and a request
+    that is refused as not run though it ran.
+    """
+    done = executions(engine)
+    results = LoadClient(chat_plan(engine.address, outstanding=3)).run()
+    done = executions(engine)
+    one, two, three = with_ids(results, done)[:3]
+    altered = [
+        replace(one, text=one.text + two.text),
+        replace(two, text=two.text[:-1]),
+        replace(three, text="", complete=False, ran="no"),
+    ]
+    verdict = verify(altered, done)
+    assert verdict.wrong == (one.request_id, two.request_id)
+    assert verdict.ran == (three.request_id,)
+    twice = [{"request_id": "x", "key": "k", "number": one} for one in (0, 1)]
+    assert verify([], [], twice).doubled == ("k",)
+
+
+def test_a_cut_stream_is_not_complete(engine):
+    """The caller's stream breaks off after three pieces; the text is kept."""
+    engine.fault(cut_after=3, cut_times=1000)
+    results = LoadClient(chat_plan(engine.address, outstanding=1, sigma=0)).run()
+    assert results
+    assert {one.complete for one in results} == {False}
+    assert {one.error for one in results} == {"connection"}
+    done = executions(engine)
+    assert all(one.text for one in results)
+    assert results[0].text == done[0]["text"][: len(results[0].text)]
+
+
+def test_a_caller_waits_no_longer_than_its_timeout():
+    """The routers accept and never answer; the run still ends."""
+    with ExitStack() as stack:
+        service = stack.enter_context(standin("service"))
+        proxy = stack.enter_context(fault_proxy())
+        address = proxy.route("service", service.address)
+        proxy.rules({"do": "half_open"})
+        load = ServiceLoad(
+            account="a", key="k", service="s", path="pay", outstanding=2, protected=True
+        )
+        plan = LoadPlan(
+            routers=(address,), loads=(load,), duration_s=0.1, timeout_s=0.5
+        )
+        results = LoadClient(plan).run()
+        assert [(one.status, one.complete) for one in results] == [(None, False)] * 2
+        assert len({one.key for one in results}) == 2
