--- /dev/null
+++ b/greengageflow/measures.py
@@ -0,0 +1,95 @@
+"""Fairness gap and utilisation of a run, from what callers and engines saw."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from math import ceil
+from statistics import fmean
+
+from greengageflow.load_plan import Result
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """A span of unix time, in seconds."""
+
+    start: float
+    end: float
+
+    @property
+    def seconds(self) -> float:
+        """Length."""
+        return self.end - self.start
+
+
+def fairness_gap(
+    results: Iterable[Result], weights: Mapping[str, float], window: Window
+) -> float:
+    """Return the largest gap of weighted service between any two accounts.
+
+    Args:
+        results: What the callers got; each part of an answer counts as one token
+            at the time it came.
+        weights: Weight of each account that was backlogged throughout.
+        window: Span over which service is counted, from zero at its start.
+
+    Returns:
+        Largest |W_i/w_i - W_j/w_j| at any time, in tokens.
+    """
+    moments = sorted(
+        (time, result.account)
+        for result in results
+        if result.account in weights
+        for time in result.times
+        if window.start <= time < window.end
+    )
+    served = dict.fromkeys(weights, 0.0)
+    worst = 0.0
+    for _, account in moments:
+        served[account] += 1.0 / weights[account]
+        worst = max(worst, max(served.values()) - min(served.values()))
+    return worst
+
+
+def utilisation(
+    executions: Iterable[Mapping[str, object]], slots: int, window: Window
+) -> float:
+    """Return the share of slot time that was in use in ``window``.
+
+    Args:
+        executions: ``GET /executions`` of all engines.
+        slots: Slots of all engines together.
+        window: Span in which work waited all the time.
+    """
+    busy = sum(_overlap(one, window) for one in executions)
+    return busy / (slots * window.seconds)
+
+
+def _overlap(execution: Mapping[str, object], window: Window) -> float:
+    started = execution["started"]
+    if started is None:
+        return 0.0
+    ended = execution["ended"] or window.end
+    return max(0.0, min(ended, window.end) - max(started, window.start))
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    """Return the nearest-rank percentile; 0 of nothing."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[max(0, ceil(share * len(ordered)) - 1)]
+
+
+def waits(results: Iterable[Result], account: str) -> list[float]:
+    """Return the seconds from due time to first part of an account's answers."""
+    return [
+        result.first - result.due
+        for result in results
+        if result.account == account and result.complete and result.first is not None
+    ]
+
+
+def mean(values: Iterable[float]) -> float:
+    """Return the mean; 0 of nothing."""
+    values = list(values)
+    return fmean(values) if values else 0.0
