Stand-ins: an outage of the log cuts its long polls; engine split further

A reader that waited when the log went down got an empty page at its time's end and took the log for well.

--- a/greengageflow/_engine_batch.py
+++ b/greengageflow/_engine_batch.py
@@ -207,18 +207,31 @@
     )
 
 
-def answer_length(
-    body: dict, request_id: str, seed: int, median: float, sigma: float
-) -> tuple[int, str]:
-    """Return an answer's tokens and finish reason.
+@dataclass(frozen=True, slots=True)
+class Lengths:
+    """Lognormal answer lengths, drawn from a seed and the request id.
 
-    ``x_tokens`` gives the count; else it is lognormal, drawn from the seed and the
-    request id, and bounded by ``max_tokens``.
+    Args:
+        seed: Seed of the engine.
+        median: Median length in tokens.
+        sigma: Spread of the lengths.
     """
-    if "x_tokens" in body:
-        return max(1, int(body["x_tokens"])), "stop"
-    drawn = Random(f"{seed}/{request_id}").lognormvariate(log(median), sigma)
-    most = body.get("max_tokens")
-    if most is not None and drawn > most:
-        return max(1, int(most)), "length"
-    return max(1, int(drawn)), "stop"
+
+    seed: int
+    median: float
+    sigma: float
+
+    def draw(self, body: dict, request_id: str) -> tuple[int, str]:
+        """Return an answer's tokens and finish reason.
+
+        ``x_tokens`` of the request gives the count; else it is drawn and bounded by
+        ``max_tokens``.
+        """
+        if "x_tokens" in body:
+            return max(1, int(body["x_tokens"])), "stop"
+        random = Random(f"{self.seed}/{request_id}")
+        drawn = random.lognormvariate(log(self.median), self.sigma)
+        most = body.get("max_tokens")
+        if most is not None and drawn > most:
+            return max(1, int(most)), "length"
+        return max(1, int(drawn)), "stop"
--- a/greengageflow/_standin_http.py
+++ b/greengageflow/_standin_http.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Callable, Mapping
 from dataclasses import asdict, dataclass, field, replace
+from math import isfinite
 from socket import socket
 from urllib.parse import parse_qs
 
@@ -87,9 +88,12 @@
         """
         text = parse_qs(self.req.qs or "").get(name, [str(default)])[0]
         try:
-            return float(text)
+            value = float(text)
         except ValueError as exc:
             raise BadCallError(f"{name} is no number") from exc
+        if not isfinite(value) or value < 0:
+            raise BadCallError(f"{name} is out of range")
+        return value
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/standin_log.py
+++ b/greengageflow/standin_log.py
@@ -126,6 +126,16 @@
         for stream in self._streams.values():
             stream.readers = [one for one in stream.readers if one.call.sock != sock]
 
+    def faults_changed(self) -> None:
+        """Cut the long polls when the log goes down."""
+        if not self.faults.down or self.faults.only == APPEND:
+            return
+        for stream in self._streams.values():
+            readers, stream.readers = stream.readers, []
+            for reader in readers:
+                reader.timeout.cancel()
+                self.cut(reader.call)
+
     def _admit(self) -> bool:
         now = monotonic()
         grown = self._tokens + (now - self._refilled) * self._rate
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -214,6 +214,18 @@
         assert (gone.status, gone.json["first_offset"]) == (410, 1)
 
 
+def test_log_that_goes_down_cuts_its_readers():
+    """The reader that waits sees its connection cut, not an empty page at the end."""
+    path = "/streams/s/records"
+    with standin("log") as log, ThreadPoolExecutor(1) as pool:
+        read = pool.submit(log.call, "GET", f"{path}?from=0&wait_s=600")
+        wait_for(lambda: log.call("GET", "/stats").json["reads"] == 1, "read")
+        log.fault(down=True)
+        with pytest.raises(RemoteDisconnected):
+            read.result()
+        assert log.call("GET", path).status == 503
+
+
 def test_weights_are_the_same_and_limited():
     with standin("weights", size=100, reads_per_s=0.01) as weights:
         assert len(weights.call("GET", "/weights/m/v1").data) == 100
