--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -8,6 +8,7 @@
 
 import fire
 from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import EPoll
 
 from greengageflow.callers import CallerServer, Limits
 from greengageflow.catalog import FleetConfig
@@ -52,6 +53,8 @@
         own = PeerId(settings.host, int(time() * 1000))
         self._own = own
         self._seeds = tuple(Seed(s.host, s.ip, s.port) for s in settings.seeds)
+        # Registered first, or each socket component would bring its own poller.
+        EPoll().register(self)
         self._timers = Timers().register(self)
         self._pool = HttpPool(self._timers, source_ip=settings.ip).register(self)
         self._log_client = LogClient(self._pool, settings.log.ip, settings.log.port)
