greengage-ctl: validate, publish, drain, history and the rest

Fire calls a command before it finds that arguments are left over, so that a mistyped flag would publish first and complain then; commands return a plan that runs once the whole line was understood.

An append whose answer is lost is looked for by its nonce and repeated under the same one. A late first copy is then accepted and the second one lost, since both replace the same revision.

--- a/greengageflow/_check.py
+++ b/greengageflow/_check.py
@@ -235,7 +235,8 @@
                 yield UnknownField(f"{prefix}{key}", ", ".join(fields))
                 found[""] = INVALID
         for key, field in fields.items():
-            if key in value:
+            unset = field.default is None and value.get(key, INVALID) is None
+            if key in value and (field.required or not unset):
                 found[key] = yield from field.check(value[key], f"{prefix}{key}")
             elif field.required:
                 yield MissingField(f"{prefix}{key}", field.expected)
--- /dev/null
+++ b/greengageflow/_ctl_config.py
@@ -0,0 +1,257 @@
+"""What the operators' command does to the configuration."""
+
+import os
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from greengageflow._ctl_files import read_config_file
+from greengageflow._ctl_text import (
+    Report,
+    decision_row,
+    decision_text,
+    differences,
+    history_text,
+    spread_text,
+)
+from greengageflow._platform_http import (
+    BlockingLog,
+    CallError,
+    parse_address,
+    router_status,
+)
+from greengageflow.catalog import FleetConfig
+from greengageflow.ctl_publish import Publisher, PublishError, await_in_force
+from greengageflow.decisions import Accepted, Decision
+from greengageflow.fold import Fold, State
+from greengageflow.schema import (
+    SCHEMAS,
+    RecordKind,
+    SnapshotRecord,
+    parse_config,
+    snapshot_document,
+)
+from greengageflow.settings import Address
+
+IN_FORCE_WITHIN_S = 12.0
+LOG_VARIABLE = "GREENGAGE_LOG"
+ROUTERS_VARIABLE = "GREENGAGE_ROUTERS"
+
+
+class BadInputError(Exception):
+    """The command line is not as it should be."""
+
+
+def addresses_of(routers: str | None, *, needed: bool = True) -> list[Address]:
+    """Return the addresses in ``IP:PORT,IP:PORT`` or in the environment.
+
+    Raises:
+        BadInputError: They are broken, or needed and not there.
+    """
+    text = routers or os.environ.get(ROUTERS_VARIABLE, "")
+    if not text and needed:
+        raise BadInputError(f"--routers=IP:PORT,... or {ROUTERS_VARIABLE} is needed")
+    return [_address(part) for part in text.split(",") if part.strip()]
+
+
+def _address(text: str) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError as exc:
+        raise BadInputError(str(exc)) from None
+
+
+def _publisher(log: str | None) -> Publisher:
+    text = log or os.environ.get(LOG_VARIABLE, "")
+    if not text:
+        raise BadInputError(f"--log=IP:PORT or {LOG_VARIABLE} is needed")
+    author = os.environ.get("USER") or "greengage-ctl"
+    return Publisher(BlockingLog(_address(text)), author)
+
+
+def _current(log: str | None) -> Publisher:
+    publisher = _publisher(log)
+    publisher.refresh()
+    publisher.check_complete()
+    return publisher
+
+
+def _merged(present: FleetConfig, document: Mapping[str, Any]) -> FleetConfig:
+    schema = SCHEMAS[document["schema"]]
+    form = parse_config(document["config"], schema.number)
+    return schema.merge(present, form)
+
+
+def diff(file: str, log: str | None) -> Report:
+    """Show what publishing a file would change."""
+    document = read_config_file(file)
+    old = _current(log).fold.config
+    lines = list(differences(old, _merged(old, document)))
+    return Report("\n".join(lines) or "no difference", lines)
+
+
+def show(log: str | None) -> Report:
+    """Return the configuration in force as a file that can be published."""
+    fold = _current(log).fold
+    document = _file_of(fold, fold.config)
+    return Report("", document)
+
+
+def publish(file: str, log: str | None, routers: str | None, within_s: float) -> Report:
+    """Publish a file and wait until it is in force."""
+    if type(within_s) not in (int, float):
+        raise BadInputError(f"--within_s: expected seconds, found {within_s!r}")
+    document = read_config_file(file)
+    asked = addresses_of(routers, needed=False)
+    publisher = _current(log)
+    _check_allowed(publisher.fold.state, document["schema"])
+    revision = publisher.fold.config.revision
+    decision = publisher.publish({"replaces": revision, **document})
+    return _published(decision, asked, within_s)
+
+
+def _check_allowed(state: State, schema: int) -> None:
+    if schema > state.highest:
+        raise PublishError(
+            f"schema {schema} is not allowed yet, {state.highest} is the highest; see"
+            f" `greengage-ctl allow-schema {schema}`"
+        )
+
+
+def _published(decision: Decision, asked: list[Address], within_s: float) -> Report:
+    text = decision_text(decision)
+    data = decision_row(decision, None)
+    if not isinstance(decision.outcome, Accepted):
+        return Report(text, data, ok=False)
+    if not asked:
+        return Report(f"{text}; no routers given, so not watched further", data)
+    spread = await_in_force(asked, decision.outcome.revision, within_s)
+    data["in_force"] = len(spread.done)
+    data["asked"] = len(asked)
+    data["waiting"] = {str(address): why for address, why in spread.waiting.items()}
+    return Report(f"{text}\n{spread_text(spread)}", data, ok=not spread.waiting)
+
+
+def drain(endpoint: str, leaving: bool, log: str | None, routers: str | None) -> Report:
+    """Set or clear ``leaving`` of an endpoint.
+
+    Routers keep an endpoint out for the rest of its generation, so taking it back
+    raises the generation.
+    """
+    asked = addresses_of(routers, needed=False)
+    publisher = _current(log)
+
+    def make(fold: Fold) -> dict[str, Any]:
+        config = fold.config
+        item = config.endpoints.get(endpoint)
+        if item is None:
+            known = ", ".join(config.endpoints) or "none"
+            raise BadInputError(f"no endpoint {endpoint}; known: {known}")
+        generation = item.generation + (item.leaving and not leaving)
+        item = replace(item, leaving=leaving, generation=generation)
+        endpoints = {**config.endpoints, endpoint: item}
+        document = _file_of(fold, replace(config, endpoints=endpoints))
+        return {**document, "replaces": config.revision}
+
+    decision = publisher.change(make)
+    return _published(decision, asked, IN_FORCE_WITHIN_S)
+
+
+def _file_of(fold: Fold, config: FleetConfig) -> dict[str, Any]:
+    schema = max(number for number in SCHEMAS if number <= fold.state.highest)
+    return {"schema": schema, "config": SCHEMAS[schema].dump(config)}
+
+
+def allow_schema(highest: int, log: str | None, routers: str | None) -> Report:
+    """Raise the highest schema, once all routers understand it."""
+    if type(highest) is not int or highest < 1:
+        raise BadInputError(f"expected the number of a schema, found {highest!r}")
+    asked = addresses_of(routers)
+    objections = list(_objections(asked, highest))
+    if objections:
+        text = "\n".join(["nothing was published:", *objections])
+        return Report(text, {"objections": objections}, ok=False)
+    publisher = _current(log)
+    decision = publisher.publish(
+        {
+            "schema": 1,
+            "kind": RecordKind.ALLOW_SCHEMA.value,
+            "highest": highest,
+            "replaces": publisher.fold.config.revision,
+        }
+    )
+    return _published(decision, asked, IN_FORCE_WITHIN_S)
+
+
+def _objections(asked: Iterable[Address], highest: int) -> Iterable[str]:
+    """Yield why the fleet cannot change over yet.
+
+    A router that is not asked may run an old release and would stop following the
+    configuration, so the members that the asked ones see must all be among them.
+    """
+    members: set[str] = set()
+    hosts: set[str] = set()
+    for address in asked:
+        try:
+            status = router_status(address)
+            schemas = status["config"]["schemas"]
+            hosts.add(status["host"])
+            members.update(status.get("members", ()))
+        except CallError as exc:
+            yield f"{address}: {exc}"
+            continue
+        except (KeyError, TypeError):
+            yield f"{address}: its status does not name the schemas it understands"
+            continue
+        if highest not in schemas:
+            yield f"{address}: {status['host']} understands schemas {schemas} only"
+    for host in sorted(members - hosts):
+        yield f"{host}: a member of the fleet that was not asked; add it to --routers"
+
+
+def restore(file: str, log: str | None, routers: str | None) -> Report:
+    """Start again from a file when nobody knows what is in force.
+
+    Raises:
+        PublishError: Somebody does.
+    """
+    document = read_config_file(file)
+    asked = addresses_of(routers)
+    for address in asked:
+        if router_status(address).get("config", {}).get("complete", True):
+            raise PublishError(
+                f"{address} knows what is in force and will append a snapshot; use"
+                " `greengage-ctl publish` after that"
+            )
+    publisher = _publisher(log)
+    publisher.refresh()
+    if publisher.fold.complete:
+        raise PublishError("the log tells what is in force; use `publish`")
+    # No revision can be larger than the number of records, so this is a later one.
+    revision = publisher.end
+    record = SnapshotRecord(
+        revision,
+        publisher.end - 1,
+        publisher.end - 1,
+        document["schema"],
+        document["schema"],
+        None,
+        "greengage-ctl",
+    )
+    config = _merged(State().config, document)
+    publisher.append(snapshot_document(record, config))
+    spread = await_in_force(asked, revision, IN_FORCE_WITHIN_S)
+    data = {"revision": revision, "in_force": len(spread.done), "asked": len(asked)}
+    text = f"restored as revision {revision}\n{spread_text(spread)}"
+    return Report(text, data, ok=not spread.waiting)
+
+
+def history(log: str | None, last: int) -> Report:
+    """Show what became of the last records."""
+    if type(last) is not int or last < 1:
+        raise BadInputError(f"--last: expected a number above 0, found {last!r}")
+    publisher = _publisher(log)
+    publisher.refresh()
+    decisions = publisher.fold.history[-last:]
+    rows = [decision_row(item, publisher.times.get(item.offset)) for item in decisions]
+    return Report(history_text(rows, decisions), rows)
--- /dev/null
+++ b/greengageflow/_ctl_files.py
@@ -0,0 +1,86 @@
+"""Files that the operators' command reads."""
+
+import json
+import sys
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any
+
+from greengageflow._check import integer, optional, record, required, run
+from greengageflow._json_text import parse_json
+from greengageflow.schema import SCHEMAS, parse_config
+
+_SPAN_FIELDS = frozenset({"trace", "span", "parent", "name", "host"})
+
+
+def read_text(path: str) -> str:
+    """Return the text of a file, ``-`` for the standard input.
+
+    Raises:
+        ExceptionGroup: Holds the ``OSError`` of a file that cannot be read.
+    """
+    if path == "-":
+        return sys.stdin.read()
+    try:
+        return Path(path).read_text()
+    except (OSError, ValueError) as exc:
+        raise ExceptionGroup(path, [exc]) from None
+
+
+def _document(schema: int, config: Any, replaces: int | None) -> dict[str, Any]:
+    document = {"schema": schema, "config": config}
+    return document if replaces is None else {**document, "replaces": replaces}
+
+
+def _any_value(value: Any, path: str) -> Any:
+    return value
+    yield
+
+
+_any_value.expected = "an object"
+_CHECK = record(
+    _document,
+    schema=required(integer(min(SCHEMAS), max(SCHEMAS))),
+    config=required(_any_value),
+    replaces=optional(integer(0, 2**53)),
+)
+
+
+def read_config_file(path: str) -> dict[str, Any]:
+    """Return a checked ``{"schema", "config"}`` and perhaps ``"replaces"``.
+
+    Raises:
+        ExceptionGroup: Holds one fault for everything wrong.
+    """
+    document = run(_CHECK, parse_json(read_text(path), path), path)
+    parse_config(document["config"], document["schema"])
+    return document
+
+
+def read_spans(path: str, identity: str) -> list[Mapping[str, Any]]:
+    """Return the spans of one trace, by its id or the id of its request.
+
+    Raises:
+        ExceptionGroup: Holds the ``OSError`` of a file that cannot be read.
+    """
+    spans = list(_spans(read_text(path)))
+    traces = {span["trace"] for span in spans if _is_meant(span, identity)}
+    return [span for span in spans if span["trace"] in traces]
+
+
+def _is_meant(span: Mapping[str, Any], identity: str) -> bool:
+    attributes = span.get("attributes") or {}
+    return identity in (span["trace"], attributes.get("request"))
+
+
+def _spans(text: str) -> Iterator[Mapping[str, Any]]:
+    """Yield spans; other lines, such as one that is cut short, are passed over."""
+    for line in text.splitlines():
+        try:
+            span = json.loads(line)
+        except (ValueError, RecursionError):
+            continue
+        if isinstance(span, dict) and span.keys() >= _SPAN_FIELDS:
+            times = span.get("start_ns"), span.get("end_ns")
+            if all(type(time) is int for time in times):
+                yield span
--- /dev/null
+++ b/greengageflow/_ctl_fleet.py
@@ -0,0 +1,57 @@
+"""What the operators' command asks of running routers and reads of their spans."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from greengageflow._ctl_config import BadInputError, addresses_of
+from greengageflow._ctl_files import read_spans
+from greengageflow._ctl_text import Report, status_text, trace_text
+from greengageflow._platform_http import CallError, router_status
+from greengageflow.settings import Address
+
+
+def _ask(address: Address, request: str = "") -> Mapping[str, Any] | str:
+    try:
+        return router_status(address, request)
+    except CallError as exc:
+        return str(exc)
+
+
+def status(routers: str | None) -> Report:
+    """Show every router; good when all answer with one revision."""
+    rows = {str(address): _ask(address) for address in addresses_of(routers)}
+    revisions = {
+        None if isinstance(row, str) else row.get("config", {}).get("revision")
+        for row in rows.values()
+    }
+    agreed = len(revisions) == 1 and None not in revisions
+    return Report(status_text(rows), rows, ok=agreed)
+
+
+def explain(request: str, routers: str | None) -> Report:
+    """Show what routers know of one request."""
+    rows = {str(address): _ask(address, request) for address in addresses_of(routers)}
+    found = {
+        address: row["request"]
+        for address, row in rows.items()
+        if not isinstance(row, str) and row.get("request")
+    }
+    silent = {address: row for address, row in rows.items() if isinstance(row, str)}
+    lines = [
+        f"{address} {key}: {value}"
+        for address, told in found.items()
+        for key, value in (told.items() if isinstance(told, dict) else [("", told)])
+    ]
+    lines += [f"{address} did not answer: {why}" for address, why in silent.items()]
+    if not found:
+        lines.append(f"no router that answered knows request {request}")
+    data = {"found": found, "silent": silent}
+    return Report("\n".join(lines), data, ok=bool(found))
+
+
+def trace(identity: str, file: str) -> Report:
+    """Show the spans of one trace as a tree."""
+    spans = read_spans(file, identity)
+    if not spans:
+        raise BadInputError(f"{file}: no span of trace or request {identity}")
+    return Report(trace_text(spans), spans)
--- /dev/null
+++ b/greengageflow/_ctl_text.py
@@ -0,0 +1,170 @@
+"""Text that the operators' command prints."""
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import asdict, dataclass, fields
+from datetime import UTC, datetime
+from typing import Any
+
+from greengageflow.catalog import FleetConfig
+from greengageflow.ctl_publish import Spread
+from greengageflow.decisions import Accepted, Adopted, Decision
+
+_PARTS = (("account", "accounts"), ("pool", "pools"), ("endpoint", "endpoints"))
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a command has to say.
+
+    Args:
+        text: For people.
+        data: JSON value, for machines.
+        ok: False for exit status 1.
+    """
+
+    text: str
+    data: Any = None
+    ok: bool = True
+
+
+def table(rows: Iterable[Sequence[object]]) -> str:
+    """Return rows as columns of text."""
+    cells = [[str(cell) for cell in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = (
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    )
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def differences(old: FleetConfig, new: FleetConfig) -> Iterator[str]:
+    """Yield one line for each thing that differs."""
+    for kind, part in _PARTS:
+        before, after = getattr(old, part), getattr(new, part)
+        for name in sorted(before.keys() | after.keys()):
+            yield from _difference(f"{kind} {name}", before.get(name), after.get(name))
+    yield from _difference("policy", old.policy, new.policy)
+
+
+def _difference(what: str, old: Any, new: Any) -> Iterator[str]:
+    if old is None:
+        yield f"+ {what}: {_values(new)}"
+    elif new is None:
+        yield f"- {what}"
+    elif old != new:
+        yield f"~ {what}: {_changes(old, new)}"
+
+
+def _values(item: Any) -> str:
+    shown = (f"{key}={value}" for key, value in asdict(item).items() if key != "name")
+    return ", ".join(shown)
+
+
+def _changes(old: Any, new: Any) -> str:
+    pairs = ((f.name, getattr(old, f.name), getattr(new, f.name)) for f in fields(old))
+    return ", ".join(f"{name} {a} -> {b}" for name, a, b in pairs if a != b)
+
+
+def decision_row(decision: Decision, unix_time: float | None) -> dict[str, Any]:
+    """Return one decision as a JSON object."""
+    outcome = decision.outcome
+    when = None
+    if unix_time is not None:
+        when = datetime.fromtimestamp(unix_time, UTC).isoformat(timespec="seconds")
+    return {
+        "offset": decision.offset,
+        "time": when,
+        "author": decision.author,
+        "nonce": decision.nonce,
+        "outcome": type(outcome).__name__.lower(),
+        "revision": getattr(outcome, "revision", None),
+        "reason": getattr(outcome, "reason", None),
+        "text": getattr(outcome, "text", ""),
+    }
+
+
+def decision_text(decision: Decision) -> str:
+    """Return what became of a record, in one line."""
+    match decision.outcome:
+        case Accepted(revision):
+            return f"accepted as revision {revision}"
+        case Adopted(revision):
+            return f"snapshot, revision {revision} taken from it"
+        case outcome:
+            verb = type(outcome).__name__.lower()
+            return f"{verb}, {outcome.reason}: {outcome.text}"
+
+
+def history_text(
+    rows: Iterable[Mapping[str, Any]], decisions: Iterable[Decision]
+) -> str:
+    """Return a table of decisions."""
+    lines = [("OFFSET", "TIME", "AUTHOR", "OUTCOME")]
+    for row, decision in zip(rows, decisions, strict=True):
+        line = row["offset"], row["time"], row["author"] or "-", decision_text(decision)
+        lines.append(line)
+    return table(lines)
+
+
+def status_text(rows: Mapping[str, Any]) -> str:
+    """Return a table of routers; a text in place of a status is an error."""
+    lines = [("ROUTER", "HOST", "ZONE", "STATE", "REVISION", "LOG", "REMARK")]
+    for address, status in rows.items():
+        if isinstance(status, str):
+            lines.append((address, "-", "-", "unreachable", "-", "-", status))
+            continue
+        config = status.get("config", {})
+        remark = config.get("halted") or (
+            "" if config.get("complete", True) else "misses records of the log"
+        )
+        lines.append(
+            (
+                address,
+                status.get("host", "-"),
+                status.get("zone", "-"),
+                status.get("state", "-"),
+                config.get("revision", "-"),
+                config.get("log", "-"),
+                remark,
+            )
+        )
+    return table(lines)
+
+
+def spread_text(spread: Spread) -> str:
+    """Return on how many routers a revision is in force, and on which it is not."""
+    asked = len(spread.done) + len(spread.waiting)
+    lines = [f"in force on {len(spread.done)} of {asked} after {spread.seconds:.1f} s"]
+    lines += [f"not on {address}: {why}" for address, why in spread.waiting.items()]
+    return "\n".join(lines)
+
+
+def trace_text(spans: Sequence[Mapping[str, Any]]) -> str:
+    """Return spans as a tree, with start and length in milliseconds."""
+    known = {span["span"] for span in spans}
+    children: dict[Any, list[Mapping[str, Any]]] = {}
+    for span in sorted(spans, key=lambda item: item["start_ns"]):
+        # A parent in the caller's own process is not in the file.
+        parent = span["parent"] if span["parent"] in known else None
+        children.setdefault(parent, []).append(span)
+    start = min(span["start_ns"] for span in spans)
+    rows = [("START", "LENGTH", "HOST", "SPAN")]
+    stack = [(span, 0) for span in reversed(children.get(None, []))]
+    while stack:
+        span, depth = stack.pop()
+        rows.append(_span_row(span, depth, start))
+        below = reversed(children.get(span["span"], []))
+        stack += [(child, depth + 1) for child in below]
+    return table(rows)
+
+
+def _span_row(span: Mapping[str, Any], depth: int, start: int) -> tuple[str, ...]:
+    attributes = span.get("attributes") or {}
+    shown = " ".join(f"{key}={value}" for key, value in attributes.items())
+    return (
+        f"{(span['start_ns'] - start) / 1e6:.2f}",
+        f"{(span['end_ns'] - span['start_ns']) / 1e6:.2f}",
+        span["host"],
+        f"{'  ' * depth}{span['name']} {shown}".rstrip(),
+    )
--- /dev/null
+++ b/greengageflow/_platform_http.py
@@ -0,0 +1,162 @@
+"""Blocking HTTP calls of the operators' command: the log and the routers."""
+
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from http.client import HTTPConnection, HTTPException, HTTPResponse
+from ipaddress import ip_address
+from typing import Any
+from urllib.parse import quote
+
+from greengageflow.config_follower import STREAM
+from greengageflow.log_client import Lapsed, LogRecord, Records
+from greengageflow.settings import Address
+
+_TIMEOUT_S = 5.0
+_PAGE_LENGTH = 50
+_READ_TRIES = 3
+
+
+class CallError(Exception):
+    """A call brought no answer to work with.
+
+    Args:
+        message: What happened, with the address.
+        effect_unknown: True when it may have taken effect all the same.
+        retry_after_s: When the other side asked to come back, in seconds.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        effect_unknown: bool = False,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.effect_unknown = effect_unknown
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    value: Any
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in ``ip:port``.
+
+    Raises:
+        ValueError: It is not an IP number and a port.
+    """
+    ip, _, port = text.strip().rpartition(":")
+    ip = ip.strip("[]")
+    try:
+        ip_address(ip)
+        number = int(port)
+    except ValueError:
+        number = 0
+    if not 0 < number < 65536:
+        raise ValueError(f"expected IP:PORT, found {text!r}")
+    return Address(ip, number)
+
+
+def _call(address: Address, method: str, path: str, body: Any = None) -> _Answer:
+    conn = HTTPConnection(address.ip, address.port, timeout=_TIMEOUT_S)
+    sent = False
+    try:
+        conn.connect()
+        sent = True
+        data = None if body is None else json.dumps(body)
+        conn.request(method, path, data, {"Content-Type": "application/json"})
+        answer = conn.getresponse()
+        return _read(answer, address)
+    except (OSError, HTTPException) as exc:
+        what = str(exc) or type(exc).__name__
+        raise CallError(f"{address}: {what}", effect_unknown=sent) from None
+    finally:
+        conn.close()
+
+
+def _read(answer: HTTPResponse, address: Address) -> _Answer:
+    data = answer.read()
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError):
+        value = None
+    if answer.status in (200, 410) and isinstance(value, Mapping):
+        return _Answer(answer.status, value)
+    after = answer.getheader("Retry-After", "")
+    raise CallError(
+        f"{address}: answered {answer.status}",
+        effect_unknown=answer.status == 200,
+        retry_after_s=float(after) if after.isdigit() else None,
+    )
+
+
+class BlockingLog:
+    """The configuration stream of the platform's log.
+
+    Args:
+        address: Where the log listens.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+
+    def read(self, from_offset: int) -> Records | Lapsed:
+        """Return some records from ``from_offset`` on.
+
+        Raises:
+            CallError: The log does not answer.
+        """
+        path = f"/streams/{STREAM}/records?from={from_offset}&limit={_PAGE_LENGTH}"
+        answer = self._get(path)
+        value = answer.value
+        try:
+            first, end = int(value["first_offset"]), int(value["next_offset"])
+            if answer.status == 410:
+                return Lapsed(first, end)
+            records = tuple(LogRecord(**item) for item in value["records"])
+        except (KeyError, TypeError, ValueError) as exc:
+            raise CallError(f"the log's answer is broken: {exc!r}") from None
+        return Records(records, first, end)
+
+    def _get(self, path: str) -> _Answer:
+        for _ in range(_READ_TRIES - 1):
+            try:
+                return _call(self._address, "GET", path)
+            except CallError as exc:
+                # A log that refuses or is down is told at once; a cut answer is not.
+                if not exc.effect_unknown:
+                    raise
+        return _call(self._address, "GET", path)
+
+    def append(self, records: Sequence[Any]) -> int:
+        """Append records; return the offset of the first one.
+
+        Raises:
+            CallError: The log does not answer; see its ``effect_unknown``.
+        """
+        path = f"/streams/{STREAM}/records"
+        answer = _call(self._address, "POST", path, {"records": list(records)})
+        try:
+            return int(answer.value["first_offset"])
+        except (KeyError, TypeError, ValueError) as exc:
+            message = f"the log's answer is broken: {exc!r}"
+            raise CallError(message, effect_unknown=True) from None
+
+
+def router_status(address: Address, request: str = "") -> Mapping[str, Any]:
+    """Return the status object of a router.
+
+    Args:
+        address: The callers' side of the router.
+        request: Id of a request to tell about, or empty.
+
+    Raises:
+        CallError: The router does not answer.
+    """
+    query = f"?request={quote(request, safe='')}" if request else ""
+    return _call(address, "GET", f"/status{query}").value
--- /dev/null
+++ b/greengageflow/ctl.py
@@ -0,0 +1,306 @@
+"""``greengage-ctl``: the operators' command."""
+
+import json as json_module
+import os
+import sys
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from hashlib import sha256
+from typing import Any
+
+import fire
+from fire.decorators import SetParseFn
+
+from greengageflow import _ctl_config, _ctl_fleet
+from greengageflow._ctl_config import IN_FORCE_WITHIN_S, BadInputError
+from greengageflow._ctl_files import read_config_file, read_text
+from greengageflow._ctl_text import Report
+from greengageflow._platform_http import CallError
+from greengageflow.ctl_publish import PublishError
+from greengageflow.settings import example_settings, load_settings
+
+FAILED = 1
+BAD_INPUT = 2
+
+
+@dataclass(frozen=True, slots=True)
+class _Planned:
+    """A command that was parsed and not run yet.
+
+    Fire calls a command before it finds that arguments are left over, so that
+    ``publish FILE --typo`` would publish and then complain. What it calls only
+    returns this, and ``main`` runs it once the whole line was understood.
+    """
+
+    _run: Callable[[], Report]
+    _json: bool = False
+
+
+class SettingsCommands:
+    """Settings files of routers."""
+
+    def example(self) -> _Planned:
+        """Print a working settings file.
+
+        Example:
+            greengage-ctl settings example > r1.json
+        """
+        return _Planned(lambda: Report(example_settings()))
+
+    @SetParseFn(str, "file")
+    def check(self, file: str, *, json: bool = False) -> _Planned:
+        """Tell everything that is wrong in a settings file.
+
+        Example:
+            greengage-ctl settings check r1.json
+        """
+
+        def run() -> Report:
+            host = load_settings(file).host
+            return Report(f"{file}: good, host {host}", {"host": host})
+
+        return _Planned(run, json)
+
+
+class Commands:
+    """Drives a fleet of greengageflow routers.
+
+    The log and the routers are given by --log=IP:PORT and --routers=IP:PORT,IP:PORT
+    or by GREENGAGE_LOG and GREENGAGE_ROUTERS. With --json the answer is a JSON value.
+    Exit status: 0 done; 1 refused, lost, or not in force everywhere; 2 bad input.
+
+    Example:
+        greengage-ctl validate fleet.json
+        greengage-ctl diff fleet.json --log=10.0.0.9:9000
+        greengage-ctl publish fleet.json --log=10.0.0.9:9000 --routers=10.0.0.1:8080
+        greengage-ctl status --routers=10.0.0.1:8080,10.0.0.2:8080
+        greengage-ctl drain scribe-3 --log=10.0.0.9:9000
+    """
+
+    def __init__(self) -> None:
+        self.settings = SettingsCommands()
+
+    @SetParseFn(str, "file")
+    def validate(self, file: str, *, json: bool = False) -> _Planned:
+        """Tell everything that is wrong in a configuration file.
+
+        The file holds {"schema": 1 or 2, "config": {...}}; with "replaces" it is
+        published only over that very revision.
+
+        Example:
+            greengage-ctl validate fleet.json
+        """
+
+        def run() -> Report:
+            schema = read_config_file(file)["schema"]
+            return Report(f"{file}: good, schema {schema}", {"schema": schema})
+
+        return _Planned(run, json)
+
+    @SetParseFn(str, "file", "log")
+    def diff(
+        self, file: str, *, log: str | None = None, json: bool = False
+    ) -> _Planned:
+        """Show what publishing a file would change.
+
+        Example:
+            greengage-ctl diff fleet.json --log=10.0.0.9:9000
+        """
+        return _Planned(lambda: _ctl_config.diff(file, log), json)
+
+    @SetParseFn(str, "log")
+    def show(self, *, log: str | None = None) -> _Planned:
+        """Print the configuration in force, as a file that can be published.
+
+        Example:
+            greengage-ctl show --log=10.0.0.9:9000 > fleet.json
+        """
+        return _Planned(lambda: _ctl_config.show(log), True)
+
+    @SetParseFn(str, "file", "log", "routers")
+    def publish(
+        self,
+        file: str,
+        *,
+        log: str | None = None,
+        routers: str | None = None,
+        within_s: float = IN_FORCE_WITHIN_S,
+        json: bool = False,
+    ) -> _Planned:
+        """Publish a configuration file and wait until it is in force.
+
+        Tells whether it was accepted or lost to another one, and which of the
+        routers have it in force after at most within_s seconds.
+
+        Example:
+            greengage-ctl publish fleet.json --log=10.0.0.9:9000 --routers=10.0.0.1:8080
+        """
+        return _Planned(lambda: _ctl_config.publish(file, log, routers, within_s), json)
+
+    @SetParseFn(str, "endpoint", "log", "routers")
+    def drain(
+        self,
+        endpoint: str,
+        *,
+        log: str | None = None,
+        routers: str | None = None,
+        json: bool = False,
+    ) -> _Planned:
+        """Let an endpoint finish what it runs and give it no new work.
+
+        Example:
+            greengage-ctl drain scribe-3 --log=10.0.0.9:9000 --routers=10.0.0.1:8080
+        """
+        return _Planned(lambda: _ctl_config.drain(endpoint, True, log, routers), json)
+
+    @SetParseFn(str, "endpoint", "log", "routers")
+    def undrain(
+        self,
+        endpoint: str,
+        *,
+        log: str | None = None,
+        routers: str | None = None,
+        json: bool = False,
+    ) -> _Planned:
+        """Give an endpoint work again, as a new generation of it.
+
+        Example:
+            greengage-ctl undrain scribe-3 --log=10.0.0.9:9000
+        """
+        return _Planned(lambda: _ctl_config.drain(endpoint, False, log, routers), json)
+
+    @SetParseFn(str, "log", "routers")
+    def allow_schema(
+        self,
+        highest: int,
+        *,
+        log: str | None = None,
+        routers: str | None = None,
+        json: bool = False,
+    ) -> _Planned:
+        """Allow records of a higher schema, once all routers understand it.
+
+        Example:
+            greengage-ctl allow-schema 2 --log=10.0.0.9:9000 --routers=10.0.0.1:8080
+        """
+        return _Planned(lambda: _ctl_config.allow_schema(highest, log, routers), json)
+
+    @SetParseFn(str, "file", "log", "routers")
+    def restore(
+        self,
+        file: str,
+        *,
+        log: str | None = None,
+        routers: str | None = None,
+        json: bool = False,
+    ) -> _Planned:
+        """Start again from a file when nobody knows what is in force.
+
+        Refused while the log or one of the routers knows it.
+
+        Example:
+            greengage-ctl restore fleet.json --log=10.0.0.9:9000 --routers=10.0.0.1:8080
+        """
+        return _Planned(lambda: _ctl_config.restore(file, log, routers), json)
+
+    @SetParseFn(str, "log")
+    def history(
+        self, *, log: str | None = None, last: int = 20, json: bool = False
+    ) -> _Planned:
+        """Show what became of the last records, refused ones included.
+
+        Example:
+            greengage-ctl history --last=50 --log=10.0.0.9:9000
+        """
+        return _Planned(lambda: _ctl_config.history(log, last), json)
+
+    @SetParseFn(str, "routers")
+    def status(self, *, routers: str | None = None, json: bool = False) -> _Planned:
+        """Show every router; status 1 unless all answer with one revision.
+
+        Example:
+            greengage-ctl status --routers=10.0.0.1:8080,10.0.0.2:8080
+        """
+        return _Planned(lambda: _ctl_fleet.status(routers), json)
+
+    @SetParseFn(str, "request", "routers")
+    def explain(
+        self, request: str, *, routers: str | None = None, json: bool = False
+    ) -> _Planned:
+        """Show what routers know of one request, by its id.
+
+        Example:
+            greengage-ctl explain 7f3c --routers=10.0.0.1:8080,10.0.0.2:8080
+        """
+        return _Planned(lambda: _ctl_fleet.explain(request, routers), json)
+
+    @SetParseFn(str, "id", "file")
+    def trace(self, id: str, *, file: str, json: bool = False) -> _Planned:
+        """Show the spans of one trace, or of one request, as a tree.
+
+        Example:
+            greengage-ctl trace 4bf92f3577b34da6a3ce929d0e0e4736 --file=spans.jsonl
+        """
+        return _Planned(lambda: _ctl_fleet.trace(id, file), json)
+
+    @SetParseFn(str, "key")
+    def hash_key(self, key: str) -> _Planned:
+        """Print the hash of a bearer key, for "key_hashes"; - reads the key.
+
+        Example:
+            greengage-ctl hash-key - < key.txt
+        """
+
+        def run() -> Report:
+            plain = read_text(key).strip() if key == "-" else key
+            return Report(sha256(plain.encode()).hexdigest())
+
+        return _Planned(run)
+
+
+def _serialize(component: Any) -> Any:
+    return None if isinstance(component, _Planned) else component
+
+
+def _faults(group: ExceptionGroup) -> Iterator[str]:
+    for exc in group.exceptions:
+        yield f"{group.message}: {exc}"
+
+
+def _print(report: Report, as_json: bool) -> None:
+    if as_json:
+        print(json_module.dumps(report.data, indent=2))
+    elif report.text:
+        print(report.text)
+
+
+def _run(planned: _Planned) -> int:
+    try:
+        report = planned._run()
+    except ExceptionGroup as group:
+        print("\n".join(_faults(group)), file=sys.stderr)
+        return BAD_INPUT
+    except BadInputError as exc:
+        print(exc, file=sys.stderr)
+        return BAD_INPUT
+    except (CallError, PublishError) as exc:
+        print(exc, file=sys.stderr)
+        return FAILED
+    except KeyboardInterrupt:
+        print("interrupted; see `greengage-ctl history`", file=sys.stderr)
+        return FAILED
+    _print(report, planned._json)
+    return 0 if report.ok else FAILED
+
+
+def main() -> None:
+    """Run the program."""
+    # On a terminal, help would start a pager, which is a process of its own.
+    os.environ["PAGER"] = "-"
+    planned = fire.Fire(Commands(), name="greengage-ctl", serialize=_serialize)
+    if isinstance(planned, _Planned):
+        sys.exit(_run(planned))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/greengageflow/ctl_publish.py
@@ -0,0 +1,216 @@
+"""Publishing to the configuration stream and watching it come into force."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from time import monotonic, sleep
+from typing import Any
+from uuid import uuid4
+
+from greengageflow._platform_http import BlockingLog, CallError, router_status
+from greengageflow.decisions import Decision, Reason, Rejected
+from greengageflow.fold import Fold
+from greengageflow.log_client import Lapsed, LogRecord
+from greengageflow.settings import Address
+
+_HISTORY_LENGTH = 100_000
+_RETRY_S = 0.5
+_POLL_S = 0.2
+_RACES = 5
+
+
+class PublishError(Exception):
+    """A record could not be published, or nobody knows whether it was."""
+
+
+class Publisher:
+    """Reads the configuration stream and appends to it.
+
+    Args:
+        log: The configuration stream.
+        author: Who publishes.
+        patience_s: How long an unavailable log is tried again, in seconds.
+    """
+
+    def __init__(
+        self,
+        log: BlockingLog,
+        author: str = "greengage-ctl",
+        *,
+        patience_s: float = 30.0,
+    ) -> None:
+        self.fold = Fold(history_length=_HISTORY_LENGTH)
+        self.times: dict[int, float] = {}
+        self.end = 0
+        self._log = log
+        self._author = author
+        self._patience_s = patience_s
+
+    def refresh(self) -> None:
+        """Read and fold the stream to its end.
+
+        Raises:
+            CallError: The log does not answer.
+        """
+        while not self.fold.halted:
+            page = self._log.read(self.fold.next_offset)
+            self.end = page.next_offset
+            if isinstance(page, Lapsed):
+                self.fold.skip_to(page.first_offset)
+                continue
+            for record in page.records:
+                self._apply(record)
+            if self.fold.next_offset >= page.next_offset:
+                return
+
+    def _apply(self, record: LogRecord) -> None:
+        # After a snapshot the fold goes back to the records that follow it.
+        if record.offset <= self.fold.next_offset and not self.fold.halted:
+            self.times[record.offset] = record.time
+            self.fold.apply(record.offset, record.record)
+
+    def check_complete(self) -> None:
+        """Make sure that the configuration in force is known.
+
+        Raises:
+            PublishError: It cannot be learned from the log.
+        """
+        if self.fold.halted:
+            raise PublishError(f"this greengage-ctl is too old: {self.fold.halted}")
+        if not self.fold.complete:
+            raise PublishError(
+                "the log has forgotten what is in force and holds no snapshot yet;"
+                " wait for a router to append one, or see `greengage-ctl restore`"
+            )
+
+    def publish(self, record: Mapping[str, Any]) -> Decision:
+        """Append a record and return what became of it.
+
+        An append whose answer is lost is repeated under the same nonce. That is
+        safe: only the first copy can replace the revision that it names.
+
+        Raises:
+            PublishError: The log stayed unavailable.
+        """
+        nonce = uuid4().hex
+        record = {**record, "author": self._author, "nonce": nonce}
+        end = monotonic() + self._patience_s
+        tried = False
+        while True:
+            try:
+                if tried and (decision := self._find(nonce)):
+                    return decision
+                if tried and self.fold.config.revision > record["replaces"]:
+                    # A copy that is still on its way would be too late as well.
+                    return self._lost(record)
+                tried = True
+                self._read_past(self._log.append([record]), end)
+            except CallError as exc:
+                if monotonic() >= end:
+                    raise PublishError(_gave_up(exc, nonce)) from None
+                sleep(exc.retry_after_s or _RETRY_S)
+
+    def append(self, record: Mapping[str, Any]) -> None:
+        """Append a record of which copies do no harm.
+
+        Raises:
+            PublishError: The log stayed unavailable.
+        """
+        end = monotonic() + self._patience_s
+        while True:
+            try:
+                self._log.append([record])
+                return
+            except CallError as exc:
+                if monotonic() >= end:
+                    raise PublishError(f"log unavailable ({exc})") from None
+                sleep(exc.retry_after_s or _RETRY_S)
+
+    def _read_past(self, offset: int, end: float) -> None:
+        self.refresh()
+        while self.end <= offset and monotonic() < end:
+            sleep(_POLL_S)
+            self.refresh()
+
+    def _find(self, nonce: str) -> Decision | None:
+        self.refresh()
+        self.check_complete()
+        found = (item for item in self.fold.history if item.nonce == nonce)
+        return next(found, None)
+
+    def _lost(self, record: Mapping[str, Any]) -> Decision:
+        revision = self.fold.config.revision
+        text = f"replaces revision {record['replaces']}, but {revision} is in force"
+        outcome = Rejected(Reason.LOST, text)
+        return Decision(-1, self._author, record["nonce"], outcome)
+
+    def change(self, make: Callable[[Fold], Mapping[str, Any]]) -> Decision:
+        """Publish a change of what is in force, again after each lost race.
+
+        Args:
+            make: Returns the record for the state in the fold.
+
+        Raises:
+            PublishError: The log stayed unavailable.
+        """
+        for _ in range(_RACES):
+            self.refresh()
+            self.check_complete()
+            decision = self.publish(make(self.fold))
+            if getattr(decision.outcome, "reason", None) is not Reason.LOST:
+                break
+        return decision
+
+
+def _gave_up(exc: CallError, nonce: str) -> str:
+    return (
+        f"log unavailable ({exc}); the record may still get into it: look for nonce"
+        f" {nonce} in `greengage-ctl history --json`"
+    )
+
+
+@dataclass(slots=True)
+class Spread:
+    """How far a revision has come.
+
+    Args:
+        revision: The revision.
+        waiting: Routers that do not have it in force, and why.
+        done: Routers that have it in force.
+        seconds: Time that it took, or that was waited.
+    """
+
+    revision: int
+    waiting: dict[Address, str]
+    done: list[Address] = field(default_factory=list)
+    seconds: float = 0.0
+
+
+def await_in_force(
+    routers: Iterable[Address], revision: int, within_s: float
+) -> Spread:
+    """Wait until routers have ``revision`` or a later one in force."""
+    start = monotonic()
+    spread = Spread(revision, dict.fromkeys(routers, "not asked"))
+    while True:
+        for address in list(spread.waiting):
+            _ask(spread, address)
+        spread.seconds = monotonic() - start
+        if not spread.waiting or spread.seconds >= within_s:
+            return spread
+        sleep(_POLL_S)
+
+
+def _ask(spread: Spread, address: Address) -> None:
+    try:
+        found = int(router_status(address)["config"]["revision"])
+    except CallError as exc:
+        spread.waiting[address] = str(exc)
+        return
+    except (KeyError, TypeError, ValueError):
+        spread.waiting[address] = "its status has no revision"
+        return
+    if found >= spread.revision:
+        del spread.waiting[address]
+        spread.done.append(address)
+    else:
+        spread.waiting[address] = f"revision {found}"
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -38,6 +38,12 @@
     ip: str
     port: int
 
+    def __str__(self) -> str:
+        """Return ``ip:port``."""
+        return (
+            f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Seed:
