--- /dev/null
+++ b/tests/fleet_support.py
@@ -0,0 +1,103 @@
+"""What the tests of whole fleets share."""
+
+from collections.abc import Iterable, Mapping
+from contextlib import contextmanager
+from threading import Thread
+from typing import Any
+
+from greengageflow.lab import Lab, LabPlan, key_of
+from greengageflow.load import LoadClient
+from greengageflow.load_check import verify
+from greengageflow.load_plan import ChatLoad, LoadPlan, Result
+from tests.support import fault_proxy
+
+ENGINE = {"base_pace_s": 0.004, "per_request_pace_s": 0.0002}
+
+
+@contextmanager
+def proxied_lab(plan: LabPlan):
+    """A lab whose every connection but the callers' goes through a proxy."""
+    with fault_proxy() as proxy, Lab(plan, route=proxy.route) as lab:
+        yield lab, proxy
+
+
+def split(lab: Lab, left: Iterable[str], right: Iterable[str], do="freeze"):
+    """Rules that cut the peer sides of two groups of routers from each other."""
+    left, right = list(left), list(right)
+    pairs = [(a, b) for a in left for b in right]
+    return [
+        {"do": do, "source": lab.settings[source]["ip"], "route": f"peer-{target}"}
+        for source, target in (*pairs, *((b, a) for a, b in pairs))
+    ]
+
+
+def members(lab: Lab, host: str) -> set[str]:
+    return set(lab.status(host)["members"])
+
+
+def executions(lab: Lab) -> list[dict[str, Any]]:
+    return [
+        {**one, "engine": name}
+        for name, engine in lab.engines.items()
+        for one in engine.call("GET", "/executions").json["executions"]
+    ]
+
+
+def effects(lab: Lab) -> list[dict[str, Any]]:
+    return [
+        one
+        for service in lab.services.values()
+        for one in service.call("GET", "/effects").json["effects"]
+    ]
+
+
+def most_at_once(done: Iterable[Mapping[str, Any]]) -> dict[str, int]:
+    """Most executions that each engine had at the same time."""
+    moments = []
+    for one in done:
+        if one["started"] is not None:
+            moments.append((one["started"], 1, one["engine"]))
+            moments.append((one["ended"] or float("inf"), -1, one["engine"]))
+    running: dict[str, int] = {}
+    most: dict[str, int] = {}
+    for _, change, engine in sorted(moments):
+        running[engine] = running.get(engine, 0) + change
+        most[engine] = max(most.get(engine, 0), running[engine])
+    return most
+
+
+def chats(account: str, **options: Any) -> ChatLoad:
+    defaults = {"model": "scribe", "median_tokens": 60, "most_tokens": 400}
+    return ChatLoad(account=account, key=key_of(account), **{**defaults, **options})
+
+
+class BackgroundLoad:
+    """Runs loads on a thread of the test; ``results`` waits for the end."""
+
+    def __init__(self, lab: Lab, *loads: Any, duration_s: float, seed: int = 1) -> None:
+        addresses = tuple(router.address for router in lab.routers.values())
+        plan = LoadPlan(
+            routers=addresses, loads=loads, duration_s=duration_s, seed=seed
+        )
+        self._client = LoadClient(plan)
+        self._results: list[Result] = []
+        self._thread = Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        self._results = self._client.run()
+
+    @property
+    def running(self) -> bool:
+        return self._thread.is_alive()
+
+    def results(self) -> list[Result]:
+        self._thread.join(120)
+        assert not self._thread.is_alive()
+        return self._results
+
+
+def assert_truthful(lab: Lab, results: list[Result]) -> None:
+    """Every answer is its own, whole or shown as cut, and "not run" is true."""
+    verdict = verify(results, executions(lab), effects(lab))
+    assert verdict.faults == ()
--- /dev/null
+++ b/tests/test_partition_faults.py
@@ -0,0 +1,147 @@
+"""Partitions between routers, with real processes behind a proxy."""
+
+import pytest
+
+from greengageflow.lab import LabPlan
+from tests.fleet_support import (
+    ENGINE,
+    BackgroundLoad,
+    assert_truthful,
+    chats,
+    executions,
+    members,
+    most_at_once,
+    proxied_lab,
+    split,
+)
+from tests.support import wait_for
+
+SLOTS = 4
+PLAN = LabPlan(
+    routers=5,
+    engines=3,
+    services=1,
+    slots=SLOTS,
+    engine_options=ENGINE,
+    timing={"probe_interval_s": 0.2},
+)
+HALVES = ({"r1", "r2", "r3"}, {"r4", "r5"})
+ALONE = ({"r1"}, {"r2", "r3", "r4", "r5"})
+
+
+def wait_served(lab, hosts):
+    """Wait until routers of ``hosts`` have completed some requests from now on."""
+    before = {one["request_id"] for one in executions(lab)}
+
+    def served():
+        new = (one for one in executions(lab) if one["request_id"] not in before)
+        done = (one for one in new if one["state"] == "done")
+        return sum(one["request_id"].split("-")[0] in hosts for one in done) > 5
+
+    wait_for(served, f"{sorted(hosts)} serve")
+
+
+@pytest.mark.parametrize("sides", [HALVES, ALONE], ids=["halves", "alone"])
+def test_no_slot_is_used_twice_and_both_sides_serve(sides):
+    """Callers on both sides of a partition go on being served, twice over.
+
+    Each side takes the other for dead and would own every endpoint. If it used all
+    slots, the engines would run up to twice the load that they are configured for.
+    """
+    with proxied_lab(PLAN) as (lab, proxy):
+        load = BackgroundLoad(
+            lab,
+            chats("acme", outstanding=20),
+            chats("bolt", outstanding=20),
+            duration_s=22,
+        )
+        for _ in range(2):
+            proxy.rules(*split(lab, *sides))
+            for side in sides:
+                for host in side:
+                    wait_for(lambda h=host, s=side: members(lab, h) == s, "split view")
+            for side in sides:
+                wait_served(lab, side)
+            proxy.rules()
+            for host in lab.routers:
+                wait_for(lambda h=host: members(lab, h) == set(lab.routers), "one view")
+        results = load.results()
+        done = executions(lab)
+        assert_truthful(lab, results)
+        assert all(one.complete for one in results)
+        assert max(most_at_once(done).values()) <= SLOTS
+
+
+def test_a_killed_router_gives_its_slots_back_when_the_platform_drops_it():
+    """Callers get the whole capacity again after a host died.
+
+    Its requests end with it, but a router that merely cannot be reached may still
+    run some. So its slots return only when the platform's list drops the host.
+    """
+    with proxied_lab(PLAN) as (lab, _):
+        load = BackgroundLoad(
+            lab, chats("acme", outstanding=40, routers=(1, 2, 3, 4)), duration_s=15
+        )
+        wait_for(lambda: len(executions(lab)) > 20, "load runs")
+        lab.routers["r1"].kill()
+        rest = set(lab.routers) - {"r1"}
+        wait_for(lambda: members(lab, "r2") == rest, "r1 dead at r2")
+        assert "r1" in lab.status("r2")["roster"]
+        lab.set_host_list(rest)
+        wait_for(lambda: "r1" not in lab.status("r2")["roster"], "r1 off the roster")
+
+        def all_slots_busy():
+            loads = [e.call("GET", "/load").json for e in lab.engines.values()]
+            return all(one["running"] == SLOTS for one in loads)
+
+        wait_for(all_slots_busy, "every slot in use")
+        results = load.results()
+        assert_truthful(lab, results)
+        assert max(most_at_once(executions(lab)).values()) <= SLOTS
+
+
+def test_a_router_killed_under_load_cuts_only_its_own_callers():
+    """Callers of the other routers notice nothing but a shorter fleet.
+
+    The router dies with streams, queued requests, demand and grants in flight; its
+    own callers see a broken connection, never an answer that looks whole.
+    """
+    with proxied_lab(PLAN) as (lab, _):
+        load = BackgroundLoad(
+            lab,
+            chats("acme", outstanding=30),
+            chats("bolt", outstanding=10, routers=(1, 2)),
+            duration_s=10,
+        )
+        wait_for(lambda: len(executions(lab)) > 60, "load runs")
+        victim = lab.routers["r1"].address
+        lab.routers["r1"].kill()
+        results = load.results()
+        assert_truthful(lab, results)
+        others = [one for one in results if one.router != victim]
+        assert others
+        assert all(one.complete for one in others)
+        assert max(most_at_once(executions(lab)).values()) <= SLOTS
+
+
+def test_a_frozen_router_wakes_and_rejoins():
+    """A router stopped for longer than every timeout serves again when it wakes.
+
+    The others hold it for dead meanwhile and own its endpoints; its grants of
+    before must not come on top of theirs.
+    """
+    with proxied_lab(PLAN) as (lab, _):
+        load = BackgroundLoad(
+            lab, chats("acme", outstanding=30, routers=(1, 2, 3, 4)), duration_s=14
+        )
+        wait_for(lambda: len(executions(lab)) > 30, "load runs")
+        lab.routers["r1"].pause()
+        rest = set(lab.routers) - {"r1"}
+        wait_for(lambda: members(lab, "r2") == rest, "r1 dead at r2")
+        lab.routers["r1"].go_on()
+        for host in lab.routers:
+            wait_for(lambda h=host: members(lab, h) == set(lab.routers), "one view")
+        results = load.results()
+        assert_truthful(lab, results)
+        assert all(one.complete for one in results)
+        assert max(most_at_once(executions(lab)).values()) <= SLOTS
