Chat and service calls to endpoints, and the callers' side

Thin but whole paths: streams are checked piece by piece (own id, next number) and resumed where the engine can, whole answers are checked for their id; callers get typed calls with a reply object that is answered once.

The callers' sockets are those of circuits.web's BaseServer; h11 parses and frames instead of circuits.web's own parser.

--- a/greengageflow/_http_conn.py
+++ b/greengageflow/_http_conn.py
@@ -137,12 +137,18 @@
             self._http.start_next_cycle()
         self.sent_any = self.heard_any = self._closing = False
         names = {name.lower() for name, _ in headers}
-        extra = []
+        extra: list[tuple[str, str]] = []
         if "host" not in names:
             extra.append(("host", f"{self.address[0]}:{self.address[1]}"))
         if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             extra.append(("content-length", str(len(body))))
-        request = h11.Request(method=method, target=target, headers=[*extra, *headers])
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                (name, value.encode("latin-1")) for name, value in (*extra, *headers)
+            ],
+        )
         parts = [self._http.send(request)]
         if body:
             parts.append(self._http.send(h11.Data(data=body)))
--- /dev/null
+++ b/greengageflow/_sse.py
@@ -0,0 +1,68 @@
+"""Incremental parser of server-sent events."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+EVENT_LIMIT = 1_048_576
+_FIELD = b"data:"
+
+
+class EventTooLarge(Exception):
+    """An event grew past the limit before it ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEvent:
+    """One event.
+
+    Args:
+        raw: The event as received, with line ends of one byte and the blank line.
+        data: Its data.
+    """
+
+    raw: bytes
+    data: bytes
+
+
+def _data_of(block: bytes) -> bytes | None:
+    if block.startswith(b"data: ") and b"\n" not in block:
+        return block[6:]
+    lines = [
+        line.removeprefix(_FIELD).removeprefix(b" ")
+        for line in block.split(b"\n")
+        if line.startswith(_FIELD)
+    ]
+    return b"\n".join(lines) if lines else None
+
+
+class EventStream:
+    """Cuts a byte stream into events; comments are left out.
+
+    Args:
+        limit: Most bytes of one event.
+    """
+
+    def __init__(self, limit: int = EVENT_LIMIT) -> None:
+        self._limit = limit
+        self._rest = b""
+
+    def feed(self, data: bytes) -> Iterator[ServerEvent]:
+        """Yield the events that ``data`` completes.
+
+        Raises:
+            EventTooLarge: An unfinished event is larger than the limit.
+        """
+        for block in self._blocks(data):
+            content = _data_of(block)
+            if content is not None:
+                yield ServerEvent(block + b"\n\n", content)
+
+    def _blocks(self, data: bytes) -> Iterator[bytes]:
+        text = self._rest + data
+        if b"\r" in text:
+            text = text.replace(b"\r\n", b"\n")
+        *blocks, self._rest = text.split(b"\n\n")
+        if len(self._rest) > self._limit:
+            raise EventTooLarge(f"event larger than {self._limit} bytes")
+        for block in blocks:
+            yield block.lstrip(b"\n")
--- /dev/null
+++ b/greengageflow/callers.py
@@ -0,0 +1,309 @@
+"""The callers' side: HTTP on the sockets of ``circuits.web``'s server.
+
+``circuits.web`` accepts and writes; h11 parses and frames, since the parser of
+``circuits.web`` loses and mixes requests (see ``docs/design/http.md``).
+"""
+
+from dataclasses import replace
+from socket import SHUT_WR, SO_SNDBUF, SOL_SOCKET, socket
+from time import monotonic
+from typing import Protocol
+
+from circuits import BaseComponent, Event, handler
+from circuits.web.servers import BaseServer
+
+from greengageflow._caller_conn import CallerConnection, Limits, Phase
+from greengageflow.calls import (
+    CallerCall,
+    ChatCall,
+    HealthCall,
+    ServiceCall,
+    StatusCall,
+)
+from greengageflow.errors import RouterError
+from greengageflow.reply import Reply
+from greengageflow.timers import Timers
+
+__all__ = [
+    "CallerCall",
+    "CallerServer",
+    "ChatCall",
+    "HealthCall",
+    "Limits",
+    "Reply",
+    "RequestHandler",
+    "ServiceCall",
+    "StatusCall",
+]
+
+READ_SIZE = 65_536
+QUEUE_SLICE = 65_536
+SEND_BUFFER = 131_072
+SWEEP_S = 0.2
+
+
+class RequestHandler(Protocol):
+    """What callers' requests are handed to."""
+
+    def on_call(self, call: ChatCall | ServiceCall | StatusCall) -> None:
+        """Take a call and answer it through ``call.reply``, now or later."""
+
+    def on_gone(self, call: ChatCall | ServiceCall | StatusCall) -> None:
+        """Note that the caller of an unanswered call is gone."""
+
+    def unready(self) -> RouterError | None:
+        """Return why the balancer should send nothing here, or None."""
+
+
+class _WebServer(BaseServer):
+    """``BaseServer`` without its HTTP component and its way of stopping."""
+
+    def __init__(self, ip: str, port: int, channel: str) -> None:
+        super().__init__(
+            (ip, port),
+            channel=channel,
+            display_banner=False,
+            socket_options=[(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER)],
+        )
+        self.unregisterChild(self.http)
+
+    @handler("signal", override=True)
+    def _on_signal(self, *_args: object) -> None:
+        """Leave stopping to the router.
+
+        The base class closes every socket on a signal and ends the process three
+        seconds later, which would cut answers under way.
+        """
+
+    @handler("ready", override=True)
+    def _on_ready(self, *_args: object) -> None:
+        """Write no banner."""
+
+
+class _CallerLink:
+    """The socket below one ``CallerConnection``."""
+
+    def __init__(self, callers: "CallerServer", sock: socket) -> None:
+        self.sock = sock
+        self.conn: CallerConnection | None = None
+        self.open = True
+        self.finishing = False
+        self._callers = callers
+        self._server = callers.web.server
+
+    @property
+    def queued(self) -> int:
+        """Bytes that wait to be sent."""
+        return sum(map(len, self._server._buffers.get(self.sock, ())))
+
+    def send(self, data: bytes) -> None:
+        """Send at once what the socket takes, and queue the rest."""
+        if not self.open:
+            return
+        rest = memoryview(data)
+        if not self.conn.queued:
+            rest = rest[self._send_now(rest) :]
+        if not rest or not self.open:
+            return
+        if not self.conn.queued:
+            self.conn.moved_at = monotonic()
+        for start in range(0, len(rest), QUEUE_SLICE):
+            self._server.write(self.sock, bytes(rest[start : start + QUEUE_SLICE]))
+        self.conn.queued += len(rest)
+
+    def _send_now(self, data: memoryview) -> int:
+        try:
+            return self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError:
+            self.drop()
+            return 0
+
+    def finish(self) -> None:
+        """Close once everything queued was sent."""
+        self.finishing = True
+        if not self.conn.queued:
+            self.shut()
+
+    def shut(self) -> None:
+        """Tell the caller that nothing more comes, then wait for its close.
+
+        Closing while bytes of the caller are unread would reset the connection, and
+        the caller's system may then throw away an answer that it has not read yet.
+        """
+        try:
+            self.sock.shutdown(SHUT_WR)
+        except OSError:
+            self.drop()
+
+    def drop(self) -> None:
+        """Close at once."""
+        if self.open:
+            self.open = False
+            self._server._close(self.sock)
+
+    def read_on(self, wanted: bool) -> None:
+        """Read from the socket, or leave what arrives there."""
+        if not self.open:
+            return
+        poller = self._server._poller
+        if wanted and not poller.isReading(self.sock):
+            poller.addReader(self._server, self.sock)
+        elif not wanted and poller.isReading(self.sock):
+            poller.removeReader(self.sock)
+
+
+class CallerServer(BaseComponent):
+    """Takes callers' requests and hands them over as typed calls.
+
+    Args:
+        ip: IP number to listen on.
+        port: TCP port, or 0 for a free one.
+        handler: Takes the calls.
+        timers: Timer service.
+        limits: Bounds of each connection.
+        max_connections: Most connections at once; more are closed at once.
+
+    Raises:
+        OSError: The address cannot be listened on.
+    """
+
+    channel = "callers"
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        handler: RequestHandler,
+        timers: Timers,
+        *,
+        limits: Limits | None = None,
+        max_connections: int = 4096,
+    ) -> None:
+        super().__init__()
+        self.limits = limits or Limits()
+        self.web = _WebServer(ip, port, self.channel).register(self)
+        self._handler = handler
+        self._max_connections = max_connections
+        self._links: dict[socket, _CallerLink] = {}
+        self._address = (self.web.host, self.web.port)
+        timers.every(SWEEP_S, self._on_sweep)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and TCP port that it listens on."""
+        return self._address
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return len(self._links)
+
+    @property
+    def answering(self) -> int:
+        """Calls that are not answered yet."""
+        return sum(
+            link.conn.phase is Phase.ANSWERING or link.conn.queued > 0
+            for link in self._links.values()
+        )
+
+    def set_body_limit(self, body_limit: int) -> None:
+        """Change the largest body of requests that begin from now on."""
+        self.limits = replace(self.limits, body=body_limit)
+
+    def stop_listening(self) -> None:
+        """Take no new connections; open ones go on."""
+        server = self.web.server
+        if server._sock is not None:
+            server._close(server._sock)
+
+    # Handler of the connections: all calls but those answered here.
+
+    def on_call(self, call: CallerCall) -> None:
+        """Answer a health check, or hand the call over."""
+        if not isinstance(call, HealthCall):
+            self._handler.on_call(call)
+            return
+        error = self._handler.unready()
+        if error is None:
+            call.reply.json(200, {"status": "ok"})
+        else:
+            call.reply.error(error)
+
+    def on_gone(self, call: CallerCall) -> None:
+        """Pass on that a caller is gone."""
+        if not isinstance(call, HealthCall):
+            self._handler.on_gone(call)
+
+    # Sockets.
+
+    def _admit(self, sock: socket) -> _CallerLink | None:
+        link = _CallerLink(self, sock)
+        if len(self._links) >= self._max_connections:
+            link.drop()
+            return None
+        link.conn = CallerConnection(link, self, lambda: self.limits)
+        self._links[sock] = link
+        return link
+
+    @handler("connect")
+    def _on_connect(self, sock: socket, *_peer: object) -> None:
+        if sock not in self._links and sock in self.web.server._clients:
+            self._admit(sock)
+
+    @handler("_read", priority=2)
+    def _on_socket_read(self, event: Event, sock: socket) -> None:
+        # Comes before the server's own handler, which at the end of the caller's
+        # bytes waits for its buffer to drain while the poller reports the same end
+        # again and again: a caller that stops reading would cost a whole core.
+        link = self._links.get(sock)
+        if link is None:
+            if sock not in self.web.server._clients:
+                return
+            link = self._admit(sock)
+        event.stop()
+        if link is not None:
+            self._read(link)
+
+    def _read(self, link: _CallerLink) -> None:
+        if not link.open:
+            return
+        try:
+            data = link.sock.recv(READ_SIZE)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        if data:
+            link.conn.receive(data)
+        else:
+            link.drop()
+
+    @handler("_write")
+    def _on_socket_write(self, sock: socket) -> None:
+        link = self._links.get(sock)
+        if link is None or not link.open:
+            return
+        link.conn.on_sent(link.queued)
+        if link.finishing and not link.conn.queued:
+            link.shut()
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock: socket) -> None:
+        # The server keeps an empty buffer and a place in its closing queue for
+        # sockets that broke while writing; over days they would pile up.
+        server = self.web.server
+        server._buffers.pop(sock, None)
+        if sock in server._closeq:
+            server._closeq.remove(sock)
+        link = self._links.pop(sock, None)
+        if link is not None:
+            link.open = False
+            link.conn.on_lost()
+
+    def _on_sweep(self) -> None:
+        now = monotonic()
+        for link in list(self._links.values()):
+            if link.open:
+                link.conn.check_time(now)
--- /dev/null
+++ b/greengageflow/calls.py
@@ -0,0 +1,302 @@
+"""Typed calls of callers, made from HTTP requests."""
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from math import isfinite
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote, unquote
+
+from greengageflow.chat import parse_chat
+from greengageflow.errors import ErrorKind, RouterError
+
+if TYPE_CHECKING:
+    from greengageflow.reply import Reply
+
+CHAT_PATH = "/v1/chat/completions"
+HEALTH_PATH = "/healthz"
+STATUS_PATH = "/status"
+SERVICE_PREFIX = "/services/"
+SERVICE_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
+READ_METHODS = frozenset({"GET", "HEAD"})
+KEY_LIMIT = 255
+COST_LIMIT = 1e9
+
+_TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One whole HTTP request of a caller.
+
+    Args:
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: Names in lower case and values, in the order received.
+        body: Whole body.
+        http_1_0: True for a caller that speaks HTTP/1.0.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    http_1_0: bool = False
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> str:
+        """Query without the question mark."""
+        return self.target.partition("?")[2]
+
+    def header(self, name: str) -> str:
+        """Return the value of header ``name`` (lower case), or an empty string.
+
+        Raises:
+            RouterError: The header was sent more than once.
+        """
+        values = [value for key, value in self.headers if key == name]
+        if len(values) > 1:
+            raise RouterError(ErrorKind.BAD_REQUEST, f"{name}: sent more than once")
+        return values[0] if values else ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChatCall:
+    """A chat request to a model.
+
+    Args:
+        account_key: Bearer key, or empty.
+        model: Name of the model.
+        stream: True when the answer is streamed.
+        body: JSON object, checked, as it goes to the engine.
+        cost_hint: Expected cost in tokens, or None.
+        idempotency_key: Key of a protected action, or empty.
+        traceparent: W3C trace context, or empty.
+        deadline_s: Seconds that the caller waits, or None.
+        reply: Takes the answer.
+    """
+
+    account_key: str
+    model: str
+    stream: bool
+    body: dict[str, Any]
+    cost_hint: float | None
+    idempotency_key: str
+    traceparent: str
+    deadline_s: float | None
+    reply: "Reply" = field(compare=False, repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceCall:
+    """A call to a plain service.
+
+    Args:
+        account_key: Bearer key, or empty.
+        service: Name of the service.
+        path: Path below the service, without a leading slash and with one
+            spelling for each resource.
+        query: Query without the question mark.
+        method: HTTP method.
+        headers: Names in lower case and values.
+        body: Whole body.
+        cost_hint: Expected cost in tokens, or None.
+        idempotency_key: Key of a protected action, or empty.
+        traceparent: W3C trace context, or empty.
+        deadline_s: Seconds that the caller waits, or None.
+        reply: Takes the answer.
+    """
+
+    account_key: str
+    service: str
+    path: str
+    query: str
+    method: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    cost_hint: float | None
+    idempotency_key: str
+    traceparent: str
+    deadline_s: float | None
+    reply: "Reply" = field(compare=False, repr=False)
+
+    @property
+    def target(self) -> str:
+        """Path and query to ask a replica of the service for."""
+        return f"/{self.path}" + (f"?{self.query}" if self.query else "")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StatusCall:
+    """An operator asks for the router's status.
+
+    Args:
+        account_key: Bearer key, or empty.
+        reply: Takes the answer.
+    """
+
+    account_key: str
+    reply: "Reply" = field(compare=False, repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HealthCall:
+    """The balancer asks whether to send requests here.
+
+    Args:
+        reply: Takes the answer.
+    """
+
+    reply: "Reply" = field(compare=False, repr=False)
+
+
+CallerCall = ChatCall | ServiceCall | StatusCall | HealthCall
+
+
+def _bearer(value: str) -> str:
+    scheme, _, key = value.strip().partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _positive(request: CallerRequest, name: str, limit: float) -> float | None:
+    text = request.header(name)
+    if not text:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = 0.0
+    if not isfinite(value) or not 0 < value <= limit:
+        raise RouterError(ErrorKind.BAD_REQUEST, f"{name}: must be a number above 0")
+    return value
+
+
+def _idempotency_key(request: CallerRequest) -> str:
+    key = request.header("idempotency-key")
+    if len(key) > KEY_LIMIT or not all("!" <= char <= "~" for char in key):
+        message = f"idempotency-key: at most {KEY_LIMIT} visible ASCII characters"
+        raise RouterError(ErrorKind.BAD_REQUEST, message)
+    return key
+
+
+def _traceparent(request: CallerRequest) -> str:
+    value = request.header("traceparent")
+    return value if _TRACEPARENT.fullmatch(value) else ""
+
+
+def _common(request: CallerRequest) -> dict[str, Any]:
+    return {
+        "account_key": _bearer(request.header("authorization")),
+        "cost_hint": _positive(request, "x-cost-hint", COST_LIMIT),
+        "idempotency_key": _idempotency_key(request),
+        "traceparent": _traceparent(request),
+        "deadline_s": _positive(request, "x-deadline-s", COST_LIMIT),
+    }
+
+
+def _segments(path: str) -> Iterator[str]:
+    if _ESCAPE.search(path):
+        raise RouterError(ErrorKind.BAD_REQUEST, "path: broken percent escape")
+    for part in path.split("/"):
+        try:
+            text = unquote(part, errors="strict")
+        except UnicodeDecodeError as exc:
+            raise RouterError(ErrorKind.BAD_REQUEST, "path: not UTF-8") from exc
+        if text in (".", "..") or not text.isprintable() or set(text) & set("/\\"):
+            raise RouterError(ErrorKind.BAD_REQUEST, "path: segment not allowed")
+        yield quote(text, safe="!$&'()*+,;=:@~")
+
+
+def canonical_path(path: str) -> str:
+    """Return the one spelling of ``path`` (no leading slash).
+
+    A service may read ``a/./b``, ``%61/b`` and ``a//b`` all as ``a/b``. A route that
+    is marked as not repeatable could be entered by such a spelling without the
+    protection, so escapes are undone and the rest is refused.
+
+    Raises:
+        RouterError: The path has an ambiguous or broken segment.
+    """
+    parts = list(_segments(path))
+    if "" in parts[:-1]:
+        raise RouterError(ErrorKind.BAD_REQUEST, "path: empty segment")
+    return "/".join(parts)
+
+
+def _chat_call(request: CallerRequest, reply: "Reply") -> ChatCall:
+    common = _common(request)
+    chat = parse_chat(request.body)
+    if chat.stream and request.http_1_0:
+        message = "stream: needs HTTP/1.1, or a cut answer would look whole"
+        raise RouterError(ErrorKind.BAD_REQUEST, message)
+    if common["cost_hint"] is None and chat.max_tokens is not None:
+        common["cost_hint"] = float(min(chat.max_tokens, COST_LIMIT))
+    return ChatCall(
+        model=chat.model,
+        stream=chat.stream,
+        body=chat.document,
+        reply=reply,
+        **common,
+    )
+
+
+def _service_call(request: CallerRequest, reply: "Reply") -> ServiceCall:
+    service, _, path = request.path.removeprefix(SERVICE_PREFIX).partition("/")
+    return ServiceCall(
+        service=canonical_path(service),
+        path=canonical_path(path),
+        query=request.query,
+        method=request.method,
+        headers=request.headers,
+        body=request.body,
+        reply=reply,
+        **_common(request),
+    )
+
+
+def allowed_methods(path: str) -> frozenset[str]:
+    """Return the methods that ``path`` takes; none for an unknown path."""
+    if path == CHAT_PATH:
+        return frozenset({"POST"})
+    if path in (HEALTH_PATH, STATUS_PATH):
+        return READ_METHODS
+    if path.startswith(SERVICE_PREFIX) and path != SERVICE_PREFIX:
+        return SERVICE_METHODS
+    return frozenset()
+
+
+def check_target(method: str, path: str) -> None:
+    """Refuse a path or method that cannot be answered, before the body is read.
+
+    Raises:
+        RouterError: Unknown path, or a method that the path does not take.
+    """
+    methods = allowed_methods(path)
+    if not methods:
+        raise RouterError(ErrorKind.NOT_FOUND, "no such path")
+    if method not in methods:
+        message = f"allowed: {', '.join(sorted(methods))}"
+        raise RouterError(ErrorKind.METHOD_NOT_ALLOWED, message)
+
+
+def parse_call(request: CallerRequest, reply: "Reply") -> CallerCall:
+    """Return the typed call in a request that passed ``check_target``.
+
+    Raises:
+        RouterError: The request is not valid; the message names the field.
+    """
+    match request.path:
+        case "/healthz":
+            return HealthCall(reply=reply)
+        case "/status":
+            key = _bearer(request.header("authorization"))
+            return StatusCall(account_key=key, reply=reply)
+        case "/v1/chat/completions":
+            return _chat_call(request, reply)
+    return _service_call(request, reply)
--- /dev/null
+++ b/greengageflow/engine_client.py
@@ -0,0 +1,480 @@
+"""One chat request to a model engine, streamed or whole.
+
+An answer is complete only when its end was seen: for a stream a finish reason and
+then ``[DONE]``, for a whole answer one JSON object with the request's own id.
+"""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from time import monotonic
+from typing import Any, Protocol
+
+from greengageflow._sse import EventStream, EventTooLarge, ServerEvent
+from greengageflow.errors import Ran
+from greengageflow.http_pool import (
+    Exchange,
+    Failure,
+    Head,
+    HttpPool,
+    HttpRequest,
+    Response,
+)
+from greengageflow.timers import Subscription, Timers
+
+CHAT_PATH = "/v1/chat/completions"
+CANCEL_PATH = "/cancel"
+WHOLE_LIMIT = 8 * 1_048_576
+REFUSAL_LIMIT = 16_384
+RESUME_DELAY_S = 0.05
+DONE = b"[DONE]"
+
+NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422, 429, 431, 503})
+"""Statuses by which an engine says that it did not begin the request. 409 is left
+out: an engine may mean that it has run the same key before."""
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens of one request, as the engine counted them."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """One checked piece of a streamed answer.
+
+    Args:
+        seq: Its number, from 0 by 1.
+        content: Text, possibly empty.
+        finish_reason: Why the answer ends here, or None.
+        usage: Tokens, on the last piece.
+        raw: The event as the engine sent it, to be passed on unchanged.
+    """
+
+    seq: int
+    content: str
+    finish_reason: str | None
+    usage: Usage | None
+    raw: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """The whole answer was received.
+
+    Args:
+        usage: Tokens; None when the engine named none.
+        seconds: Time from sending to the end.
+        body: The answer when it was not streamed, else empty.
+    """
+
+    usage: Usage | None
+    seconds: float
+    body: bytes = b""
+
+    ran = Ran.YES
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The engine answered that it does not run the request.
+
+    Args:
+        status: HTTP status code.
+        message: What the engine said, shortened.
+        retry_after_s: When to come back in seconds, if the engine said so.
+    """
+
+    status: int
+    message: str
+    retry_after_s: float | None = None
+
+    ran = Ran.NO
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No byte of the request left."""
+
+    message: str
+
+    ran = Ran.NO
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """The answer ended early and could not be resumed.
+
+    Args:
+        message: What happened.
+        ran: ``YES`` once a piece was received, else ``UNKNOWN``.
+    """
+
+    message: str
+    ran: Ran = Ran.UNKNOWN
+
+
+EngineEnd = Completed | Refused | Unreachable | Cut
+
+
+class EngineListener(Protocol):
+    """Gets the pieces of a streamed answer, then exactly one end."""
+
+    def on_pieces(self, pieces: list[Piece]) -> None:
+        """Take the pieces that one read brought, in order."""
+
+    def on_end(self, end: EngineEnd) -> None:
+        """Note how the request ended; last call."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """What to send to which engine.
+
+    Args:
+        ip: IP number of the engine.
+        port: TCP port of the engine.
+        request_id: Id that every piece of the answer must carry.
+        body: JSON object of the caller; its ``stream`` decides the form.
+        traceparent: W3C trace context, or empty.
+        idempotency_key: Passed on when set; the request is then sent at most once.
+        resumes: True when the engine can resume a cut stream.
+        connect_timeout_s: Longest time for connecting, in seconds.
+        idle_timeout_s: Longest time without a byte, in seconds.
+        resume_tries: Most resumptions in a row that bring no new piece.
+    """
+
+    ip: str
+    port: int
+    request_id: str
+    body: dict[str, Any]
+    traceparent: str = ""
+    idempotency_key: str = ""
+    resumes: bool = False
+    connect_timeout_s: float = 2.0
+    idle_timeout_s: float = 30.0
+    resume_tries: int = 3
+
+    @property
+    def stream(self) -> bool:
+        """True when the answer is streamed."""
+        return self.body.get("stream") is True
+
+
+def _usage(value: Any) -> Usage | None:
+    match value:
+        case {"prompt_tokens": int(prompt), "completion_tokens": int(completion)}:
+            return Usage(prompt, completion)
+    return None
+
+
+def _retry_after(text: str) -> float | None:
+    return float(text) if text.isascii() and text.isdigit() else None
+
+
+class _StreamBroken(Exception):
+    """The stream cannot go on as it is."""
+
+
+class PieceCheck:
+    """Lets through only the pieces of one request, each once and in order.
+
+    Args:
+        request_id: Id that the pieces must carry.
+    """
+
+    def __init__(self, request_id: str) -> None:
+        self.expected = 0
+        self.finished = False
+        self.done = False
+        self.usage: Usage | None = None
+        self.foreign = 0
+        self.repeated = 0
+        self._id = request_id
+
+    def pieces(self, events: Iterator[ServerEvent]) -> Iterator[Piece]:
+        """Yield the good pieces among ``events``; stops at the end mark.
+
+        Raises:
+            _StreamBroken: A piece is missing or cannot be read.
+        """
+        for event in events:
+            if event.data == DONE:
+                self.done = True
+                return
+            piece = self._check(event)
+            if piece is not None:
+                yield piece
+
+    def _check(self, event: ServerEvent) -> Piece | None:
+        try:
+            document = json.loads(event.data)
+            id_ = document["id"]
+            seq = int(document["seq"])
+            choice = document["choices"][0]
+            content = choice["delta"].get("content") or ""
+            reason = choice.get("finish_reason")
+        except (ValueError, TypeError, LookupError, AttributeError) as exc:
+            raise _StreamBroken("unreadable piece") from exc
+        # Engines batch many requests; a piece of another one would show a caller
+        # someone else's text, and a late copy would double its own.
+        if id_ != self._id:
+            self.foreign += 1
+            return None
+        if seq < self.expected or self.finished:
+            self.repeated += 1
+            return None
+        if seq > self.expected:
+            raise _StreamBroken(f"piece {self.expected} is missing")
+        self.expected += 1
+        usage = _usage(document.get("usage"))
+        if reason is not None:
+            self.finished = True
+            self.usage = usage
+        return Piece(seq, content, reason, usage, event.raw)
+
+
+class EngineCall:
+    """One request to an engine; a receiver of ``HttpPool``.
+
+    Args:
+        pool: Sends the request.
+        timers: Timer service, for the wait before resuming.
+        request: What to send.
+        listener: Gets pieces and the end.
+    """
+
+    def __init__(
+        self,
+        pool: HttpPool,
+        timers: Timers,
+        request: EngineRequest,
+        listener: EngineListener,
+    ) -> None:
+        self.request = request
+        self.first_piece_s: float | None = None
+        self.resumed = 0
+        self._pool = pool
+        self._timers = timers
+        self._listener = listener
+        self._check = PieceCheck(request.request_id)
+        self._events = EventStream()
+        self._exchange: Exchange | None = None
+        self._wait: Subscription | None = None
+        self._started_at = monotonic()
+        self._head: Head | None = None
+        self._refusal = bytearray()
+        self._fruitless = 0
+        self._paused = False
+        self._ended = False
+
+    @property
+    def pieces(self) -> int:
+        """Pieces received so far."""
+        return self._check.expected
+
+    @property
+    def dropped(self) -> int:
+        """Pieces left out: of other requests, or seen before."""
+        return self._check.foreign + self._check.repeated
+
+    @property
+    def seconds(self) -> float:
+        """Time since the call was started."""
+        return monotonic() - self._started_at
+
+    def start(self) -> None:
+        """Send the request."""
+        if self.request.stream:
+            self._open()
+        else:
+            request = self._http_request()
+            self._exchange = self._pool.fetch(request, self._on_whole, WHOLE_LIMIT)
+
+    def pause(self) -> None:
+        """Stop taking pieces until ``resume``."""
+        if self._ended:
+            return
+        self._paused = True
+        if self._exchange is not None:
+            self._exchange.pause()
+
+    def resume(self) -> None:
+        """Take pieces again."""
+        self._paused = False
+        if self._exchange is not None:
+            self._exchange.resume()
+
+    def cancel(self) -> None:
+        """Give the request up; the listener hears nothing more."""
+        if self._ended:
+            return
+        self._ended = True
+        self._stop()
+        # An engine that keeps a cut stream for a resumption would work on.
+        body = json.dumps({"id": self.request.request_id}).encode()
+        request = HttpRequest(
+            "POST",
+            self.request.ip,
+            self.request.port,
+            CANCEL_PATH,
+            (("Content-Type", "application/json"),),
+            body,
+            idle_timeout_s=self.request.connect_timeout_s,
+        )
+        self._pool.fetch(request, lambda _outcome: None)
+
+    def _stop(self) -> None:
+        if self._wait is not None:
+            self._wait.cancel()
+        if self._exchange is not None:
+            self._exchange.cancel()
+
+    def _end(self, end: EngineEnd) -> None:
+        if not self._ended:
+            self._ended = True
+            self._listener.on_end(end)
+
+    # Sending.
+
+    def _headers(self) -> Iterator[tuple[str, str]]:
+        yield "Content-Type", "application/json"
+        yield "X-Request-Id", self.request.request_id
+        if self.request.traceparent:
+            yield "traceparent", self.request.traceparent
+        if self.request.idempotency_key:
+            yield "Idempotency-Key", self.request.idempotency_key
+        if self.resumed:
+            yield "X-Resume-From", str(self._check.expected)
+
+    def _http_request(self) -> HttpRequest:
+        request = self.request
+        return HttpRequest(
+            "POST",
+            request.ip,
+            request.port,
+            CHAT_PATH,
+            tuple(self._headers()),
+            json.dumps(request.body).encode(),
+            request.connect_timeout_s,
+            request.idle_timeout_s,
+            retry_stale=not request.idempotency_key and not self.resumed,
+        )
+
+    def _open(self) -> None:
+        self._wait = None
+        self._head = None
+        self._events = EventStream()
+        self._exchange = self._pool.open(self._http_request(), self)
+        if self._paused:
+            self._exchange.pause()
+
+    # Whole answers.
+
+    def _on_whole(self, outcome: Response | Failure) -> None:
+        match outcome:
+            case Failure(sent=False, message=message):
+                self._end(Unreachable(message))
+            case Failure(message=message):
+                self._end(Cut(message))
+            case Response(status=200, body=body):
+                self._end(self._whole(body))
+            case Response(status=status, body=body):
+                retry_after = outcome.header("retry-after")
+                self._end(self._refused(status, body, retry_after))
+
+    def _whole(self, body: bytes) -> EngineEnd:
+        try:
+            document = json.loads(body)
+        except ValueError:
+            return Cut("the answer is not whole JSON")
+        match document:
+            case {"id": self.request.request_id, "choices": [_, *_]}:
+                return Completed(_usage(document.get("usage")), self.seconds, body)
+            case {"id": self.request.request_id}:
+                return Cut("the answer has no choices")
+        return Cut("the answer belongs to another request")
+
+    def _refused(self, status: int, body: bytes, retry_after: str) -> EngineEnd:
+        text = body[:200].decode("utf-8", "replace")
+        message = f"engine answered {status}: {text}"
+        if self._check.expected:
+            return Cut(message, Ran.YES)
+        if self.resumed or status not in NOT_RUN_STATUSES:
+            return Cut(message)
+        return Refused(status, message, _retry_after(retry_after))
+
+    # Streamed answers: methods of ``http_pool.Receiver``.
+
+    def on_head(self, head: Head) -> None:
+        """Take status and headers."""
+        self._head = head
+
+    def on_data(self, data: bytes) -> None:
+        """Check the pieces in ``data`` and pass them on together."""
+        if self._head.status != 200:
+            self._refusal += data[: REFUSAL_LIMIT - len(self._refusal)]
+            return
+        problem = None
+        pieces = []
+        try:
+            for piece in self._check.pieces(self._events.feed(data)):
+                pieces.append(piece)
+        except (_StreamBroken, EventTooLarge) as exc:
+            problem = str(exc)
+        if pieces:
+            self._pass_on(pieces)
+        if problem is not None:
+            self._cut(problem)
+        elif self._check.done:
+            self._finish()
+
+    def _pass_on(self, pieces: list[Piece]) -> None:
+        if self.first_piece_s is None:
+            self.first_piece_s = self.seconds
+        self._fruitless = 0
+        self._listener.on_pieces(pieces)
+
+    def _finish(self) -> None:
+        if self._check.finished:
+            # Read on to the end of the HTTP answer, so that the connection can be
+            # used again, also when the caller is slow.
+            self._exchange.resume()
+            self._end(Completed(self._check.usage, self.seconds))
+        else:
+            self._check.done = False
+            self._cut("the end mark came before the last piece")
+
+    def on_end(self) -> None:
+        """Note that the HTTP answer is whole, which a stream may not be."""
+        if self._head.status != 200:
+            retry_after = self._head.header("retry-after")
+            body = bytes(self._refusal)
+            self._end(self._refused(self._head.status, body, retry_after))
+        else:
+            self._cut("the stream ended before its end mark")
+
+    def on_failure(self, failure: Failure) -> None:
+        """Resume a cut stream, or report how far it came."""
+        if not failure.sent and not self.resumed:
+            self._end(Unreachable(failure.message))
+        else:
+            self._cut(failure.message)
+
+    # Resuming.
+
+    def _cut(self, message: str) -> None:
+        if self._ended:
+            return
+        self._stop()
+        if self.request.resumes and self._fruitless < self.request.resume_tries:
+            delay_s = RESUME_DELAY_S * 2**self._fruitless
+            self._fruitless += 1
+            self.resumed += 1
+            self._wait = self._timers.after(delay_s, self._open)
+        else:
+            ran = Ran.YES if self._check.expected else Ran.UNKNOWN
+            self._end(Cut(message, ran))
--- /dev/null
+++ b/greengageflow/service_client.py
@@ -0,0 +1,158 @@
+"""One call to a plain service; bodies are whole in both directions."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+
+from greengageflow.engine_client import Cut, Unreachable
+from greengageflow.http_pool import (
+    Exchange,
+    Failure,
+    HttpPool,
+    HttpRequest,
+    Response,
+)
+
+ANSWER_LIMIT = 8 * 1_048_576
+
+Header = tuple[str, str]
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_OF_THE_MESSAGE = frozenset({"content-length", "host", "expect", "date", "server"})
+_OF_THE_ROUTER = frozenset(
+    {"authorization", "x-request-id", "traceparent", "idempotency-key"}
+)
+
+
+def end_to_end(headers: Iterable[Header]) -> Iterator[Header]:
+    """Yield the headers that may be passed on to the next hop."""
+    headers = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = HOP_BY_HOP | _OF_THE_MESSAGE | named
+    for name, value in headers:
+        if name.lower() not in dropped:
+            yield name, value
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """What to send to which service replica.
+
+    Args:
+        ip: IP number of the replica.
+        port: TCP port of the replica.
+        method: HTTP method.
+        path: Path and query, from ``/``.
+        request_id: Sent as ``X-Request-Id``.
+        headers: Headers of the caller; the account's key is not passed on.
+        body: Whole body.
+        traceparent: W3C trace context, or empty.
+        idempotency_key: Passed on when set.
+        protected: True when the request must be sent at most once.
+        connect_timeout_s: Longest time for connecting, in seconds.
+        idle_timeout_s: Longest time without a byte, in seconds.
+    """
+
+    ip: str
+    port: int
+    method: str
+    path: str
+    request_id: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+    traceparent: str = ""
+    idempotency_key: str = ""
+    protected: bool = False
+    connect_timeout_s: float = 2.0
+    idle_timeout_s: float = 30.0
+
+    def to_http(self) -> HttpRequest:
+        """Return the request as it is sent."""
+        return HttpRequest(
+            self.method,
+            self.ip,
+            self.port,
+            self.path,
+            tuple(self._headers()),
+            self.body,
+            self.connect_timeout_s,
+            self.idle_timeout_s,
+            retry_stale=not self.protected,
+        )
+
+    def _headers(self) -> Iterator[Header]:
+        for name, value in end_to_end(self.headers):
+            if name.lower() not in _OF_THE_ROUTER:
+                yield name, value
+        yield "X-Request-Id", self.request_id
+        if self.traceparent:
+            yield "traceparent", self.traceparent
+        if self.idempotency_key:
+            yield "Idempotency-Key", self.idempotency_key
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """A service's whole answer.
+
+    Args:
+        status: HTTP status code.
+        headers: Headers to pass on to the caller.
+        body: Whole body.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+    @property
+    def content_type(self) -> str:
+        """Content type, or empty."""
+        return next((v for k, v in self.headers if k.lower() == "content-type"), "")
+
+
+ServiceEnd = ServiceAnswer | Unreachable | Cut
+
+
+def call_service(
+    pool: HttpPool,
+    request: ServiceRequest,
+    on_done: Callable[[ServiceEnd], None],
+    limit: int = ANSWER_LIMIT,
+) -> Exchange:
+    """Send ``request`` and call ``on_done`` once with how it ended.
+
+    Args:
+        pool: Sends the request.
+        request: What to send.
+        on_done: Gets the answer, ``Unreachable`` when certainly no byte of the
+            request left, or ``Cut`` when the service may have run it.
+        limit: Most bytes of the answer's body.
+    """
+
+    def on_outcome(outcome: Response | Failure) -> None:
+        match outcome:
+            case Response(status, headers, body):
+                on_done(ServiceAnswer(status, tuple(end_to_end(headers)), body))
+            case Failure(sent=False, message=message):
+                on_done(Unreachable(message))
+            case Failure(message=message):
+                on_done(Cut(message))
+
+    return pool.fetch(request.to_http(), on_outcome, limit)
