--- a/greengageflow/bench.py
+++ b/greengageflow/bench.py
@@ -5,6 +5,7 @@
 import fire
 
 from greengageflow.bench_demo import run_demo
+from greengageflow.bench_latency import run_bench
 
 
 def demo() -> None:
@@ -18,9 +19,18 @@
     sys.exit(run_demo())
 
 
+def latency() -> None:
+    """Measure added latency, throughput and streaming of one router.
+
+    Example:
+        greengage-bench latency
+    """
+    run_bench()
+
+
 def main() -> None:
     """Run the program."""
-    fire.Fire({"demo": demo}, name="greengage-bench")
+    fire.Fire({"demo": demo, "latency": latency}, name="greengage-bench")
 
 
 if __name__ == "__main__":
