--- /dev/null
+++ b/tests/http_fakes.py
@@ -0,0 +1,162 @@
+"""A loop in a thread and a scripted TCP peer for the HTTP tests."""
+
+from collections.abc import Callable
+from queue import Queue
+from socket import create_connection, create_server, socket
+from threading import Thread
+from time import monotonic, sleep
+
+from circuits import Component, handler
+from circuits.core.pollers import EPoll
+
+from greengageflow.http_pool import HttpPool
+from greengageflow.timers import Timers
+
+LIMIT_S = 20.0
+
+
+def wait_for(condition: Callable[[], object]):
+    end = monotonic() + LIMIT_S
+    while not (value := condition()):
+        assert monotonic() < end, "condition not met"
+        sleep(0.002)
+    return value
+
+
+class Loop:
+    """One circuits loop; ``call`` runs a function on it and returns its value."""
+
+    def __init__(self, **pool_options) -> None:
+        self.faults = []
+        self.app = app = Component()
+        EPoll().register(app)
+        self.timers = Timers().register(app)
+        self.pool = HttpPool(self.timers, **pool_options).register(app)
+        self._calls = Queue()
+        self.timers.every(0.002, self._run_calls)
+        app.addHandler(handler("exception", channel="*")(self._make_on_exception()))
+        self.thread = Thread(target=app.run, daemon=True)
+
+    def _make_on_exception(self):
+        def on_exception(manager, *args, **_kwargs):
+            self.faults.append(args)
+
+        return on_exception
+
+    def _run_calls(self) -> None:
+        while not self._calls.empty():
+            call, answer = self._calls.get()
+            try:
+                answer.put((True, call()))
+            except Exception as exc:
+                answer.put((False, exc))
+
+    def call(self, call: Callable[[], object]):
+        answer = Queue()
+        self._calls.put((call, answer))
+        good, value = answer.get(timeout=LIMIT_S)
+        if not good:
+            raise value
+        return value
+
+    def close(self) -> None:
+        self.call(self.app.stop)
+        self.thread.join(LIMIT_S)
+        assert not self.faults
+
+
+class FakePeer:
+    """Accepts connections and runs ``script(conn, number)`` in a thread for each."""
+
+    def __init__(self, script: Callable[["PeerConn", int], None]) -> None:
+        self.sock = create_server(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+        self.requests: list[bytes] = []
+        self.sources: list[str] = []
+        self._script = script
+        Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        number = 0
+        while True:
+            try:
+                sock, address = self.sock.accept()
+            except OSError:
+                return
+            self.sources.append(address[0])
+            args = (PeerConn(sock, self.requests), number)
+            Thread(target=self._run, args=args, daemon=True).start()
+            number += 1
+
+    def _run(self, conn: "PeerConn", number: int) -> None:
+        try:
+            self._script(conn, number)
+        except (OSError, EOFError):
+            pass
+        finally:
+            conn.sock.close()
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+class PeerConn:
+    def __init__(self, sock: socket, requests: list[bytes]) -> None:
+        self.sock = sock
+        self.send = sock.sendall
+        self._requests = requests
+        self._data = b""
+
+    def request(self) -> bytes:
+        """Return the next request; its body must be as long as it says."""
+        while b"\r\n\r\n" not in self._data:
+            self._more()
+        head, _, _ = self._data.partition(b"\r\n\r\n")
+        size = len(head) + 4
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                size += int(line[15:])
+        while len(self._data) < size:
+            self._more()
+        request, self._data = self._data[:size], self._data[size:]
+        self._requests.append(request)
+        return request
+
+    def _more(self) -> None:
+        data = self.sock.recv(65536)
+        if not data:
+            raise EOFError
+        self._data += data
+
+    def answer(self, body: bytes, status: str = "200 OK", extra: str = "") -> None:
+        head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
+        self.send(head.encode() + body)
+
+    def wait_closed(self) -> None:
+        while self.sock.recv(65536):
+            pass
+
+
+class Caller:
+    """A blocking caller."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = create_connection(address, timeout=LIMIT_S)
+        self.send = self.sock.sendall
+        self.data = b""
+
+    def until(self, mark: bytes) -> bytes:
+        """Return what came up to and with ``mark``."""
+        while mark not in self.data:
+            data = self.sock.recv(65536)
+            assert data, f"closed before {mark!r}; got {self.data!r}"
+            self.data += data
+        cut = self.data.index(mark) + len(mark)
+        found, self.data = self.data[:cut], self.data[cut:]
+        return found
+
+    def rest(self) -> bytes:
+        """Return everything up to the end of the connection."""
+        while data := self.sock.recv(65536):
+            self.data += data
+        return self.data
--- /dev/null
+++ b/tests/test_http_pool.py
@@ -0,0 +1,226 @@
+import socket
+from contextlib import closing
+
+import pytest
+from http_fakes import FakePeer, Loop, wait_for
+
+from greengageflow.http_pool import Failure, FailureKind, HttpRequest, Response
+
+
+@pytest.fixture
+def loop():
+    with closing(Loop(source_ip="127.0.0.9")) as loop:
+        loop.thread.start()
+        yield loop
+
+
+class Recorder:
+    def __init__(self):
+        self.log = []
+        self.data = b""
+
+    def on_head(self, head):
+        self.log.append(head.status)
+
+    def on_data(self, data):
+        self.data += data
+
+    def on_end(self):
+        self.log.append("end")
+
+    def on_failure(self, failure):
+        self.log.append(failure)
+
+
+def fetch(loop, port, **options):
+    done = []
+    options = {"method": "POST", "path": "/x", "body": b"hello"} | options
+    request = HttpRequest(ip="127.0.0.1", port=port, **options)
+    limit = 1000
+    loop.call(lambda: loop.pool.fetch(request, done.append, limit))
+    return wait_for(lambda: done)[0]
+
+
+def test_a_connection_is_reused_and_bound_to_the_source(loop):
+    def script(conn, _number):
+        while conn.request():
+            conn.answer(b'{"a": 1}', extra="X-Y: z\r\n")
+
+    peer = FakePeer(script)
+    for _ in range(3):
+        response = fetch(loop, peer.port)
+        assert response.json() == {"a": 1}
+        assert response.header("x-y") == "z"
+    assert peer.sources == ["127.0.0.9"]
+    assert peer.requests[0].endswith(b"\r\n\r\nhello")
+
+
+def test_a_chunked_answer_in_single_bytes_is_whole(loop):
+    def script(conn, _number):
+        conn.request()
+        text = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for byte in text + b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n":
+            conn.send(bytes([byte]))
+        conn.wait_closed()
+
+    assert fetch(loop, FakePeer(script).port).body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", FailureKind.CUT),
+        (b"HTTP/1.1 200 OK\r\n\r\nabcde", FailureKind.CUT),
+        (b"", FailureKind.CUT),
+        (b"SSH-2.0\r\n\r\n", FailureKind.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"a" * 70_000, FailureKind.BROKEN),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"a" * 2000,
+            FailureKind.BROKEN,
+        ),
+    ],
+)
+def test_half_and_broken_answers_are_failures(loop, answer, kind):
+    """The caller of the pool sees one failure and no answer.
+
+    The peer answers less than it announced, without any length, garbage, or too
+    much, and closes. Half an answer must never pass for a whole one.
+    """
+
+    def script(conn, _number):
+        conn.request()
+        conn.send(answer)
+
+    failure = fetch(loop, FakePeer(script).port)
+    assert isinstance(failure, Failure)
+    assert (failure.kind, failure.sent) == (kind, True)
+
+
+def test_a_refused_connection_is_known_not_to_be_sent(loop):
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port = sock.getsockname()[1]
+    failure = fetch(loop, port)
+    assert (failure.kind, failure.sent) == (FailureKind.CONNECT, False)
+
+
+def test_a_connection_that_never_comes_about_is_not_sent(loop):
+    """The caller of the pool is told that nothing was sent.
+
+    The peer's queue of connections is full, so that no handshake ends; the pool
+    gives up after the connect timeout and no byte of the request has left.
+    """
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(0)
+        address = sock.getsockname()
+        with closing(socket.create_connection(address)):
+            extra = socket.socket()
+            extra.setblocking(False)
+            extra.connect_ex(address)
+            failure = fetch(loop, address[1], connect_timeout_s=0.1)
+            extra.close()
+    assert (failure.kind, failure.sent) == (FailureKind.CONNECT, False)
+
+
+def test_a_silent_peer_times_out(loop):
+    peer = FakePeer(lambda conn, _number: conn.wait_closed())
+    failure = fetch(loop, peer.port, idle_timeout_s=0.1)
+    assert (failure.kind, failure.sent) == (FailureKind.TIMEOUT, True)
+
+
+@pytest.mark.parametrize("retry_stale", [True, False])
+def test_a_stale_connection_is_replaced_only_where_allowed(loop, retry_stale):
+    """The caller of the pool gets its answer, and a protected action is sent once.
+
+    The peer answers once and then closes the connection as the next request
+    arrives on it, as servers do with idle connections. A request that may be sent
+    again goes out on a new connection; a protected one never used the old one.
+    """
+
+    def script(conn, number):
+        conn.request()
+        conn.answer(b"%d" % number)
+        if number == 0:
+            conn.request()
+        else:
+            conn.wait_closed()
+
+    peer = FakePeer(script)
+    assert fetch(loop, peer.port).body == b"0"
+    response = fetch(loop, peer.port, retry_stale=retry_stale)
+    assert isinstance(response, Response)
+    assert response.body == b"1"
+    assert len(peer.requests) == (3 if retry_stale else 2)
+
+
+def test_an_early_answer_survives_a_broken_body(loop):
+    """The caller of the pool sees the 413 and not a broken connection.
+
+    The peer answers before it has read the body, then closes; the pool is still
+    sending at that moment and its next write fails.
+    """
+
+    def script(conn, _number):
+        conn.sock.recv(1000)
+        conn.answer(b"too large", "413 Large")
+        conn.sock.shutdown(socket.SHUT_WR)
+        conn.wait_closed()
+
+    response = fetch(loop, FakePeer(script).port, body=b"x" * 30_000_000)
+    assert response.status == 413
+
+
+def test_pause_holds_the_sender_back(loop):
+    """A receiver that pauses gets no more, and the peer comes to wait.
+
+    The peer sends far more than the socket buffers hold; the receiver pauses at
+    the head, so that the peer's writes stop until the receiver resumes.
+    """
+    size = 60_000_000
+    sent = []
+
+    def script(conn, _number):
+        conn.request()
+        conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        for _ in range(60):
+            conn.send(b"x" * 1_000_000)
+            sent.append(1)
+        conn.wait_closed()
+
+    class Paused(Recorder):
+        def on_head(self, head):
+            super().on_head(head)
+            exchange[0].pause()
+
+    recorder = Paused()
+    request = HttpRequest("GET", "127.0.0.1", FakePeer(script).port, "/")
+    exchange = []
+    loop.call(lambda: exchange.append(loop.pool.open(request, recorder)))
+    wait_for(lambda: recorder.log == [200])
+    before = len(recorder.data)
+    for _ in range(5):
+        loop.call(lambda: None)
+    assert len(recorder.data) == before < 100_000
+    assert len(sent) < 60
+    loop.call(exchange[0].resume)
+    wait_for(lambda: recorder.log == [200, "end"])
+    assert len(recorder.data) == size
+
+
+def test_cancel_closes_the_connection_and_tells_nothing(loop):
+    closed = []
+
+    def script(conn, _number):
+        conn.request()
+        conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+        conn.wait_closed()
+        closed.append(1)
+
+    recorder = Recorder()
+    request = HttpRequest("GET", "127.0.0.1", FakePeer(script).port, "/")
+    exchange = loop.call(lambda: loop.pool.open(request, recorder))
+    wait_for(lambda: recorder.data == b"abc")
+    loop.call(exchange.cancel)
+    wait_for(lambda: closed)
+    assert recorder.log == [200]
+    assert loop.call(lambda: (loop.pool.active, loop.pool.idle)) == (0, 0)
