Tests of engine calls and of the callers' side; faults found in them mended

- A pipelined request whose first bytes came with the one before lost a line end, since empty lines between requests are skipped: such a connection now counts as reading.
- A receiver that fails ends its exchange, instead of leaving a hole in its answer.
- An engine that is busy when asked to resume is asked again.

--- a/greengageflow/_caller_conn.py
+++ b/greengageflow/_caller_conn.py
@@ -132,6 +132,11 @@
         """Take bytes from the caller."""
         if self.phase is Phase.CLOSING:
             return
+        if self.phase is Phase.IDLE:
+            # Some clients end a body with an empty line that is not part of it.
+            data = data.lstrip(b"\r\n")
+        if not data:
+            return
         self._http.receive_data(data)
         if self.phase is Phase.ANSWERING:
             self._ahead += len(data)
@@ -153,6 +158,8 @@
                 pass
         finally:
             self._advancing = False
+        if self.phase is Phase.IDLE and self._http.trailing_data[0]:
+            self._enter(Phase.READING)
 
     def _step(self) -> bool:
         try:
--- a/greengageflow/engine_client.py
+++ b/greengageflow/engine_client.py
@@ -29,6 +29,7 @@
 RESUME_DELAY_S = 0.05
 DONE = b"[DONE]"
 
+BUSY_STATUSES = frozenset({429, 503})
 NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422, 429, 431, 503})
 """Statuses by which an engine says that it did not begin the request. 409 is left
 out: an engine may mean that it has run the same key before."""
@@ -450,12 +451,14 @@
 
     def on_end(self) -> None:
         """Note that the HTTP answer is whole, which a stream may not be."""
-        if self._head.status != 200:
-            retry_after = self._head.header("retry-after")
-            body = bytes(self._refusal)
-            self._end(self._refused(self._head.status, body, retry_after))
-        else:
+        status = self._head.status
+        if status == 200:
             self._cut("the stream ended before its end mark")
+        elif self.resumed and status in BUSY_STATUSES:
+            self._cut(f"engine answered {status} to a resumption")
+        else:
+            retry_after = self._head.header("retry-after")
+            self._end(self._refused(status, bytes(self._refusal), retry_after))
 
     def on_failure(self, failure: Failure) -> None:
         """Resume a cut stream, or report how far it came."""
--- a/greengageflow/http_pool.py
+++ b/greengageflow/http_pool.py
@@ -432,6 +432,10 @@
             self._fail_cut(exchange, str(exc))
         except AnswerBroken as exc:
             self._fail(exchange, FailureKind.BROKEN, str(exc))
+        except Exception as exc:
+            # What was read is lost to the receiver; reading on would leave a hole.
+            self._fail(exchange, FailureKind.BROKEN, f"receiver failed: {exc!r}")
+            raise
 
     def _deliver(self, exchange: Exchange, arrival: Head | Chunk | End) -> None:
         match arrival:
--- /dev/null
+++ b/tests/test_engine_client.py
@@ -0,0 +1,300 @@
+import json
+from contextlib import closing
+from dataclasses import replace
+
+import pytest
+from http_fakes import FakePeer, Loop, wait_for
+
+from greengageflow._sse import EventStream
+from greengageflow.engine_client import (
+    Completed,
+    Cut,
+    EngineCall,
+    EngineRequest,
+    Refused,
+    Unreachable,
+    Usage,
+)
+from greengageflow.errors import Ran
+from greengageflow.service_client import ServiceAnswer, ServiceRequest, call_service
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+DONE = b"data: [DONE]\n\n"
+USAGE = {"prompt_tokens": 3, "completion_tokens": 2}
+
+
+@pytest.fixture
+def loop():
+    with closing(Loop()) as loop:
+        loop.thread.start()
+        yield loop
+
+
+def event(seq, *, id_="r1", last=False):
+    document = {
+        "id": id_,
+        "seq": seq,
+        "choices": [
+            {
+                "index": 0,
+                "delta": {"content": f"t{seq}"},
+                "finish_reason": "stop" if last else None,
+            }
+        ],
+    }
+    if last:
+        document["usage"] = USAGE
+    return b"data: " + json.dumps(document).encode() + b"\n\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Listener:
+    def __init__(self):
+        self.text = ""
+        self.raw = b""
+        self.ends = []
+
+    def on_pieces(self, pieces):
+        self.text += "".join(piece.content for piece in pieces)
+        self.raw += b"".join(piece.raw for piece in pieces)
+
+    def on_end(self, end):
+        self.ends.append(end)
+
+
+def run(loop, script, *, stream=True, **options):
+    peer = FakePeer(script)
+    body = {"model": "m", "stream": stream}
+    request = EngineRequest("127.0.0.1", peer.port, "r1", body, **options)
+    listener = Listener()
+    call = EngineCall(loop.pool, loop.timers, request, listener)
+    loop.call(call.start)
+    wait_for(lambda: listener.ends)
+    loop.call(lambda: None)
+    assert len(listener.ends) == 1
+    return call, listener, peer
+
+
+def streams(*parts, then_wait=False):
+    """Return a script whose nth connection sends the nth part."""
+
+    def script(conn, number):
+        conn.request()
+        conn.send(parts[min(number, len(parts) - 1)])
+        if then_wait:
+            conn.wait_closed()
+
+    return script
+
+
+WHOLE = CHUNKED + chunk(event(0) + event(1, last=True)) + chunk(DONE) + b"0\r\n\r\n"
+
+
+def test_a_stream_is_passed_on_unchanged_and_completed(loop):
+    call, listener, peer = run(loop, streams(WHOLE), traceparent="00-a-b-01")
+    assert listener.text == "t0t1"
+    assert listener.raw == event(0) + event(1, last=True)
+    end = listener.ends[0]
+    assert (end.usage, end.ran) == (Usage(3, 2), Ran.YES)
+    assert call.first_piece_s is not None
+    assert b"X-Request-Id: r1\r\ntraceparent: 00-a-b-01" in peer.requests[0]
+
+
+def test_a_stream_in_single_bytes_is_the_same():
+    text = event(0) + b": comment\r\n\r\n" + b"data: a\r\ndata:b\r\n\r\n" + DONE
+    whole = [item.data for item in EventStream().feed(text)]
+    stream = EventStream()
+    single = [
+        item.data for i in range(len(text)) for item in stream.feed(text[i : i + 1])
+    ]
+    assert single == whole == [event(0)[6:-2], b"a\nb", b"[DONE]"]
+
+
+def test_foreign_and_repeated_pieces_are_left_out(loop):
+    """The caller sees each piece of its own answer once.
+
+    The engine mixes in a piece of another request, repeats a piece and sends an
+    old one late. They are dropped and counted, and the stream goes on.
+    """
+    mixed = event(0) + event(0, id_="r2") + event(0) + event(1) + event(0)
+    text = CHUNKED + chunk(mixed + event(2, last=True) + DONE) + b"0\r\n\r\n"
+    call, listener, _ = run(loop, streams(text))
+    assert listener.text == "t0t1t2"
+    assert isinstance(listener.ends[0], Completed)
+    assert call.dropped == 3
+
+
+CUTS = {
+    "connection": chunk(event(0)),
+    "gap": chunk(event(0) + event(2)),
+    "end without last piece": chunk(event(0)) + b"0\r\n\r\n",
+    "mark without last piece": chunk(event(0) + DONE) + b"0\r\n\r\n",
+    "last piece without mark": chunk(event(0)) + chunk(event(1, last=True)),
+    "unreadable": chunk(event(0) + b"data: {]\n\n"),
+    "wrong types": chunk(event(0) + b'data: {"id": "r1", "seq": null}\n\n'),
+    "error event": chunk(event(0) + b'data: {"error": "gone"}\n\n'),
+}
+
+
+@pytest.mark.parametrize("name", CUTS)
+def test_a_cut_stream_is_never_complete(loop, name):
+    """The caller is told that its answer was cut, with what came before it.
+
+    The engine's stream breaks off, skips a piece or ends without its two end
+    signs. Nothing of it may pass for a whole answer, and the request did run.
+    """
+    _, listener, _ = run(loop, streams(CHUNKED + CUTS[name]))
+    assert isinstance(listener.ends[0], Cut)
+    assert listener.ends[0].ran is Ran.YES
+    assert listener.text.startswith("t0")
+    assert "t2" not in listener.text
+
+
+@pytest.mark.parametrize("name", CUTS)
+def test_a_cut_stream_is_resumed_at_the_next_piece(loop, name):
+    """The caller sees one whole answer although the stream was cut.
+
+    The engine cuts after the first pieces; the client asks it to go on from the
+    next piece, and an overlap in the second stream is dropped.
+    """
+    rest = event(0) + event(1) + event(2, last=True) + DONE
+    if name == "last piece without mark":
+        rest = event(1, last=True) + DONE
+    second = CHUNKED + chunk(rest) + b"0\r\n\r\n"
+    call, listener, peer = run(
+        loop, streams(CHUNKED + CUTS[name], second), resumes=True
+    )
+    assert isinstance(listener.ends[0], Completed)
+    assert listener.text in ("t0t1t2", "t0t1")
+    assert call.resumed == 1
+    assert b"X-Resume-From: " in peer.requests[1]
+    assert b"X-Resume-From: " not in peer.requests[0]
+
+
+def test_resuming_gives_up_after_some_fruitless_tries(loop):
+    call, listener, peer = run(
+        loop, streams(CHUNKED + chunk(event(0))), resumes=True, resume_tries=2
+    )
+    assert isinstance(listener.ends[0], Cut)
+    assert len(peer.requests) == 3
+
+
+REFUSED = b"HTTP/1.1 %b\r\nRetry-After: 7\r\nContent-Length: 4\r\n\r\nbusy"
+
+
+@pytest.mark.parametrize("stream", [True, False])
+@pytest.mark.parametrize(
+    ("status", "ran"),
+    [
+        (b"429 Busy", Ran.NO),
+        (b"503 Down", Ran.NO),
+        (b"500 Broken", Ran.UNKNOWN),
+        (b"409 Conflict", Ran.UNKNOWN),
+    ],
+)
+def test_only_a_clear_refusal_says_not_run(loop, stream, status, ran):
+    _, listener, _ = run(loop, streams(REFUSED % status), stream=stream)
+    end = listener.ends[0]
+    assert end.ran is ran
+    if ran is Ran.NO:
+        assert isinstance(end, Refused)
+        assert end.retry_after_s == 7
+        assert "busy" in end.message
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_an_engine_that_is_down_did_not_run_the_request(loop, stream):
+    body = {"model": "m", "stream": stream}
+    request = EngineRequest("127.0.0.1", 1, "r1", body, resumes=True)
+    listener = Listener()
+    loop.call(EngineCall(loop.pool, loop.timers, request, listener).start)
+    wait_for(lambda: listener.ends)
+    assert isinstance(listener.ends[0], Unreachable)
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind"),
+    [
+        ({"id": "r1", "choices": [{}], "usage": USAGE}, Completed),
+        ({"id": "r2", "choices": [{}], "usage": USAGE}, Cut),
+        ({"id": "r1", "choices": []}, Cut),
+        ([], Cut),
+    ],
+)
+def test_a_whole_answer_must_be_the_requests_own(loop, answer, kind):
+    def script(conn, _number):
+        conn.request()
+        conn.answer(json.dumps(answer).encode())
+
+    _, listener, _ = run(loop, script, stream=False)
+    assert isinstance(listener.ends[0], kind)
+
+
+def test_cancel_closes_the_stream_and_tells_the_engine(loop):
+    """The caller is gone, and the engine must not work on for nobody.
+
+    The call is given up in the middle of the stream: its connection is closed, and
+    a cancel order follows for an engine that would wait for a resumption.
+    """
+    log = []
+
+    def script(conn, number):
+        conn.request()
+        if number == 0:
+            conn.send(CHUNKED + chunk(event(0)))
+            conn.wait_closed()
+            log.append("closed")
+        else:
+            conn.answer(b"{}")
+
+    peer = FakePeer(script)
+    request = EngineRequest("127.0.0.1", peer.port, "r1", {"stream": True})
+    listener = Listener()
+    call = EngineCall(loop.pool, loop.timers, request, listener)
+    loop.call(call.start)
+    wait_for(lambda: listener.text)
+    loop.call(call.cancel)
+    wait_for(lambda: log and len(peer.requests) == 2)
+    assert peer.requests[1].startswith(b"POST /cancel ")
+    assert peer.requests[1].endswith(b'{"id": "r1"}')
+    assert not listener.ends
+
+
+def test_a_service_call_passes_the_message_but_not_the_hop(loop):
+    def script(conn, _number):
+        conn.request()
+        conn.answer(
+            b"\x00\xff", "418 Tea", "X-A: \xe9\r\nConnection: x-b\r\nX-B: 1\r\n"
+        )
+
+    peer = FakePeer(script)
+    headers = (
+        ("authorization", "Bearer secret"),
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+        ("x-kept", "\xe9"),
+        ("content-length", "99"),
+        ("host", "other"),
+    )
+    request = ServiceRequest(
+        "127.0.0.1", peer.port, "PUT", "/a?b=c", "r1", headers, b"\x01"
+    )
+    done = []
+    loop.call(lambda: call_service(loop.pool, request, done.append))
+    wait_for(lambda: done)
+    assert done == [ServiceAnswer(418, (("x-a", "\xc3\xa9"),), b"\x00\xff")]
+    sent = peer.requests[0].lower()
+    assert sent.startswith(b"put /a?b=c http/1.1\r\n")
+    assert b"x-kept: \xe9\r\n" in sent
+    for name in (b"secret", b"x-hop", b"99", b"other"):
+        assert name not in sent
+
+
+def test_a_protected_service_call_uses_a_new_connection():
+    request = ServiceRequest("127.0.0.1", 1, "POST", "/", "r1")
+    assert request.to_http().retry_stale
+    assert not replace(request, protected=True).to_http().retry_stale
