--- a/greengageflow/config_follower.py
+++ b/greengageflow/config_follower.py
@@ -1,14 +1,17 @@
 """Keeps one router's configuration up to date from the log and from its peers."""
 
-import json
 from collections.abc import Callable, Sequence
-from math import inf
 from random import Random
 from time import monotonic, time
 from typing import Any
 
-from greengageflow._config_watch import ConfigLog, SnapshotClock, log_outcome
+from greengageflow._config_watch import (
+    ConfigLog,
+    SnapshotClock,
+    log_outcome,
+)
 from greengageflow.catalog import FleetConfig
+from greengageflow.config_exchange import StateExchange
 from greengageflow.config_roles import Roles
 from greengageflow.events import Event, log
 from greengageflow.fold import Fold
@@ -18,12 +21,9 @@
 
 STREAM = "config"
 _PAUSE_S = 0.1
-_ASK_INTERVAL_S = 1.0
 _SNAPSHOT_CHECK_S = 5.0
 _FIRST_BACKOFF_S = 0.2
 _LONGEST_BACKOFF_S = 5.0
-_MISSING_RECORDS = -1
-"""Revision in a ``ConfigRequest`` of a router that any complete state helps."""
 
 
 class ConfigFollower:
@@ -75,8 +75,6 @@
         self._log = log_client
         self._timers = timers
         self._on_config = on_config
-        self._send = send
-        self._peers = peers
         self._roles = roles
         self._wait_s = wait_s
         self._poll_s = poll_s
@@ -88,9 +86,15 @@
         self._given = 0
         self._failures = 0
         self._outage_start = 0.0
-        self._asked_at = -inf
-        self._unreadable = 0
-        self._document: ConfigState | None = None
+        self._exchange = StateExchange(
+            host,
+            self.fold,
+            send=send,
+            peers=peers,
+            on_restored=self._give,
+            rng=self._rng,
+            now=now,
+        )
         self._asked_from = 0
         self._shorter = False
         self._snapshot_timer: Subscription | None = None
@@ -128,7 +132,7 @@
     def start(self) -> None:
         """Ask peers and begin to read."""
         self._live = True
-        self._ask_anyone()
+        self._exchange.ask_anyone()
         self._read()
         self._snapshot_timer = self._timers.every(
             _SNAPSHOT_CHECK_S, self._check_snapshot
@@ -142,52 +146,11 @@
 
     def peer_revision(self, host: str, revision: int) -> None:
         """Take note of the revision that a peer has in force."""
-        if revision > max(self.revision, self._unreadable):
-            self._ask(host)
+        self._exchange.peer_revision(host, revision)
 
     def received(self, host: str, message: ConfigRequest | ConfigState) -> None:
         """Take a message of a peer."""
-        match message:
-            case ConfigRequest(revision):
-                # One that misses records is not helped by another that does.
-                missing = revision == _MISSING_RECORDS and not self.fold.complete
-                if self.revision > revision and not missing:
-                    self._send(host, self._state_message())
-            case ConfigState():
-                self._restore(host, message)
-
-    def _ask_anyone(self) -> None:
-        hosts = [host for host in self._peers() if host != self._host]
-        if hosts:
-            self._ask(self._rng.choice(hosts))
-
-    def _ask(self, host: str) -> None:
-        # Every ping of a fleet that is ahead would otherwise fetch the same state.
-        now = self._now()
-        if now - self._asked_at < _ASK_INTERVAL_S:
-            return
-        self._asked_at = now
-        missing = self.revision and not self.fold.complete
-        self._send(host, ConfigRequest(_MISSING_RECORDS if missing else self.revision))
-
-    def _state_message(self) -> ConfigState:
-        fold = self.fold
-        if self._document is None or self._document.offset != fold.offset:
-            document = json.dumps(fold.snapshot(self._host), separators=(",", ":"))
-            self._document = ConfigState(self.revision, fold.offset, document)
-        return self._document
-
-    def _restore(self, host: str, message: ConfigState) -> None:
-        try:
-            newer = self.fold.restore(message.document)
-        except ExceptionGroup as exc:
-            newer = False
-            log(Event.INTERNAL, error=f"state of {host}: {exc.exceptions[0]}")
-        if newer:
-            log(Event.CONFIG_ADOPTED, revision=self.revision, source=host)
-            self._give()
-        elif message.revision > self.revision:
-            self._unreadable = message.revision
+        self._exchange.received(host, message)
 
     def _give(self) -> None:
         if self.revision > self._given:
@@ -246,7 +209,7 @@
         if first_offset > offset:
             log(Event.CONFIG_LAPSED, offset=offset, first_offset=first_offset)
             self.fold.skip_to(first_offset)
-            self._ask_anyone()
+            self._exchange.ask_anyone()
 
     def _on_records(self, result: Records) -> None:
         self._snapshots.first_offset = result.first_offset
@@ -264,7 +227,7 @@
             self._apply(record)
         self._give()
         if not self.fold.complete:
-            self._ask_anyone()
+            self._exchange.ask_anyone()
         self._schedule(result)
 
     def _on_shorter(self, next_offset: int) -> None:
--- a/greengageflow/fold.py
+++ b/greengageflow/fold.py
@@ -5,7 +5,6 @@
 this software cannot read stops the fold instead of being guessed.
 """
 
-import json
 from collections import deque
 from dataclasses import dataclass, replace
 from typing import Any
@@ -72,7 +71,7 @@
         understood: frozenset[int] = frozenset(SCHEMAS),
         history_length: int = HISTORY_LENGTH,
     ) -> None:
-        self._understood = understood
+        self.understood = understood
         self._state = State()
         self._history: deque[Decision] = deque(maxlen=history_length)
         self._lost_before = 0
@@ -104,11 +103,6 @@
         """Offset from which to read on."""
         return self.offset + 1 if self.complete else self._scanned + 1
 
-    @property
-    def understood(self) -> frozenset[int]:
-        """Schemas that this software reads."""
-        return self._understood
-
     @property
     def history(self) -> tuple[Decision, ...]:
         """The last decisions, oldest first."""
@@ -148,21 +142,17 @@
                 self._scanned = offset
         return outcome
 
-    def restore(self, document: str) -> bool:
+    def restore(self, value: Any) -> bool:
         """Take over a peer's newer state; return whether it was newer.
 
         Args:
-            document: JSON text as ``snapshot`` gives it.
+            value: JSON value as ``snapshot`` gives it.
 
         Raises:
-            ExceptionGroup: The document is broken.
+            ExceptionGroup: The value is broken.
         """
-        try:
-            value = json.loads(document)
-        except (ValueError, RecursionError) as exc:
-            raise ExceptionGroup("snapshot of a peer", [exc]) from None
         head = parse_head(value)
-        if head.schema not in self._understood or head.kind is not RecordKind.SNAPSHOT:
+        if head.schema not in self.understood or head.kind is not RecordKind.SNAPSHOT:
             return False
         return self._adopt(parse_record(value, head))
 
@@ -182,7 +172,7 @@
     @property
     def _snapshot_schema(self) -> int:
         """Highest allowed schema that is known here; it can say all there is."""
-        return max(n for n in self._understood if n <= self._state.highest)
+        return max(n for n in self.understood if n <= self._state.highest)
 
     def _judge(self, offset: int, value: Any) -> Outcome:
         try:
@@ -200,7 +190,7 @@
                 f"schema {head.schema}, but {self._state.highest} is the highest"
                 " allowed",
             )
-        if head.schema not in self._understood:
+        if head.schema not in self.understood:
             return self._halt(offset, head)
         try:
             record = parse_record(value, head)
@@ -248,7 +238,7 @@
         return Accepted(revision)
 
     def _judge_snapshot(self, offset: int, value: Any, head: Head) -> Outcome:
-        if head.schema not in self._understood:
+        if head.schema not in self.understood:
             return Skipped(Reason.NOT_UNDERSTOOD, f"snapshot of schema {head.schema}")
         try:
             record = parse_record(value, head)
--- a/greengageflow/messages.py
+++ b/greengageflow/messages.py
@@ -277,12 +277,12 @@
     Args:
         revision: Revision of the state.
         offset: Log offset up to which it was folded.
-        document: JSON text of the snapshot.
+        document: JSON text of the snapshot, compressed by zlib.
     """
 
     revision: int
     offset: int
-    document: str
+    document: bytes
 
 
 # Protected actions.
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -5,11 +5,12 @@
 
 import pytest
 
+from greengageflow.config_exchange import pack_document
 from greengageflow.config_follower import ConfigFollower
 from greengageflow.config_roles import Roles, config_roles
 from greengageflow.fold import Fold
 from greengageflow.log_client import Appended, Lapsed, LogFailure, LogRecord, Records
-from greengageflow.messages import ConfigRequest, PeerId
+from greengageflow.messages import ConfigRequest, ConfigState, PeerId
 from greengageflow.timers import Subscription
 
 IN_FORCE_S = 12
@@ -292,3 +293,13 @@
     fleet.members["r0"].stopping = True
     assert config_roles(fleet.view("r1")) == Roles(True, True)
     assert config_roles(fleet.view("r6")) == Roles(True, False)
+
+
+def test_a_broken_state_of_a_peer_changes_nothing():
+    fleet = Fleet(2).start()
+    fleet.publish("a")
+    assert fleet.clock.run(IN_FORCE_S, lambda: fleet.all_at(1))
+    whole = pack_document(fleet.followers["r1"].fold.snapshot("r1"))
+    for data in (b"", b"junk", whole[:-9], pack_document([]), pack_document("x")):
+        fleet.followers["r0"].received("r1", ConfigState(9, 9, data))
+    assert fleet.followers["r0"].revision == 1
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -125,7 +125,7 @@
     assert "schema 2" in old.halted
     assert (old.config.revision, old.next_offset) == (2, 2)
     new, _ = folded(*records)
-    assert not old.restore(json.dumps(new.snapshot("r2")))
+    assert not old.restore(new.snapshot("r2"))
     assert old.config.revision == 2
 
 
@@ -235,7 +235,7 @@
     @rule(asker=st.integers(0, 2), answerer=st.integers(0, 2))
     def ask(self, asker, answerer):
         document = json.dumps(self.routers[answerer].snapshot("r"))
-        self.routers[asker].restore(document)
+        self.routers[asker].restore(json.loads(document))
 
     @invariant()
     def every_router_holds_the_state_of_its_prefix(self):
@@ -287,7 +287,7 @@
     """
     old, _ = folded(record(1, 0, config1("a")))
     new, _ = folded(record(1, 0, config1("a")), record(1, 1, config1("b")))
-    assert not new.restore(json.dumps(old.snapshot("r1")))
+    assert not new.restore(old.snapshot("r1"))
     assert list(new.config.accounts) == ["b"]
-    assert old.restore(json.dumps(new.snapshot("r2")))
+    assert old.restore(new.snapshot("r2"))
     assert old.state == new.state
