--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -3,10 +3,12 @@
 import json
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from time import time
 
 import fire
 from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import EPoll
 
 from greengageflow.callers import CallerServer, Limits
 from greengageflow.catalog import FleetConfig
@@ -51,6 +53,8 @@
         own = PeerId(settings.host, int(time() * 1000))
         self._own = own
         self._seeds = tuple(Seed(s.host, s.ip, s.port) for s in settings.seeds)
+        # Registered first, or each socket component would bring its own poller.
+        EPoll().register(self)
         self._timers = Timers().register(self)
         self._pool = HttpPool(self._timers, source_ip=settings.ip).register(self)
         self._log_client = LogClient(self._pool, settings.log.ip, settings.log.port)
@@ -217,10 +221,7 @@
 def _span_writer(trace_file: str | None) -> Callable[[str], None] | None:
     if trace_file is None:
         return None
-    if trace_file == "-":
-        out = sys.stdout
-    else:
-        out = open(trace_file, "a")  # noqa: SIM115 (stays open as long as it runs)
+    out = sys.stdout if trace_file == "-" else Path(trace_file).open("a")  # noqa: SIM115
 
     def write(line: str) -> None:
         print(line, file=out, flush=True)
