--- a/greengageflow/_bare_answerer.py
+++ b/greengageflow/_bare_answerer.py
@@ -3,7 +3,7 @@
 import json
 import sys
 
-from circuits.web import Server, Controller
+from circuits.web import Controller, Server
 
 
 class Root(Controller):
--- a/greengageflow/_slots.py
+++ b/greengageflow/_slots.py
@@ -10,6 +10,9 @@
 from greengageflow.placement import FleetView
 
 _RETURNED_KEPT = 512
+_REPORT_LAG_S = 2.0
+"""Most that an endpoint's load report may lag behind, in seconds."""
+_REPORT_FRESH_S = 3.0
 
 
 @dataclass(slots=True)
@@ -22,6 +25,8 @@
         ends_at: Time at which the request will have ended at the latest.
         ask_at: Time to send the grant again; None once it was answered.
         charge: What the account was charged for it here.
+        since: Time at which it was given away or became known here.
+        away: True when the entry router does not answer.
     """
 
     peer: PeerId
@@ -29,6 +34,8 @@
     ends_at: float
     ask_at: float | None = None
     charge: Charge | None = None
+    since: float = float("-inf")
+    away: bool = False
 
     @property
     def due_at(self) -> float:
@@ -55,6 +62,8 @@
         self._fresh: set[str] = set()
         self._known = 0
         self._returned: OrderedDict[str, None] = OrderedDict()
+        self._reported_at = float("-inf")
+        self._reported = 0
 
     @property
     def leaving(self) -> bool:
@@ -116,6 +125,10 @@
             return 0
         self.settle(now)
         usable = min(self._usable, self.limit.allowed(now))
+        away = sum(hold.away for hold in self.holds.values())
+        doubtful = away or now < self._doubt_until
+        if doubtful and now - self._reported_at <= _REPORT_FRESH_S:
+            return self._free_by_report(usable, len(self.holds) - away)
         # A router that is cut off may run requests that the owner before us
         # granted. Granting their slots too would overload the endpoint; as many
         # as were registered here at once since then are surely not among them.
@@ -123,6 +136,30 @@
             usable = min(usable, self._known)
         return max(0, usable - len(self.holds))
 
+    def _free_by_report(self, usable: int, reached: int) -> int:
+        """Return the free slots when routers out of reach may run requests.
+
+        Their slots would stay unused until the requests' deadline, a minute of a
+        third of the endpoint after each lost host. The endpoint's own count shows
+        earlier that they ended. It lags, so what was granted since comes on top.
+        The other side grants at most the slots that it bears, so both together
+        stay within the endpoint's.
+        """
+        before = self._reported_at - _REPORT_LAG_S
+        recent = sum(h.since > before for h in self.holds.values() if not h.away)
+        running = self._reported + recent
+        return max(0, min(usable - reached, self.endpoint.slots - running))
+
+    def report(self, now: float, running: int) -> None:
+        """Take the endpoint's own count of the requests that it runs."""
+        self._reported_at = now
+        self._reported = running
+
+    def note_reach(self, view: FleetView) -> None:
+        """Note which entry routers answer."""
+        for hold in self.holds.values():
+            hold.away = not view.is_live(hold.peer)
+
     def hold(self, grant: str, hold: Hold) -> None:
         """Count a slot as given away."""
         self.holds[grant] = hold
@@ -140,7 +177,8 @@
         hold = self.holds.get(message.grant)
         ends_at = now + message.deadline_s
         if hold is None:
-            self.hold(message.grant, Hold(sender, message.account, ends_at))
+            hold = Hold(sender, message.account, ends_at, since=now)
+            self.hold(message.grant, hold)
             return
         hold.ends_at = ends_at if hold.ask_at else min(hold.ends_at, ends_at)
         hold.ask_at = None
--- a/greengageflow/calls.py
+++ b/greengageflow/calls.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from math import isfinite
 from typing import TYPE_CHECKING, Any
-from urllib.parse import quote, unquote
+from urllib.parse import parse_qs, quote, unquote
 
 from greengageflow.chat import parse_chat
 from greengageflow.errors import ErrorKind, RouterError
@@ -138,10 +138,12 @@
 
     Args:
         account_key: Bearer key, or empty.
+        request: Id of a request to tell of, or empty.
         reply: Takes the answer.
     """
 
     account_key: str
+    request: str = ""
     reply: "Reply" = field(compare=False, repr=False)
 
 
@@ -296,7 +298,8 @@
             return HealthCall(reply=reply)
         case "/status":
             key = _bearer(request.header("authorization"))
-            return StatusCall(account_key=key, reply=reply)
+            asked = parse_qs(request.query).get("request", [""])[0]
+            return StatusCall(account_key=key, request=asked, reply=reply)
         case "/v1/chat/completions":
             return _chat_call(request, reply)
     return _service_call(request, reply)
--- a/greengageflow/dispatch.py
+++ b/greengageflow/dispatch.py
@@ -1,14 +1,14 @@
 """Takes callers' requests through queue, grant and endpoint to their answers."""
 
+from collections import deque
 from collections.abc import Iterator
 from hashlib import sha256
-from hmac import compare_digest
-from itertools import count
 from time import monotonic
 
-from greengageflow.affinity import PrefixMap, prefix_of
+from greengageflow.admission import Admission
+from greengageflow.affinity import PrefixMap
 from greengageflow.callers import ChatCall, ServiceCall, StatusCall
-from greengageflow.catalog import ClientAccount, FleetConfig, Pool, PoolKind, Route
+from greengageflow.catalog import FleetConfig
 from greengageflow.control import Control
 from greengageflow.effects import Refuse, Replay, Start
 from greengageflow.endpoint_run import EndpointRuns, RunEnd
@@ -23,6 +23,7 @@
 from greengageflow.tracing import Tracing
 
 MOST_ATTEMPTS = 3
+ENDED_KEPT = 512
 CALLER_FAULTS = frozenset({400, 404, 405, 413, 415, 422})
 
 
@@ -54,10 +55,10 @@
         self._metrics = metrics
         self._status = status
         self._cfg = FleetConfig()
-        self._accounts: dict[str, ClientAccount] = {}
+        self._admission = Admission(control.own)
         self._flights: dict[str, Flight] = {}
         self._by_call: dict[int, Flight] = {}
-        self._numbers = count(1)
+        self._ended: deque[dict[str, object]] = deque(maxlen=ENDED_KEPT)
         self._prefixes = PrefixMap()
         self._budget = RetryBudget(self._cfg.policy.retry_ratio)
 
@@ -66,18 +67,20 @@
         """Requests that have no final answer yet."""
         return len(self._flights)
 
-    def find(self, request: str) -> Flight | None:
-        """Return the request under way with this id."""
-        return self._flights.get(request)
+    def explain(self, request: str) -> dict[str, object] | None:
+        """Tell of a request under way or one that ended lately; None if unknown."""
+        flight = self._flights.get(request)
+        if flight is not None:
+            return flight.describe()
+        for ended in self._ended:
+            if request in (ended["id"], ended["wire_id"]):
+                return ended
+        return None
 
     def on_config(self, cfg: FleetConfig) -> None:
         """Take over a configuration."""
         self._cfg = cfg
-        self._accounts = {
-            key_hash: account
-            for account in cfg.accounts.values()
-            for key_hash in account.key_hashes
-        }
+        self._admission.on_config(cfg)
         self._budget.ratio = cfg.policy.retry_ratio
 
     # Calls.
@@ -86,17 +89,20 @@
         """Return why the balancer should send nothing here, or None."""
         if self.stopping:
             return RouterError(ErrorKind.STOPPING, "this router is stopping")
-        if not self._cfg.revision:
-            return RouterError(ErrorKind.NOT_CONFIGURED, "no configuration yet")
-        return None
+        return self._admission.unready
 
     def on_call(self, call: ChatCall | ServiceCall | StatusCall) -> None:
         """Take a call and answer it, now or later."""
         if isinstance(call, StatusCall):
-            call.reply.json(200, self._status.status())
+            status = self._status.status()
+            if call.request:
+                status["request"] = self.explain(call.request)
+            call.reply.json(200, status)
             return
         try:
-            flight = self._admit(call)
+            if self.refusing:
+                raise RouterError(ErrorKind.STOPPING, "this router is stopping")
+            flight = self._admission.admit(call)
         except RouterError as exc:
             self._metrics.count(Metric.REFUSED, part=exc.kind.value)
             call.reply.error(exc)
@@ -115,54 +121,6 @@
         else:
             self._queue(flight)
 
-    def _admit(self, call: ChatCall | ServiceCall) -> Flight:
-        if self.refusing:
-            raise RouterError(ErrorKind.STOPPING, "this router is stopping")
-        if not self._cfg.revision:
-            raise RouterError(ErrorKind.NOT_CONFIGURED, "no configuration yet")
-        account = self._account(call.account_key)
-        pool = self._pool(call)
-        deadline_s = min(call.deadline_s or pool.deadline_s, pool.deadline_s)
-        host, boot = self._control.own.host, self._control.own.boot
-        flight = Flight(
-            id=f"{host}-{boot}-{next(self._numbers)}",
-            call=call,
-            account=account,
-            pool=pool,
-            cost=call.cost_hint or pool.cost_hint,
-            deadline=monotonic() + deadline_s,
-        )
-        if call.idempotency_key:
-            flight.action_key = f"{account.name}\n{call.idempotency_key}"
-        match call:
-            case ChatCall():
-                flight.prefix = prefix_of(call.model, call.body)
-            case ServiceCall():
-                _demand_key(call, pool)
-        return flight
-
-    def _account(self, key: str) -> ClientAccount:
-        if not key:
-            raise RouterError(ErrorKind.UNAUTHORIZED, "no bearer key")
-        key_hash = sha256(key.encode()).hexdigest()
-        account = self._accounts.get(key_hash)
-        if account is None or not any(
-            compare_digest(key_hash, known) for known in account.key_hashes
-        ):
-            raise RouterError(ErrorKind.UNAUTHORIZED, "unknown bearer key")
-        return account
-
-    def _pool(self, call: ChatCall | ServiceCall) -> Pool:
-        match call:
-            case ChatCall(model=name):
-                kind = PoolKind.MODEL
-            case ServiceCall(service=name):
-                kind = PoolKind.SERVICE
-        pool = self._cfg.pools.get(name)
-        if pool is None or pool.kind is not kind:
-            raise RouterError(ErrorKind.UNKNOWN_TARGET, f"no {kind.value} {name!r}")
-        return pool
-
     def on_gone(self, call: ChatCall | ServiceCall | StatusCall) -> None:
         """Give up what a caller that left had asked for."""
         flight = self._by_call.get(id(call))
@@ -428,6 +386,7 @@
         self._tracing.finish(flight.span, result=result, **attributes)
         del self._flights[flight.id]
         del self._by_call[id(flight.call)]
+        self._ended.append(flight.describe(result))
 
     def on_tick(self) -> None:
         """Cut what runs past its deadline; the caller has stopped waiting."""
@@ -444,19 +403,6 @@
                 yield flight
 
 
-def _demand_key(call: ServiceCall, pool: Pool) -> None:
-    route = route_of(pool, f"/{call.path}")
-    if not route.repeatable and not call.idempotency_key:
-        text = f"{call.path}: this route needs an Idempotency-Key header"
-        raise RouterError(ErrorKind.KEY_REQUIRED, text)
-
-
-def route_of(pool: Pool, path: str) -> Route:
-    """Return the route with the longest matching prefix of ``path``."""
-    matching = [route for route in pool.routes if path.startswith(route.prefix)]
-    return max(matching, key=lambda route: len(route.prefix), default=Route("/"))
-
-
 def _identity(call: ChatCall | ServiceCall) -> object:
     """Return what makes two requests with one idempotency key the same."""
     match call:
--- a/greengageflow/endpoint_watch.py
+++ b/greengageflow/endpoint_watch.py
@@ -1,6 +1,7 @@
-"""Asks owned endpoints for their load, to learn early that one is leaving."""
+"""Asks owned endpoints what they run and whether they are leaving."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from greengageflow.catalog import Endpoint, FleetConfig, PoolKind
 from greengageflow.events import Event, log
@@ -12,6 +13,19 @@
 TIMEOUT_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an endpoint says of itself.
+
+    Args:
+        running: Requests that it runs; None when it does not say.
+        leaving: True when it wants no new work.
+    """
+
+    running: int | None = None
+    leaving: bool = False
+
+
 class EndpointWatch:
     """Polls ``GET /load`` of the model endpoints that this router owns.
 
@@ -59,6 +73,12 @@
             self._left[name] = generation
             log(Event.ENDPOINT_LEAVING, endpoint=name, source=source)
 
+    def _on_report(self, endpoint: Endpoint, report: LoadReport) -> None:
+        if report.leaving:
+            self.on_leaving(endpoint.name, "endpoint")
+        if report.running is not None:
+            self._owner.on_load(self._timers.now, endpoint.name, report.running)
+
     def _round(self) -> None:
         for name, endpoint in self._cfg.endpoints.items():
             if self._speaks_load(endpoint) and self._owns(name):
@@ -70,8 +90,8 @@
 
     def _ask(self, endpoint: Endpoint) -> None:
         def done(answer: Response | Failure) -> None:
-            if isinstance(answer, Response) and _says_leaving(answer):
-                self.on_leaving(endpoint.name, "endpoint")
+            if isinstance(answer, Response):
+                self._on_report(endpoint, _report_of(answer))
 
         req = HttpRequest(
             "GET",
@@ -84,9 +104,14 @@
         self._pool.fetch(req, done)
 
 
-def _says_leaving(answer: Response) -> bool:
+def _report_of(answer: Response) -> LoadReport:
     try:
-        report = answer.json()
+        document = answer.json()
     except ValueError:
-        return False
-    return isinstance(report, dict) and report.get("leaving") is True
+        return LoadReport()
+    match document:
+        case {"running": int(running)}:
+            return LoadReport(running, document.get("leaving") is True)
+        case {"leaving": True}:
+            return LoadReport(leaving=True)
+    return LoadReport()
--- a/greengageflow/flight.py
+++ b/greengageflow/flight.py
@@ -57,6 +57,24 @@
     span: Span | None = None
     hop: Span | None = None
 
+    def describe(self, result: str = "") -> dict[str, object]:
+        """Return what operators may want to know of it; times in seconds."""
+        return {
+            "id": self.id,
+            "wire_id": self.wire_id,
+            "account": self.account.name,
+            "pool": self.pool.name,
+            "phase": self.phase.name.lower(),
+            "result": result,
+            "protected": self.protected,
+            "endpoint": self.endpoint.name if self.endpoint else "",
+            "grant": self.grant,
+            "attempts": self.attempts,
+            "pieces": self.pieces,
+            "waited_s": round(max(0.0, self.started - self.queued), 3),
+            "age_s": round(monotonic() - self.arrived, 3),
+        }
+
     @property
     def wire_id(self) -> str:
         """Id that the endpoint knows the present attempt by."""
--- a/greengageflow/lab.py
+++ b/greengageflow/lab.py
@@ -1,10 +1,12 @@
 """A small fleet of real processes on loopback, for the demo, benches and tests.
 
-Every router has an address of its own (127.0.1.1, 127.0.1.2, …), from which its
-connections start too, so that a proxy between can tell routers apart.
+Every router has an address of its own (127.x.y.1, 127.x.y.2, …), from which its
+connections start too, so that a proxy between can tell routers apart. x and y follow
+from the process id: two labs at once would else take each other's free ports.
 """
 
 import json
+import os
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -158,7 +160,7 @@
         log = _address(self._route("log", self.log.address))
         hosts = _address(self._route("hosts", self.hosts.address))
         for number in range(1, self.plan.routers + 1):
-            ip = f"127.0.1.{number}"
+            ip = f"{_subnet()}.{number}"
             peer = ip, free_port(ip)
             self.settings[f"r{number}"] = {
                 "host": f"r{number}",
@@ -317,6 +319,11 @@
         self._dir.cleanup()
 
 
+def _subnet() -> str:
+    number = os.getpid()
+    return f"127.{16 + number % 200}.{number // 200 % 250}"
+
+
 def _address(address: Address) -> dict[str, Any]:
     return {"ip": address[0], "port": address[1]}
 
--- a/greengageflow/log_client.py
+++ b/greengageflow/log_client.py
@@ -7,7 +7,9 @@
 
 from greengageflow.http_pool import Failure, HttpPool, HttpRequest, Response
 
-READ_LIMIT = 500
+READ_LIMIT = 200
+READ_LIMITS = {"config": 20}
+"""Records asked for at once; one configuration of the design size has 140 kB."""
 READ_BYTES = 8 * 1024 * 1024
 ANSWER_TIMEOUT_S = 5.0
 JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -139,9 +141,10 @@
             on_done(_read_result(answer))
 
         self.reads += 1
+        limit = READ_LIMITS.get(stream, READ_LIMIT)
         path = (
             f"/streams/{stream}/records?from={from_offset}"
-            f"&limit={READ_LIMIT}&wait_s={wait_s:g}"
+            f"&limit={limit}&wait_s={wait_s:g}"
         )
         req = HttpRequest(
             "GET",
--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -98,6 +98,12 @@
         if slots is not None:
             slots.left_generation = max(slots.left_generation, generation)
 
+    def on_load(self, now: float, endpoint: str, running: int) -> None:
+        """Take an endpoint's own count of the requests that it runs."""
+        slots = self._slots.get(endpoint)
+        if slots is not None:
+            slots.report(now, running)
+
     def _assign(self, now: float) -> None:
         view = self._view
         self._owned = {}
@@ -121,6 +127,7 @@
         }
         for slots in self._active.values():
             slots.expire(now, view)
+            slots.note_reach(view)
         self._measure_spread()
 
     def _measure_spread(self) -> None:
@@ -261,7 +268,8 @@
         # An owner sees only its own grants until the totals show the others', and
         # takes the other owners to grant as it does; hence the spread.
         charge = self._charges.add(now, account, entry.cost * self._spread[pool])
-        hold = Hold(entry.peer, account, ends_at, now + self._expires_s, charge)
+        ask_at = now + self._expires_s
+        hold = Hold(entry.peer, account, ends_at, ask_at, charge, since=now)
         slots.hold(grant, hold)
         return self._grant_message(grant, slots, hold)
 
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -132,6 +132,7 @@
             roles=lambda: config_roles(self._control.view),
             wait_s=self._settings.timing.log_wait_s,
             poll_s=self._settings.timing.config_poll_s,
+            snapshot_interval_s=self._settings.timing.snapshot_interval_s,
         )
 
     # Wiring.
