Collectors keep copies, forgive with patience; owners doubt returning sides

Found by random walks of the state machine: - A collector that lost its memory made one zone's sums start from nothing. The next two in line hold copies now; zone_served in FleetTotals, tried before, could not tell the zones apart when two collectors were lost at once, and is gone. - Two collectors of one zone, rejoining, counted the same service twice: a ready collector no longer believes others about its own zone. - Totals that were low for a moment made others be forgiven for good: patience. - A host that came back while others stayed cut off gave its slots to the owner although the other side still ran requests in them.

--- a/greengageflow/_charges.py
+++ b/greengageflow/_charges.py
@@ -27,27 +27,30 @@
     """
 
     def __init__(self) -> None:
-        self._order: deque[Charge] = deque()
+        self._charges: dict[str, deque[Charge]] = {}
         self._sums: dict[str, float] = {}
 
     def add(self, now: float, account: str, tokens: float) -> Charge:
         """Charge a grant."""
         charge = Charge(now, account, tokens)
-        self._order.append(charge)
-        self._sums[account] = self.of(account) + tokens
+        self._charges.setdefault(account, deque()).append(charge)
+        self._sums[account] = self._sums.get(account, 0.0) + tokens
         return charge
 
-    def of(self, account: str) -> float:
-        """Return the tokens charged to an account."""
+    def of(self, account: str, reflected: float) -> float:
+        """Return the tokens charged to an account.
+
+        Args:
+            account: Client account.
+            reflected: Forget charges up to this time, since the totals show them.
+        """
+        charges = self._charges.get(account, ())
+        while charges and charges[0].at <= reflected:
+            self.cancel(charges.popleft())
         return self._sums.get(account, 0.0)
 
     def cancel(self, charge: Charge) -> None:
-        """Take a charge back, since the grant was not used."""
-        left = self.of(charge.account) - charge.tokens
+        """Take a charge back."""
+        left = self._sums.get(charge.account, 0.0) - charge.tokens
         charge.tokens = 0.0
         self._sums[charge.account] = max(0.0, left)
-
-    def drop(self, before: float) -> None:
-        """Forget the charges of grants made before ``before``."""
-        while self._order and self._order[0].at <= before:
-            self.cancel(self._order.popleft())
--- a/greengageflow/_offsets.py
+++ b/greengageflow/_offsets.py
@@ -24,25 +24,34 @@
         ledger: The fleet's totals.
         debt_s: Most seconds of its share that a backlogged account is held back.
         least_debt: Tokens a unit of weight below which nothing is forgiven.
+        patience_s: Seconds for which totals must look the same. A collector that
+            has just taken over may know too little for a moment, and an offset is
+            never taken back.
     """
 
     def __init__(
         self,
         ledger: ServiceLedger,
         *,
-        debt_s: float = 30.0,
-        least_debt: float = 20_000.0,
+        debt_s: float = 10.0,
+        least_debt: float = 10_000.0,
+        patience_s: float = 8.0,
     ) -> None:
         self._ledger = ledger
         self._debt_s = debt_s
         self._least_debt = least_debt
+        self._patience_s = patience_s
         # The median, since the sum of the fleet jumps when two sides rejoin.
         self._rates: deque[float] = deque(maxlen=_RATE_SAMPLES)
         self._last: tuple[float, float] | None = None
+        self._warm_at: float | None = None
+        self._indebted: dict[str, float] = {}
 
     def measure(self, now: float) -> None:
         """Take a sample of how fast the level of the backlogged rises."""
         totals = self._ledger.totals.values()
+        if totals and self._warm_at is None:
+            self._warm_at = now + self._patience_s
         served = sum(row.served for row in totals)
         weights = sum(self._ledger.weight(r.account) for r in totals if r.waiting)
         if self._last and self._last[0] < now and weights:
@@ -56,18 +65,27 @@
         rate = median(self._rates) if self._rates else 0.0
         return max(self._least_debt, self._debt_s * rate)
 
-    def shift(self, row: AccountService) -> tuple[float, float]:
+    def shift(self, now: float, row: AccountService) -> tuple[float, float]:
         """Return what to add to ``raised`` and ``forgiven`` of an account.
 
         Args:
+            now: The time.
             row: The account's totals with the present offsets.
         """
-        if not row.waiting:
-            return 0.0, 0.0
-        weight = self._ledger.weight(row.account)
+        account = row.account
+        weight = self._ledger.weight(account)
         above = level_of(row, weight) - self._ledger.floor
-        before = self._ledger.totals.get(row.account)
+        excess = above - self.most_debt
+        if not row.waiting or excess <= 0:
+            self._indebted.pop(account, None)
+        if not row.waiting or self._warm_at is None or now < self._warm_at:
+            return 0.0, 0.0
+        before = self._ledger.totals.get(account)
         if above < 0 and not (before and before.waiting):
             return -above * weight, 0.0
-        excess = above - self.most_debt
-        return 0.0, max(0.0, excess * weight)
+        if (
+            excess <= 0
+            or now < self._indebted.setdefault(account, now) + self._patience_s
+        ):
+            return 0.0, 0.0
+        return 0.0, excess * weight
--- a/greengageflow/_slots.py
+++ b/greengageflow/_slots.py
@@ -89,7 +89,10 @@
             doubt_until: Until when routers that are out of reach may run requests
                 that nobody here knows of.
         """
-        if not self.owned:
+        if self.owned:
+            # The other side may use the slots that a host bore which is back.
+            ready_at = max(ready_at, doubt_until)
+        else:
             self.owned = True
             self._doubt_until = doubt_until
             self._fresh.clear()
--- a/greengageflow/_zone_sums.py
+++ b/greengageflow/_zone_sums.py
@@ -7,6 +7,8 @@
 from greengageflow.placement import FleetView
 from greengageflow.shares import shard_of
 
+_BELIEVED_AFTER = 20
+
 
 @dataclass(slots=True)
 class Origin:
@@ -45,7 +47,6 @@
         raised: See ``_offsets``.
         forgiven: See ``_offsets``.
         zones: Sums of the other zones.
-        elsewhere: Tokens that the other zones have served at least.
     """
 
     base: float = 0.0
@@ -55,7 +56,7 @@
     raised: float = 0.0
     forgiven: float = 0.0
     zones: dict[str, AccountService] = field(default_factory=dict)
-    elsewhere: float = 0.0
+    _lower: dict[str, int] = field(default_factory=dict)
 
     def count(self, old: AccountService, new: AccountService) -> None:
         """Add what a router's counters have changed by."""
@@ -68,18 +69,31 @@
         self.raised = max(self.raised, row.raised)
         self.forgiven = max(self.forgiven, row.forgiven)
 
-    def take_over(self, total: AccountService) -> None:
-        """Start from the totals of an earlier collector of this zone."""
-        self.merge_offsets(total)
-        self.base = max(self.base, total.zone_served)
-        self.elsewhere = max(self.elsewhere, total.served - total.zone_served)
+    def merge_base(self, served: float) -> None:
+        """Take over what this zone had served when others counted it."""
+        self.base = max(self.base, served)
+
+    def hand_over(self) -> None:
+        """Keep only the sum, since another router counts from now on."""
+        self.base += self.served
+        self.served = self.pending = 0.0
+        self.waiting = 0
 
     def merge_zone(self, zone: str, row: AccountService, first_hand: bool) -> None:
-        """Take over another zone's sums; ``served`` never falls."""
+        """Take over another zone's sums; ``served`` does not fall.
+
+        But a collector that took over without being told the sum starts again from
+        nothing. Ignoring it until it has caught up would make the zone's service
+        free meanwhile; so it is believed when it stays lower.
+        """
         known = self.zones.get(zone) or AccountService(row.account, 0.0)
         if row.served < known.served:
-            return
-        if not first_hand:
+            self._lower[zone] = self._lower.get(zone, 0) + first_hand
+            if self._lower[zone] < _BELIEVED_AFTER:
+                return
+        if first_hand:
+            self._lower.pop(zone, None)
+        else:
             # Good for the sum, but too old for the rest.
             row = replace(row, pending=known.pending, waiting=known.waiting)
         self.zones[zone] = row
@@ -102,11 +116,9 @@
         """
         own = self.zone_row(account)
         live = [row for zone, row in self.zones.items() if zone in zones]
-        others = sum(row.served for row in self.zones.values())
         return replace(
             own,
-            served=own.served + max(self.elsewhere, others),
-            zone_served=own.served,
+            served=own.served + sum(row.served for row in self.zones.values()),
             pending=own.pending + sum(row.pending for row in live),
             waiting=own.waiting + sum(row.waiting for row in live),
         )
@@ -174,11 +186,18 @@
         for origin in self._origins.values():
             origin.full &= ~(1 << shard)
 
-    def drop(self, shard: int) -> list[str]:
-        """Forget a shard that another router collects now; return its accounts."""
-        names = [n for n in self.accounts if shard_of(n, self._shards) == shard]
-        for name in names:
-            del self.accounts[name]
+    def hand_over(self, shard: int) -> None:
+        """Keep only the sums of a shard that another router collects now."""
+        for name in self.names(shard):
+            self.accounts[name].hand_over()
             for origin in self._origins.values():
                 origin.rows.pop(name, None)
-        return names
+
+    def drop(self, shard: int) -> None:
+        """Forget a shard."""
+        for name in self.names(shard):
+            del self.accounts[name]
+
+    def names(self, shard: int) -> list[str]:
+        """Return the accounts of a shard."""
+        return [n for n in self.accounts if shard_of(n, self._shards) == shard]
--- a/greengageflow/collector.py
+++ b/greengageflow/collector.py
@@ -22,6 +22,8 @@
 from greengageflow.shares import FULL_REPORT_EVERY, ServiceLedger, shard_of
 
 _SETTLE_INTERVALS = 3
+_TOLD_INTERVALS = 10
+_COPY_EVERY = 4
 
 
 class Collector:
@@ -39,6 +41,7 @@
         self._own = own
         self._ledger = ledger
         self._settle_s = _SETTLE_INTERVALS * interval_s
+        self._told_s = _TOLD_INTERVALS * interval_s
         self._offsets = Offsets(ledger)
         self._view: FleetView | None = None
         self._zone = ""
@@ -49,6 +52,8 @@
         self._told: dict[str, AccountService] = {}
         self._routers: set[PeerId] = set()
         self._new_routers: set[str] = set()
+        self._lines: dict[int, tuple[str, ...]] = {}
+        self._copied: dict[tuple[str, str], tuple[float, float, float]] = {}
         self._partners: dict[tuple[str, int], PeerId] = {}
         self._new_partners: set[tuple[str, int]] = set()
         self._seq = 0
@@ -67,26 +72,31 @@
         """Take over a changed view of the fleet."""
         self._view = view
         self._zone = view.zone
-        shards = {
-            shard
+        lines = {
+            shard: view.collectors_of(self._zone, shard)
             for shard in range(self._ledger.shards)
-            if view.collector_of(self._zone, shard) == self._own.host
         }
-        for shard in self._ready_at.keys() - shards:
-            self._drop(shard)
-        for shard in shards - self._ready_at.keys():
-            self._ready_at[shard] = now + self._settle_s
-            self._sums.collect(shard)
+        for shard, line in lines.items():
+            if line != self._lines.get(shard):
+                self._on_line(now, shard, line)
+        self._lines = lines
         self._note_routers(view)
         self._note_partners(view)
         self._sums.on_view(view)
 
-    def _drop(self, shard: int) -> None:
-        del self._ready_at[shard]
-        self._ready.discard(shard)
-        for name in self._sums.drop(shard):
-            self._sent.pop(name, None)
-            self._told.pop(name, None)
+    def _on_line(self, now: float, shard: int, line: tuple[str, ...]) -> None:
+        collects = line[:1] == (self._own.host,)
+        if collects and shard not in self._ready_at:
+            self._ready_at[shard] = now + self._settle_s
+            self._sums.collect(shard)
+        if not collects and shard in self._ready_at:
+            del self._ready_at[shard]
+            self._ready.discard(shard)
+            self._sums.hand_over(shard)
+        if self._own.host not in line:
+            self._sums.drop(shard)
+        for key in [key for key in self._copied if self._shard(key[0]) == shard]:
+            del self._copied[key]
 
     def _note_routers(self, view: FleetView) -> None:
         routers = {
@@ -96,12 +106,14 @@
         self._routers = routers
 
     def _note_partners(self, view: FleetView) -> None:
+        """Find the collectors of the same shards, in this zone too."""
         partners = {}
-        for zone in view.zones - {self._zone}:
-            for shard in self._ready_at:
+        for zone in view.zones:
+            for shard, line in self._lines.items():
                 host = view.collector_of(zone, shard)
-                if host is not None:
-                    partners[zone, shard] = PeerId(host, view.live[host].boot)
+                if host in (None, self._own.host) or self._own.host not in line:
+                    continue
+                partners[zone, shard] = PeerId(host, view.live[host].boot)
         changed = partners.items() - self._partners.items()
         self._new_partners |= {key for key, _ in changed}
         self._partners = partners
@@ -116,23 +128,29 @@
                     mine = [row for row in services if self._collects(row)]
                     self._sums.on_report(sender, message, mine)
             case ZoneTotals(zone=zone, services=services):
-                for row in filter(self._collects, services):
-                    self._on_zone_row(sender, zone, row)
+                for row in services:
+                    if self._own.host in self._lines.get(self._shard(row.account), ()):
+                        self._on_zone_row(now, sender, zone, row)
 
     def _collects(self, row: AccountService) -> bool:
         return self._shard(row.account) in self._ready_at
 
-    def _on_zone_row(self, sender: PeerId, zone: str, row: AccountService) -> None:
+    def _on_zone_row(
+        self, now: float, sender: PeerId, zone: str, row: AccountService
+    ) -> None:
         sums = self._sums.of(row.account)
         sums.merge_offsets(row)
-        if zone == self._zone:
-            # From before this router took over. What it counted itself is in the
-            # row only if the row is younger than that.
-            counted = sums.served if self._shard(row.account) in self._ready else 0.0
-            sums.base = max(sums.base, row.served - counted)
+        if zone != self._zone:
+            member = self._view.live.get(sender.host)
+            sums.merge_zone(zone, row, member is not None and member.zone == zone)
             return
-        member = self._view.live.get(sender.host)
-        sums.merge_zone(zone, row, member is not None and member.zone == zone)
+        # What this zone had served before this router took over. Later, it knows
+        # best: it counts what others counted while it was cut off by difference,
+        # and would count it twice if it believed them.
+        since = self._ready_at.get(self._shard(row.account), now)
+        if now <= since + self._told_s:
+            counted = sums.served if self._shard(row.account) in self._ready else 0.0
+            sums.merge_base(row.served - counted)
 
     # Time.
 
@@ -147,52 +165,64 @@
         self._offsets.measure(now)
         self._become_ready(now)
         names = [n for n in self._sums.accounts if self._shard(n) in self._ready]
-        totals = {name: self._shifted_total(name) for name in names}
+        totals = {name: self._shifted_total(now, name) for name in names}
         if self._seq % FULL_REPORT_EVERY == 0:
             self._sent.clear()
             self._told.clear()
-        yield from self._send_known_zones(names)
+        yield from self._send_known_zones()
         yield from self._send_zone_totals(names)
+        if self._seq % _COPY_EVERY == 0:
+            yield from self._send_copies(names)
         yield from self._send_fleet_totals(totals)
 
     def _become_ready(self, now: float) -> None:
-        for shard, ready_at in self._ready_at.items():
-            if ready_at <= now and shard not in self._ready:
-                self._start_from_totals(shard)
-                self._ready.add(shard)
-
-    def _start_from_totals(self, shard: int) -> None:
-        for name, total in self._ledger.totals.items():
-            if self._shard(name) == shard:
-                self._sums.of(name).take_over(total)
+        ready = {shard for shard, at in self._ready_at.items() if at <= now}
+        if ready != self._ready:
+            self._ready = ready
+            self._sent.clear()
+            self._told.clear()
 
-    def _shifted_total(self, name: str) -> AccountService:
+    def _shifted_total(self, now: float, name: str) -> AccountService:
         sums = self._sums.of(name)
-        raised, forgiven = self._offsets.shift(sums.total(name, self._view.zones))
+        raised, forgiven = self._offsets.shift(now, sums.total(name, self._view.zones))
         sums.raised += raised
         sums.forgiven += forgiven
         return sums.total(name, self._view.zones)
 
-    def _send_known_zones(self, names: list[str]) -> Iterator[Send]:
-        """Tell collectors that took over what is known, of their own zone too."""
+    def _known_zones(self, name: str) -> dict[str, AccountService]:
+        sums = self._sums.of(name)
+        return {**sums.zones, self._zone: sums.zone_row(name)}
+
+    def _send_known_zones(self) -> Iterator[Send]:
+        """Tell collectors that took over what is known, of their own zone too.
+
+        A host that has just restarted knows nothing. Without the sums, the accounts
+        of its shard would be far below all others and get every slot.
+        """
         rows: dict[tuple[str, str], list[AccountService]] = {}
         for key in self._new_partners & self._partners.keys():
             host = self._partners[key].host
-            for name in names:
-                if self._shard(name) != key[1]:
+            for name in self._sums.names(key[1]):
+                for zone, row in self._known_zones(name).items():
+                    rows.setdefault((host, zone), []).append(row)
+        self._new_partners.clear()
+        yield from _zone_messages(rows)
+
+    def _send_copies(self, names: list[str]) -> Iterator[Send]:
+        """Tell the next in line what has changed in any zone."""
+        rows: dict[tuple[str, str], list[AccountService]] = {}
+        for name in names:
+            for zone, row in self._known_zones(name).items():
+                sums = (row.served, row.raised, row.forgiven)
+                if self._copied.get((name, zone)) == sums:
                     continue
-                sums = self._sums.of(name)
-                known = {**sums.zones, self._zone: sums.zone_row(name)}
-                for zone, row in known.items():
+                self._copied[name, zone] = sums
+                for host in self._lines[self._shard(name)][1:]:
                     rows.setdefault((host, zone), []).append(row)
-        self._new_partners = {
-            key for key in self._new_partners if key[1] not in self._ready
-        }
-        for (host, zone), services in rows.items():
-            yield Send(host, ZoneTotals(zone, tuple(services)))
+        yield from _zone_messages(rows)
 
     def _send_zone_totals(self, names: list[str]) -> Iterator[Send]:
-        rows: dict[str, list[AccountService]] = {}
+        rows: dict[tuple[str, str], list[AccountService]] = {}
         for name in names:
             row = self._sums.of(name).zone_row(name)
             if self._sent.get(name) == row:
@@ -201,9 +231,8 @@
             for zone in self._view.zones - {self._zone}:
                 partner = self._partners.get((zone, self._shard(name)))
                 if partner is not None:
-                    rows.setdefault(partner.host, []).append(row)
-        for host, services in rows.items():
-            yield Send(host, ZoneTotals(self._zone, tuple(services)))
+                    rows.setdefault((partner.host, self._zone), []).append(row)
+        yield from _zone_messages(rows)
 
     def _send_fleet_totals(self, totals: dict[str, AccountService]) -> Iterator[Send]:
         changed = [row for name, row in totals.items() if self._told.get(name) != row]
@@ -216,3 +245,10 @@
                 yield Send(host, message)
         if totals:
             self._new_routers.clear()
+
+
+def _zone_messages(
+    rows: dict[tuple[str, str], list[AccountService]],
+) -> Iterator[Send]:
+    for (host, zone), services in rows.items():
+        yield Send(host, ZoneTotals(zone, tuple(services)))
--- a/greengageflow/messages.py
+++ b/greengageflow/messages.py
@@ -127,7 +127,6 @@
             in totals only, never falls.
         forgiven: Tokens left out so that debt stays bounded; in totals only, never
             falls.
-        zone_served: Tokens served by the receiver's zone; in ``FleetTotals`` only.
     """
 
     account: str
@@ -136,7 +135,6 @@
     waiting: int = 0
     raised: float = 0.0
     forgiven: float = 0.0
-    zone_served: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +157,9 @@
 class ZoneTotals:
     """A collector tells its peers in other zones its zone's totals.
 
+    It also tells other zones' totals to those that may take over from it, and to
+    those that just did.
+
     Args:
         zone: Availability zone that the totals are of.
         services: Totals of the zone for changed accounts.
@@ -172,11 +173,9 @@
 class FleetTotals:
     """A collector tells the routers of its zone the fleet's totals.
 
-    A router sends it too, to hand over what it knows to a new collector.
-
     Args:
         services: Totals of the fleet for changed accounts.
-        seq: Grows with each message of this life of a collector; 0 in a hand-over.
+        seq: Grows with each message of this life of the sender.
     """
 
     services: tuple[AccountService, ...]
--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -82,16 +82,20 @@
 
     def on_view(self, now: float, view: FleetView) -> Iterator[Send]:
         """Take over a changed view of the fleet."""
-        before = self._view.live.keys() if self._view else set()
-        for host in before - view.live.keys():
-            self._lost[host] = now
-        for host in list(self._lost):
-            if host in view.live or host not in view.roster:
-                del self._lost[host]
+        self._note_lost(now, view)
         self._view = view
         self._assign(now)
         yield from self._fill_all(now)
 
+    def _note_lost(self, now: float, view: FleetView) -> None:
+        before = self._view.live.keys() if self._view else set()
+        lost = {host: at for host, at in self._lost.items() if host in view.roster}
+        if lost.keys() & view.live.keys():
+            # A host that is back may have granted slots to the others until now.
+            lost = dict.fromkeys(lost, now)
+        lost |= dict.fromkeys(before - view.live.keys(), now)
+        self._lost = {host: at for host, at in lost.items() if host not in view.live}
+
     def mark_leaving(self, endpoint: str, generation: int) -> None:
         """Give the endpoint no new work, for this generation of it for good."""
         slots = self._slots.get(endpoint)
@@ -225,7 +229,7 @@
         if book is None:
             return
         while slots := self._freest(now, pool):
-            picked = self._pick(now, book)
+            picked = self._pick(book)
             if picked is None:
                 return
             account, entry = picked
@@ -237,10 +241,8 @@
         best = max(owned, key=lambda slots: slots.free(now), default=None)
         return best if best is not None and best.free(now) > 0 else None
 
-    def _pick(self, now: float, book: DemandBook) -> tuple[str, Waiting] | None:
+    def _pick(self, book: DemandBook) -> tuple[str, Waiting] | None:
         """Return the account with the least service, and its next entry router."""
-        lag_s = _REFLECT_INTERVALS * self._cfg.policy.share_interval_s
-        self._charges.drop(now - lag_s)
         return min(
             book.candidates(self._view),
             key=lambda pair: (self._level(pair[0]), pair[1].since),
@@ -248,8 +250,10 @@
         )
 
     def _level(self, account: str) -> float:
-        charged = self._charges.of(account) / self._ledger.weight(account)
-        return self._ledger.level(account) + charged
+        lag_s = _REFLECT_INTERVALS * self._cfg.policy.share_interval_s
+        reflected = self._ledger.heard_at(account) - lag_s
+        charged = self._charges.of(account, reflected)
+        return self._ledger.level(account) + charged / self._ledger.weight(account)
 
     def _grant(
         self, now: float, slots: EndpointSlots, account: str, entry: Waiting
--- a/greengageflow/placement.py
+++ b/greengageflow/placement.py
@@ -46,8 +46,8 @@
     Args:
         own: This router.
         live: Routers that answer, this one included, by host.
-        roster: Hosts of the platform's list and the live ones; a host leaves it
-            only when the list drops it.
+        roster: Hosts of the platform's list; the live ones are added. A host that
+            does not answer leaves it only when the list drops it.
         split: True to let each router own its part of the slots of every endpoint,
             for comparison with owned endpoints.
     """
@@ -65,6 +65,10 @@
         default_factory=dict, init=False, repr=False, compare=False
     )
 
+    def __post_init__(self) -> None:
+        """Add the live hosts to the roster."""
+        object.__setattr__(self, "roster", self.roster | self.live.keys())
+
     def succeeded(
         self, live: Mapping[str, LiveMember], roster: frozenset[str]
     ) -> "FleetView":
--- a/greengageflow/shares.py
+++ b/greengageflow/shares.py
@@ -86,6 +86,7 @@
         self._weights: dict[str, float] = {}
         self._sent: dict[str, AccountService] = {}
         self._heard: dict[PeerId, int] = {}
+        self._heard_at: dict[str, float] = {}
         self._collectors: tuple[PeerId | None, ...] = ()
         self._seq = 0
         self._floor: float | None = None
@@ -120,7 +121,6 @@
         """Yield one report a collector; call it each share interval."""
         self._seq += 1
         collectors = self._find_collectors(view)
-        yield from self._hand_over(view, collectors)
         full = collectors != self._collectors or self._seq % FULL_REPORT_EVERY == 0
         if full:
             self._sent.clear()
@@ -148,42 +148,22 @@
                 masks[peer.host] = masks.get(peer.host, 0) | 1 << shard
         return masks
 
-    def _hand_over(
-        self, view: FleetView, collectors: tuple[PeerId | None, ...]
-    ) -> Iterator[Send]:
-        """Tell new collectors the totals, if this router is one of the next.
-
-        A host that has just restarted knows nothing. Without the totals, the
-        accounts of its shard would be far below all others and get every slot.
-        """
-        for shard, peer in enumerate(collectors):
-            known = self._collectors and self._collectors[shard] == peer
-            if known or peer is None or not self._is_heir(view, shard):
-                continue
-            rows = [r for r in self._totals.values() if self._shard(r) == shard]
-            if rows:
-                yield Send(peer.host, FleetTotals(tuple(rows)))
-
-    def _is_heir(self, view: FleetView, shard: int) -> bool:
-        return self._own.host in view.collectors_of(view.zone, shard)[1:]
-
-    def _shard(self, row: AccountService) -> int:
-        return shard_of(row.account, self.shards)
-
     # The fleet's service.
 
-    def on_totals(self, sender: PeerId, message: FleetTotals) -> None:
+    def on_totals(self, now: float, sender: PeerId, message: FleetTotals) -> None:
         """Take in totals; late and doubled copies change nothing."""
-        if message.seq and message.seq <= self._heard.get(sender, 0):
+        if message.seq <= self._heard.get(sender, 0):
             return
-        if message.seq:
-            self._heard[sender] = message.seq
+        self._heard[sender] = message.seq
         for row in message.services:
-            known = self._totals.get(row.account)
-            if message.seq or known is None or known.served < row.served:
-                self._totals[row.account] = row
+            self._totals[row.account] = row
+            self._heard_at[row.account] = now
         self._floor = None
 
+    def heard_at(self, account: str) -> float:
+        """Return the time at which totals of an account last came."""
+        return self._heard_at.get(account, float("-inf"))
+
     def weight(self, account: str) -> float:
         """Return the account's weight; 1 when it is not known."""
         return self._weights.get(account, 1.0)
