--- a/greengageflow/_slots.py
+++ b/greengageflow/_slots.py
@@ -75,33 +75,34 @@
         self._usable = 0
         self._growth.clear()
 
-    def own(self, now: float, borne: int, ready_at: float, doubt_until: float) -> None:
-        """Use ``borne`` slots from ``ready_at`` on.
+    def own(self, now: float, borne: int, settle_s: float, doubt_s: float) -> None:
+        """Use ``borne`` slots soon.
 
-        More slots than before wait for ``ready_at``: requests that other routers
+        More slots than before wait for ``settle_s``: requests that other routers
         started under another owner run in them, and their ``GrantTaken`` is still
         under way. Fewer count at once.
 
         Args:
             now: The time.
             borne: Slots that this side may use.
-            ready_at: Time by which running requests are registered here.
-            doubt_until: Until when routers that are out of reach may run requests
-                that nobody here knows of.
+            settle_s: Seconds in which running requests are registered here.
+            doubt_s: Seconds for which routers that are out of reach may run
+                requests that nobody here knows of; 0 when all are in reach.
         """
-        if self.owned:
-            # The other side may use the slots that a host bore which is back.
-            ready_at = max(ready_at, doubt_until)
-        else:
+        if doubt_s and (not self.owned or self._growth):
+            self._doubt_until = now + doubt_s
+        if not self.owned:
             self.owned = True
-            self._doubt_until = doubt_until
             self._fresh.clear()
             self._known = 0
+        elif doubt_s:
+            # The other side may still use slots that are borne here from now on.
+            settle_s = max(settle_s, doubt_s)
         self._usable = min(self._usable, borne)
         self._growth = [(at, min(slots, borne)) for at, slots in self._growth]
         planned = self._growth[-1][1] if self._growth else self._usable
         if borne > planned:
-            self._growth.append((ready_at, borne))
+            self._growth.append((now + settle_s, borne))
         self.settle(now)
 
     def clear_doubt(self) -> None:
--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -54,7 +54,7 @@
         self._owned: dict[str, list[EndpointSlots]] = {}
         self._demands: dict[str, DemandBook] = {}
         self._calls: dict[str, WorkCalls] = {}
-        self._lost: dict[str, float] = {}
+        self._lost: set[str] = set()
         self._charges = Charges()
         self._spread: dict[str, float] = {}
         self._number = 0
@@ -82,19 +82,14 @@
 
     def on_view(self, now: float, view: FleetView) -> Iterator[Send]:
         """Take over a changed view of the fleet."""
-        self._note_lost(now, view)
+        self._note_lost(view)
         self._view = view
         self._assign(now)
         yield from self._fill_all(now)
 
-    def _note_lost(self, now: float, view: FleetView) -> None:
+    def _note_lost(self, view: FleetView) -> None:
         before = self._view.live.keys() if self._view else set()
-        lost = {host: at for host, at in self._lost.items() if host in view.roster}
-        if lost.keys() & view.live.keys():
-            # A host that is back may have granted slots to the others until now.
-            lost = dict.fromkeys(lost, now)
-        lost |= dict.fromkeys(before - view.live.keys(), now)
-        self._lost = {host: at for host, at in lost.items() if host not in view.live}
+        self._lost = (self._lost | before) & view.roster - view.live.keys()
 
     def mark_leaving(self, endpoint: str, generation: int) -> None:
         """Give the endpoint no new work, for this generation of it for good."""
@@ -113,8 +108,7 @@
                 continue
             endpoint = slots.endpoint
             borne = view.borne_slots(name, endpoint.slots)
-            doubt_until = self._doubt_until(endpoint.pool)
-            slots.own(now, borne, now + self._settle_s, doubt_until)
+            slots.own(now, borne, self._settle_s, self._doubt_s(endpoint.pool))
             if not self._lost:
                 slots.clear_doubt()
             self._owned.setdefault(endpoint.pool, []).append(slots)
@@ -136,10 +130,8 @@
             own = sum(slots.endpoint.slots for slots in owned)
             self._spread[pool] = 1.0 if self._view.split else totals[pool] / max(1, own)
 
-    def _doubt_until(self, pool: str) -> float:
-        if not self._lost:
-            return float("-inf")
-        return max(self._lost.values()) + self._settle_s + self._deadline_s(pool)
+    def _doubt_s(self, pool: str) -> float:
+        return self._settle_s + self._deadline_s(pool) if self._lost else 0.0
 
     def _deadline_s(self, pool: str) -> float:
         known = self._cfg.pools.get(pool)
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,292 @@
+import pytest
+from core_net import Net, config
+
+from greengageflow.errors import ErrorKind
+from greengageflow.messages import Grant, GrantReturned, GrantTaken, PeerId
+
+HOSTS = {"r0": "za", "r1": "za", "r2": "zb"}
+
+
+def fleet(accounts=("a", "b"), endpoints=("e1",), **more):
+    cfg = config(dict.fromkeys(accounts, 1.0), endpoints, **more)
+    net = Net(HOSTS, cfg)
+    net.step(1.1)
+    return net
+
+
+def owner_and_other(net, endpoint="e1"):
+    owner = net.nodes["r0"].view.owner_of(endpoint)
+    return owner, min(set(net.nodes) - {owner})
+
+
+def take_out(net, kind):
+    """Remove and return the messages of one type that are under way."""
+    found = [item for item in net.messages if isinstance(item[2], kind)]
+    net.messages = [item for item in net.messages if item not in found]
+    return found
+
+
+def steps(net, seconds, *, run_s=None):
+    for _ in range(round(seconds / 0.25)):
+        net.step(0.25)
+        for grant, (*_, since) in list(net.running.items()):
+            if run_s is not None and net.now - since >= run_s:
+                net.finish(grant)
+
+
+def test_a_full_queue_refuses_with_the_measured_wait():
+    net = fleet(queue_limit=4)
+    for _ in range(40):
+        net.submit("r0", "a")
+        steps(net, 0.25, run_s=1.0)
+    for _ in range(5):
+        last = net.submit("r0", "a")
+    refusal = net.refused[last]
+    assert refusal.kind == ErrorKind.QUEUE_FULL
+    assert 0.2 < refusal.retry_after_s < 2.0
+
+
+def test_a_deadline_that_cannot_be_met_is_refused_at_once():
+    net = fleet()
+    for _ in range(60):
+        net.submit("r0", "a", deadline_s=1000)
+    steps(net, 10, run_s=1.0)
+    hopeless = net.submit("r0", "a", deadline_s=2)
+    assert net.refused[hopeless].kind == ErrorKind.DEADLINE
+    hopeful = net.submit("r0", "a", deadline_s=1000)
+    assert hopeful in net.waiting
+
+
+def test_a_slow_caller_is_not_taken_for_a_slow_endpoint():
+    net = fleet()
+    for _ in range(10):
+        net.submit("r0", "a")
+        steps(net, 30, run_s=0.25)
+    ids = [net.submit("r0", "a", deadline_s=5) for _ in range(6)]
+    assert not net.refused.keys() & set(ids)
+
+
+def test_a_waiting_request_ends_at_its_deadline():
+    net = fleet()
+    ids = [net.submit("r0", "a", deadline_s=3) for _ in range(4)]
+    steps(net, 2.5)
+    assert len(net.waiting) == 2
+    steps(net, 0.75)
+    assert not net.waiting
+    refused = [net.refused[id].kind for id in ids if id in net.refused]
+    assert refused == [ErrorKind.DEADLINE] * 2
+
+
+def test_no_endpoint_is_said_at_once_and_to_those_who_wait():
+    net = fleet()
+    ids = [net.submit("r0", "a") for _ in range(5)]
+    net.step(0.1)
+    for node in net.nodes.values():
+        node.on_config(config({"a": 1.0}, []))
+    ids.append(net.submit("r0", "a"))
+    refused = [net.refused[id].kind for id in ids if id in net.refused]
+    assert refused == [ErrorKind.NO_ENDPOINT] * 4
+
+
+def test_a_lost_grant_is_sent_again_and_runs_once():
+    """The message that grants a slot is lost, and its owner hears nothing.
+
+    The owner must not give the slot to another request at once: this one may run,
+    if only its answer was lost. It sends the same grant again.
+    """
+    net = fleet(slots=1)
+    owner, other = owner_and_other(net)
+    request = net.submit(other, "a")
+    while not take_out(net, Grant):
+        net.deliver()
+    steps(net, 1.0)
+    assert request in net.waiting
+    steps(net, 1.5)
+    assert [run[1] for run in net.running.values()] == [request]
+    net.submit(owner, "b")
+    steps(net, 5.0)
+    assert len(net.running) == 1
+
+
+def test_a_lost_answer_to_a_grant_frees_no_slot():
+    """The entry router starts the request, but its ``GrantTaken`` is lost.
+
+    The owner asks again instead of granting the slot anew; the entry router says
+    that the request runs, and starts nothing else.
+    """
+    net = fleet(slots=1)
+    _, other = owner_and_other(net)
+    net.submit(other, "a")
+    net.submit(other, "a")
+    while not take_out(net, GrantTaken):
+        net.deliver()
+    steps(net, 6.0)
+    assert len(net.running) == 1
+
+
+def test_a_slot_comes_back_once_however_often_it_is_returned():
+    """``GrantReturned`` comes twice, and late copies of ``GrantTaken`` after it.
+
+    Had the second copy freed a slot, two requests would run in one; had the copy of
+    ``GrantTaken`` counted, the slot would be lost until the deadline.
+    """
+    net = fleet(slots=1)
+    owner, other = owner_and_other(net)
+    for _ in range(3):
+        net.submit(other, "a")
+    while not (taken := take_out(net, GrantTaken)):
+        net.deliver()
+    net.messages += taken
+    net.drain()
+    net.finish(next(iter(net.running)))
+    returned = take_out(net, GrantReturned)
+    net.messages += returned + returned + taken + returned
+    steps(net, 0.5)
+    assert len(net.running) == 1
+    net.finish(next(iter(net.running)))
+    net.messages += returned + taken
+    steps(net, 0.5)
+    assert len(net.running) == 1
+
+
+@pytest.mark.parametrize("how", ["listed", "dropped", "rebooted"])
+def test_a_dead_entry_router_gives_its_slots_back_when_it_is_surely_dead(how):
+    """A router dies while its request runs.
+
+    As long as the host list has it, it may be only cut off and its request still
+    run, so the slot stays taken until the deadline. It is free at once when the
+    list drops the host, or when a new life of the host shows up.
+    """
+    net = fleet(slots=1, deadline_s=20.0)
+    owner, other = owner_and_other(net)
+    net.submit(other, "a")
+    steps(net, 0.5)
+    net.crash(other)
+    if how == "dropped":
+        net.roster -= {other}
+    net.refresh_views()
+    if how == "rebooted":
+        net.restart(other)
+    net.submit(owner, "b", deadline_s=60.0)
+    steps(net, 5.0)
+    assert len(net.running) == (how != "listed")
+    net.roster |= {other}
+    steps(net, 20.0)
+    assert len(net.running) + len(net.ended) >= 2
+
+
+def test_a_new_owner_counts_running_requests_before_it_grants():
+    """The owner of an endpoint restarts and knows no grant.
+
+    The entry routers register their running requests with its new life. Granting
+    slots before that would run two requests in one slot.
+    """
+    net = fleet(slots=2)
+    owner, other = owner_and_other(net)
+    for _ in range(6):
+        net.submit(other, "a")
+    net.drain()
+    assert len(net.running) == 2
+    net.restart(owner)
+    steps(net, 4.0)
+    assert len(net.running) == 2
+    net.finish(next(iter(net.running)))
+    steps(net, 0.5)
+    assert len(net.running) == 2
+
+
+def test_both_sides_of_a_cut_stay_within_the_slots_and_go_on():
+    """The fleet is cut in two while all slots are in use.
+
+    Each side uses the slots that its hosts bear, and none that may still be in use
+    on the other side; after the longest deadline both sides use their full part.
+    """
+    net = fleet(slots=6, deadline_s=20.0)
+    owner, other = owner_and_other(net)
+
+    def flood():
+        for host in HOSTS:
+            while len([1 for at in net.waiting.values() if at == host]) < 12:
+                net.submit(host, "a", deadline_s=20.0)
+
+    flood()
+    steps(net, 1.0)
+    net.sides[other] = 1
+    net.refresh_views()
+    for _ in range(60):
+        flood()
+        steps(net, 0.5, run_s=3.0)
+        assert net.load()["e1"] <= 6
+    running = [run[0].peer.host for run in net.running.values()]
+    assert running.count(other) == 2
+    assert len(running) == 6
+
+
+def test_a_leaving_endpoint_gets_nothing_for_good_until_replaced():
+    """An endpoint shows that it leaves; the configuration does not say so yet.
+
+    It gets no new request, also when configuration comes again for the same
+    generation; its next generation does.
+    """
+    net = fleet()
+    for node in net.nodes.values():
+        node.owner.mark_leaving("e1", 1)
+        node.on_config(net.cfg)
+    request = net.submit("r0", "a")
+    steps(net, 5.0)
+    assert request in net.waiting
+    for node in net.nodes.values():
+        node.owner.mark_leaving("e1", 0)
+        cfg = config({"a": 1.0}, ["e1"])
+        object.__setattr__(cfg.endpoints["e1"], "generation", 2)
+        node.on_config(cfg)
+    steps(net, 0.5)
+    assert request not in net.waiting
+
+
+def test_an_idle_owner_calls_for_work_and_gets_it():
+    """A request waits, but the owner with the free slot was never told.
+
+    Its call reaches two routers at random and one of them registers its demand;
+    without it, the slot would idle while the request waits.
+    """
+    net = fleet(endpoints=("e1", "e2", "e3"), slots=1)
+    owner, other = owner_and_other(net)
+    net.submit(owner, "b")
+    steps(net, 0.5, run_s=0.25)
+    net.nodes[other].entry._registrar.widen = lambda now, queue: iter(())
+    request = net.submit(other, "a")
+    calls = net.sent["WorkCall"]
+    assert request in net.waiting
+    steps(net, 3.0)
+    assert net.sent["WorkCall"] > calls
+    assert request not in net.waiting
+
+
+def test_a_grant_for_an_earlier_life_starts_nothing():
+    net = fleet()
+    owner, other = owner_and_other(net)
+    net.submit(other, "a")
+    node = net.nodes[other]
+    peer = PeerId(owner, net.boots[owner])
+    effects = list(
+        node.entry.receive(net.now, peer, Grant("x", "a", "m", "e1", boot=99))
+    )
+    assert effects == []
+
+
+def test_a_small_account_waits_briefly_beside_a_flood():
+    """One account floods every router; another sends a request now and then.
+
+    The small one has the least service, so it gets the next free slot: it waits for
+    one request to end, not for its neighbour's queue.
+    """
+    net = fleet(endpoints=("e1", "e2"), queue_limit=1000)
+    for host in HOSTS:
+        for _ in range(200):
+            net.submit(host, "a", deadline_s=1000)
+    steps(net, 5.0, run_s=0.5)
+    for _ in range(10):
+        request = net.submit("r2", "b", deadline_s=1000)
+        steps(net, 1.5, run_s=0.5)
+        assert request not in net.waiting
