--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -54,7 +54,7 @@
         self._owned: dict[str, list[EndpointSlots]] = {}
         self._demands: dict[str, DemandBook] = {}
         self._calls: dict[str, WorkCalls] = {}
-        self._lost: dict[str, float] = {}
+        self._lost: set[str] = set()
         self._charges = Charges()
         self._spread: dict[str, float] = {}
         self._number = 0
@@ -82,16 +82,15 @@
 
     def on_view(self, now: float, view: FleetView) -> Iterator[Send]:
         """Take over a changed view of the fleet."""
-        before = self._view.live.keys() if self._view else set()
-        for host in before - view.live.keys():
-            self._lost[host] = now
-        for host in list(self._lost):
-            if host in view.live or host not in view.roster:
-                del self._lost[host]
+        self._note_lost(view)
         self._view = view
         self._assign(now)
         yield from self._fill_all(now)
 
+    def _note_lost(self, view: FleetView) -> None:
+        before = self._view.live.keys() if self._view else set()
+        self._lost = (self._lost | before) & view.roster - view.live.keys()
+
     def mark_leaving(self, endpoint: str, generation: int) -> None:
         """Give the endpoint no new work, for this generation of it for good."""
         slots = self._slots.get(endpoint)
@@ -115,8 +114,7 @@
                 continue
             endpoint = slots.endpoint
             borne = view.borne_slots(name, endpoint.slots)
-            doubt_until = self._doubt_until(endpoint.pool)
-            slots.own(now, borne, now + self._settle_s, doubt_until)
+            slots.own(now, borne, self._settle_s, self._doubt_s(endpoint.pool))
             if not self._lost:
                 slots.clear_doubt()
             self._owned.setdefault(endpoint.pool, []).append(slots)
@@ -139,10 +137,8 @@
             own = sum(slots.endpoint.slots for slots in owned)
             self._spread[pool] = 1.0 if self._view.split else totals[pool] / max(1, own)
 
-    def _doubt_until(self, pool: str) -> float:
-        if not self._lost:
-            return float("-inf")
-        return max(self._lost.values()) + self._settle_s + self._deadline_s(pool)
+    def _doubt_s(self, pool: str) -> float:
+        return self._settle_s + self._deadline_s(pool) if self._lost else 0.0
 
     def _deadline_s(self, pool: str) -> float:
         known = self._cfg.pools.get(pool)
@@ -232,7 +228,7 @@
         if book is None:
             return
         while slots := self._freest(now, pool):
-            picked = self._pick(now, book)
+            picked = self._pick(book)
             if picked is None:
                 return
             account, entry = picked
@@ -244,10 +240,8 @@
         best = max(owned, key=lambda slots: slots.free(now), default=None)
         return best if best is not None and best.free(now) > 0 else None
 
-    def _pick(self, now: float, book: DemandBook) -> tuple[str, Waiting] | None:
+    def _pick(self, book: DemandBook) -> tuple[str, Waiting] | None:
         """Return the account with the least service, and its next entry router."""
-        lag_s = _REFLECT_INTERVALS * self._cfg.policy.share_interval_s
-        self._charges.drop(now - lag_s)
         return min(
             book.candidates(self._view),
             key=lambda pair: (self._level(pair[0]), pair[1].since),
@@ -255,8 +249,10 @@
         )
 
     def _level(self, account: str) -> float:
-        charged = self._charges.of(account) / self._ledger.weight(account)
-        return self._ledger.level(account) + charged
+        lag_s = _REFLECT_INTERVALS * self._cfg.policy.share_interval_s
+        reflected = self._ledger.heard_at(account) - lag_s
+        charged = self._charges.of(account, reflected)
+        return self._ledger.level(account) + charged / self._ledger.weight(account)
 
     def _grant(
         self, now: float, slots: EndpointSlots, account: str, entry: Waiting
