Cheaper pieces and requests: fewer h11 calls, a reused connection sends at once

Profile of 3,500 pieces/s: h11 was asked once more for each read although a chunked body was used up, and framed each outgoing chunk; both calls are left out. A request on a reused connection is sent at once instead of at the next round of the loop. The gain is within the noise of the shared machine; the profile shows the calls gone.

--- a/greengageflow/_caller_conn.py
+++ b/greengageflow/_caller_conn.py
@@ -92,6 +92,10 @@
     return h11.Response(status_code=status, headers=headers, reason=reason)
 
 
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 class CallerConnection:
     """Reads requests one after the other and frames their answers.
 
@@ -302,12 +306,14 @@
 
     def send_piece(self, data: bytes) -> None:
         """Send a piece of a streamed answer."""
-        self._link.send(self._http.send(h11.Data(data=data)))
+        # Streams are always chunked (HTTP/1.0 is refused), and h11 keeps no state
+        # for a chunk; framing it here halves what a piece costs on this side.
+        if data:
+            self._link.send(_chunk(data))
 
     def send_end(self, data: bytes) -> None:
         """Send the last piece and end the streamed answer."""
-        last = self._http.send(h11.Data(data=data))
-        self._link.send(last + self._http.send(h11.EndOfMessage()))
+        self._link.send(_chunk(data) + self._http.send(h11.EndOfMessage()))
         self._on_answered()
 
     def cut(self, data: bytes) -> None:
--- a/greengageflow/_http_conn.py
+++ b/greengageflow/_http_conn.py
@@ -92,6 +92,7 @@
         self.heard_any = False
         self._out = memoryview(b"")
         self._closing = False
+        self._chunked = False
         self._http = h11.Connection(h11.CLIENT)
 
     def _begin(self, source_ip: str | None) -> None:
@@ -135,7 +136,7 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
-        self.sent_any = self.heard_any = self._closing = False
+        self.sent_any = self.heard_any = self._closing = self._chunked = False
         names = {name.lower() for name, _ in headers}
         extra: list[tuple[str, str]] = []
         if "host" not in names:
@@ -210,11 +211,15 @@
             match event:
                 case h11.Data():
                     body.append(bytes(event.data))
-                    continue
+                    if not self._is_drained():
+                        continue
+                    event = h11.NEED_DATA
                 case h11.InformationalResponse():
                     continue
                 case h11.Response():
-                    yield self._head(event)
+                    head = self._head(event)
+                    self._chunked = bool(head.header("transfer-encoding"))
+                    yield head
                     continue
             if body:
                 yield Chunk(b"".join(body))
@@ -224,6 +229,11 @@
                 raise AnswerCut("closed before the answer was whole")
             return
 
+    def _is_drained(self) -> bool:
+        # In a chunked body every event has bytes of its own, so that asking h11 for
+        # one more is in vain; a stream saves one call for each piece.
+        return self._chunked and not self._closing and not self._http.trailing_data[0]
+
     def _head(self, event: h11.Response) -> Head:
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/greengageflow/http_pool.py
+++ b/greengageflow/http_pool.py
@@ -7,6 +7,7 @@
 import json
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 from socket import socket
@@ -325,6 +326,10 @@
         exchange.conn = conn
         exchange.moved_at = monotonic()
         self._active[conn.sock] = exchange
+        if conn.connected:
+            # What is wrong shows again at the write event that is then asked for.
+            with suppress(OSError):
+                conn.flush()
         self._watch(exchange)
         self._plan_sweep()
 
