One bound for all request bodies under way; modules split

4,096 connections with a body of the largest size each were 4 GB. A body that finds no room is refused with 429. Types of the pool, pieces and endings got modules of their own; the names can still be imported from http_pool and engine_client.

--- a/greengageflow/_caller_conn.py
+++ b/greengageflow/_caller_conn.py
@@ -52,6 +52,32 @@
     ahead: int = 65_536
 
 
+class BodyBudget:
+    """Bounds the bodies under way on all connections together.
+
+    Args:
+        limit: Most bytes at once.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.used = 0
+        self._limit = limit
+
+    def take(self, size: int) -> None:
+        """Count ``size`` more bytes.
+
+        Raises:
+            RouterError: There is no room now.
+        """
+        if self.used + size > self._limit:
+            raise RouterError(ErrorKind.QUEUE_FULL, "too many large bodies at once")
+        self.used += size
+
+    def give(self, size: int) -> None:
+        """Count ``size`` bytes less."""
+        self.used -= size
+
+
 class Link(Protocol):
     """The socket below a connection."""
 
@@ -103,10 +129,15 @@
         link: The socket.
         handler: Takes the calls.
         limits: Gives the bounds in force.
+        budget: Shared by all connections.
     """
 
     def __init__(
-        self, link: Link, handler: Handler, limits: Callable[[], Limits]
+        self,
+        link: Link,
+        handler: Handler,
+        limits: Callable[[], Limits],
+        budget: BodyBudget,
     ) -> None:
         self.phase = Phase.IDLE
         self.phase_at = monotonic()
@@ -115,6 +146,7 @@
         self._link = link
         self._handler = handler
         self._limits = limits
+        self._budget = budget
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().headers
         )
@@ -192,7 +224,6 @@
 
     def _on_head(self, head: h11.Request) -> None:
         self._head = head
-        self._body = bytearray()
         self._check_head(head)
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -226,11 +257,17 @@
         raise RouterError(ErrorKind.BODY_TOO_LARGE, message)
 
     def _on_body(self, data: bytes) -> None:
+        self._budget.take(len(data))
         self._body += data
         limits = self._limits()
         if len(self._body) > limits.body:
             self._refuse_body(limits)
 
+    def _take_body(self) -> bytes:
+        self._budget.give(len(self._body))
+        body, self._body = bytes(self._body), bytearray()
+        return body
+
     def _on_request(self) -> None:
         head = self._head
         request = CallerRequest(
@@ -240,10 +277,9 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in head.headers
             ),
-            bytes(self._body),
+            self._take_body(),
             head.http_version == b"1.0",
         )
-        self._body = bytearray()
         self._ahead = 0
         self._enter(Phase.ANSWERING)
         self._reply = reply = Reply(self)
@@ -259,6 +295,7 @@
 
     def _refuse(self, exc: RouterError) -> None:
         """Answer a request that was not read to its end, then close."""
+        self._take_body()
         headers: list[Header] = []
         if exc.kind is ErrorKind.METHOD_NOT_ALLOWED:
             methods = allowed_methods(self._path(self._head))
@@ -286,12 +323,12 @@
     ) -> None:
         """Send a whole answer."""
         lines = self._encode(headers)
-        if status not in BODILESS:
+        is_head = self._head is not None and self._head.method == b"HEAD"
+        if status not in BODILESS and (body or not is_head):
             lines.append((b"content-length", str(len(body)).encode()))
         if close:
             lines.append((b"connection", b"close"))
         parts = [self._http.send(_response(status, lines))]
-        is_head = self._head is not None and self._head.method == b"HEAD"
         if body and status not in BODILESS and not is_head:
             parts.append(self._http.send(h11.Data(data=body)))
         parts.append(self._http.send(h11.EndOfMessage()))
@@ -355,6 +392,7 @@
 
     def on_lost(self) -> None:
         """Note that the socket is closed."""
+        self._take_body()
         call, reply = self._call, self._reply
         self._call = self._reply = None
         self._enter(Phase.CLOSING)
--- a/greengageflow/callers.py
+++ b/greengageflow/callers.py
@@ -12,7 +12,7 @@
 from circuits import BaseComponent, Event, handler
 from circuits.web.servers import BaseServer
 
-from greengageflow._caller_conn import CallerConnection, Limits, Phase
+from greengageflow._caller_conn import BodyBudget, CallerConnection, Limits, Phase
 from greengageflow.calls import (
     CallerCall,
     ChatCall,
@@ -164,6 +164,7 @@
         timers: Timer service.
         limits: Bounds of each connection.
         max_connections: Most connections at once; more are closed at once.
+        body_budget: Most bytes of request bodies under way on all connections.
 
     Raises:
         OSError: The address cannot be listened on.
@@ -180,11 +181,13 @@
         *,
         limits: Limits | None = None,
         max_connections: int = 4096,
+        body_budget: int = 67_108_864,
     ) -> None:
         super().__init__()
         self.limits = limits or Limits()
         self.web = _WebServer(ip, port, self.channel).register(self)
         self._handler = handler
+        self._budget = BodyBudget(body_budget)
         self._max_connections = max_connections
         self._links: dict[socket, _CallerLink] = {}
         self._address = (self.web.host, self.web.port)
@@ -243,7 +246,7 @@
         if len(self._links) >= self._max_connections:
             link.drop()
             return None
-        link.conn = CallerConnection(link, self, lambda: self.limits)
+        link.conn = CallerConnection(link, self, lambda: self.limits, self._budget)
         self._links[sock] = link
         return link
 
--- a/greengageflow/engine_client.py
+++ b/greengageflow/engine_client.py
@@ -10,7 +10,9 @@
 from time import monotonic
 from typing import Any, Protocol
 
-from greengageflow._sse import EventStream, EventTooLarge, ServerEvent
+from greengageflow._pieces import Piece, PieceCheck, StreamBroken, Usage, parse_usage
+from greengageflow._sse import EventStream, EventTooLarge
+from greengageflow.endings import Completed, Cut, EngineEnd, Refused, Unreachable
 from greengageflow.errors import Ran
 from greengageflow.http_pool import (
     Exchange,
@@ -22,12 +24,24 @@
 )
 from greengageflow.timers import Subscription, Timers
 
+__all__ = [
+    "Completed",
+    "Cut",
+    "EngineCall",
+    "EngineEnd",
+    "EngineListener",
+    "EngineRequest",
+    "Piece",
+    "Refused",
+    "Unreachable",
+    "Usage",
+]
+
 CHAT_PATH = "/v1/chat/completions"
 CANCEL_PATH = "/cancel"
 WHOLE_LIMIT = 8 * 1_048_576
 REFUSAL_LIMIT = 16_384
 RESUME_DELAY_S = 0.05
-DONE = b"[DONE]"
 
 BUSY_STATUSES = frozenset({429, 503})
 NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422, 429, 431, 503})
@@ -35,92 +49,6 @@
 out: an engine may mean that it has run the same key before."""
 
 
-@dataclass(frozen=True, slots=True)
-class Usage:
-    """Tokens of one request, as the engine counted them."""
-
-    prompt_tokens: int
-    completion_tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class Piece:
-    """One checked piece of a streamed answer.
-
-    Args:
-        seq: Its number, from 0 by 1.
-        content: Text, possibly empty.
-        finish_reason: Why the answer ends here, or None.
-        usage: Tokens, on the last piece.
-        raw: The event as the engine sent it, to be passed on unchanged.
-    """
-
-    seq: int
-    content: str
-    finish_reason: str | None
-    usage: Usage | None
-    raw: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Completed:
-    """The whole answer was received.
-
-    Args:
-        usage: Tokens; None when the engine named none.
-        seconds: Time from sending to the end.
-        body: The answer when it was not streamed, else empty.
-    """
-
-    usage: Usage | None
-    seconds: float
-    body: bytes = b""
-
-    ran = Ran.YES
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The engine answered that it does not run the request.
-
-    Args:
-        status: HTTP status code.
-        message: What the engine said, shortened.
-        retry_after_s: When to come back in seconds, if the engine said so.
-    """
-
-    status: int
-    message: str
-    retry_after_s: float | None = None
-
-    ran = Ran.NO
-
-
-@dataclass(frozen=True, slots=True)
-class Unreachable:
-    """No byte of the request left."""
-
-    message: str
-
-    ran = Ran.NO
-
-
-@dataclass(frozen=True, slots=True)
-class Cut:
-    """The answer ended early and could not be resumed.
-
-    Args:
-        message: What happened.
-        ran: ``YES`` once a piece was received, else ``UNKNOWN``.
-    """
-
-    message: str
-    ran: Ran = Ran.UNKNOWN
-
-
-EngineEnd = Completed | Refused | Unreachable | Cut
-
-
 class EngineListener(Protocol):
     """Gets the pieces of a streamed answer, then exactly one end."""
 
@@ -165,79 +93,10 @@
         return self.body.get("stream") is True
 
 
-def _usage(value: Any) -> Usage | None:
-    match value:
-        case {"prompt_tokens": int(prompt), "completion_tokens": int(completion)}:
-            return Usage(prompt, completion)
-    return None
-
-
 def _retry_after(text: str) -> float | None:
     return float(text) if text.isascii() and text.isdigit() else None
 
 
-class _StreamBroken(Exception):
-    """The stream cannot go on as it is."""
-
-
-class PieceCheck:
-    """Lets through only the pieces of one request, each once and in order.
-
-    Args:
-        request_id: Id that the pieces must carry.
-    """
-
-    def __init__(self, request_id: str) -> None:
-        self.expected = 0
-        self.finished = False
-        self.done = False
-        self.usage: Usage | None = None
-        self.foreign = 0
-        self.repeated = 0
-        self._id = request_id
-
-    def pieces(self, events: Iterator[ServerEvent]) -> Iterator[Piece]:
-        """Yield the good pieces among ``events``; stops at the end mark.
-
-        Raises:
-            _StreamBroken: A piece is missing or cannot be read.
-        """
-        for event in events:
-            if event.data == DONE:
-                self.done = True
-                return
-            piece = self._check(event)
-            if piece is not None:
-                yield piece
-
-    def _check(self, event: ServerEvent) -> Piece | None:
-        try:
-            document = json.loads(event.data)
-            id_ = document["id"]
-            seq = int(document["seq"])
-            choice = document["choices"][0]
-            content = choice["delta"].get("content") or ""
-            reason = choice.get("finish_reason")
-        except (ValueError, TypeError, LookupError, AttributeError) as exc:
-            raise _StreamBroken("unreadable piece") from exc
-        # Engines batch many requests; a piece of another one would show a caller
-        # someone else's text, and a late copy would double its own.
-        if id_ != self._id:
-            self.foreign += 1
-            return None
-        if seq < self.expected or self.finished:
-            self.repeated += 1
-            return None
-        if seq > self.expected:
-            raise _StreamBroken(f"piece {self.expected} is missing")
-        self.expected += 1
-        usage = _usage(document.get("usage"))
-        if reason is not None:
-            self.finished = True
-            self.usage = usage
-        return Piece(seq, content, reason, usage, event.raw)
-
-
 class EngineCall:
     """One request to an engine; a receiver of ``HttpPool``.
 
@@ -394,7 +253,7 @@
             return Cut("the answer is not whole JSON")
         match document:
             case {"id": self.request.request_id, "choices": [_, *_]}:
-                return Completed(_usage(document.get("usage")), self.seconds, body)
+                return Completed(parse_usage(document.get("usage")), self.seconds, body)
             case {"id": self.request.request_id}:
                 return Cut("the answer has no choices")
         return Cut("the answer belongs to another request")
@@ -424,7 +283,7 @@
         try:
             for piece in self._check.pieces(self._events.feed(data)):
                 pieces.append(piece)
-        except (_StreamBroken, EventTooLarge) as exc:
+        except (StreamBroken, EventTooLarge) as exc:
             problem = str(exc)
         if pieces:
             self._pass_on(pieces)
--- /dev/null
+++ b/greengageflow/http_messages.py
@@ -0,0 +1,113 @@
+"""Requests and answers of the outbound HTTP pool."""
+
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Protocol
+
+from greengageflow._http_conn import Head
+
+
+class FailureKind(StrEnum):
+    """Why an exchange did not bring a whole answer."""
+
+    CONNECT = "connect"
+    """There was no connection: refused, unreachable, or too slow."""
+    TIMEOUT = "timeout"
+    """Nothing moved for the idle time."""
+    CUT = "cut"
+    """The connection ended before the answer did."""
+    BROKEN = "broken"
+    """The answer is not HTTP/1.1, or too large."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One request to send.
+
+    Args:
+        method: HTTP method.
+        ip: IP number of the other side.
+        port: TCP port of the other side.
+        path: Path and query.
+        headers: Names and values; ``Host`` and ``Content-Length`` are added.
+        body: Whole body.
+        connect_timeout_s: Longest time for connecting, in seconds.
+        idle_timeout_s: Longest time in which no byte moves, in seconds.
+        retry_stale: True when the request may be sent again on a new connection
+            if a reused one was closed before a byte of the answer came. False
+            also means that a new connection is used in the first place.
+    """
+
+    method: str
+    ip: str
+    port: int
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    connect_timeout_s: float = 2.0
+    idle_timeout_s: float = 30.0
+    retry_stale: bool = True
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port."""
+        return self.ip, self.port
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """One whole answer.
+
+    Args:
+        status: HTTP status code.
+        headers: Names in lower case and values.
+        body: Whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body as JSON.
+
+        Raises:
+            ValueError: The body is not JSON.
+        """
+        return json.loads(self.body)
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the first value of header ``name`` (lower case)."""
+        return Head(self.status, self.headers).header(name, default)
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """An exchange brought no whole answer.
+
+    Args:
+        kind: Why.
+        sent: False only when certainly no byte of the request left.
+        message: What happened, for people.
+    """
+
+    kind: FailureKind
+    sent: bool
+    message: str
+
+
+class Receiver(Protocol):
+    """Gets an answer as it arrives: ``on_end`` or ``on_failure`` comes once, last."""
+
+    def on_head(self, head: Head) -> None:
+        """Take status and headers."""
+
+    def on_data(self, data: bytes) -> None:
+        """Take the body bytes of one read."""
+
+    def on_end(self) -> None:
+        """Note that the answer is whole."""
+
+    def on_failure(self, failure: Failure) -> None:
+        """Note that no more of the answer will come."""
--- a/greengageflow/service_client.py
+++ b/greengageflow/service_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
-from greengageflow.engine_client import Cut, Unreachable
+from greengageflow.endings import Cut, Unreachable
 from greengageflow.http_pool import (
     Exchange,
     Failure,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -441,6 +441,24 @@
         wait_for(lambda: server.handler.gone)
 
 
+def test_bodies_under_way_are_bounded_together(server):
+    """Many callers with large bodies cannot fill the router's memory.
+
+    A body that finds no room among those under way is refused with a time to come
+    back; once the others are done or gone there is room again.
+    """
+    server.callers._budget._limit = 1500
+    first = server.caller()
+    first.send(POST + b"Content-Length: 1000\r\n\r\n" + b"x" * 900)
+    wait_for(lambda: server.callers._budget.used == 900)
+    body = b"y" * 800
+    answer = server.ask(post("/services/a/b", body))
+    assert answer.startswith(b"HTTP/1.1 429 ")
+    first.sock.close()
+    wait_for(lambda: server.callers._budget.used == 0)
+    assert server.ask(post("/services/a/b", body, *last())).endswith(body)
+
+
 def test_too_many_connections_are_closed_and_places_come_back():
     with closing(Server()) as server:
         server.callers._max_connections = 1
