--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -38,7 +38,7 @@
         "choices": [
             {
                 "index": 0,
-                "delta": {"content": f"t{seq}"},
+                "delta": {"content": f"{'t' if id_ == 'r1' else 'x'}{seq}"},
                 "finish_reason": "stop" if last else None,
             }
         ],
