--- /dev/null
+++ b/greengageflow/_check.py
@@ -0,0 +1,236 @@
+"""A small checker of JSON values that names every fault at once.
+
+A check is a generator function: it takes a value and its path, yields a ``Fault``
+for everything wrong, and returns the checked value, or ``INVALID``. Checks nest, so
+that ``record`` and ``sequence`` collect the faults of their parts.
+"""
+
+import json
+from collections.abc import Callable, Generator, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+INVALID: Any = object()
+"""What a check returns after it has yielded a fault."""
+
+_SHOWN_LENGTH = 60
+
+
+class Fault(ValueError):
+    """One thing wrong in a JSON document.
+
+    Args:
+        path: Where, like ``seeds[0].port``.
+        expected: What should have stood there.
+    """
+
+    def __init__(self, path: str, expected: str) -> None:
+        self.path = path or "document"
+        self.expected = expected
+        super().__init__(f"{self.path}: {self._text()}")
+
+    def _text(self) -> str:
+        return f"expected {self.expected}"
+
+
+class MissingField(Fault):
+    """A field that must be given is not there."""
+
+    def _text(self) -> str:
+        return f"missing, expected {self.expected}"
+
+
+class UnknownField(Fault):
+    """A field that is not known; ``expected`` lists the known ones."""
+
+    def _text(self) -> str:
+        return f"unknown field, expected one of: {self.expected}"
+
+
+class WrongValue(Fault):
+    """A field has a value of another type or outside its range."""
+
+    def __init__(self, path: str, expected: str, found: Any) -> None:
+        self.found = found
+        super().__init__(path, expected)
+
+    def _text(self) -> str:
+        return f"expected {self.expected}, found {_shown(self.found)}"
+
+
+Checked = Generator[Fault, None, Any]
+Check = Callable[[Any, str], Checked]
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """One field of a record.
+
+    Args:
+        check: Check of its value.
+        expected: What stands there, for the message when it is missing.
+        required: True when it must be given; else ``default`` takes its place.
+        default: Value when it is not given.
+    """
+
+    check: Check
+    expected: str
+    required: bool = True
+    default: Any = None
+
+
+def required(check: Check) -> Field:
+    """Return a field that must be given."""
+    return Field(check, _describe(check))
+
+
+def optional(check: Check, default: Any = None) -> Field:
+    """Return a field that has a default."""
+    return Field(check, _describe(check), False, default)
+
+
+def _any_invalid(found: Iterable[Any]) -> bool:
+    return any(part is INVALID for part in found)
+
+
+def _describe(check: Check) -> str:
+    return getattr(check, "expected", "a value")
+
+
+def _shown(value: Any) -> str:
+    text = json.dumps(value, default=repr)
+    return text if len(text) <= _SHOWN_LENGTH else text[:_SHOWN_LENGTH] + "…"
+
+
+def simple(expected: str, good: Callable[[Any], bool], make: Any = None) -> Check:
+    """Return a check of a value without parts.
+
+    Args:
+        expected: What stands there.
+        good: Tells whether a value is right.
+        make: Turns a right value into what the check returns.
+    """
+
+    def quick(value: Any) -> Any:
+        if not good(value):
+            return INVALID
+        return value if make is None else make(value)
+
+    def check(value: Any, path: str) -> Checked:
+        result = quick(value)
+        if result is INVALID:
+            yield WrongValue(path, expected, value)
+        return result
+
+    check.expected = expected
+    # A generator for each field of a right record would take half of its time.
+    check.quick = quick
+    return check
+
+
+def sequence(item: Check, *, unique: str = "") -> Check:
+    """Check for a list; returns a tuple.
+
+    Args:
+        item: Check of each item.
+        unique: Attribute of the checked items that may not occur twice.
+    """
+
+    def check(value: Any, path: str) -> Checked:
+        if type(value) is not list:
+            yield WrongValue(path, check.expected, value)
+            return INVALID
+        found = []
+        seen = set()
+        for index, part in enumerate(value):
+            at = f"{path}[{index}]"
+            result = yield from item(part, at)
+            key = getattr(result, unique, INVALID) if unique else INVALID
+            if key is not INVALID and key in seen:
+                yield WrongValue(f"{at}.{unique}", "a value not used before", key)
+                result = INVALID
+            seen.add(key)
+            found.append(result)
+        return INVALID if _any_invalid(found) else tuple(found)
+
+    check.expected = "a list"
+    return check
+
+
+def record(make: Callable[..., Any], **fields: Field) -> Check:
+    """Check for an object with these fields and no others.
+
+    Args:
+        make: Called with the checked fields when all of them are right.
+        **fields: The fields by name.
+    """
+    quick = {key: getattr(field.check, "quick", None) for key, field in fields.items()}
+
+    def check(value: Any, path: str) -> Checked:
+        if type(value) is not dict:
+            yield WrongValue(path, check.expected, value)
+            return INVALID
+        prefix = f"{path}." if path else ""
+        found = {}
+        faults = 0
+        for key in (key for key in value if key not in fields):
+            yield UnknownField(f"{prefix}{key}", ", ".join(fields))
+            faults += 1
+        for key, field in fields.items():
+            result = _given(field, value, key, quick[key])
+            if result is INVALID:
+                result = yield from _checked(field, value, key, prefix)
+                faults += result is INVALID
+            found[key] = result
+        return INVALID if faults else make(**found)
+
+    check.expected = "an object"
+    return check
+
+
+def _given(field: Field, value: dict[str, Any], key: str, quick: Any) -> Any:
+    """Return the value of a field that is right at first sight."""
+    if key not in value:
+        return INVALID if field.required else field.default
+    if value[key] is None and field.default is None and not field.required:
+        return None
+    return INVALID if quick is None else quick(value[key])
+
+
+def _checked(field: Field, value: dict[str, Any], key: str, prefix: str) -> Checked:
+    if key in value:
+        return (yield from field.check(value[key], f"{prefix}{key}"))
+    yield MissingField(f"{prefix}{key}", field.expected)
+    return INVALID
+
+
+def refine(check: Check, more: Callable[[Any, str], Iterable[Fault]]) -> Check:
+    """Check also what concerns several fields, once each of them is right."""
+
+    def refined(value: Any, path: str) -> Checked:
+        result = yield from check(value, path)
+        if result is INVALID:
+            return INVALID
+        faults = list(more(result, path))
+        yield from faults
+        return INVALID if faults else result
+
+    refined.expected = _describe(check)
+    return refined
+
+
+def run(check: Check, value: Any, title: str) -> Any:
+    """Return the checked value.
+
+    Raises:
+        ExceptionGroup: Holds one ``Fault`` for everything wrong.
+    """
+    faults = []
+    steps = check(value, "")
+    while True:
+        try:
+            faults.append(next(steps))
+        except StopIteration as stop:
+            if faults:
+                raise ExceptionGroup(title, faults) from None
+            return stop.value
--- /dev/null
+++ b/greengageflow/collector.py
@@ -0,0 +1,218 @@
+"""Sums the service of one zone's routers and spreads the fleet's totals.
+
+Each zone has one collector a shard of accounts. It adds up what the zone's routers
+report, exchanges the zone's sums with the collectors of the same shard in the other
+zones, and sends the fleet's totals to the routers of its own zone.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+
+from greengageflow._offsets import Offsets
+from greengageflow._zone_sums import ZoneSums
+from greengageflow.effects import Send
+from greengageflow.messages import (
+    AccountService,
+    FleetTotals,
+    PeerId,
+    ShareReport,
+    ZoneTotals,
+)
+from greengageflow.placement import FleetView
+from greengageflow.shares import FULL_REPORT_EVERY, ServiceLedger, shard_of
+
+_SETTLE_INTERVALS = 3
+
+
+class Collector:
+    """Collects shards of accounts for the zone of this router.
+
+    Args:
+        own: This router.
+        ledger: This router's ledger, which gives the totals known so far.
+        interval_s: Seconds between two calls of ``report``.
+    """
+
+    def __init__(
+        self, own: PeerId, ledger: ServiceLedger, *, interval_s: float = 0.5
+    ) -> None:
+        self._own = own
+        self._ledger = ledger
+        self._settle_s = _SETTLE_INTERVALS * interval_s
+        self._offsets = Offsets(ledger)
+        self._view: FleetView | None = None
+        self._zone = ""
+        self._ready_at: dict[int, float] = {}
+        self._ready: set[int] = set()
+        self._sums = ZoneSums(ledger.shards)
+        self._sent: dict[str, AccountService] = {}
+        self._told: dict[str, AccountService] = {}
+        self._routers: set[PeerId] = set()
+        self._new_routers: set[str] = set()
+        self._partners: dict[tuple[str, int], PeerId] = {}
+        self._new_partners: set[tuple[str, int]] = set()
+        self._seq = 0
+
+    @property
+    def shards(self) -> frozenset[int]:
+        """Shards of accounts that this router collects."""
+        return frozenset(self._ready_at)
+
+    def _shard(self, account: str) -> int:
+        return shard_of(account, self._ledger.shards)
+
+    # The view.
+
+    def on_view(self, now: float, view: FleetView) -> None:
+        """Take over a changed view of the fleet."""
+        self._view = view
+        self._zone = view.zone
+        shards = {
+            shard
+            for shard in range(self._ledger.shards)
+            if view.collector_of(self._zone, shard) == self._own.host
+        }
+        for shard in self._ready_at.keys() - shards:
+            self._drop(shard)
+        for shard in shards - self._ready_at.keys():
+            self._ready_at[shard] = now + self._settle_s
+            self._sums.collect(shard)
+        self._note_routers(view)
+        self._note_partners(view)
+        self._sums.on_view(view)
+
+    def _drop(self, shard: int) -> None:
+        del self._ready_at[shard]
+        self._ready.discard(shard)
+        for name in self._sums.drop(shard):
+            self._sent.pop(name, None)
+            self._told.pop(name, None)
+
+    def _note_routers(self, view: FleetView) -> None:
+        routers = {
+            PeerId(host, view.live[host].boot) for host in view.zone_hosts(self._zone)
+        }
+        self._new_routers |= {peer.host for peer in routers - self._routers}
+        self._routers = routers
+
+    def _note_partners(self, view: FleetView) -> None:
+        partners = {}
+        for zone in view.zones - {self._zone}:
+            for shard in self._ready_at:
+                host = view.collector_of(zone, shard)
+                if host is not None:
+                    partners[zone, shard] = PeerId(host, view.live[host].boot)
+        changed = partners.items() - self._partners.items()
+        self._new_partners |= {key for key, _ in changed}
+        self._partners = partners
+
+    # Messages.
+
+    def receive(self, now: float, sender: PeerId, message: Any) -> None:
+        """Take in a report or another zone's totals."""
+        match message:
+            case ShareReport(services=services):
+                if self._view is not None and not self._view.is_gone(sender):
+                    mine = [row for row in services if self._collects(row)]
+                    self._sums.on_report(sender, message, mine)
+            case ZoneTotals(zone=zone, services=services):
+                for row in filter(self._collects, services):
+                    self._on_zone_row(sender, zone, row)
+
+    def _collects(self, row: AccountService) -> bool:
+        return self._shard(row.account) in self._ready_at
+
+    def _on_zone_row(self, sender: PeerId, zone: str, row: AccountService) -> None:
+        sums = self._sums.of(row.account)
+        sums.merge_offsets(row)
+        if zone == self._zone:
+            # From before this router took over. What it counted itself is in the
+            # row only if the row is younger than that.
+            counted = sums.served if self._shard(row.account) in self._ready else 0.0
+            sums.base = max(sums.base, row.served - counted)
+            return
+        member = self._view.live.get(sender.host)
+        sums.merge_zone(zone, row, member is not None and member.zone == zone)
+
+    # Time.
+
+    def report(self, now: float) -> Iterator[Send]:
+        """Yield the totals for other collectors and the zone's routers.
+
+        Call it each share interval.
+        """
+        if self._view is None:
+            return
+        self._seq += 1
+        self._offsets.measure(now)
+        self._become_ready(now)
+        names = [n for n in self._sums.accounts if self._shard(n) in self._ready]
+        totals = {name: self._shifted_total(name) for name in names}
+        if self._seq % FULL_REPORT_EVERY == 0:
+            self._sent.clear()
+            self._told.clear()
+        yield from self._send_known_zones(names)
+        yield from self._send_zone_totals(names)
+        yield from self._send_fleet_totals(totals)
+
+    def _become_ready(self, now: float) -> None:
+        for shard, ready_at in self._ready_at.items():
+            if ready_at <= now and shard not in self._ready:
+                self._start_from_totals(shard)
+                self._ready.add(shard)
+
+    def _start_from_totals(self, shard: int) -> None:
+        for name, total in self._ledger.totals.items():
+            if self._shard(name) == shard:
+                self._sums.of(name).take_over(total)
+
+    def _shifted_total(self, name: str) -> AccountService:
+        sums = self._sums.of(name)
+        raised, forgiven = self._offsets.shift(sums.total(name, self._view.zones))
+        sums.raised += raised
+        sums.forgiven += forgiven
+        return sums.total(name, self._view.zones)
+
+    def _send_known_zones(self, names: list[str]) -> Iterator[Send]:
+        """Tell collectors that took over what is known, of their own zone too."""
+        rows: dict[tuple[str, str], list[AccountService]] = {}
+        for key in self._new_partners & self._partners.keys():
+            host = self._partners[key].host
+            for name in names:
+                if self._shard(name) != key[1]:
+                    continue
+                sums = self._sums.of(name)
+                known = {**sums.zones, self._zone: sums.zone_row(name)}
+                for zone, row in known.items():
+                    rows.setdefault((host, zone), []).append(row)
+        self._new_partners = {
+            key for key in self._new_partners if key[1] not in self._ready
+        }
+        for (host, zone), services in rows.items():
+            yield Send(host, ZoneTotals(zone, tuple(services)))
+
+    def _send_zone_totals(self, names: list[str]) -> Iterator[Send]:
+        rows: dict[str, list[AccountService]] = {}
+        for name in names:
+            row = self._sums.of(name).zone_row(name)
+            if self._sent.get(name) == row:
+                continue
+            self._sent[name] = row
+            for zone in self._view.zones - {self._zone}:
+                partner = self._partners.get((zone, self._shard(name)))
+                if partner is not None:
+                    rows.setdefault(partner.host, []).append(row)
+        for host, services in rows.items():
+            yield Send(host, ZoneTotals(self._zone, tuple(services)))
+
+    def _send_fleet_totals(self, totals: dict[str, AccountService]) -> Iterator[Send]:
+        changed = [row for name, row in totals.items() if self._told.get(name) != row]
+        self._told.update(totals)
+        news = FleetTotals(tuple(changed), self._seq)
+        full = FleetTotals(tuple(totals.values()), self._seq)
+        for host in self._view.zone_hosts(self._zone):
+            message = full if host in self._new_routers else news
+            if message.services:
+                yield Send(host, message)
+        if totals:
+            self._new_routers.clear()
--- /dev/null
+++ b/greengageflow/config_follower.py
@@ -0,0 +1,270 @@
+"""Keeps one router's configuration up to date from the log and from its peers."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from time import monotonic, time
+from typing import Any
+
+from greengageflow._config_watch import (
+    ConfigLog,
+    SnapshotClock,
+    log_outcome,
+)
+from greengageflow.catalog import FleetConfig
+from greengageflow.config_exchange import StateExchange
+from greengageflow.config_roles import Roles
+from greengageflow.events import Event, log
+from greengageflow.fold import Fold
+from greengageflow.log_client import Appended, Lapsed, LogFailure, LogRecord, Records
+from greengageflow.messages import ConfigRequest, ConfigState
+from greengageflow.timers import Subscription, Timers
+
+STREAM = "config"
+_PAUSE_S = 0.1
+_SNAPSHOT_CHECK_S = 5.0
+_FIRST_BACKOFF_S = 0.2
+_LONGEST_BACKOFF_S = 5.0
+
+
+class ConfigFollower:
+    """Follows the configuration stream.
+
+    Readers poll the log without pause; the others learn of a new revision by
+    ``peer_revision`` and ask that peer for it, and poll the log now and then in
+    case no peer tells them. What is in force never goes back.
+
+    Args:
+        host: Host of this router.
+        log_client: The platform's log.
+        timers: Timer service.
+        on_config: Called with each configuration that comes into force.
+        send: Sends a message to a host.
+        peers: Returns hosts that may be asked.
+        roles: Returns what this router does for the others.
+        fold: Fold to start from.
+        wait_s: Long poll of readers, in seconds.
+        poll_s: Longest time between two polls of the others, in seconds.
+        snapshot_interval_s: Time after which the state is appended again, in
+            seconds; well below half of the log's retention.
+        rng: Source of jitter.
+        now: Monotonic clock, in seconds.
+        wall: Unix clock, in seconds; compared with the log's times only to tell
+            when a snapshot is due.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        log_client: ConfigLog,
+        timers: Timers,
+        *,
+        on_config: Callable[[FleetConfig], None],
+        send: Callable[[str, Any], None] = lambda _host, _message: None,
+        peers: Callable[[], Sequence[str]] = tuple,
+        roles: Callable[[], Roles] = Roles,
+        fold: Fold | None = None,
+        wait_s: float = 1.0,
+        poll_s: float = 10.0,
+        snapshot_interval_s: float = 600.0,
+        rng: Random | None = None,
+        now: Callable[[], float] = monotonic,
+        wall: Callable[[], float] = time,
+    ) -> None:
+        self.fold = fold or Fold()
+        self._host = host
+        self._log = log_client
+        self._timers = timers
+        self._on_config = on_config
+        self._roles = roles
+        self._wait_s = wait_s
+        self._poll_s = poll_s
+        self._rng = rng or Random()
+        self._now = now
+        self._wall = wall
+        self._snapshots = SnapshotClock(snapshot_interval_s, wall())
+        self._live = False
+        self._given = 0
+        self._failures = 0
+        self._outage_start = 0.0
+        self._exchange = StateExchange(
+            host,
+            self.fold,
+            send=send,
+            peers=peers,
+            on_restored=self._give,
+            rng=self._rng,
+            now=now,
+        )
+        self._asked_from = 0
+        self._shorter = False
+        self._snapshot_timer: Subscription | None = None
+
+    @property
+    def config(self) -> FleetConfig:
+        """Configuration in force."""
+        return self.fold.config
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, as told to peers."""
+        return self.fold.config.revision
+
+    @property
+    def status(self) -> dict[str, Any]:
+        """JSON object for ``/status`` under ``config``."""
+        return {
+            "revision": self.revision,
+            "offset": self.fold.offset,
+            "schemas": sorted(self.fold.understood),
+            "highest_schema": self.fold.state.highest,
+            "complete": self.fold.complete,
+            "halted": self.fold.halted,
+            "log": self._log_state,
+            "reader": self._roles().reader,
+        }
+
+    @property
+    def _log_state(self) -> str:
+        if self._failures:
+            return "down"
+        return "shorter" if self._shorter else "up"
+
+    def start(self) -> None:
+        """Ask peers and begin to read."""
+        self._live = True
+        self._exchange.ask_anyone()
+        self._read()
+        self._snapshot_timer = self._timers.every(
+            _SNAPSHOT_CHECK_S, self._check_snapshot
+        )
+
+    def stop(self) -> None:
+        """Read and append no more."""
+        self._live = False
+        if self._snapshot_timer is not None:
+            self._snapshot_timer.cancel()
+
+    def peer_revision(self, host: str, revision: int) -> None:
+        """Take note of the revision that a peer has in force."""
+        self._exchange.peer_revision(host, revision)
+
+    def received(self, host: str, message: ConfigRequest | ConfigState) -> None:
+        """Take a message of a peer."""
+        self._exchange.received(host, message)
+
+    def _give(self) -> None:
+        if self.revision > self._given:
+            self._given = self.revision
+            self._on_config(self.config)
+
+    def _read(self) -> None:
+        if not self._live:
+            return
+        if self.fold.halted:
+            self._later(self._poll_s)
+            return
+        wait_s = self._wait_s if self._roles().reader else 0.0
+        self._asked_from = self.fold.next_offset
+        self._log.read(STREAM, self._asked_from, wait_s, self._on_read)
+
+    def _later(self, delay_s: float) -> None:
+        self._timers.after(delay_s, self._read)
+
+    def _on_read(self, result: Records | Lapsed | LogFailure) -> None:
+        if not self._live:
+            return
+        match result:
+            case LogFailure():
+                self._on_failure(result)
+            case Lapsed():
+                self._on_answer()
+                self._on_lapsed(result)
+            case Records():
+                self._on_answer()
+                self._on_records(result)
+
+    def _on_failure(self, failure: LogFailure) -> None:
+        if not self._failures:
+            self._outage_start = self._now()
+            log(Event.LOG_OUTAGE, stream=STREAM, error=failure.message)
+        self._failures += 1
+        longest = min(_FIRST_BACKOFF_S * 2**self._failures, _LONGEST_BACKOFF_S)
+        delay = longest * self._rng.uniform(0.5, 1.0)
+        self._later(max(delay, failure.retry_after_s or 0.0))
+
+    def _on_answer(self) -> None:
+        if self._failures:
+            seconds = self._now() - self._outage_start
+            log(Event.LOG_BACK, stream=STREAM, seconds=seconds)
+        self._failures = 0
+
+    def _on_lapsed(self, lapsed: Lapsed) -> None:
+        self._snapshots.first_offset = lapsed.first_offset
+        self._skip_to(lapsed.first_offset)
+        self._later(_PAUSE_S)
+
+    def _skip_to(self, first_offset: int) -> None:
+        """Pass over lost records, unless a peer has brought their outcome."""
+        offset = self.fold.next_offset
+        if first_offset > offset:
+            log(Event.CONFIG_LAPSED, offset=offset, first_offset=first_offset)
+            self.fold.skip_to(first_offset)
+            self._exchange.ask_anyone()
+
+    def _on_records(self, result: Records) -> None:
+        self._snapshots.first_offset = result.first_offset
+        # Compared with what was asked: a peer may have brought a later state since.
+        if result.next_offset < self._asked_from:
+            self._on_shorter(result.next_offset)
+            return
+        self._shorter = False
+        if result.records:
+            self._skip_to(result.records[0].offset)
+        for record in result.records:
+            if record.offset > self.fold.next_offset or self.fold.halted:
+                # The fold went back to the records after a snapshot, or cannot go on.
+                break
+            self._apply(record)
+        self._give()
+        if not self.fold.complete:
+            self._exchange.ask_anyone()
+        self._schedule(result)
+
+    def _on_shorter(self, next_offset: int) -> None:
+        # Another log, or one that was emptied: its records speak of revisions that
+        # never were, so the configuration in force stays.
+        if not self._shorter:
+            log(Event.LOG_SHORTER, next_offset=next_offset, known=self._asked_from)
+        self._shorter = True
+        self._later(self._poll_s)
+
+    def _schedule(self, result: Records) -> None:
+        if self.fold.next_offset < result.next_offset:
+            self._later(0.0 if result.records else _PAUSE_S)
+        elif self._roles().reader:
+            self._later(_PAUSE_S)
+        else:
+            self._later(self._poll_s * self._rng.uniform(0.7, 1.0))
+
+    def _apply(self, record: LogRecord) -> None:
+        outcome = self.fold.apply(record.offset, record.record)
+        self._snapshots.note(record, outcome)
+        author = ""
+        if isinstance(record.record, dict):
+            author = str(record.record.get("author", ""))[:128]
+        log_outcome(record.offset, author, outcome)
+
+    def _check_snapshot(self) -> None:
+        fold = self.fold
+        able = self._live and self.revision and fold.complete and not fold.halted
+        if able and self._snapshots.due(self._wall()) and self._roles().writer:
+            records = [fold.snapshot(self._host)]
+            self._log.append(STREAM, records, self._on_append)
+
+    def _on_append(self, result: Appended | LogFailure) -> None:
+        if isinstance(result, Appended):
+            log(
+                Event.SNAPSHOT_WRITTEN,
+                revision=self.revision,
+                offset=result.first_offset,
+            )
--- /dev/null
+++ b/greengageflow/entry.py
@@ -0,0 +1,313 @@
+"""What waits at this router, and which waiting request takes a grant."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from greengageflow._registrar import DemandRegistrar
+from greengageflow._waiting import AccountQueue, WaitingRequest
+from greengageflow.catalog import ClientAccount, FleetConfig
+from greengageflow.effects import Effect, Refuse, Send, Start
+from greengageflow.errors import ErrorKind
+from greengageflow.messages import Grant, GrantReturned, GrantTaken, PeerId, WorkCall
+from greengageflow.placement import FleetView
+from greengageflow.shares import Meter, ServiceLedger
+
+__all__ = ["EntryQueue", "WaitingRequest"]
+
+_ENDED_KEPT = 4096
+_SHORTEST_RETRY_S = 0.1
+_ANSWERS_TO_CALL = 4
+
+
+@dataclass(slots=True)
+class _Running:
+    request: WaitingRequest
+    endpoint: str
+    owner: PeerId
+    told: set[str]
+    meter: Meter
+
+
+class EntryQueue:
+    """Queues the requests that came in at this router.
+
+    Args:
+        own: This router.
+        ledger: Where the service is counted.
+        seed: Of the order in which owners are asked.
+    """
+
+    def __init__(self, own: PeerId, ledger: ServiceLedger, *, seed: int = 0) -> None:
+        self._own = own
+        self._ledger = ledger
+        self._registrar = DemandRegistrar(own, Random(f"{seed} {own.host} {own.boot}"))
+        self._cfg = FleetConfig()
+        self._view: FleetView | None = None
+        self._members: dict[str, list[str]] = {}
+        self._queues: dict[tuple[str, str], AccountQueue] = {}
+        self._of: dict[str, AccountQueue] = {}
+        self._waiting: dict[str, int] = {}
+        self._running: dict[str, _Running] = {}
+        self._ended: OrderedDict[str, GrantReturned] = OrderedDict()
+        self._owed: dict[tuple[str, str], GrantReturned] = {}
+        self._deadlines: list[tuple[float, str]] = []
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self._of)
+
+    @property
+    def running(self) -> int:
+        """Requests that were started and have not finished."""
+        return len(self._running)
+
+    # Requests.
+
+    def submit(self, now: float, req: WaitingRequest) -> Iterator[Effect]:
+        """Queue a request, or refuse it at once when it cannot be served."""
+        key = (req.account, req.pool)
+        queue = self._queues.get(key) or AccountQueue(*key)
+        refusal = self._refusal(now, req, queue)
+        if refusal is not None:
+            yield refusal
+            return
+        self._queues[key] = queue
+        queue.requests[req.id] = req
+        self._of[req.id] = queue
+        heappush(self._deadlines, (req.deadline, req.id))
+        self._count(req.account, 1)
+        if len(queue) == 1:
+            queue.rate.begin(now)
+            yield from self._registrar.begin(now, queue)
+        else:
+            yield from self._registrar.restate(queue)
+
+    def _refusal(
+        self, now: float, req: WaitingRequest, queue: AccountQueue
+    ) -> Refuse | None:
+        if self._view is None or not self._registrar.owners(req.pool):
+            return Refuse(req.id, ErrorKind.NO_ENDPOINT, f"no endpoint for {req.pool}")
+        left_s = req.deadline - now
+        if left_s <= 0:
+            return Refuse(req.id, ErrorKind.DEADLINE, "the deadline has passed")
+        ahead = len(queue)
+        account = self._cfg.accounts.get(req.account) or ClientAccount(req.account)
+        if ahead >= account.queue_limit:
+            # One place is free as soon as one request has left.
+            wait_s = queue.rate.wait_s(now, ahead - account.queue_limit + 1)
+            retry_s = None if wait_s is None else max(_SHORTEST_RETRY_S, wait_s)
+            text = f"{ahead} requests of this account wait here"
+            return Refuse(req.id, ErrorKind.QUEUE_FULL, text, retry_s)
+        wait_s = queue.rate.wait_s(now, ahead) if ahead else None
+        if wait_s is not None and wait_s > left_s:
+            text = f"{ahead} requests wait, about {wait_s:.1f} s for this one"
+            return Refuse(req.id, ErrorKind.DEADLINE, text, wait_s - left_s)
+        return None
+
+    def cancel(self, request: str) -> Iterator[Effect]:
+        """Forget a waiting request whose caller has left; no answer is due."""
+        queue = self._of.get(request)
+        if queue is not None:
+            yield from self._leave(queue, request)
+
+    def _leave(self, queue: AccountQueue, request: str) -> Iterator[Send]:
+        del queue.requests[request]
+        del self._of[request]
+        self._count(queue.account, -1)
+        yield from self._registrar.restate(queue)
+
+    def _count(self, account: str, change: int) -> None:
+        waiting = self._waiting.get(account, 0) + change
+        self._waiting[account] = waiting
+        self._ledger.set_waiting(account, waiting)
+
+    # Messages.
+
+    def receive(self, now: float, sender: PeerId, message: Any) -> Iterator[Effect]:
+        """Take in a message from an owner."""
+        match message:
+            case Grant():
+                yield from self._on_grant(now, sender, message)
+            case WorkCall(pool=pool):
+                yield from self._on_work_call(sender.host, pool)
+
+    def _on_grant(self, now: float, sender: PeerId, grant: Grant) -> Iterator[Effect]:
+        if grant.boot and grant.boot != self._own.boot:
+            # It was for an earlier life of this host. Its owner has taken the slot
+            # back, or will; a request started now would be one too many.
+            return
+        if grant.grant in self._running:
+            yield self._taken(now, sender.host, grant.grant)
+            return
+        if grant.grant in self._ended:
+            yield Send(sender.host, self._ended[grant.grant])
+            return
+        yield from self._expire(now)
+        queue = self._queues.get((grant.account, grant.pool))
+        if queue and self._is_valid(sender, grant):
+            yield from self._start(now, sender, grant, queue)
+            return
+        returned = GrantReturned(grant.grant, grant.endpoint)
+        self._end(returned)
+        yield from self._give_back(sender.host, returned)
+
+    def _is_valid(self, sender: PeerId, grant: Grant) -> bool:
+        # A grant may come late, when another router owns the endpoint already and
+        # has granted the slot anew, because nobody registered it there.
+        if self._view is None or not self._view.is_live(sender):
+            return False
+        if self._view.owner_of(grant.endpoint) != sender.host:
+            return False
+        return grant.endpoint in self._members.get(grant.pool, ())
+
+    def _start(
+        self, now: float, sender: PeerId, grant: Grant, queue: AccountQueue
+    ) -> Iterator[Effect]:
+        req = queue.head
+        if sender.host in queue.asked:
+            queue.asked[sender.host].waiting -= 1
+        queue.rate.on_start(now)
+        meter = self._ledger.expect(req.account, req.cost)
+        self._running[grant.grant] = _Running(
+            req, grant.endpoint, sender, {sender.host}, meter
+        )
+        yield Start(req.id, grant.endpoint, grant.grant)
+        yield self._taken(now, sender.host, grant.grant)
+        yield from self._leave(queue, req.id)
+
+    def _taken(self, now: float, host: str, grant: str) -> Send:
+        run = self._running[grant]
+        req = run.request
+        left_s = max(0.0, req.deadline - now)
+        taken = GrantTaken(grant, run.endpoint, req.account, req.cost, left_s)
+        return Send(host, taken)
+
+    def _tell_owner(self, now: float, grant: str, run: _Running) -> Iterator[Send]:
+        """Tell the present owner of the endpoint, if it does not know."""
+        host = self._view.owner_of(run.endpoint)
+        if host is None:
+            return
+        owner = PeerId(host, self._view.live[host].boot)
+        if owner != run.owner:
+            run.owner = owner
+            run.told.add(host)
+            yield self._taken(now, host, grant)
+
+    def _on_work_call(self, host: str, pool: str) -> Iterator[Send]:
+        if self._view is None or host not in self._registrar.owners(pool):
+            return
+        ready = [q for q in self._queues.values() if q.pool == pool and q.requests]
+        ready.sort(key=lambda queue: self._ledger.level(queue.account))
+        for queue in ready[:_ANSWERS_TO_CALL]:
+            yield self._registrar.ask(queue, host)
+
+    # Running requests.
+
+    def progress(self, grant: str, tokens: float) -> None:
+        """Count tokens of a running request as they stream."""
+        run = self._running.get(grant)
+        if run is not None:
+            run.meter.charge(tokens)
+
+    def finished(
+        self, grant: str, served: float, seconds: float, *, failed: bool = False
+    ) -> Iterator[Effect]:
+        """Give the slot of a running request back.
+
+        Args:
+            grant: Id of the grant that started it.
+            served: Tokens that the endpoint produced in all.
+            seconds: Time for which the endpoint was busy with it.
+            failed: True when the endpoint could not be reached or broke.
+        """
+        run = self._running.pop(grant, None)
+        if run is None:
+            return
+        run.meter.settle(served)
+        returned = GrantReturned(grant, run.endpoint, served, seconds, failed)
+        self._end(returned)
+        for host in sorted(run.told):
+            yield from self._give_back(host, returned)
+
+    def _give_back(self, host: str, returned: GrantReturned) -> Iterator[Send]:
+        # An owner out of reach counts the slot as used up to its deadline; it is
+        # told again as soon as it answers.
+        if self._view and host not in self._view.live:
+            self._owed[returned.grant, host] = returned
+        yield Send(host, returned)
+
+    def _end(self, returned: GrantReturned) -> None:
+        self._ended[returned.grant] = returned
+        if len(self._ended) > _ENDED_KEPT:
+            self._ended.popitem(last=False)
+
+    # Time and what changes around it.
+
+    def on_tick(self, now: float) -> Iterator[Effect]:
+        """Do what has become due."""
+        yield from self._expire(now)
+        for queue in self._queues.values():
+            if queue and queue.ask_at <= now:
+                yield from self._registrar.widen(now, queue)
+            if queue and queue.refresh_at <= now:
+                yield from self._registrar.refresh(now, queue)
+
+    def next_tick(self, now: float) -> float:
+        """Return the time by which ``on_tick`` is to be called."""
+        times = [queue.due_at for queue in self._queues.values() if queue]
+        if self._deadlines:
+            times.append(self._deadlines[0][0])
+        return max(now, min(times, default=float("inf")))
+
+    def _expire(self, now: float) -> Iterator[Effect]:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request = heappop(self._deadlines)
+            queue = self._of.get(request)
+            if queue is None:
+                continue
+            retry_s = queue.rate.wait_s(now, len(queue))
+            text = "the deadline passed while the request waited"
+            yield Refuse(request, ErrorKind.DEADLINE, text, retry_s)
+            yield from self._leave(queue, request)
+
+    def on_config(self, now: float, cfg: FleetConfig) -> Iterator[Effect]:
+        """Take over a configuration."""
+        self._cfg = cfg
+        self._registrar.most = cfg.policy.owners_asked
+        self._members = {}
+        for endpoint in cfg.endpoints.values():
+            if not endpoint.leaving:
+                self._members.setdefault(endpoint.pool, []).append(endpoint.name)
+        yield from self._place(now)
+
+    def on_view(self, now: float, view: FleetView) -> Iterator[Effect]:
+        """Take over a changed view of the fleet."""
+        self._view = view
+        for grant, run in self._running.items():
+            yield from self._tell_owner(now, grant, run)
+        for (grant, host), returned in list(self._owed.items()):
+            if host in view.live or host not in view.roster:
+                del self._owed[grant, host]
+                yield Send(host, returned)
+        yield from self._place(now)
+
+    def _place(self, now: float) -> Iterator[Effect]:
+        if self._view is None:
+            return
+        self._registrar.place(self._view, self._members)
+        for queue in self._queues.values():
+            if not self._registrar.owners(queue.pool):
+                yield from self._refuse_all(queue)
+        yield from self._registrar.replace(now, self._queues.values())
+
+    def _refuse_all(self, queue: AccountQueue) -> Iterator[Effect]:
+        queue.asked.clear()
+        for request in list(queue.requests):
+            text = f"no endpoint for {queue.pool} any more"
+            yield Refuse(request, ErrorKind.NO_ENDPOINT, text)
+            yield from self._leave(queue, request)
--- /dev/null
+++ b/greengageflow/owner.py
@@ -0,0 +1,294 @@
+"""Which account gets the next free slot of the endpoints that this router owns."""
+
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+from greengageflow._charges import Charges
+from greengageflow._demand import DemandBook, Waiting
+from greengageflow._slots import EndpointSlots, Hold
+from greengageflow._work_calls import WorkCalls
+from greengageflow.catalog import FleetConfig
+from greengageflow.effects import Send
+from greengageflow.messages import Demand, Grant, GrantReturned, GrantTaken, PeerId
+from greengageflow.placement import FleetView
+from greengageflow.shares import ServiceLedger
+
+_REFLECT_INTERVALS = 3
+_DEFAULT_DEADLINE_S = 60.0
+_POOL_QUIET_S = 10.0
+_FORGET_EVERY_S = 5.0
+
+
+class EndpointOwner:
+    """Grants the slots of owned endpoints to the least-served accounts.
+
+    Args:
+        own: This router.
+        ledger: The fleet's service per account.
+        seed: Of the choice of routers that are called for work.
+        settle_s: Seconds after becoming owner, or after routers came back, in which
+            running requests are registered before more slots are granted; longer
+            than a change of the view takes to reach all routers.
+        expires_s: Seconds after which an unanswered grant is sent again.
+    """
+
+    def __init__(
+        self,
+        own: PeerId,
+        ledger: ServiceLedger,
+        *,
+        seed: int = 0,
+        settle_s: float = 1.0,
+        expires_s: float = 2.0,
+    ) -> None:
+        self._own = own
+        self._ledger = ledger
+        self._random = Random(f"{seed} {own.host} {own.boot}")
+        self._settle_s = settle_s
+        self._expires_s = expires_s
+        self._cfg = FleetConfig()
+        self._view: FleetView | None = None
+        self._slots: dict[str, EndpointSlots] = {}
+        self._active: dict[str, EndpointSlots] = {}
+        self._owned: dict[str, list[EndpointSlots]] = {}
+        self._demands: dict[str, DemandBook] = {}
+        self._calls: dict[str, WorkCalls] = {}
+        self._lost: dict[str, float] = {}
+        self._charges = Charges()
+        self._spread: dict[str, float] = {}
+        self._number = 0
+        self._forget_at = 0.0
+
+    @property
+    def owned(self) -> list[str]:
+        """Names of the endpoints whose slots this router grants."""
+        return [s.endpoint.name for owned in self._owned.values() for s in owned]
+
+    # What changes around it.
+
+    def on_config(self, now: float, cfg: FleetConfig) -> Iterator[Send]:
+        """Take over a configuration."""
+        self._cfg = cfg
+        for name, endpoint in cfg.endpoints.items():
+            if name in self._slots:
+                self._slots[name].configure(endpoint)
+            else:
+                self._slots[name] = EndpointSlots(endpoint)
+        for name in self._slots.keys() - cfg.endpoints.keys():
+            del self._slots[name]
+        self._assign(now)
+        yield from self._fill_all(now)
+
+    def on_view(self, now: float, view: FleetView) -> Iterator[Send]:
+        """Take over a changed view of the fleet."""
+        before = self._view.live.keys() if self._view else set()
+        for host in before - view.live.keys():
+            self._lost[host] = now
+        for host in list(self._lost):
+            if host in view.live or host not in view.roster:
+                del self._lost[host]
+        self._view = view
+        self._assign(now)
+        yield from self._fill_all(now)
+
+    def mark_leaving(self, endpoint: str, generation: int) -> None:
+        """Give the endpoint no new work, for this generation of it for good."""
+        slots = self._slots.get(endpoint)
+        if slots is not None:
+            slots.left_generation = max(slots.left_generation, generation)
+
+    def _assign(self, now: float) -> None:
+        view = self._view
+        self._owned = {}
+        if view is None:
+            return
+        for name, slots in self._slots.items():
+            if view.owner_of(name) != self._own.host:
+                slots.lose()
+                continue
+            endpoint = slots.endpoint
+            borne = view.borne_slots(name, endpoint.slots)
+            doubt_until = self._doubt_until(endpoint.pool)
+            slots.own(now, borne, now + self._settle_s, doubt_until)
+            if not self._lost:
+                slots.clear_doubt()
+            self._owned.setdefault(endpoint.pool, []).append(slots)
+        self._active = {
+            name: slots
+            for name, slots in self._slots.items()
+            if slots.owned or slots.holds
+        }
+        for slots in self._active.values():
+            slots.expire(now, view)
+        self._measure_spread()
+
+    def _measure_spread(self) -> None:
+        totals: dict[str, int] = {}
+        for slots in self._slots.values():
+            pool = slots.endpoint.pool
+            totals[pool] = totals.get(pool, 0) + slots.endpoint.slots
+        for pool, owned in self._owned.items():
+            own = sum(slots.endpoint.slots for slots in owned)
+            self._spread[pool] = 1.0 if self._view.split else totals[pool] / max(1, own)
+
+    def _doubt_until(self, pool: str) -> float:
+        if not self._lost:
+            return float("-inf")
+        return max(self._lost.values()) + self._settle_s + self._deadline_s(pool)
+
+    def _deadline_s(self, pool: str) -> float:
+        known = self._cfg.pools.get(pool)
+        return known.deadline_s if known else _DEFAULT_DEADLINE_S
+
+    # Messages.
+
+    def receive(self, now: float, sender: PeerId, message: Any) -> Iterator[Send]:
+        """Take in a message from an entry router."""
+        match message:
+            case Demand(pool=pool, waiting=waiting):
+                self._book(pool).put(now, sender, message)
+                if waiting:
+                    self._calls[pool].reset()
+                    yield from self._fill(now, pool)
+            case GrantTaken():
+                self._on_taken(now, sender, message)
+            case GrantReturned():
+                yield from self._on_returned(now, message)
+
+    def _book(self, pool: str) -> DemandBook:
+        if pool not in self._demands:
+            self._demands[pool] = DemandBook()
+            self._calls[pool] = WorkCalls(pool, self._random)
+        return self._demands[pool]
+
+    def _on_taken(self, now: float, sender: PeerId, message: GrantTaken) -> None:
+        slots = self._slots.get(message.endpoint)
+        if slots is None or (self._view and self._view.is_gone(sender)):
+            return
+        slots.take(now, sender, message)
+        self._active[message.endpoint] = slots
+
+    def _on_returned(self, now: float, message: GrantReturned) -> Iterator[Send]:
+        slots = self._slots.get(message.endpoint)
+        hold = slots.give_back(message.grant) if slots else None
+        if hold is None:
+            return
+        if message.seconds or message.failed:
+            slots.limit.observe(now, message.served, message.seconds, message.failed)
+        elif hold.charge:
+            self._charges.cancel(hold.charge)
+        yield from self._fill(now, slots.endpoint.pool)
+
+    # Time.
+
+    def on_tick(self, now: float) -> Iterator[Send]:
+        """Do what has become due."""
+        view = self._view
+        if view is None:
+            return
+        for name, slots in self._active.items():
+            slots.expire(now, view)
+            yield from self._ask_again(now, name, slots)
+        if now >= self._forget_at:
+            self._forget_at = now + _FORGET_EVERY_S
+            for book in self._demands.values():
+                book.forget(now, view)
+        yield from self._fill_all(now)
+        yield from self._call_for_work(now, view)
+
+    def next_tick(self, now: float) -> float:
+        """Return the time by which ``on_tick`` is to be called."""
+        times = [self._forget_at]
+        for slots in self._active.values():
+            times.append(slots.due_at)
+            if slots.limit.resting and slots.limit.rest_until > now:
+                times.append(slots.limit.rest_until)
+        times += [calls.at for calls, _ in self._idle(now)]
+        return max(now, min(times))
+
+    def _ask_again(self, now: float, name: str, slots: EndpointSlots) -> Iterator[Send]:
+        for grant, hold in slots.holds.items():
+            if hold.ask_at is None or hold.ask_at > now:
+                continue
+            hold.ask_at = now + self._expires_s
+            yield self._grant_message(grant, slots, hold)
+
+    # Granting.
+
+    def _fill_all(self, now: float) -> Iterator[Send]:
+        for pool in list(self._owned):
+            yield from self._fill(now, pool)
+
+    def _fill(self, now: float, pool: str) -> Iterator[Send]:
+        book = self._demands.get(pool)
+        if book is None:
+            return
+        while slots := self._freest(now, pool):
+            picked = self._pick(now, book)
+            if picked is None:
+                return
+            account, entry = picked
+            book.take(entry)
+            yield self._grant(now, slots, account, entry)
+
+    def _freest(self, now: float, pool: str) -> EndpointSlots | None:
+        owned = self._owned.get(pool, ())
+        best = max(owned, key=lambda slots: slots.free(now), default=None)
+        return best if best is not None and best.free(now) > 0 else None
+
+    def _pick(self, now: float, book: DemandBook) -> tuple[str, Waiting] | None:
+        """Return the account with the least service, and its next entry router."""
+        lag_s = _REFLECT_INTERVALS * self._cfg.policy.share_interval_s
+        self._charges.drop(now - lag_s)
+        return min(
+            book.candidates(self._view),
+            key=lambda pair: (self._level(pair[0]), pair[1].since),
+            default=None,
+        )
+
+    def _level(self, account: str) -> float:
+        charged = self._charges.of(account) / self._ledger.weight(account)
+        return self._ledger.level(account) + charged
+
+    def _grant(
+        self, now: float, slots: EndpointSlots, account: str, entry: Waiting
+    ) -> Send:
+        pool = slots.endpoint.pool
+        self._number += 1
+        grant = f"{self._own.host}:{self._own.boot}:{self._number}"
+        ends_at = now + self._deadline_s(pool) + self._expires_s
+        # An owner sees only its own grants until the totals show the others', and
+        # takes the other owners to grant as it does; hence the spread.
+        charge = self._charges.add(now, account, entry.cost * self._spread[pool])
+        hold = Hold(entry.peer, account, ends_at, now + self._expires_s, charge)
+        slots.hold(grant, hold)
+        return self._grant_message(grant, slots, hold)
+
+    def _grant_message(self, grant: str, slots: EndpointSlots, hold: Hold) -> Send:
+        endpoint = slots.endpoint
+        message = Grant(
+            grant,
+            hold.account,
+            endpoint.pool,
+            endpoint.name,
+            self._expires_s,
+            hold.peer.boot,
+        )
+        return Send(hold.peer.host, message)
+
+    # Calls for work.
+
+    def _idle(self, now: float) -> Iterator[tuple[WorkCalls, int]]:
+        """Yield what has free slots and lately had demand, but has none now."""
+        for pool, book in self._demands.items():
+            quiet = now - book.heard_at > _POOL_QUIET_S
+            if quiet or not self._freest(now, pool) or book.any_waiting(self._view):
+                continue
+            yield self._calls[pool], sum(s.free(now) for s in self._owned[pool])
+
+    def _call_for_work(self, now: float, view: FleetView) -> Iterator[Send]:
+        hosts = sorted(view.live.keys() - {self._own.host})
+        for calls, free in self._idle(now):
+            if calls.at <= now and hosts:
+                yield from calls.call(now, free, hosts)
