--- a/greengageflow/_caller_conn.py
+++ b/greengageflow/_caller_conn.py
@@ -33,7 +33,8 @@
         body: Largest request body, in bytes.
         headers: Largest request line with headers, in bytes.
         request_s: Longest time from a request's first byte to its last.
-        keep_alive_s: Longest time between requests.
+        keep_alive_s: Longest time between requests; 0 ends each connection with
+            the answer under way.
         write_s: Longest time in which the caller reads nothing of its answer.
         linger_s: Longest wait for the caller's close after ours.
         high_water: Unsent bytes from which a stream should pause.
@@ -326,7 +327,7 @@
         is_head = self._head is not None and self._head.method == b"HEAD"
         if status not in BODILESS and (body or not is_head):
             lines.append((b"content-length", str(len(body)).encode()))
-        if close:
+        if close or self._limits().keep_alive_s <= 0:
             lines.append((b"connection", b"close"))
         parts = [self._http.send(_response(status, lines))]
         if body and status not in BODILESS and not is_head:
@@ -410,13 +411,18 @@
         elif self.phase is Phase.READING and waited_s > limits.request_s:
             message = f"request not received within {limits.request_s:g} s"
             self._refuse(RouterError(ErrorKind.REQUEST_TIMEOUT, message))
-        elif self._is_over(waited_s, limits):
+        elif self._is_over(now, limits):
             self._link.drop()
 
-    def _is_over(self, waited_s: float, limits: Limits) -> bool:
+    def _is_over(self, now: float, limits: Limits) -> bool:
+        # An answer is given, for this side, when it is queued; the caller may still
+        # be reading it, and closing now would cut it.
+        if self.queued:
+            return False
         match self.phase:
             case Phase.IDLE:
-                return waited_s > limits.keep_alive_s
+                return now - self.phase_at > limits.keep_alive_s
             case Phase.CLOSING:
-                return not self.queued and waited_s > limits.linger_s
+                # The wait begins when the last byte left, not when it was queued.
+                return now - max(self.phase_at, self.moved_at) > limits.linger_s
         return False
--- a/greengageflow/callers.py
+++ b/greengageflow/callers.py
@@ -221,6 +221,15 @@
         if server._sock is not None:
             server._close(server._sock)
 
+    def drain(self) -> None:
+        """Take no new connections and end open ones, each after its answer.
+
+        Callers that keep connections open would otherwise send their next request
+        just when the process ends, and see it cut.
+        """
+        self.stop_listening()
+        self.limits = replace(self.limits, keep_alive_s=0.0)
+
     # Handler of the connections: all calls but those answered here.
 
     def on_call(self, call: CallerCall) -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,6 +2,7 @@
 from contextlib import closing
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
+from time import sleep
 
 import pytest
 from http_fakes import Caller, Loop, wait_for
@@ -9,6 +10,7 @@
 from hypothesis import strategies as st
 
 from greengageflow.callers import (
+    SWEEP_S,
     CallerServer,
     ChatCall,
     Limits,
@@ -477,6 +479,32 @@
         wait_for(lambda: server.handler.gone)
 
 
+def test_draining_ends_each_connection_after_its_answer():
+    """A planned stop cuts nobody.
+
+    One caller waits for its answer, one streams and one is idle when the router
+    starts to drain. The first two get their answers to the end; then all three
+    connections end and no new one is taken.
+    """
+    with closing(Server()) as server:
+        idle, waiting = server.caller(), server.caller()
+        stream, reply = start_stream(server)
+        waiting.send(chat())
+        call = wait_for(lambda: server.handler.calls[1:])[0]
+        server.loop.call(server.callers.drain)
+        assert idle.rest() == b""
+        server.loop.call(lambda: call.reply.json(200, "whole"))
+        answer = waiting.rest()
+        assert answer.endswith(b'"whole"')
+        assert b"\r\nconnection: close\r\n" in answer
+        server.loop.call(lambda: reply.piece(b"x" * 9_000_000))
+        server.loop.call(reply.end_stream)
+        sleep(3 * SWEEP_S)
+        assert stream.rest().endswith(b"0\r\n\r\n")
+        with pytest.raises(ConnectionRefusedError):
+            server.caller()
+
+
 def test_bodies_under_way_are_bounded_together(server):
     """Many callers with large bodies cannot fill the router's memory.
 
