--- a/greengageflow/dispatch.py
+++ b/greengageflow/dispatch.py
@@ -365,13 +365,11 @@
         served: float = 0.0,
         failed: bool = False,
     ) -> None:
-        now = monotonic()
-        seconds = now - flight.started if flight else 0.0
+        seconds = monotonic() - flight.started if flight else 0.0
         if flight:
             flight.grant = ""
-        self._control.run(
-            self._control.entry.finished(now, grant, served, seconds, failed)
-        )
+        finished = self._control.entry.finished(grant, served, seconds, failed=failed)
+        self._control.run(finished)
 
     def _stop_run(self, flight: Flight) -> None:
         flight.run.cancel()
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -9,6 +9,7 @@
 import fire
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
+from loguru import logger
 
 from greengageflow.callers import CallerServer, Limits
 from greengageflow.catalog import FleetConfig
@@ -191,6 +192,13 @@
         ip, port = self._callers.address
         print(json.dumps({"ready": True, "host": ip, "port": port}), flush=True)
 
+    @handler("exception", channel="*")
+    def _on_exception(
+        self, _kind: type, exc: BaseException, _trace: object, **_rest: object
+    ) -> None:
+        log(LogEvent.INTERNAL, error=repr(exc))
+        logger.opt(exception=exc).error("handler failed")
+
     @handler("signal", channel="*", priority=100)
     def _on_signal(self, event: Event, *_args: object) -> None:
         # The default handler ends the loop at once, which would cut every answer.
--- a/greengageflow/timers.py
+++ b/greengageflow/timers.py
@@ -6,6 +6,9 @@
 from time import monotonic
 
 from circuits import BaseComponent, handler
+from loguru import logger
+
+from greengageflow.events import Event, log
 
 
 class Subscription:
@@ -62,10 +65,19 @@
             if sub.live:
                 yield sub
 
+    def _call(self, sub: Subscription) -> None:
+        # One subscriber's fault must not take the others' turn: a request that
+        # cannot be ended would hold up the deadlines of all.
+        try:
+            sub.call()
+        except Exception as exc:
+            log(Event.INTERNAL, error=repr(exc))
+            logger.opt(exception=exc).error("subscriber failed")
+
     @handler("generate_events", channel="*", priority=1)
     def _on_generate_events(self, event) -> None:
         for sub in list(self._due(monotonic())):
-            sub.call()
+            self._call(sub)
             if sub.interval_s is not None and sub.live:
                 self._push(sub.interval_s, sub)
             event.reduce_time_left(0)
