Tests for three more faults found in the HTTP parts; bounds in their own module

A paused call that is complete, an engine that is busy when asked to resume, and a receiver that fails: each had been mended without a test of its own.

--- a/greengageflow/_caller_conn.py
+++ b/greengageflow/_caller_conn.py
@@ -1,14 +1,13 @@
 """The HTTP/1.1 side of one caller's connection, without its socket."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
 from time import monotonic
-from typing import Protocol
 
 import h11
 
+from greengageflow._caller_parts import BodyBudget, Handler, Limits, Link
 from greengageflow.calls import (
     CallerCall,
     CallerRequest,
@@ -25,86 +24,6 @@
 _REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Bounds of a caller's connection.
-
-    Args:
-        body: Largest request body, in bytes.
-        headers: Largest request line with headers, in bytes.
-        request_s: Longest time from a request's first byte to its last.
-        keep_alive_s: Longest time between requests; 0 ends each connection with
-            the answer under way.
-        write_s: Longest time in which the caller reads nothing of its answer.
-        linger_s: Longest wait for the caller's close after ours.
-        high_water: Unsent bytes from which a stream should pause.
-        low_water: Unsent bytes below which it goes on.
-        ahead: Most bytes read of requests behind the one being answered.
-    """
-
-    body: int = 1_048_576
-    headers: int = 16_384
-    request_s: float = 10.0
-    keep_alive_s: float = 75.0
-    write_s: float = 30.0
-    linger_s: float = 2.0
-    high_water: int = 262_144
-    low_water: int = 65_536
-    ahead: int = 65_536
-
-
-class BodyBudget:
-    """Bounds the bodies under way on all connections together.
-
-    Args:
-        limit: Most bytes at once.
-    """
-
-    def __init__(self, limit: int) -> None:
-        self.used = 0
-        self._limit = limit
-
-    def take(self, size: int) -> None:
-        """Count ``size`` more bytes.
-
-        Raises:
-            RouterError: There is no room now.
-        """
-        if self.used + size > self._limit:
-            raise RouterError(ErrorKind.QUEUE_FULL, "too many large bodies at once")
-        self.used += size
-
-    def give(self, size: int) -> None:
-        """Count ``size`` bytes less."""
-        self.used -= size
-
-
-class Link(Protocol):
-    """The socket below a connection."""
-
-    def send(self, data: bytes) -> None:
-        """Send or queue ``data``."""
-
-    def finish(self) -> None:
-        """Close once everything queued was sent."""
-
-    def drop(self) -> None:
-        """Close at once."""
-
-    def read_on(self, wanted: bool) -> None:
-        """Read from the socket, or leave what arrives there."""
-
-
-class Handler(Protocol):
-    """What the connection asks of the program."""
-
-    def on_call(self, call: CallerCall) -> None:
-        """Take a call."""
-
-    def on_gone(self, call: CallerCall) -> None:
-        """Note that the caller of an unanswered call is gone."""
-
-
 class Phase(Enum):
     """Where a connection stands."""
 
--- a/greengageflow/callers.py
+++ b/greengageflow/callers.py
@@ -12,7 +12,8 @@
 from circuits import BaseComponent, Event, handler
 from circuits.web.servers import BaseServer
 
-from greengageflow._caller_conn import BodyBudget, CallerConnection, Limits, Phase
+from greengageflow._caller_conn import CallerConnection, Phase
+from greengageflow._caller_parts import BodyBudget, Limits
 from greengageflow.calls import (
     CallerCall,
     ChatCall,
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -184,6 +184,41 @@
     assert len(peer.requests) == 3
 
 
+def test_a_busy_engine_is_asked_again_to_resume(loop):
+    busy = b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n"
+    rest = CHUNKED + chunk(event(1, last=True) + DONE) + b"0\r\n\r\n"
+    parts = (CHUNKED + chunk(event(0)), busy, rest)
+    call, listener, _ = run(loop, streams(*parts), resumes=True)
+    assert isinstance(listener.ends[0], Completed)
+    assert (listener.text, call.resumed) == ("t0t1", 2)
+
+
+def test_a_slow_caller_does_not_keep_the_engines_connection(loop):
+    """A complete answer frees its connection although its caller is slow.
+
+    The listener pauses at the last pieces, since its caller is slow, and is never
+    resumed; the end of the HTTP answer, which comes later, is read all the same.
+    """
+
+    def script(conn, _number):
+        conn.request()
+        conn.send(CHUNKED + chunk(event(0, last=True)) + chunk(DONE))
+        wait_for(lambda: listener.ends)
+        conn.send(b"0\r\n\r\n")
+        conn.wait_closed()
+
+    class Slow(Listener):
+        def on_pieces(self, pieces):
+            call.pause()
+
+    listener = Slow()
+    port = FakePeer(script).port
+    request = EngineRequest("127.0.0.1", port, "r1", {"stream": True})
+    call = EngineCall(loop.pool, loop.timers, request, listener)
+    loop.call(call.start)
+    wait_for(lambda: (loop.pool.active, loop.pool.idle) == (0, 1))
+
+
 REFUSED = b"HTTP/1.1 %b\r\nRetry-After: 7\r\nContent-Length: 4\r\n\r\nbusy"
 
 
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -220,6 +220,31 @@
     assert len(recorder.data) == size
 
 
+def test_a_receiver_that_fails_gets_no_answer_with_a_hole(loop):
+    """The receiver's own fault ends the exchange.
+
+    It raises while it takes the first bytes, which are lost by that; more bytes
+    must not follow as if nothing were missing.
+    """
+
+    def script(conn, _number):
+        conn.request()
+        conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
+        conn.wait_closed()
+
+    class Failing(Recorder):
+        def on_data(self, data):
+            raise ZeroDivisionError
+
+    recorder = Failing()
+    request = HttpRequest("GET", "127.0.0.1", FakePeer(script).port, "/")
+    loop.call(lambda: loop.pool.open(request, recorder))
+    wait_for(lambda: len(recorder.log) == 2)
+    assert recorder.log[1].kind is FailureKind.BROKEN
+    wait_for(lambda: loop.faults)
+    loop.faults.clear()
+
+
 def test_cancel_closes_the_connection_and_tells_nothing(loop):
     closed = []
 
