Membership: probe ring neighbours, so that connections stay open

A rumour of a view's digest that is equal by now is not answered with the view. membership is split: _member_table, _probes, _ring, _view_sync.

--- a/greengageflow/_view.py
+++ b/greengageflow/_member_table.py
@@ -58,7 +58,7 @@
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest())
 
 
-class View:
+class MemberTable:
     """What one router knows of all members, its own entry included.
 
     Args:
@@ -159,8 +159,21 @@
             del self._entries[host]
             self._news.pop(host, None)
 
-    def take_news(self, limit: int) -> Iterator[Member]:
-        """Yield up to ``limit`` changes, least told first, and count them as told."""
+    def news_for(self, host: str, limit: int) -> tuple[Member, ...]:
+        """Return what to tell ``host``, and count the changes as told once more.
+
+        It is this router's own entry, what is held against the addressee, and up to
+        ``limit`` changes, least told first. A router that is held for dead must hear
+        it to refute it, and those that hold it for dead tell it nothing else.
+        """
+        news = {self._own_host: self.own}
+        entry = self._entries.get(host)
+        if entry is not None and RANKS[entry.member.status] >= RANKS[SUSPECT]:
+            news[host] = entry.member
+        news.update((m.host, m) for m in self._take_news(limit))
+        return tuple(news.values())
+
+    def _take_news(self, limit: int) -> Iterator[Member]:
         repeats = REPEAT_FACTOR * ceil(log2(self._live_count + 1))
         for host in sorted(self._news, key=self._news.__getitem__)[:limit]:
             yield self._entries[host].member
--- /dev/null
+++ b/greengageflow/_view_sync.py
@@ -0,0 +1,58 @@
+"""When ``membership`` asks another router for its whole view, and gives its own."""
+
+ROWS_PER_S = 200.0
+ROWS_BURST = 400.0
+
+
+class ViewSync:
+    """Paces the exchange of whole views.
+
+    News alone mends nearly every difference within seconds; a view is asked for when
+    two routers keep differing, or at once by a router that knows nothing yet.
+
+    Args:
+        settle_s: Seconds for which a difference must last, and between two requests.
+    """
+
+    def __init__(self, settle_s: float) -> None:
+        self._settle_s = settle_s
+        self._differs_since: float | None = None
+        self._asked_at = float("-inf")
+        self._rows = ROWS_BURST
+        self._rows_at: float | None = None
+        self.synced = False
+
+    def on_equal(self) -> None:
+        """Note that another router has the same view."""
+        self.synced = True
+        self._differs_since = None
+
+    def on_pause(self) -> None:
+        """Note that this process stood still: what was noticed before is stale."""
+        self._differs_since = None
+
+    def asks(self, now: float) -> bool:
+        """Note a differing view; return whether to ask for it."""
+        if self._differs_since is None:
+            self._differs_since = now
+        if now - self._asked_at < self._settle_s:
+            return False
+        if self.synced and now - self._differs_since < self._settle_s:
+            return False
+        self._asked_at = now
+        return True
+
+    def gives(self, now: float, rows: int) -> bool:
+        """Return whether a view of that many rows may be sent now.
+
+        The rate keeps a router within its traffic while many start together; they
+        ask again, and meanwhile others have views to give.
+        """
+        since = now if self._rows_at is None else self._rows_at
+        earned = (now - since) * ROWS_PER_S
+        self._rows = min(ROWS_BURST, self._rows + earned)
+        self._rows_at = now
+        if self._rows <= 0:
+            return False
+        self._rows -= rows
+        return True
--- a/greengageflow/peers.py
+++ b/greengageflow/peers.py
@@ -102,7 +102,7 @@
         queue_limit: int = 1000,
         wait_limit: int = 200,
         wait_s: float = 1.0,
-        idle_s: float = 30.0,
+        idle_s: float = 10.0,
         channel: str = channel,
     ) -> None:
         super().__init__(channel=channel)
