--- a/greengageflow/peers.py
+++ b/greengageflow/peers.py
@@ -16,16 +16,10 @@
 from circuits.core.pollers import BasePoller, Poller
 from circuits.core.utils import findcmp
 
+from greengageflow._peer_sockets import bound_port, open_inbox, open_outlet
 from greengageflow.messages import MessageError, PeerId, decode, encode
 
 DRAIN_LIMIT = 500
-RECONNECT_MS = 50
-RECONNECT_MAX_MS = 1000
-CONNECT_TIMEOUT_MS = 2000
-HANDSHAKE_MS = 3000
-HEARTBEAT_MS = 3000
-HEARTBEAT_TIMEOUT_MS = 3000
-HEARTBEAT_TTL_MS = 12_000
 
 OnMessage = Callable[[PeerId, Any], None]
 
@@ -120,14 +114,13 @@
         self._poller: BasePoller | None = None
         self._drain_fired = False
         self._context = zmq.Context()
-        self._inbox = self._open_inbox(ip, port)
+        self._inbox = open_inbox(self._context, ip, port, queue_limit)
         self._inbox_fd: int = self._inbox.getsockopt(zmq.FD)
 
     @property
     def port(self) -> int:
         """TCP port that the link listens on."""
-        endpoint: bytes = self._inbox.getsockopt(zmq.LAST_ENDPOINT)
-        return int(endpoint.rstrip(b"\0").rpartition(b":")[2])
+        return bound_port(self._inbox)
 
     @property
     def connections(self) -> int:
@@ -175,14 +168,6 @@
         self._inbox.close(linger=0)
         self._context.term()
 
-    def _open_inbox(self, ip: str, port: int) -> zmq.Socket:
-        sock = self._context.socket(zmq.PULL)
-        sock.setsockopt(zmq.LINGER, 0)
-        sock.setsockopt(zmq.RCVHWM, self._queue_limit)
-        sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
-        sock.bind(f"tcp://{ip}:{port}")
-        return sock
-
     def _outlet(self, host: str, now: float) -> _Outlet | None:
         outlet = self._outlets.get(host)
         if outlet is None:
@@ -196,21 +181,7 @@
         return outlet
 
     def _open_outlet(self, ip: str, port: int, now: float) -> _Outlet:
-        sock = self._context.socket(zmq.PUSH)
-        sock.setsockopt(zmq.LINGER, 0)
-        sock.setsockopt(zmq.SNDHWM, self._queue_limit)
-        # Without IMMEDIATE, ZeroMQ keeps its queue over a cut and delivers it when
-        # the connection is back: a grant would arrive minutes after it was taken
-        # back. With it the queue dies with the connection.
-        sock.setsockopt(zmq.IMMEDIATE, 1)
-        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-        sock.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
-        sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
-        sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-        sock.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TTL_MS)
-        sock.connect(f"tcp://{self._source_ip}:0;{ip}:{port}")
+        sock = open_outlet(self._context, self._source_ip, ip, port, self._queue_limit)
         return _Outlet(sock, sock.getsockopt(zmq.FD), now)
 
     def _close_outlet(self, host: str, linger_s: float = 0.0) -> None:
@@ -277,6 +248,8 @@
         self._poller = poller
         poller.addReader(self, self._inbox_fd)
         self._drain_later()
+        for outlet in self._outlets.values():
+            self._flush(outlet, monotonic())
 
     @handler("stopped", channel="*")
     def _on_stopped(self, *_: Any) -> None:
