--- a/greengageflow/fold.py
+++ b/greengageflow/fold.py
@@ -5,14 +5,21 @@
 this software cannot read stops the fold instead of being guessed.
 """
 
-import json
 from collections import deque
 from dataclasses import dataclass, replace
-from enum import StrEnum
 from typing import Any
 
 from greengageflow._schema_common import DEFAULT_POLICY
 from greengageflow.catalog import FleetConfig
+from greengageflow.decisions import (
+    Accepted,
+    Adopted,
+    Decision,
+    Outcome,
+    Reason,
+    Rejected,
+    Skipped,
+)
 from greengageflow.schema import (
     BASE_SCHEMA,
     SCHEMAS,
@@ -30,71 +37,6 @@
 _FAULTS_SHOWN = 5
 
 
-class Reason(StrEnum):
-    """Why a record was not accepted."""
-
-    MALFORMED = "malformed"
-    SCHEMA_NOT_ALLOWED = "schema_not_allowed"
-    INVALID = "invalid"
-    LOST = "lost"
-    NOT_UNDERSTOOD = "not_understood"
-    INCOMPLETE = "incomplete"
-    REPEATED = "repeated"
-    SNAPSHOT_KNOWN = "snapshot_known"
-    SNAPSHOT_STALE = "snapshot_stale"
-    SNAPSHOT_WRONG = "snapshot_wrong"
-
-
-@dataclass(frozen=True, slots=True)
-class Accepted:
-    """The record is in force; so say all routers."""
-
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected:
-    """The record changes nothing; so say all routers."""
-
-    reason: Reason
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class Adopted:
-    """The state was taken from a snapshot, since earlier records are lost."""
-
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Skipped:
-    """This router passed over a record, which changed nothing here."""
-
-    reason: Reason
-    text: str
-
-
-Outcome = Accepted | Rejected | Adopted | Skipped
-
-
-@dataclass(frozen=True, slots=True)
-class Decision:
-    """What became of one record.
-
-    Args:
-        offset: Log offset of the record.
-        author: Who published it, as far as it says.
-        nonce: Unique text by which its publisher knows it again, or empty.
-        outcome: What became of it.
-    """
-
-    offset: int
-    author: str
-    nonce: str
-    outcome: Outcome
-
-
 @dataclass(frozen=True, slots=True)
 class State:
     """All that a prefix of the log folds into.
@@ -129,7 +71,7 @@
         understood: frozenset[int] = frozenset(SCHEMAS),
         history_length: int = HISTORY_LENGTH,
     ) -> None:
-        self._understood = understood
+        self.understood = understood
         self._state = State()
         self._history: deque[Decision] = deque(maxlen=history_length)
         self._lost_before = 0
@@ -161,11 +103,6 @@
         """Offset from which to read on."""
         return self.offset + 1 if self.complete else self._scanned + 1
 
-    @property
-    def understood(self) -> frozenset[int]:
-        """Schemas that this software reads."""
-        return self._understood
-
     @property
     def history(self) -> tuple[Decision, ...]:
         """The last decisions, oldest first."""
@@ -205,21 +142,17 @@
                 self._scanned = offset
         return outcome
 
-    def restore(self, document: str) -> bool:
+    def restore(self, value: Any) -> bool:
         """Take over a peer's newer state; return whether it was newer.
 
         Args:
-            document: JSON text as ``snapshot`` gives it.
+            value: JSON value as ``snapshot`` gives it.
 
         Raises:
-            ExceptionGroup: The document is broken.
+            ExceptionGroup: The value is broken.
         """
-        try:
-            value = json.loads(document)
-        except (ValueError, RecursionError) as exc:
-            raise ExceptionGroup("snapshot of a peer", [exc]) from None
         head = parse_head(value)
-        if head.schema not in self._understood or head.kind is not RecordKind.SNAPSHOT:
+        if head.schema not in self.understood or head.kind is not RecordKind.SNAPSHOT:
             return False
         return self._adopt(parse_record(value, head))
 
@@ -239,7 +172,7 @@
     @property
     def _snapshot_schema(self) -> int:
         """Highest allowed schema that is known here; it can say all there is."""
-        return max(n for n in self._understood if n <= self._state.highest)
+        return max(n for n in self.understood if n <= self._state.highest)
 
     def _judge(self, offset: int, value: Any) -> Outcome:
         try:
@@ -257,7 +190,7 @@
                 f"schema {head.schema}, but {self._state.highest} is the highest"
                 " allowed",
             )
-        if head.schema not in self._understood:
+        if head.schema not in self.understood:
             return self._halt(offset, head)
         try:
             record = parse_record(value, head)
@@ -305,7 +238,7 @@
         return Accepted(revision)
 
     def _judge_snapshot(self, offset: int, value: Any, head: Head) -> Outcome:
-        if head.schema not in self._understood:
+        if head.schema not in self.understood:
             return Skipped(Reason.NOT_UNDERSTOOD, f"snapshot of schema {head.schema}")
         try:
             record = parse_record(value, head)
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -3,10 +3,12 @@
 import json
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from time import time
 
 import fire
 from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import EPoll
 
 from greengageflow.callers import CallerServer, Limits
 from greengageflow.catalog import FleetConfig
@@ -51,6 +53,8 @@
         own = PeerId(settings.host, int(time() * 1000))
         self._own = own
         self._seeds = tuple(Seed(s.host, s.ip, s.port) for s in settings.seeds)
+        # Registered first, or each socket component would bring its own poller.
+        EPoll().register(self)
         self._timers = Timers().register(self)
         self._pool = HttpPool(self._timers, source_ip=settings.ip).register(self)
         self._log_client = LogClient(self._pool, settings.log.ip, settings.log.port)
@@ -65,9 +69,9 @@
             self._follower,
             self._link,
             self._log_client,
-            state=lambda: "stopping" if self._dispatcher.stopping else "running",
+            state=lambda: "stopping" if self._requests.stopping else "running",
         )
-        self._dispatcher = Dispatcher(
+        self._requests = Dispatcher(
             self._control,
             EndpointRuns(
                 self._pool,
@@ -78,11 +82,11 @@
             metrics=self._metrics,
             status=self._status,
         )
-        self._control.requests = self._dispatcher
+        self._control.requests = self._requests
         self._callers = CallerServer(
             settings.ip,
             settings.caller_port,
-            self._dispatcher,
+            self._requests,
             self._timers,
             limits=Limits(),
         ).register(self)
@@ -158,7 +162,7 @@
         self._follower.peer_revision(host, revision)
 
     def _on_config(self, cfg: FleetConfig) -> None:
-        self._dispatcher.on_config(cfg)
+        self._requests.on_config(cfg)
         self._callers.set_body_limit(cfg.policy.body_limit)
         self._watch.on_config(cfg)
         self._control.on_config(cfg)
@@ -182,7 +186,7 @@
                 interval_s=settings.timing.host_list_interval_s,
             )
             self._host_list.start()
-        self._timers.every(DISPATCH_TICK_S, self._dispatcher.on_tick)
+        self._timers.every(DISPATCH_TICK_S, self._requests.on_tick)
         ip, port = self._callers.address
         print(json.dumps({"ready": True, "host": ip, "port": port}), flush=True)
 
@@ -190,22 +194,22 @@
     def _on_signal(self, event: Event, *_args: object) -> None:
         # The default handler ends the loop at once, which would cut every answer.
         event.stop()
-        if self._dispatcher.stopping:
+        if self._requests.stopping:
             return
-        log(LogEvent.STOPPING, running=self._dispatcher.flights)
-        self._dispatcher.stopping = True
+        log(LogEvent.STOPPING, running=self._requests.flights)
+        self._requests.stopping = True
         self._control.membership.stop()
         self._control.refresh_view()
         self._timers.after(self._settings.timing.stop_grace_s, self._refuse_new)
 
     def _refuse_new(self) -> None:
-        self._dispatcher.refusing = True
+        self._requests.refusing = True
         self._stop_began = self._timers.now
         self._timers.every(STOP_TICK_S, self._stop_when_done)
 
     def _stop_when_done(self) -> None:
         waited = self._timers.now - self._stop_began
-        left = self._dispatcher.flights
+        left = self._requests.flights
         busy = left or self._callers.answering or self._control.actions.unreported
         if busy and waited < self._settings.timing.stop_timeout_s:
             return
@@ -217,7 +221,7 @@
 def _span_writer(trace_file: str | None) -> Callable[[str], None] | None:
     if trace_file is None:
         return None
-    out = sys.stdout if trace_file == "-" else open(trace_file, "a", buffering=1)
+    out = sys.stdout if trace_file == "-" else Path(trace_file).open("a")  # noqa: SIM115
 
     def write(line: str) -> None:
         print(line, file=out, flush=True)
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -11,24 +11,26 @@
     Check,
     Fault,
     Field,
-    choice,
-    integer,
-    ip_number,
-    matching,
-    name,
-    number,
     optional,
-    parse_json,
     record,
     refine,
     required,
     run,
     sequence,
+)
+from greengageflow._json_text import parse_json
+from greengageflow._value_checks import (
+    choice,
+    integer,
+    ip_number,
+    matching,
+    name,
+    number,
     string,
 )
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-_LONGEST_S = 3600.0
+_LONGEST_S = 86_400.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +40,12 @@
     ip: str
     port: int
 
+    def __str__(self) -> str:
+        """Return ``ip:port``."""
+        return (
+            f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Seed:
@@ -60,8 +68,12 @@
         log_wait_s: Long-poll of the log.
         log_timeout_s: Wait for an answer of the log, beyond a long-poll.
         config_poll_s: Fallback poll of routers that learn from their peers.
+        snapshot_interval_s: Between two snapshots of the configuration in the log;
+            well below half of its retention.
         connect_timeout_s: Wait for a connection to an endpoint.
         keep_alive_s: Idle time after which a connection is closed.
+        stop_grace_s: Time for the balancer to see the router unhealthy, before a
+            planned stop refuses new requests.
         stop_timeout_s: Longest time that a planned stop waits for requests.
     """
 
@@ -72,8 +84,10 @@
     log_wait_s: float = 1.0
     log_timeout_s: float = 2.0
     config_poll_s: float = 10.0
+    snapshot_interval_s: float = 600.0
     connect_timeout_s: float = 1.0
     keep_alive_s: float = 30.0
+    stop_grace_s: float = 2.0
     stop_timeout_s: float = 120.0
 
 
