--- a/greengageflow/_view_sync.py
+++ b/greengageflow/_view_sync.py
@@ -1,7 +1,7 @@
 """When ``membership`` asks another router for its whole view, and gives its own."""
 
 ROWS_PER_S = 200.0
-ROWS_BURST = 400.0
+ROWS_BURST = 200.0
 
 
 class ViewSync:
