Configuration with real routers: a race, a log outage, a hole in the log

Two greengage-ctl processes publish under schemas 1 and 2 at once; with the check of replaces off both were told accepted, and the test failed.

The follower now schedules its next read before it hands a configuration on. Before, a fault in any part that takes one ended the reading for good; the test failed so.

--- a/greengageflow/config_follower.py
+++ b/greengageflow/config_follower.py
@@ -225,10 +225,11 @@
                 # The fold went back to the records after a snapshot, or cannot go on.
                 break
             self._apply(record)
-        self._give()
         if not self.fold.complete:
             self._exchange.ask_anyone()
+        # Before the rest of the router hears of it: a fault there must not end this.
         self._schedule(result)
+        self._give()
 
     def _on_shorter(self, next_offset: int) -> None:
         # Another log, or one that was emptied: its records speak of revisions that
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -303,3 +303,24 @@
     for data in (b"", b"junk", whole[:-9], pack_document([]), pack_document("x")):
         fleet.followers["r0"].received("r1", ConfigState(9, 9, data))
     assert fleet.followers["r0"].revision == 1
+
+
+def test_a_fault_in_the_router_does_not_end_the_reading():
+    """The router fails on one configuration, say by a fault in some part. The next
+    configuration still comes into force, since the follower reads on.
+    """
+    fleet = Fleet(1).start()
+    take = fleet.followers["r0"]._on_config
+
+    def fail_once(config):
+        take(config)
+        if config.revision == 1:
+            raise RuntimeError("some part failed")
+
+    fleet.followers["r0"]._on_config = fail_once
+    fleet.publish("a")
+    with pytest.raises(RuntimeError):
+        fleet.clock.run(IN_FORCE_S)
+    fleet.publish("b")
+    fleet.clock.run(IN_FORCE_S)
+    assert fleet.given["r0"] == [1, 2]
--- /dev/null
+++ b/tests/test_config_race.py
@@ -0,0 +1,121 @@
+"""Real routers, log and operators' commands."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from greengageflow._processes import ROOT
+from greengageflow.lab import Lab, LabPlan
+from tests.support import wait_for
+
+STREAM = "/streams/config/records"
+KEPT = 8
+
+
+@pytest.fixture
+def lab():
+    options = {"keep_records": KEPT}
+    plan = LabPlan(routers=3, engines=1, services=1, log_options=options)
+    with Lab(plan) as lab:
+        yield lab
+
+
+def routers(lab, hosts=None):
+    addresses = (lab.routers[host].address for host in hosts or lab.routers)
+    return "--routers=" + ",".join(f"{ip}:{port}" for ip, port in addresses)
+
+
+def begin(lab, *args):
+    """Start ``greengage-ctl`` without waiting for it."""
+    command = [sys.executable, "-m", "greengageflow.ctl", *map(str, args)]
+    ip, port = lab.log.address
+    return subprocess.Popen(
+        [*command, f"--log={ip}:{port}"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+
+
+def end(process):
+    out, _ = process.communicate(timeout=60)
+    return process.returncode, out
+
+
+def write(path, schema, replaces, config):
+    document = {"schema": schema, "replaces": replaces, "config": config}
+    path.write_text(json.dumps(document))
+    return path
+
+
+def in_force(lab, revision):
+    def check():
+        found = [lab.status(host)["config"] for host in lab.routers]
+        return found if all(one["revision"] == revision for one in found) else None
+
+    return wait_for(check, f"revision {revision} everywhere")
+
+
+def test_operators_race_with_old_and_new_schema(lab, tmp_path):
+    """Two operators publish at the same moment over the same revision, one with
+    schema 1 and one with schema 2, several times. Each time one is told accepted and
+    the other lost, and all routers hold the one revision that won: they judged the
+    same log in the same order, without asking each other.
+    """
+    for _ in range(3):
+        before = lab.status("r1")["config"]["revision"]
+        old = write(tmp_path / "old.json", 1, before, {"accounts": [{"name": "old"}]})
+        new = write(tmp_path / "new.json", 2, before, lab.config())
+        racers = [begin(lab, "publish", file, routers(lab)) for file in (old, new)]
+        results = [end(racer) for racer in racers]
+        assert sorted(code for code, _ in results) == [0, 1], results
+        winner, loser = sorted(results)
+        assert "in force on 3 of 3" in winner[1]
+        assert "rejected, lost" in loser[1]
+        in_force(lab, before + 1)
+    assert len({json.dumps(lab.status(host)["history"]) for host in lab.routers}) == 1
+
+
+def test_a_router_without_memory_joins_while_the_log_is_down(lab):
+    """The log is down and a router is replaced by one that knows nothing. Its peers
+    give it the configuration in force; its status says that the log is down. When the
+    log is back, a drain comes into force on it as on the others.
+    """
+    revision = lab.revision
+    lab.log.fault(down=True)
+    lab.routers["r3"].kill()
+    lab.restart_router("r3")
+    wait_for(
+        lambda: (
+            lab.status("r3")["config"]["revision"] == revision
+            and lab.status("r3")["config"]["log"] == "down"
+        ),
+        "r3 serves by the state of a peer",
+    )
+    lab.log.fault()
+    code, text = end(begin(lab, "drain", "e1", routers(lab)))
+    assert (code, "in force on 3 of 3" in text) == (0, True), text
+    in_force(lab, revision + 1)
+
+
+def test_a_frozen_router_wakes_after_the_log_forgot_what_it_missed(lab):
+    """A router is frozen while records come into force and leave the log. When it
+    wakes it holds an old state and a hole; it must not go back or judge on by the old
+    state, and gets the one in force from a peer or a snapshot.
+    """
+    missed = len(lab.log.call("GET", STREAM).json["records"])
+    lab.routers["r2"].pause()
+    for weight in range(2, KEPT + 5):
+        accounts = [{"name": "acme", "share": {"weight": weight}}]
+        lab.publish(lab.config(accounts=accounts))
+        wait_for(
+            lambda: lab.status("r1")["config"]["revision"] == lab.revision,
+            "r1 goes on",
+        )
+    assert lab.log.call("GET", f"{STREAM}?from={missed}").status == 410
+    lab.routers["r2"].go_on()
+    in_force(lab, lab.revision)
+    assert lab.status("r2")["config"]["complete"]
