Orders to engines: fold of the stream, owner's decisions, follower

An order is claimed in the log before it is sent; the claim's offset is its fencing number. Endpoints that check it may get an order again from a later claim, which names the claim that it takes over; the others get it from one claim, once. A claim says itself whether its holder takes the endpoint for a checking one, so that routers with different configurations decide alike.

At most four loads of weights are claimed at once over the whole fleet, by the same fold, so that no router needs to ask another.

HttpRequest.not_after: a process frozen while it connects would otherwise send the order when it wakes.

--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -35,6 +35,7 @@
     GrantTaken,
     IntentRequest,
     IntentVerdict,
+    OrderNotice,
     OutcomeReport,
     OutcomeStored,
     PeerId,
@@ -85,6 +86,7 @@
         roster: Hosts that bear slots.
         on_config_message: Takes ``ConfigRequest`` and ``ConfigState``.
         on_newer_revision: Takes a host and the revision it has in force.
+        on_order_notice: Takes ``OrderNotice``.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         *,
         on_config_message: Callable[[str, Any], None],
         on_newer_revision: Callable[[str, int], None],
+        on_order_notice: Callable[[OrderNotice], None] = lambda _notice: None,
     ) -> None:
         self.own = own
         self.ledger = ServiceLedger(own)
@@ -115,6 +118,7 @@
         self._log = log_client
         self._on_config_message = on_config_message
         self._on_newer_revision = on_newer_revision
+        self._on_order_notice = on_order_notice
         self._local: deque[Any] = deque()
         self._delivering = False
         self._view_seen: tuple[int, frozenset[str]] | None = None
@@ -164,6 +168,8 @@
                 self._after_membership()
             case ConfigRequest() | ConfigState():
                 self._on_config_message(sender.host, message)
+            case OrderNotice():
+                self._on_order_notice(message)
             case IntentRequest() | OutcomeReport():
                 self.run(self.writer.receive(now, sender, message))
             case IntentVerdict():
--- a/greengageflow/events.py
+++ b/greengageflow/events.py
@@ -83,6 +83,12 @@
     SLOTS_CHANGED = EventType(
         "GG504", "INFO", "endpoint {endpoint} uses {slots} slots, before {before}"
     )
+    ORDER_ENDED = EventType(
+        "GG505", "INFO", "order {order} to {endpoint}: {result} {text}"
+    )
+    ORDER_UNKNOWN = EventType(
+        "GG506", "ERROR", "order {order} to {endpoint} may have run or not: {text}"
+    )
 
     QUEUE_FULL = EventType(
         "GG601", "WARNING", "queue of account {account} is full at {limit}"
--- a/greengageflow/http_pool.py
+++ b/greengageflow/http_pool.py
@@ -61,6 +61,8 @@
         retry_stale: True when the request may be sent again on a new connection
             if a reused one was closed before a byte of the answer came. False
             also means that a new connection is used in the first place.
+        not_after: Monotonic time after which the first byte must not leave, in
+            seconds; None for no such limit.
     """
 
     method: str
@@ -72,6 +74,7 @@
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
     retry_stale: bool = True
+    not_after: float | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -158,6 +161,14 @@
             return self.request.idle_timeout_s
         return self.request.connect_timeout_s
 
+    @property
+    def too_late(self) -> bool:
+        """Whether the first byte has not left and must not leave any more."""
+        # A process that was frozen while it connected wakes in the middle of it.
+        limit = self.request.not_after
+        unsent = self.conn is not None and not self.conn.sent_any
+        return limit is not None and unsent and monotonic() >= limit
+
     def pause(self) -> None:
         """Stop reading, so that the sender comes to wait."""
         if self.live and not self.paused:
@@ -451,6 +462,9 @@
         try:
             if not conn.connected:
                 conn.check_connected()
+            if exchange.too_late:
+                self._fail(exchange, FailureKind.TIMEOUT, "too late to send")
+                return
             conn.flush()
         except OSError as exc:
             self._on_broken_write(exchange, str(exc))
--- a/greengageflow/messages.py
+++ b/greengageflow/messages.py
@@ -288,6 +288,17 @@
 # Protected actions.
 
 
+@dataclass(frozen=True, slots=True)
+class OrderNotice:
+    """A reader of the log tells an owner that there are orders for it.
+
+    Args:
+        next_offset: Offset up to which to read the stream of orders.
+    """
+
+    next_offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class IntentRequest:
     """An entry router asks the partition's writer to record an intent.
@@ -375,6 +386,7 @@
         24: View,
         40: ConfigRequest,
         41: ConfigState,
+        42: OrderNotice,
         60: IntentRequest,
         61: IntentVerdict,
         62: OutcomeReport,
--- /dev/null
+++ b/greengageflow/order_follower.py
@@ -0,0 +1,272 @@
+"""Follows the stream of orders, and sends those of endpoints that this router owns.
+
+Only the configuration readers poll the stream. They tell the owner of an endpoint
+with an open order to read on, and tell it again while the order stays open, so that
+a lost notice or a new owner costs a few seconds and nothing else.
+"""
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from greengageflow.catalog import Endpoint
+from greengageflow.effects import AppendRecords
+from greengageflow.events import Event, log
+from greengageflow.http_pool import Failure, HttpPool, HttpRequest, Response
+from greengageflow.log_client import (
+    JSON_HEADERS,
+    Appended,
+    AppendResult,
+    Lapsed,
+    LogClient,
+    LogFailure,
+    ReadResult,
+    Records,
+)
+from greengageflow.messages import OrderNotice, PeerId
+from greengageflow.order_owner import SEND_WINDOW_S, OrderOwner, SendOrder
+from greengageflow.orders import ORDER_STREAM, OrderState
+from greengageflow.placement import FleetView
+from greengageflow.timers import Timers
+
+TICK_S = 0.1
+NOTICE_S = 2.0
+ANSWER_TIMEOUT_S = 60.0
+_READ_BACKOFF_S = 0.5
+_MARGIN = 1.2
+_TEXT_KEPT = 200
+
+
+class OrderFollower:
+    """One router's part in the orders to engines.
+
+    Args:
+        own: This life of this router.
+        log_client: The platform's log.
+        pool: Outbound connections.
+        timers: Timer service.
+        view: Returns the members that this router sees.
+        endpoints: Returns the endpoint of a name, or None.
+        reader: Returns whether this router polls the stream.
+        send: Sends a message to a host.
+        wait_s: Long poll of readers, in seconds.
+        window_s: Seconds from claiming an order to its first byte.
+        timeout_s: Wait for an engine's answer, in seconds.
+    """
+
+    def __init__(
+        self,
+        own: PeerId,
+        log_client: LogClient,
+        pool: HttpPool,
+        timers: Timers,
+        *,
+        view: Callable[[], FleetView],
+        endpoints: Callable[[str], Endpoint | None],
+        reader: Callable[[], bool],
+        send: Callable[[str, Any], None],
+        wait_s: float = 5.0,
+        window_s: float = SEND_WINDOW_S,
+        timeout_s: float = ANSWER_TIMEOUT_S,
+    ) -> None:
+        self._own = own
+        self._log = log_client
+        self._pool = pool
+        self._timers = timers
+        self._view = view
+        self._endpoints = endpoints
+        self._reader = reader
+        self._send = send
+        self._wait_s = wait_s
+        self._timeout_s = timeout_s
+        self._owner = OrderOwner(
+            own,
+            owns=self._owns,
+            checks_fencing=self._checks_fencing,
+            holder_lives=self._holder_lives,
+            send_window_s=window_s,
+            takeover_s=_MARGIN * (window_s + timeout_s),
+        )
+        self._next_offset = 0
+        self._read_to = 0
+        self._reading = False
+        self._read_at = 0.0
+        self._notice_at = 0.0
+        self._shorter = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether an order is on its way or a record waits for the log."""
+        return self._owner.busy
+
+    @property
+    def status(self) -> list[dict[str, Any]]:
+        """JSON list for ``/status``; whole on readers and on owners."""
+        return [_status_row(state) for state in self._owner.fold.states]
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._timers.every(TICK_S, self._on_tick)
+
+    def received(self, message: OrderNotice) -> None:
+        """Take a reader's word that there is something to read."""
+        self._read_to = max(self._read_to, message.next_offset)
+        self._on_tick()
+
+    def _owns(self, endpoint: str) -> bool:
+        return self._view().owner_of(endpoint) == self._own.host
+
+    def _checks_fencing(self, endpoint: str) -> bool | None:
+        found = self._endpoints(endpoint)
+        return None if found is None else found.checks_fencing
+
+    def _holder_lives(self, holder: str) -> bool:
+        host, _, boot = holder.rpartition(":")
+        return boot.isdecimal() and self._view().is_live(PeerId(host, int(boot)))
+
+    def _on_tick(self) -> None:
+        now = self._timers.now
+        self._carry_out(self._owner.on_tick(now))
+        if self._reader() and now >= self._notice_at:
+            self._notice_at = now + NOTICE_S
+            self._notify()
+        self._read(now)
+
+    def _carry_out(self, effects: Iterable[AppendRecords | SendOrder]) -> None:
+        for effect in tuple(effects):
+            match effect:
+                case AppendRecords(stream, records):
+                    self._log.append(stream, records, self._on_append)
+                case SendOrder():
+                    self._send_order(effect)
+
+    # The log.
+
+    def _read(self, now: float) -> None:
+        behind = self._next_offset < self._read_to
+        if self._reading or now < self._read_at or not (behind or self._reader()):
+            return
+        self._reading = True
+        wait_s = 0.0 if behind else self._wait_s
+        self._log.read(ORDER_STREAM, self._next_offset, wait_s, self._on_read)
+
+    def _on_append(self, result: AppendResult) -> None:
+        if isinstance(result, Appended):
+            self._read_to = max(self._read_to, result.first_offset + result.count)
+        self._owner.on_append(self._timers.now, result)
+        self._on_tick()
+
+    def _on_read(self, result: ReadResult) -> None:
+        self._reading = False
+        match result:
+            case Records(next_offset=end) if end < self._next_offset:
+                self._on_shorter(end)
+            case Records():
+                self._on_records(result)
+            case Lapsed(first_offset):
+                self._next_offset = max(self._next_offset, first_offset)
+            case LogFailure(retry_after_s=wait):
+                self._read_at = self._timers.now + max(_READ_BACKOFF_S, wait or 0.0)
+        self._on_tick()
+
+    def _on_records(self, result: Records) -> None:
+        self._shorter = False
+        if not result.records:
+            # Where the log has no more than that, a notice spoke of another one.
+            self._read_to = min(self._read_to, self._next_offset)
+            self._read_at = self._timers.now + TICK_S
+            return
+        ended = self._owner.on_records(self._timers.now, result.records)
+        self._next_offset = result.records[-1].offset + 1
+        self._read_to = max(self._read_to, result.next_offset)
+        for state in ended:
+            if self._owns(state.order.endpoint):
+                _log_end(state)
+        self._notice_at = 0.0
+
+    def _on_shorter(self, end: int) -> None:
+        # Its fencing numbers would be lower than those that engines know, and its
+        # orders may have run: nothing is sent until it has grown past that.
+        if not self._shorter:
+            log(Event.LOG_SHORTER, next_offset=end, known=self._next_offset)
+        self._shorter = True
+        self._read_to = self._next_offset
+        self._read_at = self._timers.now + self._wait_s
+
+    def _notify(self) -> None:
+        endpoints = {state.order.endpoint for state in self._owner.fold.open}
+        owners = {self._view().owner_of(endpoint) for endpoint in endpoints}
+        for host in sorted(owners - {None, self._own.host}):
+            self._send(host, OrderNotice(self._next_offset))
+
+    # The engine.
+
+    def _send_order(self, send: SendOrder) -> None:
+        order = send.order
+        endpoint = self._endpoints(order.endpoint)
+
+        def end(result: str, text: str) -> None:
+            now = self._timers.now
+            self._owner.on_sent(now, order.id, send.nonce, result, text[:_TEXT_KEPT])
+
+        def done(answer: Response | Failure) -> None:
+            end(*_result(answer))
+            self._on_tick()
+
+        if endpoint is None:
+            end("not_sent", "the endpoint is gone")
+            return
+        req = HttpRequest(
+            "POST",
+            endpoint.host,
+            endpoint.port,
+            "/orders",
+            JSON_HEADERS,
+            _body(send),
+            idle_timeout_s=self._timeout_s,
+            retry_stale=False,
+            not_after=send.not_after,
+        )
+        self._pool.fetch(req, done)
+
+
+def _body(send: SendOrder) -> bytes:
+    order = send.order
+    names = ("model", "adapter", "version", "role")
+    given = {name: value for name in names if (value := getattr(order, name))}
+    fields = {"order": order.op, "id": order.id, "fencing": send.fencing, **given}
+    return json.dumps(fields).encode()
+
+
+def _result(answer: Response | Failure) -> tuple[str, str]:
+    match answer:
+        case Failure(sent=False, message=message):
+            return "not_sent", message
+        case Failure(message=message):
+            return "unknown", message
+        case Response(status=status) if 200 <= status < 300:
+            return "done", ""
+    text = answer.body[:_TEXT_KEPT].decode(errors="replace")
+    return "refused", f"{answer.status} {text}"
+
+
+def _log_end(state: OrderState) -> None:
+    order = state.order
+    fields = {"order": order.id, "endpoint": order.endpoint, "text": state.text}
+    if state.result == "unknown":
+        log(Event.ORDER_UNKNOWN, **fields)
+    else:
+        log(Event.ORDER_ENDED, result=state.result, **fields)
+
+
+def _status_row(state: OrderState) -> dict[str, Any]:
+    return {
+        "id": state.order.id,
+        "endpoint": state.order.endpoint,
+        "op": state.order.op,
+        "offset": state.offset,
+        "holder": state.claim.holder if state.claim else "",
+        "fencing": state.fencing,
+        "result": state.result,
+        "text": state.text,
+    }
--- /dev/null
+++ b/greengageflow/order_owner.py
@@ -0,0 +1,274 @@
+"""Decides what the owner of an endpoint does about its orders; without I/O.
+
+An attempt is first *claiming*, until its claim was read back, then *sent*. Endpoints
+that check fencing numbers may get an order again from a later claim; the others get
+it from one claim, once.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum, auto
+from itertools import count
+
+from greengageflow.effects import AppendRecords
+from greengageflow.log_client import Appended, AppendResult, LogFailure, LogRecord
+from greengageflow.messages import PeerId
+from greengageflow.orders import (
+    NO_CLAIM,
+    ORDER_STREAM,
+    Claim,
+    Done,
+    Order,
+    OrderFold,
+    OrderRecord,
+    OrderState,
+    from_json,
+    to_json,
+)
+
+SEND_WINDOW_S = 5.0
+TAKEOVER_S = 75.0
+UNKNOWN_ENDPOINT_S = 10.0
+NUDGE_S = 5.0
+_BACKOFF_S = 0.5
+_BACKOFF_MAX_S = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send an order to its engine, unless it has become too late.
+
+    Args:
+        order: The order.
+        nonce: Attempt that sends it.
+        fencing: Fencing number.
+        not_after: Monotonic time after which no first byte may leave.
+    """
+
+    order: Order
+    nonce: str
+    fencing: int
+    not_after: float
+
+
+class _Phase(Enum):
+    CLAIMING = auto()
+    SENT = auto()
+
+
+@dataclass(slots=True)
+class _Attempt:
+    nonce: str
+    fenced: bool
+    not_after: float
+    phase: _Phase = _Phase.CLAIMING
+
+
+class OrderOwner:
+    """The orders of the endpoints that one router owns.
+
+    Args:
+        own: This life of this router.
+        owns: Returns whether this router owns an endpoint.
+        checks_fencing: Returns whether an endpoint checks fencing numbers, or None
+            when there is no such endpoint.
+        holder_lives: Returns whether the router ``{host}:{boot}`` answers.
+        fold: What the log says.
+        send_window_s: Seconds from asking for a claim to the first byte of the
+            order; past it, nothing is sent.
+        takeover_s: Seconds after which a claim without a result is taken over or
+            given up; more than the window and the wait for the engine's answer.
+    """
+
+    def __init__(
+        self,
+        own: PeerId,
+        *,
+        owns: Callable[[str], bool],
+        checks_fencing: Callable[[str], bool | None],
+        holder_lives: Callable[[str], bool],
+        fold: OrderFold | None = None,
+        send_window_s: float = SEND_WINDOW_S,
+        takeover_s: float = TAKEOVER_S,
+    ) -> None:
+        self.fold = fold or OrderFold()
+        self._own = f"{own.host}:{own.boot}"
+        self._owns = owns
+        self._checks_fencing = checks_fencing
+        self._holder_lives = holder_lives
+        self._send_window_s = send_window_s
+        self._takeover_s = takeover_s
+        self._numbers = count(1)
+        self._attempts: dict[str, _Attempt] = {}
+        self._outbox: dict[tuple[str, str, str], OrderRecord] = {}
+        self._appending: tuple[tuple[str, str, str], ...] = ()
+        self._append_at = 0.0
+        self._append_failures = 0
+        self._seen: dict[tuple[str, int], float] = {}
+        self._failures: dict[str, int] = {}
+        self._not_before: dict[str, float] = {}
+        self._again: dict[str, str] = {}
+
+    @property
+    def busy(self) -> bool:
+        """Whether an order is on its way or a record waits for the log."""
+        return bool(self._attempts or self._outbox)
+
+    # What comes in.
+
+    def on_records(self, now: float, rows: Iterable[LogRecord]) -> list[OrderState]:
+        """Fold records read from the log; return the orders that ended."""
+        ended: list[OrderState] = []
+        for row in rows:
+            ended += self.fold.apply(row.offset, row.time, from_json(row.record))
+        for state in ended:
+            self._forget(state.order.id)
+        for state in self.fold.open:
+            self._seen.setdefault((state.order.id, NO_CLAIM), now)
+            self._seen.setdefault((state.order.id, state.fencing), now)
+        return ended
+
+    def _forget(self, id_: str) -> None:
+        attempt = self._attempts.get(id_)
+        if attempt is not None and attempt.phase is _Phase.CLAIMING:
+            del self._attempts[id_]
+        for key in [key for key in self._seen if key[0] == id_]:
+            del self._seen[key]
+        self._again.pop(id_, None)
+        self._failures.pop(id_, None)
+        self._not_before.pop(id_, None)
+
+    def on_append(self, now: float, result: AppendResult) -> None:
+        """Take the log's answer to ``AppendRecords``."""
+        batch, self._appending = self._appending, ()
+        match result:
+            case Appended():
+                self._append_failures = 0
+                for key in batch:
+                    self._outbox.pop(key, None)
+            case LogFailure(retry_after_s=wait):
+                # The records may be in the log though the answer was lost. They are
+                # appended again; the fold counts each nonce once.
+                self._append_failures += 1
+                delay = _backoff(self._append_failures)
+                self._append_at = now + max(delay, wait or 0.0)
+
+    def on_sent(self, now: float, id_: str, nonce: str, result: str, text: str) -> None:
+        """Take how a send ended.
+
+        Args:
+            now: Monotonic time in seconds.
+            id_: The order.
+            nonce: Attempt that sent it.
+            result: ``done``, ``refused``, ``unknown`` or ``not_sent``.
+            text: What was said.
+        """
+        attempt = self._attempts.get(id_)
+        if attempt is None or attempt.nonce != nonce:
+            return
+        if result == "unknown" and attempt.fenced:
+            # The engine takes a later claim's number and refuses this one from then
+            # on, so that sending again cannot turn anything back.
+            del self._attempts[id_]
+            self._again[id_] = nonce
+            self._hold_off(now, id_)
+        else:
+            self._end(now, id_, nonce, result, text)
+
+    # What is done about it.
+
+    def on_tick(self, now: float) -> Iterator[AppendRecords | SendOrder]:
+        """Go on with every order that may run."""
+        for state in self.fold.heads:
+            attempt = self._attempts.get(state.order.id)
+            if attempt is not None:
+                yield from self._go_on(now, state, attempt)
+            elif self._owns(state.order.endpoint):
+                self._decide(now, state)
+        yield from self._append(now)
+
+    def _append(self, now: float) -> Iterator[AppendRecords]:
+        if self._outbox and not self._appending and now >= self._append_at:
+            self._appending = tuple(self._outbox)
+            rows = tuple(to_json(record) for record in self._outbox.values())
+            yield AppendRecords(ORDER_STREAM, rows)
+
+    def _go_on(
+        self, now: float, state: OrderState, attempt: _Attempt
+    ) -> Iterator[SendOrder]:
+        if attempt.phase is _Phase.SENT:
+            return
+        id_, nonce = state.order.id, attempt.nonce
+        holds = state.claim is not None and state.claim.nonce == nonce
+        if now >= attempt.not_after:
+            # A process that was frozen after its claim wakes here, when another
+            # owner may have gone on with later orders.
+            self._outbox.pop((id_, nonce, "claim"), None)
+            self._end(now, id_, nonce, "not_sent", "too late to send")
+        elif holds:
+            attempt.phase = _Phase.SENT
+            yield SendOrder(state.order, nonce, state.fencing, attempt.not_after)
+        elif self.fold.saw(id_, nonce):
+            del self._attempts[id_]
+            self._hold_off(now, id_)
+
+    def _decide(self, now: float, state: OrderState) -> None:
+        id_ = state.order.id
+        checks = self._checks_fencing(state.order.endpoint)
+        waited = now - self._seen[id_, NO_CLAIM]
+        if waited >= state.ends - state.time:
+            self._nudge(now, id_)
+        elif now < self._not_before.get(id_, 0.0):
+            return
+        elif state.claim is not None:
+            self._take_over(now, state, bool(checks))
+        elif checks is not None:
+            if state.order.op != "load" or id_ in self.fold.next_loads():
+                self._claim(now, state, checks)
+        elif waited >= UNKNOWN_ENDPOINT_S:
+            # Not at once: the order may be ahead of the configuration here.
+            self._put(Done(id_, "", "refused", "no such endpoint"))
+
+    def _nudge(self, now: float, id_: str) -> None:
+        # Orders end by the log's time, which any later record shows.
+        self._put(Done(id_, "", "expired"))
+        self._not_before[id_] = now + NUDGE_S
+
+    def _take_over(self, now: float, state: OrderState, checks: bool) -> None:
+        claim = state.claim
+        if (claim.id, claim.nonce, "done") in self._outbox:
+            return
+        late = now - self._seen[claim.id, state.fencing] >= self._takeover_s
+        if claim.fenced and checks:
+            again = self._again.get(claim.id) == claim.nonce
+            if again or late or not self._holder_lives(claim.holder):
+                self._again.pop(claim.id, None)
+                self._claim(now, state, True)
+        elif late:
+            # The holder may have sent it or not, and the engine would run it twice.
+            text = f"{claim.holder} gave no result"
+            self._put(Done(claim.id, claim.nonce, "unknown", text))
+
+    def _claim(self, now: float, state: OrderState, fenced: bool) -> None:
+        id_ = state.order.id
+        nonce = f"{self._own}:{next(self._numbers)}"
+        self._attempts[id_] = _Attempt(nonce, fenced, now + self._send_window_s)
+        self._put(Claim(id_, nonce, self._own, state.fencing, fenced))
+
+    def _end(self, now: float, id_: str, nonce: str, result: str, text: str) -> None:
+        del self._attempts[id_]
+        self._put(Done(id_, nonce, result, text))
+        if result == "not_sent":
+            self._hold_off(now, id_)
+
+    def _hold_off(self, now: float, id_: str) -> None:
+        failures = self._failures[id_] = self._failures.get(id_, 0) + 1
+        self._not_before[id_] = now + _backoff(failures)
+
+    def _put(self, record: Claim | Done) -> None:
+        kind = "claim" if isinstance(record, Claim) else "done"
+        self._outbox.setdefault((record.id, record.nonce, kind), record)
+
+
+def _backoff(failures: int) -> float:
+    return min(_BACKOFF_MAX_S, _BACKOFF_S * 2 ** min(failures - 1, 10))
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -24,8 +24,9 @@
 from greengageflow.http_pool import HttpPool
 from greengageflow.log_client import LogClient
 from greengageflow.membership import Membership, Seed
-from greengageflow.messages import Member, PeerId
+from greengageflow.messages import Member, OrderNotice, PeerId
 from greengageflow.metrics import Metrics
+from greengageflow.order_follower import OrderFollower
 from greengageflow.peers import PeerLink
 from greengageflow.roster import Roster
 from greengageflow.settings import RouterSettings, load_settings
@@ -64,12 +65,14 @@
         ).register(self)
         self._control = self._make_control()
         self._follower = self._make_follower()
+        self._orders = self._make_orders()
         self._status = StatusSource(
             self._control,
             self._follower,
             self._link,
             self._log_client,
             state=lambda: "stopping" if self._requests.stopping else "running",
+            orders=lambda: self._orders.status,
         )
         self._requests = Dispatcher(
             self._control,
@@ -119,6 +122,7 @@
             Roster(self._own.host),
             on_config_message=self._on_config_message,
             on_newer_revision=self._on_newer_revision,
+            on_order_notice=self._on_order_notice,
         )
 
     def _make_follower(self) -> ConfigFollower:
@@ -134,6 +138,21 @@
             poll_s=self._settings.timing.config_poll_s,
         )
 
+    def _make_orders(self) -> OrderFollower:
+        timing = self._settings.timing
+        return OrderFollower(
+            self._own,
+            self._log_client,
+            self._pool,
+            self._timers,
+            view=lambda: self._control.view,
+            endpoints=lambda name: self._follower.config.endpoints.get(name),
+            reader=lambda: config_roles(self._control.view).reader,
+            send=self._control.send,
+            window_s=timing.order_window_s,
+            timeout_s=timing.order_timeout_s,
+        )
+
     # Wiring.
 
     def _owns(self, endpoint: str) -> bool:
@@ -158,6 +177,9 @@
     def _on_config_message(self, host: str, message: object) -> None:
         self._follower.received(host, message)
 
+    def _on_order_notice(self, notice: OrderNotice) -> None:
+        self._orders.received(notice)
+
     def _on_newer_revision(self, host: str, revision: int) -> None:
         self._follower.peer_revision(host, revision)
 
@@ -175,6 +197,7 @@
         log(LogEvent.STARTED, host=settings.host, zone=settings.zone)
         self._control.start()
         self._follower.start()
+        self._orders.start()
         self._watch.start()
         if settings.host_list is not None:
             self._host_list = HostList(
@@ -210,7 +233,12 @@
     def _stop_when_done(self) -> None:
         waited = self._timers.now - self._stop_began
         left = self._requests.flights
-        busy = left or self._callers.answering or self._control.actions.unreported
+        busy = (
+            left
+            or self._callers.answering
+            or self._control.actions.unreported
+            or self._orders.busy
+        )
         if busy and waited < self._settings.timing.stop_timeout_s:
             return
         self._control.run(self._control.membership.leave(self._timers.now))
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -73,6 +73,8 @@
         stop_grace_s: Time for the balancer to see the router unhealthy, before a
             planned stop refuses new requests.
         stop_timeout_s: Longest time that a planned stop waits for requests.
+        order_window_s: From claiming an order to its first byte to the engine.
+        order_timeout_s: Wait for an engine's answer to an order.
     """
 
     probe_interval_s: float = 1.0
@@ -87,6 +89,8 @@
     keep_alive_s: float = 30.0
     stop_grace_s: float = 2.0
     stop_timeout_s: float = 120.0
+    order_window_s: float = 5.0
+    order_timeout_s: float = 60.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/status.py
+++ b/greengageflow/status.py
@@ -18,6 +18,7 @@
         link: Messages to other routers.
         log_client: The platform's log.
         state: Returns ``running`` or ``stopping``.
+        orders: Returns the orders to engines that this router knows of.
     """
 
     def __init__(
@@ -28,12 +29,14 @@
         log_client: LogClient,
         *,
         state: Callable[[], str],
+        orders: Callable[[], list[dict[str, Any]]] = list,
     ) -> None:
         self._control = control
         self._follower = follower
         self._link = link
         self._log = log_client
         self._state = state
+        self._orders = orders
 
     def status(self) -> dict[str, Any]:
         """Return the JSON object."""
@@ -60,6 +63,7 @@
                 "keys": control.writer.keys_known,
                 "outbox": control.writer.outbox_size,
             },
+            "orders": self._orders(),
             "control": self._traffic(),
         }
 
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,277 @@
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from greengageflow.effects import AppendRecords
+from greengageflow.log_client import Appended, LogFailure, LogRecord
+from greengageflow.messages import PeerId
+from greengageflow.order_owner import OrderOwner, SendOrder
+from greengageflow.orders import (
+    MOST_LOADS,
+    Claim,
+    Done,
+    Order,
+    OrderFold,
+    from_json,
+    to_json,
+)
+
+LOAD = Order("o1", "e1", "load", model="scribe", version="2")
+
+
+def folded(*rows):
+    fold = OrderFold()
+    for offset, (time, record) in enumerate(rows):
+        fold.apply(offset, time, record)
+    return fold
+
+
+def test_records_survive_the_log_and_others_are_ignored():
+    for record in (LOAD, Claim("o1", "n", "r1:1", 4, True), Done("o1", "n", "done")):
+        assert from_json(to_json(record)) == record
+    for odd in (
+        {"t": "order", "id": "o", "endpoint": "e", "op": "format"},
+        {"t": "claim", "id": "o", "nonce": "n", "holder": "h", "over": True},
+        {"t": "done", "id": "o", "nonce": 1, "result": "done"},
+        {"t": "other"},
+        [],
+        None,
+    ):
+        assert from_json(odd) is None
+
+
+def test_a_copy_of_a_claim_does_not_hold_an_order_that_was_given_back():
+    """The order would be stuck until it expires, and an operator would wait.
+
+    The append of the claim lost its answer and was repeated; the copy stands behind
+    the end of an attempt that sent nothing.
+    """
+    claim = Claim("o1", "n1", "r1:1")
+    fold = folded((1, LOAD), (2, claim), (3, Done("o1", "n1", "not_sent")), (4, claim))
+    assert fold.state("o1").claim is None
+    fold.apply(4, 5, Claim("o1", "n2", "r2:1"))
+    assert fold.state("o1").fencing == 4
+
+
+def test_a_copy_of_an_order_that_ended_does_not_run_again():
+    fold = folded(
+        (1, LOAD), (2, Claim("o1", "n1", "r1:1")), (3, Done("o1", "n1", "done"))
+    )
+    fold.apply(3, 4, LOAD)
+    assert fold.open == ()
+
+
+def test_a_later_claim_counts_only_where_numbers_are_checked():
+    """An engine that ignores numbers would load twice, or go back to an old version.
+
+    Two owners claim one order, since each takes the other for dead.
+    """
+    plain = folded((1, LOAD), (2, Claim("o1", "n1", "a:1")))
+    plain.apply(2, 9, Claim("o1", "n2", "b:1", 1, True))
+    assert plain.state("o1").claim.nonce == "n1"
+    fenced = folded((1, LOAD), (2, Claim("o1", "n1", "a:1", fenced=True)))
+    fenced.apply(2, 9, Claim("o1", "n2", "b:1", fenced=True))
+    assert fenced.state("o1").claim.nonce == "n1"
+    fenced.apply(3, 9, Claim("o1", "n3", "b:1", 1, True))
+    assert fenced.state("o1").fencing == 3
+
+
+def test_loads_are_bounded_over_the_fleet():
+    """The weight store refuses the fleet when all engines load at once."""
+    orders = [Order(f"o{n}", f"e{n}", "load", model="m") for n in range(9)]
+    fold = folded(*((1, order) for order in orders))
+    assert fold.next_loads() == [order.id for order in orders[:MOST_LOADS]]
+    for n, order in enumerate(orders):
+        fold.apply(9 + n, 2, Claim(order.id, f"n{n}", "r1:1"))
+    assert sum(state.claim is not None for state in fold.open) == MOST_LOADS
+    fold.apply(20, 3, Order("role", "e8", "role", role="prefill"))
+    fold.apply(21, 3, Done("o0", "n0", "done"))
+    assert fold.next_loads() == ["o4"]
+
+
+def test_a_stale_order_is_not_sent_after_an_outage():
+    fold = folded((0, LOAD))
+    fold.apply(1, 300, Claim("o1", "n1", "r1:1"))
+    assert fold.state("o1").result == "expired"
+
+
+HOSTS = st.sampled_from(["r1", "r2"])
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Two routers, both taking themselves for the owner at times, and one log.
+
+    Answers are lost, processes freeze, messages to engines are held back.
+    """
+
+    fenced = False
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.log = []
+        self.mail = []
+        self.routers = {}
+        self.read = {}
+        self.boots = Counter()
+        self.owners = {"r1"}
+        self.frozen = set()
+        self.received = Counter()
+        self.taken = []
+        self.left = []
+        self.engine_fencing = -1
+        self.number = 0
+        for host in ("r1", "r2"):
+            self.restart(host)
+
+    def restart(self, host):
+        self.boots[host] += 1
+        self.read[host] = 0
+        self.mail = [item for item in self.mail if item[0] != host or item[1] == "wire"]
+        self.routers[host] = OrderOwner(
+            PeerId(host, self.boots[host]),
+            owns=lambda _: host in self.owners,
+            checks_fencing=lambda _: self.fenced,
+            holder_lives=self.lives,
+            send_window_s=4,
+            takeover_s=10,
+        )
+
+    def lives(self, holder):
+        host, _, boot = holder.partition(":")
+        return host not in self.frozen and int(boot) == self.boots[host]
+
+    def run(self, host):
+        for effect in self.routers[host].on_tick(self.now):
+            match effect:
+                case AppendRecords(records=rows):
+                    self.mail.append((host, "append", rows, 0))
+                case SendOrder():
+                    self.mail.append((host, "send", effect, 0))
+
+    @rule()
+    def operator_orders(self):
+        if self.number < 3:
+            self.number += 1
+            order = Order(f"o{self.number}", "e1", "role", role="prefill")
+            self.log.append(LogRecord(len(self.log), self.now, to_json(order)))
+
+    def reads(self, host):
+        rows = self.log[self.read[host] :]
+        self.read[host] = len(self.log)
+        self.routers[host].on_records(self.now, rows)
+        self.run(host)
+
+    @rule(host=HOSTS, steps=st.integers(1, 6), wire=st.booleans())
+    def works(self, host, steps, wire):
+        for _ in range(steps):
+            if host not in self.frozen:
+                self.reads(host)
+            self.happens(host, ("append", "send", *(["wire"] if wire else [])), "ok")
+
+    @rule(
+        host=HOSTS, fate=st.sampled_from(["lost", "refused"]), only_wire=st.booleans()
+    )
+    def fails(self, host, fate, only_wire):
+        kinds = ("wire",) if only_wire else ("append", "send")
+        self.happens(host, kinds, fate)
+
+    def happens(self, host, kinds, fate):
+        for item in self.mail:
+            if item[0] == host and item[1] in kinds:
+                break
+        else:
+            return
+        _, kind, what, boot = item
+        if host in self.frozen and kind != "wire":
+            return
+        self.mail.remove(item)
+        match kind:
+            case "append":
+                self.append(host, what, fate)
+            case "send":
+                self.send(host, what, fate)
+            case "wire":
+                self.arrive(host, what, fate, boot)
+
+    def append(self, host, rows, fate):
+        result = Appended(len(self.log), len(rows))
+        if fate == "refused":
+            result = LogFailure(False, "down")
+        else:
+            for row in rows:
+                self.log.append(LogRecord(len(self.log), self.now, row))
+            if fate == "lost":
+                result = LogFailure(True, "answer lost")
+        self.routers[host].on_append(self.now, result)
+
+    def send(self, host, send, fate):
+        # The pool's check right before the first byte.
+        if fate == "refused" or self.now >= send.not_after:
+            end = self.now, send.order.id, send.nonce, "not_sent", ""
+            self.routers[host].on_sent(*end)
+        else:
+            self.left.append(int(send.order.id[1:]))
+            self.mail.append((host, "wire", send, self.boots[host]))
+
+    def arrive(self, host, send, fate, boot):
+        id_ = send.order.id
+        self.received[id_] += 1
+        old = self.fenced and send.fencing < self.engine_fencing
+        if not old:
+            self.engine_fencing = max(self.engine_fencing, send.fencing)
+            self.taken.append(int(id_[1:]))
+        if boot == self.boots[host]:
+            result = "unknown" if fate == "lost" else "refused" if old else "done"
+            self.routers[host].on_sent(self.now, id_, send.nonce, result, "")
+
+    @rule(step=st.sampled_from([0.5, 2.0, 5.0, 12.0]))
+    def time_passes(self, step):
+        self.now += step
+        for host in self.routers.keys() - self.frozen:
+            self.run(host)
+
+    @rule(host=HOSTS)
+    def freezes_or_wakes(self, host):
+        self.frozen ^= {host}
+
+    @rule(host=HOSTS)
+    def restarts(self, host):
+        self.frozen.discard(host)
+        self.restart(host)
+
+    @rule(owners=st.sets(HOSTS, min_size=1))
+    def owners_change(self, owners):
+        self.owners = owners
+
+    @invariant()
+    def holds(self):
+        if self.fenced:
+            # Nothing is ever turned back to an earlier order.
+            assert self.taken == sorted(self.taken)
+        else:
+            assert all(count <= 1 for count in self.received.values())
+            assert self.left == sorted(self.left)
+
+
+class FencedMachine(OrderMachine):
+    fenced = True
+
+
+TestPlainOrders = OrderMachine.TestCase
+TestFencedOrders = FencedMachine.TestCase
+for case in (TestPlainOrders, TestFencedOrders):
+    case.settings = settings(max_examples=250, stateful_step_count=40)
+
+
+def test_the_machine_gets_orders_through():
+    """Guards the machine above against proving nothing."""
+    for machine in (OrderMachine(), FencedMachine()):
+        machine.operator_orders()
+        machine.operator_orders()
+        for _ in range(4):
+            machine.works("r1", 4, True)
+            machine.time_passes(0.5)
+        assert machine.taken == [1, 2]
