--- /dev/null
+++ b/tests/test_order_faults.py
@@ -0,0 +1,290 @@
+"""Orders to engines, with real processes that freeze, die and lose answers."""
+
+from contextlib import contextmanager
+from itertools import count
+
+import pytest
+
+from greengageflow.lab import Lab, LabPlan
+from tests.support import fault_proxy, standin, wait_for
+
+TIMING = {"order_window_s": 3.0, "order_timeout_s": 2.0}
+PLAIN = LabPlan(engines=1, services=0, timing=TIMING)
+FENCED = LabPlan(
+    engines=1,
+    services=0,
+    timing=TIMING,
+    engine_options={"checks_fencing": True},
+    engine_fields={"checks_fencing": True},
+)
+PLANS = {"plain": PLAIN, "fenced": FENCED}
+STREAM = "/streams/orders/records"
+NUMBERS = count(1)
+
+
+@contextmanager
+def started(plan):
+    with fault_proxy() as proxy, Lab(plan, route=proxy.route) as lab:
+        wait_for(lambda: owner(lab), "an owner of e1")
+        yield lab, proxy
+
+
+@pytest.fixture(scope="module", params=PLANS)
+def shared(request):
+    with started(PLANS[request.param]) as pair:
+        yield request.param, *pair
+
+
+@pytest.fixture
+def fleet(shared):
+    yield shared
+    _, lab, proxy = shared
+    proxy.rules()
+    lab.log.fault()
+    lab.engines["e1"].fault()
+
+
+def owner(lab):
+    for host in lab.routers:
+        if "e1" in lab.status(host)["endpoints"]:
+            return host
+    return None
+
+
+def record(version, endpoint="e1"):
+    load = {"t": "order", "id": f"o{next(NUMBERS)}", "endpoint": endpoint, "op": "load"}
+    return {**load, "model": "scribe", "version": version, "author": "test"}
+
+
+def append(lab, *records):
+    assert lab.log.call("POST", STREAM, {"records": records}).status == 200
+
+
+def order(lab, version="1", endpoint="e1"):
+    made = record(version, endpoint)
+    append(lab, made)
+    return made["id"]
+
+
+def logged(lab, kind, id_):
+    rows = lab.log.call("GET", f"{STREAM}?from=0&limit=1000").json["records"]
+    records = (row["record"] for row in rows)
+    return [r for r in records if r["t"] == kind and r["id"] == id_]
+
+
+def received(lab, id_=None):
+    """Ids, fencing numbers and statuses of the orders that the engine got."""
+    rows = lab.engines["e1"].call("GET", "/orders").json["orders"]
+    found = ((r["order"]["id"], r["order"]["fencing"], r["status"]) for r in rows)
+    return [item for item in found if id_ in (None, item[0])]
+
+
+def result(lab, host, id_):
+    rows = (row for row in lab.status(host)["orders"] if row["id"] == id_)
+    return next((row["result"] for row in rows), "")
+
+
+def claimed(lab, host, id_):
+    rows = lab.status(host)["orders"]
+    return any(row["id"] == id_ and row["fencing"] >= 0 for row in rows)
+
+
+def wait_result(lab, host, id_, *wanted):
+    wait_for(lambda: result(lab, host, id_) in wanted, f"{wanted} of {id_}")
+
+
+@contextmanager
+def held_at_claim(lab, proxy, id_maker):
+    """Yield the owner, frozen when its claim is in the log and not read back."""
+    host = owner(lab)
+    late = {"do": "delay", "route": "log", "source": lab.settings[host]["ip"]}
+    proxy.rules({**late, "way": "down", "delay_s": 1.0})
+    id_ = id_maker()
+    wait_for(lambda: logged(lab, "claim", id_), f"claim of {id_}")
+    lab.routers[host].pause()
+    proxy.rules()
+    yield host, id_
+
+
+def other_owner(lab, host):
+    """Wait until another router owns the endpoint, and return it."""
+    others = [other for other in lab.routers if other != host]
+
+    def found():
+        for other in others:
+            if "e1" in lab.status(other)["endpoints"]:
+                return other
+        return None
+
+    wait_for(found, "another owner")
+    return found()
+
+
+def test_orders_in_a_row_arrive_in_order(fleet):
+    _, lab, _ = fleet
+    records = [record(str(number)) for number in range(6)]
+    ids = [made["id"] for made in records]
+    append(lab, *records)
+    wait_result(lab, owner(lab), ids[-1], "done")
+    got = [item for item in received(lab) if item[0] in ids]
+    assert [item[0] for item in got] == ids
+    assert [item[1] for item in got] == sorted(item[1] for item in got)
+
+
+def test_an_order_to_an_unknown_endpoint_is_refused(fleet):
+    _, lab, _ = fleet
+    id_ = order(lab, endpoint="nowhere")
+    wait_for(lambda: logged(lab, "done", id_), "a result")
+    assert logged(lab, "done", id_)[0]["result"] == "refused"
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"only": "append", "contains": '"claim"'},
+        {"only": "append", "contains": '"done"'},
+        {"only": "read"},
+    ],
+    ids=["claim", "done", "read"],
+)
+def test_log_answers_lost_after_their_effect_double_nothing(fleet, fault):
+    """The operator sees one load though the log's answers are lost.
+
+    The record is in the log, but the owner does not know, and appends it again
+    under the same nonce; the fold counts the first copy.
+    """
+    _, lab, _ = fleet
+    # The long polls that are open, two a router, lose some of these answers.
+    lab.log.fault(**fault, lose_answers=8)
+    id_ = order(lab)
+    wait_result(lab, owner(lab), id_, "done")
+    lab.log.fault()
+    last = order(lab)
+    wait_result(lab, owner(lab), last, "done")
+    assert [item[2] for item in received(lab, id_)] == [200]
+    if fault["only"] == "append":
+        kind = fault["contains"].strip('"')
+        assert len(logged(lab, kind, id_)) > 1
+
+
+def test_an_answer_lost_after_the_effect(fleet):
+    """The engine took the order and its answer was lost.
+
+    One that checks numbers gets it again under a higher one. One that does not is
+    never sent it again, and the operator is told that the outcome is not known.
+    """
+    kind, lab, _ = fleet
+    lab.engines["e1"].fault(lose_answers=1, contains="fencing")
+    id_ = order(lab)
+    if kind == "fenced":
+        wait_result(lab, owner(lab), id_, "done")
+        first, second = received(lab, id_)
+        assert first[1] < second[1]
+    else:
+        wait_for(lambda: logged(lab, "done", id_), "a result")
+        assert logged(lab, "done", id_)[0]["result"] == "unknown"
+        last = order(lab)
+        wait_result(lab, owner(lab), last, "done")
+        assert len(received(lab, id_)) == 1
+        assert "GG506" in lab.routers[owner(lab)].stderr
+
+
+def test_an_unreachable_engine_gets_the_order_once_it_is_back():
+    """No byte left, so that the claim is given back and the order waits."""
+    with Lab(PLAIN) as lab:
+        wait_for(lambda: owner(lab), "an owner of e1")
+        lab.engines["e1"].kill()
+        id_ = order(lab)
+        wait_for(lambda: logged(lab, "done", id_), "a claim given back")
+        assert logged(lab, "done", id_)[0]["result"] == "not_sent"
+        port = lab.endpoint_addresses["e1"][1]
+        with standin("engine", name="e1", port=port) as engine:
+            wait_result(lab, owner(lab), id_, "done")
+            assert len(engine.call("GET", "/orders").json["orders"]) == 1
+
+
+def test_frozen_owner_sends_nothing_late_to_an_engine_that_checks_no_numbers():
+    """The operator's second order stands; the first does not come after it.
+
+    The owner is frozen when its claim is in the log. Another owner gives the first
+    order up as unknown and sends the second. Then the first owner wakes, past its
+    window: the engine ignores numbers and would go back to the old version.
+    """
+    with (
+        started(PLAIN) as (lab, proxy),
+        held_at_claim(lab, proxy, lambda: order(lab, "1")) as (host, first),
+    ):
+        second = order(lab, "2")
+        new = other_owner(lab, host)
+        wait_result(lab, new, second, "done")
+        assert result(lab, new, first) == "unknown"
+        lab.routers[host].go_on()
+        wait_for(lambda: len(logged(lab, "done", first)) > 1, "the old owner's word")
+        assert [item[0] for item in received(lab)] == [second]
+
+
+def test_frozen_owner_is_overtaken_at_an_engine_that_checks_numbers():
+    """The order runs without the frozen owner, and waking it turns nothing back.
+
+    Another owner claims over the first claim at once, since a lower number that
+    comes later is refused.
+    """
+    with (
+        started(FENCED) as (lab, proxy),
+        held_at_claim(lab, proxy, lambda: order(lab, "1")) as (host, first),
+    ):
+        second = order(lab, "2")
+        new = other_owner(lab, host)
+        wait_result(lab, new, second, "done")
+        assert result(lab, new, first) == "done"
+        lab.routers[host].go_on()
+        wait_for(lambda: owner(lab) == host, "the old owner again")
+        third = order(lab, "3")
+        wait_result(lab, host, third, "done")
+        taken = [item[0] for item in received(lab) if item[2] == 200]
+        assert taken == [first, second, third]
+
+
+def test_an_order_held_back_on_its_way_is_refused_by_its_old_number():
+    """The engine has the second order when the first one's first copy arrives.
+
+    The owner's bytes hang between it and the engine while it freezes. Another
+    owner claims over it and sends both orders. Then the old bytes come through.
+    """
+    with started(FENCED) as (lab, proxy):
+        host = owner(lab)
+        rule = {"do": "freeze", "route": "e1", "source": lab.settings[host]["ip"]}
+        proxy.rules({**rule, "way": "up"})
+        first = order(lab, "1")
+        wait_for(lambda: claimed(lab, host, first), "a claim known to its holder")
+        for _ in range(5):  # The loop goes round, and the order leaves.
+            lab.status(host)
+        lab.routers[host].pause()
+        second = order(lab, "2")
+        new = other_owner(lab, host)
+        wait_result(lab, new, second, "done")
+        proxy.rules()
+        wait_for(lambda: len(received(lab, first)) == 2, "the old bytes")
+        assert [item[2] for item in received(lab)] == [200, 200, 409]
+        lab.routers[host].go_on()
+
+
+@pytest.mark.parametrize("kind", PLANS)
+def test_owner_killed_between_claim_and_send(kind):
+    """The order waits for nobody who is dead.
+
+    One that checks numbers gets it from the next owner. To the other it may have
+    been sent or not, for all that anyone knows; the next order goes on.
+    """
+    with (
+        started(PLANS[kind]) as (lab, proxy),
+        held_at_claim(lab, proxy, lambda: order(lab, "1")) as (host, first),
+    ):
+        lab.routers.pop(host).kill()
+        second = order(lab, "2")
+        new = other_owner(lab, host)
+        wait_result(lab, new, second, "done")
+        expected = {"plain": "unknown", "fenced": "done"}[kind]
+        assert result(lab, new, first) == expected
+        got = [item[0] for item in received(lab)]
+        assert got == ([second] if kind == "plain" else [first, second])
