--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,9 +1,11 @@
 from collections import Counter
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from greengageflow.ctl_orders import OrderCommands, OrderError, make_order, merged
 from greengageflow.effects import AppendRecords
 from greengageflow.log_client import Appended, LogFailure, LogRecord
 from greengageflow.messages import PeerId
@@ -97,6 +99,41 @@
     assert fold.state("o1").result == "expired"
 
 
+def test_two_sides_of_a_partition_do_not_claim_over_each_other_without_end():
+    """Both reach the log and the engine, which takes its time for the order.
+
+    Each takes the other for dead, and only the pause after a lost answer bounds how
+    often they claim over each other.
+    """
+    log, read = [], [0, 0]
+    owners = [
+        OrderOwner(
+            PeerId(host, 1),
+            owns=lambda _: True,
+            checks_fencing=lambda _: True,
+            holder_lives=lambda holder, host=host: holder == f"{host}:1",
+        )
+        for host in ("r1", "r2")
+    ]
+    log.append(LogRecord(0, 0.0, to_json(LOAD)))
+    for tick in range(600):
+        now = tick / 10
+        for number, owner in enumerate(owners):
+            owner.on_records(now, log[read[number] :])
+            read[number] = len(log)
+            for effect in owner.on_tick(now):
+                match effect:
+                    case AppendRecords(records=rows):
+                        first = len(log)
+                        for row in rows:
+                            log.append(LogRecord(len(log), now, row))
+                        owner.on_append(now, Appended(first, len(rows)))
+                    case SendOrder(order, nonce):
+                        owner.on_sent(now, order.id, nonce, "unknown", "timeout")
+    claims = sum(row.record["t"] == "claim" for row in log)
+    assert 2 <= claims <= 25
+
+
 HOSTS = st.sampled_from(["r1", "r2"])
 
 
@@ -275,3 +312,39 @@
             machine.works("r1", 4, True)
             machine.time_passes(0.5)
         assert machine.taken == [1, 2]
+
+
+def test_an_append_without_an_answer_is_repeated_under_the_same_id():
+    """The operator's order is in the log, but the command does not know."""
+    log = []
+
+    def append(records):
+        log.extend(records)
+        if len(log) < 3:
+            raise TimeoutError
+        return len(log) - 1
+
+    told = OrderCommands(append).load("e1", "scribe", version="2")
+    assert {row["id"] for row in log} == {told["id"]}
+    assert from_json(log[0]) == from_json(log[2])
+
+
+def test_orders_that_make_no_sense_are_not_given():
+    for args in (
+        {"op": "load"},
+        {"op": "load", "model": "m", "role": "r"},
+        {"op": "role"},
+        {"op": "role", "role": "r", "version": "2"},
+        {"op": "format"},
+    ):
+        with pytest.raises(OrderError):
+            make_order("e1", **args)
+
+
+def test_the_router_that_knows_more_is_believed():
+    row = {"id": "o", "offset": 1, "fencing": 2, "result": "", "text": ""}
+    late = {**row, "fencing": -1}
+    done = {**row, "result": "done"}
+    unknown = {**row, "result": "unknown"}
+    views = ({"orders": [one]} for one in (late, unknown, done, row))
+    assert merged(views) == [done]
