--- a/tests/test_order_faults.py
+++ b/tests/test_order_faults.py
@@ -6,6 +6,7 @@
 import pytest
 
 from greengageflow.lab import Lab, LabPlan
+from greengageflow.orders import MOST_LOADS
 from tests.support import fault_proxy, standin, wait_for
 
 TIMING = {"order_window_s": 3.0, "order_timeout_s": 2.0}
@@ -288,3 +289,57 @@
         assert result(lab, new, first) == expected
         got = [item[0] for item in received(lab)]
         assert got == ([second] if kind == "plain" else [first, second])
+
+
+def test_owners_that_do_not_poll_are_told_to_read():
+    """Orders reach every engine though only two routers poll the stream.
+
+    The owner of some engine is no reader, and one such owner dies before the order
+    comes; the readers tell whoever owns the engine now.
+    """
+    plan = LabPlan(routers=4, zones=("z1",), engines=6, services=0, timing=TIMING)
+    with Lab(plan) as lab:
+        wait_for(lambda: owner(lab), "an owner of e1")
+        silent = {
+            host: lab.status(host)["endpoints"]
+            for host in lab.routers
+            if not lab.status(host)["config"]["reader"]
+        }
+        assert len(silent) == 2
+        host, endpoints = max(silent.items(), key=lambda item: len(item[1]))
+        assert endpoints
+        first = order(lab, endpoint=endpoints[0])
+        wait_result(lab, host, first, "done")
+        lab.routers.pop(host).kill()
+        last = order(lab, endpoint=endpoints[0])
+        wait_for(lambda: logged(lab, "done", last), "a result by the next owner")
+        assert logged(lab, "done", last)[0]["result"] == "done"
+
+
+def test_a_load_of_every_engine_is_spaced_over_the_fleet():
+    """An operator loads a version on eight engines; four load at a time.
+
+    Otherwise all would fetch weights at once, and the weight store would refuse
+    them.
+    """
+    plan = LabPlan(engines=8, services=0, timing=TIMING)
+    with Lab(plan) as lab:
+        wait_for(lambda: owner(lab), "an owner of e1")
+        for engine in lab.engines.values():
+            engine.fault(answer_delay_s=0.5, contains="fencing")
+        records = [record("2", name) for name in lab.engines]
+        append(lab, *records)
+        for made in records:
+            wait_for(lambda id_=made["id"]: logged(lab, "done", id_), "a result")
+        rows = lab.log.call("GET", f"{STREAM}?from=0&limit=1000").json["records"]
+        ended = {r["record"]["nonce"] for r in rows if r["record"]["t"] == "done"}
+        running, most = set(), 0
+        for row in rows:
+            match row["record"]:
+                case {"t": "claim", "nonce": nonce} if nonce in ended:
+                    running.add(nonce)
+                case {"t": "done", "nonce": nonce, "result": result}:
+                    assert result == "done"
+                    running.discard(nonce)
+            most = max(most, len(running))
+        assert most == MOST_LOADS
