--- a/greengageflow/endpoint_run.py
+++ b/greengageflow/endpoint_run.py
@@ -101,6 +101,7 @@
             call.idempotency_key,
             endpoint.resumes,
             connect_timeout_s=self._connect_timeout_s,
+            not_after=_not_after(flight),
         )
         run = EngineCall(
             self._pool, self._timers, request, _EngineRun(flight, listener)
@@ -128,6 +129,7 @@
             call.idempotency_key,
             protected=flight.protected,
             connect_timeout_s=self._connect_timeout_s,
+            not_after=_not_after(flight),
         )
 
         def done(end: ServiceEnd) -> None:
@@ -151,3 +153,9 @@
         if flight.call.stream:
             return STREAM_TYPE, bytes(flight.kept) + STREAM_END
         return JSON_TYPE, end.body
+
+
+def _not_after(flight: Flight) -> float | None:
+    # A process that is frozen while it connects wakes past the deadline at which
+    # its caller was answered; the pool looks again before the first byte.
+    return flight.deadline if flight.protected else None
--- a/greengageflow/engine_client.py
+++ b/greengageflow/engine_client.py
@@ -74,6 +74,7 @@
         connect_timeout_s: Longest time for connecting, in seconds.
         idle_timeout_s: Longest time without a byte, in seconds.
         resume_tries: Most resumptions in a row that bring no new piece.
+        not_after: Monotonic time after which it must not be sent, or None.
     """
 
     ip: str
@@ -86,6 +87,7 @@
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
     resume_tries: int = 3
+    not_after: float | None = None
 
     @property
     def stream(self) -> bool:
@@ -222,6 +224,7 @@
             request.connect_timeout_s,
             request.idle_timeout_s,
             retry_stale=not request.idempotency_key and not self.resumed,
+            not_after=None if self.resumed else request.not_after,
         )
 
     def _open(self) -> None:
--- a/greengageflow/http_messages.py
+++ b/greengageflow/http_messages.py
@@ -37,6 +37,8 @@
         retry_stale: True when the request may be sent again on a new connection
             if a reused one was closed before a byte of the answer came. False
             also means that a new connection is used in the first place.
+        not_after: Monotonic time after which the first byte must not leave, in
+            seconds; None for no such limit.
     """
 
     method: str
@@ -48,6 +50,7 @@
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
     retry_stale: bool = True
+    not_after: float | None = None
 
     @property
     def address(self) -> tuple[str, int]:
--- a/greengageflow/http_pool.py
+++ b/greengageflow/http_pool.py
@@ -68,6 +68,14 @@
             return self.request.idle_timeout_s
         return self.request.connect_timeout_s
 
+    @property
+    def too_late(self) -> bool:
+        """Whether the first byte has not left and must not leave any more."""
+        # A process that was frozen while it connected wakes in the middle of it.
+        limit = self.request.not_after
+        unsent = self.conn is not None and not self.conn.sent_any
+        return limit is not None and unsent and monotonic() >= limit
+
     def pause(self) -> None:
         """Stop reading, so that the sender comes to wait."""
         if self.live and not self.paused:
@@ -369,6 +377,9 @@
         try:
             if not conn.connected:
                 conn.check_connected()
+            if exchange.too_late:
+                self._fail(exchange, FailureKind.TIMEOUT, "too late to send")
+                return
             conn.flush()
         except OSError as exc:
             self._on_broken_write(exchange, str(exc))
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -25,8 +25,9 @@
 from greengageflow.http_pool import HttpPool
 from greengageflow.log_client import LogClient
 from greengageflow.membership import Membership, Seed
-from greengageflow.messages import Member, PeerId
+from greengageflow.messages import Member, OrderNotice, PeerId
 from greengageflow.metrics import Metrics
+from greengageflow.order_follower import OrderFollower
 from greengageflow.peers import PeerLink
 from greengageflow.roster import Roster
 from greengageflow.settings import RouterSettings, load_settings
@@ -36,6 +37,7 @@
 
 DISPATCH_TICK_S = 0.25
 STOP_TICK_S = 0.1
+SUPERSEDED_TICK_S = 1.0
 GAUGE_TICK_S = 5.0
 
 
@@ -65,12 +67,14 @@
         ).register(self)
         self._control = self._make_control()
         self._follower = self._make_follower()
+        self._orders = self._make_orders()
         self._status = StatusSource(
             self._control,
             self._follower,
             self._link,
             self._log_client,
             state=lambda: "stopping" if self._requests.stopping else "running",
+            orders=lambda: self._orders.status,
         )
         self._requests = Dispatcher(
             self._control,
@@ -109,7 +113,10 @@
             settings.zone,
         )
         membership = Membership(
-            member, self._seeds, period_s=settings.timing.probe_interval_s
+            member,
+            self._seeds,
+            period_s=settings.timing.probe_interval_s,
+            suspicion_s=settings.timing.suspect_s,
         )
         return Control(
             self._own,
@@ -120,6 +127,7 @@
             Roster(self._own.host),
             on_config_message=self._on_config_message,
             on_newer_revision=self._on_newer_revision,
+            on_order_notice=self._on_order_notice,
         )
 
     def _make_follower(self) -> ConfigFollower:
@@ -136,6 +144,21 @@
             snapshot_interval_s=self._settings.timing.snapshot_interval_s,
         )
 
+    def _make_orders(self) -> OrderFollower:
+        timing = self._settings.timing
+        return OrderFollower(
+            self._own,
+            self._log_client,
+            self._pool,
+            self._timers,
+            view=lambda: self._control.view,
+            endpoints=lambda name: self._follower.config.endpoints.get(name),
+            reader=lambda: config_roles(self._control.view).reader,
+            send=self._control.send,
+            window_s=timing.order_window_s,
+            timeout_s=timing.order_timeout_s,
+        )
+
     # Wiring.
 
     def _owns(self, endpoint: str) -> bool:
@@ -160,6 +183,9 @@
     def _on_config_message(self, host: str, message: object) -> None:
         self._follower.received(host, message)
 
+    def _on_order_notice(self, notice: OrderNotice) -> None:
+        self._orders.received(notice)
+
     def _on_newer_revision(self, host: str, revision: int) -> None:
         self._follower.peer_revision(host, revision)
 
@@ -177,6 +203,7 @@
         log(LogEvent.STARTED, host=settings.host, zone=settings.zone)
         self._control.start()
         self._follower.start()
+        self._orders.start()
         self._watch.start()
         if settings.host_list is not None:
             self._host_list = HostList(
@@ -189,6 +216,7 @@
             )
             self._host_list.start()
         self._timers.every(DISPATCH_TICK_S, self._requests.on_tick)
+        self._timers.every(SUPERSEDED_TICK_S, self._check_superseded)
         ip, port = self._callers.address
         print(json.dumps({"ready": True, "host": ip, "port": port}), flush=True)
 
@@ -203,6 +231,15 @@
     def _on_signal(self, event: Event, *_args: object) -> None:
         # The default handler ends the loop at once, which would cut every answer.
         event.stop()
+        self._begin_stop()
+
+    def _check_superseded(self) -> None:
+        # Others ignore this process once a later life of its host is known. It
+        # would queue requests for ever; stopping lets its callers go elsewhere.
+        if self._control.membership.newer_boot is not None:
+            self._begin_stop()
+
+    def _begin_stop(self) -> None:
         if self._requests.stopping:
             return
         log(LogEvent.STOPPING, running=self._requests.flights)
@@ -213,13 +250,19 @@
 
     def _refuse_new(self) -> None:
         self._requests.refusing = True
+        self._callers.drain()
         self._stop_began = self._timers.now
         self._timers.every(STOP_TICK_S, self._stop_when_done)
 
     def _stop_when_done(self) -> None:
         waited = self._timers.now - self._stop_began
         left = self._requests.flights
-        busy = left or self._callers.answering or self._control.actions.unreported
+        busy = (
+            left
+            or self._callers.answering
+            or self._control.actions.unreported
+            or self._orders.busy
+        )
         if busy and waited < self._settings.timing.stop_timeout_s:
             return
         self._control.run(self._control.membership.leave(self._timers.now))
--- a/greengageflow/service_client.py
+++ b/greengageflow/service_client.py
@@ -67,6 +67,7 @@
         protected: True when the request must be sent at most once.
         connect_timeout_s: Longest time for connecting, in seconds.
         idle_timeout_s: Longest time without a byte, in seconds.
+        not_after: Monotonic time after which it must not be sent, or None.
     """
 
     ip: str
@@ -81,6 +82,7 @@
     protected: bool = False
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
+    not_after: float | None = None
 
     def to_http(self) -> HttpRequest:
         """Return the request as it is sent."""
@@ -94,6 +96,7 @@
             self.connect_timeout_s,
             self.idle_timeout_s,
             retry_stale=not self.protected,
+            not_after=self.not_after,
         )
 
     def _headers(self) -> Iterator[Header]:
--- a/tests/test_partition_faults.py
+++ b/tests/test_partition_faults.py
@@ -23,7 +23,7 @@
     services=1,
     slots=SLOTS,
     engine_options=ENGINE,
-    timing={"probe_interval_s": 0.2},
+    timing={"probe_interval_s": 0.2, "suspect_s": 0.8},
 )
 HALVES = ({"r1", "r2", "r3"}, {"r4", "r5"})
 ALONE = ({"r1"}, {"r2", "r3", "r4", "r5"})
