--- a/greengageflow/placement.py
+++ b/greengageflow/placement.py
@@ -4,23 +4,24 @@
 there is no election and no message.
 """
 
+from bisect import insort
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from hashlib import blake2b
 from itertools import islice
 
 from greengageflow.messages import PeerId
 
-Rank = tuple[tuple[int, str], ...]
-"""Hosts with their scores for one key, best first (scores are negated)."""
+Rank = tuple[str, ...]
+"""Hosts in rendezvous order for one key, best first."""
 
 COLLECTORS_IN_LINE = 3
 _SCORE_BYTES = 8
 
 
-def _score(key: str, host: str) -> int:
-    digest = blake2b(f"{key}\0{host}".encode(), digest_size=_SCORE_BYTES).digest()
-    return -int.from_bytes(digest)
+def _score(key: str, host: str) -> bytes:
+    return blake2b(f"{key}\0{host}".encode(), digest_size=_SCORE_BYTES).digest()
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +86,16 @@
         return rank
 
     def _new_rank(self, key: str) -> Rank:
-        rank = [item for item in self._older.pop(key, ()) if item[1] in self.roster]
-        known = {host for _, host in rank}
-        rank += [(_score(key, host), host) for host in self.roster - known]
-        return tuple(sorted(rank))
+        score = partial(_score, key)
+        older = self._older.pop(key, None)
+        if older is None:
+            return tuple(sorted(self.roster, key=score))
+        # Scores are worked out again rather than kept: with them, the ranks of a
+        # large fleet would take most of the memory allowed for control.
+        rank = [host for host in older if host in self.roster]
+        for host in self.roster.difference(older):
+            insort(rank, host, key=score)
+        return tuple(rank)
 
     def owner_of(self, endpoint: str) -> str | None:
         """Return the host that grants the endpoint's slots, if there is one."""
@@ -111,7 +118,7 @@
         return self._collectors[zone, shard]
 
     def _able(self, key: str, zone: str | None = None) -> Iterator[str]:
-        for _, host in self.ranked(key):
+        for host in self.ranked(key):
             member = self.live.get(host)
             if member is None or member.stopping:
                 continue
@@ -127,7 +134,7 @@
         are disjoint.
         """
         rank = self.ranked(endpoint)
-        bearers = (rank[k % len(rank)][1] for k in range(slots))
+        bearers = (rank[k % len(rank)] for k in range(slots))
         if self.split:
             return sum(host == self.own.host for host in bearers)
         return sum(host in self.live for host in bearers)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -144,6 +144,7 @@
     net.submit(other, "a")
     net.submit(other, "a")
     net.drain()
+    assert len(net.running) == 1
     net.messages += returned + taken
     steps(net, 0.5)
     assert len(net.running) == 1
@@ -179,6 +180,7 @@
     net = fleet(slots=1)
     owner, other = owner_and_other(net)
     net.submit(other, "a", deadline_s=60)
+    net.submit(other, "a", deadline_s=60)
     while not (grants := take_out(net, Grant)):
         net.deliver()
     live = {h: m for h, m in net.nodes[other].view.live.items() if h != owner}
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -82,7 +82,7 @@
     own = PeerId("r0", 1)
     ledger = ServiceLedger(own)
     collector = Collector(own, ledger)
-    collector.on_view(0.0, view_of("r0", ["r0", "r1"]))
+    collector.on_view(0.0, view_of("r0", ["r0"], ["r0", "r1"]))
     first = ShareReport(1, (), full=255)
     reports = [
         ShareReport(seq, (AccountService("a", 100 * seq, 5, seq),))
