Roles read hosts of the view as they are; orders in greengage-ctl

Cause: ranks of the view became plain hosts, while config_roles still took pairs; "r1" unpacked into two letters, so that no router was a reader and revision 2 took 7.5 s in a lab of three, and orders were read by nobody. Ruled out: the outbound pool (a script with two long polls side by side answered each in time; a trace of one router showed reads with wait_s=0 and 7 s between them). The test takes the real view.

--- a/greengageflow/_ctl_config.py
+++ b/greengageflow/_ctl_config.py
@@ -21,6 +21,7 @@
     router_status,
 )
 from greengageflow.catalog import FleetConfig
+from greengageflow.config_follower import STREAM
 from greengageflow.ctl_publish import Publisher, PublishError, await_in_force
 from greengageflow.decisions import Accepted, Decision
 from greengageflow.fold import Fold, State
@@ -61,12 +62,21 @@
         raise BadInputError(str(exc)) from None
 
 
-def _publisher(log: str | None) -> Publisher:
+def log_of(log: str | None, stream: str) -> BlockingLog:
+    """Return a stream of the log at ``IP:PORT`` or named by the environment.
+
+    Raises:
+        BadInputError: The address is broken or not there.
+    """
     text = log or os.environ.get(LOG_VARIABLE, "")
     if not text:
         raise BadInputError(f"--log=IP:PORT or {LOG_VARIABLE} is needed")
+    return BlockingLog(_address(text), stream)
+
+
+def _publisher(log: str | None) -> Publisher:
     author = os.environ.get("USER") or "greengage-ctl"
-    return Publisher(BlockingLog(_address(text)), author)
+    return Publisher(log_of(log, STREAM), author)
 
 
 def _current(log: str | None) -> Publisher:
--- a/greengageflow/_ctl_fleet.py
+++ b/greengageflow/_ctl_fleet.py
@@ -1,12 +1,15 @@
 """What the operators' command asks of running routers and reads of their spans."""
 
 from collections.abc import Mapping
+from dataclasses import asdict
 from typing import Any
 
-from greengageflow._ctl_config import BadInputError, addresses_of
+from greengageflow._ctl_config import BadInputError, addresses_of, log_of
 from greengageflow._ctl_files import read_spans
 from greengageflow._ctl_text import Report, status_text, trace_text
 from greengageflow._platform_http import CallError, router_status
+from greengageflow.ctl_orders import give, merged
+from greengageflow.orders import ORDER_STREAM, Order
 from greengageflow.settings import Address
 
 
@@ -55,3 +58,21 @@
     if not spans:
         raise BadInputError(f"{file}: no span of trace or request {identity}")
     return Report(trace_text(spans), spans)
+
+
+def order(order: Order, log: str | None) -> Report:
+    """Append an order to the log."""
+    offset = give(order, log_of(log, ORDER_STREAM).append)
+    text = f"order {order.id} for {order.endpoint} is in the log at {offset}"
+    return Report(text, {"offset": offset, **asdict(order)})
+
+
+def orders(routers: str | None) -> Report:
+    """Show the orders that routers know of."""
+    rows = [_ask(address) for address in addresses_of(routers)]
+    known = merged(row for row in rows if not isinstance(row, str))
+    lines = [
+        f"{row['offset']} {row['id']} {row['endpoint']}: {row['result'] or 'open'}"
+        for row in known
+    ]
+    return Report("\n".join(lines) or "no orders", known)
--- a/greengageflow/_platform_http.py
+++ b/greengageflow/_platform_http.py
@@ -96,14 +96,16 @@
 
 
 class BlockingLog:
-    """The configuration stream of the platform's log.
+    """One stream of the platform's log.
 
     Args:
         address: Where the log listens.
+        stream: Name of the stream.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, stream: str = STREAM) -> None:
         self._address = address
+        self._stream = stream
 
     def read(self, from_offset: int) -> Records | Lapsed:
         """Return some records from ``from_offset`` on.
@@ -111,7 +113,9 @@
         Raises:
             CallError: The log does not answer.
         """
-        path = f"/streams/{STREAM}/records?from={from_offset}&limit={_PAGE_LENGTH}"
+        path = (
+            f"/streams/{self._stream}/records?from={from_offset}&limit={_PAGE_LENGTH}"
+        )
         answer = self._get(path)
         value = answer.value
         try:
@@ -139,7 +143,7 @@
         Raises:
             CallError: The log does not answer; see its ``effect_unknown``.
         """
-        path = f"/streams/{STREAM}/records"
+        path = f"/streams/{self._stream}/records"
         answer = _call(self._address, "POST", path, {"records": list(records)})
         try:
             return int(answer.value["first_offset"])
--- a/greengageflow/config_roles.py
+++ b/greengageflow/config_roles.py
@@ -15,8 +15,8 @@
     own: PeerId
     live: Mapping[str, Any]
 
-    def ranked(self, key: str) -> Iterable[tuple[int, str]]:
-        """Return scores and hosts, best first."""
+    def ranked(self, key: str) -> Iterable[str]:
+        """Return the hosts of the roster, best first."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +48,7 @@
 
 def _first(view: MemberView, key: str, count: int, zone: str | None) -> list[str]:
     found: list[str] = []
-    for _, host in view.ranked(key):
+    for host in view.ranked(key):
         member = view.live.get(host)
         if member is None or member.stopping or zone not in (None, member.zone):
             continue
--- a/greengageflow/ctl.py
+++ b/greengageflow/ctl.py
@@ -16,6 +16,7 @@
 from greengageflow._ctl_files import read_config_file, read_text
 from greengageflow._ctl_text import Report
 from greengageflow._platform_http import CallError
+from greengageflow.ctl_orders import OrderError, make_order
 from greengageflow.ctl_publish import PublishError
 from greengageflow.settings import example_settings, load_settings
 
@@ -62,6 +63,59 @@
         return _Planned(run, json)
 
 
+class OrderCommands:
+    """Orders to engines; their results come with ``list``."""
+
+    @SetParseFn(str, "endpoint", "model", "adapter", "version", "log")
+    def load(
+        self,
+        endpoint: str,
+        model: str = "",
+        *,
+        adapter: str = "",
+        version: str = "",
+        log: str | None = None,
+        json: bool = False,
+    ) -> _Planned:
+        """Order an engine to load a model, an adapter or a version.
+
+        Example:
+            greengage-ctl order load scribe-3 scribe --version=2 --log=10.0.0.9:9000
+        """
+
+        def run() -> Report:
+            order = make_order(
+                endpoint, "load", model=model, adapter=adapter, version=version
+            )
+            return _ctl_fleet.order(order, log)
+
+        return _Planned(run, json)
+
+    @SetParseFn(str, "endpoint", "role", "log")
+    def role(
+        self, endpoint: str, role: str, *, log: str | None = None, json: bool = False
+    ) -> _Planned:
+        """Order an engine to change its role.
+
+        Example:
+            greengage-ctl order role scribe-3 prefill --log=10.0.0.9:9000
+        """
+
+        def run() -> Report:
+            return _ctl_fleet.order(make_order(endpoint, "role", role=role), log)
+
+        return _Planned(run, json)
+
+    @SetParseFn(str, "routers")
+    def list(self, *, routers: str | None = None, json: bool = False) -> _Planned:
+        """Show the orders that routers know of, with their results.
+
+        Example:
+            greengage-ctl order list --routers=10.0.0.1:8080,10.0.0.2:8080
+        """
+        return _Planned(lambda: _ctl_fleet.orders(routers), json)
+
+
 class Commands:
     """Drives a fleet of greengageflow routers.
 
@@ -79,6 +133,7 @@
 
     def __init__(self) -> None:
         self.settings = SettingsCommands()
+        self.order = OrderCommands()
 
     @SetParseFn(str, "file")
     def validate(self, file: str, *, json: bool = False) -> _Planned:
@@ -280,7 +335,7 @@
     except ExceptionGroup as group:
         print("\n".join(_faults(group)), file=sys.stderr)
         return BAD_INPUT
-    except BadInputError as exc:
+    except (BadInputError, OrderError) as exc:
         print(exc, file=sys.stderr)
         return BAD_INPUT
     except (CallError, PublishError) as exc:
--- a/greengageflow/ctl_orders.py
+++ b/greengageflow/ctl_orders.py
@@ -109,8 +109,8 @@
     return bool(result), result != "unknown", row["fencing"]
 
 
-class OrderCommands:
-    """Orders to engines.
+class OrderGiver:
+    """Gives orders to engines.
 
     Args:
         append: Appends to the stream of orders.
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -11,6 +11,7 @@
 from greengageflow.fold import Fold
 from greengageflow.log_client import Appended, Lapsed, LogFailure, LogRecord, Records
 from greengageflow.messages import ConfigRequest, ConfigState, PeerId
+from greengageflow.placement import FleetView, LiveMember
 from greengageflow.timers import Subscription
 
 IN_FORCE_S = 12
@@ -117,7 +118,7 @@
         return SimpleNamespace(
             own=PeerId(host, 1),
             live=self.members,
-            ranked=lambda key: [(0, one) for one in sorted(self.members)],
+            ranked=lambda key: sorted(self.members),
         )
 
     def start(self):
@@ -324,3 +325,16 @@
     fleet.publish("b")
     fleet.clock.run(IN_FORCE_S)
     assert fleet.given["r0"] == [1, 2]
+
+
+def test_roles_follow_from_the_real_view():
+    """A published configuration took 8 s to come into force instead of a second.
+
+    The view gave plain hosts where the roles took them out of pairs; "r1" fell
+    apart into "r" and "1", no router was a reader, and only the slow polls were left.
+    """
+    live = {f"r{n}": LiveMember(1, f"z{n % 2}") for n in range(6)}
+    own = [PeerId(host, 1) for host in live]
+    roles = [config_roles(FleetView(one, live, frozenset(live))) for one in own]
+    assert sum(role.reader for role in roles) in (4, 5)
+    assert sum(role.writer for role in roles) == 1
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from greengageflow.ctl_orders import OrderCommands, OrderError, make_order, merged
+from greengageflow.ctl_orders import OrderError, OrderGiver, make_order, merged
 from greengageflow.effects import AppendRecords
 from greengageflow.log_client import Appended, LogFailure, LogRecord
 from greengageflow.messages import PeerId
@@ -324,7 +324,7 @@
             raise TimeoutError
         return len(log) - 1
 
-    told = OrderCommands(append).load("e1", "scribe", version="2")
+    told = OrderGiver(append).load("e1", "scribe", version="2")
     assert {row["id"] for row in log} == {told["id"]}
     assert from_json(log[0]) == from_json(log[2])
 
