--- a/greengageflow/dispatch.py
+++ b/greengageflow/dispatch.py
@@ -12,12 +12,19 @@
 from greengageflow.control import Control
 from greengageflow.effects import Refuse, Replay, Start
 from greengageflow.endpoint_run import EndpointRuns, RunEnd
-from greengageflow.engine_client import Completed, Cut, Refused, Unreachable
+from greengageflow.engine_client import (
+    Completed,
+    Cut,
+    EngineCall,
+    Refused,
+    Unreachable,
+)
 from greengageflow.entry import WaitingRequest
 from greengageflow.errors import ErrorKind, Ran, RouterError
 from greengageflow.flight import Flight, Phase
 from greengageflow.limits import RetryBudget
-from greengageflow.metrics import Metric, Metrics
+from greengageflow.metrics import Metrics
+from greengageflow.request_notes import RequestNotes
 from greengageflow.service_client import ServiceAnswer
 from greengageflow.status import StatusSource
 from greengageflow.tracing import Tracing
@@ -52,7 +59,7 @@
         self._control = control
         self._runs = runs
         self._tracing = tracing
-        self._metrics = metrics
+        self._notes = RequestNotes(metrics)
         self._status = status
         self._cfg = FleetConfig()
         self._admission = Admission(control.own)
@@ -104,12 +111,12 @@
                 raise RouterError(ErrorKind.STOPPING, "this router is stopping")
             flight = self._admission.admit(call)
         except RouterError as exc:
-            self._metrics.count(Metric.REFUSED, part=exc.kind.value)
+            self._notes.refused(exc)
             call.reply.error(exc)
             return
         self._flights[flight.id] = flight
         self._by_call[id(call)] = flight
-        self._metrics.count(Metric.REQUESTS, part=flight.pool.name)
+        self._notes.arrived(flight)
         flight.span = self._tracing.start(
             "caller",
             traceparent=call.traceparent,
@@ -198,7 +205,7 @@
             ("Idempotent-Replayed", "true"),
         )
         flight.call.reply.raw(replay.status, headers, replay.body)
-        self._metrics.count(Metric.ACTIONS, part="replayed")
+        self._notes.replayed()
         self._end(flight, "replayed")
 
     def on_start(self, start: Start) -> None:
@@ -209,9 +216,7 @@
             self._give_back(start.grant)
             return
         self._tracing.finish(flight.hop, endpoint=start.endpoint)
-        self._metrics.timing(
-            Metric.QUEUE_TIME, now - flight.queued, part=flight.pool.name
-        )
+        self._notes.started(flight, now)
         flight.grant = start.grant
         flight.endpoint = self._cfg.endpoints.get(start.endpoint)
         grant_span = self._tracing.start("grant", parent=flight.span)
@@ -253,6 +258,8 @@
 
     def on_run_end(self, flight: Flight, end: RunEnd) -> None:
         """Take how a run ended."""
+        if isinstance(flight.run, EngineCall):
+            self._notes.stream(flight, flight.run)
         match end:
             case Completed():
                 self._complete(flight, end)
@@ -277,8 +284,7 @@
         self._runs.answer_completed(flight, end)
         content_type, body = self._runs.recorded(flight, end)
         self._record(flight, Ran.YES, 200, content_type, body)
-        self._metrics.count(Metric.ANSWERED, part=flight.pool.name)
-        self._metrics.count(Metric.SERVED, served, part=flight.account.name)
+        self._notes.answered(flight, served)
         self._end(flight, "complete", tokens=served)
 
     def _answer(self, flight: Flight, end: ServiceAnswer) -> None:
@@ -286,11 +292,12 @@
         headers = (*end.headers, ("X-Request-Id", flight.wire_id))
         flight.call.reply.raw(end.status, headers, end.body)
         self._record(flight, Ran.YES, end.status, end.content_type, end.body)
-        self._metrics.count(Metric.ANSWERED, part=flight.pool.name)
+        self._notes.answered(flight, flight.cost)
         self._end(flight, "complete", status=end.status)
 
     def _cut(self, flight: Flight, end: Cut) -> None:
         self._give_back(flight.grant, flight, served=float(flight.pieces), failed=True)
+        self._notes.cut(flight)
         text = f"endpoint {flight.endpoint.name}: {end.message}"
         exc = RouterError(ErrorKind.ENDPOINT_CUT, text, ran=end.ran)
         repeatable = not flight.protected and isinstance(flight.call, ChatCall)
@@ -311,11 +318,12 @@
             self._refuse(flight, exc)
             return
         self._tracing.finish(flight.hop, error=exc.message)
-        self._metrics.count(Metric.RETRIES, part=flight.pool.name)
+        self._notes.retried(flight)
         self._queue(flight)
 
     def _refuse_sent(self, flight: Flight, exc: RouterError) -> None:
         if exc.ran is not Ran.NO:
+            self._notes.unknown(flight)
             self._record(flight, exc.ran)
         elif flight.protected:
             ended = self._control.actions.ended(monotonic(), flight.id, Ran.NO)
@@ -326,7 +334,7 @@
         if flight.phase is not Phase.RUNNING and flight.grant:
             self._give_back(flight.grant)
         self._release(flight)
-        self._metrics.count(Metric.REFUSED, part=exc.kind.value)
+        self._notes.refused(exc, flight)
         headers = [("X-Request-Id", flight.wire_id)]
         flight.call.reply.error(exc, headers)
         self._end(flight, exc.kind.value)
@@ -376,10 +384,7 @@
         self._give_back(flight.grant, flight, served=float(flight.pieces))
 
     def _end(self, flight: Flight, result: str, **attributes: object) -> None:
-        now = monotonic()
-        self._metrics.timing(
-            Metric.REQUEST_TIME, now - flight.arrived, part=flight.pool.name
-        )
+        self._notes.ended(flight, monotonic())
         self._tracing.finish(flight.hop)
         self._tracing.finish(flight.span, result=result, **attributes)
         del self._flights[flight.id]
--- a/greengageflow/events.py
+++ b/greengageflow/events.py
@@ -102,7 +102,7 @@
     PIECE_DROPPED = EventType(
         "GG604",
         "ERROR",
-        "piece of {found} dropped from request {request} on {endpoint}",
+        "{count} pieces dropped from request {request} on {endpoint}",
     )
     ACTION_UNKNOWN = EventType(
         "GG605", "ERROR", "protected action {request} of {account}: outcome unknown"
--- a/greengageflow/log_client.py
+++ b/greengageflow/log_client.py
@@ -100,6 +100,7 @@
         self._port = port
         self.appends = 0
         self.reads = 0
+        self.failures = 0
 
     def append(
         self,
@@ -110,7 +111,7 @@
         """Append ``records`` as one append, all or nothing."""
 
         def done(answer: Response | Failure) -> None:
-            on_done(_append_result(answer))
+            on_done(self._counted(_append_result(answer)))
 
         self.appends += 1
         body = json.dumps({"records": list(records)}).encode()
@@ -128,6 +129,10 @@
         )
         self._pool.fetch(req, done)
 
+    def _counted(self, result: AppendResult | ReadResult) -> AppendResult | ReadResult:
+        self.failures += isinstance(result, LogFailure)
+        return result
+
     def read(
         self,
         stream: str,
@@ -138,7 +143,7 @@
         """Read records from ``from_offset``, waiting up to ``wait_s`` for one."""
 
         def done(answer: Response | Failure) -> None:
-            on_done(_read_result(answer))
+            on_done(self._counted(_read_result(answer)))
 
         self.reads += 1
         limit = READ_LIMITS.get(stream, READ_LIMIT)
--- a/greengageflow/membership.py
+++ b/greengageflow/membership.py
@@ -12,7 +12,14 @@
 from types import MappingProxyType
 from typing import Any
 
-from greengageflow._member_table import DEAD, LEFT, STOPPING, Entry, MemberTable
+from greengageflow._member_table import (
+    DEAD,
+    LEFT,
+    STOPPING,
+    SUSPECT,
+    Entry,
+    MemberTable,
+)
 from greengageflow._probes import Probe, Probes
 from greengageflow._ring import Neighbours, neighbours
 from greengageflow._view_sync import ViewSync
@@ -142,6 +149,12 @@
             self._live = self._table.version, MappingProxyType(live)
         return self._live[1]
 
+    @property
+    def suspects(self) -> frozenset[str]:
+        """Hosts that lately did not answer and are not held for dead yet."""
+        entries = self._table.entries
+        return frozenset(e.member.host for e in entries if e.member.status == SUSPECT)
+
     @property
     def dead_hosts(self) -> frozenset[str]:
         """Hosts that were members once and are not live."""
--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -1,6 +1,7 @@
 """Which account gets the next free slot of the endpoints that this router owns."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -20,6 +21,27 @@
 _FORGET_EVERY_S = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointUsage:
+    """How an owned endpoint is used.
+
+    Args:
+        endpoint: Its name.
+        allowed: Slots that may be used now.
+        used: Slots in use.
+        resting: True after several failures in a row.
+        rest_until: Time of the next probe; meaningful while resting.
+        leaving: True when it gets no new work.
+    """
+
+    endpoint: str
+    allowed: int
+    used: int
+    resting: bool
+    rest_until: float
+    leaving: bool
+
+
 class EndpointOwner:
     """Grants the slots of owned endpoints to the least-served accounts.
 
@@ -58,6 +80,7 @@
         self._charges = Charges()
         self._spread: dict[str, float] = {}
         self._number = 0
+        self.lapsed = 0
         self._forget_at = 0.0
 
     @property
@@ -65,6 +88,24 @@
         """Names of the endpoints whose slots this router grants."""
         return [s.endpoint.name for owned in self._owned.values() for s in owned]
 
+    @property
+    def granted(self) -> int:
+        """Grants given since the start."""
+        return self._number
+
+    def usage(self, now: float) -> Iterator[EndpointUsage]:
+        """Yield how each owned endpoint is used."""
+        for owned in self._owned.values():
+            for slots in owned:
+                yield EndpointUsage(
+                    slots.endpoint.name,
+                    slots.limit.allowed(now),
+                    len(slots.holds),
+                    slots.limit.resting,
+                    slots.limit.rest_until,
+                    slots.leaving,
+                )
+
     # What changes around it.
 
     def on_config(self, now: float, cfg: FleetConfig) -> Iterator[Send]:
@@ -215,6 +256,7 @@
             if hold.ask_at is None or hold.ask_at > now:
                 continue
             hold.ask_at = now + self._expires_s
+            self.lapsed += 1
             yield self._grant_message(grant, slots, hold)
 
     # Granting.
--- /dev/null
+++ b/greengageflow/request_notes.py
@@ -0,0 +1,94 @@
+"""What is logged and counted of requests."""
+
+from greengageflow.engine_client import EngineCall
+from greengageflow.errors import ErrorKind, RouterError
+from greengageflow.events import Event, log
+from greengageflow.flight import Flight
+from greengageflow.metrics import Metric, Metrics
+
+
+class RequestNotes:
+    """Takes note of requests as they go.
+
+    Args:
+        metrics: Where counters and timers go.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def arrived(self, flight: Flight) -> None:
+        """Note a request that was admitted."""
+        self._metrics.count(Metric.REQUESTS, part=flight.pool.name)
+
+    def started(self, flight: Flight, now: float) -> None:
+        """Note that a request got its slot."""
+        pool = flight.pool.name
+        self._metrics.timing(Metric.QUEUE_TIME, now - flight.arrived, pool)
+
+    def retried(self, flight: Flight) -> None:
+        """Note that a request is queued again."""
+        endpoint = flight.endpoint.name if flight.endpoint else ""
+        self._metrics.count(Metric.RETRIES, part=endpoint)
+
+    def stream(self, flight: Flight, run: EngineCall) -> None:
+        """Note what happened to the answer of an engine."""
+        endpoint = flight.endpoint.name
+        if run.first_piece_s is not None:
+            first_s = flight.started - flight.arrived + run.first_piece_s
+            self._metrics.timing(Metric.FIRST_PIECE, first_s, flight.pool.name)
+        if run.resumed:
+            log(
+                Event.STREAM_RESUMED,
+                request=flight.wire_id,
+                endpoint=endpoint,
+                pieces=run.pieces,
+            )
+            self._metrics.count(Metric.STREAMS_RESUMED, run.resumed, endpoint)
+        if run.dropped:
+            log(
+                Event.PIECE_DROPPED,
+                count=run.dropped,
+                request=flight.wire_id,
+                endpoint=endpoint,
+            )
+            self._metrics.count(Metric.PIECES_DROPPED, run.dropped, endpoint)
+
+    def cut(self, flight: Flight) -> None:
+        """Note that an endpoint broke an answer off."""
+        endpoint = flight.endpoint.name
+        log(
+            Event.STREAM_CUT,
+            request=flight.wire_id,
+            endpoint=endpoint,
+            pieces=flight.pieces,
+        )
+        self._metrics.count(Metric.STREAMS_CUT, part=endpoint)
+
+    def answered(self, flight: Flight, served: float) -> None:
+        """Note a whole answer that cost ``served`` tokens."""
+        self._metrics.count(Metric.ANSWERED, part=flight.pool.name)
+        self._metrics.count(Metric.SERVED, served, part=flight.account.name)
+
+    def replayed(self) -> None:
+        """Note a repeated protected action that got the recorded answer."""
+        self._metrics.count(Metric.ACTIONS, part="replayed")
+
+    def unknown(self, flight: Flight) -> None:
+        """Note a protected action whose outcome is not known."""
+        if flight.protected:
+            account = flight.account.name
+            log(Event.ACTION_UNKNOWN, request=flight.wire_id, account=account)
+            self._metrics.count(Metric.ACTIONS, part="unknown")
+
+    def refused(self, exc: RouterError, flight: Flight | None = None) -> None:
+        """Note an error that a caller got."""
+        self._metrics.count(Metric.REFUSED, part=exc.kind.value)
+        if flight and exc.kind is ErrorKind.QUEUE_FULL:
+            account = flight.account
+            log(Event.QUEUE_FULL, account=account.name, limit=account.queue_limit)
+
+    def ended(self, flight: Flight, now: float) -> None:
+        """Note the end of a request."""
+        pool = flight.pool.name
+        self._metrics.timing(Metric.REQUEST_TIME, now - flight.arrived, pool)
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -27,6 +27,7 @@
 from greengageflow.membership import Membership, Seed
 from greengageflow.messages import Member, OrderNotice, PeerId
 from greengageflow.metrics import Metrics
+from greengageflow.observer import Observer
 from greengageflow.order_follower import OrderFollower
 from greengageflow.peers import PeerLink
 from greengageflow.roster import Roster
@@ -98,6 +99,14 @@
         self._watch = EndpointWatch(
             self._pool, self._timers, self._control.owner, self._owns
         )
+        self._host_list: HostList | None = None
+        self._observer = Observer(
+            self._control,
+            self._link,
+            self._log_client,
+            self._metrics,
+            host_list=lambda: self._host_list,
+        )
         self._stop_began = 0.0
 
     def _make_control(self) -> Control:
@@ -216,6 +225,7 @@
             )
             self._host_list.start()
         self._timers.every(DISPATCH_TICK_S, self._requests.on_tick)
+        self._observer.start(self._timers)
         self._timers.every(SUPERSEDED_TICK_S, self._check_superseded)
         ip, port = self._callers.address
         print(json.dumps({"ready": True, "host": ip, "port": port}), flush=True)
@@ -294,8 +304,9 @@
     try:
         cfg = load_settings(settings)
     except ExceptionGroup as group:
+        setup_logging()
         for exc in group.exceptions:
-            print(f"{settings}: {exc}", file=sys.stderr)
+            log(LogEvent.SETTINGS_REJECTED, fault=f"{settings}: {exc}")
         sys.exit(2)
     setup_logging(cfg.log_level)
     Router(cfg).run()
--- a/greengageflow/status.py
+++ b/greengageflow/status.py
@@ -1,6 +1,7 @@
 """What ``GET /status`` tells operators."""
 
 from collections.abc import Callable, Iterator
+from time import monotonic
 from typing import Any
 
 from greengageflow.config_follower import ConfigFollower
@@ -50,11 +51,15 @@
             "history": [_decision(item) for item in self._follower.fold.history],
             "members": dict(self._members()),
             "roster": sorted(control.view.roster),
-            "endpoints": [
-                name
-                for name in self._follower.config.endpoints
-                if control.view.owner_of(name) == control.own.host
-            ],
+            "endpoints": {
+                one.endpoint: {
+                    "slots": one.allowed,
+                    "used": one.used,
+                    "resting": one.resting,
+                    "leaving": one.leaving,
+                }
+                for one in control.owner.usage(monotonic())
+            },
             "waiting": control.entry.waiting,
             "running": control.entry.running,
             "accounts": dict(self._accounts()),
