Collectors that know less than others of their own zone are told again

A router that lost its memory and was cut off from its zone came back as collector with low sums, and believed only itself.

--- a/greengageflow/_zone_sums.py
+++ b/greengageflow/_zone_sums.py
@@ -57,6 +57,7 @@
     forgiven: float = 0.0
     zones: dict[str, AccountService] = field(default_factory=dict)
     _lower: dict[str, int] = field(default_factory=dict)
+    _short_since: float | None = None
 
     def count(self, old: AccountService, new: AccountService) -> None:
         """Add what a router's counters have changed by."""
@@ -73,12 +74,32 @@
         """Take over what this zone had served when others counted it."""
         self.base = max(self.base, served)
 
+    def merge_late(self, now: float, served: float, patience_s: float) -> None:
+        """Take over what others counted, if it stays more for ``patience_s``.
+
+        What routers counted while they were cut off comes in by difference within
+        two intervals. What is missing then was lost with an earlier collector.
+        """
+        short = served - self.base - self.served
+        if short <= 0:
+            self._short_since = None
+        elif self._short_since is None:
+            self._short_since = now
+        elif now - self._short_since >= patience_s:
+            self.base += short
+            self._short_since = None
+
     def hand_over(self) -> None:
         """Keep only the sum, since another router counts from now on."""
         self.base += self.served
         self.served = self.pending = 0.0
         self.waiting = 0
 
+    def knows_more(self, zone: str, row: AccountService) -> bool:
+        """Tell whether a zone's own collector knows less of it than this router."""
+        known = self.zones.get(zone)
+        return known is not None and row.served < known.served
+
     def merge_zone(self, zone: str, row: AccountService, first_hand: bool) -> None:
         """Take over another zone's sums; ``served`` does not fall.
 
--- a/greengageflow/collector.py
+++ b/greengageflow/collector.py
@@ -140,17 +140,24 @@
     ) -> None:
         sums = self._sums.of(row.account)
         sums.merge_offsets(row)
+        shard = self._shard(row.account)
         if zone != self._zone:
             member = self._view.live.get(sender.host)
-            sums.merge_zone(zone, row, member is not None and member.zone == zone)
+            first_hand = member is not None and member.zone == zone
+            if first_hand and sums.knows_more(zone, row):
+                self._new_partners.add((zone, shard))
+            sums.merge_zone(zone, row, first_hand)
             return
-        # What this zone had served before this router took over. Later, it knows
-        # best: it counts what others counted while it was cut off by difference,
-        # and would count it twice if it believed them.
-        since = self._ready_at.get(self._shard(row.account), now)
-        if now <= since + self._told_s:
-            counted = sums.served if self._shard(row.account) in self._ready else 0.0
+        if shard not in self._ready_at:
+            if row.served < sums.zone_row(row.account).served:
+                self._new_partners.add((zone, shard))
+            sums.merge_base(row.served)
+        elif now <= self._ready_at[shard] + self._told_s:
+            # What this zone had served before this router took over.
+            counted = sums.served if shard in self._ready else 0.0
             sums.merge_base(row.served - counted)
+        else:
+            sums.merge_late(now, row.served, self._told_s)
 
     # Time.
 
