Fleet totals reach the ledger in the router again

control called ServiceLedger.on_totals without the time that it takes since the ledger notes when totals came. Every FleetTotals raised TypeError in the message handler: owners knew only what their own callers had got, and /status listed no accounts. The core's tests drive the ledger themselves and did not see it.

tests/test_fleet_totals.py with the old call: KeyError 'acme' in /status of r1; with the new one it passes.

--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -162,7 +162,7 @@
             case ShareReport() | ZoneTotals():
                 self.collector.receive(now, sender, message)
             case FleetTotals():
-                self.ledger.on_totals(sender, message)
+                self.ledger.on_totals(now, sender, message)
             case Ping() | Ack() | PingRequest() | ViewRequest() | View():
                 self.run(self.membership.receive(now, sender, message))
                 self._after_membership()
--- /dev/null
+++ b/tests/test_fleet_totals.py
@@ -0,0 +1,26 @@
+"""The fleet's totals in real router processes."""
+
+from greengageflow.lab import Lab, LabPlan
+from tests.fleet_support import ENGINE, BackgroundLoad, chats, executions
+from tests.support import wait_for
+
+PLAN = LabPlan(routers=3, engines=2, services=1, engine_options=ENGINE)
+
+
+def test_every_router_knows_what_the_fleet_served():
+    """An account that enters by one router must not seem unserved to the others.
+
+    An owner that never hears totals knows only the service that its own callers
+    got. It takes an account that enters elsewhere for new, and gives it every slot.
+    """
+    with Lab(PLAN) as lab:
+        load = BackgroundLoad(
+            lab, chats("acme", outstanding=4, routers=(0,)), duration_s=3
+        )
+        load.results()
+        served = sum(one["pieces"] for one in executions(lab))
+        for host in lab.routers:
+            wait_for(
+                lambda h=host: lab.status(h)["accounts"]["acme"]["served"] >= served,
+                f"{host} knows the service of acme",
+            )
