Leaving signs reach every router at once; planned stops and leaving under load

The first router that sees a sign now sends LeavingNotice to all, each keeps it, and a newcomer (restarted, or back after a partition) is told by the endpoint's owner, so that later owners have it although the platform took it back. Signs in the configuration are kept as well: leaving false under the same generation does not bring the endpoint back. An entry router returns a late grant for it. Ruled out: telling only the owner, who may die before the list is read again.

--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -22,6 +22,7 @@
     Start,
 )
 from greengageflow.entry import EntryQueue
+from greengageflow.leaving import LeavingSigns
 from greengageflow.log_client import AppendResult, LogClient, ReadResult
 from greengageflow.membership import Membership
 from greengageflow.messages import (
@@ -35,6 +36,7 @@
     GrantTaken,
     IntentRequest,
     IntentVerdict,
+    LeavingNotice,
     OrderNotice,
     OutcomeReport,
     OutcomeStored,
@@ -104,7 +106,8 @@
     ) -> None:
         self.own = own
         self.ledger = ServiceLedger(own)
-        self.entry = EntryQueue(own, self.ledger)
+        self.leaving = LeavingSigns(own)
+        self.entry = EntryQueue(own, self.ledger, has_left=self.leaving.has_left)
         self.owner = EndpointOwner(own, self.ledger)
         self.collector = Collector(own, self.ledger)
         self.writer = ActionWriter()
@@ -139,8 +142,11 @@
         now = monotonic()
         self.membership.revision = cfg.revision
         self.ledger.on_config(cfg)
+        self.leaving.on_config(cfg)
         self.run(self.entry.on_config(now, cfg))
-        self.run(self.owner.on_config(now, cfg))
+        # Before it grants: an endpoint that comes back under its old generation is
+        # new to the owner, whose mark went with the old one.
+        self.run(self.owner.on_config(now, cfg, self.leaving.signs))
         if cfg.policy.share_interval_s != self._share_interval_s:
             self._share_interval_s = cfg.policy.share_interval_s
             if self._share_timer is not None:
@@ -161,6 +167,9 @@
                 self.run(self.entry.receive(now, sender, message))
             case ShareReport() | ZoneTotals():
                 self.collector.receive(now, sender, message)
+            case LeavingNotice(endpoint=endpoint, generation=generation):
+                self.leaving.receive(message)
+                self.owner.mark_leaving(endpoint, generation)
             case FleetTotals():
                 self.ledger.on_totals(sender, message)
             case Ping() | Ack() | PingRequest() | ViewRequest() | View():
@@ -232,6 +241,16 @@
         """Send a message to a host, this one included."""
         self.run((Send(host, message),))
 
+    def note_leaving(self, endpoint: str) -> bool:
+        """Take a sign that an endpoint leaves; return whether it is news."""
+        if self.leaving.has_left(endpoint):
+            return False
+        self.run(self.leaving.note(endpoint))
+        if not self.leaving.has_left(endpoint):
+            return False
+        self.owner.mark_leaving(endpoint, self.leaving.signs[endpoint])
+        return True
+
     # Protected actions.
 
     def _writer_of(self, stream: str) -> str:
@@ -270,6 +289,7 @@
             return
         now = monotonic()
         self.view = view = self.view.succeeded(live, roster)
+        self.run(self.leaving.on_view(view))
         self.collector.on_view(now, view)
         self.run(self.entry.on_view(now, view))
         self.run(self.owner.on_view(now, view))
--- a/greengageflow/endpoint_watch.py
+++ b/greengageflow/endpoint_watch.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from greengageflow.catalog import Endpoint, FleetConfig, PoolKind
-from greengageflow.events import Event, log
 from greengageflow.http_pool import Failure, HttpPool, HttpRequest, Response
 from greengageflow.owner import EndpointOwner
 from greengageflow.timers import Timers
@@ -34,6 +33,7 @@
         timers: Timer service.
         owner: Gets the signs.
         owns: Returns whether this router owns an endpoint.
+        on_leaving: Gets an endpoint that says that it is leaving.
         interval_s: Seconds between two rounds.
     """
 
@@ -43,6 +43,7 @@
         timers: Timers,
         owner: EndpointOwner,
         owns: Callable[[str], bool],
+        on_leaving: Callable[[str, str], None],
         *,
         interval_s: float = INTERVAL_S,
     ) -> None:
@@ -50,7 +51,7 @@
         self._timers = timers
         self._owner = owner
         self._owns = owns
-        self._left: dict[str, int] = {}
+        self._on_leaving = on_leaving
         self._interval_s = interval_s
         self._cfg = FleetConfig()
 
@@ -62,20 +63,9 @@
         """Take over a configuration."""
         self._cfg = cfg
 
-    def on_leaving(self, name: str, source: str) -> None:
-        """Take a sign that an endpoint is leaving; it stays so for its generation."""
-        endpoint = self._cfg.endpoints.get(name)
-        if endpoint is None:
-            return
-        generation = endpoint.generation
-        self._owner.mark_leaving(name, generation)
-        if self._left.get(name, 0) < generation:
-            self._left[name] = generation
-            log(Event.ENDPOINT_LEAVING, endpoint=name, source=source)
-
     def _on_report(self, endpoint: Endpoint, report: LoadReport) -> None:
         if report.leaving:
-            self.on_leaving(endpoint.name, "endpoint")
+            self._on_leaving(endpoint.name, "endpoint")
         if report.running is not None:
             self._owner.on_load(self._timers.now, endpoint.name, report.running)
 
--- a/greengageflow/entry.py
+++ b/greengageflow/entry.py
@@ -1,7 +1,7 @@
 """What waits at this router, and which waiting request takes a grant."""
 
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from random import Random
@@ -39,11 +39,20 @@
         own: This router.
         ledger: Where the service is counted.
         seed: Of the order in which owners are asked.
+        has_left: Returns whether an endpoint must get no new work.
     """
 
-    def __init__(self, own: PeerId, ledger: ServiceLedger, *, seed: int = 0) -> None:
+    def __init__(
+        self,
+        own: PeerId,
+        ledger: ServiceLedger,
+        *,
+        seed: int = 0,
+        has_left: Callable[[str], bool] = lambda _endpoint: False,
+    ) -> None:
         self._own = own
         self._ledger = ledger
+        self._has_left = has_left
         self._registrar = DemandRegistrar(own, Random(f"{seed} {own.host} {own.boot}"))
         self._cfg = FleetConfig()
         self._view: FleetView | None = None
@@ -163,6 +172,10 @@
             return False
         if self._view.owner_of(grant.endpoint) != sender.host:
             return False
+        # It was granted before the sign came, and lost or late; its request would
+        # be cut when the endpoint's host goes.
+        if self._has_left(grant.endpoint):
+            return False
         return grant.endpoint in self._members.get(grant.pool, ())
 
     def _start(
--- a/greengageflow/messages.py
+++ b/greengageflow/messages.py
@@ -190,6 +190,19 @@
     free: int
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingNotice:
+    """A router saw a sign that an endpoint is leaving; it gets no new work.
+
+    Args:
+        endpoint: Name of the endpoint.
+        generation: Generation for which the sign holds for good.
+    """
+
+    endpoint: str
+    generation: int
+
+
 # Membership.
 
 
@@ -384,6 +397,7 @@
         6: ZoneTotals,
         7: FleetTotals,
         8: WorkCall,
+        9: LeavingNotice,
         20: Ping,
         21: Ack,
         22: PingRequest,
--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -1,6 +1,6 @@
 """Which account gets the next free slot of the endpoints that this router owns."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from random import Random
 from typing import Any
 
@@ -67,8 +67,16 @@
 
     # What changes around it.
 
-    def on_config(self, now: float, cfg: FleetConfig) -> Iterator[Send]:
-        """Take over a configuration."""
+    def on_config(
+        self, now: float, cfg: FleetConfig, left: Mapping[str, int] | None = None
+    ) -> Iterator[Send]:
+        """Take over a configuration.
+
+        Args:
+            now: The time.
+            cfg: The configuration.
+            left: Generation of each endpoint that has left.
+        """
         self._cfg = cfg
         for name, endpoint in cfg.endpoints.items():
             if name in self._slots:
@@ -77,6 +85,8 @@
                 self._slots[name] = EndpointSlots(endpoint)
         for name in self._slots.keys() - cfg.endpoints.keys():
             del self._slots[name]
+        for name, generation in (left or {}).items():
+            self.mark_leaving(name, generation)
         self._assign(now)
         yield from self._fill_all(now)
 
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -96,7 +96,11 @@
             limits=Limits(),
         ).register(self)
         self._watch = EndpointWatch(
-            self._pool, self._timers, self._control.owner, self._owns
+            self._pool,
+            self._timers,
+            self._control.owner,
+            self._owns,
+            self._on_leaving,
         )
         self._stop_began = 0.0
 
@@ -174,9 +178,13 @@
         for entry in entries:
             leaving = entry.state is HostState.LEAVING
             if leaving and entry.kind is HostKind.ENDPOINT:
-                self._watch.on_leaving(entry.host, "host list")
+                self._on_leaving(entry.host, "host list")
         self._control.refresh_view()
 
+    def _on_leaving(self, endpoint: str, source: str) -> None:
+        if self._control.note_leaving(endpoint):
+            log(LogEvent.ENDPOINT_LEAVING, endpoint=endpoint, source=source)
+
     def _on_peer_message(self, sender: PeerId, message: object) -> None:
         self._control.receive(sender, message)
 
--- a/greengageflow/status.py
+++ b/greengageflow/status.py
@@ -55,6 +55,11 @@
                 for name in self._follower.config.endpoints
                 if control.view.owner_of(name) == control.own.host
             ],
+            "leaving": [
+                name
+                for name in self._follower.config.endpoints
+                if control.leaving.has_left(name)
+            ],
             "waiting": control.entry.waiting,
             "running": control.entry.running,
             "accounts": dict(self._accounts()),
--- /dev/null
+++ b/tests/test_leaving_faults.py
@@ -0,0 +1,141 @@
+"""Endpoints that leave, with real processes: three signs, each alone suffices."""
+
+from time import time
+
+import pytest
+
+from greengageflow.lab import Lab, LabPlan
+from tests.fleet_support import (
+    ENGINE,
+    BackgroundLoad,
+    assert_truthful,
+    chats,
+    executions,
+)
+from tests.support import wait_for
+
+SLOTS = 4
+PLAN = LabPlan(
+    routers=4,
+    engines=2,
+    slots=SLOTS,
+    engine_options=ENGINE,
+    timing={"probe_interval_s": 0.2, "suspect_s": 0.8, "host_list_interval_s": 0.3},
+)
+RARE_S = 600.0
+
+
+def publish(lab, **fields):
+    """Publish the configuration with other fields of engine e1."""
+    config = lab.config()
+    config["pools"][0]["endpoints"][0].update(fields)
+    lab.wait_in_force(lab.publish(config))
+
+
+def by_config(lab):
+    publish(lab, leaving=True)
+    return lambda: publish(lab, leaving=False)
+
+
+def by_host_list(lab):
+    lab.set_host_list(lab.routers, leaving=("e1",))
+    return lambda: lab.set_host_list(lab.routers)
+
+
+def by_engine(lab):
+    lab.engines["e1"].call("POST", "/leaving", {"leaving": True})
+    return lambda: lab.engines["e1"].call("POST", "/leaving", {"leaving": False})
+
+
+def started(lab, name="e1"):
+    return sum(one["engine"] == name for one in executions(lab))
+
+
+def knows(lab, host):
+    return "e1" in lab.status(host)["leaving"]
+
+
+def wait_known(lab, hosts=None):
+    for host in hosts or lab.routers:
+        wait_for(lambda host=host: knows(lab, host), f"{host} knows the sign")
+
+
+def wait_more(lab, name, more=10):
+    before = started(lab, name)
+    wait_for(lambda: started(lab, name) >= before + more, f"{name} gets new work")
+
+
+def owner_of(lab, endpoint):
+    owners = (h for h in lab.routers if endpoint in lab.status(h)["endpoints"])
+    return next(owners, None)
+
+
+@pytest.mark.parametrize("sign", [by_config, by_host_list, by_engine])
+def test_one_sign_stops_new_work_for_the_generation(sign):
+    """Callers notice nothing when an endpoint leaves: no answer of theirs is cut.
+
+    The sign comes under load and is taken back later. Running requests end whole,
+    none starts afterwards, not even then, until its generation is raised.
+    """
+    with Lab(PLAN) as lab:
+        load = BackgroundLoad(lab, chats("acme", outstanding=30), duration_s=14)
+        wait_more(lab, "e1")
+        take_back = sign(lab)
+        wait_known(lab)
+        known_at = time()
+        take_back()
+        wait_more(lab, "e2", 60)
+        assert not [
+            one
+            for one in executions(lab)
+            if one["engine"] == "e1" and one["started"] > known_at
+        ]
+        assert knows(lab, "r1")
+        lab.engines["e1"].call("POST", "/leaving", {"leaving": False})
+        publish(lab, generation=2)
+        wait_more(lab, "e1")
+        results = load.results()
+        assert_truthful(lab, results)
+        assert all(one.complete for one in results)
+        assert {one["state"] for one in executions(lab)} == {"done"}
+
+
+def test_a_sign_that_one_router_reads_holds_for_later_owners():
+    """In a large fleet each router reads the host list once in a minute or more.
+
+    Only one reads it in time here, and it does not own the endpoint. It tells the
+    others; the owner is killed, and a router that starts with empty memory after
+    the sign was taken back takes the endpoint over. Nothing starts there all along.
+    """
+    with Lab(PLAN) as lab:
+        first = owner_of(lab, "e1")
+        reader = next(host for host in lab.routers if host != first)
+        for host, settings in lab.settings.items():
+            if host != reader:
+                settings["timing"]["host_list_interval_s"] = RARE_S
+                lab.routers[host].stop()
+                lab.restart_router(host)
+        lab.wait_in_force()
+        assert owner_of(lab, "e1") == first
+        load = BackgroundLoad(
+            lab,
+            chats("acme", outstanding=20, routers=(list(lab.routers).index(reader),)),
+            duration_s=14,
+        )
+        wait_more(lab, "e1")
+        by_host_list(lab)
+        wait_known(lab)
+        known_at = time()
+        lab.set_host_list(lab.routers)
+        lab.routers[first].kill()
+        wait_for(lambda: first not in lab.status(reader)["members"], "owner dead")
+        lab.restart_router(first)
+        wait_known(lab, [first])
+        wait_for(lambda: "e1" in lab.status(first)["endpoints"], "owner again")
+        wait_more(lab, "e2", 40)
+        assert not [
+            one
+            for one in executions(lab)
+            if one["engine"] == "e1" and one["started"] > known_at
+        ]
+        assert_truthful(lab, load.results())
--- /dev/null
+++ b/tests/test_stop_faults.py
@@ -0,0 +1,155 @@
+"""Planned stops of routers under load, with real processes."""
+
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection
+
+from greengageflow.lab import LabPlan, key_of
+from greengageflow.load_plan import ServiceLoad
+from tests.fleet_support import (
+    ENGINE,
+    BackgroundLoad,
+    assert_truthful,
+    chats,
+    effects,
+    executions,
+    members,
+    most_at_once,
+    proxied_lab,
+)
+from tests.support import sse_events, wait_for
+
+SLOTS = 4
+PLAN = LabPlan(
+    routers=4,
+    engines=3,
+    services=2,
+    slots=SLOTS,
+    engine_options=ENGINE,
+    timing={"probe_interval_s": 0.2, "suspect_s": 0.8, "stop_grace_s": 0.5},
+)
+CHAT = "/v1/chat/completions"
+ACTION = "/services/rounds/dispatch/visit"
+LONG_TOKENS = 500
+
+
+def headers(account, **more):
+    return {"Authorization": f"Bearer {key_of(account)}", **more}
+
+
+def long_chat(lab, host):
+    message = {"role": "user", "content": f"long answer through {host}"}
+    body = {"model": "scribe", "stream": True, "messages": [message]}
+    body["x_tokens"] = LONG_TOKENS
+    return lab.routers[host].call("POST", CHAT, body, headers=headers("bolt"))
+
+
+def action(lab, host, key):
+    named = headers("bolt", **{"Idempotency-Key": key})
+    return lab.routers[host].call("POST", ACTION, {"villa": 7}, headers=named)
+
+
+def text_of(answer):
+    *events, last = sse_events(answer.data)
+    assert last == "[DONE]"
+    parts = (event["choices"][0]["delta"] for event in events)
+    return "".join(part.get("content") or "" for part in parts)
+
+
+def idle_connection(lab, host):
+    conn = HTTPConnection(*lab.routers[host].address, timeout=30)
+    conn.request("GET", "/healthz")
+    assert conn.getresponse().read() is not None
+    return conn
+
+
+def sees_stopping(lab, other, host):
+    return lab.status(other)["members"][host]["state"] == "stopping"
+
+
+def owned(lab, hosts):
+    return {name for host in hosts for name in lab.status(host)["endpoints"]}
+
+
+def wait_long_runs(lab, host):
+    def runs():
+        long = (one for one in executions(lab) if one["tokens"] == LONG_TOKENS)
+        mine = (one for one in long if one["request_id"].startswith(f"{host}-"))
+        return any(one["state"] == "running" and one["pieces"] for one in mine)
+
+    wait_for(runs, f"long answer through {host} runs")
+
+
+def stop_under_load(lab, host):
+    """Stop one router with a long answer, an action and an idle caller in it."""
+    router = lab.routers[host]
+    others = set(lab.routers) - {host}
+    key = f"k-stop-{host}"
+    idle = idle_connection(lab, host)
+    with ThreadPoolExecutor(2) as threads:
+        for service in lab.services.values():
+            service.fault(answer_delay_s=2.0, contains="villa")
+        long = threads.submit(long_chat, lab, host)
+        acted = threads.submit(action, lab, host, key)
+        wait_long_runs(lab, host)
+        wait_for(lambda: any(e["key"] == key for e in effects(lab)), "action sent")
+        router.terminate()
+        wait_for(lambda: router.call("GET", "/healthz").status == 503, "unhealthy")
+        for other in others:
+            wait_for(lambda o=other: sees_stopping(lab, o, host), f"{other} sees it")
+        wait_for(lambda: owned(lab, others) == set(lab.endpoint_addresses), "owners")
+        assert lab.status(host)["endpoints"] == []
+        assert idle.sock.recv(1) == b"", "closed cleanly"
+        assert router.popen.poll() is None, "its long answer still runs"
+        assert acted.result().status == 200
+        answer = long.result()
+    assert router.popen.wait(30) == 0, router.stderr
+    for service in lab.services.values():
+        service.fault()
+    done = {one["text"] for one in executions(lab) if one["state"] == "done"}
+    assert text_of(answer) in done
+    again = action(lab, next(iter(others)), key)
+    assert again.headers.get("idempotent-replayed") == "true"
+    assert again.data == acted.result().data
+
+
+def test_rolling_replacement_cuts_and_refuses_nothing_that_began():
+    """Callers notice a fleet's replacement only by refusals that say "not run".
+
+    Each router in turn is told to stop under load, with a streamed answer that
+    outlasts the stop, an action whose answer is on its way and an idle connection.
+    What began ends whole, the action is in the log, and the others go on.
+    """
+    with proxied_lab(PLAN) as (lab, _):
+        load = BackgroundLoad(
+            lab,
+            chats("acme", outstanding=20),
+            ServiceLoad(
+                account="acme",
+                key=key_of("acme"),
+                service="rounds",
+                path="dispatch/visit",
+                rate_per_s=5,
+                protected=True,
+            ),
+            duration_s=25,
+        )
+        wait_for(lambda: len(executions(lab)) > 30, "load runs")
+        for host in list(lab.routers):
+            stop_under_load(lab, host)
+            lab.restart_router(host)
+            for one in lab.routers:
+                wait_for(
+                    lambda one=one: members(lab, one) == set(lab.routers), "one view"
+                )
+            lab.wait_in_force()
+        results = load.results()
+        done = executions(lab)
+        assert_truthful(lab, results)
+        assert not [one for one in results if one.text and not one.complete]
+        refused = [one for one in results if one.status and not one.complete]
+        assert {one.ran for one in refused} <= {"no"}
+        assert {one["state"] for one in done} == {"done"}
+        whole = {one.request_id for one in results if one.complete}
+        background = (one for one in done if one["tokens"] != LONG_TOKENS)
+        assert {one["request_id"] for one in background} <= whole
+        assert max(most_at_once(done).values()) <= SLOTS
