--- a/greengageflow/status.py
+++ b/greengageflow/status.py
@@ -60,6 +60,11 @@
                 }
                 for one in control.owner.usage(monotonic())
             },
+            "leaving": [
+                name
+                for name in self._follower.config.endpoints
+                if control.leaving.has_left(name)
+            ],
             "waiting": control.entry.waiting,
             "running": control.entry.running,
             "accounts": dict(self._accounts()),
