An owner keeps no pending growth over a new cut

A host came back and was cut off again within the settle time; the growth that its return had planned took effect in the new cut, and two sides used the same slot (found by a walk of the machine's rules). Only a view that loses hosts clears it, or frequent changes elsewhere would put it off for ever. Refusals moved to a module.

--- a/greengageflow/_slots.py
+++ b/greengageflow/_slots.py
@@ -75,7 +75,9 @@
         self._usable = 0
         self._growth.clear()
 
-    def own(self, now: float, borne: int, settle_s: float, doubt_s: float) -> None:
+    def own(
+        self, now: float, borne: int, settle_s: float, doubt_s: float, cut: bool
+    ) -> None:
         """Use ``borne`` slots soon.
 
         More slots than before wait for ``settle_s``: requests that other routers
@@ -88,16 +90,21 @@
             settle_s: Seconds in which running requests are registered here.
             doubt_s: Seconds for which routers that are out of reach may run
                 requests that nobody here knows of; 0 when all are in reach.
+            cut: True when routers went out of reach just now.
         """
-        if doubt_s and (not self.owned or self._growth):
-            self._doubt_until = now + doubt_s
-        if not self.owned:
-            self.owned = True
-            self._fresh.clear()
-            self._known = 0
-        elif doubt_s:
-            # The other side may still use slots that are borne here from now on.
+        if self._usable:
+            # The other side may still use slots that are borne here from now on,
+            # also those whose host was back for a moment only.
             settle_s = max(settle_s, doubt_s)
+            if cut:
+                self._growth.clear()
+        else:
+            if not self._growth:
+                self._fresh.clear()
+                self._known = 0
+            if doubt_s:
+                self._doubt_until = now + doubt_s
+        self.owned = True
         self._usable = min(self._usable, borne)
         self._growth = [(at, min(slots, borne)) for at, slots in self._growth]
         planned = self._growth[-1][1] if self._growth else self._usable
--- a/greengageflow/entry.py
+++ b/greengageflow/entry.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any
 
+from greengageflow._admission import refusal
 from greengageflow._registrar import DemandRegistrar
 from greengageflow._waiting import AccountQueue, WaitingRequest
 from greengageflow.catalog import ClientAccount, FleetConfig
@@ -19,7 +20,6 @@
 __all__ = ["EntryQueue", "WaitingRequest"]
 
 _ENDED_KEPT = 4096
-_SHORTEST_RETRY_S = 0.1
 _ANSWERS_TO_CALL = 4
 
 
@@ -74,9 +74,9 @@
         queue = self._queues.get(key)
         if queue is None:
             queue = AccountQueue(*key)
-        refusal = self._refusal(now, req, queue)
-        if refusal is not None:
-            yield refusal
+        refused = self._refusal(now, req, queue)
+        if refused is not None:
+            yield refused
             return
         self._queues[key] = queue
         queue.requests[req.id] = req
@@ -94,22 +94,8 @@
     ) -> Refuse | None:
         if self._view is None or not self._registrar.owners(req.pool):
             return Refuse(req.id, ErrorKind.NO_ENDPOINT, f"no endpoint for {req.pool}")
-        left_s = req.deadline - now
-        if left_s <= 0:
-            return Refuse(req.id, ErrorKind.DEADLINE, "the deadline has passed")
-        ahead = len(queue)
         account = self._cfg.accounts.get(req.account) or ClientAccount(req.account)
-        if ahead >= account.queue_limit:
-            # One place is free as soon as one request has left.
-            wait_s = queue.rate.wait_s(now, ahead - account.queue_limit + 1)
-            retry_s = None if wait_s is None else max(_SHORTEST_RETRY_S, wait_s)
-            text = f"{ahead} requests of this account wait here"
-            return Refuse(req.id, ErrorKind.QUEUE_FULL, text, retry_s)
-        wait_s = queue.rate.wait_s(now, ahead) if ahead else None
-        if wait_s is not None and wait_s > left_s:
-            text = f"{ahead} requests wait, about {wait_s:.1f} s for this one"
-            return Refuse(req.id, ErrorKind.DEADLINE, text, wait_s - left_s)
-        return None
+        return refusal(now, req, queue, account.queue_limit)
 
     def cancel(self, request: str) -> Iterator[Effect]:
         """Forget a waiting request whose caller has left; no answer is due."""
--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -82,14 +82,12 @@
 
     def on_view(self, now: float, view: FleetView) -> Iterator[Send]:
         """Take over a changed view of the fleet."""
-        self._note_lost(view)
-        self._view = view
-        self._assign(now)
-        yield from self._fill_all(now)
-
-    def _note_lost(self, view: FleetView) -> None:
         before = self._view.live.keys() if self._view else set()
         self._lost = (self._lost | before) & view.roster - view.live.keys()
+        cut = bool(self._lost & before)
+        self._view = view
+        self._assign(now, cut=cut)
+        yield from self._fill_all(now)
 
     def mark_leaving(self, endpoint: str, generation: int) -> None:
         """Give the endpoint no new work, for this generation of it for good."""
@@ -97,7 +95,7 @@
         if slots is not None:
             slots.left_generation = max(slots.left_generation, generation)
 
-    def _assign(self, now: float) -> None:
+    def _assign(self, now: float, *, cut: bool = False) -> None:
         view = self._view
         self._owned = {}
         if view is None:
@@ -108,7 +106,8 @@
                 continue
             endpoint = slots.endpoint
             borne = view.borne_slots(name, endpoint.slots)
-            slots.own(now, borne, self._settle_s, self._doubt_s(endpoint.pool))
+            doubt_s = self._doubt_s(endpoint.pool)
+            slots.own(now, borne, self._settle_s, doubt_s, cut)
             if not self._lost:
                 slots.clear_doubt()
             self._owned.setdefault(endpoint.pool, []).append(slots)
