--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -146,17 +146,13 @@
         if slots is not None:
             slots.left_generation = max(slots.left_generation, generation)
 
-<<<<<<< HEAD
     def on_load(self, now: float, endpoint: str, running: int) -> None:
         """Take an endpoint's own count of the requests that it runs."""
         slots = self._slots.get(endpoint)
         if slots is not None:
             slots.report(now, running)
 
-    def _assign(self, now: float) -> None:
-=======
     def _assign(self, now: float, *, cut: bool = False) -> None:
->>>>>>> shares
         view = self._view
         self._owned = {}
         if view is None:
