--- a/greengageflow/entry.py
+++ b/greengageflow/entry.py
@@ -114,8 +114,6 @@
         self._waiting[account] = waiting
         self._ledger.set_waiting(account, waiting)
 
-    # Messages.
-
     def receive(self, now: float, sender: PeerId, message: Any) -> Iterator[Effect]:
         """Take in a message from an owner."""
         match message:
