--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -58,6 +58,9 @@
 
 OWNER_TICK_S = 0.05
 ACTION_TICK_S = 0.1
+SETTLE_S = 2.0
+"""A change of members reaches every router within this time of reaching the first;
+see ``docs/design/membership.md``."""
 
 
 class RequestSide(Protocol):
@@ -108,7 +111,7 @@
         self.ledger = ServiceLedger(own)
         self.leaving = LeavingSigns(own)
         self.entry = EntryQueue(own, self.ledger, has_left=self.leaving.has_left)
-        self.owner = EndpointOwner(own, self.ledger)
+        self.owner = EndpointOwner(own, self.ledger, settle_s=SETTLE_S)
         self.collector = Collector(own, self.ledger)
         self.writer = ActionWriter()
         self.actions = ActionEntry(own, self._writer_of, self._holder_lives)
