--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -59,8 +59,8 @@
 OWNER_TICK_S = 0.05
 ACTION_TICK_S = 0.1
 SETTLE_S = 2.0
-"""A change of members reaches every router within this time of reaching the first;
-see ``docs/design/membership.md``."""
+"""Time in which a change of members reaches all routers; 1.6 s was seen for one that
+leaves a fleet of 360, simulated (``docs/design/membership.md``)."""
 
 
 class RequestSide(Protocol):
