greengage-bench fleet: four ways to share slots on the same work

Routers take a setting sharing (owned, split, local) that only comparisons change; central is one router for all callers. The proxy's client moves out of the tests so that the bench puts delays and faults between the routers' peer sides.

Delays stand between routers of two zones only: answers of the engines and callers would pass the same proxy process piece by piece.

--- /dev/null
+++ b/greengageflow/_proxy_client.py
@@ -0,0 +1,44 @@
+"""Client of the fault-injecting proxy's control port, for experiments."""
+
+import json
+import socket
+from typing import Any
+
+from greengageflow._processes import LIMIT_S
+
+
+class Proxy:
+    """Opens routes through the proxy and sets its rules.
+
+    Args:
+        address: Where its control port listens.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._sock = socket.create_connection(address, timeout=LIMIT_S)
+        self._file = self._sock.makefile("rw")
+
+    def _ask(self, **command: Any) -> dict:
+        self._file.write(json.dumps(command) + "\n")
+        self._file.flush()
+        return json.loads(self._file.readline())
+
+    def route(
+        self,
+        name: str,
+        target: tuple[str, int],
+        listen: tuple[str, int] = ("127.0.0.1", 0),
+    ) -> tuple[str, int]:
+        """Open a route or move its target; return the address to connect to."""
+        return tuple(
+            self._ask(op="route", name=name, target=target, listen=listen)["listen"]
+        )
+
+    def rules(self, *rules: dict) -> None:
+        """Replace all rules, such as ``{"do": "cut", "source": "127.0.0.2"}``."""
+        assert "links" in self._ask(op="rules", rules=rules)
+
+    def close(self) -> None:
+        """Leave the proxy."""
+        self._file.close()
+        self._sock.close()
--- a/greengageflow/bench.py
+++ b/greengageflow/bench.py
@@ -5,6 +5,7 @@
 import fire
 
 from greengageflow.bench_demo import run_demo
+from greengageflow.bench_fleet import POLICIES, run_fleet
 from greengageflow.bench_latency import run_bench
 
 
@@ -28,9 +29,47 @@
     run_bench()
 
 
+def fleet(
+    plan: str = "peristeri",
+    policies: str | tuple[str, ...] = POLICIES,
+    scenario: str = "steady",
+    seconds: float = 28.0,
+    seed: int = 1,
+    proxied: bool = True,
+    out: str | None = None,
+) -> None:
+    """Compare ways to share slots on nine routers and nine engines.
+
+    Args:
+        plan: ``peristeri`` or ``parada-viva``.
+        policies: Some of ``central``, ``local``, ``split``, ``owned``.
+        scenario: ``steady``, ``partition``, ``kill`` or ``outage``.
+        seconds: Length of each run.
+        seed: Seed of the load.
+        proxied: Put the fault proxy and its delays between the routers.
+        out: File to which one JSON line a policy is added.
+
+    Example:
+        greengage-bench fleet --policies=central,owned --out=fleet.jsonl
+    """
+    names = policies.split(",") if isinstance(policies, str) else policies
+    status = run_fleet(
+        plan=plan,
+        policies=tuple(names),
+        scenario=scenario,
+        seconds=seconds,
+        seed=seed,
+        proxied=proxied,
+        out=out,
+    )
+    sys.exit(status)
+
+
 def main() -> None:
     """Run the program."""
-    fire.Fire({"demo": demo, "latency": latency}, name="greengage-bench")
+    fire.Fire(
+        {"demo": demo, "fleet": fleet, "latency": latency}, name="greengage-bench"
+    )
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/greengageflow/bench_fleet.py
@@ -0,0 +1,299 @@
+"""``make bench-fleet``: ways to share a fleet's slots, on the same work.
+
+Nine routers in three zones, nine engines and three service replicas serve sixteen
+accounts. ``central`` is the reference: one router takes all requests.
+"""
+
+import json
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import asdict, dataclass
+from itertools import chain
+from pathlib import Path
+from time import time
+from typing import Any
+
+from greengageflow._fleet_load import (
+    ACCOUNTS,
+    ENGINES,
+    FLOOD,
+    LARGE,
+    POLICIES,
+    SCENARIOS,
+    SITES,
+    SLOTS,
+    SMALL,
+    Phases,
+    Site,
+    delays,
+    faults,
+    lab_plan,
+    load_plan,
+)
+from greengageflow._processes import start
+from greengageflow._proxy_client import Proxy
+from greengageflow.bench_latency import usage_of
+from greengageflow.lab import Lab
+from greengageflow.load import LoadClient
+from greengageflow.load_check import verify
+from greengageflow.load_plan import CONNECTION, Result
+from greengageflow.measures import (
+    Window,
+    fairness_gap,
+    mean,
+    percentile,
+    utilisation,
+    waits,
+)
+
+SHARES = (0.5, 0.95, 0.99)
+_SETTLE_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """One run.
+
+    Args:
+        site: Name of the site.
+        policy: How slots are shared.
+        scenario: What breaks.
+        seconds: Length of the load, in seconds.
+        seed: Seed of the load.
+        proxied: Whether messages between routers go through the proxy.
+    """
+
+    site: str
+    policy: str
+    scenario: str
+    seconds: float
+    seed: int
+    proxied: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """Counters of the whole fleet at one time.
+
+    Args:
+        at: Time, in unix seconds.
+        control: Sums of the routers' control counters.
+        by_type: Bytes sent between routers by type of message.
+        cpu_s: Processor time of each router and of the proxy, in seconds.
+        appends: Appends that the log took.
+    """
+
+    at: float
+    control: dict[str, int]
+    by_type: dict[str, int]
+    cpu_s: dict[str, float]
+    appends: int
+
+
+def read(lab: Lab, others: dict[str, Any]) -> Reading:
+    """Read the counters of the routers that run, and of the log."""
+    control, by_type, cpu_s = Counter(), Counter(), {}
+    live = {h: r for h, r in lab.routers.items() if r.popen.poll() is None}
+    for host, router in live.items():
+        traffic = lab.status(host)["control"]
+        by_type.update(traffic.pop("out_by_type"))
+        control.update(traffic)
+        cpu_s[host] = usage_of(router).cpu_s
+    for name, process in others.items():
+        cpu_s[name] = usage_of(process).cpu_s
+    appends = lab.log.call("GET", "/stats").json["appends"]
+    return Reading(time(), dict(control), dict(by_type), cpu_s, appends)
+
+
+class Run:
+    """Carries out one experiment.
+
+    Args:
+        experiment: What to run.
+    """
+
+    def __init__(self, experiment: Experiment) -> None:
+        self._experiment = experiment
+        self._phases = Phases(experiment.seconds)
+        self._readings: list[Reading] = []
+
+    def row(self) -> dict[str, Any]:
+        """Run it and return the measures, flat, with units in the names."""
+        experiment = self._experiment
+        site = SITES[experiment.site]
+        with _proxied_lab(site, experiment) as (lab, proxy, process):
+            usual = delays(lab, site) if proxy else []
+            if proxy:
+                proxy.rules(*usual)
+            plan = load_plan(lab, self._phases, experiment.seed)
+            others = {"proxy": process} if process else {}
+            broken = faults(experiment.scenario, lab, proxy, self._phases, usual)
+            events = [*broken, *self._reads(lab, others)]
+            began = time()
+            results = LoadClient(plan).run(events)
+            executions = list(_gather(lab.engines, "executions"))
+            effects = list(_gather(lab.services, "effects"))
+        windows = self._phases.windows(began)
+        return {
+            **asdict(experiment),
+            **_shares(results, executions, windows),
+            **_small_waits(results, windows),
+            **_outcomes(results, verify(results, executions, effects)),
+            **_traffic(*self._readings, routers=len(lab.settings)),
+        }
+
+    def _reads(self, lab: Lab, others: dict[str, Any]) -> Iterator[tuple]:
+        def take() -> None:
+            self._readings.append(read(lab, others))
+
+        yield self._phases.quiet_s + _SETTLE_S, take
+        yield self._phases.seconds, take
+
+
+@contextmanager
+def _proxied_lab(site: Site, experiment: Experiment) -> Iterator[tuple]:
+    plan = lab_plan(site, experiment.policy)
+    if not experiment.proxied:
+        with Lab(plan) as lab:
+            yield lab, None, None
+        return
+    process = start("tests.fault_proxy", "127.0.0.1")
+    proxy = Proxy(process.address)
+
+    def route(name: str, address: tuple[str, int]) -> tuple[str, int]:
+        return proxy.route(name, address) if name.startswith("peer-") else address
+
+    try:
+        with Lab(plan, route=route) as lab:
+            yield lab, proxy, process
+    finally:
+        proxy.close()
+        process.kill()
+
+
+def _gather(processes: dict, name: str) -> Iterator[dict[str, Any]]:
+    for process in processes.values():
+        yield from process.call("GET", f"/{name}").json[name]
+
+
+def _shares(
+    results: list[Result], executions: list[dict], windows: dict[str, Window]
+) -> dict[str, float]:
+    flooded = {**LARGE, FLOOD: ACCOUNTS[FLOOD]}
+    busy = windows["busy"]
+    served = sum(busy.holds(moment) for one in results for moment in one.times)
+    return {
+        "gap_tokens": fairness_gap(results, LARGE, busy),
+        "gap_flood_tokens": fairness_gap(results, flooded, windows["flood"]),
+        "utilisation": utilisation(executions, ENGINES * SLOTS, busy),
+        "tokens_per_s": served / busy.seconds,
+    }
+
+
+def _small_waits(results: list[Result], windows: dict[str, Window]) -> dict[str, float]:
+    row: dict[str, float] = {}
+    for phase in ("quiet", "backlog", "flood"):
+        window = windows[phase]
+        due = [one for one in results if window.holds(one.due)]
+        found = list(chain.from_iterable(waits(due, name) for name in SMALL))
+        row[f"small_{phase}_n"] = len(found)
+        for share in SHARES:
+            name = f"small_{phase}_p{share * 100:.0f}_ms"
+            row[name] = 1000 * percentile(found, share)
+    return row
+
+
+def _outcomes(results: list[Result], verdict: Any) -> dict[str, int]:
+    refused = [one for one in results if one.ran == "no"]
+    lost = [one for one in results if one.error == CONNECTION]
+    cut = [one for one in results if one.text and not one.complete and not one.ran]
+    broken = [one for one in results if one.ran in ("yes", "unknown")]
+    return {
+        "requests": len(results),
+        "complete": verdict.complete,
+        "refused": len(refused),
+        "refused_small": sum(one.account in SMALL for one in refused),
+        "connection_lost": len(lost),
+        "cut": len(cut),
+        "ran_yes_or_unknown": len(broken),
+        "wrong": len(verdict.wrong),
+        "ran_though_refused": len(verdict.ran),
+        "doubled": len(verdict.doubled),
+    }
+
+
+def _traffic(before: Reading, after: Reading, *, routers: int) -> dict[str, Any]:
+    seconds = after.at - before.at
+
+    def rate(name: str) -> float:
+        return (after.control[name] - before.control[name]) / routers / seconds
+
+    cpu = {
+        name: (used - before.cpu_s[name]) / seconds
+        for name, used in after.cpu_s.items()
+    }
+    hosts = [used for name, used in cpu.items() if name != "proxy"]
+    return {
+        "control_bytes_per_router_s": rate("bytes_out"),
+        "control_messages_per_router_s": rate("messages_out"),
+        "log_appends_per_s": (after.appends - before.appends) / seconds,
+        "cpu_router_mean": mean(hosts),
+        "cpu_router_max": max(hosts),
+        "cpu_proxy": cpu.get("proxy", 0.0),
+        "bytes_per_router_s_by_type": {
+            name: round((count - before.by_type.get(name, 0)) / routers / seconds, 1)
+            for name, count in sorted(after.by_type.items())
+        },
+    }
+
+
+def run_fleet(
+    *,
+    plan: str = "peristeri",
+    policies: tuple[str, ...] = POLICIES,
+    scenario: str = "steady",
+    seconds: float = 28.0,
+    seed: int = 1,
+    proxied: bool = True,
+    out: str | None = None,
+) -> int:
+    """Run each policy on the same work and print a line of JSON each and a table.
+
+    Args:
+        plan: Name of the site.
+        policies: Policies, in the order of their runs.
+        scenario: What breaks.
+        seconds: Length of each run.
+        seed: Seed of the load.
+        proxied: Put the proxy and its delays between the routers.
+        out: File to which the JSON lines are added.
+
+    Returns:
+        0 unless an answer was wrong, untrue or doubled.
+    """
+    if plan not in SITES or scenario not in SCENARIOS or set(policies) - set(POLICIES):
+        raise ValueError(f"plans {list(SITES)}, {SCENARIOS}, {POLICIES}")
+    rows = []
+    for policy in policies:
+        experiment = Experiment(plan, policy, scenario, seconds, seed, proxied)
+        rows.append({key: _rounded(v) for key, v in Run(experiment).row().items()})
+        line = json.dumps(rows[-1])
+        print(line, flush=True)
+        if out:
+            with Path(out).open("a") as file:
+                file.write(line + "\n")
+    _print_table(rows)
+    return int(any(r["wrong"] + r["ran_though_refused"] + r["doubled"] for r in rows))
+
+
+def _rounded(value: Any) -> Any:
+    return round(value, 4) if isinstance(value, float) else value
+
+
+def _print_table(rows: list[dict[str, Any]]) -> None:
+    skipped = {"policy", "bytes_per_router_s_by_type"}
+    print(" " * 32, *(f"{row['policy']:>12}" for row in rows))
+    for name in rows[0]:
+        if name not in skipped:
+            print(f"{name:32}", *(f"{row[name]!s:>12}" for row in rows))
--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -87,6 +87,7 @@
         on_config_message: Takes ``ConfigRequest`` and ``ConfigState``.
         on_newer_revision: Takes a host and the revision it has in force.
         on_order_notice: Takes ``OrderNotice``.
+        sharing: See ``RouterSettings``.
     """
 
     def __init__(
@@ -101,9 +102,10 @@
         on_config_message: Callable[[str, Any], None],
         on_newer_revision: Callable[[str, int], None],
         on_order_notice: Callable[[OrderNotice], None] = lambda _notice: None,
+        sharing: str = "owned",
     ) -> None:
         self.own = own
-        self.ledger = ServiceLedger(own)
+        self.ledger = ServiceLedger(own, alone=sharing == "local")
         self.entry = EntryQueue(own, self.ledger)
         self.owner = EndpointOwner(own, self.ledger)
         self.collector = Collector(own, self.ledger)
@@ -112,7 +114,12 @@
         self.membership = membership
         self.roster = roster
         self.requests: RequestSide | None = None
-        self.view = FleetView(own, {own.host: LiveMember(own.boot)}, frozenset())
+        self.view = FleetView(
+            own,
+            {own.host: LiveMember(own.boot)},
+            frozenset(),
+            split=sharing != "owned",
+        )
         self._link = link
         self._timers = timers
         self._log = log_client
--- a/greengageflow/lab.py
+++ b/greengageflow/lab.py
@@ -54,6 +54,7 @@
         policy: Policy of the configuration.
         deadline_s: Deadline of both pools, in seconds.
         timing: Timing of the routers' settings.
+        sharing: How the routers share slots; see ``RouterSettings``.
     """
 
     routers: int = 3
@@ -75,6 +76,7 @@
     policy: Mapping[str, Any] = field(default_factory=dict)
     deadline_s: float = 60.0
     timing: Mapping[str, Any] = field(default_factory=dict)
+    sharing: str = "owned"
 
     def zone(self, number: int) -> str:
         """Return the zone of the ``number``-th host."""
@@ -172,6 +174,7 @@
                 "log": log,
                 "host_list": hosts,
                 "timing": {"probe_interval_s": 0.5, **self.plan.timing},
+                "sharing": self.plan.sharing,
             }
         seeds = [
             {"host": cfg["host"], **cfg["peer_advertise"]}
--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -128,6 +128,7 @@
             on_config_message=self._on_config_message,
             on_newer_revision=self._on_newer_revision,
             on_order_notice=self._on_order_notice,
+            sharing=settings.sharing,
         )
 
     def _make_follower(self) -> ConfigFollower:
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -30,6 +30,7 @@
 )
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+SHARING = ("owned", "split", "local")
 _LONGEST_S = 86_400.0
 
 
@@ -115,6 +116,9 @@
         statsd: Where metrics go, or None.
         trace_file: File that spans go to, ``-`` for the standard output, or None.
         log_level: Least level of events that are logged.
+        sharing: How slots are shared, ``owned`` but for comparisons: ``split``
+            gives each router its part of the slots of every endpoint, ``local``
+            does so and leaves out the fleet's totals. The same on every router.
         timing: Intervals and timeouts.
     """
 
@@ -132,6 +136,7 @@
     statsd: Address | None = None
     trace_file: str | None = None
     log_level: str = "INFO"
+    sharing: str = "owned"
     timing: Timing = Timing()
 
     def __post_init__(self) -> None:
@@ -205,6 +210,7 @@
         statsd=optional(_address()),
         trace_file=optional(string(4096)),
         log_level=optional(choice(LOG_LEVELS), "INFO"),
+        sharing=optional(choice(SHARING), "owned"),
         timing=optional(_timing(), Timing()),
     )
     return refine(settings, _reachable)
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,7 +1,6 @@
 """Helpers of the integration tests."""
 
 import json
-import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -14,6 +13,7 @@
     start,
     wait_for,
 )
+from greengageflow._proxy_client import Proxy
 
 __all__ = [
     "LIMIT_S",
@@ -54,38 +54,6 @@
     return running("greengageflow.standin", kind, *args, *flags)
 
 
-class Proxy:
-    """Client of ``fault_proxy``'s control port."""
-
-    def __init__(self, address: tuple[str, int]) -> None:
-        self._sock = socket.create_connection(address, timeout=LIMIT_S)
-        self._file = self._sock.makefile("rw")
-
-    def _ask(self, **command: Any) -> dict:
-        self._file.write(json.dumps(command) + "\n")
-        self._file.flush()
-        return json.loads(self._file.readline())
-
-    def route(
-        self,
-        name: str,
-        target: tuple[str, int],
-        listen: tuple[str, int] = ("127.0.0.1", 0),
-    ) -> tuple[str, int]:
-        """Open a route or move its target; return the address to connect to."""
-        return tuple(
-            self._ask(op="route", name=name, target=target, listen=listen)["listen"]
-        )
-
-    def rules(self, *rules: dict) -> None:
-        """Replace all rules, such as ``{"do": "cut", "source": "127.0.0.2"}``."""
-        assert "links" in self._ask(op="rules", rules=rules)
-
-    def close(self) -> None:
-        self._file.close()
-        self._sock.close()
-
-
 @contextmanager
 def fault_proxy(host: str = "127.0.0.1") -> Iterator[Proxy]:
     """Run a fault-injecting proxy for the length of a block."""
