Timers let the poller wait at once; an owner without demand counts no slots

After each timer the loop polled once without waiting, in case the subscriber had fired an event: two turns for each tick. Now only if an event is queued. An owner counted the free slots of every endpoint twice, also when nothing waited; now once, and only if something waits.

Looking up the pool in _owned without a default failed in test_core_machine: the view may change between two grants.

--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -225,9 +225,9 @@
 
     def _fill(self, now: float, pool: str) -> Iterator[Send]:
         book = self._demands.get(pool)
-        if book is None:
+        if book is None or self._view is None:
             return
-        while slots := self._freest(now, pool):
+        while book.any_waiting(self._view) and (slots := self._freest(now, pool)):
             picked = self._pick(book)
             if picked is None:
                 return
@@ -236,9 +236,13 @@
             yield self._grant(now, slots, account, entry)
 
     def _freest(self, now: float, pool: str) -> EndpointSlots | None:
-        owned = self._owned.get(pool, ())
-        best = max(owned, key=lambda slots: slots.free(now), default=None)
-        return best if best is not None and best.free(now) > 0 else None
+        best = None
+        most = 0
+        for slots in self._owned.get(pool, ()):
+            free = slots.free(now)
+            if free > most:
+                best, most = slots, free
+        return best
 
     def _pick(self, book: DemandBook) -> tuple[str, Waiting] | None:
         """Return the account with the least service, and its next entry router."""
--- a/greengageflow/timers.py
+++ b/greengageflow/timers.py
@@ -80,6 +80,8 @@
             self._call(sub)
             if sub.interval_s is not None and sub.live:
                 self._push(sub.interval_s, sub)
+        # What subscribers fired waits in the queue; the poller would sleep on it.
+        if len(self.root):
             event.reduce_time_left(0)
         if self._heap:
             event.reduce_time_left(max(0.0, self._heap[0][0] - monotonic()))
