--- a/greengageflow/_fleet_load.py
+++ b/greengageflow/_fleet_load.py
@@ -79,10 +79,10 @@
         return _BACKLOG_PART * self.seconds
 
     def windows(self, start: float) -> dict[str, Window]:
-        """Return the phases in unix seconds, the last two without their start."""
+        """Return the phases in unix seconds, each without its start."""
         quiet, backlog = start + self.quiet_s, start + self.backlog_s
         return {
-            "quiet": Window(start, quiet),
+            "quiet": Window(start + _WARM_UP_S, quiet),
             "backlog": Window(quiet + _WARM_UP_S, backlog),
             "flood": Window(backlog + _WARM_UP_S, start + self.seconds),
             "busy": Window(quiet + _WARM_UP_S, start + self.seconds),
