Fleet bench: share interval as an option, traffic of surviving routers only

The collector's settling times follow policy.share_interval_s; they were those of 0.5 s whatever the policy said, so that with 2 s a new collector would have given totals before the routers of its zone had reported once.

--- a/greengageflow/_fleet_load.py
+++ b/greengageflow/_fleet_load.py
@@ -89,7 +89,7 @@
         }
 
 
-def lab_plan(site: Site, policy: str) -> LabPlan:
+def lab_plan(site: Site, policy: str, **knobs: float) -> LabPlan:
     """Return the fleet for a policy; one router for ``central``."""
     central = policy == "central"
     return LabPlan(
@@ -104,6 +104,7 @@
         model=site.model,
         service=site.service,
         engine_options={"base_pace_s": PACE_S, "per_request_pace_s": 0.0},
+        policy=knobs,
         sharing="owned" if central else policy,
     )
 
--- a/greengageflow/bench.py
+++ b/greengageflow/bench.py
@@ -7,6 +7,7 @@
 from greengageflow.bench_demo import run_demo
 from greengageflow.bench_fleet import POLICIES, run_fleet
 from greengageflow.bench_latency import run_bench
+from greengageflow.catalog import Policy
 
 
 def demo() -> None:
@@ -36,6 +37,7 @@
     seconds: float = 28.0,
     seed: int = 1,
     proxied: bool = True,
+    share_interval_s: float = Policy().share_interval_s,
     out: str | None = None,
 ) -> None:
     """Compare ways to share slots on nine routers and nine engines.
@@ -47,6 +49,7 @@
         seconds: Length of each run.
         seed: Seed of the load.
         proxied: Put the fault proxy and its delays between the routers.
+        share_interval_s: Seconds between service reports.
         out: File to which one JSON line a policy is added.
 
     Example:
@@ -60,6 +63,7 @@
         seconds=seconds,
         seed=seed,
         proxied=proxied,
+        share_interval_s=share_interval_s,
         out=out,
     )
     sys.exit(status)
--- a/greengageflow/bench_fleet.py
+++ b/greengageflow/bench_fleet.py
@@ -5,7 +5,6 @@
 """
 
 import json
-from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import asdict, dataclass
@@ -31,9 +30,10 @@
     lab_plan,
     load_plan,
 )
+from greengageflow._fleet_traffic import Reading, read, traffic
 from greengageflow._processes import start
 from greengageflow._proxy_client import Proxy
-from greengageflow.bench_latency import usage_of
+from greengageflow.catalog import Policy
 from greengageflow.lab import Lab
 from greengageflow.load import LoadClient
 from greengageflow.load_check import verify
@@ -41,7 +41,6 @@
 from greengageflow.measures import (
     Window,
     fairness_gap,
-    mean,
     percentile,
     utilisation,
     waits,
@@ -62,6 +61,7 @@
         seconds: Length of the load, in seconds.
         seed: Seed of the load.
         proxied: Whether messages between routers go through the proxy.
+        share_interval_s: Seconds between service reports.
     """
 
     site: str
@@ -70,40 +70,7 @@
     seconds: float
     seed: int
     proxied: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Reading:
-    """Counters of the whole fleet at one time.
-
-    Args:
-        at: Time, in unix seconds.
-        control: Sums of the routers' control counters.
-        by_type: Bytes sent between routers by type of message.
-        cpu_s: Processor time of each router and of the proxy, in seconds.
-        appends: Appends that the log took.
-    """
-
-    at: float
-    control: dict[str, int]
-    by_type: dict[str, int]
-    cpu_s: dict[str, float]
-    appends: int
-
-
-def read(lab: Lab, others: dict[str, Any]) -> Reading:
-    """Read the counters of the routers that run, and of the log."""
-    control, by_type, cpu_s = Counter(), Counter(), {}
-    live = {h: r for h, r in lab.routers.items() if r.popen.poll() is None}
-    for host, router in live.items():
-        traffic = lab.status(host)["control"]
-        by_type.update(traffic.pop("out_by_type"))
-        control.update(traffic)
-        cpu_s[host] = usage_of(router).cpu_s
-    for name, process in others.items():
-        cpu_s[name] = usage_of(process).cpu_s
-    appends = lab.log.call("GET", "/stats").json["appends"]
-    return Reading(time(), dict(control), dict(by_type), cpu_s, appends)
+    share_interval_s: float = Policy().share_interval_s
 
 
 class Run:
@@ -140,7 +107,7 @@
             **_shares(results, executions, windows),
             **_small_waits(results, windows),
             **_outcomes(results, verify(results, executions, effects)),
-            **_traffic(*self._readings, routers=len(lab.settings)),
+            **traffic(*self._readings),
         }
 
     def _reads(self, lab: Lab, others: dict[str, Any]) -> Iterator[tuple]:
@@ -153,7 +120,8 @@
 
 @contextmanager
 def _proxied_lab(site: Site, experiment: Experiment) -> Iterator[tuple]:
-    plan = lab_plan(site, experiment.policy)
+    interval_s = experiment.share_interval_s
+    plan = lab_plan(site, experiment.policy, share_interval_s=interval_s)
     if not experiment.proxied:
         with Lab(plan) as lab:
             yield lab, None, None
@@ -223,31 +191,6 @@
     }
 
 
-def _traffic(before: Reading, after: Reading, *, routers: int) -> dict[str, Any]:
-    seconds = after.at - before.at
-
-    def rate(name: str) -> float:
-        return (after.control[name] - before.control[name]) / routers / seconds
-
-    cpu = {
-        name: (used - before.cpu_s[name]) / seconds
-        for name, used in after.cpu_s.items()
-    }
-    hosts = [used for name, used in cpu.items() if name != "proxy"]
-    return {
-        "control_bytes_per_router_s": rate("bytes_out"),
-        "control_messages_per_router_s": rate("messages_out"),
-        "log_appends_per_s": (after.appends - before.appends) / seconds,
-        "cpu_router_mean": mean(hosts),
-        "cpu_router_max": max(hosts),
-        "cpu_proxy": cpu.get("proxy", 0.0),
-        "bytes_per_router_s_by_type": {
-            name: round((count - before.by_type.get(name, 0)) / routers / seconds, 1)
-            for name, count in sorted(after.by_type.items())
-        },
-    }
-
-
 def run_fleet(
     *,
     plan: str = "peristeri",
@@ -256,6 +199,7 @@
     seconds: float = 28.0,
     seed: int = 1,
     proxied: bool = True,
+    share_interval_s: float = Policy().share_interval_s,
     out: str | None = None,
 ) -> int:
     """Run each policy on the same work and print a line of JSON each and a table.
@@ -267,6 +211,7 @@
         seconds: Length of each run.
         seed: Seed of the load.
         proxied: Put the proxy and its delays between the routers.
+        share_interval_s: Seconds between service reports.
         out: File to which the JSON lines are added.
 
     Returns:
@@ -276,7 +221,9 @@
         raise ValueError(f"plans {list(SITES)}, {SCENARIOS}, {POLICIES}")
     rows = []
     for policy in policies:
-        experiment = Experiment(plan, policy, scenario, seconds, seed, proxied)
+        experiment = Experiment(
+            plan, policy, scenario, seconds, seed, proxied, share_interval_s
+        )
         rows.append({key: _rounded(v) for key, v in Run(experiment).row().items()})
         line = json.dumps(rows[-1])
         print(line, flush=True)
--- a/greengageflow/collector.py
+++ b/greengageflow/collector.py
@@ -40,8 +40,7 @@
     ) -> None:
         self._own = own
         self._ledger = ledger
-        self._settle_s = _SETTLE_INTERVALS * interval_s
-        self._told_s = _TOLD_INTERVALS * interval_s
+        self.set_interval(interval_s)
         self._offsets = Offsets(ledger)
         self._view: FleetView | None = None
         self._zone = ""
@@ -58,6 +57,11 @@
         self._new_partners: set[tuple[str, int]] = set()
         self._seq = 0
 
+    def set_interval(self, interval_s: float) -> None:
+        """Take over the seconds between two calls of ``report``."""
+        self._settle_s = _SETTLE_INTERVALS * interval_s
+        self._told_s = _TOLD_INTERVALS * interval_s
+
     @property
     def shards(self) -> frozenset[int]:
         """Shards of accounts that this router collects."""
--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -150,6 +150,7 @@
         self.run(self.owner.on_config(now, cfg))
         if cfg.policy.share_interval_s != self._share_interval_s:
             self._share_interval_s = cfg.policy.share_interval_s
+            self.collector.set_interval(self._share_interval_s)
             if self._share_timer is not None:
                 self._share_timer.cancel()
             self._share_timer = self._timers.every(
