--- /dev/null
+++ b/tests/test_flood_faults.py
@@ -0,0 +1,100 @@
+"""One account floods one router, with real processes."""
+
+from dataclasses import replace
+
+from greengageflow.lab import Lab, LabPlan, key_of
+from tests.fleet_support import (
+    ENGINE,
+    BackgroundLoad,
+    assert_truthful,
+    chats,
+    executions,
+    most_at_once,
+)
+from tests.support import wait_for
+
+SLOTS = 4
+QUEUE_LIMIT = 20
+SMALL = ("bolt", "cole", "dora")
+PLAN = LabPlan(
+    routers=4,
+    engines=3,
+    slots=SLOTS,
+    queue_limit=QUEUE_LIMIT,
+    accounts={"flood": 1.0, **dict.fromkeys(SMALL, 1.0)},
+    engine_options=ENGINE,
+    timing={"probe_interval_s": 0.2, "suspect_s": 0.8},
+)
+ALL_SLOTS = PLAN.engines * SLOTS
+# Each owner may fill its free slots with the flood before it hears of the small
+# request, and once more where the totals lag behind its own grants.
+MOST_AHEAD = 2 * ALL_SLOTS
+FLOOD = chats("flood", outstanding=ALL_SLOTS + 4 * QUEUE_LIMIT, routers=(0,), sigma=0.3)
+
+
+def small_loads(duration_s):
+    return [
+        chats(name, rate_per_s=1.5, routers=(1, 2, 3), sigma=0.3, stop_s=duration_s)
+        for name in SMALL
+    ]
+
+
+def ahead_of(result, starts, own_start):
+    """Count flood requests that started while a small one waited."""
+    return sum(result.sent < start < own_start for start in starts)
+
+
+def running(lab):
+    return [e.call("GET", "/load").json["running"] for e in lab.engines.values()]
+
+
+def ask(lab):
+    body = {"model": "scribe", "x_tokens": 30}
+    body["messages"] = [{"role": "user", "content": "flood"}]
+    headers = {"Authorization": f"Bearer {key_of('flood')}"}
+    return lab.routers["r1"].call("POST", "/v1/chat/completions", body, headers=headers)
+
+
+def test_a_flood_at_one_router_delays_small_accounts_by_a_bounded_amount():
+    """Small accounts that enter elsewhere are served as if the flood were small.
+
+    It is refused at once beyond its queue's limit, with a word on when to come back,
+    and still gets every slot that nobody else wants; also after its router was
+    killed and came back with empty memory of what the account was served.
+    """
+    with Lab(PLAN) as lab:
+        load = BackgroundLoad(
+            lab,
+            FLOOD,
+            *(replace(one, start_s=3) for one in small_loads(14)),
+            duration_s=16,
+        )
+        wait_for(lambda: set(running(lab)) == {SLOTS}, "the flood gets all slots")
+        refused = wait_for(
+            lambda: (one := ask(lab)).status == 429 and one, "flood refused"
+        )
+        assert refused.json["error"]["kind"] == "queue_full"
+        assert refused.json["error"]["ran"] == "no"
+        assert int(refused.headers["retry-after"]) >= 1
+        wait_for(
+            lambda: sum(one["tokens"] > 0 for one in executions(lab)) > 150, "all run"
+        )
+        lab.routers["r1"].kill()
+        lab.restart_router("r1")
+        lab.wait_in_force()
+        wait_for(lambda: set(running(lab)) == {SLOTS}, "all slots again")
+        results = load.results()
+        done = executions(lab)
+        assert_truthful(lab, results)
+        assert max(most_at_once(done).values()) <= SLOTS
+        by_id = {one["request_id"]: one["started"] for one in done}
+        floods = {one.request_id for one in results if one.account == "flood"}
+        starts = [by_id[one] for one in floods & by_id.keys()]
+        small = [one for one in results if one.account != "flood"]
+        assert small
+        assert all(one.complete for one in small)
+        most = max(ahead_of(one, starts, by_id[one.request_id]) for one in small)
+        assert most <= MOST_AHEAD
+        full = [one for one in results if one.error == "queue_full"]
+        assert full
+        assert {one.ran for one in full} == {"no"}
