--- a/greengageflow/bench.py
+++ b/greengageflow/bench.py
@@ -20,7 +20,7 @@
 
 
 def latency() -> None:
-    """Measure added latency, throughput and streaming of one router.
+    """Measure what one router takes when idle, and adds per call and per piece.
 
     Example:
         greengage-bench latency
--- a/greengageflow/bench_latency.py
+++ b/greengageflow/bench_latency.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from itertools import pairwise
+from time import sleep
 
 from greengageflow._processes import Process, start
 from greengageflow.lab import Lab, LabPlan, key_of
@@ -23,6 +24,7 @@
 STREAMS = 72
 PACE_S = 0.02
 STREAM_S = 10.0
+IDLE_S = 10.0
 _TICKS = os.sysconf("SC_CLK_TCK")
 _PAGE = os.sysconf("SC_PAGE_SIZE")
 
@@ -151,9 +153,20 @@
             yield other - one
 
 
+def idle(process: Process) -> dict[str, float]:
+    """Return what a router takes that has nothing to do: all control ticks."""
+    before = usage_of(process)
+    sleep(IDLE_S)
+    after = usage_of(process)
+    share = (after.cpu_s - before.cpu_s) / IDLE_S
+    return {"cpu_percent_of_core": 100 * share, "rss_mb": after.rss_mb}
+
+
 def run_bench() -> None:
-    """Run all three parts and print one JSON line each."""
+    """Run all parts and print one JSON line each; load averages come first and last."""
+    _show("load", _load())
     with Lab(bench_plan()) as lab:
+        _show("idle", idle(lab.routers["r1"]))
         _show("added_latency", added_latency(lab))
         _show("routed_throughput", throughput(lab.routers["r1"]))
         bare = start("greengageflow._bare_answerer")
@@ -162,6 +175,12 @@
         finally:
             bare.kill()
         _show("streaming", streaming(lab))
+    _show("load", _load())
+
+
+def _load() -> dict[str, float]:
+    names = ("minute", "five_minutes", "quarter_hour")
+    return dict(zip(names, os.getloadavg(), strict=True))
 
 
 def _show(name: str, row: dict[str, float]) -> None:
