Fleet totals reach the ledger; service reports paced by the size of the fleet

Control handed FleetTotals to the ledger without the time, so every such message ended in a TypeError and owners knew only their own router's counters. With the old line the new test fails with that TypeError.

So the interval grows by 0.5 s for each 90 routers, on every router alike, and there are 64 shards. Owners keep their own charges for three of the intervals in use instead of the policy's.

Ruled out: setting share_interval_s by policy (an operator of a growing fleet would have to know), 3 s (service is heard of later still).

tests/test_shares.py said 'all shards' as 255, which is 8 of them; it says (1 << SHARDS) - 1 now and asks for the same sums.

--- a/greengageflow/collector.py
+++ b/greengageflow/collector.py
@@ -40,8 +40,7 @@
     ) -> None:
         self._own = own
         self._ledger = ledger
-        self._settle_s = _SETTLE_INTERVALS * interval_s
-        self._told_s = _TOLD_INTERVALS * interval_s
+        self.set_interval(interval_s)
         self._offsets = Offsets(ledger)
         self._view: FleetView | None = None
         self._zone = ""
@@ -63,6 +62,11 @@
         """Shards of accounts that this router collects."""
         return frozenset(self._ready_at)
 
+    def set_interval(self, interval_s: float) -> None:
+        """Take over the seconds between two calls of ``report``."""
+        self._settle_s = _SETTLE_INTERVALS * interval_s
+        self._told_s = _TOLD_INTERVALS * interval_s
+
     def _shard(self, account: str) -> int:
         return shard_of(account, self._ledger.shards)
 
--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -51,7 +51,7 @@
 from greengageflow.peers import PeerLink
 from greengageflow.placement import FleetView, LiveMember
 from greengageflow.roster import Roster
-from greengageflow.shares import ServiceLedger
+from greengageflow.shares import ServiceLedger, share_interval_s
 from greengageflow.timers import Subscription, Timers
 
 OWNER_TICK_S = 0.05
@@ -126,6 +126,7 @@
         self._entry_due = float("inf")
         self._share_timer: Subscription | None = None
         self._share_interval_s = 0.0
+        self._policy_share_s: float | None = None
 
     def start(self) -> None:
         """Begin to take part."""
@@ -141,13 +142,21 @@
         self.ledger.on_config(cfg)
         self.run(self.entry.on_config(now, cfg))
         self.run(self.owner.on_config(now, cfg))
-        if cfg.policy.share_interval_s != self._share_interval_s:
-            self._share_interval_s = cfg.policy.share_interval_s
-            if self._share_timer is not None:
-                self._share_timer.cancel()
-            self._share_timer = self._timers.every(
-                self._share_interval_s, self._on_share_tick
-            )
+        self._policy_share_s = cfg.policy.share_interval_s
+        self._pace_shares()
+
+    def _pace_shares(self) -> None:
+        """Report as often as the policy and the size of the fleet allow."""
+        if self._policy_share_s is None:
+            return
+        interval_s = share_interval_s(self._policy_share_s, len(self.view.live))
+        if interval_s == self._share_interval_s:
+            return
+        self._share_interval_s = interval_s
+        self.collector.set_interval(interval_s)
+        if self._share_timer is not None:
+            self._share_timer.cancel()
+        self._share_timer = self._timers.every(interval_s, self._on_share_tick)
 
     # Messages and effects.
 
@@ -162,7 +171,7 @@
             case ShareReport() | ZoneTotals():
                 self.collector.receive(now, sender, message)
             case FleetTotals():
-                self.ledger.on_totals(sender, message)
+                self.ledger.on_totals(now, sender, message)
             case Ping() | Ack() | PingRequest() | ViewRequest() | View():
                 self.run(self.membership.receive(now, sender, message))
                 self._after_membership()
@@ -270,6 +279,7 @@
             return
         now = monotonic()
         self.view = view = self.view.succeeded(live, roster)
+        self._pace_shares()
         self.collector.on_view(now, view)
         self.run(self.entry.on_view(now, view))
         self.run(self.owner.on_view(now, view))
--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -12,7 +12,7 @@
 from greengageflow.effects import Send
 from greengageflow.messages import Demand, Grant, GrantReturned, GrantTaken, PeerId
 from greengageflow.placement import FleetView
-from greengageflow.shares import ServiceLedger
+from greengageflow.shares import ServiceLedger, share_interval_s
 
 _REFLECT_INTERVALS = 3
 _DEFAULT_DEADLINE_S = 60.0
@@ -59,6 +59,7 @@
         self._spread: dict[str, float] = {}
         self._number = 0
         self._forget_at = 0.0
+        self._lag_s = 0.0
 
     @property
     def owned(self) -> list[str]:
@@ -108,6 +109,8 @@
         self._owned = {}
         if view is None:
             return
+        policy_s = self._cfg.policy.share_interval_s
+        self._lag_s = _REFLECT_INTERVALS * share_interval_s(policy_s, len(view.live))
         for name, slots in self._slots.items():
             if view.owner_of(name) != self._own.host:
                 slots.lose()
@@ -249,8 +252,7 @@
         )
 
     def _level(self, account: str) -> float:
-        lag_s = _REFLECT_INTERVALS * self._cfg.policy.share_interval_s
-        reflected = self._ledger.heard_at(account) - lag_s
+        reflected = self._ledger.heard_at(account) - self._lag_s
         charged = self._charges.of(account, reflected)
         return self._ledger.level(account) + charged / self._ledger.weight(account)
 
--- a/greengageflow/shares.py
+++ b/greengageflow/shares.py
@@ -13,8 +13,10 @@
 from greengageflow.messages import AccountService, FleetTotals, PeerId, ShareReport
 from greengageflow.placement import FleetView
 
-SHARDS = 8
+SHARDS = 64
 FULL_REPORT_EVERY = 10
+STEP_S = 0.5
+ROUTERS_A_STEP = 90
 
 
 def shard_of(account: str, shards: int = SHARDS) -> int:
@@ -22,6 +24,17 @@
     return int.from_bytes(blake2b(account.encode(), digest_size=4).digest()) % shards
 
 
+def share_interval_s(policy_s: float, routers: int) -> float:
+    """Return the seconds between two service reports in a fleet of this size.
+
+    A collector tells every router of its zone of every account, so its traffic
+    grows with the fleet, and so does the interval: in half seconds, since routers
+    come and go and every change starts the timers anew.
+    """
+    steps = -(-routers // ROUTERS_A_STEP)
+    return max(policy_s, STEP_S * steps)
+
+
 class Meter:
     """Counts the service of one request at its entry router.
 
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,56 @@
+from dataclasses import replace
+from types import SimpleNamespace
+from unittest.mock import Mock
+
+from greengageflow.catalog import FleetConfig
+from greengageflow.control import Control
+from greengageflow.messages import AccountService, FleetTotals, PeerId
+
+OWN = PeerId("r0", 1)
+
+
+def members(size):
+    return {
+        f"r{n}": SimpleNamespace(peer=PeerId(f"r{n}", 1), zone="z1", stopping=False)
+        for n in range(size)
+    }
+
+
+def control(size=1):
+    membership = Mock(members=members(size), view_version=1, revision=0)
+    roster = Mock(hosts=frozenset(members(size)))
+    return Control(
+        OWN,
+        Mock(),
+        Mock(),
+        Mock(),
+        membership,
+        roster,
+        on_config_message=Mock(),
+        on_newer_revision=Mock(),
+    )
+
+
+def test_the_fleets_totals_reach_the_ledger():
+    """Every router shares by its own counters alone, and no account is even.
+
+    Totals that came from a collector were handed to the ledger without the time;
+    each message ended in a fault, and owners never heard of the fleet's service.
+    """
+    node = control()
+    row = AccountService("acme", 500.0)
+    node.receive(PeerId("r1", 1), FleetTotals((row,), 1))
+    assert node.ledger.totals == {"acme": row}
+
+
+def test_reports_are_paced_by_the_size_of_the_fleet():
+    """Counters of a large fleet fill its links when told as often as in a small one."""
+    node = control(360)
+    timers = node._timers
+    cfg = FleetConfig(revision=1)
+    node.on_config(cfg)
+    node.refresh_view()
+    node.on_config(replace(cfg, revision=2))
+    paces = [call.args[0] for call in timers.every.call_args_list]
+    assert paces == [0.5, 2.0]
+    assert timers.every.return_value.cancel.call_count == 1
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -10,7 +10,7 @@
 from greengageflow.limits import RetryBudget, SlotLimit
 from greengageflow.messages import AccountService, FleetTotals, PeerId, ShareReport
 from greengageflow.placement import FleetView, LiveMember
-from greengageflow.shares import ServiceLedger
+from greengageflow.shares import SHARDS, ServiceLedger
 
 HOSTS = {"r0": "za", "r1": "za", "r2": "zb", "r3": "zb"}
 
@@ -83,7 +83,7 @@
     ledger = ServiceLedger(own)
     collector = Collector(own, ledger)
     collector.on_view(0.0, view_of("r0", ["r0", "r1"]))
-    first = ShareReport(1, (), full=255)
+    first = ShareReport(1, (), full=(1 << SHARDS) - 1)
     reports = [
         ShareReport(seq, (AccountService("a", 100 * seq, 5, seq),))
         for seq in range(2, 6)
