Keys of short answers leave the writer's memory when they lapse

Keys of kept answers stood in a deque that only answers over BODIES_KEPT shortened. With the old loop, 1,000 actions 10 s apart left 1,000 keys there while 61 were held (tests/test_capacity.py, seen on a copy).

--- a/greengageflow/actions.py
+++ b/greengageflow/actions.py
@@ -218,7 +218,9 @@
     def _bound_bodies(self, outcome: Outcome) -> None:
         self._bodies.append(outcome.key)
         self._body_bytes += len(outcome.body)
-        while self._body_bytes > BODIES_KEPT:
+        # Keys that were forgotten leave too: answers short enough never to reach
+        # the bound would else pile up their keys for as long as the process lives.
+        while self._body_bytes > BODIES_KEPT or self._bodies[0] not in self._keys:
             key = self._bodies.popleft()
             state = self._keys.get(key)
             if state and state.outcome:
