--- a/greengageflow/control.py
+++ b/greengageflow/control.py
@@ -53,7 +53,7 @@
 from greengageflow.peers import PeerLink
 from greengageflow.placement import FleetView, LiveMember
 from greengageflow.roster import Roster
-from greengageflow.shares import ServiceLedger
+from greengageflow.shares import ServiceLedger, share_interval_s
 from greengageflow.timers import Subscription, Timers
 
 OWNER_TICK_S = 0.05
@@ -139,6 +139,7 @@
         self._entry_due = float("inf")
         self._share_timer: Subscription | None = None
         self._share_interval_s = 0.0
+        self._policy_share_s: float | None = None
 
     def start(self) -> None:
         """Begin to take part."""
@@ -157,14 +158,21 @@
         # Before it grants: an endpoint that comes back under its old generation is
         # new to the owner, whose mark went with the old one.
         self.run(self.owner.on_config(now, cfg, self.leaving.signs))
-        if cfg.policy.share_interval_s != self._share_interval_s:
-            self._share_interval_s = cfg.policy.share_interval_s
-            self.collector.set_interval(self._share_interval_s)
-            if self._share_timer is not None:
-                self._share_timer.cancel()
-            self._share_timer = self._timers.every(
-                self._share_interval_s, self._on_share_tick
-            )
+        self._policy_share_s = cfg.policy.share_interval_s
+        self._pace_shares()
+
+    def _pace_shares(self) -> None:
+        """Report as often as the policy and the size of the fleet allow."""
+        if self._policy_share_s is None:
+            return
+        interval_s = share_interval_s(self._policy_share_s, len(self.view.live))
+        if interval_s == self._share_interval_s:
+            return
+        self._share_interval_s = interval_s
+        self.collector.set_interval(interval_s)
+        if self._share_timer is not None:
+            self._share_timer.cancel()
+        self._share_timer = self._timers.every(interval_s, self._on_share_tick)
 
     # Messages and effects.
 
@@ -301,6 +309,7 @@
         now = monotonic()
         self.view = view = self.view.succeeded(live, roster)
         self.run(self.leaving.on_view(view))
+        self._pace_shares()
         self.collector.on_view(now, view)
         self.run(self.entry.on_view(now, view))
         self.run(self.owner.on_view(now, view))
