--- a/greengageflow/collector.py
+++ b/greengageflow/collector.py
@@ -67,8 +67,6 @@
         """Shards of accounts that this router collects."""
         return frozenset(self._ready_at)
 
-        self._told_s = _TOLD_INTERVALS * interval_s
-
     def _shard(self, account: str) -> int:
         return shard_of(account, self._ledger.shards)
 
