--- a/greengageflow/bench_fleet.py
+++ b/greengageflow/bench_fleet.py
@@ -158,9 +158,18 @@
         "gap_flood_tokens": fairness_gap(results, flooded, windows["flood"]),
         "utilisation": utilisation(executions, ENGINES * SLOTS, busy),
         "tokens_per_s": served / busy.seconds,
+        **{
+            f"{name}_tokens_per_weight": _tokens(results, name, busy) / weight
+            for name, weight in LARGE.items()
+        },
     }
 
 
+def _tokens(results: list[Result], account: str, window: Window) -> int:
+    own = (one for one in results if one.account == account)
+    return sum(window.holds(moment) for one in own for moment in one.times)
+
+
 def _small_waits(results: list[Result], windows: dict[str, Window]) -> dict[str, float]:
     row: dict[str, float] = {}
     for phase in ("quiet", "backlog", "flood"):
