--- a/greengageflow/_registrar.py
+++ b/greengageflow/_registrar.py
@@ -12,6 +12,9 @@
 _WIDEN_SLOWLY_S = 0.5
 _MOST_FACTOR = 2
 _REFRESH_S = 4.0
+_LONGEST_REFRESH_S = 8.0
+"""Below half of the time after which an owner forgets what was not told again."""
+_REFRESHES_PER_S = 2.0
 _NEVER = float("inf")
 
 
@@ -114,8 +117,13 @@
             queue.asked.clear()
 
     def refresh(self, now: float, queue: AccountQueue) -> Iterator[Send]:
-        """Tell all asked owners again."""
-        queue.refresh_at = now + _REFRESH_S
+        """Tell all asked owners again, and more rarely the more they are.
+
+        One lost message matters less then, and with twenty backlogged accounts these
+        are most of a router's messages in a large fleet.
+        """
+        pause_s = max(_REFRESH_S, len(queue.asked) / _REFRESHES_PER_S)
+        queue.refresh_at = now + min(pause_s, _LONGEST_REFRESH_S)
         for host in list(queue.asked):
             yield self.ask(queue, host)
 
--- /dev/null
+++ b/greengageflow/_slopes_actions.py
@@ -0,0 +1,170 @@
+"""Slopes of protected actions: writer and entry router against a log in memory."""
+
+from collections import Counter
+from collections.abc import Iterable
+from hashlib import sha256
+
+from greengageflow._slopes_world import Cost, Experiment, memory_of, peer
+from greengageflow.action_entry import ActionEntry
+from greengageflow.action_writer import ActionWriter
+from greengageflow.actions import ActionFold, Intent, Outcome, partition_of
+from greengageflow.effects import AppendRecords, Effect, MayRun, ReadRecords, Send
+from greengageflow.errors import Ran
+from greengageflow.log_client import Appended, LogRecord, Records
+from greengageflow.messages import decode
+
+_BODY = b"x" * 200
+_SECONDS = 20
+_STEP_S = 0.05
+
+
+class ActionWorld:
+    """One entry router and one writer with a log that answers at once."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.entry_peer, self.writer_peer = peer(0), peer(1)
+        self.entry_cost, self.writer_cost = (
+            Cost(self.entry_peer),
+            Cost(self.writer_peer),
+        )
+        self.writer = ActionWriter()
+        self.entry = ActionEntry(
+            self.entry_peer, lambda _stream: self.writer_peer.host, lambda _holder: True
+        )
+        self.log: dict[str, list[LogRecord]] = {}
+        self.appends: Counter[str] = Counter()
+        self.may_run: list[str] = []
+        self._began = 0
+
+    def begin(self) -> None:
+        """Begin a protected action."""
+        self._began += 1
+        key = f"account{self._began % 200:03d}\norder-{self._began:08d}"
+        digest = sha256(key.encode()).hexdigest()
+        until = self.now + 60.0
+        self._from_entry(
+            self.entry_cost.run(
+                lambda: list(
+                    self.entry.begin(self.now, f"q{self._began}", key, digest, until)
+                )
+            )
+        )
+
+    def step(self) -> None:
+        """Let one tick pass and end what may run."""
+        self.now += _STEP_S
+        ran, self.may_run = self.may_run, []
+        for request in ran:
+            self._end(request)
+        self._from_writer(
+            self.writer_cost.run(lambda: list(self.writer.on_tick(self.now)))
+        )
+
+    def _end(self, request: str) -> None:
+        entry, cost = self.entry, self.entry_cost
+        cost.run(lambda: entry.may_send(self.now, request))
+        found = cost.run(
+            lambda: list(
+                entry.ended(self.now, request, Ran.YES, status=200, body=_BODY)
+            )
+        )
+        self._from_entry(found)
+
+    def _from_entry(self, effects: Iterable[Effect]) -> None:
+        effects = list(effects)
+        self.may_run += [one.request for one in effects if isinstance(one, MayRun)]
+        for _, data in self.entry_cost.send(effects):
+            self.writer_cost.bytes_in += len(data)
+            self._from_writer(
+                self.writer_cost.run(
+                    lambda data=data: list(self.writer.receive(self.now, *decode(data)))
+                )
+            )
+
+    def _from_writer(self, effects: Iterable[Effect]) -> None:
+        effects = list(effects)
+        for _, data in self.writer_cost.send(effects):
+            self.entry_cost.bytes_in += len(data)
+            self._to_entry(data)
+        for effect in effects:
+            match effect:
+                case AppendRecords() | ReadRecords():
+                    self._from_writer(
+                        self.writer_cost.run(lambda e=effect: list(self._log_call(e)))
+                    )
+                case Send():
+                    pass
+
+    def _to_entry(self, data: bytes) -> None:
+        sender, message = decode(data)
+        if hasattr(message, "verdict"):
+            verdict = lambda: list(  # noqa: E731
+                self.entry.on_verdict(self.now, sender, message)
+            )
+            self._from_entry(self.entry_cost.run(verdict))
+        else:
+            self.entry_cost.run(lambda: self.entry.on_stored(message))
+
+    def _log_call(self, effect: AppendRecords | ReadRecords) -> Iterable[Effect]:
+        log = self.log.setdefault(effect.stream, [])
+        if isinstance(effect, ReadRecords):
+            rows = tuple(log[effect.from_offset :])
+            result = Records(rows, 0, len(log))
+            return self.writer.on_read(self.now, effect.stream, result)
+        first = len(log)
+        self.appends[effect.stream] += 1
+        log += [
+            LogRecord(first + n, self.now, row) for n, row in enumerate(effect.records)
+        ]
+        result = Appended(first, len(effect.records))
+        return self.writer.on_append(self.now, effect.stream, result)
+
+
+def actions_rate(rate: int) -> dict[str, float]:
+    """Run so many protected actions a second, over all streams."""
+    world = ActionWorld()
+    due = 0.0
+    for _ in range(int(_SECONDS / _STEP_S)):
+        due += rate * _STEP_S
+        while due >= 1:
+            due -= 1
+            world.begin()
+        world.step()
+    entry, writer = world.entry_cost.outcomes, world.writer_cost.outcomes
+    assert world.entry.unreported < rate
+    return {
+        "entry_cpu_us": entry["cpu_us"] / _SECONDS,
+        "entry_bytes_out": entry["bytes_out"] / _SECONDS,
+        "entry_bytes_in": entry["bytes_in"] / _SECONDS,
+        "writer_cpu_us": writer["cpu_us"] / _SECONDS,
+        "writer_bytes_out": writer["bytes_out"] / _SECONDS,
+        "writer_bytes_in": writer["bytes_in"] / _SECONDS,
+        "appends": sum(world.appends.values()) / _SECONDS,
+    }
+
+
+def actions_memory(keys: int) -> dict[str, float]:
+    """Remember so many keys of one stream, with short answers."""
+
+    def make() -> ActionFold:
+        fold = ActionFold(600.0)
+        for number in range(keys):
+            key = f"account{number % 200:03d}\norder-{number:08d}"
+            nonce = f"r000:1764700000:{number}"
+            digest = sha256(key.encode()).hexdigest()
+            fold.apply(1.0, Intent(key, nonce, digest, "r000:1764700000"))
+            body = bytes(bytearray(_BODY))
+            fold.apply(1.0, Outcome(key, nonce, "yes", 200, "text/plain", body))
+        assert partition_of(key)
+        return fold
+
+    return {"memory_bytes": memory_of(make)[0]}
+
+
+def experiments() -> tuple[Experiment, ...]:
+    """Return the experiments of this module."""
+    return (
+        Experiment("actions", "actions a second", (25, 50, 100, 200), actions_rate),
+        Experiment("actions", "keys", (500, 1000, 2000, 4000), actions_memory),
+    )
--- /dev/null
+++ b/greengageflow/_slopes_config.py
@@ -0,0 +1,136 @@
+"""Slopes of the configuration: folding a record, passing a state on."""
+
+import json
+from time import process_time
+from typing import Any
+
+from greengageflow._slopes_world import (
+    ACCOUNTS,
+    ENDPOINTS,
+    POOLS,
+    Experiment,
+    account,
+    memory_of,
+    peer,
+    view_of,
+)
+from greengageflow.config_exchange import pack_document, unpack_document
+from greengageflow.entry import EntryQueue
+from greengageflow.fold import Fold
+from greengageflow.host_list import parse_hosts
+from greengageflow.messages import ConfigState, encode
+from greengageflow.owner import EndpointOwner
+from greengageflow.shares import ServiceLedger
+
+_ALLOW = {"schema": 1, "kind": "allow_schema", "replaces": 0, "highest": 2}
+
+
+def record(endpoints: int, accounts: int) -> dict[str, Any]:
+    """Return a record of schema 2 with so many endpoints and accounts."""
+    pools = [
+        {
+            "name": f"m{pool}",
+            "kind": "model",
+            "endpoints": [
+                {
+                    "name": f"replica{n:03d}",
+                    "address": {"ip": f"10.1.{n // 250}.{n % 250 + 1}", "port": 8000},
+                    "zone": f"z{n % 7}",
+                    "slots": 16,
+                }
+                for n in range(pool, endpoints, POOLS)
+            ],
+        }
+        for pool in range(POOLS)
+    ]
+    rows = [
+        {
+            "name": account(n),
+            "share": {"weight": 1 + n % 4},
+            "key_hashes": [f"{n:064x}"],
+        }
+        for n in range(accounts)
+    ]
+    config = {"accounts": rows, "pools": pools}
+    return {"schema": 2, "replaces": 1, "author": "operator", "config": config}
+
+
+def _measured(endpoints: int, accounts: int) -> dict[str, float]:
+    text = json.dumps(record(endpoints, accounts))
+    fold = Fold()
+    fold.apply(0, _ALLOW)
+    start = process_time()
+    fold.apply(1, json.loads(text))
+    folded = process_time()
+    document = pack_document(fold.snapshot("r000"))
+    packed = process_time()
+    other = Fold()
+    assert other.restore(unpack_document(document))
+    restored = process_time()
+    _take(fold)
+    taken = process_time()
+    state = encode(peer(0), ConfigState(2, 1, document))
+    held, _ = memory_of(lambda: _folded(text))
+    return {
+        "record_bytes": len(text),
+        "state_bytes": len(state),
+        "fold_us": 1e6 * (folded - start),
+        "pack_us": 1e6 * (packed - folded),
+        "restore_us": 1e6 * (restored - packed),
+        "take_over_us": 1e6 * (taken - restored),
+        "memory_bytes": held,
+    }
+
+
+def _folded(text: str) -> Fold:
+    fold = Fold()
+    fold.apply(0, _ALLOW)
+    fold.apply(1, json.loads(text))
+    return fold
+
+
+def _take(fold: Fold) -> None:
+    own = peer(0)
+    ledger = ServiceLedger(own)
+    ledger.on_config(fold.config)
+    for part in (EntryQueue(own, ledger), EndpointOwner(own, ledger)):
+        list(part.on_view(0.0, view_of(own)))
+        list(part.on_config(0.0, fold.config))
+
+
+def config_endpoints(endpoints: int) -> dict[str, float]:
+    """Take over a configuration with so many endpoints."""
+    return _measured(endpoints, ACCOUNTS)
+
+
+def config_accounts(accounts: int) -> dict[str, float]:
+    """Take over a configuration with so many accounts."""
+    return _measured(ENDPOINTS, accounts)
+
+
+def host_list(hosts: int) -> dict[str, float]:
+    """Read the platform's list of so many hosts."""
+    rows = [
+        {
+            "host": f"host{n:04d}",
+            "kind": "router" if n % 8 < 3 else "endpoint",
+            "state": "live",
+            "ip": f"10.0.{n // 250}.{n % 250 + 1}",
+            "port": 7400,
+            "zone": f"z{n % 7}",
+        }
+        for n in range(hosts)
+    ]
+    body = json.dumps({"hosts": rows}).encode()
+    start = process_time()
+    assert len(parse_hosts(body)) == hosts
+    return {"bytes": len(body), "cpu_us": 1e6 * (process_time() - start)}
+
+
+def experiments() -> tuple[Experiment, ...]:
+    """Return the experiments of this module."""
+    return (
+        Experiment("configuration", "endpoints", (75, 150, 300, 600), config_endpoints),
+        Experiment("configuration", "accounts", (25, 50, 100, 200), config_accounts),
+        Experiment("host list", "hosts", (120, 240, 480, 960), host_list),
+    )
--- /dev/null
+++ b/greengageflow/_slopes_link.py
@@ -0,0 +1,127 @@
+"""Slopes of the link between routers: real ZeroMQ on loopback."""
+
+import gc
+import os
+from functools import partial
+from time import monotonic, process_time
+
+from circuits import Component
+from circuits.core.pollers import EPoll
+
+from greengageflow._slopes_world import Experiment, peer
+from greengageflow.messages import Demand, PeerId
+from greengageflow.peers import PeerLink
+from greengageflow.timers import Timers
+
+_IP = "127.0.0.1"
+_RUN_S = 3.0
+_SETTLE_S = 0.4
+_TICK_S = 0.005
+_APART_S = 0.02
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class LinkWorld:
+    """Links on one loop; the first sends to all the others.
+
+    Args:
+        others: Receiving links.
+    """
+
+    def __init__(self, others: int) -> None:
+        self.app = Component()
+        EPoll().register(self.app)
+        self.timers = Timers().register(self.app)
+        self.received = 0
+        self.links = [self._link(number) for number in range(1 + others)]
+        for number, link in enumerate(self.links):
+            self.links[0].set_address(peer(number).host, _IP, link.port)
+
+    def _link(self, number: int) -> PeerLink:
+        link = PeerLink(
+            peer(number), _IP, 0, self._take, channel=f"peers{number}", idle_s=600.0
+        )
+        return link.register(self.app)
+
+    def _take(self, _sender: PeerId, _message: object) -> None:
+        self.received += 1
+
+    def send(self, number: int) -> None:
+        """Send one demand to one of the others."""
+        to = 1 + number % (len(self.links) - 1)
+        message = Demand(number, "account001", "m0", 16, 480.0)
+        self.links[0].send(peer(to).host, message)
+
+    def run(self, seconds: float) -> None:
+        """Run the loop for some seconds, then close all sockets."""
+        self.timers.after(seconds, self.app.stop)
+        try:
+            self.app.run()
+        finally:
+            for link in self.links:
+                link.close()
+
+
+class _Sender:
+    """Sends at a rate and notes processor time over a span of the run."""
+
+    def __init__(self, world: LinkWorld, rate: int) -> None:
+        self.world = world
+        self.rate = rate
+        self.sent = 0
+        self.cpu_s = 0.0
+        self._start = 0.0
+        world.timers.after(_SETTLE_S, self._begin)
+        world.timers.after(_SETTLE_S + _RUN_S, self._end)
+
+    def _begin(self) -> None:
+        self._start, self.cpu_s = monotonic(), process_time()
+        self.every = self.world.timers.every(_TICK_S, self._on_tick)
+
+    def _on_tick(self) -> None:
+        while self.sent < self.rate * (monotonic() - self._start):
+            self.world.send(self.sent)
+            self.sent += 1
+
+    def _end(self) -> None:
+        self.cpu_s = process_time() - self.cpu_s
+        self.every.cancel()
+
+
+def link_messages(rate: int) -> dict[str, float]:
+    """Processor time a second, both ends, at so many messages a second."""
+    world = LinkWorld(8)
+    sender = _Sender(world, rate)
+    world.run(2 * _SETTLE_S + _RUN_S)
+    assert world.received == sender.sent, (world.received, sender.sent)
+    return {"cpu_us": 1e6 * sender.cpu_s / _RUN_S}
+
+
+def link_connections(connections: int) -> dict[str, float]:
+    """Resident memory of sender and receivers that hold so many connections."""
+    gc.collect()
+    world = LinkWorld(connections)
+    sizes: list[int] = []
+    world.timers.after(_SETTLE_S, lambda: sizes.append(_resident()))
+    for number in range(connections):
+        # One after the other: a message waits a second for its connection at most.
+        when = 2 * _SETTLE_S + number * _APART_S
+        world.timers.after(when, partial(world.send, number))
+    end = 4 * _SETTLE_S + connections * _APART_S
+    world.timers.after(end, lambda: sizes.append(_resident()))
+    world.run(end + _SETTLE_S)
+    assert world.received == connections, world.received
+    return {"memory_bytes": sizes[1] - sizes[0]}
+
+
+def _resident() -> int:
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * _PAGE
+
+
+def experiments() -> tuple[Experiment, ...]:
+    """Return the experiments of this module."""
+    return (
+        Experiment("link", "messages a second", (100, 200, 400, 800), link_messages),
+        Experiment("link", "connections", (15, 30, 60, 120), link_connections),
+    )
--- /dev/null
+++ b/greengageflow/_slopes_members.py
@@ -0,0 +1,242 @@
+"""Slopes of membership: a fleet of real cores in simulated time."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import Any
+
+from greengageflow._slopes_world import (
+    BOOT,
+    NODES,
+    SEED,
+    ZONES,
+    Cost,
+    Experiment,
+    host,
+    memory_of,
+    peer,
+    steady_garbage,
+)
+from greengageflow.membership import Membership
+from greengageflow.messages import Member, PeerId, Ping, View
+
+_QUIET_S = 10.0
+_WARM_S = 6.0
+_CHANGE_S = 20.0
+_ADOPT_S = 0.2
+"""Time that a router takes to fetch a newer configuration from the teller."""
+_READERS_PER_ZONE = 2
+_DELAY_S = (0.0005, 0.003)
+
+
+def _member(number: int, zones: int, boot: int = BOOT) -> Member:
+    ip = f"10.0.{number // 250}.{number % 250 + 1}"
+    return Member(host(number), boot, 0, "alive", ip, 7400, f"z{number % zones}")
+
+
+class MembersWorld:
+    """Membership cores joined by a network in memory.
+
+    Args:
+        nodes: Routers; they know each other from the start.
+        zones: Availability zones.
+    """
+
+    def __init__(self, nodes: int = NODES, zones: int = ZONES) -> None:
+        self.now = 1000.0
+        self.cores: dict[str, Membership] = {}
+        self.costs: dict[str, Cost] = {}
+        self.cut: Callable[[str, str], bool] = lambda _from, _to: False
+        self.per_second: dict[str, Counter[int]] = defaultdict(Counter)
+        self._random = Random(SEED)
+        self._queue: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._order = count()
+        self._members = [_member(n, zones) for n in range(nodes)]
+        for member in self._members:
+            self.start(member)
+        self._adopting: set[str] = set()
+
+    def start(self, member: Member) -> None:
+        """Start a router that knows the fleet."""
+        name, core = member.host, Membership(member, seed=self._random.random())
+        self.cores[name] = core
+        self.costs[name] = Cost(PeerId(name, member.boot))
+        first = next(one for one in self._members if one.host != name)
+        for message in (Ping(1, 0, 0, (first,)), View(tuple(self._members))):
+            list(core.receive(self.now, PeerId(first.host, first.boot), message))
+        self._at(self.now + self._random.random(), self._tick, core)
+
+    def stop(self, names: Iterable[str]) -> None:
+        """Let routers die."""
+        for name in names:
+            del self.cores[name]
+
+    def _at(self, when: float, call: Callable[..., None], *args: Any) -> None:
+        heappush(self._queue, (when, next(self._order), call, args))
+
+    def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> float:
+        """Run; return the seconds until the condition held, or all of them."""
+        start = checked = self.now
+        while self.now < start + seconds:
+            if self.now >= checked + 0.1:
+                checked = self.now
+                if until():
+                    break
+            self.now, _, call, args = heappop(self._queue)
+            call(*args)
+        return self.now - start
+
+    def _tick(self, core: Membership) -> None:
+        name = core.own.host
+        if self.cores.get(name) is not core:
+            return
+        cost = self.costs[name]
+        self._post(name, cost.send(core.on_tick(self.now)))
+        self._adopt(core)
+        self._at(self.now + core.tick_s, self._tick, core)
+
+    def _adopt(self, core: Membership) -> None:
+        name = core.own.host
+        if core.newer_revision() is not None and name not in self._adopting:
+            self._adopting.add(name)
+            self._at(self.now + _ADOPT_S, self._adopted, core)
+
+    def _adopted(self, core: Membership) -> None:
+        self._adopting.discard(core.own.host)
+        core.revision = core.newest_revision
+
+    def _post(self, sender: str, sent: list[tuple[str, bytes]]) -> None:
+        self.per_second[sender][int(self.now)] += sum(len(data) for _, data in sent)
+        for to, data in sent:
+            delay = self._random.uniform(*_DELAY_S)
+            self._at(self.now + delay, self._arrive, sender, to, data)
+
+    def _arrive(self, sender: str, to: str, data: bytes) -> None:
+        core = self.cores.get(to)
+        if core is None or self.cut(sender, to):
+            return
+        now = self.now
+        self._post(
+            to,
+            self.costs[to].take(data, lambda who, what: core.receive(now, who, what)),
+        )
+
+    def reset(self) -> None:
+        """Begin to count anew."""
+        self.costs = {name: Cost(cost.own) for name, cost in self.costs.items()}
+        self.per_second.clear()
+
+    def means(self, seconds: float) -> dict[str, float]:
+        """Return what a router spent a second, in the mean and at most."""
+        costs = [self.costs[name].outcomes for name in self.cores]
+        names = ("cpu_us", "bytes_out", "bytes_in", "messages_out", "messages_in")
+        out = {n: sum(c[n] for c in costs) / len(costs) / seconds for n in names}
+        out["worst_second_bytes_out"] = self.worst_second
+        return out
+
+    @property
+    def worst_second(self) -> float:
+        """Most bytes that any router sent in one second."""
+        return max(max(c.values(), default=0) for c in self.per_second.values())
+
+    def agreed(self) -> bool:
+        """Tell whether all see just the live routers."""
+        live = self.cores.keys()
+        return all(core.members.keys() == live for core in self.cores.values())
+
+
+def members_quiet(nodes: int) -> dict[str, float]:
+    """Nothing happens; costs a second of one router."""
+    world = MembersWorld(nodes)
+    world.run(_WARM_S)
+    world.reset()
+    with steady_garbage():
+        world.run(_QUIET_S)
+    return world.means(_QUIET_S)
+
+
+def members_lost(lost: int) -> dict[str, float]:
+    """Routers die at once; what that costs each router over 20 s, all told."""
+    world = MembersWorld()
+    world.run(_WARM_S)
+    world.reset()
+    world.stop([host(n) for n in range(lost)])
+    with steady_garbage():
+        seconds = world.run(_CHANGE_S, world.agreed)
+        world.run(_CHANGE_S - seconds)
+    return {**world.means(1.0), "seconds": seconds}
+
+
+def members_revision(nodes: int) -> dict[str, float]:
+    """The readers of each zone have a new configuration; seconds until all do."""
+    world = MembersWorld(nodes)
+    world.run(_WARM_S)
+    for number in range(_READERS_PER_ZONE * ZONES):
+        world.cores[host(number)].revision = 1
+    everywhere = lambda: all(c.revision for c in world.cores.values())  # noqa: E731
+    return {"seconds": world.run(60.0, everywhere)}
+
+
+def members_memory(nodes: int) -> dict[str, float]:
+    """State of one router that knows so many."""
+    members = tuple(_member(n, ZONES) for n in range(nodes))
+
+    def make() -> Membership:
+        core = Membership(members[0], seed=SEED)
+        first = peer(1)
+        for message in (Ping(1, 0, 0, members[1:2]), View(_fresh(members))):
+            list(core.receive(0.0, first, message))
+        list(core.on_tick(0.0))
+        return core
+
+    return {"memory_bytes": memory_of(make)[0]}
+
+
+def _fresh(members: tuple[Member, ...]) -> tuple[Member, ...]:
+    return tuple(_member(n, ZONES) for n in range(len(members)))
+
+
+def lost_zone() -> dict[str, float]:
+    """One of 7 zones dies at once."""
+    return _lost([n for n in range(NODES) if n % ZONES == 0])
+
+
+def _lost(numbers: list[int]) -> dict[str, float]:
+    world = MembersWorld()
+    world.run(_WARM_S)
+    world.reset()
+    world.stop([host(n) for n in numbers])
+    seconds = world.run(90.0, world.agreed)
+    return {"lost": len(numbers), "seconds": seconds, "worst": world.worst_second}
+
+
+def regions_apart(apart_s: float = 60.0) -> dict[str, float]:
+    """Two regions lose each other, and find each other again."""
+    world = MembersWorld()
+    world.run(_WARM_S)
+    world.reset()
+    far = {host(n) for n in range(NODES) if n % ZONES >= 4}
+    world.cut = lambda sender, to: (sender in far) != (to in far)
+    world.run(apart_s)
+    apart = world.worst_second
+    world.per_second.clear()
+    world.cut = lambda _sender, _to: False
+    seconds = world.run(120.0, world.agreed)
+    return {
+        "worst_apart": apart,
+        "worst_rejoin": world.worst_second,
+        "seconds": seconds,
+        "agreed": world.agreed(),
+    }
+
+
+def experiments() -> tuple[Experiment, ...]:
+    """Return the experiments of this module."""
+    return (
+        Experiment("membership", "members", (45, 90, 180, 360), members_quiet),
+        Experiment("membership", "routers lost", (1, 8, 26, 52), members_lost),
+        Experiment("membership", "members told", (45, 90, 180, 360), members_revision),
+        Experiment("membership", "members known", (45, 90, 180, 360), members_memory),
+    )
--- /dev/null
+++ b/greengageflow/_slopes_requests.py
@@ -0,0 +1,264 @@
+"""Slopes of the entry queue and of the endpoint owner."""
+
+from collections.abc import Iterator
+from functools import cache
+from itertools import count
+from typing import Any
+
+from greengageflow._slopes_world import (
+    ACCOUNTS,
+    BACKLOGGED,
+    BOOT,
+    NODES,
+    SLOTS,
+    Cost,
+    Experiment,
+    account,
+    fleet_config,
+    host,
+    memory_of,
+    owners_of,
+    peer,
+    placed_view,
+    view_of,
+)
+from greengageflow.entry import EntryQueue, WaitingRequest
+from greengageflow.messages import (
+    AccountService,
+    Demand,
+    FleetTotals,
+    Grant,
+    GrantReturned,
+    GrantTaken,
+    PeerId,
+    decode,
+    encode,
+)
+from greengageflow.owner import EndpointOwner
+from greengageflow.placement import FleetView
+from greengageflow.shares import ServiceLedger
+
+_POOL = "m0"
+_PIECES = 10
+_WAITING = 16
+_BACKLOG_WARM_S = 10.0
+_BACKLOG_S = 20.0
+_ENTRY_ROUTERS = 29
+_TICK_S = 0.05
+_TICKS = 200
+_GRANTS = 300
+
+
+def _ledger(own: PeerId) -> ServiceLedger:
+    ledger = ServiceLedger(own)
+    ledger.on_config(fleet_config(endpoints=0))
+    rows = (AccountService(account(n), 1000.0 + n, 500.0) for n in range(ACCOUNTS))
+    ledger.on_totals(0.0, peer(1), FleetTotals(tuple(rows), 1))
+    return ledger
+
+
+@cache
+def _asker() -> PeerId:
+    """Return a router that owns no endpoint of the pool, so that it asks others."""
+    owners = owners_of(_POOL)
+    return next(peer(n) for n in range(NODES) if host(n) not in owners)
+
+
+def _entry() -> EntryQueue:
+    own = _asker()
+    entry = EntryQueue(own, _ledger(own))
+    list(entry.on_view(0.0, view_of(own)))
+    list(entry.on_config(0.0, fleet_config()))
+    return entry
+
+
+def _request(number: int, now: float, of: int = ACCOUNTS) -> WaitingRequest:
+    name = account(number % of)
+    return WaitingRequest(f"q{number}", name, _POOL, 480.0, now + 60.0)
+
+
+def entry_requests(requests: int) -> dict[str, float]:
+    """Serve requests one after the other, each granted by the first owner asked."""
+    entry = _entry()
+    cost = Cost(_asker())
+    owned = owners_of(_POOL)
+    for number in range(requests):
+        now = 1.0 + 0.1 * number
+        req = _request(number, now)
+        [(owner, _)] = cost.send(entry.submit(now, req))
+        grant = Grant(f"{owner}:1:{number}", req.account, _POOL, owned[owner][0], 2.0)
+        _serve(entry, cost, owner, grant, now)
+    return cost.outcomes
+
+
+def _serve(entry: EntryQueue, cost: Cost, owner: str, grant: Grant, now: float) -> None:
+    data = encode(PeerId(owner, BOOT), grant)
+    cost.take(data, lambda sender, message: entry.receive(now, sender, message))
+    for _ in range(_PIECES):
+        cost.run(lambda: entry.progress(grant.grant, 48.0))
+    cost.send(entry.finished(grant.grant, 480.0, 15.0))
+
+
+def entry_backlog(accounts: int) -> dict[str, float]:
+    """Hold backlogged accounts that get no grants; all per second."""
+    entry = _entry()
+    cost = Cost(_asker())
+    for number in range(accounts * _WAITING):
+        list(entry.submit(1.0, _request(number, 1.0, accounts)))
+    _run_ticks(entry, 1.0, _BACKLOG_WARM_S, Cost(_asker()))
+    _run_ticks(entry, _BACKLOG_WARM_S, _BACKLOG_WARM_S + _BACKLOG_S, cost)
+    return {name: value / _BACKLOG_S for name, value in cost.outcomes.items()}
+
+
+def _run_ticks(entry: EntryQueue, now: float, end: float, cost: Cost) -> None:
+    while (now := max(now + 0.001, entry.next_tick(now))) < end:
+        cost.send(entry.on_tick(now))
+
+
+def entry_memory(requests: int) -> dict[str, float]:
+    """Hold waiting requests."""
+    entry = _entry()
+
+    def fill() -> None:
+        for number in range(requests):
+            list(entry.submit(1.0, _request(number, 1.0, BACKLOGGED)))
+
+    return {"memory_bytes": memory_of(fill)[0]}
+
+
+# The owner.
+
+
+class OwnerWorld:
+    """One owner with backlogged demand of several entry routers.
+
+    Args:
+        entry_routers: Routers with demand of each backlogged account.
+        endpoints: Endpoints of its pool that it owns.
+        view: What it sees.
+    """
+
+    def __init__(
+        self, entry_routers: int = _ENTRY_ROUTERS, *, endpoints: int = 2
+    ) -> None:
+        self.now = 100.0
+        self.cfg = fleet_config()
+        self.own = self._owner_with(placed_view(), endpoints)
+        view = view_of(self.own)
+        self.owner = EndpointOwner(self.own, _ledger(self.own))
+        self.cost = Cost(self.own)
+        self._seq = count(1)
+        self._routers = [peer(n) for n in range(NODES) if peer(n) != self.own]
+        self._routers = self._routers[:entry_routers]
+        list(self.owner.on_config(self.now, self.cfg))
+        list(self.owner.on_view(self.now, view))
+        self.now += 2.0
+        self.held = list(self._demand_all())
+
+    def _owner_with(self, view: FleetView, endpoints: int) -> PeerId:
+        counts: dict[str, int] = {}
+        for name in self.cfg.endpoints:
+            owner = view.owner_of(name)
+            counts[owner] = counts.get(owner, 0) + 1
+        best = min(counts, key=lambda name: abs(counts[name] - endpoints))
+        self.endpoints = counts[best]
+        return PeerId(best, view.live[best].boot)
+
+    def _demand_all(self) -> Iterator[tuple[str, Grant]]:
+        pools = {self.cfg.endpoints[name].pool for name in self.owner.owned}
+        for router in self._routers:
+            for number in range(BACKLOGGED):
+                for pool in pools:
+                    yield from self.demand(router, number, pool)
+
+    def demand(
+        self, router: PeerId, number: int, pool: str
+    ) -> Iterator[tuple[str, Grant]]:
+        """Let a router state its demand; yield the grants that it leads to."""
+        message = Demand(next(self._seq), account(number), pool, _WAITING, 480.0)
+        yield from self._take(router, message)
+
+    def _take(self, sender: PeerId, message: Any) -> Iterator[tuple[str, Grant]]:
+        out = self.cost.take(encode(sender, message), self._receive)
+        for to, data in out:
+            grant = decode(data)[1]
+            if isinstance(grant, Grant):
+                yield to, grant
+
+    def _receive(self, sender: PeerId, message: Any) -> Any:
+        return self.owner.receive(self.now, sender, message)
+
+    def cycle(self) -> None:
+        """End the oldest request: a grant, its two answers and a demand."""
+        to, grant = self.held.pop(0)
+        entry = PeerId(to, grant.boot)
+        self.now += 0.05
+        list(self._take(entry, GrantTaken(grant.grant, grant.endpoint, "a", 480, 60)))
+        router = self._routers[grant_number(grant) % len(self._routers)]
+        number = grant_number(grant) % BACKLOGGED
+        self.held += self.demand(router, number, grant.pool)
+        returned = GrantReturned(grant.grant, grant.endpoint, 480, 15.0)
+        self.held += self._take(entry, returned)
+
+
+def grant_number(grant: Grant) -> int:
+    """Return the number in a grant's id."""
+    return int(grant.grant.rpartition(":")[2])
+
+
+def owner_grants(grants: int) -> dict[str, float]:
+    """Give grants while 20 accounts are backlogged at 29 entry routers each."""
+    world = OwnerWorld()
+    world.cost = Cost(world.own)
+    for _ in range(grants):
+        world.cycle()
+    return world.cost.outcomes
+
+
+def owner_demands(entry_routers: int) -> dict[str, float]:
+    """Cost of one grant with demand of so many routers; memory of the book."""
+    held, world = memory_of(lambda: OwnerWorld(entry_routers))
+    world.cost = Cost(world.own)
+    for _ in range(_GRANTS):
+        world.cycle()
+    return {"cpu_us": world.cost.outcomes["cpu_us"] / _GRANTS, "memory_bytes": held}
+
+
+def owner_tick(endpoints: int) -> dict[str, float]:
+    """Ticks of one second of an owner whose slots are all in use."""
+    world = OwnerWorld(endpoints=endpoints)
+    world.cost = Cost(world.own)
+    for _ in range(_TICKS):
+        world.now += _TICK_S
+        world.cost.send(world.owner.on_tick(world.now))
+    return {"cpu_us": world.cost.outcomes["cpu_us"] / (_TICKS * _TICK_S)}
+
+
+def owner_slots(slots: int) -> dict[str, float]:
+    """Hold so many granted slots."""
+    world = OwnerWorld()
+    endpoint = world.held[0][1].endpoint
+
+    def fill() -> None:
+        for number in range(slots):
+            taken = GrantTaken(f"x:1:{number}", endpoint, account(number % 20), 480, 60)
+            list(world.owner.receive(world.now, peer(1), taken))
+
+    return {"memory_bytes": memory_of(fill)[0]}
+
+
+def _doubled(first: int) -> tuple[int, ...]:
+    return first, 2 * first, 4 * first, 8 * first
+
+
+def experiments() -> tuple[Experiment, ...]:
+    """Return the experiments of this module."""
+    return (
+        Experiment("entry", "requests", _doubled(100), entry_requests),
+        Experiment("entry", "backlogged accounts", _doubled(5), entry_backlog),
+        Experiment("entry", "waiting requests", _doubled(100), entry_memory),
+        Experiment("owner", "grants", _doubled(100), owner_grants),
+        Experiment("owner", "entry routers", (4, 8, 16, 29, 58), owner_demands),
+        Experiment("owner", "owned endpoints", (1, 2, 3, 4, 5), owner_tick),
+        Experiment("owner", "slots in use", _doubled(SLOTS), owner_slots),
+    )
--- /dev/null
+++ b/greengageflow/_slopes_shares.py
@@ -0,0 +1,198 @@
+"""Slopes of the service counters: ledgers and collectors of a whole fleet."""
+
+from collections.abc import Iterable, Iterator
+from random import Random
+
+from greengageflow._slopes_world import (
+    ACCOUNTS,
+    NODES,
+    SEED,
+    ZONES,
+    Cost,
+    Experiment,
+    account,
+    fleet_config,
+    live_members,
+    memory_of,
+    peer,
+    steady_garbage,
+)
+from greengageflow.collector import Collector
+from greengageflow.messages import (
+    AccountService,
+    FleetTotals,
+    PeerId,
+    ShareReport,
+    ZoneTotals,
+    decode,
+    encode,
+)
+from greengageflow.placement import FleetView, LiveMember, Rank
+from greengageflow.shares import SHARDS, ServiceLedger, share_interval_s
+
+BUSY_ACCOUNTS = 92
+"""Accounts that one router serves at the same time, by the letter's rates."""
+_POLICY_S = 0.5
+_HALF = NODES // 2
+_WARM = 4
+_MEASURED = 6
+
+
+class SharesNode:
+    """Ledger and collector of one router."""
+
+    def __init__(
+        self,
+        own: PeerId,
+        live: dict[str, LiveMember],
+        interval_s: float,
+        ranks: dict[str, Rank],
+    ) -> None:
+        self.ledger = ServiceLedger(own)
+        self.ledger.on_config(fleet_config(endpoints=0))
+        self.collector = Collector(own, self.ledger, interval_s=interval_s)
+        self.view = FleetView(own, live, frozenset(live), _ranks=ranks)
+        self.collector.on_view(0.0, self.view)
+        self.cost = Cost(own)
+
+    def receive(self, now: float, sender: PeerId, data: object) -> None:
+        """Take one message."""
+        if isinstance(data, FleetTotals):
+            self.ledger.on_totals(now, sender, data)
+        else:
+            self.collector.receive(now, sender, data)
+
+
+class SharesWorld:
+    """All routers' counters, with messages delivered at once.
+
+    Args:
+        nodes: Routers.
+        zones: Availability zones.
+        busy: Accounts that each router serves at a time.
+        accounts: Accounts of the fleet.
+    """
+
+    def __init__(
+        self,
+        nodes: int = NODES,
+        zones: int = ZONES,
+        busy: int = BUSY_ACCOUNTS,
+        accounts: int = ACCOUNTS,
+    ) -> None:
+        self.interval_s = share_interval_s(_POLICY_S, nodes)
+        self.now = 0.0
+        self._random = Random(SEED)
+        self._busy = min(busy, accounts)
+        self._accounts = [account(n) for n in range(accounts)]
+        self.ranks: dict[str, Rank] = {}
+        live = live_members(nodes, zones)
+        self.nodes = {
+            peer(n).host: SharesNode(peer(n), live, self.interval_s, self.ranks)
+            for n in range(nodes)
+        }
+
+    def step(self) -> None:
+        """Serve for one interval, then report."""
+        self.now += self.interval_s
+        sent = []
+        for node in self.nodes.values():
+            for name in self._random.sample(self._accounts, self._busy):
+                node.ledger.expect(name, 480.0).charge(self._random.randint(20, 60))
+            sent += self._report(node)
+        for to, data in sent:
+            node = self.nodes[to]
+            node.cost.take(
+                data, lambda who, what, node=node: node.receive(self.now, who, what)
+            )
+
+    def _report(self, node: SharesNode) -> list[tuple[str, bytes]]:
+        reports = lambda: [  # noqa: E731
+            *node.ledger.report(node.view),
+            *node.collector.report(self.now),
+        ]
+        found = node.cost.run(reports)
+        own = [e.message for e in found if e.to == node.cost.own.host]
+        for message in own:
+            node.receive(self.now, node.cost.own, message)
+        return node.cost.send(found)
+
+    def measure(self) -> dict[str, float]:
+        """Return the busiest and the mean router's costs a second."""
+        for _ in range(_WARM):
+            self.step()
+        for node in self.nodes.values():
+            node.cost = Cost(node.cost.own)
+        with steady_garbage():
+            for _ in range(_MEASURED):
+                self.step()
+        seconds = _MEASURED * self.interval_s
+        return dict(_sums([n.cost for n in self.nodes.values()], seconds))
+
+
+def _sums(costs: Iterable[Cost], seconds: float) -> Iterator[tuple[str, float]]:
+    for name in ("cpu_us", "bytes_out", "bytes_in", "messages_out", "messages_in"):
+        values = [cost.outcomes[name] / seconds for cost in costs]
+        yield f"{name}_mean", sum(values) / len(values)
+        yield f"{name}_busiest", max(values)
+
+
+def shares_accounts(busy: int) -> dict[str, float]:
+    """Counters of 180 routers while each serves so many accounts."""
+    return SharesWorld(_HALF, busy=busy).measure()
+
+
+def shares_routers(nodes: int) -> dict[str, float]:
+    """All of the fleet's counters in a fleet of so many routers."""
+    return SharesWorld(nodes).measure()
+
+
+def shares_zones(zones: int) -> dict[str, float]:
+    """Counters of 180 routers in so many zones."""
+    return SharesWorld(_HALF, zones).measure()
+
+
+def shares_memory(routers: int) -> dict[str, float]:
+    """State of the busiest collector when its zone has so many routers."""
+    nodes = ZONES * routers
+    live = live_members(nodes)
+    ranks: dict[str, Rank] = {}
+    views = (
+        FleetView(peer(n), live, frozenset(live), _ranks=ranks) for n in range(nodes)
+    )
+    own = max(views, key=_collected)
+    names = [account(n) for n in range(ACCOUNTS)]
+    zone = [PeerId(h, live[h].boot) for h in own.zone_hosts(own.zone)]
+
+    def make() -> SharesNode:
+        node = SharesNode(own.own, live, _POLICY_S, ranks)
+        for sender in zone:
+            rows = tuple(AccountService(name, 1000.0, 400.0, 3) for name in names)
+            report = ShareReport(1, rows, (1 << SHARDS) - 1)
+            node.receive(0.0, sender, decode(encode(sender, report))[1])
+        for number in range(1, ZONES):
+            sender = PeerId(own.own.host, 0)
+            rows = tuple(AccountService(name, 9000.0, 400.0, 3) for name in names)
+            totals = ZoneTotals(f"other{number}", rows)
+            node.receive(0.0, sender, decode(encode(sender, totals))[1])
+        rows = tuple(AccountService(name, 60000.0, 400.0, 3) for name in names)
+        totals = FleetTotals(rows, 1)
+        node.receive(0.0, zone[0], decode(encode(zone[0], totals))[1])
+        return node
+
+    return {"memory_bytes": memory_of(make)[0]}
+
+
+def _collected(view: FleetView) -> int:
+    own = view.own.host
+    return sum(view.collector_of(view.zone, s) == own for s in range(SHARDS))
+
+
+def experiments() -> tuple[Experiment, ...]:
+    """Return the experiments of this module."""
+    return (
+        Experiment("shares", "routers", (45, 90, 180, 360), shares_routers),
+        Experiment("shares", "busy accounts", (23, 46, 92, 184), shares_accounts),
+        Experiment("shares", "zones", (2, 4, 7, 10), shares_zones),
+        Experiment("shares", "routers of the zone", (7, 13, 26, 52), shares_memory),
+    )
--- /dev/null
+++ b/greengageflow/_slopes_stream.py
@@ -0,0 +1,44 @@
+"""Slope of the data path: pieces streamed through one real router."""
+
+from time import monotonic
+
+from greengageflow._slopes_world import Experiment
+from greengageflow.bench_latency import bench_plan, usage_of
+from greengageflow.lab import Lab, key_of
+from greengageflow.load import LoadClient
+from greengageflow.load_plan import ChatLoad, LoadPlan
+
+_SECONDS = 8.0
+
+
+def stream_pieces(streams: int) -> dict[str, float]:
+    """Stream 50 pieces a second on each of so many streams, for 8 s."""
+    with Lab(bench_plan()) as lab:
+        router = lab.routers["r1"]
+        load = ChatLoad(
+            account="acme",
+            key=key_of("acme"),
+            model=lab.plan.model,
+            outstanding=streams,
+            median_tokens=400,
+            sigma=0.1,
+        )
+        plan = LoadPlan(routers=(router.address,), loads=(load,), duration_s=_SECONDS)
+        start, before = monotonic(), usage_of(router)
+        results = LoadClient(plan).run()
+        after, seconds = usage_of(router), monotonic() - start
+        traffic = lab.status("r1")["control"]
+    whole = [one for one in results if one.complete]
+    pieces = sum(one.tokens for one in whole)
+    assert len(whole) == len(results), "answers were not whole"
+    return {
+        "cpu_us": 1e6 * (after.cpu_s - before.cpu_s) / seconds,
+        "pieces_per_s": pieces / seconds,
+        "memory_bytes": 1e6 * (after.rss_mb - before.rss_mb),
+        "peer_bytes": traffic["bytes_out"],
+    }
+
+
+def experiments() -> tuple[Experiment, ...]:
+    """Return the experiments of this module."""
+    return (Experiment("stream", "streams", (18, 36, 54, 72), stream_pieces),)
--- /dev/null
+++ b/greengageflow/_slopes_view.py
@@ -0,0 +1,81 @@
+"""Slopes of a changed view: who owns what, and what the parts do about it."""
+
+from time import process_time
+
+from greengageflow._slopes_world import (
+    ENDPOINTS,
+    NODES,
+    Experiment,
+    fleet_config,
+    live_members,
+    memory_of,
+    peer,
+)
+from greengageflow.collector import Collector
+from greengageflow.entry import EntryQueue
+from greengageflow.owner import EndpointOwner
+from greengageflow.placement import FleetView, LiveMember
+from greengageflow.shares import ServiceLedger
+
+
+class ViewWorld:
+    """The parts of one router that follow the view.
+
+    Args:
+        nodes: Members.
+        endpoints: Endpoints.
+    """
+
+    def __init__(self, nodes: int, endpoints: int = ENDPOINTS) -> None:
+        own = peer(0)
+        self.cfg = fleet_config(endpoints)
+        self.ledger = ServiceLedger(own)
+        self.entry = EntryQueue(own, self.ledger)
+        self.owner = EndpointOwner(own, self.ledger)
+        self.collector = Collector(own, self.ledger)
+        self.live = live_members(nodes)
+        self.view = FleetView(own, self.live, frozenset(self.live))
+        list(self.entry.on_config(0.0, self.cfg))
+        list(self.owner.on_config(0.0, self.cfg))
+        self.first_us = self.change(self.live, frozenset(self.live))
+
+    def change(self, live: dict[str, LiveMember], roster: frozenset[str]) -> float:
+        """Take over another view; return microseconds of processor time."""
+        start = process_time()
+        self.view = self.view.succeeded(live, roster)
+        self.collector.on_view(1.0, self.view)
+        list(self.entry.on_view(1.0, self.view))
+        list(self.owner.on_view(1.0, self.view))
+        for pool in self.cfg.pools:
+            self.entry._registrar.owners(pool)
+        return 1e6 * (process_time() - start)
+
+
+def _costs(world: ViewWorld) -> dict[str, float]:
+    live = dict(world.live)
+    del live[peer(len(live) - 1).host]
+    return {
+        "first_us": world.first_us,
+        "member_lost_us": world.change(live, world.view.roster),
+        "roster_changed_us": world.change(live, frozenset(live)),
+    }
+
+
+def view_members(nodes: int) -> dict[str, float]:
+    """Change the view of a fleet of so many members."""
+    held, world = memory_of(lambda: ViewWorld(nodes))
+    return {**_costs(ViewWorld(nodes)), "memory_bytes": held * bool(world)}
+
+
+def view_endpoints(endpoints: int) -> dict[str, float]:
+    """Change the view of 360 members over so many endpoints."""
+    held, world = memory_of(lambda: ViewWorld(NODES, endpoints))
+    return {**_costs(ViewWorld(NODES, endpoints)), "memory_bytes": held * bool(world)}
+
+
+def experiments() -> tuple[Experiment, ...]:
+    """Return the experiments of this module."""
+    return (
+        Experiment("view", "members", (45, 90, 180, 360), view_members),
+        Experiment("view", "endpoints", (75, 150, 300, 600), view_endpoints),
+    )
--- /dev/null
+++ b/greengageflow/slopes.py
@@ -0,0 +1,108 @@
+"""``make bench-slopes``: what each role costs while one driver grows.
+
+Real core and codec, processor time of this process, bytes of encoded messages,
+memory as Python's allocator counts it. What was measured is saved as JSON with the
+seed, the date and the machine's load, and drawn; ``capacity`` works from it.
+"""
+
+import json
+import os
+from collections.abc import Iterable, Iterator
+from datetime import UTC, datetime
+from importlib import import_module
+from pathlib import Path
+from statistics import median
+from time import monotonic
+from typing import Any
+
+from greengageflow._processes import ROOT
+from greengageflow._slopes_members import lost_zone, regions_apart
+from greengageflow._slopes_svg import draw
+from greengageflow._slopes_world import SEED, Experiment
+from greengageflow.slopes_fit import fit_line
+
+SLOPES = ROOT / "docs" / "slopes.json"
+DRAWING = ROOT / "docs" / "slopes.svg"
+ROLES = ("requests", "shares", "members", "config", "actions", "view", "link", "stream")
+_REPEATS = 3
+_LONG_S = 3.0
+"""A point that takes longer is measured once."""
+
+
+def measure(experiment: Experiment) -> Iterator[tuple[str, list[list[float]]]]:
+    """Yield the points (driver, outcome) of each outcome of an experiment."""
+    rows = [(x, _median_of(experiment, x)) for x in experiment.points]
+    for name in rows[0][1]:
+        yield name, [[x, outcomes[name]] for x, outcomes in rows]
+
+
+def _median_of(experiment: Experiment, x: int) -> dict[str, float]:
+    start = monotonic()
+    runs = [experiment.run(x)]
+    if monotonic() - start < _LONG_S:
+        runs += [experiment.run(x) for _ in range(_REPEATS - 1)]
+    return {name: median(run[name] for run in runs) for name in runs[0]}
+
+
+def run_role(role: str) -> dict[str, Any]:
+    """Measure one role; return its entries of the JSON file."""
+    entries = {}
+    for experiment in import_module(f"greengageflow._slopes_{role}").experiments():
+        load = os.getloadavg()[0]
+        for name, points in measure(experiment):
+            line = fit_line(points)
+            entries[f"{experiment.role}/{experiment.driver}/{name}"] = {
+                "points": [[x, round(y, 3)] for x, y in points],
+                "slope": line.slope,
+                "intercept": line.intercept,
+                "residual": line.residual,
+                "load": round(load, 1),
+            }
+    return entries
+
+
+def load(path: Path = SLOPES) -> dict[str, Any]:
+    """Return what was saved."""
+    return json.loads(path.read_text())
+
+
+def save(document: dict[str, Any], path: Path = SLOPES) -> None:
+    """Save what was measured."""
+    path.write_text(json.dumps(document, indent=1, sort_keys=True) + "\n")
+
+
+def run_events() -> None:
+    """Simulate what happens to many hosts at once, and save it."""
+    document = load()
+    document["events"] = {
+        "lost_zone": lost_zone(),
+        "regions_apart": regions_apart(),
+    }
+    save(document)
+    print(json.dumps({"events": document["events"]}), flush=True)
+
+
+def run_slopes(roles: Iterable[str] = ROLES) -> None:
+    """Measure roles, save and draw them; the others keep what was saved."""
+    for role in roles:
+        entries = run_role(role)
+        document = load() if SLOPES.exists() else {"slopes": {}}
+        document["seed"] = SEED
+        document["date"] = datetime.now(UTC).strftime("%Y-%m-%d %H:%M UTC")
+        document["processors"] = os.cpu_count()
+        document["slopes"].update(entries)
+        save(document)
+        for name, entry in entries.items():
+            print(
+                json.dumps(
+                    {
+                        "name": name,
+                        **{
+                            key: round(entry[key], 4)
+                            for key in ("slope", "intercept", "residual", "load")
+                        },
+                    }
+                ),
+                flush=True,
+            )
+    DRAWING.write_text(draw(load()["slopes"]))
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,84 @@
+import pytest
+
+from greengageflow._slopes_svg import draw
+from greengageflow.actions import ActionFold, Intent, Outcome
+from greengageflow.capacity import PAGE, page
+from greengageflow.catalog import FleetConfig, Policy
+from greengageflow.messages import PeerId
+from greengageflow.owner import EndpointOwner
+from greengageflow.placement import FleetView, LiveMember
+from greengageflow.shares import ServiceLedger, share_interval_s
+from greengageflow.slopes import DRAWING, load
+from greengageflow.slopes_fit import fit_line
+
+
+def test_a_line_is_found_again():
+    fit = fit_line([(x, 3.0 + 0.5 * x) for x in (1, 2, 4, 8)])
+    assert (fit.slope, fit.intercept) == pytest.approx((0.5, 3.0))
+    assert fit.residual == pytest.approx(0.0, abs=1e-9)
+    assert fit.at(100) == pytest.approx(53.0)
+
+
+def test_the_residual_is_what_the_line_misses():
+    fit = fit_line([(0, 1.0), (0, -1.0), (2, 1.0), (2, -1.0)])
+    assert (fit.slope, fit.intercept, fit.residual) == pytest.approx((0.0, 0.0, 1.0))
+
+
+def test_one_driver_makes_no_line():
+    with pytest.raises(ValueError):
+        fit_line([(3, 1.0), (3, 2.0)])
+
+
+def test_the_page_is_what_the_saved_slopes_give():
+    document = load()
+    assert PAGE.read_text() == page(document)
+    assert DRAWING.read_text() == draw(document["slopes"])
+
+
+def test_each_saved_slope_is_the_line_through_its_points():
+    for name, entry in load()["slopes"].items():
+        fit = fit_line(entry["points"])
+        assert len(entry["points"]) >= 4, name
+        saved = (entry["slope"], entry["intercept"])
+        assert saved == pytest.approx((fit.slope, fit.intercept), rel=1e-2, abs=0.01)
+
+
+def test_reports_become_rarer_only_in_large_fleets():
+    assert [share_interval_s(0.5, n) for n in (1, 9, 90, 91, 360)] == [
+        0.5,
+        0.5,
+        0.5,
+        1.0,
+        2.0,
+    ]
+    assert share_interval_s(3.0, 360) == 3.0
+
+
+def test_an_owner_waits_for_the_totals_as_long_as_the_fleet_takes():
+    """Each account seems served too little until its grants show in the totals.
+
+    In a large fleet reports come late. An owner that forgot its own charges after
+    the small fleet's interval would give all free slots to one account.
+    """
+    own = PeerId("r0", 1)
+    live = {f"r{n}": LiveMember(1) for n in range(360)}
+    owner = EndpointOwner(own, ServiceLedger(own))
+    list(owner.on_config(0.0, FleetConfig(policy=Policy(share_interval_s=0.5))))
+    list(owner.on_view(0.0, FleetView(own, live, frozenset())))
+    assert owner._lag_s == 6.0
+
+
+def test_short_answers_leave_nothing_behind():
+    """A writer's memory grows day by day, though each key is kept ten minutes.
+
+    The keys of kept answers stood in a list that only answers over the bound for
+    all of them shortened; short ones never reach it.
+    """
+    fold = ActionFold(600.0)
+    for number in range(1000):
+        time = 10.0 * number
+        key, nonce = f"acme\n{number}", f"r1:1:{number}"
+        fold.apply(time, Intent(key, nonce, "d", "r1:1"))
+        fold.apply(time, Outcome(key, nonce, "yes", 200, "text/plain", b"done"))
+    assert len(fold) <= 62
+    assert len(fold._bodies) <= 62
