Answers under engine faults; a cut request refused later is not called not run

Faults found by the tests and mended: - A request that was cut, queued again and then refused in the queue (deadline) was told ran: no, though its first attempt ran. The flight now remembers it. Seen with the line off: ran "no" for a request among the engine's executions. - Requests that break together each doubled the endpoint's rest: after six streams of an engine were cut at once nothing started for half a minute. Only requests begun after the rest count now. Seen with the line off: no probe after 1 s. - The load client took the router's error event for a broken connection, because it looked for data at the beginning of an event only.

--- a/greengageflow/_load_result.py
+++ b/greengageflow/_load_result.py
@@ -39,7 +39,9 @@
 
 def _sse(data: bytes) -> Iterator[str]:
     # The last one may be broken off, so it only counts with its blank line.
-    for line in data.split(b"\n\n")[:-1]:
+    # The router's last event of a cut answer has its name in a line before.
+    lines = (line for one in data.split(b"\n\n")[:-1] for line in one.split(b"\n"))
+    for line in lines:
         if line.startswith(b"data:"):
             yield line[len(b"data:") :].strip().decode(errors="replace")
 
--- a/greengageflow/dispatch.py
+++ b/greengageflow/dispatch.py
@@ -295,6 +295,7 @@
         exc = RouterError(ErrorKind.ENDPOINT_CUT, text, ran=end.ran)
         repeatable = not flight.protected and isinstance(flight.call, ChatCall)
         if repeatable and not flight.call.reply.streaming:
+            flight.ran = end.ran
             self._retry(flight, exc)
         else:
             self._refuse_sent(flight, exc)
@@ -326,6 +327,12 @@
         if flight.phase is not Phase.RUNNING and flight.grant:
             self._give_back(flight.grant)
         self._release(flight)
+        if exc.ran is Ran.NO and flight.ran is not Ran.NO:
+            # This attempt did not run, but an earlier one may have: "not run" would
+            # be false for a request that was cut, queued again and then refused.
+            exc = RouterError(
+                exc.kind, exc.message, ran=flight.ran, retry_after_s=exc.retry_after_s
+            )
         self._metrics.count(Metric.REFUSED, part=exc.kind.value)
         headers = [("X-Request-Id", flight.wire_id)]
         flight.call.reply.error(exc, headers)
--- a/greengageflow/flight.py
+++ b/greengageflow/flight.py
@@ -9,6 +9,7 @@
 from greengageflow.callers import ChatCall, ServiceCall
 from greengageflow.catalog import ClientAccount, Endpoint, Pool
 from greengageflow.engine_client import EngineCall
+from greengageflow.errors import Ran
 from greengageflow.http_pool import Exchange
 
 
@@ -52,6 +53,7 @@
     run: EngineCall | Exchange | None = None
     attempts: int = 0
     pieces: int = 0
+    ran: Ran = Ran.NO
     kept: bytearray = field(default_factory=bytearray)
     phase: Phase = Phase.NEW
     span: Span | None = None
--- a/greengageflow/limits.py
+++ b/greengageflow/limits.py
@@ -39,6 +39,7 @@
         self._longest_rest_s = longest_rest_s
         self._failures = 0
         self._rest_until = 0.0
+        self._rested_at = float("-inf")
         self._cut_at = float("-inf")
         self._samples = 0
         self._seconds = 0.0
@@ -71,19 +72,24 @@
     def observe(self, now: float, served: float, seconds: float, failed: bool) -> None:
         """Take in the result of one request."""
         if failed:
-            self._on_failure(now)
+            self._on_failure(now, seconds)
             return
         self._failures = 0
         if served > 0 and seconds > 0:
             self._on_pace(now, served, seconds)
 
-    def _on_failure(self, now: float) -> None:
+    def _on_failure(self, now: float, seconds: float) -> None:
+        # Requests that ran together break together. Each would double the rest, and
+        # an engine of eight slots would stay unused for long after one fault.
+        if self.resting and now - seconds < self._rested_at:
+            return
         self._failures += 1
         self._shrink(now, 0.0)
         over = self._failures - self._failures_allowed
         if over >= 0:
             rest_s = min(self._longest_rest_s, self._rest_s * 2 ** min(over, 10))
             self._rest_until = now + rest_s
+            self._rested_at = now
 
     def _on_pace(self, now: float, served: float, seconds: float) -> None:
         # Seconds and tokens are smoothed apart: the pace of one short answer is
--- /dev/null
+++ b/tests/test_answer_faults.py
@@ -0,0 +1,282 @@
+"""Wrong, cut, late and unwanted answers of engines, with real processes."""
+
+import json
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import closing
+from time import time
+
+import pytest
+
+from greengageflow.lab import Lab, LabPlan, key_of
+from tests.fleet_support import (
+    BackgroundLoad,
+    assert_truthful,
+    chats,
+    executions,
+    most_at_once,
+)
+from tests.support import sse_events, start, wait_for
+
+SLOTS = 4
+PACE = {"base_pace_s": 0.003, "per_request_pace_s": 0.0002}
+DONE = b"data: [DONE]"
+
+
+def plan(resumes):
+    return LabPlan(
+        engines=2,
+        slots=SLOTS,
+        engine_options={**PACE, "resumes": resumes, "resume_grace_s": 0.5},
+        engine_fields={"resumes": resumes},
+    )
+
+
+@pytest.fixture(scope="module", params=[False, True], ids=["plain", "resumes"])
+def shared(request):
+    with Lab(plan(request.param)) as lab:
+        yield lab
+
+
+@pytest.fixture
+def lab(shared):
+    yield shared
+    for engine in shared.engines.values():
+        engine.fault()
+    assert_all_slots_usable(shared)
+
+
+def resumes(lab):
+    return bool(lab.plan.engine_fields["resumes"])
+
+
+def fault(lab, **faults):
+    for engine in lab.engines.values():
+        engine.fault(**faults)
+
+
+def running(lab):
+    return [e.call("GET", "/load").json["running"] for e in lab.engines.values()]
+
+
+def all_running(lab):
+    """Yield the least number that an engine runs, again and again under a load."""
+    load = BackgroundLoad(lab, chats("acme", outstanding=40), duration_s=2)
+    while load.running:
+        yield min(running(lab))
+    assert_truthful(lab, load.results())
+
+
+def assert_all_slots_usable(lab):
+    """No slot leaked: a load of more than all uses every one at once."""
+    wait_for(lambda: not any(running(lab)), "idle engines")
+    since = time()
+    # An engine that failed rests first, and then gets more work little by little.
+    wait_for(lambda: SLOTS in list(all_running(lab)), "every slot in use", 60)
+    # An engine takes a moment to see that a connection of before was closed.
+    new = [one for one in executions(lab) if one["started"] >= since]
+    assert max(most_at_once(new).values()) <= SLOTS
+
+
+def loaded(lab, **options):
+    """Results of a load, and the executions that it caused."""
+    before = len(executions(lab))
+    load = chats("acme", outstanding=16, **options)
+    results = BackgroundLoad(lab, load, duration_s=2).results()
+    assert_truthful(lab, results)
+    assert results
+    assert len(executions(lab)) > before
+    return results
+
+
+def open_stream(lab, tokens, mark, **headers):
+    """Send a streamed request on a plain socket; return it after the first piece."""
+    message = {"role": "user", "content": mark}
+    body = {"model": "scribe", "stream": True, "messages": [message]}
+    data = json.dumps({**body, "x_tokens": tokens}).encode()
+    lines = [
+        "POST /v1/chat/completions HTTP/1.1",
+        "Host: router",
+        f"Authorization: Bearer {key_of('bolt')}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(data)}",
+        *(f"{name}: {value}" for name, value in headers.items()),
+    ]
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.settimeout(60)
+    sock.connect(lab.routers["r1"].address)
+    sock.sendall("\r\n".join([*lines, "", ""]).encode() + data)
+    return sock
+
+
+def execution(lab, tokens):
+    found = [one for one in executions(lab) if one["tokens"] == tokens]
+    return found[-1] if found else None
+
+
+def read_all(sock):
+    data = b""
+    while part := sock.recv(65_536):
+        data += part
+        if data.endswith(b"0\r\n\r\n"):
+            break
+    return data
+
+
+@pytest.mark.parametrize(
+    ("wrong", "stream"),
+    [("duplicate", True), ("late", True), ("cross", True), ("late", False)],
+)
+def test_wrong_pieces_reach_no_caller(lab, wrong, stream):
+    """Each caller gets its own answer although the engine mixes answers up.
+
+    The engine sends pieces twice, again later, or those of other requests between.
+    """
+    fault(lab, **{wrong: True})
+    results = loaded(lab, stream=stream)
+    assert all(one.complete for one in results)
+
+
+def test_a_whole_answer_of_another_request_is_refused_and_never_called_not_run(lab):
+    """Callers get a refusal that does not say "not run", since their request ran.
+
+    The engine answers each with another's answer. The request is tried again, and
+    some wait for the next try up to their deadline, which alone would mean "not run".
+    """
+    fault(lab, cross=True)
+    message = {"role": "user", "content": "crossed"}
+    body = {"model": "scribe", "messages": [message], "x_tokens": 20}
+    headers = {"Authorization": f"Bearer {key_of('acme')}", "X-Deadline-S": "4"}
+
+    def ask(_number):
+        return lab.routers["r1"].call(
+            "POST", "/v1/chat/completions", body, headers=headers
+        )
+
+    with ThreadPoolExecutor(24) as threads:
+        answers = list(threads.map(ask, range(24)))
+    ran = {one["request_id"].partition(".")[0] for one in executions(lab)}
+    errors = [(one.headers["x-request-id"], one.json["error"]) for one in answers]
+    assert any(error["kind"] == "deadline" for _, error in errors)
+    for name, error in errors:
+        assert (error["ran"] == "no") == (name.partition(".")[0] not in ran)
+
+
+def test_cut_streams_are_resumed_or_shown_as_cut(lab):
+    """The engine breaks streams off after some pieces.
+
+    Where it resumes, callers get whole answers and nothing runs twice. Else they
+    see an error after what came, never an end mark.
+    """
+    fault(lab, cut_after=5, cut_times=6)
+    results = loaded(lab, median_tokens=100)
+    done = executions(lab)
+    if resumes(lab):
+        assert all(one.complete for one in results)
+        assert any(one["resumed_from"] for one in done)
+        ids = [one["request_id"] for one in done]
+        assert len(ids) == len(set(ids))
+        return
+    cut = [one for one in results if not one.complete]
+    assert cut
+    assert {one.error for one in cut} == {"endpoint_cut"}
+    assert {one.ran for one in cut} == {"yes"}
+
+
+def test_a_stalled_engine_holds_callers_up_to_their_deadline(lab):
+    """The engine stops in the middle; the caller sees the cut at its deadline.
+
+    Its work there is given up, so that the slot serves others afterwards.
+    """
+    tokens = 901
+    with closing(open_stream(lab, tokens, "stall", **{"X-Deadline-S": "2"})) as sock:
+        wait_for(
+            lambda: (one := execution(lab, tokens)) and one["pieces"] > 3, "pieces"
+        )
+        fault(lab, stall=True)
+        data = b""
+        while part := sock.recv(65_536):
+            data += part
+    assert b"event: error" in data
+    assert b"deadline" in data
+    assert DONE not in data
+    wait_for(lambda: execution(lab, tokens)["state"] == "cancelled", "given up")
+
+
+def test_work_for_a_caller_that_left_stops(lab):
+    """A caller closes its connection in the middle; nobody pays for the rest."""
+    tokens = 20_011
+    with closing(open_stream(lab, tokens, "gone")) as sock:
+        assert sock.recv(64)
+        wait_for(
+            lambda: (one := execution(lab, tokens)) and one["pieces"] > 3, "pieces"
+        )
+    wait_for(lambda: execution(lab, tokens)["state"] == "cancelled", "given up")
+    for host in lab.routers:
+        wait_for(lambda host=host: lab.status(host)["running"] == 0, "slot returned")
+
+
+def test_a_slow_reader_holds_up_nobody_and_gets_its_whole_answer(lab):
+    """A caller reads nothing for a long while; others go on at the same engines.
+
+    What it does not read is held back at the engine's connection, in order; when it
+    reads on, the answer is its own and whole.
+    """
+    tokens = 2_503
+    with closing(open_stream(lab, tokens, "slow")) as sock:
+        results = loaded(lab, routers=(0,))
+        assert all(one.complete for one in results)
+        data = read_all(sock)
+    assert DONE in data
+    body = b"".join(_chunks(data.partition(b"\r\n\r\n")[2]))
+    *events, last = sse_events(body)
+    assert last == "[DONE]"
+    parts = (event["choices"][0]["delta"].get("content") or "" for event in events)
+    assert "".join(parts) == execution(lab, tokens)["text"]
+
+
+def _chunks(data):
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        length = int(size, 16)
+        yield data[:length]
+        data = data[length + 2 :]
+
+
+@pytest.mark.parametrize("resumes", [False, True], ids=["plain", "resumes"])
+def test_an_engine_killed_in_the_middle_cuts_only_what_ran_there(resumes):
+    """Callers of the dead engine see the cut, or get an answer from another one.
+
+    It comes back at its address with empty memory, and all its slots are used again.
+    """
+    with Lab(plan(resumes)) as lab:
+        load = BackgroundLoad(
+            lab, chats("acme", outstanding=16, median_tokens=150), duration_s=8
+        )
+        wait_for(lambda: len(executions(lab)) > 30, "load runs")
+        first = lab.engines["e1"]
+        known = first.call("GET", "/executions").json["executions"]
+        first.kill()
+        rest = [lab.engines["e2"]]
+        before = len(rest[0].call("GET", "/executions").json["executions"])
+        wait_for(
+            lambda: (
+                len(rest[0].call("GET", "/executions").json["executions"]) > before + 20
+            ),
+            "the other engine serves",
+        )
+        flags = {"name": "e1", "seed": 1, **lab.plan.engine_options}
+        lab.engines["e1"] = start(
+            "greengageflow.standin",
+            "engine",
+            f"--port={first.address[1]}",
+            *(f"--{name}={value}" for name, value in flags.items()),
+        )
+        results = load.results()
+        cut = [one for one in results if not one.complete]
+        assert cut
+        assert {one.error for one in cut} <= {"endpoint_cut", "endpoint_failed"}
+        of_first = {one["request_id"] for one in known if one["state"] == "done"}
+        assert of_first <= {one.request_id for one in results if one.complete}
+        assert_all_slots_usable(lab)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,19 @@
+"""Bounds that protect an endpoint."""
+
+from greengageflow.limits import SlotLimit
+
+
+def test_requests_that_break_together_cause_one_rest():
+    """Callers wait a second after an engine's hiccup, not a quarter of a minute.
+
+    Eight requests ran together and break together; each but the third to fail would
+    double the rest if it counted.
+    """
+    limit = SlotLimit(8, failures=3, rest_s=1.0)
+    for number in range(8):
+        limit.observe(10.0 + number / 1000, 0.0, 5.0, True)
+    assert limit.allowed(10.5) == 0
+    assert limit.allowed(11.1) == 1
+    limit.observe(11.2, 0.0, 0.1, True)
+    assert limit.allowed(13.0) == 0
+    assert limit.allowed(13.3) == 1
