A host list that lags no longer marks the next generation of an endpoint

Cause: a router that first read the old sign after the new configuration took it for the new generation.

--- a/greengageflow/router.py
+++ b/greengageflow/router.py
@@ -103,6 +103,7 @@
             self._on_leaving,
         )
         self._host_list: HostList | None = None
+        self._listed_live: dict[str, int] = {}
         self._observer = Observer(
             self._control,
             self._link,
@@ -184,12 +185,32 @@
         seeds = {seed.host: seed for seed in self._settings.seeds}
         seeds.update((e.host, Seed(e.host, e.ip, e.port)) for e in routers)
         self._control.membership.set_seeds(seeds.values())
-        for entry in entries:
-            leaving = entry.state is HostState.LEAVING
-            if leaving and entry.kind is HostKind.ENDPOINT:
-                self._on_leaving(entry.host, "host list")
+        self._take_signs(entries)
         self._control.refresh_view()
 
+    def _take_signs(self, entries: tuple[HostEntry, ...]) -> None:
+        """Take the signs of the list that are of the present generation.
+
+        The list lags: it goes on calling a replaced endpoint leaving when the next
+        generation is in force, which would then get no work for good. So after a
+        sign of an earlier generation it must have shown the endpoint live again.
+        """
+        for entry in filter(self._is_configured, entries):
+            name = entry.host
+            generation = self._follower.config.endpoints[name].generation
+            if entry.state is HostState.LIVE:
+                self._listed_live[name] = generation
+            elif self._listed_live.get(name) == generation or not (
+                self._control.leaving.signs.get(name)
+            ):
+                self._on_leaving(name, "host list")
+
+    def _is_configured(self, entry: HostEntry) -> bool:
+        endpoint = self._follower.config.endpoints.get(entry.host)
+        if endpoint is None or entry.kind is not HostKind.ENDPOINT:
+            return False
+        return (endpoint.host, endpoint.port) == (entry.ip, entry.port)
+
     def _on_leaving(self, endpoint: str, source: str) -> None:
         if self._control.note_leaving(endpoint):
             log(LogEvent.ENDPOINT_LEAVING, endpoint=endpoint, source=source)
--- a/tests/test_leaving_faults.py
+++ b/tests/test_leaving_faults.py
@@ -100,6 +100,23 @@
         assert {one["state"] for one in executions(lab)} == {"done"}
 
 
+def test_a_list_that_lags_does_not_mark_the_next_generation():
+    """An operator replaces an endpoint; callers must get its whole capacity.
+
+    The host list still calls the old one leaving when the new generation is already
+    in force. Taken for a sign of the new one, it would hold for good.
+    """
+    with Lab(PLAN) as lab:
+        load = BackgroundLoad(lab, chats("acme", outstanding=20), duration_s=8)
+        wait_more(lab, "e1")
+        by_host_list(lab)
+        wait_known(lab)
+        publish(lab, generation=2)
+        wait_more(lab, "e1")
+        assert not knows(lab, "r1")
+        assert_truthful(lab, load.results())
+
+
 def test_a_sign_that_one_router_reads_holds_for_later_owners():
     """In a large fleet each router reads the host list once in a minute or more.
 
