--- a/greengageflow/slopes.py
+++ b/greengageflow/slopes.py
@@ -67,8 +67,15 @@
 
 
 def save(document: dict[str, Any], path: Path = SLOPES) -> None:
-    """Save what was measured."""
-    path.write_text(json.dumps(document, indent=1, sort_keys=True) + "\n")
+    """Save what was measured, a slope a line."""
+    rest = {key: value for key, value in document.items() if key != "slopes"}
+    rows = (
+        f"{json.dumps(name)}: {json.dumps(entry, sort_keys=True)}"
+        for name, entry in sorted(document["slopes"].items())
+    )
+    head = json.dumps(rest, sort_keys=True)[:-1] + ", " if rest else "{"
+    slopes = ",\n".join(rows)
+    path.write_text(f'{head}"slopes": {{\n{slopes}\n}}}}\n')
 
 
 def run_events() -> None:
