Services' slots are in doubt for 3 s at most after a router was lost

Cause: the new owner of a lost router's endpoints grants nothing while routers out of reach may run requests that it does not know of, up to the pool's deadline (60 s).

--- a/greengageflow/owner.py
+++ b/greengageflow/owner.py
@@ -9,13 +9,14 @@
 from greengageflow._demand import DemandBook, Waiting
 from greengageflow._slots import EndpointSlots, Hold
 from greengageflow._work_calls import WorkCalls
-from greengageflow.catalog import FleetConfig
+from greengageflow.catalog import FleetConfig, PoolKind
 from greengageflow.effects import Send
 from greengageflow.messages import Demand, Grant, GrantReturned, GrantTaken, PeerId
 from greengageflow.placement import FleetView
 from greengageflow.shares import ServiceLedger, share_interval_s
 
 _REFLECT_INTERVALS = 3
+_SERVICE_DOUBT_S = 3.0
 _DEFAULT_DEADLINE_S = 60.0
 _POOL_QUIET_S = 10.0
 _FORGET_EVERY_S = 5.0
@@ -191,7 +192,17 @@
             self._spread[pool] = 1.0 if self._view.split else totals[pool] / max(1, own)
 
     def _doubt_s(self, pool: str) -> float:
-        return self._settle_s + self._deadline_s(pool) if self._lost else 0.0
+        if not self._lost:
+            return 0.0
+        # An engine's load report ends the doubt within a second or two. A plain
+        # service reports none: up to its deadline, the new owner of a lost router's
+        # endpoints would grant nothing, and a pool of few replicas would stand still
+        # for a minute. Its calls are short; what outlasts this bound is the exception.
+        known = self._cfg.pools.get(pool)
+        longest_s = self._deadline_s(pool)
+        if known and known.kind is PoolKind.SERVICE:
+            longest_s = min(longest_s, _SERVICE_DOUBT_S)
+        return self._settle_s + longest_s
 
     def _deadline_s(self, pool: str) -> float:
         known = self._cfg.pools.get(pool)
