--- a/greengageflow/bench.py
+++ b/greengageflow/bench.py
@@ -110,17 +110,29 @@
     write_page()
 
 
+class Commands:
+    """Demo, load and experiments on a fleet of real processes.
+
+    Example:
+        greengage-bench demo
+        greengage-bench latency
+        greengage-bench fleet --plan=peristeri --policies=central,owned
+        greengage-bench slopes && greengage-bench capacity
+        greengage-bench sixty 9 60
+    """
+
+    def __init__(self) -> None:
+        self.demo = demo
+        self.fleet = fleet
+        self.latency = latency
+        self.slopes = slopes
+        self.capacity = capacity
+        self.sixty = sixty
+
+
 def main() -> None:
     """Run the program."""
-    commands = {
-        "demo": demo,
-        "fleet": fleet,
-        "latency": latency,
-        "slopes": slopes,
-        "capacity": capacity,
-        "sixty": sixty,
-    }
-    fire.Fire(commands, name="greengage-bench")
+    fire.Fire(Commands(), name="greengage-bench")
 
 
 if __name__ == "__main__":
--- a/greengageflow/standin.py
+++ b/greengageflow/standin.py
@@ -35,10 +35,24 @@
     return run
 
 
+class Commands:
+    """Small fakes of the outside systems, each one process until SIGTERM.
+
+    Example:
+        greengage-standin log --port=9000
+        greengage-standin hosts --port=9001
+        greengage-standin engine --name=scribe-1 --port=7101 --resumes
+        greengage-standin service --name=rounds-1 --port=7201 --latency_s=0.05
+    """
+
+    def __init__(self) -> None:
+        for name, kind in KINDS.items():
+            setattr(self, name, _command(kind))
+
+
 def main() -> None:
-    """Run the command line; each command runs one stand-in until SIGTERM."""
-    commands = {name: _command(kind) for name, kind in KINDS.items()}
-    fire.Fire(commands, name="greengage-standin")
+    """Run the command line."""
+    fire.Fire(Commands(), name="greengage-standin")
 
 
 if __name__ == "__main__":
