--- a/greengageflow/lab.py
+++ b/greengageflow/lab.py
@@ -20,7 +20,6 @@
     await_ready,
     free_port,
     launch,
-    start,
     wait_for,
 )
 from greengageflow.events import Event
@@ -346,6 +345,3 @@
 
 def _address(address: Address) -> dict[str, Any]:
     return {"ip": address[0], "port": address[1]}
-
-
-__all__ = ["Lab", "LabPlan", "key_of", "start"]
--- a/greengageflow/metrics.py
+++ b/greengageflow/metrics.py
@@ -59,8 +59,8 @@
     ACTIONS = MetricType("actions", MetricKind.COUNTER, "verdict")
     CONTROL_BYTES = MetricType("control.bytes", MetricKind.COUNTER, "direction")
     CONTROL_MESSAGES = MetricType("control.messages", MetricKind.COUNTER, "direction")
-    LOG_APPENDS = MetricType("log.appends", MetricKind.COUNTER, "stream")
-    LOG_FAILURES = MetricType("log.failures", MetricKind.COUNTER, "stream")
+    LOG_APPENDS = MetricType("log.appends", MetricKind.COUNTER)
+    LOG_FAILURES = MetricType("log.failures", MetricKind.COUNTER)
     CONFIG_REVISION = MetricType("config.revision", MetricKind.GAUGE)
     MEMBERS = MetricType("members", MetricKind.GAUGE, "status")
 
