--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -68,20 +68,23 @@
         patience_s: float,
         transfers: bool,
         fill: float = FILL,
+        room: Sequence[ListedEndpoint] | None = None,
     ) -> Choice | None:
         """Return the best endpoint, or None when none has room in time.
 
         Args:
             now: The time.
-            endpoints: Those that may run the request.
+            endpoints: Those of the service; they may keep parts.
             prompt: Its work, for a model engine.
             patience_s: Longest wait for the endpoint to begin, in seconds.
             transfers: Engines fetch prompt parts from each other.
             fill: Part of an engine's slots that may be taken.
+            room: Those that may run the request, if not all; see ``with_room``.
         """
-        awake = [e for e in endpoints if not self._health.rests(now, e.id)]
+        may_run = endpoints if room is None else room
+        awake = [e for e in may_run if not self._health.rests(now, e.id)]
         if prompt is None:
-            return self._plain(awake or endpoints, fill)
+            return self._plain(awake or may_run, fill)
         keepers = self._keepers(now, prompt, endpoints)
         home = None if keepers else home_of(prompt.affinity, endpoints)
         best: Choice | None = None
@@ -101,6 +104,16 @@
                 best = Choice(endpoint, reading, wait_s, source)
         return best
 
+    def with_room(
+        self, now: float, endpoints: Sequence[ListedEndpoint]
+    ) -> list[ListedEndpoint]:
+        """Return the endpoints of which one might be chosen at all.
+
+        While engines are full that is none or few, and a queue is looked through at
+        each event.
+        """
+        return [e for e in endpoints if self._loads(e).has_slot(PLAIN_QUEUE)]
+
     def _keepers(
         self, now: float, prompt: Prompt, endpoints: Sequence[ListedEndpoint]
     ) -> list["_Keeper"]:
--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -110,6 +110,15 @@
         """Seconds until it would begin to read a prompt that is sent now."""
         return (self._reading + self.others.reading) / self.rate
 
+    def has_slot(self, queue: float) -> bool:
+        """Whether one more request might go there.
+
+        Args:
+            queue: Requests for each slot that a plain service takes.
+        """
+        most = self.slots if self.memory_tokens else queue * self.slots
+        return self.running < max(1, most)
+
     def fits(self, memory: float, fill: float) -> bool:
         """Whether there is a slot and room for ``memory`` more tokens.
 
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -61,6 +61,35 @@
         self._placed: deque[tuple[float, str, str]] = deque()
         self._totals = FleetTotals()
         self._now = 0.0
+        self._owned: frozenset[str] | None = None
+
+    # What this host decides for all.
+
+    def own(self, endpoints: frozenset[str] | None) -> None:
+        """Set the engines that this host places for all; None when it is no placer."""
+        self._owned = endpoints
+
+    def listed(self, endpoint: str) -> ListedEndpoint | None:
+        """Return an endpoint by id, or None when it is not listed."""
+        return self._endpoints.get(endpoint)
+
+    def adopt(
+        self,
+        now: float,
+        request: str,
+        endpoint: ListedEndpoint,
+        reading: float,
+        memory: float,
+    ) -> None:
+        """Count a request that an earlier placer sent."""
+        self._load(endpoint).begin(now, request, reading, memory)
+
+    def _placed_at(self, service: str) -> list[ListedEndpoint]:
+        """Return the endpoints that this host sends new requests to."""
+        usable = list(self._endpoints.usable(service))
+        if self._owned is None or not self.service(service).is_engine:
+            return usable
+        return [endpoint for endpoint in usable if endpoint.id in self._owned] or usable
 
     # What others see.
 
@@ -137,26 +166,41 @@
         others = _of_service(service, self._totals.offered)
         done = sum(self.level(service, a) for a in own.keys() | others.keys())
         parts = part_demand(own, others, max(done, LEAST_DONE))
-        loads = [self._load(e) for e in self._endpoints.usable(service)]
+        loads = [self._load(e) for e in self._placed_at(service)]
         slots = sum(load.slots for load in loads)
         rate = sum(load.rate for load in loads)
+        # A placer's engines get no work but by it.
+        part = parts.own if self._owned is None else 1.0
         return Allowance(
-            running=max(LEAST_RUNNING, FILL * slots * parts.own),
-            reading=max(1.0, READ_AHEAD_S * rate * parts.own),
+            running=max(LEAST_RUNNING, FILL * slots * part),
+            reading=max(1.0, READ_AHEAD_S * rate * part),
             levels={a: LEVEL_SLACK * share for a, share in parts.shares.items()},
         )
 
     # Requests.
 
     def submit(
-        self, now: float, service: str, job: Job, account: str
+        self, now: float, service: str, job: Job, account: str, *, counted: bool = True
     ) -> Iterator[Decision]:
-        """Queue a request of a caller, and yield what can be decided."""
+        """Queue a request, and yield what can be decided.
+
+        Args:
+            now: The time.
+            service: Service that runs it.
+            job: The request.
+            account: Client account.
+            counted: It is a request of a caller of this host, for the budget.
+        """
         self._now = now
-        self._budgets[service].on_request(now)
+        if counted:
+            self.count(now, service)
         self._offered.add(now, (service, account), job.waiter.work)
         yield from self._started(service, self._scheduler(service).submit(now, job))
 
+    def count(self, now: float, service: str) -> None:
+        """Count a request of a caller, for the budget of repeats."""
+        self._budgets[service].on_request(now)
+
     def pump(self, now: float) -> Iterator[Decision]:
         """Yield every start and refusal that is due."""
         self._now = now
@@ -234,6 +278,11 @@
         """Note that an endpoint did not answer; True when it begins to rest."""
         return self._health.on_silence(now, endpoint.id)
 
+    def resting(self, now: float, service: str) -> tuple[str, ...]:
+        """Return the endpoints of a service that do not answer this host now."""
+        usable = self._endpoints.usable(service)
+        return tuple(e.id for e in usable if self._health.rests(now, e.id))
+
     def failures(self, endpoint: ListedEndpoint) -> int:
         """Return how often in a row an endpoint did not answer."""
         return self._health.in_row(endpoint.id)
@@ -258,7 +307,7 @@
         found = self._schedulers.get(service)
         if found is None:
             found = self._schedulers[service] = ServiceScheduler(
-                lambda: list(self._endpoints.usable(service)),
+                lambda: self._placed_at(service),
                 self._chooser,
                 lambda account: self.level(service, account),
                 lambda: self._reading(service),
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -26,11 +26,13 @@
         waiter: Its place in the queue.
         target_s: Time from its arrival within which it is worth most, in seconds.
         prompt: Its work, for a model engine.
+        avoid: Endpoints that it may not be sent to.
     """
 
     waiter: Waiter
     target_s: float
     prompt: Prompt | None = None
+    avoid: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,6 +165,9 @@
         allowed = self.allowance
         within = len(self.running) < allowed.running
         within = within and self._reading() < allowed.reading
+        room = self._chooser.with_room(now, endpoints)
+        if not room:
+            return None
         for waiter in self._queue.heads(now, self._level):
             most = allowed.levels.get(waiter.account, float("inf"))
             busy = not within or self._level(waiter.account) > most
@@ -171,6 +176,7 @@
                 now,
                 endpoints,
                 job.prompt,
+                room=[e for e in room if e.id not in job.avoid],
                 patience_s=self._patience_s(now, job, busy),
                 transfers=self.transfers,
                 fill=SLACK_FILL if busy else FILL,
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -26,6 +26,13 @@
     PeerBook,
     PeerReport,
 )
+from greengageflow.core.place_messages import (
+    PlaceAnswer,
+    PlaceAsk,
+    PlaceMessage,
+    PlaceNote,
+    PlaceRoll,
+)
 from greengageflow.core.router_table import Hello, RouterTable
 from greengageflow.core.store_duty import StoreWord, best_word
 from greengageflow.net.gossip_link import GossipLink
@@ -67,6 +74,9 @@
     def on_totals(self, totals: FleetTotals) -> None:
         """Take the sums of all other routers, after each round."""
 
+    def on_place_message(self, message: PlaceMessage) -> None:
+        """Take what another router asks or tells of a request's place."""
+
 
 class FleetExchange:
     """Sends what this router has to tell, and adds up what others tell.
@@ -132,6 +142,16 @@
         """Other routers that live."""
         return sum(1 for _ in self._table.live(self._now, self._quiet_s))
 
+    def routers(self) -> list[Hello]:
+        """Return the live routers that are not stopping, this one with them."""
+        own = replace(self._own, stopping=self.stopping)
+        rows = [*self._table.live(self._now, self._quiet_s), own]
+        return [row for row in rows if not row.stopping]
+
+    def send_to(self, to: Address, message: PlaceMessage) -> None:
+        """Send one router a message, at best effort."""
+        self._link.send(to, encode(message))
+
     @property
     def reads_store(self) -> bool:
         """Whether this router reads the store for its zone.
@@ -181,6 +201,9 @@
             case Hello():
                 self._on_hello(now, message)
                 return
+            case PlaceAsk() | PlaceAnswer() | PlaceNote() | PlaceRoll():
+                self._listener.on_place_message(message)
+                return
             case _:
                 return
         self._listener.on_placed(message.placed)
--- a/greengageflow/daemon/forward_notes.py
+++ b/greengageflow/daemon/forward_notes.py
@@ -43,8 +43,10 @@
             config=self.config,
         )
 
-    def sent(self, now: float, flight: ForwardFlight, choice: Choice) -> None:
-        """Note the first sending of a request."""
+    def sent(
+        self, now: float, flight: ForwardFlight, choice: Choice, placer: str
+    ) -> None:
+        """Note the first sending of a request, by the word of ``placer``."""
         self._page.observe(
             PageMetric.WAITING_TIME, now - flight.arrived, flight.service
         )
@@ -58,6 +60,7 @@
             fetch_from=choice.fetch_from.id if choice.fetch_from else "",
             waited_ms=_ms(now - flight.arrived),
             predicted_ms=_ms(choice.wait_s),
+            placer=placer,
             **self._inputs(now, flight),
         )
 
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -11,6 +11,7 @@
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_flight import ForwardFlight, Phase
 from greengageflow.daemon.forward_notes import ForwardNotes
+from greengageflow.daemon.placement import Placement
 from greengageflow.errors import ErrorKind, Ran, RouterError
 from greengageflow.net.endpoint_attempt import EndpointAttempt
 from greengageflow.net.event_frames import Frame
@@ -40,8 +41,13 @@
         book: Decides what is sent when and where.
         admission: Finds routes and accounts.
         notes: Logs and counts.
+
+    Attributes:
+        placement: Decides or has decided where requests go; set before the first.
     """
 
+    placement: Placement
+
     def __init__(
         self,
         pool: HttpPool,
@@ -98,7 +104,7 @@
         flight.timer = self._timers.after(left_s, lambda: self._on_deadline(flight))
         job = self._admission.job(flight)
         self.carry_out(
-            self._book.submit(flight.arrived, flight.service, job, flight.account)
+            self.placement.submit(flight.arrived, flight.service, job, flight.account)
         )
 
     def on_gone(self, call: ForwardCall) -> None:
@@ -117,6 +123,7 @@
         for decision in decisions:
             flight = self._flights.get(decision.request)
             if flight is None:
+                self.placement.on_decision(decision)
                 continue
             match decision:
                 case StartJob(choice=choice):
@@ -130,14 +137,14 @@
         flight.phase = Phase.SENT
         flight.first_sent_at = now
         flight.predicted_s = choice.wait_s
-        self._notes.sent(now, flight, choice)
+        self._notes.sent(now, flight, choice, self.placement.placer(flight.id))
         self._send(flight, choice)
 
     def _send(self, flight: ForwardFlight, choice: Choice) -> None:
         now = self._timers.now
         flight.sendings += 1
         flight.moved_at = now
-        self._book.sent(now, flight.id, choice, flight.req.prompt)
+        self.placement.sent(now, flight.id, choice, flight.req.prompt)
         request = outgoing(
             flight.req,
             choice.endpoint,
@@ -163,7 +170,7 @@
         now = self._timers.now
         attempt = flight.attempt
         if attempt.events == len(frames):
-            self._book.first_event(now, flight.id, attempt.endpoint)
+            self.placement.first_event(now, flight.id, attempt.endpoint)
             flight.may_have_run = True
         if flight.phase is not Phase.STREAMING:
             flight.phase = Phase.STREAMING
@@ -182,9 +189,9 @@
         """Judge a whole answer."""
         note = flight.attempt.note
         endpoint = flight.attempt.endpoint
-        self._book.left(flight.id, endpoint)
         flight.avoid.add(endpoint.id)
         if note.not_run:
+            self.placement.left(flight.id, endpoint)
             if note.replaced:
                 self._endpoints.note_left(endpoint.id, self._timers.now)
             self._try_again(flight, self._not_taken(flight, note.status))
@@ -192,7 +199,9 @@
         flight.may_have_run = True
         flight.runs += 1
         spoiled = not note.good and note.status < 400
-        self._book.answered(endpoint, note.good or 400 <= note.status < 500)
+        good = note.good or 400 <= note.status < 500
+        self.placement.answered(flight.id, endpoint, good)
+        self.placement.left(flight.id, endpoint)
         if not spoiled and note.status < 500:
             self._answer(flight, body)
         elif flight.repeatable and flight.runs_left and self._go_on(flight, "failed"):
@@ -222,7 +231,7 @@
     def on_end(self, flight: ForwardFlight) -> None:
         """Note that a stream ended in order."""
         head = flight.attempt.head
-        self._book.left(flight.id, flight.attempt.endpoint)
+        self.placement.left(flight.id, flight.attempt.endpoint)
         if flight.phase is not Phase.STREAMING:
             flight.reply.begin(head.status, headers_for_caller(head))
         self._notes.finished(self._timers.now, flight, head.status)
@@ -242,9 +251,9 @@
 
     def _note_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         endpoint = flight.attempt.endpoint
-        self._book.left(flight.id, endpoint)
         flight.avoid.add(endpoint.id)
-        rests = self._book.silent(self._timers.now, endpoint)
+        rests = self.placement.silent(self._timers.now, flight.id, endpoint)
+        self.placement.left(flight.id, endpoint)
         self._notes.suspect(flight, failure.message, rests)
         if failure.sent:
             flight.may_have_run = True
@@ -309,7 +318,7 @@
     def _stop_attempt(self, flight: ForwardFlight) -> None:
         if flight.attempt is not None:
             flight.attempt.cancel()
-            self._book.left(flight.id, flight.attempt.endpoint)
+            self.placement.left(flight.id, flight.attempt.endpoint)
 
     def _answer_error(self, flight: ForwardFlight, exc: RouterError) -> None:
         if flight.may_have_run and exc.status in RAN_NOT:
@@ -329,7 +338,7 @@
         del self._by_call[flight.call_key]
         flight.timer.cancel()
         now = self._timers.now
-        self.carry_out(self._book.ended(now, flight.service, flight.id))
+        self.carry_out(self.placement.ended(now, flight.service, flight.id))
 
 
 def _bounded(request: HttpRequest, flight: ForwardFlight, now: float) -> HttpRequest:
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -14,6 +14,7 @@
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_sums import FleetTotals
 from greengageflow.core.peer_report import PeerReport
+from greengageflow.core.place_messages import PlaceMessage
 from greengageflow.core.router_table import Hello
 from greengageflow.core.routes import Routing
 from greengageflow.core.send_budget import SendBudget
@@ -30,6 +31,7 @@
     load_gateway_settings,
     settings_path,
 )
+from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.router_registry import RouterRegistry
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.events import Event as LogEvent
@@ -122,6 +124,15 @@
         )
         seeds = [(seed.ip, seed.port) for seed in settings.seeds]
         self._exchange = FleetExchange(hello, self._link, self._timers, seeds, self)
+        self._placement = self._forwarder.placement = Placement(
+            settings.host,
+            self._boot,
+            self._book,
+            self._endpoints,
+            self._timers,
+            self._exchange,
+            self._forwarder.carry_out,
+        )
         self._store = StoreView(
             self._pool,
             self._timers,
@@ -233,8 +244,13 @@
         """Take the sums of all other routers."""
         now = self._timers.now
         self._notes.totals_at = now
+        self._placement.on_round()
         self._forwarder.carry_out(self._book.on_totals(now, totals))
 
+    def on_place_message(self, message: PlaceMessage) -> None:
+        """Take what another router asks or tells of a request's place."""
+        self._placement.receive(message)
+
     # The store.
 
     def _on_routing(self, routing: Routing) -> None:
@@ -299,6 +315,7 @@
         )
         signal(SIGHUP, lambda *_args: self._timers.after(0, self._reload))
         self._exchange.start()
+        self._placement.start()
         self._registry.start()
         self._timers.every(TICK_S, self._on_tick)
         self._timers.every(FLUSH_INTERVAL_S, self._log.flush)
@@ -337,6 +354,7 @@
             waiting=self._book.waiting,
         )
         self._forwarder.stopping = self._exchange.stopping = True
+        self._placement.stopping = True
         self._stop_began = self._timers.now
         self._callers.end_with_answers()
         self._timers.after(LEAVE_BALANCER_S, self._refuse_new)
--- /dev/null
+++ b/greengageflow/daemon/placement.py
@@ -0,0 +1,382 @@
+"""Where requests are decided: at this host, or by the placer of their engine."""
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from greengageflow.core.endpoint_choice import Choice
+from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
+from greengageflow.core.forward_request import Prompt
+from greengageflow.core.place_desk import PlaceDesk
+from greengageflow.core.place_messages import (
+    Happened,
+    PlaceAnswer,
+    PlaceAsk,
+    PlacedRun,
+    PlaceMessage,
+    PlaceNote,
+    PlaceRoll,
+    Verdict,
+)
+from greengageflow.core.placers import placer_of, placers_among
+from greengageflow.core.prompt_places import home_of
+from greengageflow.core.router_table import Hello
+from greengageflow.core.service_book import ServiceBook
+from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
+from greengageflow.errors import ErrorKind
+from greengageflow.net.timers import Timers
+
+ANSWER_S = 0.15
+MUTE_S = 1.0
+ROLL_S = 0.5
+SETTLE_S = 1.0
+LATE_WORD_S = 0.1
+
+
+class PlaceSender(Protocol):
+    """Carries messages to other hosts."""
+
+    def routers(self) -> list[Hello]:
+        """Return the live hosts that are not stopping, this one with them."""
+
+    def send_to(self, to: tuple[str, int], message: PlaceMessage) -> None:
+        """Send a message, at best effort."""
+
+
+@dataclass(slots=True)
+class _Asked:
+    placer: str
+    service: str
+    job: Job
+    account: str
+    at: float
+    queued: bool = False
+
+
+@dataclass(slots=True)
+class _Run:
+    placer: str
+    endpoint: ListedEndpoint
+    reading: float
+    memory: float
+    live: bool = True
+
+
+class Placement:
+    """Hands requests to the placer of their engine, and places those of others.
+
+    A request whose placer does not answer in ``ANSWER_S`` is decided here, and the
+    placer is left alone for ``MUTE_S``.
+
+    Args:
+        host: This host.
+        boot: Start of this process.
+        book: Decides what is decided here.
+        endpoints: Listed endpoints.
+        timers: Timer service.
+        sender: Carries messages.
+        carry_out: Takes decisions on requests of this host.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        boot: int,
+        book: ServiceBook,
+        endpoints: EndpointList,
+        timers: Timers,
+        sender: PlaceSender,
+        carry_out: Callable[[Iterable[Decision]], None],
+    ) -> None:
+        self.stopping = False
+        self._host = host
+        self._boot = boot
+        self._book = book
+        self._endpoints = endpoints
+        self._timers = timers
+        self._sender = sender
+        self._carry_out = carry_out
+        self._desk = PlaceDesk(host, book)
+        self._asked: dict[str, _Asked] = {}
+        self._runs: dict[str, _Run] = {}
+        self._mute: dict[str, float] = {}
+        self._placers: tuple[str, ...] = ()
+        self._addresses: Mapping[str, tuple[str, int]] = {}
+        self._owners: dict[str, str] = {}
+        self._told_roll: set[str] = set()
+        self._placer_since = float("inf")
+
+    def start(self) -> None:
+        """Begin to tell placers what runs."""
+        self._timers.every(ROLL_S, self._roll)
+
+    # Requests of this host.
+
+    def placer(self, request: str) -> str:
+        """Return the host that placed a request, or empty when this one did."""
+        run = self._runs.get(request)
+        return run.placer if run else ""
+
+    def submit(
+        self, now: float, service: str, job: Job, account: str
+    ) -> Iterator[Decision]:
+        """Ask for a place for a request, and yield what can be decided here."""
+        placer = self._placer_for(now, service, job.prompt)
+        if not placer:
+            yield from self._book.submit(now, service, job, account)
+            return
+        self._book.count(now, service)
+        request = job.waiter.id
+        self._asked[request] = _Asked(placer, service, job, account, now)
+        self._sender.send_to(
+            self._addresses[placer], self._ask(now, service, job, account)
+        )
+        self._timers.after(ANSWER_S, lambda: self._on_silence(request))
+
+    def _placer_for(self, now: float, service: str, prompt: Prompt | None) -> str:
+        if prompt is None or not self._placers:
+            return ""
+        home = home_of(prompt.affinity, self._endpoints.usable(service))
+        placer = self._owner(home.id) if home else ""
+        known = placer != self._host and placer in self._addresses
+        return placer if known and now >= self._mute.get(placer, 0.0) else ""
+
+    def _owner(self, endpoint: str) -> str:
+        found = self._owners.get(endpoint)
+        if found is None:
+            found = self._owners[endpoint] = placer_of(endpoint, self._placers)
+        return found
+
+    def _ask(self, now: float, service: str, job: Job, account: str) -> PlaceAsk:
+        waiter, prompt = job.waiter, job.prompt
+        return PlaceAsk(
+            host=self._host,
+            boot=self._boot,
+            request=waiter.id,
+            service=service,
+            account=account,
+            priority=waiter.priority,
+            waited_s=now - waiter.arrived,
+            left_s=waiter.target_at - now,
+            patience_s=max(0.0, waiter.give_up_at - now),
+            target_s=job.target_s,
+            affinity=prompt.affinity,
+            shared=prompt.shared_tokens,
+            tokens_in=prompt.tokens_in,
+            tokens_out=prompt.tokens_out,
+            avoid=self._book.resting(now, service),
+        )
+
+    def _on_silence(self, request: str) -> None:
+        asked = self._asked.get(request)
+        if asked is None:
+            return
+        if not asked.queued:
+            self._mute[asked.placer] = self._timers.now + MUTE_S
+            self._decide_here(lambda other: other.placer == asked.placer)
+            return
+        late_s = asked.job.waiter.give_up_at - self._timers.now + LATE_WORD_S
+        if late_s > 0:
+            self._timers.after(late_s, lambda: self._on_silence(request))
+        else:
+            self._decide_here(lambda other: other is asked)
+
+    def _decide_here(self, which: Callable[[_Asked], bool]) -> None:
+        """Decide here what was asked and has no answer."""
+        now = self._timers.now
+        for request, asked in list(self._asked.items()):
+            if which(asked) and self._asked.pop(request, None) is not None:
+                self._carry_out(
+                    self._book.submit(
+                        now, asked.service, asked.job, asked.account, counted=False
+                    )
+                )
+
+    def sent(
+        self, now: float, request: str, choice: Choice, prompt: Prompt | None
+    ) -> None:
+        """Note that a request was sent to an endpoint."""
+        run = self._runs.get(request)
+        if run is None or run.endpoint.id != choice.endpoint.id or not run.live:
+            self._book.sent(now, request, choice, prompt)
+
+    def first_event(self, now: float, request: str, endpoint: ListedEndpoint) -> None:
+        """Note the first event of a request's answer."""
+        self._book.first_event(now, request, endpoint)
+        run = self._runs.get(request)
+        if run is not None and run.live:
+            run.reading = 0.0
+            self._note(request, run, Happened.FIRST_EVENT)
+
+    def answered(self, request: str, endpoint: ListedEndpoint, good: bool) -> None:
+        """Note an endpoint's answer."""
+        self._book.answered(endpoint, good)
+        run = self._runs.get(request)
+        if run is not None and run.live and not good:
+            self._note(request, run, Happened.FAILED)
+
+    def silent(self, now: float, request: str, endpoint: ListedEndpoint) -> bool:
+        """Note that an endpoint did not answer; True when it begins to rest."""
+        run = self._runs.get(request)
+        if run is not None and run.live:
+            self._note(request, run, Happened.SILENT)
+        return self._book.silent(now, endpoint)
+
+    def left(self, request: str, endpoint: ListedEndpoint) -> None:
+        """Note that an endpoint no longer works on a request."""
+        self._book.left(request, endpoint)
+        run = self._runs.get(request)
+        if run is not None and run.live:
+            run.live = False
+            self._note(request, run, Happened.ENDED)
+
+    def ended(self, now: float, service: str, request: str) -> Iterator[Decision]:
+        """Note that a request has its answer, or its caller is gone."""
+        asked = self._asked.pop(request, None)
+        if asked is not None:
+            self._tell(asked.placer, request, Happened.ENDED)
+        run = self._runs.pop(request, None)
+        if run is not None and run.live:
+            self._note(request, run, Happened.ENDED)
+        yield from self._book.ended(now, service, request)
+
+    def _note(self, request: str, run: _Run, happened: Happened) -> None:
+        # An endpoint may have got another placer since, which has it from a roll.
+        for host in {run.placer, self._owner(run.endpoint.id)}:
+            self._tell(host, request, happened)
+
+    def _tell(self, host: str, request: str, happened: Happened) -> None:
+        note = PlaceNote(
+            host=self._host, boot=self._boot, request=request, happened=happened
+        )
+        if host == self._host:
+            self._carry_out(self._desk.note(self._timers.now, note))
+        elif host in self._addresses:
+            self._sender.send_to(self._addresses[host], note)
+
+    # What others tell.
+
+    def receive(self, message: PlaceMessage) -> None:
+        """Take a message of another host."""
+        now = self._timers.now
+        match message:
+            case PlaceAsk():
+                self._on_ask(now, message)
+            case PlaceAnswer():
+                self._on_answer(now, message)
+            case PlaceNote():
+                self._carry_out(self._desk.note(now, message))
+            case PlaceRoll():
+                self._carry_out(self._desk.roll(now, message))
+
+    def _on_ask(self, now: float, ask: PlaceAsk) -> None:
+        if not self._places(now):
+            self._answer(ask, Verdict.PASS)
+            return
+        self._carry_out(self._desk.ask(now, ask))
+        if self._desk.is_waiting(ask):
+            self._answer(ask, Verdict.QUEUED)
+
+    def _places(self, now: float) -> bool:
+        settled = now - self._placer_since >= SETTLE_S
+        return self._host in self._placers and settled and not self.stopping
+
+    def _answer(self, ask: PlaceAsk, verdict: Verdict) -> None:
+        answer = PlaceAnswer(host=self._host, request=ask.request, verdict=verdict)
+        self._send(ask.host, answer)
+
+    def _send(self, host: str, message: PlaceMessage) -> None:
+        if host in self._addresses:
+            self._sender.send_to(self._addresses[host], message)
+
+    def on_decision(self, decision: Decision) -> None:
+        """Tell another host what was decided of its request."""
+        told = self._desk.decided(self._timers.now, decision)
+        if told is not None:
+            self._send(*told)
+
+    def _on_answer(self, now: float, answer: PlaceAnswer) -> None:
+        asked = self._asked.get(answer.request)
+        if asked is None or asked.placer != answer.host:
+            # What it holds for a request that is decided goes with the next roll.
+            return
+        match answer.verdict:
+            case Verdict.QUEUED:
+                asked.queued = True
+            case Verdict.PASS:
+                self._mute[answer.host] = now + ANSWER_S
+                self._decide_here(lambda other: other is asked)
+            case Verdict.REFUSE:
+                del self._asked[answer.request]
+                refusal = RefuseJob(
+                    answer.request,
+                    ErrorKind(answer.kind),
+                    answer.message,
+                    answer.retry_after_s,
+                )
+                self._carry_out([refusal])
+            case Verdict.START:
+                self._on_start(asked, answer)
+
+    def _on_start(self, asked: _Asked, answer: PlaceAnswer) -> None:
+        endpoint = self._endpoints.get(answer.endpoint)
+        if endpoint is None or not self._endpoints.may_use(endpoint.id):
+            self._tell(asked.placer, answer.request, Happened.ENDED)
+            self._decide_here(lambda other: other is asked)
+            return
+        del self._asked[answer.request]
+        prompt = asked.job.prompt
+        memory = prompt.tokens_in + prompt.tokens_out
+        self._runs[answer.request] = _Run(
+            asked.placer, endpoint, answer.reading, memory
+        )
+        source = self._endpoints.get(answer.fetch_from)
+        choice = Choice(endpoint, answer.reading, answer.wait_s, source)
+        self._carry_out([StartJob(asked.job.waiter, choice)])
+
+    # The fleet.
+
+    def on_round(self) -> None:
+        """Take over who lives; called a few times a second."""
+        now = self._timers.now
+        rows = self._sender.routers()
+        self._addresses = {row.host: row.address for row in rows}
+        placers = placers_among(self._addresses)
+        if self._host not in placers:
+            self._placer_since = float("inf")
+        elif self._placer_since == float("inf"):
+            self._placer_since = now
+        if placers != self._placers:
+            self._placers = placers
+            self._owners.clear()
+            gone = set(self._mute) - self._addresses.keys()
+            for host in gone:
+                del self._mute[host]
+            self._decide_here(lambda asked: asked.placer not in placers)
+            self._roll()
+        self._book.own(self._owned())
+        self._carry_out(self._desk.drop_silent(now))
+
+    def _owned(self) -> frozenset[str] | None:
+        if self._host not in self._placers:
+            return None
+        ids = self._endpoints.ids()
+        self._owners = {e: o for e, o in self._owners.items() if e in ids}
+        return frozenset(e for e in ids if self._owner(e) == self._host)
+
+    def _roll(self) -> None:
+        """Tell each placer all that runs or waits there."""
+        rolls: dict[str, list[PlacedRun]] = {host: [] for host in self._told_roll}
+        for request, asked in self._asked.items():
+            rolls.setdefault(asked.placer, []).append(PlacedRun(request))
+        for request, run in self._runs.items():
+            if run.live:
+                placed = PlacedRun(request, run.endpoint.id, run.reading, run.memory)
+                rolls.setdefault(self._owner(run.endpoint.id), []).append(placed)
+        self._told_roll = {host for host, runs in rolls.items() if runs}
+        for host, runs in rolls.items():
+            roll = PlaceRoll(host=self._host, boot=self._boot, runs=tuple(runs))
+            if host == self._host:
+                self._carry_out(self._desk.roll(self._timers.now, roll))
+            else:
+                self._send(host, roll)
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -28,8 +28,8 @@
     SENT = (
         "GG701",
         Level.ROUTINE,
-        "request digest account route endpoint fetch_from waited_ms predicted_ms queued"
-        " level report_age_ms config",
+        "request digest account route endpoint fetch_from waited_ms predicted_ms placer"
+        " queued level report_age_ms config",
     )
     REFUSED = (
         "GG702",
--- /dev/null
+++ b/greengageflow/net/place_codec.py
@@ -0,0 +1,150 @@
+"""Messages about the places of requests, as values for msgpack."""
+
+from math import isfinite
+from typing import Any
+
+from greengageflow.core.place_messages import (
+    Happened,
+    PlaceAnswer,
+    PlaceAsk,
+    PlacedRun,
+    PlaceMessage,
+    PlaceNote,
+    PlaceRoll,
+    Verdict,
+)
+from greengageflow.errors import ErrorKind
+
+ASK, ANSWER, NOTE, ROLL = 15, 16, 17, 18
+
+_MOST = 2.0**53
+
+
+def place_values(message: PlaceMessage) -> tuple[Any, ...]:
+    """Return the values of a message, its kind first."""
+    match message:
+        case PlaceAsk():
+            return (
+                ASK,
+                message.host,
+                message.boot,
+                message.request,
+                message.service,
+                message.account,
+                message.priority,
+                round(message.waited_s, 4),
+                round(message.left_s, 4),
+                round(message.patience_s, 4),
+                message.target_s,
+                message.affinity,
+                message.shared,
+                message.tokens_in,
+                message.tokens_out,
+                message.avoid,
+            )
+        case PlaceAnswer():
+            return (
+                ANSWER,
+                message.host,
+                message.request,
+                int(message.verdict),
+                message.endpoint,
+                message.fetch_from,
+                int(message.reading),
+                round(message.wait_s, 4),
+                message.kind,
+                message.message,
+                round(message.retry_after_s, 3),
+            )
+        case PlaceNote():
+            what = int(message.happened)
+            return (NOTE, message.host, message.boot, message.request, what)
+        case PlaceRoll():
+            runs = tuple(
+                (run.request, run.endpoint, int(run.reading), int(run.memory))
+                for run in message.runs
+            )
+            return (ROLL, message.host, message.boot, runs)
+
+
+def ask_of(values: list[Any]) -> PlaceAsk:
+    """Return an ask; raises ValueError, TypeError for what is none."""
+    host, boot, request, service, account, priority, *rest = values
+    waited_s, left_s, patience_s, target_s, affinity, *tokens, avoid = rest
+    shared, tokens_in, tokens_out = (_count(value) for value in tokens)
+    return PlaceAsk(
+        host=str(host),
+        boot=int(boot),
+        request=str(request),
+        service=str(service),
+        account=str(account),
+        priority=int(priority),
+        waited_s=_amount(waited_s),
+        left_s=_finite(left_s),
+        patience_s=_amount(patience_s),
+        target_s=_amount(target_s),
+        affinity=str(affinity),
+        shared=min(shared, tokens_in),
+        tokens_in=tokens_in,
+        tokens_out=tokens_out,
+        avoid=tuple(str(name) for name in avoid),
+    )
+
+
+def answer_of(values: list[Any]) -> PlaceAnswer:
+    """Return an answer; raises ValueError, TypeError for what is none."""
+    host, request, verdict, endpoint, fetch_from, reading, wait_s, *rest = values
+    kind, text, retry_after_s = rest
+    if int(verdict) == Verdict.REFUSE:
+        ErrorKind(kind)
+    return PlaceAnswer(
+        host=str(host),
+        request=str(request),
+        verdict=Verdict(verdict),
+        endpoint=str(endpoint),
+        fetch_from=str(fetch_from),
+        reading=_amount(reading),
+        wait_s=_amount(wait_s),
+        kind=str(kind),
+        message=str(text),
+        retry_after_s=_amount(retry_after_s),
+    )
+
+
+def note_of(values: list[Any]) -> PlaceNote:
+    """Return a note; raises ValueError, TypeError for what is none."""
+    host, boot, request, happened = values
+    return PlaceNote(
+        host=str(host),
+        boot=int(boot),
+        request=str(request),
+        happened=Happened(happened),
+    )
+
+
+def roll_of(values: list[Any]) -> PlaceRoll:
+    """Return a roll; raises ValueError, TypeError for what is none."""
+    host, boot, runs = values
+    rows = (
+        PlacedRun(str(request), str(endpoint), _amount(reading), _amount(memory))
+        for request, endpoint, reading, memory in runs
+    )
+    return PlaceRoll(host=str(host), boot=int(boot), runs=tuple(rows))
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not isfinite(number):
+        raise ValueError(f"no time: {value!r}")
+    return number
+
+
+def _amount(value: Any) -> float:
+    number = float(value)
+    if not 0 <= number <= _MOST:
+        raise ValueError(f"no amount: {value!r}")
+    return number
+
+
+def _count(value: Any) -> int:
+    return int(_amount(value))
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -1,7 +1,7 @@
 """Messages between routers as bytes (msgpack)."""
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from socket import AF_INET, inet_pton
 from typing import Any
 
@@ -10,7 +10,19 @@
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_sums import FleetTotals, SumReport
 from greengageflow.core.peer_report import LoadNotice, PeerReport
+from greengageflow.core.place_messages import PlaceMessage
 from greengageflow.core.router_table import Hello
+from greengageflow.net.place_codec import (
+    ANSWER,
+    ASK,
+    NOTE,
+    ROLL,
+    answer_of,
+    ask_of,
+    note_of,
+    place_values,
+    roll_of,
+)
 
 REPORT, NOTICE, HELLO, SUM = 11, 12, 13, 14
 """First value of a message: its kind and the format that it is written in."""
@@ -18,7 +30,7 @@
 _NEVER = -1.0
 _MOST = 2.0**53
 
-Message = PeerReport | LoadNotice | Hello | SumReport
+Message = PeerReport | LoadNotice | Hello | SumReport | PlaceMessage
 AccountSums = Mapping[tuple[str, str], float]
 
 
@@ -37,6 +49,8 @@
             return packb((HELLO, *_hello_values(message)))
         case SumReport():
             return packb((SUM, *_sum_values(message)))
+        case _:
+            return packb(place_values(message))
 
 
 def decode(data: bytes) -> Message:
@@ -45,10 +59,9 @@
     Raises:
         ReportError: It is none; those of another version are none, too.
     """
-    makers = {REPORT: _report, NOTICE: _notice, HELLO: _hello, SUM: _sum}
     try:
         kind, *values = unpackb(data)
-        return makers[kind](values)
+        return _MAKERS[kind](values)
     except Exception as exc:  # msgpack raises many kinds for bytes that are no message
         raise ReportError(repr(exc)) from exc
 
@@ -253,3 +266,15 @@
 
 def _seconds(age: float) -> float:
     return float("inf") if age < 0 else float(age)
+
+
+_MAKERS: dict[int, Callable[[list[Any]], Message]] = {
+    REPORT: _report,
+    NOTICE: _notice,
+    HELLO: _hello,
+    SUM: _sum,
+    ASK: ask_of,
+    ANSWER: answer_of,
+    NOTE: note_of,
+    ROLL: roll_of,
+}
