Placers: rolls go on for two seconds, tests of placement

Cause: an answer of a placer that is lost left a place there of which the asking host knew nothing; with nothing else to tell, it sent no more rolls, and the engine had a slot less for good. Found by test_lost_messages_take_up_no_slot_for_good[PlaceAnswer], which failed first. A host now goes on telling what it has for 2 s after the last ask.

--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -29,6 +29,7 @@
 ANSWER_S = 0.15
 MUTE_S = 1.0
 ROLL_S = 0.5
+ROLLS_ON_S = 2.0
 SETTLE_S = 1.0
 LATE_WORD_S = 0.1
 
@@ -103,7 +104,7 @@
         self._placers: tuple[str, ...] = ()
         self._addresses: Mapping[str, tuple[str, int]] = {}
         self._owners: dict[str, str] = {}
-        self._told_roll: set[str] = set()
+        self._roll_until: dict[str, float] = {}
         self._placer_since = float("inf")
 
     def start(self) -> None:
@@ -128,6 +129,7 @@
         self._book.count(now, service)
         request = job.waiter.id
         self._asked[request] = _Asked(placer, service, job, account, now)
+        self._roll_until[placer] = now + ROLLS_ON_S
         self._sender.send_to(
             self._addresses[placer], self._ask(now, service, job, account)
         )
@@ -366,17 +368,25 @@
 
     def _roll(self) -> None:
         """Tell each placer all that runs or waits there."""
-        rolls: dict[str, list[PlacedRun]] = {host: [] for host in self._told_roll}
+        now = self._timers.now
+        # An answer that was lost leaves a place at the placer of which this host knows
+        # nothing: it goes on saying what it has, if only that it has nothing.
+        rolls: dict[str, list[PlacedRun]] = {
+            host: [] for host, until in self._roll_until.items() if now < until
+        }
         for request, asked in self._asked.items():
             rolls.setdefault(asked.placer, []).append(PlacedRun(request))
         for request, run in self._runs.items():
             if run.live:
                 placed = PlacedRun(request, run.endpoint.id, run.reading, run.memory)
                 rolls.setdefault(self._owner(run.endpoint.id), []).append(placed)
-        self._told_roll = {host for host, runs in rolls.items() if runs}
+        self._roll_until = {
+            host: now + ROLLS_ON_S if runs else self._roll_until[host]
+            for host, runs in rolls.items()
+        }
         for host, runs in rolls.items():
             roll = PlaceRoll(host=self._host, boot=self._boot, runs=tuple(runs))
             if host == self._host:
-                self._carry_out(self._desk.roll(self._timers.now, roll))
+                self._carry_out(self._desk.roll(now, roll))
             else:
                 self._send(host, roll)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,254 @@
+"""Placers decide for all hosts: on a network in memory and in simulated time."""
+
+from contextlib import suppress
+from heapq import heappop, heappush
+from itertools import count
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from msgpack import packb
+
+from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
+from greengageflow.core.fleet_sums import FleetTotals
+from greengageflow.core.forward_request import Prompt, PromptPart
+from greengageflow.core.place_messages import (
+    PlaceAnswer,
+    PlaceMessage,
+    PlaceNote,
+    Verdict,
+)
+from greengageflow.core.placers import placer_of, placers_among
+from greengageflow.core.router_table import Hello
+from greengageflow.core.routes import Routing, Service
+from greengageflow.core.send_budget import SendBudget
+from greengageflow.core.service_book import ServiceBook
+from greengageflow.core.service_scheduler import Job, RefuseJob, StartJob
+from greengageflow.core.work_queue import Waiter
+from greengageflow.daemon.placement import ANSWER_S, MUTE_S, SETTLE_S, Placement
+from greengageflow.net.report_codec import ReportError, decode, encode
+
+SLOTS = 4
+PROMPT = Prompt((PromptPart("shared", 500), PromptPart("own", 100)), 600, 50)
+
+
+class Fleet:
+    """Hosts with one engine before them; a host in ``deaf`` gets no message."""
+
+    def __init__(self, hosts=3):
+        self.now, self.deaf, self.dead = 0.0, set(), set()
+        self.drops = lambda message: False
+        self._heap, self._order = [], count()
+        self.hosts = {f"h{i}": HostStub(self, f"h{i}", i) for i in range(hosts)}
+        self.placer = placers_among(self.hosts)[0]
+        self.others = [h for name, h in self.hosts.items() if name != self.placer]
+        self.run(SETTLE_S + 0.3)
+
+    def at(self, when, call):
+        heappush(self._heap, (when, next(self._order), call))
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, call = heappop(self._heap)
+            call()
+        self.now = end
+
+    def running(self, host):
+        load = self.hosts[host].book.own_loads().get("e0")
+        return load.running if load else 0
+
+
+class HostStub:
+    """Timer service, sender and requests of one host."""
+
+    def __init__(self, fleet, name, index):
+        self.fleet, self.name = fleet, name
+        self.endpoints = EndpointList()
+        engine = ListedEndpoint("e0", "model", "10.0.0.1", 80, "z", slots=SLOTS)
+        list(self.endpoints.put(engine))
+        self.book = ServiceBook(self.endpoints, "z", lambda: SendBudget(1, 9, 10.0))
+        service = Service("model", slots=SLOTS, memory_tokens=100_000)
+        self.book.on_routing(Routing(version=1, services={"model": service}))
+        self.started, self.refused, self.runs = {}, {}, count(1)
+        self.hello = Hello(host=name, boot=1, ip="127.0.0.1", port=9 + index, zone="z")
+        self.placement = Placement(
+            name, 1, self.book, self.endpoints, self, self, self.carry_out
+        )
+        self.placement.start()
+        self.every(0.25, self.round)
+
+    @property
+    def now(self):
+        return self.fleet.now
+
+    def after(self, delay_s, call):
+        alive = lambda: self.name not in self.fleet.dead  # noqa: E731
+        self.fleet.at(self.now + delay_s, lambda: alive() and call())
+        return SimpleNamespace(cancel=lambda: None)
+
+    def every(self, interval_s, call):
+        self.after(interval_s, lambda: (call(), self.every(interval_s, call)))
+
+    def round(self):
+        self.placement.on_round()
+        self.carry_out(self.book.on_totals(self.now, FleetTotals()))
+
+    def routers(self):
+        hosts = getattr(self.fleet, "hosts", {})
+        return [h.hello for n, h in hosts.items() if n not in self.fleet.dead]
+
+    def send_to(self, to, message):
+        [target] = [h for h in self.fleet.hosts.values() if h.hello.address == to]
+        lost = self.fleet.deaf | self.fleet.dead
+        if target.name in lost or self.fleet.drops(message):
+            return
+        data = encode(message)
+        arrive = lambda: target.placement.receive(decode(data))  # noqa: E731
+        self.fleet.at(self.now + 0.002, arrive)
+
+    def carry_out(self, decisions):
+        for decision in decisions:
+            if not decision.request.isdigit():
+                self.placement.on_decision(decision)
+            elif isinstance(decision, StartJob):
+                self.started[decision.request] = self.now
+                self.placement.sent(self.now, decision.request, decision.choice, PROMPT)
+            elif isinstance(decision, RefuseJob):
+                self.refused[decision.request] = decision
+
+    def ask(self, patience_s=0.5):
+        name, now = str(next(self.runs)), self.now
+        waiter = Waiter(name, "a", 100.0, 0, now, now + 1, now + patience_s)
+        job = Job(waiter, 1.0, PROMPT)
+        self.carry_out(self.placement.submit(now, "model", job, "a"))
+        return name
+
+    def end(self, name):
+        self.placement.left(name, self.endpoints.get("e0"))
+        self.carry_out(self.placement.ended(self.now, "model", name))
+
+
+def test_no_more_is_started_than_the_engine_runs_whoever_asks():
+    """Callers of all hosts ask at the same moment for an engine of four slots. Hosts
+    that each knew it idle would send it all; the placer has it run three or four, lets
+    the others wait, and starts one of them as soon as one has ended."""
+    fleet = Fleet()
+    names = [(host, host.ask()) for host in fleet.hosts.values() for _ in range(5)]
+    fleet.run(0.1)
+    started = [(host, name) for host, name in names if name in host.started]
+    assert 0 < len(started) <= SLOTS
+    host, name = started[0]
+    host.end(name)
+    fleet.run(0.1)
+    assert sum(len(host.started) for host in fleet.hosts.values()) == len(started) + 1
+    fleet.run(0.6)
+    refused = sum(len(host.refused) for host in fleet.hosts.values())
+    assert refused == len(names) - len(started) - 1
+
+
+def test_host_decides_alone_when_its_placer_is_silent():
+    """The placer's host hangs. A request waits no longer than the time for an answer,
+    later ones not at all, and the placer is asked again a second later."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    fleet.deaf.add(fleet.placer)
+    first = host.ask()
+    fleet.run(ANSWER_S + 0.01)
+    assert host.started[first] <= fleet.now
+    second = host.ask()
+    assert second in host.started
+    fleet.deaf.clear()
+    fleet.run(MUTE_S)
+    third = host.ask()
+    assert third not in host.started
+    fleet.run(0.01)
+    assert third in host.started and fleet.running(fleet.placer) == 1
+
+
+def test_requests_that_wait_at_a_placer_are_decided_when_it_is_gone():
+    fleet = Fleet()
+    host = fleet.others[0]
+    for _ in range(SLOTS + 2):
+        host.ask(patience_s=2.0)
+    fleet.run(0.05)
+    waiting = SLOTS + 2 - len(host.started)
+    assert waiting
+    fleet.dead.add(fleet.placer)
+    fleet.run(3.0)
+    assert len(host.started) + len(host.refused) == SLOTS + 2
+
+
+def test_next_placer_counts_what_an_earlier_one_started():
+    """The placer's host is lost with requests under way on the engine. The next one
+    would take the engine for idle and send it as much again."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    names = [host.ask() for _ in range(2)]
+    fleet.run(0.1)
+    assert set(names) <= host.started.keys()
+    fleet.dead.add(fleet.placer)
+    fleet.run(0.6)
+    assert sum(fleet.running(h.name) for h in fleet.others) == 2
+
+
+@pytest.mark.parametrize("lost", [PlaceNote, PlaceAnswer])
+def test_lost_messages_take_up_no_slot_for_good(lost):
+    """The note that a request has ended is lost, or the answer that it may start. The
+    placer would count it for ever, and the engine have a slot less."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    fleet.drops = lambda message: (
+        isinstance(message, lost) and getattr(message, "verdict", 1) != Verdict.QUEUED
+    )
+    name = host.ask()
+    fleet.run(0.3)
+    assert name in host.started
+    host.end(name)
+    fleet.run(1.6)
+    assert fleet.running(fleet.placer) == 0
+    assert sum(fleet.running(h.name) for h in fleet.others) == 0
+
+
+def test_caller_that_left_takes_its_request_out_of_the_placers_queue():
+    fleet = Fleet()
+    host = fleet.others[0]
+    names = [host.ask() for _ in range(SLOTS + 1)]
+    fleet.run(0.05)
+    waits = next(name for name in names if name not in host.started)
+    host.end(waits)
+    fleet.run(0.05)
+    host.end(next(iter(host.started)))
+    fleet.run(0.1)
+    assert waits not in host.started
+
+
+def test_a_host_that_does_not_place_says_so_at_once():
+    fleet = Fleet()
+    host, stranger = fleet.others
+    ask = host.placement._ask(0.0, "model", job_of("7"), "a")
+    answers = []
+    host.placement.receive = answers.append
+    stranger.placement.receive(decode(encode(ask)))
+    fleet.run(0.05)
+    assert [answer.verdict for answer in answers] == [Verdict.PASS]
+
+
+def job_of(name):
+    return Job(Waiter(name, "a", 1.0, 0, 0.0, 1.0, 0.5), 1.0, PROMPT)
+
+
+@given(st.sets(st.text(max_size=5), min_size=1, max_size=80), st.text(max_size=5))
+def test_placers_that_come_or_go_move_only_their_own_endpoints(hosts, endpoint):
+    placers = placers_among(hosts)
+    assert placers == placers_among(sorted(hosts)) and set(placers) <= hosts
+    chosen = placer_of(endpoint, placers)
+    for lost in set(placers) - {chosen}:
+        assert placer_of(endpoint, [p for p in placers if p != lost]) == chosen
+
+
+@given(st.integers(15, 18), st.lists(st.integers(0, 9) | st.text() | st.floats()))
+def test_spoiled_place_messages_are_told_apart(kind, values):
+    with suppress(ReportError):
+        assert isinstance(decode(packb((kind, *values))), PlaceMessage)
