A woken router acts on nothing until its view is confirmed; registrations told again

Grants of an owner that died meanwhile passed EntryQueue._is_valid, although the next owner had granted the slots anew after settle_s. The other way round, an owner that was held for dead and wakes granted at once on top of what the owner in between had granted. And GrantTaken to a new owner was told once, without an answer: PeerLink drops what waits over 1 s for a connection.

Mend: Membership.confirmed is false from a pause until a router answers a probe of after it with the same digest, or 4 s (suspicion and two periods) passed, or this router is alone. Until then EntryQueue holds grants (not given back: the owner would grant them to the same queue again, and its demand would count as used up) and EndpointOwner gives none; after a pause of suspicion_s or more it starts as a new owner, with the settle time. A running request is told again after 0.25 s, then doubled, as long as it runs; that is the only change without a pause.

Ruled out: giving grants back after a pause; a fixed wait (a pause of 1 s would cost 2 s where an answer takes a round trip); starting the 4 s anew with each pause (a process starved in each turn of its loop would start nothing for ever).

Not mended, in docs/design/shares.md: requests that run at a paused router when the list has dropped their owner.

--- a/greengageflow/core/entry.py
+++ b/greengageflow/core/entry.py
@@ -26,6 +26,8 @@
 __all__ = ["EntryQueue", "WaitingRequest"]
 
 _ENDED_KEPT = 4096
+_TELL_AGAIN_S = 0.25
+"""First pause, doubled each time: three more copies within an owner's settle time."""
 _ANSWERS_TO_CALL = 4
 
 
@@ -36,6 +38,7 @@
     owner: PeerId
     told: set[str]
     meter: Meter
+    tell_at: float = float("inf")
 
 
 class EntryQueue:
@@ -70,6 +73,9 @@
         self._ended: OrderedDict[str, GrantReturned] = OrderedDict()
         self._owed: dict[tuple[str, str], GrantReturned] = {}
         self._deadlines: list[tuple[float, str]] = []
+        self._tell_again: list[tuple[float, float, str]] = []
+        self._paused = False
+        self._held: dict[str, tuple[PeerId, Grant]] = {}
 
     @property
     def waiting(self) -> int:
@@ -148,6 +154,9 @@
         if grant.grant in self._ended:
             yield Send(sender.host, self._ended[grant.grant])
             return
+        if self._paused:
+            self._held[grant.grant] = sender, grant
+            return
         yield from self._expire(now)
         queue = self._queues.get((grant.account, grant.pool))
         if queue and self._is_valid(sender, grant):
@@ -201,7 +210,15 @@
         if owner != run.owner:
             run.owner = owner
             run.told.add(host)
-            yield self._taken(now, host, grant)
+            yield self._tell(now, grant, _TELL_AGAIN_S)
+
+    def _tell(self, now: float, grant: str, pause_s: float) -> Send:
+        # Nothing answers it. Lost on a slow connection, it left the new owner to
+        # grant a slot in which the request still ran.
+        run = self._running[grant]
+        run.tell_at = now + pause_s
+        heappush(self._tell_again, (run.tell_at, pause_s, grant))
+        return self._taken(now, run.owner.host, grant)
 
     def _on_work_call(self, host: str, pool: str) -> Iterator[Send]:
         if self._view is None or host not in self._registrar.owners(pool):
@@ -256,6 +273,11 @@
     def on_tick(self, now: float) -> Iterator[Effect]:
         """Do what has become due."""
         yield from self._expire(now)
+        while self._tell_again and self._tell_again[0][0] <= now:
+            at, pause_s, grant = heappop(self._tell_again)
+            run = self._running.get(grant)
+            if run is not None and run.tell_at == at:
+                yield self._tell(now, grant, 2 * pause_s)
         for queue in self._queues.values():
             if queue and queue.ask_at <= now:
                 yield from self._registrar.widen(now, queue)
@@ -267,6 +289,8 @@
         times = [queue.due_at for queue in self._queues.values() if queue]
         if self._deadlines:
             times.append(self._deadlines[0][0])
+        if self._tell_again:
+            times.append(self._tell_again[0][0])
         return max(now, min(times, default=float("inf")))
 
     def _expire(self, now: float) -> Iterator[Effect]:
@@ -280,6 +304,23 @@
             yield Refuse(request, ErrorKind.DEADLINE, text, retry_s)
             yield from self._leave(queue, request)
 
+    def on_pause(self) -> None:
+        """Note that this process stood still, and start nothing until it is sure.
+
+        Grants lie in its sockets whose owner may have died since. The next owner
+        has then granted their slots anew, but this router's view still has the old
+        one: started at once, 8 requests ran in 4 slots. Held until the view is
+        confirmed, they are judged by the others' view.
+        """
+        self._paused = True
+
+    def on_confirmed(self, now: float) -> Iterator[Effect]:
+        """Take the grants that came since the pause, by the view as it is now."""
+        self._paused = False
+        held, self._held = self._held, {}
+        for sender, grant in held.values():
+            yield from self._on_grant(now, sender, grant)
+
     def on_config(self, now: float, cfg: FleetConfig) -> Iterator[Effect]:
         """Take over a configuration."""
         self._cfg = cfg
--- a/greengageflow/core/membership.py
+++ b/greengageflow/core/membership.py
@@ -89,6 +89,8 @@
     Attributes:
         revision: Newest configuration revision of this router, told to others.
         pauses: How often this process found that it had been paused.
+        long_pause: Others may have held it for dead in a pause since which its view
+            was not confirmed until now.
     """
 
     def __init__(
@@ -102,14 +104,17 @@
     ) -> None:
         self.revision = 0
         self.pauses = 0
+        self.long_pause = False
         self._period_s = period_s
+        self._suspicion_s = suspicion_s
         self._table = MemberTable(own, suspicion_s=suspicion_s)
         self._random = Random(seed)
         self._seeds: dict[str, Seed] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
         self._newest = (0, "")
         self._probes = Probes(self._random, relay_s=RELAY_PERIODS * period_s)
-        self._sync = ViewSync(SETTLE_PERIODS * period_s)
+        settle_s = SETTLE_PERIODS * period_s
+        self._sync = ViewSync(settle_s, suspicion_s + settle_s)
         self._periods = 0
         self._next_probe = float("-inf")
         self._last_tick: float | None = None
@@ -149,17 +154,22 @@
             self._live = self._table.version, MappingProxyType(live)
         return self._live[1]
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the view is as new as the others', as far as pauses go.
+
+        After a pause it is as old as the pause, until a router answers a later probe
+        with the same view, or until this router's own timers must have found the
+        deaths that the others found meanwhile.
+        """
+        return self._sync.confirmed
+
     @property
     def suspects(self) -> frozenset[str]:
         """Hosts that lately did not answer and are not held for dead yet."""
         entries = self._table.entries
         return frozenset(e.member.host for e in entries if e.member.status == SUSPECT)
 
-    @property
-    def dead_hosts(self) -> frozenset[str]:
-        """Hosts that were members once and are not live."""
-        return frozenset(e.member.host for e in self._table.entries if not e.live)
-
     def newer_revision(self) -> str | None:
         """Return a host with a newer configuration than ``revision``, or None."""
         revision, host = self._newest
@@ -191,10 +201,11 @@
 
     def on_tick(self, now: float) -> Iterator[Connect | Disconnect | Send]:
         """Probe, suspect and bury; call every ``tick_s`` seconds."""
-        self._notice_pause(now)
+        self.notice_pause(now)
         self._last_tick = now
         for host in self._table.expire(now):
             yield Disconnect(host)
+        self._sync.on_tick(now, alone=self._table.live_count == 1)
         if now >= self._next_probe:
             yield from self._next_period(now)
         elif self._probes.current is not None:
@@ -204,7 +215,7 @@
         self, now: float, sender: PeerId, message: Any
     ) -> Iterator[Connect | Disconnect | Send]:
         """Take in one membership message of another router."""
-        self._notice_pause(now)
+        self.notice_pause(now)
         if isinstance(message, Ping | Ack):
             yield from self._merge(message.news, now)
         if not self._current(sender):
@@ -233,7 +244,7 @@
             return False
         return entry.member.boot == sender.boot
 
-    def _notice_pause(self, now: float) -> None:
+    def notice_pause(self, now: float) -> None:
         """Excuse the others when it was this process that stood still.
 
         After a pause every probe looks unanswered and every suspect overdue, and
@@ -244,10 +255,12 @@
             return
         if now - self._last_tick <= PAUSE_PERIODS * self._period_s:
             return
+        long = now - self._last_tick >= self._suspicion_s
+        self.long_pause = long or (self.long_pause and not self.confirmed)
         self.pauses += 1
         self._last_tick = now
         self._probes.take_unanswered()
-        self._sync.on_pause()
+        self._sync.on_pause(now, self._probes.next_seq())
         self._table.restart_deadlines(now)
 
     # Time and probes.
@@ -357,6 +370,8 @@
             self._newest = message.revision, host
         if message.digest == self._table.digest:
             self._sync.on_equal()
+            if isinstance(message, Ack):
+                self._sync.on_answer(message.seq)
         elif self._sync.asks(now):
             yield Send(host, ViewRequest(self._table.digest))
 
--- a/greengageflow/core/owner.py
+++ b/greengageflow/core/owner.py
@@ -78,6 +78,7 @@
         self._demands: dict[str, DemandBook] = {}
         self._calls: dict[str, WorkCalls] = {}
         self._lost: set[str] = set()
+        self._paused = False
         self._charges = Charges()
         self._spread: dict[str, float] = {}
         self._number = 0
@@ -142,6 +143,28 @@
         self._assign(now, cut=cut)
         yield from self._fill_all(now)
 
+    def on_pause(self) -> None:
+        """Note that this process stood still, and grant nothing until it is sure."""
+        self._paused = True
+
+    def on_confirmed(self, now: float, *, anew: bool) -> Iterator[Send]:
+        """Grant again, as the view is confirmed after a pause.
+
+        Others may have owned the endpoints meanwhile and granted their slots. Going
+        on at once, this router added its own: 7 requests ran in 4 slots. As a new
+        owner it hears first what runs.
+
+        Args:
+            now: The time.
+            anew: True when the pause was long enough for that.
+        """
+        self._paused = False
+        if anew:
+            for slots in self._slots.values():
+                slots.lose()
+            self._assign(now)
+        yield from self._fill_all(now)
+
     def mark_leaving(self, endpoint: str, generation: int) -> None:
         """Give the endpoint no new work, for this generation of it for good."""
         slots = self._slots.get(endpoint)
@@ -254,9 +277,10 @@
         view = self._view
         if view is None:
             return
-        for name, slots in self._active.items():
+        for slots in self._active.values():
             slots.expire(now, view)
-            yield from self._ask_again(now, name, slots)
+            if not self._paused:
+                yield from self._ask_again(now, slots)
         if now >= self._forget_at:
             self._forget_at = now + _FORGET_EVERY_S
             for book in self._demands.values():
@@ -274,7 +298,7 @@
         times += [calls.at for calls, _ in self._idle(now)]
         return max(now, min(times))
 
-    def _ask_again(self, now: float, name: str, slots: EndpointSlots) -> Iterator[Send]:
+    def _ask_again(self, now: float, slots: EndpointSlots) -> Iterator[Send]:
         for grant, hold in slots.holds.items():
             if hold.ask_at is None or hold.ask_at > now:
                 continue
@@ -290,7 +314,7 @@
 
     def _fill(self, now: float, pool: str) -> Iterator[Send]:
         book = self._demands.get(pool)
-        if book is None or self._view is None:
+        if book is None or self._view is None or self._paused:
             return
         while book.any_waiting(self._view) and (slots := self._freest(now, pool)):
             picked = self._pick(book)
--- a/greengageflow/daemon/control.py
+++ b/greengageflow/daemon/control.py
@@ -135,6 +135,7 @@
         self._on_order_notice = on_order_notice
         self._local: deque[Any] = deque()
         self._delivering = False
+        self._confirmed = True
         self._view_seen: tuple[int, frozenset[str]] | None = None
         self._entry_timer: Subscription | None = None
         self._entry_due = float("inf")
@@ -180,6 +181,9 @@
     def receive(self, sender: PeerId, message: Any) -> None:
         """Take a message of a router, this one included."""
         now = monotonic()
+        # What lies in the socket after a pause may come before the next tick.
+        self.membership.notice_pause(now)
+        self._follow_pause(now)
         match message:
             case Demand() | GrantTaken() | GrantReturned():
                 self.run(self.owner.receive(now, sender, message))
@@ -291,6 +295,21 @@
         if newer is not None:
             self._on_newer_revision(newer, self.membership.revision + 1)
         self.refresh_view()
+        self._follow_pause(monotonic())
+
+    def _follow_pause(self, now: float) -> None:
+        """Tell the parts when a pause makes the view doubtful, and when it is not."""
+        confirmed = self.membership.confirmed
+        if confirmed == self._confirmed:
+            return
+        self._confirmed = confirmed
+        if confirmed:
+            anew = self.membership.long_pause
+            self.run(self.owner.on_confirmed(now, anew=anew))
+            self.run(self.entry.on_confirmed(now))
+        else:
+            self.owner.on_pause()
+            self.entry.on_pause()
 
     def refresh_view(self) -> None:
         """Tell the parts when members or the roster have changed."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -17,7 +17,7 @@
 
 
 def control(size=1):
-    membership = Mock(members=members(size), view_version=1, revision=0)
+    membership = Mock(members=members(size), view_version=1, revision=0, confirmed=True)
     roster = Mock(hosts=frozenset(members(size)))
     return Control(
         OWN,
