Splits: http_pool, platform_replica and test_callers, each by what it does

- net/_exchange.py (117): one request and its answer under way, and the receiver that gathers a whole answer.
- tests: caller_server (97, support), test_callers (267: parsing, refusals, order), test_caller_streams (128), test_caller_limits (130: limits, draining).

Ruled out: a step of the generations over the live table.

No test was changed but for its place: the lines of the four files against the old one differ by imports and fixtures; 72 tests before and after.

--- /dev/null
+++ b/greengageflow/lab/_platform_generations.py
@@ -0,0 +1,134 @@
+"""Generations of a fake model engine: fetched prompts, steps and their streams."""
+
+import json
+from collections.abc import Iterator
+from typing import Protocol
+
+from greengageflow.lab._platform_batch import Batch, Job
+from greengageflow.lab._platform_faults import ReplicaFaults, Work
+from greengageflow.lab.platform_http import Call, Wire, head_bytes
+from greengageflow.net.http_messages import Failure, HttpRequest, Response
+from greengageflow.net.http_pool import HttpPool
+from greengageflow.net.timers import Timers
+from greengageflow.platform.names import KV_FETCH, KV_LIST
+
+
+class Replica(Protocol):
+    """What a generation needs of its replica."""
+
+    def headers(self, work: Work) -> dict[str, str]:
+        """Return the headers of the answer to a request."""
+
+    def end(self, work: Work, outcome: str) -> None:
+        """End a request with this outcome."""
+
+    def finish(self, call: Call, data: bytes) -> None:
+        """Send the end of an answer."""
+
+    def follow(self, wire: Wire, faults: ReplicaFaults) -> None:
+        """Do what follows a whole answer."""
+
+
+class Generations:
+    """Works the generations of one replica off, step by step.
+
+    Args:
+        timers: Timer service.
+        pool: For what is fetched from other replicas.
+        batch: Steps and memory of the engine.
+        replica: Whose generations they are.
+        stride: Tokens of one stream event.
+        fetch_s: Seconds that one token takes from another replica.
+    """
+
+    def __init__(
+        self,
+        timers: Timers,
+        pool: HttpPool,
+        batch: Batch,
+        replica: Replica,
+        *,
+        stride: int,
+        fetch_s: float,
+    ) -> None:
+        self._timers = timers
+        self._pool = pool
+        self._batch = batch
+        self._replica = replica
+        self._stride = stride
+        self._fetch_s = fetch_s
+        self._works: dict[Job, Work] = {}
+        self._stepping = False
+
+    def begin(self, work: Work) -> None:
+        """Generate, with the parts of the prompt that another replica holds."""
+        if KV_FETCH not in work.call.headers:
+            self._generate(work)
+            return
+        ip, _, port = work.call.headers[KV_FETCH].partition(":")
+        ask = HttpRequest("GET", ip, int(port), KV_LIST)
+        self._pool.fetch(ask, lambda answer: self._fetched(work, answer))
+
+    def _fetched(self, work: Work, answer: Response | Failure) -> None:
+        job, found = work.job, {}
+        if isinstance(answer, Response) and answer.status == 200:
+            rows = answer.json()["held"]
+            found = {name: n for _, name, n, model in rows if model == job.model}
+        parts = list(self._found(job, found))
+        delay_s = sum(tokens for _, tokens in parts) * self._fetch_s
+        self._timers.after(delay_s, lambda: self._generate(work, parts))
+
+    def _found(self, job: Job, found: dict[str, int]) -> Iterator[tuple[str, int]]:
+        for name, _ in job.parts[self._batch.cache.kept(job) :]:
+            if name not in found:
+                return
+            yield name, found[name]
+
+    def _generate(self, work: Work, parts: list | None = None) -> None:
+        if work.run.ended is not None:
+            return
+        self._batch.cache.keep(work.job.model, parts or [], self._batch.used)
+        self._batch.add(work.job)
+        self._works[work.job] = work
+        if not self._stepping:
+            self._stepping = True
+            self._timers.after(self._batch.step_s, self._step)
+
+    def _step(self) -> None:
+        works = dict(self._works)
+        for job in self._batch.step():
+            if job.made >= job.wanted or job.made % self._stride == 0:
+                self._push(works[job])
+        self._stepping = bool(self._batch.jobs)
+        if self._stepping:
+            self._timers.after(self._batch.step_s, self._step)
+
+    def _push(self, work: Work) -> None:
+        job, wire = work.job, work.call.wire
+        number = -(-job.made // self._stride)
+        text = json.dumps({"run": work.run.id, "tokens": job.made})
+        event = f"id: {number}\ndata: {text}\n\n".encode()
+        if not work.head_sent:
+            work.head_sent = True
+            kind = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+            wire.send(head_bytes(200, {**kind, **self._replica.headers(work)}))
+        if work.events == work.faults.cut_after:
+            self.tear(work)
+            return
+        work.events += 1
+        wire.send(b"%x\r\n%s\r\n" % (len(event), event))
+        if job.made >= job.wanted:
+            self._replica.end(work, "done")
+            self._replica.finish(work.call, b"0\r\n\r\n")
+            self._replica.follow(wire, work.faults)
+
+    def tear(self, work: Work) -> None:
+        """Break a stream off in the middle of an event."""
+        work.call.wire.send(b"40\r\nid: %d\nda" % (work.events + 1))
+        self._replica.end(work, "cut")
+        work.call.wire.close()
+
+    def drop(self, work: Work) -> None:
+        """Forget a generation that has ended."""
+        self._batch.drop(work.job)
+        self._works.pop(work.job, None)
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -2,7 +2,6 @@
 
 import json
 from collections import deque
-from collections.abc import Iterator
 from itertools import count
 from time import monotonic
 
@@ -15,6 +14,7 @@
     Run,
     Work,
 )
+from greengageflow.lab._platform_generations import Generations
 from greengageflow.lab._platform_plain import PlainAnswer, send_extra
 from greengageflow.lab._store_entry import StoreEntry
 from greengageflow.lab.platform_http import (
@@ -22,16 +22,13 @@
     HttpFake,
     Wire,
     answer_bytes,
-    head_bytes,
 )
-from greengageflow.net.http_messages import Failure, HttpRequest, Response
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.platform.names import (
     DEADLINE_MS,
     DRAINING,
     EXPECT_REPLICA,
     EXPECT_VERSION,
-    KV_FETCH,
     KV_LIST,
     NOT_EXECUTED,
     READY,
@@ -116,11 +113,14 @@
         self._advertise = advertise
         self._slots, self._places = slots, slots + queue
         self._work_s = work_ms / 1000
-        self._stride, self._fetch_s = stride, fetch_us / 1e6
+        self._stride = stride
         self._model, self._weights = model, weights
         self._health_path, self._max_conns = health_path, max_conns
         self._batch = Batch(step_ms / 1000, growth, chunk, kv_capacity)
-        self._pool = HttpPool(self.timers).register(self)
+        pool = HttpPool(self.timers).register(self)
+        self._generations = Generations(
+            self.timers, pool, self._batch, self, stride=stride, fetch_s=fetch_us / 1e6
+        )
         self._faults = ReplicaFaults()
         self._runs: list[Run] = []
         self._works: dict[Wire, Work] = {}
@@ -128,13 +128,12 @@
         self._busy: list[Work] = []
         self._seals, self._done_count = count(), count(1)
         self._connections = 0
-        self._stepping = False
         self._state = READY
         self._measure()
         self.timers.every(0.2, self._measure)
         self._entry = None
         if store:
-            self._entry = StoreEntry(self._pool, store, self._name, heartbeat_ms)
+            self._entry = StoreEntry(pool, store, self._name, heartbeat_ms)
             self.timers.after(0, self._beat)
             self.timers.every(heartbeat_ms / 1000, self._beat)
 
@@ -186,7 +185,7 @@
     def gone(self, wire: Wire) -> None:
         """Drop the request of a connection that the caller closed."""
         if work := self._works.get(wire):
-            self._end(work, "cancelled")
+            self.end(work, "cancelled")
 
     def _request(self, call: Call) -> None:
         self._runs.append(run := Run(call))
@@ -235,12 +234,11 @@
             if work.job is None:
                 done = self.timers.after(self._work_s, lambda w=work: self._done(w))
                 work.timers.append(done)
-            elif KV_FETCH in work.call.headers:
-                self._fetch(work)
             else:
-                self._generate(work)
+                self._generations.begin(work)
 
-    def _end(self, work: Work, outcome: str) -> None:
+    def end(self, work: Work, outcome: str) -> None:
+        """End a request with this outcome, and begin the next one."""
         work.run.end(outcome)
         for timer in work.timers:
             timer.cancel()
@@ -248,23 +246,24 @@
             if work in group:
                 group.remove(work)
         if work.job:
-            self._batch.drop(work.job)
+            self._generations.drop(work)
         if self._works.get(work.call.wire) is work:
             del self._works[work.call.wire]
         self._start_next()
 
     def _expire(self, work: Work) -> None:
         waited = work.run.begun is None
-        self._end(work, "503" if waited else "deadline")
+        self.end(work, "503" if waited else "deadline")
         if waited:
             headers = {NOT_EXECUTED: "1", REQUEST_ID: work.run.id}
             self.finish(work.call, answer_bytes(503, b"", headers))
         elif work.head_sent:
             work.call.wire.close()
         else:
-            self.finish(work.call, answer_bytes(504, b"", self._headers(work)))
+            self.finish(work.call, answer_bytes(504, b"", self.headers(work)))
 
-    def _headers(self, work: Work) -> dict[str, str]:
+    def headers(self, work: Work) -> dict[str, str]:
+        """Return the headers of the answer to a request."""
         headers = {REQUEST_ID: work.run.id, RESPONSE_SEAL: work.seal}
         if work.job:
             headers[WEIGHT_VERSIONS] = str(self._weights)
@@ -276,80 +275,17 @@
         run, call = work.run, work.call
         body = {"replica": self._name, "id": run.id, "method": call.method}
         body |= {"target": call.target, "body_sha256": run.body_sha256}
-        answer = PlainAnswer(json.dumps(body).encode(), self._headers(work))
-        self._end(work, "done")
+        answer = PlainAnswer(json.dumps(body).encode(), self.headers(work))
+        self.end(work, "done")
         if answer.send(self, call, work.faults, next(self._done_count)):
-            self._follow(call.wire, work.faults)
+            self.follow(call.wire, work.faults)
 
-    def _follow(self, wire: Wire, faults: ReplicaFaults) -> None:
+    def follow(self, wire: Wire, faults: ReplicaFaults) -> None:
+        """Do what follows a whole answer."""
         send_extra(self.timers, wire, faults)
         if self._state == DRAINING:
             wire.close()
 
-    # Generations.
-
-    def _fetch(self, work: Work) -> None:
-        ip, _, port = work.call.headers[KV_FETCH].partition(":")
-        ask = HttpRequest("GET", ip, int(port), KV_LIST)
-        self._pool.fetch(ask, lambda answer: self._fetched(work, answer))
-
-    def _fetched(self, work: Work, answer: Response | Failure) -> None:
-        job, found = work.job, {}
-        if isinstance(answer, Response) and answer.status == 200:
-            rows = answer.json()["held"]
-            found = {name: n for _, name, n, model in rows if model == job.model}
-        parts = list(self._found(job, found))
-        delay_s = sum(tokens for _, tokens in parts) * self._fetch_s
-        self.timers.after(delay_s, lambda: self._generate(work, parts))
-
-    def _found(self, job: Job, found: dict[str, int]) -> Iterator[tuple[str, int]]:
-        for name, _ in job.parts[self._batch.cache.kept(job) :]:
-            if name not in found:
-                return
-            yield name, found[name]
-
-    def _generate(self, work: Work, parts: list | None = None) -> None:
-        if work.run.ended is not None:
-            return
-        self._batch.cache.keep(work.job.model, parts or [], self._batch.used)
-        self._batch.add(work.job)
-        if not self._stepping:
-            self._stepping = True
-            self.timers.after(self._batch.step_s, self._step)
-
-    def _step(self) -> None:
-        by_job = {work.job: work for work in self._busy if work.job}
-        for job in self._batch.step():
-            if job.made >= job.wanted or job.made % self._stride == 0:
-                self._push(by_job[job])
-        self._stepping = bool(self._batch.jobs)
-        if self._stepping:
-            self.timers.after(self._batch.step_s, self._step)
-
-    def _push(self, work: Work) -> None:
-        job, wire = work.job, work.call.wire
-        number = -(-job.made // self._stride)
-        text = json.dumps({"run": work.run.id, "tokens": job.made})
-        event = f"id: {number}\ndata: {text}\n\n".encode()
-        if not work.head_sent:
-            work.head_sent = True
-            kind = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
-            wire.send(head_bytes(200, {**kind, **self._headers(work)}))
-        if work.events == work.faults.cut_after:
-            self._tear(work)
-            return
-        work.events += 1
-        wire.send(b"%x\r\n%s\r\n" % (len(event), event))
-        if job.made >= job.wanted:
-            self._end(work, "done")
-            self.finish(work.call, b"0\r\n\r\n")
-            self._follow(wire, work.faults)
-
-    def _tear(self, work: Work) -> None:
-        work.call.wire.send(b"40\r\nid: %d\nda" % (work.events + 1))
-        self._end(work, "cut")
-        work.call.wire.close()
-
     # Reports and control.
 
     def _measure(self) -> None:
@@ -376,7 +312,7 @@
                 self._set_faults(ReplicaFaults(**call.json))
             case "POST", "/tear":
                 for work in [one for one in self._busy if one.head_sent]:
-                    self._tear(work)
+                    self._generations.tear(work)
             case "PUT", "/state":
                 self._state = call.json["state"]
                 if self._state not in (READY, DRAINING):
--- /dev/null
+++ b/greengageflow/net/_idle_conns.py
@@ -0,0 +1,75 @@
+"""Connections that ``http_pool`` keeps for reuse."""
+
+from collections import defaultdict, deque
+from collections.abc import Callable
+from socket import socket
+from time import monotonic
+
+from greengageflow.net._http_conn import Connection
+
+
+class IdleConns:
+    """Idle connections by address, the one used last first.
+
+    Args:
+        close: Closes a connection that is not kept (any more).
+        most: Most connections kept for one address.
+        idle_s: Seconds after which one is closed.
+    """
+
+    def __init__(
+        self, close: Callable[[Connection], None], *, most: int, idle_s: float
+    ) -> None:
+        self._close = close
+        self._most = most
+        self._idle_s = idle_s
+        self._since: dict[socket, tuple[Connection, float]] = {}
+        self._by_address: dict[tuple[str, int], deque[Connection]] = defaultdict(deque)
+
+    def __len__(self) -> int:
+        return len(self._since)
+
+    def take(self, address: tuple[str, int], longest_s: float) -> Connection | None:
+        """Return a connection that was idle for less than ``longest_s`` seconds."""
+        conns = self._by_address.get(address)
+        while conns:
+            if monotonic() - self._since[conns[-1].sock][1] >= longest_s:
+                return None
+            conn = conns.pop()
+            del self._since[conn.sock]
+            if not conn.is_stale():
+                conn.reused = True
+                return conn
+            self._close(conn)
+        return None
+
+    def keep(self, conn: Connection) -> None:
+        """Keep a connection, or close it when there are enough to its address."""
+        conns = self._by_address[conn.address]
+        if len(conns) >= self._most:
+            self._close(conn)
+            return
+        conns.append(conn)
+        self._since[conn.sock] = (conn, monotonic())
+
+    def drop(self, sock: socket) -> None:
+        """Close the connection of a socket, if it is one of these."""
+        conn, _ = self._since.pop(sock, (None, 0.0))
+        if conn is None:
+            return
+        conns = self._by_address[conn.address]
+        conns.remove(conn)
+        if not conns:
+            del self._by_address[conn.address]
+        self._close(conn)
+
+    def expire(self, now: float) -> None:
+        """Close what was idle for too long."""
+        for sock, (_, since) in list(self._since.items()):
+            if now - since > self._idle_s:
+                self.drop(sock)
+
+    def close(self) -> None:
+        """Close all."""
+        for sock in list(self._since):
+            self.drop(sock)
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -4,7 +4,6 @@
 stream; here h11 parses and receivers get the body as it arrives.
 """
 
-from collections import defaultdict, deque
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from socket import socket
@@ -15,6 +14,7 @@
 from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
 
+from greengageflow.net._exchange import Collector, Exchange
 from greengageflow.net._http_conn import (
     AnswerBroken,
     AnswerCut,
@@ -23,6 +23,7 @@
     End,
     Head,
 )
+from greengageflow.net._idle_conns import IdleConns
 from greengageflow.net.http_messages import (
     Failure,
     FailureKind,
@@ -47,85 +48,6 @@
 DEFAULT_FETCH_LIMIT = 1_048_576
 
 
-class Exchange:
-    """One request and its answer under way."""
-
-    def __init__(
-        self, pool: "HttpPool", request: HttpRequest, receiver: Receiver
-    ) -> None:
-        self.request = request
-        self.receiver = receiver
-        self.conn: Connection | None = None
-        self.paused = False
-        self.live = True
-        self.moved_at = monotonic()
-        self._pool = pool
-
-    @property
-    def limit_s(self) -> float:
-        """Seconds without progress after which the exchange fails."""
-        if self.conn is not None and self.conn.connected:
-            return self.request.idle_timeout_s
-        return self.request.connect_timeout_s
-
-    @property
-    def too_late(self) -> bool:
-        """Whether the first byte has not left and must not leave any more."""
-        # A process that was frozen while it connected wakes in the middle of it.
-        limit = self.request.not_after
-        unsent = self.conn is not None and not self.conn.sent_any
-        return limit is not None and unsent and monotonic() >= limit
-
-    def pause(self) -> None:
-        """Stop reading, so that the sender comes to wait."""
-        if self.live and not self.paused:
-            self.paused = True
-            self._pool._watch(self)
-
-    def resume(self) -> None:
-        """Read again after ``pause``."""
-        if self.live and self.paused:
-            self.paused = False
-            self.moved_at = monotonic()
-            self._pool._watch(self)
-
-    def cancel(self) -> None:
-        """Close the connection; the receiver hears nothing more."""
-        if self.live:
-            self.live = False
-            self._pool._drop(self)
-
-
-class _Collector:
-    """Receiver that gathers a whole answer of at most ``limit`` bytes."""
-
-    def __init__(
-        self, on_done: Callable[[Response | Failure], None], limit: int
-    ) -> None:
-        self.exchange: Exchange | None = None
-        self._on_done = on_done
-        self._limit = limit
-        self._head = Head(0, ())
-        self._body = bytearray()
-
-    def on_head(self, head: Head) -> None:
-        self._head = head
-
-    def on_data(self, data: bytes) -> None:
-        self._body += data
-        if len(self._body) > self._limit and self.exchange is not None:
-            self.exchange.cancel()
-            message = f"answer larger than {self._limit} bytes"
-            self._on_done(Failure(FailureKind.BROKEN, True, message))
-
-    def on_end(self) -> None:
-        head = self._head
-        self._on_done(Response(head.status, head.headers, bytes(self._body)))
-
-    def on_failure(self, failure: Failure) -> None:
-        self._on_done(failure)
-
-
 class HttpPool(BaseComponent):
     """Sends requests and keeps connections for reuse.
 
@@ -151,14 +73,9 @@
         super().__init__()
         self._timers = timers
         self._source_ip = source_ip
-        self._max_idle = max_idle
-        self._idle_s = idle_s
         self._poller: BasePoller | None = None
         self._active: dict[socket, Exchange] = {}
-        self._idle: dict[socket, tuple[Connection, float]] = {}
-        self._idle_by_address: dict[tuple[str, int], deque[Connection]] = defaultdict(
-            deque
-        )
+        self._idle = IdleConns(self._close, most=max_idle, idle_s=idle_s)
         self._sweep: Subscription | None = None
 
     @property
@@ -177,9 +94,11 @@
         Raises:
             h11.LocalProtocolError: The request is not valid HTTP.
         """
-        exchange = Exchange(self, request, receiver)
+        exchange = Exchange(
+            request, receiver, on_paused=self._watch, on_cancel=self._drop
+        )
         longest_s = float("inf") if request.retry_stale else request.reuse_s
-        conn = self._take_idle(request.address, longest_s)
+        conn = self._idle.take(request.address, longest_s)
         if conn is None:
             self._connect(exchange)
         else:
@@ -202,7 +121,7 @@
         Raises:
             h11.LocalProtocolError: The request is not valid HTTP.
         """
-        collector = _Collector(on_done, limit)
+        collector = Collector(on_done, limit)
         collector.exchange = self.open(request, collector)
         return collector.exchange
 
@@ -213,21 +132,6 @@
             self._poller = findcmp(self.root, BasePoller) or EPoll().register(self)
         return self._poller
 
-    def _take_idle(
-        self, address: tuple[str, int], longest_s: float
-    ) -> Connection | None:
-        conns = self._idle_by_address.get(address)
-        while conns:
-            if monotonic() - self._idle[conns[-1].sock][1] >= longest_s:
-                return None
-            conn = conns.pop()
-            del self._idle[conn.sock]
-            if not conn.is_stale():
-                conn.reused = True
-                return conn
-            self._close(conn)
-        return None
-
     def _connect(self, exchange: Exchange) -> None:
         try:
             conn = Connection(exchange.request.address, self._source_ip)
@@ -284,23 +188,6 @@
         self._find_poller().discard(conn.sock)
         conn.close()
 
-    def _keep(self, conn: Connection) -> None:
-        conns = self._idle_by_address[conn.address]
-        if len(conns) >= self._max_idle:
-            self._close(conn)
-            return
-        conns.append(conn)
-        self._idle[conn.sock] = (conn, monotonic())
-        self._plan_sweep()
-
-    def _forget_idle(self, conn: Connection) -> None:
-        del self._idle[conn.sock]
-        conns = self._idle_by_address[conn.address]
-        conns.remove(conn)
-        if not conns:
-            del self._idle_by_address[conn.address]
-        self._close(conn)
-
     # Ends of exchanges.
 
     def _drop(self, exchange: Exchange) -> None:
@@ -338,7 +225,8 @@
         if exchange.paused:
             self._find_poller().addReader(self, conn.sock)
         if end.reusable:
-            self._keep(conn)
+            self._idle.keep(conn)
+            self._plan_sweep()
         else:
             self._close(conn)
         exchange.receiver.on_end()
@@ -350,8 +238,8 @@
         exchange = self._active.get(sock)
         if exchange is not None:
             self._receive(exchange)
-        elif sock in self._idle:
-            self._forget_idle(self._idle[sock][0])
+        else:
+            self._idle.drop(sock)
 
     def _receive(self, exchange: Exchange) -> None:
         if exchange.paused or not exchange.conn.connected:
@@ -413,8 +301,8 @@
         exchange = self._active.get(sock)
         if exchange is not None:
             self._on_broken_write(exchange, "connection lost")
-        elif sock in self._idle:
-            self._forget_idle(self._idle[sock][0])
+        else:
+            self._idle.drop(sock)
 
     # Timeouts.
 
@@ -433,9 +321,7 @@
         for exchange in self._late(now):
             if exchange.live:
                 self._expire(exchange)
-        for conn, since in list(self._idle.values()):
-            if now - since > self._idle_s:
-                self._forget_idle(conn)
+        self._idle.expire(now)
         if self._active or self._idle:
             self._plan_sweep()
 
@@ -449,5 +335,4 @@
     def _on_stopped(self, _manager: object) -> None:
         for exchange in list(self._active.values()):
             exchange.cancel()
-        for conn, _ in list(self._idle.values()):
-            self._forget_idle(conn)
+        self._idle.close()
--- /dev/null
+++ b/tests/test_caller_limits.py
@@ -0,0 +1,130 @@
+from contextlib import closing
+from time import sleep
+
+import pytest
+from caller_server import GET, POST, Server, chat, last, post, start_stream
+from circuits import Event, handler
+from circuits.core.pollers import _read
+from http_fakes import wait_for
+
+from greengageflow.net.callers import SWEEP_S, Limits
+
+
+@pytest.fixture
+def server():
+    with closing(Server()) as server:
+        yield server
+
+
+TIMED = {
+    "slow headers": (Limits(request_s=0.1, linger_s=0.1), GET, b"HTTP/1.1 408 "),
+    "slow body": (
+        Limits(request_s=0.1, linger_s=0.1),
+        POST + b"Content-Length: 9\r\n\r\nabc",
+        b"HTTP/1.1 408 ",
+    ),
+    "nothing": (Limits(keep_alive_s=0.1), b"", b""),
+}
+
+
+@pytest.mark.parametrize("name", TIMED)
+def test_a_slow_caller_is_let_go(name):
+    limits, data, start = TIMED[name]
+    with closing(Server(limits)) as server:
+        answer = server.ask(data)
+        assert answer.startswith(start)
+        assert bool(answer) == bool(start)
+
+
+def test_a_caller_that_never_reads_is_let_go():
+    """The endpoint is freed although the caller keeps its connection open.
+
+    The caller asks for a stream and never reads; after the write limit its
+    connection is closed and the handler hears that it is gone.
+    """
+    with closing(Server(Limits(write_s=0.1))) as server:
+        caller = server.caller()
+        caller.send(chat(stream=True))
+        call = wait_for(lambda: server.handler.calls)[0]
+        server.loop.call(call.reply.start_stream)
+        server.loop.call(lambda: call.reply.piece(b"x" * 20_000_000))
+        wait_for(lambda: server.handler.gone)
+
+
+def test_draining_ends_each_connection_after_its_answer():
+    """A planned stop cuts nobody.
+
+    One caller waits for its answer, one streams and one is idle when the router
+    starts to drain. The first two get their answers to the end; then all three
+    connections end and no new one is taken.
+    """
+    with closing(Server()) as server:
+        idle, waiting = server.caller(), server.caller()
+        stream, reply = start_stream(server)
+        waiting.send(chat())
+        call = wait_for(lambda: server.handler.calls[1:])[0]
+        server.loop.call(server.callers.drain)
+        assert idle.rest() == b""
+        server.loop.call(lambda: call.reply.json(200, "whole"))
+        answer = waiting.rest()
+        assert answer.endswith(b'"whole"')
+        assert b"\r\nconnection: close\r\n" in answer
+        server.loop.call(lambda: reply.piece(b"x" * 9_000_000))
+        server.loop.call(reply.end_stream)
+        sleep(3 * SWEEP_S)
+        assert stream.rest().endswith(b"0\r\n\r\n")
+        with pytest.raises(ConnectionRefusedError):
+            server.caller()
+
+
+def test_a_connection_that_arrives_when_draining_begins_is_no_fault():
+    """A caller connects in the very round in which the router begins to drain. circuits
+    accepts one round after it has seen the connection; with the listening socket gone
+    by then, accepting failed and was logged as a fault of the program."""
+    with closing(Server()) as server:
+        app, web = server.loop.app, server.callers.web.server
+        drain = handler("drain_now")(lambda _manager: server.callers.drain())
+
+        def arrive_and_drain():
+            app.addHandler(drain)
+            app.fire(_read(web._sock), web.channel)
+            app.fire(Event.create("drain_now"), "*")
+
+        late = server.caller()
+        server.loop.call(arrive_and_drain)
+        assert late.rest() == b""
+        with pytest.raises(ConnectionRefusedError):
+            server.caller()
+
+
+def test_bodies_under_way_are_bounded_together(server):
+    """Many callers with large bodies cannot fill the router's memory.
+
+    A body that finds no room among those under way is refused with a time to come
+    back; once the others are done or gone there is room again.
+    """
+    server.callers._budget._limit = 1500
+    first = server.caller()
+    first.send(POST + b"Content-Length: 1000\r\n\r\n" + b"x" * 900)
+    wait_for(lambda: server.callers._budget.used == 900)
+    body = b"y" * 800
+    answer = server.ask(post("/services/a/b", body))
+    assert answer.startswith(b"HTTP/1.1 429 ")
+    first.sock.close()
+    wait_for(lambda: server.callers._budget.used == 0)
+    assert server.ask(post("/services/a/b", body, *last())).endswith(body)
+
+
+def test_too_many_connections_are_closed_and_places_come_back():
+    with closing(Server()) as server:
+        server.callers._max_connections = 1
+        first = server.caller()
+        first.send(post("/services/a/b"))
+        first.until(b"POST /b ")
+        with closing(server.caller().sock) as second:
+            assert second.recv(1) == b""
+        first.sock.close()
+        wait_for(lambda: server.callers.connections == 0)
+        third = server.caller()
+        third.send(post("/services/a/b"))
+        third.until(b"POST /b ")
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,82 +1,17 @@
 import json
 from contextlib import closing
-from socket import SO_LINGER, SOL_SOCKET
-from struct import pack
-from time import sleep
 
 import pytest
-from circuits import Event, handler
-from circuits.core.pollers import _read
-from http_fakes import Caller, Loop, wait_for
+from caller_server import CHAT, CHUNKED, GET, POST, Server, chat, error_of, last, post
+from http_fakes import wait_for
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from greengageflow.errors import ErrorKind, Ran, RouterError
-from greengageflow.net.callers import (
-    SWEEP_S,
-    CallerServer,
-    ChatCall,
-    Limits,
-    ServiceCall,
-    StatusCall,
-)
+from greengageflow.errors import ErrorKind, RouterError
+from greengageflow.net.callers import ChatCall, StatusCall
 from greengageflow.net.calls import canonical_path
 from greengageflow.net.chat import parse_chat
 
-LIMITS = Limits(body=1000, headers=2000, request_s=30, linger_s=0.5)
-CHAT = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
-
-
-class Handler:
-    """Keeps the calls; answers service calls with what it got."""
-
-    def __init__(self):
-        self.calls = []
-        self.gone = []
-        self.error = None
-
-    def on_call(self, call):
-        self.calls.append(call)
-        match call:
-            case ServiceCall(path="boom"):
-                raise ZeroDivisionError
-            case ServiceCall(path="refuse"):
-                raise RouterError(ErrorKind.QUEUE_FULL, "full", retry_after_s=1.2)
-            case ServiceCall():
-                text = f"{call.method} {call.target} ".encode() + call.body
-                call.reply.raw(200, (("X-Name", "\xe9"),), text)
-
-    def on_gone(self, call):
-        self.gone.append(call)
-
-    def unready(self):
-        return self.error
-
-
-class Server:
-    def __init__(self, limits=LIMITS):
-        self.loop = Loop()
-        self.handler = Handler()
-        self.callers = CallerServer(
-            "127.0.0.1", 0, self.handler, self.loop.timers, limits=limits
-        ).register(self.loop.app)
-        self.loop.thread.start()
-
-    def caller(self):
-        return Caller(self.callers.address)
-
-    def ask(self, data):
-        """Send ``data``, return everything up to the close of the connection."""
-        with closing(self.caller().sock) as sock:
-            sock.sendall(data)
-            answer = b""
-            while part := sock.recv(65536):
-                answer += part
-        return answer
-
-    def close(self):
-        self.loop.close()
-
 
 @pytest.fixture(scope="module")
 def shared():
@@ -92,25 +27,6 @@
     return shared
 
 
-def post(path, body=b"", *headers, method="POST"):
-    if isinstance(body, dict):
-        body = json.dumps(body).encode()
-    lines = [f"{method} {path} HTTP/1.1", "Host: x", f"Content-Length: {len(body)}"]
-    return "\r\n".join([*lines, *headers, "", ""]).encode() + body
-
-
-def chat(*headers, **fields):
-    return post("/v1/chat/completions", CHAT | fields, *headers)
-
-
-def last(*headers):
-    return ("Connection: close", *headers)
-
-
-def error_of(answer):
-    return json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
-
-
 def test_a_chat_call_is_typed(server):
     trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
     caller = server.caller()
@@ -184,9 +100,6 @@
         assert exc.kind is ErrorKind.BAD_REQUEST
 
 
-GET = b"GET /services/a/b HTTP/1.1\r\nHost: x\r\n"
-POST = b"POST /services/a/b HTTP/1.1\r\nHost: x\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
 REFUSED = {
     "unknown path": (post("/nope", b"", *last()), 404),
     "method": (post("/healthz", b"", *last()), 405),
@@ -332,234 +245,6 @@
     assert call == StatusCall(account_key="K", reply=call.reply)
 
 
-def start_stream(server):
-    caller = server.caller()
-    caller.send(chat(stream=True))
-    call = wait_for(lambda: server.handler.calls)[0]
-    server.loop.call(call.reply.start_stream)
-    server.loop.call(lambda: call.reply.piece(b"data: 1\n\n"))
-    assert b"text/event-stream" in caller.until(b"data: 1\n\n\r\n")
-    return caller, call.reply
-
-
-def test_a_whole_stream_ends_with_its_mark(server):
-    caller, reply = start_stream(server)
-    server.loop.call(reply.end_stream)
-    assert caller.until(b"0\r\n\r\n") == b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"
-    caller.send(post("/services/a/b", b"next"))
-    caller.until(b"POST /b next")
-
-
-def test_a_cut_stream_never_looks_whole(server):
-    """The caller sees an error event and a broken body, and no end mark.
-
-    The endpoint's stream broke off for good after some pieces. Neither the end
-    mark nor the last chunk is sent, so that no client takes it for a whole answer.
-    """
-    caller, reply = start_stream(server)
-    error = RouterError(ErrorKind.ENDPOINT_CUT, "cut", ran=Ran.YES)
-    server.loop.call(lambda: reply.error(error))
-    rest = caller.rest()
-    assert b"event: error\ndata: " + json.dumps(error.body).encode() in rest
-    assert b"[DONE]" not in rest
-    assert not rest.endswith(b"0\r\n\r\n")
-
-
-def test_a_caller_that_leaves_is_reported(server):
-    """The endpoint's work can be cancelled when nobody waits for it.
-
-    The caller closes in the middle of its stream; the handler hears of it once,
-    and pieces that still come are dropped.
-    """
-    caller, reply = start_stream(server)
-    caller.sock.close()
-    wait_for(lambda: server.handler.gone)
-    assert not reply.open
-    server.loop.call(lambda: reply.piece(b"data: 2\n\n"))
-    server.loop.call(reply.end_stream)
-    assert len(server.handler.gone) == 1
-    assert_nothing_left(server)
-
-
-def assert_nothing_left(server):
-    wait_for(lambda: server.callers.connections == 0)
-    inner = server.callers.web.server
-    assert not inner._buffers
-    assert not inner._closeq
-    assert not inner._clients
-
-
-def test_a_connection_reset_with_bytes_queued_leaves_nothing(server):
-    """Memory does not grow with callers that vanish.
-
-    The caller's connection is reset while pieces wait to be sent to it. The write
-    event that was under way makes the server below create the queue anew, for a
-    socket that is closed by then.
-    """
-    caller, reply = start_stream(server)
-    server.loop.call(lambda: reply.piece(b"x" * 5_000_000))
-    caller.sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
-    caller.sock.close()
-    wait_for(lambda: server.handler.gone)
-    server.loop.call(lambda: None)
-    assert_nothing_left(server)
-
-
-def test_a_refusal_reaches_a_caller_that_is_still_sending(server):
-    """The caller reads why its body was refused, although it sent all of it.
-
-    The answer goes out at the request's head and the rest of the body is still on
-    its way. Closing at once would reset the connection and lose the answer.
-    """
-    body = b"x" * 5_000_000
-    answer = server.ask(post("/services/a/b", body))
-    assert answer.startswith(b"HTTP/1.1 413 ")
-
-
-def test_a_slow_reader_holds_the_stream_back(server):
-    """A slow caller gets all its pieces, and the router holds few of them.
-
-    The caller stops reading; once the high-water mark is reached the reply says
-    that it is blocked, and calls back when the caller has read again.
-    """
-    caller, reply = start_stream(server)
-    drained = []
-    reply.on_drain = lambda: drained.append(1)
-    piece = b"data: " + b"x" * 10_000 + b"\n\n"
-    sent = 0
-
-    def push():
-        nonlocal sent
-        while not reply.blocked:
-            reply.piece(piece)
-            sent += 1
-
-    server.loop.call(push)
-    assert not drained
-    link = next(iter(server.callers._links.values()))
-    assert link.queued < LIMITS.high_water + 2 * len(piece)
-    for _ in range(sent):
-        caller.until(b"x\n\n")
-    wait_for(lambda: drained)
-    assert not reply.blocked
-    server.loop.call(reply.end_stream)
-    caller.until(b"[DONE]")
-
-
-TIMED = {
-    "slow headers": (Limits(request_s=0.1, linger_s=0.1), GET, b"HTTP/1.1 408 "),
-    "slow body": (
-        Limits(request_s=0.1, linger_s=0.1),
-        POST + b"Content-Length: 9\r\n\r\nabc",
-        b"HTTP/1.1 408 ",
-    ),
-    "nothing": (Limits(keep_alive_s=0.1), b"", b""),
-}
-
-
-@pytest.mark.parametrize("name", TIMED)
-def test_a_slow_caller_is_let_go(name):
-    limits, data, start = TIMED[name]
-    with closing(Server(limits)) as server:
-        answer = server.ask(data)
-        assert answer.startswith(start)
-        assert bool(answer) == bool(start)
-
-
-def test_a_caller_that_never_reads_is_let_go():
-    """The endpoint is freed although the caller keeps its connection open.
-
-    The caller asks for a stream and never reads; after the write limit its
-    connection is closed and the handler hears that it is gone.
-    """
-    with closing(Server(Limits(write_s=0.1))) as server:
-        caller = server.caller()
-        caller.send(chat(stream=True))
-        call = wait_for(lambda: server.handler.calls)[0]
-        server.loop.call(call.reply.start_stream)
-        server.loop.call(lambda: call.reply.piece(b"x" * 20_000_000))
-        wait_for(lambda: server.handler.gone)
-
-
-def test_draining_ends_each_connection_after_its_answer():
-    """A planned stop cuts nobody.
-
-    One caller waits for its answer, one streams and one is idle when the router
-    starts to drain. The first two get their answers to the end; then all three
-    connections end and no new one is taken.
-    """
-    with closing(Server()) as server:
-        idle, waiting = server.caller(), server.caller()
-        stream, reply = start_stream(server)
-        waiting.send(chat())
-        call = wait_for(lambda: server.handler.calls[1:])[0]
-        server.loop.call(server.callers.drain)
-        assert idle.rest() == b""
-        server.loop.call(lambda: call.reply.json(200, "whole"))
-        answer = waiting.rest()
-        assert answer.endswith(b'"whole"')
-        assert b"\r\nconnection: close\r\n" in answer
-        server.loop.call(lambda: reply.piece(b"x" * 9_000_000))
-        server.loop.call(reply.end_stream)
-        sleep(3 * SWEEP_S)
-        assert stream.rest().endswith(b"0\r\n\r\n")
-        with pytest.raises(ConnectionRefusedError):
-            server.caller()
-
-
-def test_a_connection_that_arrives_when_draining_begins_is_no_fault():
-    """A caller connects in the very round in which the router begins to drain. circuits
-    accepts one round after it has seen the connection; with the listening socket gone
-    by then, accepting failed and was logged as a fault of the program."""
-    with closing(Server()) as server:
-        app, web = server.loop.app, server.callers.web.server
-        drain = handler("drain_now")(lambda _manager: server.callers.drain())
-
-        def arrive_and_drain():
-            app.addHandler(drain)
-            app.fire(_read(web._sock), web.channel)
-            app.fire(Event.create("drain_now"), "*")
-
-        late = server.caller()
-        server.loop.call(arrive_and_drain)
-        assert late.rest() == b""
-        with pytest.raises(ConnectionRefusedError):
-            server.caller()
-
-
-def test_bodies_under_way_are_bounded_together(server):
-    """Many callers with large bodies cannot fill the router's memory.
-
-    A body that finds no room among those under way is refused with a time to come
-    back; once the others are done or gone there is room again.
-    """
-    server.callers._budget._limit = 1500
-    first = server.caller()
-    first.send(POST + b"Content-Length: 1000\r\n\r\n" + b"x" * 900)
-    wait_for(lambda: server.callers._budget.used == 900)
-    body = b"y" * 800
-    answer = server.ask(post("/services/a/b", body))
-    assert answer.startswith(b"HTTP/1.1 429 ")
-    first.sock.close()
-    wait_for(lambda: server.callers._budget.used == 0)
-    assert server.ask(post("/services/a/b", body, *last())).endswith(body)
-
-
-def test_too_many_connections_are_closed_and_places_come_back():
-    with closing(Server()) as server:
-        server.callers._max_connections = 1
-        first = server.caller()
-        first.send(post("/services/a/b"))
-        first.until(b"POST /b ")
-        with closing(server.caller().sock) as second:
-            assert second.recv(1) == b""
-        first.sock.close()
-        wait_for(lambda: server.callers.connections == 0)
-        third = server.caller()
-        third.send(post("/services/a/b"))
-        third.until(b"POST /b ")
-
-
 @pytest.mark.parametrize(
     ("path", "canonical"),
     [("a/%62", "a/b"), ("a%20b/", "a%20b/"), ("%C3%A9", "%C3%A9"), ("", "")],
