Duplicates: one base for both programs, one file reader, one list of hop headers

- daemon/program.py: poller, timers, the log of failed handlers and the signal that begins a planned stop, for Router and Gateway; it was written out in both.
- settings.read_document reads a JSON file for load_settings and load_gateway_settings.
A path that is empty is named "settings" in both now.
- net/http_messages: HOP_BY_HOP and hop_by_hop (with what Connection names), for service_client and platform/requests; the platform still adds content-length, expect.
- calls: ChatCall and ServiceCall get what any call has from one class; the functions that OwnInterface only passed on to are its methods.

Ruled out: one base for the planned stop. Router leaves membership and waits for actions and orders, Gateway keeps serving for 2.6 s first; sharing it would need more hooks than it has lines.

No test changed.

--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -6,9 +6,7 @@
 from time import CLOCK_BOOTTIME, clock_gettime, time
 
 import fire
-from circuits import BaseComponent, Event, handler
-from circuits.core.pollers import EPoll
-from loguru import logger
+from circuits import handler
 
 from greengageflow.core.endpoint_list import EndpointList, ListChange
 from greengageflow.core.endpoint_load import LoadShare
@@ -30,6 +28,7 @@
     load_gateway_settings,
     settings_path,
 )
+from greengageflow.daemon.program import Program
 from greengageflow.daemon.router_registry import RouterRegistry
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.events import Event as LogEvent
@@ -40,7 +39,6 @@
 from greengageflow.net.gossip_link import GossipLink
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.metrics_page import MetricsPage
-from greengageflow.net.timers import Timers
 from greengageflow.platform.interfaces import CallerInterface, ReadyInterface
 from greengageflow.settings import Address
 
@@ -61,7 +59,7 @@
     return clock_gettime(CLOCK_BOOTTIME)
 
 
-class Gateway(BaseComponent):
+class Gateway(Program):
     """All parts of one router process on the users' platform.
 
     Args:
@@ -81,9 +79,6 @@
         self._stop_began = 0.0
         self._trusted = False
         self._untrusted_at = self._awake_at
-        # Registered first, or each socket component would bring its own poller.
-        EPoll().register(self)
-        self._timers = Timers().register(self)
         self._pool = HttpPool(self._timers, max_idle=64).register(self)
         self._log = DecisionLog(sys.stdout.fileno(), settings.host)
         self._page = MetricsPage()
@@ -303,13 +298,6 @@
         self._timers.every(TICK_S, self._on_tick)
         self._timers.every(FLUSH_INTERVAL_S, self._log.flush)
 
-    @handler("exception", channel="*")
-    def _on_exception(
-        self, _kind: type, exc: BaseException, _trace: object, **_rest: object
-    ) -> None:
-        log(LogEvent.INTERNAL, error=repr(exc))
-        logger.opt(exception=exc).error("handler failed")
-
     def _reload(self) -> None:
         """Read the settings again; what may change while running is taken over."""
         try:
@@ -322,12 +310,6 @@
         self._exchange.add_addresses((seed.ip, seed.port) for seed in cfg.seeds)
         self._log.write(DecisionEvent.RELOADED, changed="seeds" if changed else "")
 
-    @handler("signal", channel="*", priority=100)
-    def _on_signal(self, event: Event, *_args: object) -> None:
-        # The default handler ends the loop at once, which would cut every answer.
-        event.stop()
-        self._begin_stop()
-
     def _begin_stop(self) -> None:
         if self._forwarder.stopping:
             return
--- a/greengageflow/daemon/gateway_settings.py
+++ b/greengageflow/daemon/gateway_settings.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from os import environ
-from pathlib import Path
 from typing import Any
 
 from greengageflow.core.check import (
@@ -16,9 +15,8 @@
     sequence,
     simple,
 )
-from greengageflow.core.json_text import parse_json
 from greengageflow.core.value_checks import ip_number, name, number
-from greengageflow.settings import Address
+from greengageflow.settings import Address, read_document
 
 SETTINGS_VARIABLE = "GREENGAGEFLOW_NODE_FILE"
 
@@ -149,8 +147,4 @@
         ExceptionGroup: Holds one ``Fault`` for everything wrong, or the
             ``OSError`` of a file that cannot be read.
     """
-    try:
-        text = Path(path).read_bytes()
-    except OSError as exc:
-        raise ExceptionGroup(path or "settings", [exc]) from None
-    return run(_CHECK, parse_json(text, path), path)
+    return run(_CHECK, read_document(path), path)
--- a/greengageflow/daemon/router.py
+++ b/greengageflow/daemon/router.py
@@ -7,9 +7,7 @@
 from time import time
 
 import fire
-from circuits import BaseComponent, Event, handler
-from circuits.core.pollers import EPoll
-from loguru import logger
+from circuits import handler
 
 from greengageflow.core.catalog import FleetConfig
 from greengageflow.core.config_roles import config_roles
@@ -25,6 +23,7 @@
 from greengageflow.daemon.endpoint_watch import EndpointWatch
 from greengageflow.daemon.observer import Observer
 from greengageflow.daemon.order_follower import OrderFollower
+from greengageflow.daemon.program import Program
 from greengageflow.daemon.status import StatusSource
 from greengageflow.events import Event as LogEvent
 from greengageflow.events import log, setup_logging
@@ -34,7 +33,6 @@
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.log_client import LogClient
 from greengageflow.net.peers import PeerLink
-from greengageflow.net.timers import Timers
 from greengageflow.settings import RouterSettings, load_settings
 from greengageflow.tracing import Tracing
 
@@ -44,7 +42,7 @@
 GAUGE_TICK_S = 5.0
 
 
-class Router(BaseComponent):
+class Router(Program):
     """All parts of one router process.
 
     Args:
@@ -58,9 +56,6 @@
         self._settings = settings
         own = PeerId(settings.host, int(time() * 1000))
         self._own = own
-        # Registered first, or each socket component would bring its own poller.
-        EPoll().register(self)
-        self._timers = Timers().register(self)
         self._pool = HttpPool(self._timers, source_ip=settings.ip).register(self)
         self._log_client = LogClient(self._pool, settings.log.ip, settings.log.port)
         self._metrics = Metrics(settings.statsd, settings.host)
@@ -254,19 +249,6 @@
         ip, port = self._callers.address
         print(json.dumps({"ready": True, "host": ip, "port": port}), flush=True)
 
-    @handler("exception", channel="*")
-    def _on_exception(
-        self, _kind: type, exc: BaseException, _trace: object, **_rest: object
-    ) -> None:
-        log(LogEvent.INTERNAL, error=repr(exc))
-        logger.opt(exception=exc).error("handler failed")
-
-    @handler("signal", channel="*", priority=100)
-    def _on_signal(self, event: Event, *_args: object) -> None:
-        # The default handler ends the loop at once, which would cut every answer.
-        event.stop()
-        self._begin_stop()
-
     def _check_superseded(self) -> None:
         # Others ignore this process once a later life of its host is known. It
         # would queue requests for ever; stopping lets its callers go elsewhere.
--- a/greengageflow/net/calls.py
+++ b/greengageflow/net/calls.py
@@ -67,14 +67,11 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class ChatCall:
-    """A chat request to a model.
+class _Call:
+    """What a caller says with any call that goes to an endpoint.
 
     Args:
         account_key: Bearer key, or empty.
-        model: Name of the model.
-        stream: True when the answer is streamed.
-        body: JSON object, checked, as it goes to the engine.
         cost_hint: Expected cost in tokens, or None.
         idempotency_key: Key of a protected action, or empty.
         traceparent: W3C trace context, or empty.
@@ -83,9 +80,6 @@
     """
 
     account_key: str
-    model: str
-    stream: bool
-    body: dict[str, Any]
     cost_hint: float | None
     idempotency_key: str
     traceparent: str
@@ -94,11 +88,25 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class ServiceCall:
+class ChatCall(_Call):
+    """A chat request to a model.
+
+    Args:
+        model: Name of the model.
+        stream: True when the answer is streamed.
+        body: JSON object, checked, as it goes to the engine.
+    """
+
+    model: str
+    stream: bool
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceCall(_Call):
     """A call to a plain service.
 
     Args:
-        account_key: Bearer key, or empty.
         service: Name of the service.
         path: Path below the service, without a leading slash and with one
             spelling for each resource.
@@ -106,25 +114,14 @@
         method: HTTP method.
         headers: Names in lower case and values.
         body: Whole body.
-        cost_hint: Expected cost in tokens, or None.
-        idempotency_key: Key of a protected action, or empty.
-        traceparent: W3C trace context, or empty.
-        deadline_s: Seconds that the caller waits, or None.
-        reply: Takes the answer.
     """
 
-    account_key: str
     service: str
     path: str
     query: str
     method: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    cost_hint: float | None
-    idempotency_key: str
-    traceparent: str
-    deadline_s: float | None
-    reply: "Reply" = field(compare=False, repr=False)
 
     @property
     def target(self) -> str:
@@ -262,55 +259,18 @@
     )
 
 
-def allowed_methods(path: str) -> frozenset[str]:
-    """Return the methods that ``path`` takes; none for an unknown path."""
-    if path == CHAT_PATH:
-        return frozenset({"POST"})
-    if path in (HEALTH_PATH, STATUS_PATH):
-        return READ_METHODS
-    if path.startswith(SERVICE_PREFIX) and path != SERVICE_PREFIX:
-        return SERVICE_METHODS
-    return frozenset()
-
-
-def check_target(method: str, path: str) -> None:
-    """Refuse a path or method that cannot be answered, before the body is read.
-
-    Raises:
-        RouterError: Unknown path, or a method that the path does not take.
-    """
-    methods = allowed_methods(path)
-    if not methods:
-        raise RouterError(ErrorKind.NOT_FOUND, "no such path")
-    if method not in methods:
-        message = f"allowed: {', '.join(sorted(methods))}"
-        raise RouterError(ErrorKind.METHOD_NOT_ALLOWED, message)
-
-
-def parse_call(request: CallerRequest, reply: "Reply") -> CallerCall:
-    """Return the typed call in a request that passed ``check_target``.
-
-    Raises:
-        RouterError: The request is not valid; the message names the field.
-    """
-    match request.path:
-        case "/healthz":
-            return HealthCall(reply=reply)
-        case "/status":
-            key = _bearer(request.header("authorization"))
-            asked = parse_qs(request.query).get("request", [""])[0]
-            return StatusCall(account_key=key, request=asked, reply=reply)
-        case "/v1/chat/completions":
-            return _chat_call(request, reply)
-    return _service_call(request, reply)
-
-
 class OwnInterface:
     """The product's own interface; see ``CallInterface``."""
 
     def allowed_methods(self, path: str) -> frozenset[str]:
         """Return the methods that ``path`` takes; none for an unknown path."""
-        return allowed_methods(path)
+        if path == CHAT_PATH:
+            return frozenset({"POST"})
+        if path in (HEALTH_PATH, STATUS_PATH):
+            return READ_METHODS
+        if path.startswith(SERVICE_PREFIX) and path != SERVICE_PREFIX:
+            return SERVICE_METHODS
+        return frozenset()
 
     def check_target(self, method: str, path: str) -> None:
         """Refuse a path or method that cannot be answered.
@@ -318,7 +278,12 @@
         Raises:
             RouterError: Unknown path, or a method that the path does not take.
         """
-        check_target(method, path)
+        methods = self.allowed_methods(path)
+        if not methods:
+            raise RouterError(ErrorKind.NOT_FOUND, "no such path")
+        if method not in methods:
+            message = f"allowed: {', '.join(sorted(methods))}"
+            raise RouterError(ErrorKind.METHOD_NOT_ALLOWED, message)
 
     def parse_call(self, request: CallerRequest, reply: "Reply") -> CallerCall:
         """Return the typed call in a request that passed ``check_target``.
@@ -326,7 +291,16 @@
         Raises:
             RouterError: The request is not valid; the message names the field.
         """
-        return parse_call(request, reply)
+        match request.path:
+            case "/healthz":
+                return HealthCall(reply=reply)
+            case "/status":
+                key = _bearer(request.header("authorization"))
+                asked = parse_qs(request.query).get("request", [""])[0]
+                return StatusCall(account_key=key, request=asked, reply=reply)
+            case "/v1/chat/completions":
+                return _chat_call(request, reply)
+        return _service_call(request, reply)
 
     def retry_after(self, seconds: float) -> str:
         """Return a time to come back in whole seconds."""
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -1,13 +1,37 @@
 """Requests and answers of the outbound HTTP pool."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Protocol
 
 from greengageflow.net._http_conn import Head
 
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def hop_by_hop(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
+    """Return the headers that end with this hop, those that it names included."""
+    return HOP_BY_HOP.union(
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for token in value.split(",")
+    )
+
 
 class FailureKind(StrEnum):
     """Why an exchange did not bring a whole answer."""
--- a/greengageflow/net/service_client.py
+++ b/greengageflow/net/service_client.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from greengageflow.net.endings import Cut, Unreachable
+from greengageflow.net.http_messages import hop_by_hop
 from greengageflow.net.http_pool import (
     Exchange,
     Failure,
@@ -16,19 +17,6 @@
 
 Header = tuple[str, str]
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 _OF_THE_MESSAGE = frozenset({"content-length", "host", "expect", "date", "server"})
 _OF_THE_ROUTER = frozenset(
     {"authorization", "x-request-id", "traceparent", "idempotency-key"}
@@ -38,13 +26,7 @@
 def end_to_end(headers: Iterable[Header]) -> Iterator[Header]:
     """Yield the headers that may be passed on to the next hop."""
     headers = list(headers)
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
-    dropped = HOP_BY_HOP | _OF_THE_MESSAGE | named
+    dropped = hop_by_hop(headers) | _OF_THE_MESSAGE
     for name, value in headers:
         if name.lower() not in dropped:
             yield name, value
--- a/greengageflow/platform/requests.py
+++ b/greengageflow/platform/requests.py
@@ -9,7 +9,7 @@
 )
 from greengageflow.errors import ErrorKind, RouterError
 from greengageflow.net.calls import CallerRequest
-from greengageflow.net.http_messages import HttpRequest
+from greengageflow.net.http_messages import HOP_BY_HOP, HttpRequest, hop_by_hop
 from greengageflow.platform.names import (
     CREDENTIAL,
     DEADLINE_MS,
@@ -27,21 +27,7 @@
     TOKEN_COUNT,
 )
 
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+HOP_HEADERS = HOP_BY_HOP | {"content-length", "expect"}
 OWN_HEADERS = frozenset(
     {
         CREDENTIAL,
@@ -83,13 +69,7 @@
 
 
 def _passed_on(req: CallerRequest) -> tuple[Header, ...]:
-    named = {
-        name.strip().lower()
-        for key, value in req.headers
-        if key == "connection"
-        for name in value.split(",")
-    }
-    left_out = HOP_HEADERS | OWN_HEADERS | named
+    left_out = HOP_HEADERS | OWN_HEADERS | hop_by_hop(req.headers)
     return tuple((k, v) for k, v in req.headers if k not in left_out)
 
 
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -220,6 +220,20 @@
     return run(_CHECK, document, title)
 
 
+def read_document(path: str) -> Any:
+    """Return the JSON value in a settings file.
+
+    Raises:
+        ExceptionGroup: Holds the ``Fault`` of what is no JSON, or the ``OSError``
+            of a file that cannot be read.
+    """
+    try:
+        text = Path(path).read_bytes()
+    except OSError as exc:
+        raise ExceptionGroup(path or "settings", [exc]) from None
+    return parse_json(text, path)
+
+
 def load_settings(path: str) -> RouterSettings:
     """Return the settings in a JSON file.
 
@@ -227,11 +241,7 @@
         ExceptionGroup: Holds one ``Fault`` for everything wrong, or the
             ``OSError`` of a file that cannot be read.
     """
-    try:
-        text = Path(path).read_bytes()
-    except OSError as exc:
-        raise ExceptionGroup(path, [exc]) from None
-    return parse_settings(parse_json(text, path), path)
+    return parse_settings(read_document(path), path)
 
 
 def example_settings() -> str:
