Dead code: what no program uses

- ops/ctl_orders.OrderGiver: greengage-ctl calls make_order and give itself.
- net/decision_log.DecisionLog.pending_bytes, net/http_pool.HttpPool.active and idle: only tests looked at them; they look at the same attribute now.
- lab/_processes.free_port: imported by tests/support and used by nothing.

Each was looked for by name in code, strings, Makefile, pyproject and deploy. Kept: ctl.hash_key, undrain and example are commands (fire finds them by name), tracing.export is called by OpenTelemetry, Lab.restart_router is the tests' lab. Not touched: service_scheduler.next_due, which only test_service_core calls; others work in core/service_*.

--- a/greengageflow/lab/_processes.py
+++ b/greengageflow/lab/_processes.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
-from socket import socket
 from tempfile import TemporaryFile
 from typing import IO, Any
 
@@ -36,13 +35,6 @@
     raise TimeoutError(f"not within {limit_s} s: {what}")
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    """Return a TCP port that was free a moment ago."""
-    with socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
 @dataclass(slots=True)
 class Answer:
     """Answer to a plain HTTP call; header names are in lower case."""
--- a/greengageflow/net/decision_log.py
+++ b/greengageflow/net/decision_log.py
@@ -93,11 +93,6 @@
         self._unreported: Counter[Drop] = Counter()
         self.dropped: Counter[Drop] = Counter()
 
-    @property
-    def pending_bytes(self) -> int:
-        """Bytes that wait for the descriptor."""
-        return self._bytes
-
     def write(self, event: DecisionEvent, **fields: Any) -> None:
         """Queue one line; it does no input or output.
 
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -78,16 +78,6 @@
         self._idle = IdleConns(self._close, most=max_idle, idle_s=idle_s)
         self._sweep: Subscription | None = None
 
-    @property
-    def active(self) -> int:
-        """Exchanges under way."""
-        return len(self._active)
-
-    @property
-    def idle(self) -> int:
-        """Connections kept for reuse."""
-        return len(self._idle)
-
     def open(self, request: HttpRequest, receiver: Receiver) -> Exchange:
         """Send ``request`` and hand the answer to ``receiver`` as it arrives.
 
--- a/greengageflow/ops/ctl_orders.py
+++ b/greengageflow/ops/ctl_orders.py
@@ -1,7 +1,6 @@
 """``greengage-ctl order``: orders to engines, appended to the log."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import asdict
 from getpass import getuser
 from typing import Any
 from uuid import uuid4
@@ -107,38 +106,3 @@
 def _told(row: Mapping[str, Any]) -> tuple[bool, bool, int]:
     result = row["result"]
     return bool(result), result != "unknown", row["fencing"]
-
-
-class OrderGiver:
-    """Gives orders to engines.
-
-    Args:
-        append: Appends to the stream of orders.
-    """
-
-    def __init__(self, append: Append) -> None:
-        self._append = append
-
-    def load(
-        self, endpoint: str, model: str = "", *, adapter: str = "", version: str = ""
-    ) -> dict[str, Any]:
-        """Order an engine to load a model, an adapter or a version.
-
-        Example:
-            greengage-ctl order load scribe-3 scribe --version=2
-        """
-        return self._give(
-            make_order(endpoint, "load", model=model, adapter=adapter, version=version)
-        )
-
-    def role(self, endpoint: str, role: str) -> dict[str, Any]:
-        """Order an engine to change its role.
-
-        Example:
-            greengage-ctl order role scribe-3 prefill
-        """
-        return self._give(make_order(endpoint, "role", role=role))
-
-    def _give(self, order: Order) -> dict[str, Any]:
-        offset = give(order, self._append)
-        return {"offset": offset, **asdict(order)}
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,7 +9,6 @@
     LIMIT_S,
     Process,
     call,
-    free_port,
     start,
     wait_for,
 )
@@ -21,7 +20,6 @@
     "Proxy",
     "call",
     "fault_proxy",
-    "free_port",
     "running",
     "sse_events",
     "standin",
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -216,7 +216,7 @@
     request = EngineRequest("127.0.0.1", port, "r1", {"stream": True})
     call = EngineCall(loop.pool, loop.timers, request, listener)
     loop.call(call.start)
-    wait_for(lambda: (loop.pool.active, loop.pool.idle) == (0, 1))
+    wait_for(lambda: (len(loop.pool._active), len(loop.pool._idle)) == (0, 1))
 
 
 REFUSED = b"HTTP/1.1 %b\r\nRetry-After: 7\r\nContent-Length: 4\r\n\r\nbusy"
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -261,4 +261,4 @@
     loop.call(exchange.cancel)
     wait_for(lambda: closed)
     assert recorder.log == [200]
-    assert loop.call(lambda: (loop.pool.active, loop.pool.idle)) == (0, 0)
+    assert loop.call(lambda: (len(loop.pool._active), len(loop.pool._idle))) == (0, 0)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -18,7 +18,7 @@
     from_json,
     to_json,
 )
-from greengageflow.ops.ctl_orders import OrderError, OrderGiver, make_order, merged
+from greengageflow.ops.ctl_orders import OrderError, give, make_order, merged
 
 LOAD = Order("o1", "e1", "load", model="scribe", version="2")
 
@@ -324,8 +324,9 @@
             raise TimeoutError
         return len(log) - 1
 
-    told = OrderGiver(append).load("e1", "scribe", version="2")
-    assert {row["id"] for row in log} == {told["id"]}
+    order = make_order("e1", "load", model="scribe", version="2")
+    assert give(order, append) == 2
+    assert {row["id"] for row in log} == {order.id}
     assert from_json(log[0]) == from_json(log[2])
 
 
