Fault proxy notes connections whose target did not listen

Cause: the soak passes over whatever a caller loses after a SIGTERM, since the proxy takes connections for a router that is gone and a caller cannot tell. The proxy can: it now notes route, client's port and time of each connection that its target refused (control operation "refused"; Proxy.refused). No test in the repository covers it yet. Conclusion: a fact for narrowing soak_checks._stopped, which this commit leaves as it is.

--- a/greengageflow/lab/_proxy_client.py
+++ b/greengageflow/lab/_proxy_client.py
@@ -51,6 +51,10 @@
         """Replace all rules, such as ``{"do": "cut", "source": "127.0.0.2"}``."""
         assert "links" in self._ask(op="rules", rules=rules)
 
+    def refused(self) -> list[tuple[str, int, float]]:
+        """Return route, client's port and time of what no target took."""
+        return [tuple(one) for one in self._ask(op="refused")["refused"]]
+
     def close(self) -> None:
         """Leave the proxy."""
         self._file.close()
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -7,6 +7,8 @@
   target, ``texts`` (old to new, of one length) are replaced, so that a router that
   names its own address names the proxy's, and stays behind it.
 - ``{"op": "datagrams", "name", "target", "listen", "texts"}`` relays datagrams.
+- ``{"op": "refused"}`` tells the connections whose target did not listen: route, port
+  of the client, and when (seconds, monotonic).
 - ``{"op": "rules", "rules": [...]}`` replaces all rules. A rule has ``do`` (an
   ``Action``) and may have ``source`` (a client's IP number), ``route``, ``way``
   (``up`` to the target or ``down``), ``delay_s``, and ``times``, the number of
@@ -26,6 +28,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import StrEnum
+from errno import ECONNREFUSED, ENOTCONN
 from functools import partial
 from random import random
 from selectors import EVENT_READ, EVENT_WRITE, DefaultSelector
@@ -129,6 +132,7 @@
 
     route: str
     source: str
+    port: int
     client: socket.socket
     server: socket.socket
     texts: dict[str, str]
@@ -154,6 +158,7 @@
         self._texts: dict[str, dict[str, str]] = {}
         self._listeners: dict[str, socket.socket] = {}
         self._relays: list[Relay] = []
+        self._refused: list[tuple[str, int, float]] = []
 
     def run(self, host: str) -> None:
         host, port = self._listen((host, 0), self._accept_control).getsockname()
@@ -208,6 +213,8 @@
                 call = partial(relay.read, self._rules)
                 self._selector.register(sock, EVENT_READ, call)
                 return {"listen": sock.getsockname()}
+            case {"op": "refused"}:
+                return {"refused": self._refused}
             case {"op": "rules", "rules": rules}:
                 self._rules[:] = [
                     Rule(**{**one, "do": Action(one["do"])}) for one in rules
@@ -218,18 +225,19 @@
         return {"error": "unknown command"}
 
     def _accept(self, name: str, listener: socket.socket, mask: int) -> None:
-        client, (source, _) = listener.accept()
+        client, (source, port) = listener.accept()
         server = socket.socket()
         for sock in (client, server):
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = Link(name, source, client, server, self._texts.get(name, {}))
+        link = Link(name, source, port, client, server, self._texts.get(name, {}))
         self._links.add(link)
         with suppress(OSError):
             server.bind((source, 0))
         self._judge(link)
         if not (link.dead or link.closed):
-            # A failure shows as an error of the first read or write.
+            # A failure shows as an error of the first read or write: of the connecting,
+            # or, if that was told here already, of the want of a connection.
             server.connect_ex(self._targets[name])
 
     def _judge(self, link: Link) -> None:
@@ -288,7 +296,9 @@
                 self._close(link)
         except BlockingIOError:
             pass
-        except OSError:
+        except OSError as exc:
+            if exc.errno in (ECONNREFUSED, ENOTCONN):
+                self._refused.append((link.route, link.port, time.monotonic()))
             self._close(link, reset=True)
         self._update(link)
 
