Soak: only what no router could take is excused after a SIGTERM

Cause: `_stopped` passed over each request that reached no endpoint on a connection opened at any time after a SIGTERM; a router listens for 2.6 s after it (LEAVE_BALANCER_S). Besides, a request torn within 0.2 s was never counted unless it reached an endpoint, nor one whose sending failed. Now: a first request on a connection counts however quickly it is torn, and if it could not be sent; one that reached no endpoint is excused if its connection was opened within the slack of 2.6 s after the SIGTERM, or later and the fault proxy noted that nobody listened (Proxy.refused). Tests: four new broken cases of test_soak_checks failed before the change, two good ones guard what stays excused.

--- a/greengageflow/lab/_soak_callers.py
+++ b/greengageflow/lab/_soak_callers.py
@@ -118,6 +118,7 @@
     ) -> None:
         """Make a request, leave after ``leave`` events, and note what was seen."""
         asked.opened, asked.life = opened, self._fleet.lives[asked.router]
+        asked.port, asked.first = client.sock.getsockname()[1], client.unused
         self._fleet.facts.asked.append(asked)
         asked.sent = monotonic()
         try:
--- a/greengageflow/lab/_soak_fleet.py
+++ b/greengageflow/lab/_soak_fleet.py
@@ -7,7 +7,7 @@
 
 from greengageflow.lab._processes import Process, start
 from greengageflow.lab._proxy_client import Proxy
-from greengageflow.lab.soak_facts import Facts, Published, Trouble, place_of
+from greengageflow.lab.soak_facts import Facts, Published, Refused, Trouble, place_of
 from greengageflow.lab.soak_plan import REPLICAS, ROUTERS
 from tests.platform_lab import KEY, PlatformLab, PlatformShape, configuration, route
 
@@ -124,6 +124,13 @@
         rows = self.control(self.replicas[name], "GET", "/runs")
         self.facts.rows.extend({**row, "replica": name} for row in rows)
 
+    def take_refused(self) -> None:
+        """Keep which connections the proxy took for routers that did not listen."""
+        for path, port, at in self._proxy.refused():
+            link, _, router = path.partition(":")
+            if link == "front":
+                self.facts.refused.append(Refused(router, port, at))
+
     # What befalls it.
 
     def publish_next(self, *, revoke: bool) -> None:
--- a/greengageflow/lab/soak.py
+++ b/greengageflow/lab/soak.py
@@ -91,6 +91,7 @@
     _wait_quiet(fleet)
     for name in fleet.replicas:
         fleet.take_rows(name)
+    fleet.take_refused()
     yield from check_all(fleet.facts)
     for name, process in fleet.logs:
         text = process.stderr
--- a/greengageflow/lab/soak_checks.py
+++ b/greengageflow/lab/soak_checks.py
@@ -26,6 +26,7 @@
 STABLE_S = 3.0
 DRAIN_S = 2.0
 GRACE_S = 8.0
+LISTENS_S = 2.6
 LOSS_SLACK_S = 0.2
 APPLY_S = 2.0
 ROLLBACK_SLACK_S = 0.25
@@ -198,14 +199,17 @@
     """Check that nothing is cut or left unanswered, also around a planned stop."""
     rows_by_id = facts.rows_by_id()
     for asked in facts.asked:
-        if asked.end not in (End.TORN, End.SILENT) or asked.kind is Kind.PROBE:
+        unsent = asked.end is End.UNSENT and asked.first
+        lost = unsent or asked.end in (End.TORN, End.SILENT)
+        if not lost or asked.kind is Kind.PROBE:
             continue
         rows = rows_by_id.get(asked.id, [])
         # A connection that fell silent earlier shows it only when it is used.
         began = min(asked.opened, asked.sent)
         took_s = asked.ended - asked.sent
         slack_s = LOSS_SLACK_S + facts.late_s(asked.sent, asked.ended)
-        read = rows or took_s > slack_s
+        # A kept connection may end just as it is used again; a new one may not.
+        read = rows or asked.first or took_s > slack_s
         in_time = took_s < asked.deadline_s - BEFORE_DEADLINE_S
         broken = asked.end is End.SILENT or (read and in_time)
         excused = _stopped(facts, asked, slack_s, bool(rows))
@@ -216,18 +220,26 @@
 
 
 def _stopped(facts: Facts, asked: Asked, slack_s: float, passed_on: bool) -> bool:
-    """Whether its router had little of its time to stop left, or never read it.
+    """Whether its router had little of its time to stop left, or could not take it.
 
     The proxy and the kernel take connections for a router that has ceased to listen,
-    and close them unread; a caller cannot tell that from the outside.
+    and close them unread: around that moment, or later if the proxy found nobody.
     """
-    return any(
-        (asked.opened > one.began and not passed_on)
-        or asked.ended - one.began > GRACE_S * 5 / 6 - slack_s
-        for one in facts.troubles
-        if one.planned and one.name == asked.router
-        if one.began < asked.ended and asked.sent < one.ended
+    refused = any(
+        (one.router, one.port) == (asked.router, asked.port)
+        and asked.opened <= one.at <= asked.ended
+        for one in facts.refused
     )
+    for one in facts.troubles:
+        mine = one.planned and one.name == asked.router
+        if not mine or one.began >= asked.ended or asked.sent >= one.ended:
+            continue
+        listened_s = asked.opened - one.began - LISTENS_S
+        unlistened = abs(listened_s) <= slack_s or (refused and listened_s > 0)
+        ends = asked.ended - one.began > GRACE_S * 5 / 6 - slack_s
+        if ends or (unlistened and not passed_on):
+            return True
+    return False
 
 
 def check_left(facts: Facts) -> Iterator[Breach]:
--- a/greengageflow/lab/soak_facts.py
+++ b/greengageflow/lab/soak_facts.py
@@ -42,6 +42,8 @@
         version: Configuration whose route a probe asks for.
         life: Number of starts of the router when the request was sent.
         opened: When its connection was opened.
+        port: Caller's port of its connection.
+        first: Whether it was the first on its connection.
         sent: Just before its first byte was sent.
         ended: When the caller saw its end.
         answer_id: Id of the request that the answer names.
@@ -59,6 +61,8 @@
     version: int = 0
     life: int = 0
     opened: float = 0.0
+    port: int = 0
+    first: bool = False
     sent: float = 0.0
     ended: float = inf
     end: End = End.UNSENT
@@ -98,6 +102,15 @@
     revoked: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A connection that the fault proxy took for a router that did not listen."""
+
+    router: str
+    port: int
+    at: float
+
+
 @dataclass(slots=True)
 class Facts:
     """All that was seen in a run.
@@ -112,6 +125,7 @@
     troubles: list[Trouble] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
     published: list[Published] = field(default_factory=list)
+    refused: list[Refused] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)
 
     def late_s(self, began: float, ended: float) -> float:
--- a/tests/platform_client.py
+++ b/tests/platform_client.py
@@ -52,6 +52,11 @@
         self._id = ""
         self._rest = b""
 
+    @property
+    def unused(self) -> bool:
+        """Whether no request was sent on the connection yet."""
+        return self._id == ""
+
     def send(
         self,
         path: str,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -14,6 +14,7 @@
     Kind,
     Leaving,
     Published,
+    Refused,
     Trouble,
 )
 from greengageflow.lab.soak_plan import draw_plan
@@ -26,6 +27,7 @@
     body_sha256 = sha256(b"q1").hexdigest()
     body = {"id": "q1", "target": "/t", "body_sha256": body_sha256, "replica": "app-0"}
     one = Asked("q1", kind, "r0", KEY, "/t", 6.0, body_sha256, opened=100.0, sent=100.0)
+    one.first, one.port = True, 7
     one.ended, one.end, one.status, one.seal = 100.5, End.WHOLE, 200, "app-0.1"
     one.body, one.answer_id = json.dumps(body).encode(), "q1"
     if kind in (Kind.CHAT, Kind.TALE):
@@ -100,6 +102,27 @@
         "cut",
         facts(asked(**TORN), troubles=[Trouble("r0", 99.0, 104.0, True)]),
     ),
+    "cut unread after a SIGTERM, while its router has to listen": (
+        "cut",
+        facts(asked(**TORN), rows=[], troubles=[Trouble("r0", 99.0, 104.0, True)]),
+    ),
+    "not taken by a router that has to listen": (
+        "cut",
+        facts(
+            asked(**{**TORN, "ended": 100.01}),
+            rows=[],
+            troubles=[Trouble("r0", 99.0, 104.0, True)],
+            refused=[Refused("r0", 7, 100.01)],
+        ),
+    ),
+    "taken after the router had ceased to listen, and cut": (
+        "cut",
+        facts(asked(**TORN), rows=[], troubles=[Trouble("r0", 96.0, 104.0, True)]),
+    ),
+    "reset before it could be sent": (
+        "cut",
+        facts(asked(**{**TORN, "end": End.UNSENT, "ended": 100.01}), rows=[]),
+    ),
     "silent": ("cut", facts(asked(**{**TORN, "end": End.SILENT}), rows=[])),
     "runs on": ("left", facts(GOOD_LEFT := asked(Kind.CHAT, end=End.LEFT))),
 }
@@ -126,6 +149,16 @@
     assert bool(list(check_all(late))) is missing
 
 
+@pytest.mark.parametrize(("began", "refused"), [(97.4, []), (96.0, [100.1])])
+def test_what_no_router_took_after_a_planned_stop_is_not_cut(began, refused):
+    """A connection is reset just as its router ceases to listen, or the fault proxy
+    took it, and found nobody behind it: the router has kept its promise."""
+    refused = [Refused("r0", 7, at) for at in refused]
+    stop = [Trouble("r0", began, 104.0, True)]
+    one = asked(**TORN)
+    assert not list(check_all(facts(one, rows=[], troubles=stop, refused=refused)))
+
+
 def test_good_facts_break_nothing():
     kinds = [asked(kind) for kind in (Kind.SAFE, Kind.UNSAFE, Kind.CHAT, Kind.TALE)]
     assert [list(check_all(facts(one))) for one in kinds] == [[], [], [], []]
