Lab of the platform and fault proxy stand in greengageflow/lab

Cause: the soak and the fleet bench imported, or started as a process, modules under tests/, which an installed package does not hold; `greengage-bench soak` needed a source tree, and bench.py imported it late. Test: test_an_installed_package_needs_no_tests holds for every module now, also for names of modules that are started and imports within functions (before: not for the soak, top level only). It failed on the code before for _soak_callers, _soak_fleet, bench_fleet.

--- a/greengageflow/lab/_soak_callers.py
+++ b/greengageflow/lab/_soak_callers.py
@@ -11,11 +11,11 @@
 import h11
 
 from greengageflow.lab._soak_fleet import SoakFleet
+from greengageflow.lab.platform_client import PlatformClient, Torn
+from greengageflow.lab.platform_lab import KEY, generation
 from greengageflow.lab.soak_checks import Breach, check_answer
 from greengageflow.lab.soak_facts import STREAMS, Asked, End, Kind
 from greengageflow.platform.names import REQUEST_ID, RESPONSE_SEAL
-from tests.platform_client import PlatformClient, Torn
-from tests.platform_lab import KEY, generation
 
 STRIDE = 2
 DEADLINE_S, STREAM_DEADLINE_S, PROBE_DEADLINE_S = 6.0, 12.0, 2.0
--- a/greengageflow/lab/_soak_fleet.py
+++ b/greengageflow/lab/_soak_fleet.py
@@ -7,9 +7,15 @@
 
 from greengageflow.lab._processes import Process, start
 from greengageflow.lab._proxy_client import Proxy
+from greengageflow.lab.platform_lab import (
+    KEY,
+    PlatformLab,
+    PlatformShape,
+    configuration,
+    route,
+)
 from greengageflow.lab.soak_facts import Facts, Published, Refused, Trouble, place_of
 from greengageflow.lab.soak_plan import REPLICAS, ROUTERS
-from tests.platform_lab import KEY, PlatformLab, PlatformShape, configuration, route
 
 NOWHERE = ("127.0.0.1", 9)
 # Addresses are replaced as text, so both numbers have two digits.
@@ -44,7 +50,7 @@
         self.logs: list[tuple[str, Process]] = []
         self.keys, self.versions = [KEY, "spare-0"], [1]
         self._rules: list[dict[str, Any]] = []
-        self._proxy_process = start("tests.fault_proxy", "127.0.0.1")
+        self._proxy_process = start("greengageflow.lab.fault_proxy", "127.0.0.1")
         self._proxy = Proxy(self._proxy_process.address)
 
     def __exit__(self, *_: object) -> None:
--- a/greengageflow/lab/bench.py
+++ b/greengageflow/lab/bench.py
@@ -11,6 +11,7 @@
 from greengageflow.lab.bench_sixty import SIZES, run_sixty
 from greengageflow.lab.capacity import write_page
 from greengageflow.lab.slopes import ROLES, run_events, run_slopes
+from greengageflow.lab.soak import run_seeds
 
 
 def demo() -> None:
@@ -124,10 +125,6 @@
     Example:
         greengage-bench soak --seeds 1-10
     """
-    # The soak drives the tests' lab, which an installed package does not hold; the
-    # other verbs must not need it.
-    from greengageflow.lab.soak import run_seeds
-
     first, _, last = (seeds or str(seed)).partition("-")
     sys.exit(run_seeds(range(int(first), int(last or first) + 1), seconds, out) > 0)
 
--- a/greengageflow/lab/bench_fleet.py
+++ b/greengageflow/lab/bench_fleet.py
@@ -128,7 +128,7 @@
         with Lab(plan) as lab:
             yield lab, None, None
         return
-    process = start("tests.fault_proxy", "127.0.0.1")
+    process = start("greengageflow.lab.fault_proxy", "127.0.0.1")
     proxy = Proxy(process.address)
 
     def route(name: str, address: tuple[str, int]) -> tuple[str, int]:
--- a/tests/fault_proxy.py
+++ b/greengageflow/lab/fault_proxy.py
@@ -1,4 +1,6 @@
-"""TCP and UDP proxy with faults, run as a process: ``python -m tests.fault_proxy``.
+"""TCP and UDP proxy with faults, run as a process.
+
+``python -m greengageflow.lab.fault_proxy IP``
 
 It prints the address of its control port, which answers a JSON line with another:
 
@@ -39,6 +41,8 @@
 
 
 class Action(StrEnum):
+    """What a rule does."""
+
     CUT = "cut"  # reset it, old or new
     FREEZE = "freeze"  # hold all bytes until the rule goes
     DELAY = "delay"  # pass every byte later
@@ -49,6 +53,8 @@
 
 @dataclass(slots=True, eq=False)
 class Rule:
+    """What happens to the connections or datagrams that it takes."""
+
     do: Action
     source: str | None = None
     route: str | None = None
@@ -59,6 +65,7 @@
     taken: set["Link"] = field(default_factory=set)
 
     def takes(self, link: "Link") -> bool:
+        """Whether it decides on a connection; counts it."""
         here = self.source in (None, link.source) and self.route in (None, link.route)
         spent = self.times is not None and len(self.taken) >= self.times
         if not here or (spent and link not in self.taken):
@@ -67,10 +74,12 @@
         return True
 
     def takes_datagram(self, relay: "Relay", source: str) -> bool:
+        """Whether it decides on a datagram."""
         return self.route == relay.route and self.source in (None, source)
 
 
 def replaced(data: bytes, texts: dict[str, str]) -> bytes:
+    """Return the bytes with each text replaced."""
     for old, new in texts.items():
         data = data.replace(old.encode(), new.encode())
     return data
@@ -87,6 +96,7 @@
     queue: deque[tuple[float, bytes]] = field(default_factory=deque)
 
     def read(self, rules: list[Rule], mask: int) -> None:
+        """Take one datagram and apply the first rule that matches."""
         data, (source, _) = self.sock.recvfrom(CHUNK)
         data = replaced(data, self.texts)
         rule = next((one for one in rules if one.takes_datagram(self, source)), None)
@@ -101,6 +111,7 @@
         self.pass_on()
 
     def pass_on(self) -> None:
+        """Send on what is due."""
         while self.queue and self.queue[0][0] <= time.monotonic():
             with suppress(OSError):
                 self.sock.sendto(self.queue.popleft()[1], self.target)
@@ -117,6 +128,7 @@
     ended: bool = False
 
     def write(self) -> None:
+        """Send on as much of the first piece as goes."""
         due, data = self.queue.popleft()
         sent = 0
         try:
@@ -141,15 +153,19 @@
     closed: bool = False
 
     def __post_init__(self) -> None:
+        """Make both directions."""
         up = Flow("up", self.client, self.server)
         self.flows = up, Flow("down", self.server, self.client)
 
     def does(self, action: Action, flow: Flow) -> bool:
+        """Whether an action hits one direction."""
         rule = self.rule
         return bool(rule) and rule.do is action and rule.way in (None, flow.way)
 
 
 class Proxy:
+    """All routes, and the rules for them."""
+
     def __init__(self) -> None:
         self._selector = DefaultSelector()
         self._rules: list[Rule] = []
@@ -161,6 +177,7 @@
         self._refused: list[tuple[str, int, float]] = []
 
     def run(self, host: str) -> None:
+        """Print the control port's address and serve for ever."""
         host, port = self._listen((host, 0), self._accept_control).getsockname()
         print(json.dumps({"ready": True, "host": host, "port": port}), flush=True)
         pause_s = None
--- a/tests/platform_client.py
+++ b/greengageflow/lab/platform_client.py
@@ -9,8 +9,8 @@
 
 import h11
 
+from greengageflow.lab._processes import LIMIT_S
 from greengageflow.platform.names import CREDENTIAL, DEADLINE_MS, REQUEST_ID
-from tests.support import LIMIT_S
 
 DEFAULT_DEADLINE_MS = 20_000
 
--- a/tests/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -15,8 +15,16 @@
 from typing import Any
 
 from greengageflow.events import Event
-from greengageflow.lab._processes import ROOT, await_ready, launch
+from greengageflow.lab._processes import (
+    ROOT,
+    Process,
+    await_ready,
+    call,
+    launch,
+    wait_for,
+)
 from greengageflow.lab._subnets import Subnet
+from greengageflow.lab.platform_client import PlatformAnswer, PlatformClient
 from greengageflow.platform.names import (
     IDEMPOTENT,
     MODEL,
@@ -28,8 +36,6 @@
     STREAM,
     TOKEN_COUNT,
 )
-from tests.platform_client import PlatformAnswer, PlatformClient
-from tests.support import Process, call, wait_for
 
 CALLERS_PORT, READY_PORT, GOSSIP_PORT = 7300, 7301, 7400
 GATEWAY = "greengageflow.daemon.gateway"
@@ -154,6 +160,7 @@
         self._dir = TemporaryDirectory(prefix="greengageflow-")
 
     def __enter__(self) -> "PlatformLab":
+        """Start everything."""
         try:
             self.start_store()
             self.start_replicas()
@@ -179,10 +186,12 @@
     # Processes.
 
     def start_store(self) -> None:
+        """Start the store and wait for it."""
         module = "greengageflow.lab.platform_store"
         self.store = await_ready(launch(module, f"--host={self.subnet.host(1)}"))
 
     def start_replicas(self) -> None:
+        """Start the shape's replicas; return once the store lists all."""
         shape = self.shape
         launched = {}
         for number in range(shape.plain):
@@ -211,10 +220,12 @@
         return launch("greengageflow.lab.platform_replica", *flags)
 
     def add_replica(self, name: str, **options: Any) -> Process:
+        """Start one more replica with these flags."""
         self.replicas[name] = await_ready(self._launch(name, options))
         return self.replicas[name]
 
     def start_routers(self) -> None:
+        """Start the shape's routers; return once all are ready."""
         for _ in range(self.shape.routers):
             self.add_router()
         for name in self.settings:
@@ -252,6 +263,12 @@
         return call(address, "GET", READY_PATH, timeout_s=2).status
 
     def wait_ready(self, name: str) -> None:
+        """Wait until a router is ready.
+
+        Raises:
+            RuntimeError: It ended instead.
+        """
+
         def asked() -> bool:
             if self.routers[name].popen.poll() is not None:
                 raise RuntimeError(f"router ended: {self.routers[name].stderr}")
@@ -260,6 +277,7 @@
         wait_for(asked, f"{name} is ready")
 
     def close(self) -> None:
+        """End all processes."""
         mine = [*self.routers.values(), *self._ended, *self.replicas.values()]
         for process in (*mine, *filter(None, [self.store])):
             with suppress(ProcessLookupError):
@@ -275,9 +293,11 @@
 
     @staticmethod
     def control_address(process: Process) -> tuple[str, int]:
+        """Return where a fake takes the control calls."""
         return process.ready["host"], process.ready["control"]
 
     def control(self, process: Process, method: str, path: str, body=None) -> Any:
+        """Make a control call that must succeed; return its answer's value."""
         answer = call(self.control_address(process), method, path, body)
         assert answer.status == 200, answer.data
         return answer.json
@@ -291,9 +311,11 @@
         self.control(self.store, "POST", "/fault", faults)
 
     def compact(self, topic: str) -> None:
+        """Have the store forget all records of a topic."""
         self.control(self.store, "POST", "/compact", {"topic": topic})
 
     def newest(self, topic: str = STATUS_TOPIC) -> dict[str, Any]:
+        """Return the newest value of each key of a topic."""
         return self.control(self.store, "GET", f"/newest?topic={topic}")
 
     def fault(self, replica: str, **faults: Any) -> None:
@@ -326,6 +348,7 @@
     # Callers.
 
     def client(self, router: str = "r0", source: str | None = None) -> PlatformClient:
+        """Return a connection to a router, from a local IP number if given."""
         return PlatformClient(_address(self.settings[router]["callers"]), source)
 
     def ask(self, path: str, router: str = "r0", **options: Any) -> PlatformAnswer:
@@ -341,6 +364,7 @@
         return PlatformClient(self.replicas[replica].address)
 
     def terminate(self, router: str) -> None:
+        """Send a router SIGTERM."""
         self.routers[router].popen.send_signal(signal.SIGTERM)
 
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -57,7 +57,7 @@
 @contextmanager
 def fault_proxy(host: str = "127.0.0.1") -> Iterator[Proxy]:
     """Run a fault-injecting proxy for the length of a block."""
-    with running("tests.fault_proxy", host) as process:
+    with running("greengageflow.lab.fault_proxy", host) as process:
         proxy = Proxy(process.address)
         try:
             yield proxy
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -95,14 +95,18 @@
     return (ROOT / "pyproject.toml").read_text()
 
 
-def test_an_installed_package_needs_no_tests():
+@pytest.mark.parametrize("path", SOURCES, ids=lambda p: str(p.relative_to(PRODUCT)))
+def test_an_installed_package_needs_no_tests(path):
     """`make demo` ended in ModuleNotFoundError: the bench imported the soak, which
-    drives the lab under tests/, and an installed command does not see that folder."""
-    soak = {path for path in SOURCES if path.stem.lstrip("_").startswith("soak")}
-    for path in set(SOURCES) - soak:
-        tree = ast.parse(path.read_text())
-        names = {
-            node.module or "" for node in tree.body if isinstance(node, ast.ImportFrom)
-        }
-        bad = {name for name in names if re.match(r"tests\b|.*\.lab\._?soak", name)}
-        assert not bad, f"{path.name} imports {bad}"
+    drove a lab under tests/, and an installed command does not see that folder."""
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        match node:
+            case ast.Import(names=aliases):
+                names |= {alias.name for alias in aliases}
+            case ast.ImportFrom(module=str(module)):
+                names.add(module)
+            case ast.Constant(value=str(text)):
+                # A module that is started as a process.
+                names.add(text)
+    assert not [name for name in names if re.fullmatch(r"tests(\.\w+)*", name)]
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -7,8 +7,8 @@
 import pytest
 
 from greengageflow.daemon.forwarder import STALL_S
-from tests.platform_client import PlatformClient, Torn
-from tests.platform_lab import (
+from greengageflow.lab.platform_client import PlatformClient, Torn
+from greengageflow.lab.platform_lab import (
     CHAT,
     KEY,
     SAFE,
--- a/tests/test_platform_fakes.py
+++ b/tests/test_platform_fakes.py
@@ -10,6 +10,14 @@
 
 from greengageflow.lab._platform_batch import Batch, Job
 from greengageflow.lab._platform_log import frame, frames, keyed_record
+from greengageflow.lab.platform_client import Torn
+from greengageflow.lab.platform_lab import (
+    CHAT,
+    PlatformLab,
+    configuration,
+    fakes_only,
+    generation,
+)
 from greengageflow.platform.names import (
     DRAINING,
     EXPECT_REPLICA,
@@ -27,14 +35,6 @@
     SERVERS_TOPIC,
     STATUS_TOPIC,
 )
-from tests.platform_client import Torn
-from tests.platform_lab import (
-    CHAT,
-    PlatformLab,
-    configuration,
-    fakes_only,
-    generation,
-)
 from tests.support import wait_for
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,19 @@
 
 import pytest
 
+from greengageflow.lab.platform_client import Torn
+from greengageflow.lab.platform_lab import (
+    CHAT,
+    KEY,
+    SAFE,
+    TALE,
+    UNSAFE,
+    PlatformLab,
+    PlatformShape,
+    configuration,
+    generation,
+    route,
+)
 from greengageflow.platform.names import (
     CREDENTIAL,
     DEADLINE_MS,
@@ -17,19 +30,6 @@
     RESPONSE_SEAL,
     TENANT,
 )
-from tests.platform_client import Torn
-from tests.platform_lab import (
-    CHAT,
-    KEY,
-    SAFE,
-    TALE,
-    UNSAFE,
-    PlatformLab,
-    PlatformShape,
-    configuration,
-    generation,
-    route,
-)
 from tests.support import wait_for
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,13 +4,7 @@
 
 import pytest
 
-from greengageflow.platform.names import (
-    DRAINING,
-    LOG_READ,
-    OPERATOR_TOPIC,
-    SERVERS_TOPIC,
-)
-from tests.platform_lab import (
+from greengageflow.lab.platform_lab import (
     CHAT,
     KEY,
     SAFE,
@@ -20,6 +14,12 @@
     configuration,
     generation,
 )
+from greengageflow.platform.names import (
+    DRAINING,
+    LOG_READ,
+    OPERATOR_TOPIC,
+    SERVERS_TOPIC,
+)
 from tests.support import wait_for
 
 REFUSALS = {401, 503}
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from greengageflow.lab._processes import ROOT
+from greengageflow.lab.platform_lab import KEY
 from greengageflow.lab.soak_checks import check_all
 from greengageflow.lab.soak_facts import (
     Asked,
@@ -18,7 +19,6 @@
     Trouble,
 )
 from greengageflow.lab.soak_plan import draw_plan
-from tests.platform_lab import KEY
 from tests.soak_seeds import FAILED_SEEDS
 
 
