--- a/tests/fault_proxy.py
+++ b/greengageflow/lab/fault_proxy.py
@@ -1,4 +1,6 @@
-"""TCP and UDP proxy with faults, run as a process: ``python -m tests.fault_proxy``.
+"""TCP and UDP proxy with faults, run as a process.
+
+``python -m greengageflow.lab.fault_proxy IP``
 
 It prints the address of its control port, which answers a JSON line with another:
 
@@ -7,6 +9,8 @@
   target, ``texts`` (old to new, of one length) are replaced, so that a router that
   names its own address names the proxy's, and stays behind it.
 - ``{"op": "datagrams", "name", "target", "listen", "texts"}`` relays datagrams.
+- ``{"op": "refused"}`` tells the connections whose target did not listen: route, port
+  of the client, and when (seconds, monotonic).
 - ``{"op": "rules", "rules": [...]}`` replaces all rules. A rule has ``do`` (an
   ``Action``) and may have ``source`` (a client's IP number), ``route``, ``way``
   (``up`` to the target or ``down``), ``delay_s``, and ``times``, the number of
@@ -26,6 +30,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import StrEnum
+from errno import ECONNREFUSED, ENOTCONN
 from functools import partial
 from random import random
 from selectors import EVENT_READ, EVENT_WRITE, DefaultSelector
@@ -36,6 +41,8 @@
 
 
 class Action(StrEnum):
+    """What a rule does."""
+
     CUT = "cut"  # reset it, old or new
     FREEZE = "freeze"  # hold all bytes until the rule goes
     DELAY = "delay"  # pass every byte later
@@ -46,6 +53,8 @@
 
 @dataclass(slots=True, eq=False)
 class Rule:
+    """What happens to the connections or datagrams that it takes."""
+
     do: Action
     source: str | None = None
     route: str | None = None
@@ -56,6 +65,7 @@
     taken: set["Link"] = field(default_factory=set)
 
     def takes(self, link: "Link") -> bool:
+        """Whether it decides on a connection; counts it."""
         here = self.source in (None, link.source) and self.route in (None, link.route)
         spent = self.times is not None and len(self.taken) >= self.times
         if not here or (spent and link not in self.taken):
@@ -64,10 +74,12 @@
         return True
 
     def takes_datagram(self, relay: "Relay", source: str) -> bool:
+        """Whether it decides on a datagram."""
         return self.route == relay.route and self.source in (None, source)
 
 
 def replaced(data: bytes, texts: dict[str, str]) -> bytes:
+    """Return the bytes with each text replaced."""
     for old, new in texts.items():
         data = data.replace(old.encode(), new.encode())
     return data
@@ -84,6 +96,7 @@
     queue: deque[tuple[float, bytes]] = field(default_factory=deque)
 
     def read(self, rules: list[Rule], mask: int) -> None:
+        """Take one datagram and apply the first rule that matches."""
         data, (source, _) = self.sock.recvfrom(CHUNK)
         data = replaced(data, self.texts)
         rule = next((one for one in rules if one.takes_datagram(self, source)), None)
@@ -98,6 +111,7 @@
         self.pass_on()
 
     def pass_on(self) -> None:
+        """Send on what is due."""
         while self.queue and self.queue[0][0] <= time.monotonic():
             with suppress(OSError):
                 self.sock.sendto(self.queue.popleft()[1], self.target)
@@ -114,6 +128,7 @@
     ended: bool = False
 
     def write(self) -> None:
+        """Send on as much of the first piece as goes."""
         due, data = self.queue.popleft()
         sent = 0
         try:
@@ -129,6 +144,7 @@
 
     route: str
     source: str
+    port: int
     client: socket.socket
     server: socket.socket
     texts: dict[str, str]
@@ -137,15 +153,19 @@
     closed: bool = False
 
     def __post_init__(self) -> None:
+        """Make both directions."""
         up = Flow("up", self.client, self.server)
         self.flows = up, Flow("down", self.server, self.client)
 
     def does(self, action: Action, flow: Flow) -> bool:
+        """Whether an action hits one direction."""
         rule = self.rule
         return bool(rule) and rule.do is action and rule.way in (None, flow.way)
 
 
 class Proxy:
+    """All routes, and the rules for them."""
+
     def __init__(self) -> None:
         self._selector = DefaultSelector()
         self._rules: list[Rule] = []
@@ -154,8 +174,10 @@
         self._texts: dict[str, dict[str, str]] = {}
         self._listeners: dict[str, socket.socket] = {}
         self._relays: list[Relay] = []
+        self._refused: list[tuple[str, int, float]] = []
 
     def run(self, host: str) -> None:
+        """Print the control port's address and serve for ever."""
         host, port = self._listen((host, 0), self._accept_control).getsockname()
         print(json.dumps({"ready": True, "host": host, "port": port}), flush=True)
         pause_s = None
@@ -208,6 +230,8 @@
                 call = partial(relay.read, self._rules)
                 self._selector.register(sock, EVENT_READ, call)
                 return {"listen": sock.getsockname()}
+            case {"op": "refused"}:
+                return {"refused": self._refused}
             case {"op": "rules", "rules": rules}:
                 self._rules[:] = [
                     Rule(**{**one, "do": Action(one["do"])}) for one in rules
@@ -218,18 +242,19 @@
         return {"error": "unknown command"}
 
     def _accept(self, name: str, listener: socket.socket, mask: int) -> None:
-        client, (source, _) = listener.accept()
+        client, (source, port) = listener.accept()
         server = socket.socket()
         for sock in (client, server):
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = Link(name, source, client, server, self._texts.get(name, {}))
+        link = Link(name, source, port, client, server, self._texts.get(name, {}))
         self._links.add(link)
         with suppress(OSError):
             server.bind((source, 0))
         self._judge(link)
         if not (link.dead or link.closed):
-            # A failure shows as an error of the first read or write.
+            # A failure shows as an error of the first read or write: of the connecting,
+            # or, if that was told here already, of the want of a connection.
             server.connect_ex(self._targets[name])
 
     def _judge(self, link: Link) -> None:
@@ -288,7 +313,9 @@
                 self._close(link)
         except BlockingIOError:
             pass
-        except OSError:
+        except OSError as exc:
+            if exc.errno in (ECONNREFUSED, ENOTCONN):
+                self._refused.append((link.route, link.port, time.monotonic()))
             self._close(link, reset=True)
         self._update(link)
 
--- a/tests/platform_client.py
+++ b/greengageflow/lab/platform_client.py
@@ -9,8 +9,8 @@
 
 import h11
 
+from greengageflow.lab._processes import LIMIT_S
 from greengageflow.platform.names import CREDENTIAL, DEADLINE_MS, REQUEST_ID
-from tests.support import LIMIT_S
 
 DEFAULT_DEADLINE_MS = 20_000
 
@@ -52,6 +52,11 @@
         self._id = ""
         self._rest = b""
 
+    @property
+    def unused(self) -> bool:
+        """Whether no request was sent on the connection yet."""
+        return self._id == ""
+
     def send(
         self,
         path: str,
