Measurement of the gateway's control is a verb of the bench, with a profile

The programs stood under tests/ since the lab might not import the daemon. Sizes are 9, 69 (3 zones, the users' next) and 360; docs/gateway-slopes.json is still of 64.

--- a/greengageflow/lab/_capacity_gateway_text.py
+++ b/greengageflow/lab/_capacity_gateway_text.py
@@ -8,7 +8,7 @@
 
 ## What runs for the users: the gateway
 
-Measured by `python -m tests.gateway_slopes` on {date}, one
+Measured by `greengage-bench gateway` on {date}, one
 process on a machine with {processors} processors shared with others, load average
 {load}. Real `FleetExchange`, codec, sums, `StoreView`, `LoadBook`, `DecayedSums` and
 `PromptPlaces`; network, store and time are simulated. 9, 64 and 360 routers in 3, 4
--- a/tests/gateway_world.py
+++ b/greengageflow/lab/_gateway_world.py
@@ -1,6 +1,7 @@
 """A fleet of gateways' control parts in one process, in simulated time."""
 
 from collections.abc import Callable, Mapping
+from cProfile import Profile
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
@@ -115,6 +116,7 @@
         whole: bool,
     ) -> None:
         self.spent = Spent()
+        self.profile: Profile | None = None
         self.hosts = 1
         self.own = own
         self.whole = whole
@@ -184,7 +186,10 @@
     def timed(self, call: Callable[..., None], *values: Any) -> None:
         """Call, and charge the processor time to this node."""
         began = process_time()
-        call(*values)
+        if self.profile is None:
+            call(*values)
+        else:
+            self.profile.runcall(call, *values)
         self.spent.cpu += process_time() - began
 
     # The link.
--- a/greengageflow/lab/bench.py
+++ b/greengageflow/lab/bench.py
@@ -10,6 +10,7 @@
 from greengageflow.lab.bench_latency import run_bench
 from greengageflow.lab.bench_sixty import SIZES, run_sixty
 from greengageflow.lab.capacity import write_page
+from greengageflow.lab.gateway_slopes import profile_roles, run_gateway
 from greengageflow.lab.slopes import ROLES, run_events, run_slopes
 
 
@@ -97,6 +98,25 @@
     write_page()
 
 
+def gateway(*sizes: int, profile: bool = False) -> None:
+    """Measure the gateway's control in simulated fleets, and write the page.
+
+    Args:
+        sizes: Numbers of routers, of 9, 69 and 360; all by default. Only a
+            measurement of all is saved.
+        profile: Print where the time goes, and save nothing.
+
+    Example:
+        greengage-bench gateway 69 --profile
+    """
+    if profile:
+        profile_roles(*sizes)
+        return
+    run_gateway(*sizes)
+    if not sizes:
+        write_page()
+
+
 def sixty(*sizes: int) -> None:
     """Run 9 and 60 router processes, compare with the slopes, write the page.
 
@@ -140,6 +160,7 @@
         greengage-bench latency
         greengage-bench fleet --plan=peristeri --policies=central,owned
         greengage-bench slopes && greengage-bench capacity
+        greengage-bench gateway
         greengage-bench sixty 9 60
         greengage-bench soak --seed 3
     """
@@ -150,6 +171,7 @@
         self.latency = latency
         self.slopes = slopes
         self.capacity = capacity
+        self.gateway = gateway
         self.sixty = sixty
         self.soak = soak
 
--- a/tests/gateway_slopes.py
+++ b/greengageflow/lab/gateway_slopes.py
@@ -1,18 +1,16 @@
-"""What the gateway's control costs at 9, 64 and 360 routers.
+"""What the gateway's control costs at 9, 69 and 360 routers.
 
 Real exchanges, codec, sums and store views in one process with simulated time; run as
-``python -m tests.gateway_slopes``. Figures are per simulated second.
-
-It stands here and not in the lab because it needs the daemon's objects in its own
-process, and the lab may not import them (``docs/design/core.md``).
+``greengage-bench gateway``. Figures are per simulated second.
 """
 
 import gc
 import json
 import os
-import sys
 from collections.abc import Iterator
+from cProfile import Profile
 from dataclasses import asdict, dataclass, replace
+from pstats import Stats
 from socket import AF_INET, SOCK_DGRAM, socket
 from statistics import median
 from sys import getsizeof
@@ -20,15 +18,16 @@
 from types import BuiltinFunctionType, FunctionType, MethodType, ModuleType
 from typing import Any
 
+from greengageflow.lab._gateway_log import measure_log
+from greengageflow.lab._gateway_world import Node, World, hello, introduce
 from greengageflow.lab._processes import ROOT
-from tests.gateway_log_cost import measure_log
-from tests.gateway_world import Node, World, hello, introduce
 
 SAVED = ROOT / "docs" / "gateway-slopes.json"
 RATE = 7.5
 WARM_S = 3.0
 WINDOW_S = 2.0
 WINDOWS = 3
+SHOWN = 25
 SMALL, LARGE = 200, 50_000
 PLAIN = (type, ModuleType, FunctionType, BuiltinFunctionType, MethodType)
 
@@ -50,7 +49,7 @@
     accounts: int
 
 
-SIZES = (Size(9, 3, 12, 16), Size(64, 4, 60, 30), Size(360, 7, 600, 200))
+SIZES = (Size(9, 3, 12, 16), Size(69, 3, 60, 30), Size(360, 7, 600, 200))
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +105,7 @@
     seeds = [hello(n, size.zones).address for n in range(3)]
     relays = 2 * size.zones
     # Two members of each zone behind its relays; in a small fleet everybody.
-    measured = size.routers if size.routers <= 64 else relays + 2 * size.zones
+    measured = size.routers if size.routers <= 69 else relays + 2 * size.zones
     for number in range(size.routers):
         Node(
             world,
@@ -125,13 +124,18 @@
     return world, roles
 
 
-def measure(size: Size, cost: Datagram) -> Iterator[dict[str, Any]]:
-    """Yield one row for each role of a fleet."""
+def _begun(size: Size) -> tuple[World, dict[str, list[Node]]]:
     world, roles = _world(size)
     introduce(world)
     for node in world.nodes.values():
         node.begin()
     world.run(WARM_S)
+    return world, roles
+
+
+def measure(size: Size, cost: Datagram) -> Iterator[dict[str, Any]]:
+    """Yield one row for each role of a fleet."""
+    world, roles = _begun(size)
     gc.collect()
     # One collection of all routers' objects would be charged to one of them.
     gc.freeze()
@@ -198,6 +202,26 @@
     return total
 
 
+def profile_roles(*routers: int) -> None:
+    """Print the functions in which one router of each role spends its time.
+
+    Args:
+        routers: Sizes to profile; all by default.
+    """
+    for size in SIZES:
+        if routers and size.routers not in routers:
+            continue
+        world, roles = _begun(size)
+        for nodes in roles.values():
+            nodes[0].profile = Profile()
+        world.run(WARM_S + WINDOW_S)
+        for role, nodes in roles.items():
+            print(f"{size.routers} routers, {role}, {WINDOW_S:g} s")
+            stats = Stats(nodes[0].profile).strip_dirs()
+            stats.sort_stats("cumulative").print_stats(SHOWN)
+            stats.sort_stats("tottime").print_stats(SHOWN)
+
+
 def run_gateway(*routers: int) -> None:
     """Measure, print one JSON line a role, and save everything.
 
@@ -225,7 +249,3 @@
         if SAVED.exists():
             document["before"] = json.loads(SAVED.read_text()).get("before")
         SAVED.write_text(json.dumps(document, indent=1) + "\n")
-
-
-if __name__ == "__main__":
-    run_gateway(*map(int, sys.argv[1:]))
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -85,6 +85,11 @@
     assert found <= {"greengageflow.platform.names"}
 
 
+def test_only_the_simulated_fleet_of_the_lab_holds_objects_of_the_daemon():
+    lab = [path for path in SOURCES if package(path) == "lab"]
+    assert {p.stem for p in lab if "daemon" in imported(p)} == {"_gateway_world"}
+
+
 def test_installed_packages_are_all_of_them():
     listed = re.findall(r'^    "(greengageflow[\w.]*)",$', _pyproject(), re.MULTILINE)
     packages = {path.parent.name for path in PRODUCT.glob("*/__init__.py")}
