Messages between routers hold columns; loads and sums without a call a value

Decoding reports was half of what a relay spends, one Python call a value. Names and amounts now go as columns that are checked at once; addresses take six bytes. Kinds of messages have new numbers: routers of before and after do not hear each other. LoadShare is a named tuple (made in 0.25 us instead of 0.68 us, timeit).

A report of 92 accounts, 110 endpoints: 5396 bytes before, 4093 after. Instructions by cachegrind, 200 times less none: decode 2.26 M before, 1.37 M after, encode 0.90 M and 0.97 M. Ruled out: msgpack itself, 22 us of some 300.

--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import NamedTuple
 
 FIRST_RATE = 20_000.0
 SLOWEST_RATE = 1_000.0
@@ -42,10 +43,11 @@
         self.value = min(FASTEST_RATE, max(SLOWEST_RATE, value))
 
 
-@dataclass(frozen=True, slots=True)
-class LoadShare:
+class LoadShare(NamedTuple):
     """What one host has under way at one endpoint.
 
+    A named tuple, since relays of a large fleet make thousands of them a second.
+
     Args:
         running: Requests without their last byte.
         reading: Prompt tokens of those without a first event.
--- a/greengageflow/core/fleet_demand.py
+++ b/greengageflow/core/fleet_demand.py
@@ -1,12 +1,11 @@
 """What the whole fleet asks for and does, and this host's part of it."""
 
-from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from math import exp
 
 from greengageflow.core.endpoint_load import LoadShare
-from greengageflow.core.fleet_sums import FleetTotals
+from greengageflow.core.fleet_sums import FleetTotals, sum_loads
 from greengageflow.core.max_min import max_min_shares
 from greengageflow.core.peer_report import HeardReport
 
@@ -19,28 +18,27 @@
         heard: Their reports.
         fade_s: Time constant of faded sums; those of older reports fade on.
     """
-    served: dict[tuple[str, str], float] = defaultdict(float)
-    offered: dict[tuple[str, str], float] = defaultdict(float)
+    served: dict[tuple[str, str], float] = {}
+    offered: dict[tuple[str, str], float] = {}
     known = list(heard)
     for one in known:
         faded = exp(min(0.0, (one.at - now) / fade_s))
-        for key, work in one.report.served.items():
-            served[key] += work * faded
-        for key, work in one.report.offered.items():
-            offered[key] += work * faded
+        _add_faded(served, one.report.served, faded)
+        _add_faded(offered, one.report.offered, faded)
     return FleetTotals(served, offered, add_loads(known), len(known))
 
 
+def _add_faded(
+    sums: dict[tuple[str, str], float], part: Mapping[tuple[str, str], float], x: float
+) -> None:
+    get = sums.get
+    for key, work in part.items():
+        sums[key] = get(key, 0.0) + work * x
+
+
 def add_loads(heard: Iterable[HeardReport]) -> dict[str, LoadShare]:
     """Return what other routers have under way, by endpoint."""
-    sums: dict[str, list[float]] = defaultdict(lambda: [0, 0.0, 0.0])
-    for one in heard:
-        for endpoint, load in one.report.loads.items():
-            total = sums[endpoint]
-            total[0] += load.running
-            total[1] += load.reading
-            total[2] += load.memory
-    return {name: LoadShare(int(t[0]), t[1], t[2]) for name, t in sums.items()}
+    return sum_loads(one.report.loads for one in heard)
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/core/fleet_sums.py
+++ b/greengageflow/core/fleet_sums.py
@@ -84,21 +84,33 @@
     """Return the sum of several sums."""
     served: dict[AccountKey, float] = defaultdict(float)
     offered: dict[AccountKey, float] = defaultdict(float)
-    loads: dict[str, list[float]] = defaultdict(lambda: [0, 0.0, 0.0])
+    known = list(parts)
     hosts = 0
-    for part in parts:
+    for part in known:
         hosts += part.hosts
         for key, work in part.served.items():
             served[key] += work
         for key, work in part.offered.items():
             offered[key] += work
-        for endpoint, load in part.loads.items():
-            total = loads[endpoint]
-            total[0] += load.running
-            total[1] += load.reading
-            total[2] += load.memory
-    shares = {name: LoadShare(int(t[0]), t[1], t[2]) for name, t in loads.items()}
-    return FleetTotals(served, offered, shares, hosts)
+    return FleetTotals(served, offered, sum_loads(p.loads for p in known), hosts)
+
+
+def sum_loads(parts: Iterable[Mapping[str, LoadShare]]) -> dict[str, LoadShare]:
+    """Return the sum of several routers' loads, by endpoint."""
+    sums: dict[str, LoadShare] = {}
+    make = LoadShare._make
+    for part in parts:
+        if not sums:
+            sums.update(part)
+            continue
+        for endpoint, load in part.items():
+            known = sums.get(endpoint)
+            if known is None:
+                sums[endpoint] = load
+            else:
+                (a, b, c), (x, y, z) = known, load
+                sums[endpoint] = make((a + x, b + y, c + z))
+    return sums
 
 
 def without(whole: FleetTotals, own: FleetTotals) -> FleetTotals:
@@ -107,17 +119,19 @@
     def less(
         sums: Mapping[AccountKey, float], part: Mapping[AccountKey, float]
     ) -> dict[AccountKey, float]:
-        return {key: max(0.0, x - part.get(key, 0.0)) for key, x in sums.items()}
-
-    nothing = LoadShare()
-    loads = {}
-    for name, load in whole.loads.items():
-        mine = own.loads.get(name, nothing)
-        loads[name] = LoadShare(
-            max(0, load.running - mine.running),
-            max(0.0, load.reading - mine.reading),
-            max(0.0, load.memory - mine.memory),
+        left = dict(sums)
+        left.update(
+            (key, max(0.0, sums[key] - x)) for key, x in part.items() if key in sums
         )
+        return left
+
+    loads = dict(whole.loads)
+    for name, (running, reading, memory) in own.loads.items():
+        if name in loads:
+            a, b, c = loads[name]
+            loads[name] = LoadShare(
+                max(0, a - running), max(0.0, b - reading), max(0.0, c - memory)
+            )
     return FleetTotals(
         less(whole.served, own.served),
         less(whole.offered, own.offered),
--- a/greengageflow/core/peer_report.py
+++ b/greengageflow/core/peer_report.py
@@ -51,6 +51,11 @@
     placed: tuple[tuple[str, str], ...] = ()
     peers: tuple[tuple[str, int], ...] = ()
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and UDP port."""
+        return self.ip, self.port
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadNotice:
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -1,25 +1,31 @@
 """Messages between routers as bytes (msgpack)."""
 
-from collections import defaultdict
-from collections.abc import Mapping
-from socket import AF_INET, inet_pton
 from typing import Any
 
 from msgpack import packb, unpackb
 
-from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_sums import FleetTotals, SumReport
 from greengageflow.core.peer_report import LoadNotice, PeerReport
 from greengageflow.core.router_table import Hello
-
-REPORT, NOTICE, HELLO, SUM = 11, 12, 13, 14
+from greengageflow.net._columns import (
+    check_amounts,
+    check_names,
+    load_columns,
+    pack_addresses,
+    pair_columns,
+    read_addresses,
+    read_loads,
+    read_pairs,
+    read_work,
+    work_columns,
+)
+
+REPORT, NOTICE, HELLO, SUM = 21, 22, 23, 24
 """First value of a message: its kind and the format that it is written in."""
 
 _NEVER = -1.0
-_MOST = 2.0**53
 
 Message = PeerReport | LoadNotice | Hello | SumReport
-AccountSums = Mapping[tuple[str, str], float]
 
 
 class ReportError(ValueError):
@@ -59,43 +65,43 @@
         report.boot,
         report.number,
         report.sequence,
-        report.ip,
-        report.port,
+        pack_addresses((report.address,)),
         report.zone,
         report.stopping,
-        _by_service(report.served),
-        _by_service(report.offered),
-        _loads(report.loads),
+        work_columns(report.served, report.offered),
+        load_columns(report.loads),
         report.version,
         report.list_mark,
         _age(report.heard_s),
         _age(report.list_heard_s),
-        report.placed,
-        report.peers,
+        pair_columns(report.placed),
+        pack_addresses(report.peers),
     )
 
 
 def _report(values: list[Any]) -> PeerReport:
-    (host, boot, number, sequence, ip, port, zone, stopping, *rest) = values
-    (served, offered, loads, version, mark, heard_s, list_heard_s, placed, peers) = rest
+    (host, boot, number, sequence, address, zone, stopping, work, *rest) = values
+    (loads, version, mark, heard_s, list_heard_s, placed, peers) = rest
+    ((ip, port),) = read_addresses(address)
+    served, offered = read_work(work)
     return PeerReport(
         host=str(host),
         boot=int(boot),
         number=int(number),
         sequence=int(sequence),
-        ip=_ip(ip),
-        port=_port(port),
+        ip=ip,
+        port=port,
         zone=str(zone),
         stopping=bool(stopping),
-        served=_by_key(served),
-        offered=_by_key(offered),
-        loads=_shares(loads),
+        served=served,
+        offered=offered,
+        loads=read_loads(loads),
         version=int(version),
         list_mark=int(mark),
         heard_s=_seconds(heard_s),
         list_heard_s=_seconds(list_heard_s),
-        placed=_pairs(placed),
-        peers=_addresses(peers),
+        placed=read_pairs(placed),
+        peers=read_addresses(peers),
     )
 
 
@@ -105,8 +111,8 @@
         notice.boot,
         notice.number,
         notice.sequence,
-        _loads(notice.loads),
-        notice.placed,
+        load_columns(notice.loads),
+        pair_columns(notice.placed),
     )
 
 
@@ -117,8 +123,8 @@
         boot=int(boot),
         number=int(number),
         sequence=int(sequence),
-        loads=_shares(loads),
-        placed=_pairs(placed),
+        loads=read_loads(loads),
+        placed=read_pairs(placed),
     )
 
 
@@ -126,24 +132,24 @@
     return (
         hello.host,
         hello.boot,
-        hello.ip,
-        hello.port,
+        pack_addresses((hello.address,)),
         hello.zone,
         hello.stopping,
-        hello.peers,
+        pack_addresses(hello.peers),
     )
 
 
 def _hello(values: list[Any]) -> Hello:
-    host, boot, ip, port, zone, stopping, peers = values
+    host, boot, address, zone, stopping, peers = values
+    ((ip, port),) = read_addresses(address)
     return Hello(
         host=str(host),
         boot=int(boot),
-        ip=_ip(ip),
-        port=_port(port),
+        ip=ip,
+        port=port,
         zone=str(zone),
         stopping=bool(stopping),
-        peers=_addresses(peers),
+        peers=read_addresses(peers),
     )
 
 
@@ -155,98 +161,39 @@
         report.number,
         report.zone,
         report.whole,
-        _by_service(totals.served),
-        _by_service(totals.offered),
-        _loads(totals.loads),
+        work_columns(totals.served, totals.offered),
+        load_columns(totals.loads),
         totals.hosts,
         dict(report.counted),
         report.version,
         report.list_mark,
         _age(report.heard_s),
         _age(report.list_heard_s),
-        report.placed,
+        pair_columns(report.placed),
     )
 
 
 def _sum(values: list[Any]) -> SumReport:
-    (host, boot, number, zone, whole, served, offered, loads, hosts, *rest) = values
-    (counted, version, mark, heard_s, list_heard_s, placed) = rest
+    (host, boot, number, zone, whole, work, loads, hosts, counted, *rest) = values
+    (version, mark, heard_s, list_heard_s, placed) = rest
+    check_names(counted)
+    check_amounts(list(counted.values()))
     return SumReport(
         host=str(host),
         boot=int(boot),
         number=int(number),
         zone=str(zone),
         whole=bool(whole),
-        totals=FleetTotals(
-            _by_key(served), _by_key(offered), _shares(loads), int(hosts)
-        ),
-        counted={str(name): int(sequence) for name, sequence in counted.items()},
+        totals=FleetTotals(*read_work(work), read_loads(loads), int(hosts)),
+        counted=counted,
         version=int(version),
         list_mark=int(mark),
         heard_s=_seconds(heard_s),
         list_heard_s=_seconds(list_heard_s),
-        placed=_pairs(placed),
+        placed=read_pairs(placed),
     )
 
 
-def _by_service(work: AccountSums) -> dict[str, dict[str, int]]:
-    sums: dict[str, dict[str, int]] = defaultdict(dict)
-    for (service, account), amount in work.items():
-        sums[service][account] = int(amount)
-    return sums
-
-
-def _by_key(sums: Mapping[Any, Mapping[Any, Any]]) -> dict[tuple[str, str], float]:
-    return {
-        (str(service), str(account)): _amount(amount)
-        for service, accounts in sums.items()
-        for account, amount in accounts.items()
-    }
-
-
-def _loads(loads: Mapping[str, LoadShare]) -> dict[str, tuple[int, int, int]]:
-    return {
-        name: (load.running, int(load.reading), int(load.memory))
-        for name, load in loads.items()
-    }
-
-
-def _shares(loads: Mapping[Any, Any]) -> dict[str, LoadShare]:
-    return {
-        str(name): LoadShare(int(_amount(running)), _amount(reading), _amount(memory))
-        for name, (running, reading, memory) in loads.items()
-    }
-
-
-def _amount(value: Any) -> float:
-    # Sums that hold NaN or text would end each later round of this router.
-    number = float(value)
-    if not 0 <= number <= _MOST:
-        raise ValueError(f"no amount: {value!r}")
-    return number
-
-
-def _pairs(pairs: list[Any]) -> tuple[tuple[str, str], ...]:
-    return tuple((str(part), str(endpoint)) for part, endpoint in pairs)
-
-
-def _addresses(rows: list[Any]) -> tuple[tuple[str, int], ...]:
-    return tuple((_ip(ip), _port(port)) for ip, port in rows)
-
-
-def _ip(value: Any) -> str:
-    # A name would block the loop while it is looked up, and what is no address at
-    # all raises in ``sendto``: the round would end before the other routers' turn.
-    inet_pton(AF_INET, value)
-    return value
-
-
-def _port(value: Any) -> int:
-    if not 0 < int(value) < 65536:
-        raise ValueError(f"no port: {value!r}")
-    return int(value)
-
-
 def _age(seconds: float) -> float:
     return _NEVER if seconds == float("inf") else round(seconds, 3)
 
