Hellos go round a ring; relays, words and the zone's sum are kept until they change

Each address now has its turn in 36 rounds (9 s of the 24 s allowed). Seeds were told by all in each round, now one seed a round.

--- a/greengageflow/core/fleet_sums.py
+++ b/greengageflow/core/fleet_sums.py
@@ -97,20 +97,17 @@
 
 def sum_loads(parts: Iterable[Mapping[str, LoadShare]]) -> dict[str, LoadShare]:
     """Return the sum of several routers' loads, by endpoint."""
-    sums: dict[str, LoadShare] = {}
-    make = LoadShare._make
+    sums: dict[str, list[float]] = {}
     for part in parts:
-        if not sums:
-            sums.update(part)
-            continue
-        for endpoint, load in part.items():
-            known = sums.get(endpoint)
-            if known is None:
-                sums[endpoint] = load
+        for endpoint, (running, reading, memory) in part.items():
+            total = sums.get(endpoint)
+            if total is None:
+                sums[endpoint] = [running, reading, memory]
             else:
-                (a, b, c), (x, y, z) = known, load
-                sums[endpoint] = make((a + x, b + y, c + z))
-    return sums
+                total[0] += running
+                total[1] += reading
+                total[2] += memory
+    return dict(zip(sums, map(LoadShare._make, sums.values()), strict=True))
 
 
 def without(whole: FleetTotals, own: FleetTotals) -> FleetTotals:
--- a/greengageflow/core/peer_report.py
+++ b/greengageflow/core/peer_report.py
@@ -94,6 +94,7 @@
     """
 
     def __init__(self, host: str) -> None:
+        self.revision = 0
         self._host = host
         self._heard: dict[str, HeardReport] = {}
 
@@ -107,6 +108,7 @@
             if (report.boot, report.number) <= before:
                 return False
         self._heard[report.host] = HeardReport(report, now)
+        self.revision += 1
         return True
 
     def add(self, notice: LoadNotice) -> bool:
@@ -122,6 +124,7 @@
         loads = {**report.loads, **notice.loads}
         report = replace(report, loads=loads, sequence=notice.sequence)
         self._heard[notice.host] = HeardReport(report, known.at)
+        self.revision += 1
         return True
 
     def live(self, now: float) -> Iterator[HeardReport]:
--- /dev/null
+++ b/greengageflow/core/relay_sums.py
@@ -0,0 +1,161 @@
+"""What a router of a large fleet knows of the others, and what a relay adds up."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from greengageflow.core.fleet_demand import add_up
+from greengageflow.core.fleet_sums import (
+    FleetTotals,
+    OwnHistory,
+    SumBook,
+    SumReport,
+    merge,
+    without,
+)
+from greengageflow.core.peer_report import HeardReport, PeerBook, PeerReport
+from greengageflow.core.router_table import Hello, RouterTable
+from greengageflow.core.store_duty import StoreWord, best_word
+
+STEP_IN_S = 0.5
+SAME_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class _ZoneSum:
+    """The sum of the zone's other routers.
+
+    Args:
+        at: Time at which it was made.
+        revision: State of the book of reports then.
+        totals: The sum.
+    """
+
+    at: float
+    revision: int
+    totals: FleetTotals
+
+
+class RelaySums:
+    """Adds up for a zone, and tells what one router knows of all others.
+
+    Args:
+        own: This router.
+        table: Routers that were heard.
+        book: Their reports.
+        fade_s: Time constant of faded sums.
+    """
+
+    def __init__(
+        self, own: Hello, table: RouterTable, book: PeerBook, fade_s: float
+    ) -> None:
+        self.sums = SumBook()
+        self.history = OwnHistory()
+        self._own = own
+        self._table = table
+        self._book = book
+        self._fade_s = fade_s
+        self._zone_sum: _ZoneSum | None = None
+
+    def others(self, now: float, quiet_s: float) -> FleetTotals:
+        """Return the sums of all other routers."""
+        whole = self.sums.whole(now)
+        if whole is None or self.is_relay(now, quiet_s):
+            zones = self.sums.zones(now, self._own.zone)
+            parts = [self._members_sum(now), *(report.totals for report, _ in zones)]
+            return merge(parts)
+        report, _ = whole
+        counted = report.counted.get(self._own.host, 0)
+        return without(report.totals, self.history.at(counted))
+
+    def is_relay(self, now: float, quiet_s: float) -> bool:
+        """Return whether this router tells its zone the sums now.
+
+        The second relay does so when nothing came from the first one lately, and
+        before members drop the last sums: without any, each would take itself for
+        the only router and begin what the whole fleet may.
+        """
+        relays = self._table.relays(now, quiet_s).get(self._own.zone, ())
+        names = [row.host for row in relays]
+        if self._own.host not in names:
+            return False
+        whole = self.sums.whole(now)
+        is_missed = whole is None or now - whole[1] > STEP_IN_S
+        return names[0] == self._own.host or is_missed
+
+    def add(
+        self, now: float, own: PeerReport, number: int
+    ) -> tuple[SumReport, SumReport]:
+        """Return the sum of this zone, and that of the whole fleet.
+
+        Args:
+            now: The time.
+            own: The present report of this router.
+            number: Count of its sums.
+        """
+        members = [*self._members(now), HeardReport(own, now)]
+        mine = FleetTotals(own.served, own.offered, own.loads, 1)
+        totals = merge([self._members_sum(now), mine])
+        word = best_word(now, (word_of(one.report, one.at) for one in members))
+        placed = tuple({pair for one in members for pair in one.report.placed})
+        zone = self._sum(number, totals, word, placed)
+        zones = self.sums.zones(now, self._own.zone)
+        words = [word, *(word_of(report, at) for report, at in zones)]
+        pairs = {pair for report, _ in zones for pair in report.placed}
+        whole = self._sum(
+            number,
+            merge([totals, *(report.totals for report, _ in zones)]),
+            best_word(now, words),
+            (*placed, *pairs),
+        )
+        counted = {one.report.host: one.report.sequence for one in members}
+        return zone, replace(whole, whole=True, counted=counted)
+
+    def words(self, now: float) -> Iterator[StoreWord]:
+        """Yield what sums say of the store."""
+        sums = self.sums.zones(now, self._own.zone)
+        whole = self.sums.whole(now)
+        if whole is not None:
+            sums.append(whole)
+        return (word_of(report, at) for report, at in sums)
+
+    def _members(self, now: float) -> list[HeardReport]:
+        """Return the reports of this router's zone."""
+        heard = self._book.live(now)
+        return [one for one in heard if one.report.zone == self._own.zone]
+
+    def _members_sum(self, now: float) -> FleetTotals:
+        # A turn needs it up to three times, and it was a quarter of a relay's time.
+        known, revision = self._zone_sum, self._book.revision
+        if known and known.revision == revision and now - known.at <= SAME_S:
+            return known.totals
+        totals = add_up(now, self._members(now), self._fade_s)
+        self._zone_sum = _ZoneSum(now, revision, totals)
+        return totals
+
+    def _sum(
+        self,
+        number: int,
+        totals: FleetTotals,
+        word: StoreWord,
+        placed: tuple[tuple[str, str], ...],
+    ) -> SumReport:
+        return SumReport(
+            host=self._own.host,
+            boot=self._own.boot,
+            number=number,
+            zone=self._own.zone,
+            whole=False,
+            totals=totals,
+            version=word.version,
+            list_mark=word.list_mark,
+            heard_s=word.heard_s,
+            list_heard_s=word.list_heard_s,
+            placed=placed,
+        )
+
+
+def word_of(report: PeerReport | SumReport, at: float) -> StoreWord:
+    """Return what a router or a zone said of the store at a time."""
+    return StoreWord(
+        at, report.version, report.list_mark, report.heard_s, report.list_heard_s
+    )
--- a/greengageflow/core/router_table.py
+++ b/greengageflow/core/router_table.py
@@ -1,7 +1,7 @@
 """The routers that this one knows of, and the relays among them."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
+from math import inf
 
 RELAYS_A_ZONE = 2
 
@@ -36,6 +36,23 @@
         return self.ip, self.port
 
 
+@dataclass(frozen=True, slots=True)
+class _Living:
+    """The routers that live, until a row changes or goes quiet.
+
+    Args:
+        until: Time at which the first of them goes quiet.
+        quiet_s: Seconds of silence after which one does.
+        rows: Them, this router with them, by name.
+        relays: The relays of each zone, the first one first.
+    """
+
+    until: float
+    quiet_s: float
+    rows: dict[str, Hello]
+    relays: dict[str, list[Hello]]
+
+
 class RouterTable:
     """Who was heard, and when.
 
@@ -46,6 +63,7 @@
     def __init__(self, own: Hello) -> None:
         self._own = own
         self._rows: dict[str, tuple[Hello, float]] = {}
+        self._living: _Living | None = None
 
     def put(self, now: float, hello: Hello) -> None:
         """Note that a router was heard."""
@@ -53,34 +71,63 @@
         if hello.host == self._own.host:
             return
         if known is None or hello.boot >= known[0].boot:
-            self._rows[hello.host] = (hello, now)
+            self._note(now, hello)
 
     def touch(self, now: float, host: str, boot: int) -> None:
         """Note that a router that is known was heard, by another message of it."""
         known = self._rows.get(host)
         if known is not None and known[0].boot == boot:
-            self._rows[host] = (known[0], now)
+            self._note(now, known[0])
 
-    def live(self, now: float, quiet_s: float) -> Iterator[Hello]:
-        """Yield the other routers that were heard in the last ``quiet_s`` seconds."""
-        for host, (hello, at) in list(self._rows.items()):
-            if now - at <= quiet_s:
-                yield hello
-            elif now - at > 4 * quiet_s:
-                del self._rows[host]
+    def _note(self, now: float, hello: Hello) -> None:
+        self._rows[hello.host] = (hello, now)
+        if self._living is not None:
+            known = self._living.rows.get(hello.host)
+            if known is None or _place(known) != _place(hello):
+                self._living = None
+
+    def live(self, now: float, quiet_s: float) -> list[Hello]:
+        """Return the other routers that were heard in the last ``quiet_s`` seconds."""
+        rows = self._alive(now, quiet_s).rows
+        return [row for row in rows.values() if row is not self._own]
+
+    def count(self, now: float, quiet_s: float) -> int:
+        """Return how many other routers were heard in the last ``quiet_s`` seconds."""
+        return len(self._alive(now, quiet_s).rows) - 1
 
     def members(self, now: float, quiet_s: float) -> list[Hello]:
         """Return the live routers of this one's zone, itself with them, by name."""
-        zone = self._own.zone
-        rows = [row for row in self.live(now, quiet_s) if row.zone == zone]
-        return sorted([*rows, self._own], key=lambda row: row.host)
+        rows = self._alive(now, quiet_s).rows.values()
+        return [row for row in rows if row.zone == self._own.zone]
 
     def relays(self, now: float, quiet_s: float) -> dict[str, list[Hello]]:
         """Return the relays of each zone, the first one first."""
-        zones: dict[str, list[Hello]] = {}
-        for row in sorted([*self.live(now, quiet_s), self._own], key=lambda r: r.host):
+        return self._alive(now, quiet_s).relays
+
+    def _alive(self, now: float, quiet_s: float) -> _Living:
+        living = self._living
+        if living is None or now > living.until or quiet_s != living.quiet_s:
+            living = self._living = self._look(now, quiet_s)
+        return living
+
+    def _look(self, now: float, quiet_s: float) -> _Living:
+        until = inf
+        found = {self._own.host: self._own}
+        for host, (hello, at) in list(self._rows.items()):
+            if now - at <= quiet_s:
+                found[host] = hello
+                until = min(until, at + quiet_s)
+            elif now - at > 4 * quiet_s:
+                del self._rows[host]
+        rows = {host: found[host] for host in sorted(found)}
+        relays: dict[str, list[Hello]] = {}
+        for row in rows.values():
             if not row.stopping:
-                found = zones.setdefault(row.zone, [])
-                if len(found) < RELAYS_A_ZONE:
-                    found.append(row)
-        return zones
+                zone = relays.setdefault(row.zone, [])
+                if len(zone) < RELAYS_A_ZONE:
+                    zone.append(row)
+        return _Living(until, quiet_s, rows, relays)
+
+
+def _place(hello: Hello) -> tuple[int, Address, str, bool]:
+    return hello.boot, hello.address, hello.zone, hello.stopping
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -11,23 +11,12 @@
 
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_demand import add_loads, add_up
-from greengageflow.core.fleet_sums import (
-    FleetTotals,
-    OwnHistory,
-    SumBook,
-    SumReport,
-    merge,
-    relay_turns,
-    without,
-)
-from greengageflow.core.peer_report import (
-    HeardReport,
-    LoadNotice,
-    PeerBook,
-    PeerReport,
-)
+from greengageflow.core.fleet_sums import FleetTotals, SumReport, relay_turns
+from greengageflow.core.hello_ring import HelloRing
+from greengageflow.core.peer_report import LoadNotice, PeerBook, PeerReport
+from greengageflow.core.relay_sums import RelaySums, word_of
 from greengageflow.core.router_table import Hello, RouterTable
-from greengageflow.core.store_duty import StoreWord, best_word
+from greengageflow.core.store_duty import StoreWord
 from greengageflow.net.gossip_link import GossipLink
 from greengageflow.net.report_codec import ReportError, decode, encode
 from greengageflow.net.timers import Timers
@@ -39,8 +28,8 @@
 TOLD_PEERS = 8
 FADE_S = 4.0
 QUIET_S = 1.5
-STEP_IN_S = 0.5
 FORGET_S = 10.0
+SAME_S = 0.02
 
 Address = tuple[str, int]
 Placed = tuple[tuple[str, str], ...]
@@ -95,8 +84,8 @@
         self._listener = listener
         self._table = RouterTable(own)
         self._book = PeerBook(own.host)
-        self._sums = SumBook()
-        self._history = OwnHistory()
+        self._relayed = RelaySums(own, self._table, self._book, FADE_S)
+        self._words: tuple[float, list[StoreWord]] = (float("-inf"), [])
         self._addresses: dict[Address, float] = {}
         self._number = 0
         self._sequence = 0
@@ -105,6 +94,7 @@
         self._news = False
         self._turns = 0
         self._random = Random(own.host)
+        self._ring = HelloRing(self._random)
 
     def start(self) -> None:
         """Begin to tell."""
@@ -130,7 +120,7 @@
     @property
     def hosts(self) -> int:
         """Other routers that live."""
-        return sum(1 for _ in self._table.live(self._now, self._quiet_s))
+        return self._table.count(self._now, self._quiet_s)
 
     @property
     def reads_store(self) -> bool:
@@ -146,12 +136,12 @@
     def words(self) -> list[StoreWord]:
         """Return what other routers know of the store."""
         now = self._now
-        words = [_word(one.report, one.at) for one in self._book.live(now)]
-        sums = self._sums.zones(now, self._own.zone)
-        whole = self._sums.whole(now)
-        if whole is not None:
-            sums.append(whole)
-        return words + [_word(report, at) for report, at in sums]
+        at, words = self._words
+        if now - at > SAME_S:
+            words = [word_of(one.report, one.at) for one in self._book.live(now)]
+            words += self._relayed.words(now)
+            self._words = now, words
+        return words
 
     def add_addresses(self, addresses: Iterable[Address]) -> None:
         """Take note of where other routers may be."""
@@ -168,12 +158,13 @@
         except ReportError:
             return
         now = self._now
+        self._words = (float("-inf"), [])
         match message:
             case PeerReport() if self._book.put(now, message):
                 self._on_hello(now, _hello(message))
             case LoadNotice() if self._book.add(message):
                 self._changed = True
-            case SumReport() if self._sums.put(now, message):
+            case SumReport() if self._relayed.sums.put(now, message):
                 # Hellos of a few a round miss a router now and then; whoever forgot
                 # the first relay so would tell others, and its sums would lack them.
                 self._table.touch(now, message.host, message.boot)
@@ -264,7 +255,7 @@
             return
         report = report or self._listener.report(self._number, self._sequence)
         totals = FleetTotals(report.served, report.offered, report.loads, 1)
-        self._history.note(self._sequence, totals)
+        self._relayed.history.note(self._sequence, totals)
 
     def _everybody(self) -> set[Address]:
         return self._seeds | self._addresses.keys()
@@ -279,10 +270,14 @@
             self._link.send(address, data)
 
     def _say_hello(self) -> None:
-        known = list(self._addresses)
-        to = self._random.sample(known, min(HELLOS_A_ROUND, len(known)))
+        to = set(self._ring.next(self._addresses, HELLOS_A_ROUND))
+        # One seed a round: all seeds each round made them hear the whole fleet four
+        # times a second.
+        seeds = sorted(self._seeds)
+        if seeds:
+            to.add(seeds[self._number % len(seeds)])
         own = replace(self._own, stopping=self.stopping, peers=self._told_peers())
-        self._send(encode(own), {*to, *self._seeds})
+        self._send(encode(own), to)
 
     def _round(self) -> None:
         # First, lest a fault in one round end all and others drop a live router.
@@ -305,81 +300,20 @@
         now = self._now
         if not self._is_large:
             return add_up(now, self._book.live(now), FADE_S)
-        whole = self._sums.whole(now)
-        if self._is_relay() or whole is None:
-            zones = (
-                report.totals for report, _ in self._sums.zones(now, self._own.zone)
-            )
-            return merge([add_up(now, self._members(), FADE_S), *zones])
-        report, _ = whole
-        counted = report.counted.get(self._own.host, 0)
-        return without(report.totals, self._history.at(counted))
-
-    def _members(self) -> list[HeardReport]:
-        """Return the reports of this router's zone."""
-        heard = self._book.live(self._now)
-        return [one for one in heard if one.report.zone == self._own.zone]
-
-    def _is_relay(self) -> bool:
-        """Whether this router tells its zone the sums now.
-
-        The second relay does so when nothing came from the first one lately, and
-        before members drop the last sums: without any, each would take itself for
-        the only router and begin what the whole fleet may.
-        """
-        relays = self._table.relays(self._now, self._quiet_s).get(self._own.zone, [])
-        names = [row.host for row in relays]
-        if self._own.host not in names:
-            return False
-        whole = self._sums.whole(self._now)
-        is_missed = whole is None or self._now - whole[1] > STEP_IN_S
-        return names[0] == self._own.host or is_missed
+        return self._relayed.others(now, self._quiet_s)
 
     def _relay(self) -> None:
-        if not self._is_relay():
+        now, quiet_s = self._now, self._quiet_s
+        if not self._relayed.is_relay(now, quiet_s):
             return
-        now = self._now
         own = self._listener.report(self._number, self._sequence)
-        members = [*self._members(), HeardReport(own, now)]
-        totals = add_up(now, members, FADE_S)
-        word = best_word(now, (_word(one.report, one.at) for one in members))
-        placed = tuple({pair for one in members for pair in one.report.placed})
-        zone = self._sum(False, totals, word, placed)
-        relays = self._table.relays(now, self._quiet_s)
-        others = {
-            r.address for z, rows in relays.items() for r in rows if z != self._own.zone
-        }
+        zone, whole = self._relayed.add(now, own, self._turns)
+        relays = self._table.relays(now, quiet_s).items()
+        others = {r.address for z, rows in relays if z != zone.zone for r in rows}
         self._send(encode(zone), others)
-        zones = self._sums.zones(now, self._own.zone)
-        words = [word, *(_word(report, at) for report, at in zones)]
-        pairs = {pair for report, _ in zones for pair in report.placed}
-        whole = self._sum(
-            True,
-            merge([totals, *(report.totals for report, _ in zones)]),
-            best_word(now, words),
-            (*placed, *pairs),
-        )
-        counted = {one.report.host: one.report.sequence for one in members}
-        rows = self._table.members(now, self._quiet_s)
+        rows = self._table.members(now, quiet_s)
         to = {row.address for row in rows} - {self._own.address}
-        self._send(encode(replace(whole, counted=counted)), to)
-
-    def _sum(
-        self, whole: bool, totals: FleetTotals, word: StoreWord, placed: Placed
-    ) -> SumReport:
-        return SumReport(
-            host=self._own.host,
-            boot=self._own.boot,
-            number=self._turns,
-            zone=self._own.zone,
-            whole=whole,
-            totals=totals,
-            version=word.version,
-            list_mark=word.list_mark,
-            heard_s=word.heard_s,
-            list_heard_s=word.list_heard_s,
-            placed=placed,
-        )
+        self._send(encode(whole), to)
 
 
 def _hello(report: PeerReport) -> Hello:
@@ -392,9 +326,3 @@
         stopping=report.stopping,
         peers=report.peers,
     )
-
-
-def _word(report: PeerReport | SumReport, at: float) -> StoreWord:
-    return StoreWord(
-        at, report.version, report.list_mark, report.heard_s, report.list_heard_s
-    )
