Placers: lines when one falls silent, is heard again, or changes; table of placers apart

Cause: on-call could not see from the lines that a request was decided by a host alone, on old sums, because its placer did not answer.

--- a/greengageflow/core/place_desk.py
+++ b/greengageflow/core/place_desk.py
@@ -179,3 +179,33 @@
     own = max(0, ask.tokens_in - ask.shared)
     parts = (PromptPart(ask.affinity, ask.shared), PromptPart("", own))
     return Prompt(parts, ask.tokens_in, ask.tokens_out)
+
+
+def ask_for(
+    host: str,
+    boot: int,
+    now: float,
+    service: str,
+    job: Job,
+    account: str,
+    avoid: tuple[str, ...],
+) -> PlaceAsk:
+    """Return the ask of a host for a request; ``PlaceDesk.ask`` takes it."""
+    waiter, prompt = job.waiter, job.prompt
+    return PlaceAsk(
+        host=host,
+        boot=boot,
+        request=waiter.id,
+        service=service,
+        account=account,
+        priority=waiter.priority,
+        waited_s=now - waiter.arrived,
+        left_s=waiter.target_at - now,
+        patience_s=max(0.0, waiter.give_up_at - now),
+        target_s=job.target_s,
+        affinity=prompt.affinity,
+        shared=prompt.shared_tokens,
+        tokens_in=prompt.tokens_in,
+        tokens_out=prompt.tokens_out,
+        avoid=avoid,
+    )
--- a/greengageflow/core/placers.py
+++ b/greengageflow/core/placers.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable, Sequence
 from hashlib import blake2b
 
+from greengageflow.core.router_table import Address, Hello
+
 HOSTS_A_PLACER = 20
 
 
@@ -34,3 +36,72 @@
     moves no other endpoints than its own.
     """
     return max(placers, key=lambda host: _rank(f"{endpoint} {host}"), default="")
+
+
+class PlacerTable:
+    """The placers that this host knows, and which of them are left alone.
+
+    Args:
+        host: This host.
+        mute_s: Time for which a placer that did not answer is left alone, in seconds.
+    """
+
+    def __init__(self, host: str, mute_s: float) -> None:
+        self.placers: tuple[str, ...] = ()
+        self._host = host
+        self._mute_s = mute_s
+        self._addresses: dict[str, Address] = {}
+        self._owners: dict[str, str] = {}
+        self._mute: dict[str, float] = {}
+        self._silent_since: dict[str, float] = {}
+
+    def update(self, rows: Iterable[Hello]) -> bool:
+        """Take over who lives; True when the placers have changed."""
+        self._addresses = {row.host: row.address for row in rows}
+        for known in (self._mute, self._silent_since):
+            for host in known.keys() - self._addresses.keys():
+                del known[host]
+        placers = placers_among(self._addresses)
+        changed = placers != self.placers
+        if changed:
+            self.placers = placers
+            self._owners.clear()
+        return changed
+
+    def owner(self, endpoint: str) -> str:
+        """Return the placer of an endpoint, empty when there is none."""
+        found = self._owners.get(endpoint)
+        if found is None:
+            found = self._owners[endpoint] = placer_of(endpoint, self.placers)
+        return found
+
+    def owned(self, endpoints: Iterable[str]) -> frozenset[str] | None:
+        """Return the endpoints that this host places; None when it is no placer."""
+        if self._host not in self.placers:
+            return None
+        known = set(endpoints)
+        self._owners = {e: o for e, o in self._owners.items() if e in known}
+        return frozenset(e for e in known if self.owner(e) == self._host)
+
+    def address(self, host: str) -> Address | None:
+        """Return where a live host takes messages, or None."""
+        return self._addresses.get(host)
+
+    def answers(self, now: float, host: str) -> bool:
+        """Whether another host lives and may be asked."""
+        known = host != self._host and host in self._addresses
+        return known and now >= self._mute.get(host, 0.0)
+
+    def on_silence(self, now: float, host: str) -> bool:
+        """Note that a placer did not answer; True when it did before."""
+        self._mute[host] = now + self._mute_s
+        return self._silent_since.setdefault(host, now) == now
+
+    def on_pass(self, now: float, host: str, seconds: float) -> None:
+        """Note that a placer does not place now."""
+        self._mute[host] = now + seconds
+
+    def on_heard(self, now: float, host: str) -> float | None:
+        """Note an answer; return for how long the placer was silent, if it was."""
+        since = self._silent_since.pop(host, None)
+        return None if since is None else now - since
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -127,6 +127,7 @@
             self._timers,
             self._exchange,
             self._forwarder.carry_out,
+            self._log,
         )
         self._store = StoreView(
             self._pool,
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -1,13 +1,13 @@
 """Where requests are decided: at this host, or by the placer of their engine."""
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
 from greengageflow.core.forward_request import Prompt
-from greengageflow.core.place_desk import PlaceDesk
+from greengageflow.core.place_desk import PlaceDesk, ask_for
 from greengageflow.core.place_messages import (
     Happened,
     PlaceAnswer,
@@ -18,12 +18,14 @@
     PlaceRoll,
     Verdict,
 )
-from greengageflow.core.placers import placer_of, placers_among
+from greengageflow.core.placers import PlacerTable
 from greengageflow.core.prompt_places import home_of
 from greengageflow.core.router_table import Hello
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
 from greengageflow.errors import ErrorKind
+from greengageflow.net.decision_events import DecisionEvent
+from greengageflow.net.decision_log import DecisionLog
 from greengageflow.net.timers import Timers
 
 ANSWER_S = 0.15
@@ -77,6 +79,7 @@
         timers: Timer service.
         sender: Carries messages.
         carry_out: Takes decisions on requests of this host.
+        log: Takes a line when a placer falls silent or this host becomes one.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         timers: Timers,
         sender: PlaceSender,
         carry_out: Callable[[Iterable[Decision]], None],
+        log: DecisionLog,
     ) -> None:
         self.stopping = False
         self._host = host
@@ -97,13 +101,12 @@
         self._timers = timers
         self._sender = sender
         self._carry_out = carry_out
+        self._log = log
         self._desk = PlaceDesk(host, book)
         self._asked: dict[str, _Asked] = {}
         self._runs: dict[str, _Run] = {}
-        self._mute: dict[str, float] = {}
-        self._placers: tuple[str, ...] = ()
-        self._addresses: Mapping[str, tuple[str, int]] = {}
-        self._owners: dict[str, str] = {}
+        self._table = PlacerTable(host, MUTE_S)
+        self._owned: frozenset[str] | None = None
         self._roll_until: dict[str, float] = {}
         self._placer_since = float("inf")
 
@@ -111,6 +114,11 @@
         """Begin to tell placers what runs."""
         self._timers.every(ROLL_S, self._roll)
 
+    @property
+    def placed(self) -> int:
+        """Requests of other hosts that wait or run by this one's word."""
+        return len(self._desk)
+
     # Requests of this host.
 
     def placer(self, request: str) -> str:
@@ -130,52 +138,24 @@
         request = job.waiter.id
         self._asked[request] = _Asked(placer, service, job, account, now)
         self._roll_until[placer] = now + ROLLS_ON_S
-        self._sender.send_to(
-            self._addresses[placer], self._ask(now, service, job, account)
-        )
+        avoid = self._book.resting(now, service)
+        ask = ask_for(self._host, self._boot, now, service, job, account, avoid)
+        self._send(placer, ask)
         self._timers.after(ANSWER_S, lambda: self._on_silence(request))
 
     def _placer_for(self, now: float, service: str, prompt: Prompt | None) -> str:
-        if prompt is None or not self._placers:
+        if prompt is None:
             return ""
         home = home_of(prompt.affinity, self._endpoints.usable(service))
-        placer = self._owner(home.id) if home else ""
-        known = placer != self._host and placer in self._addresses
-        return placer if known and now >= self._mute.get(placer, 0.0) else ""
-
-    def _owner(self, endpoint: str) -> str:
-        found = self._owners.get(endpoint)
-        if found is None:
-            found = self._owners[endpoint] = placer_of(endpoint, self._placers)
-        return found
-
-    def _ask(self, now: float, service: str, job: Job, account: str) -> PlaceAsk:
-        waiter, prompt = job.waiter, job.prompt
-        return PlaceAsk(
-            host=self._host,
-            boot=self._boot,
-            request=waiter.id,
-            service=service,
-            account=account,
-            priority=waiter.priority,
-            waited_s=now - waiter.arrived,
-            left_s=waiter.target_at - now,
-            patience_s=max(0.0, waiter.give_up_at - now),
-            target_s=job.target_s,
-            affinity=prompt.affinity,
-            shared=prompt.shared_tokens,
-            tokens_in=prompt.tokens_in,
-            tokens_out=prompt.tokens_out,
-            avoid=self._book.resting(now, service),
-        )
+        placer = self._table.owner(home.id) if home else ""
+        return placer if self._table.answers(now, placer) else ""
 
     def _on_silence(self, request: str) -> None:
         asked = self._asked.get(request)
         if asked is None:
             return
         if not asked.queued:
-            self._mute[asked.placer] = self._timers.now + MUTE_S
-            self._decide_here(lambda other: other.placer == asked.placer)
+            self._on_mute(asked.placer)
             return
         late_s = asked.job.waiter.give_up_at - self._timers.now + LATE_WORD_S
         if late_s > 0:
@@ -183,6 +163,20 @@
         else:
             self._decide_here(lambda other: other is asked)
 
+    def _on_mute(self, placer: str) -> None:
+        if self._table.on_silence(self._timers.now, placer):
+            asked = sum(1 for other in self._asked.values() if other.placer == placer)
+            self._log.write(DecisionEvent.PLACER_SILENT, placer=placer, asked=asked)
+        self._decide_here(lambda other: other.placer == placer)
+
+    def _on_heard(self, now: float, placer: str) -> None:
+        silent_s = self._table.on_heard(now, placer)
+        if silent_s is not None:
+            after_ms = round(1000 * silent_s)
+            self._log.write(
+                DecisionEvent.PLACER_HEARD, placer=placer, after_ms=after_ms
+            )
+
     def _decide_here(self, which: Callable[[_Asked], bool]) -> None:
         """Decide here what was asked and has no answer."""
         now = self._timers.now
@@ -244,7 +238,7 @@
 
     def _note(self, request: str, run: _Run, happened: Happened) -> None:
         # An endpoint may have got another placer since, which has it from a roll.
-        for host in {run.placer, self._owner(run.endpoint.id)}:
+        for host in {run.placer, self._table.owner(run.endpoint.id)}:
             self._tell(host, request, happened)
 
     def _tell(self, host: str, request: str, happened: Happened) -> None:
@@ -253,8 +247,8 @@
         )
         if host == self._host:
             self._carry_out(self._desk.note(self._timers.now, note))
-        elif host in self._addresses:
-            self._sender.send_to(self._addresses[host], note)
+        else:
+            self._send(host, note)
 
     # What others tell.
 
@@ -281,15 +275,16 @@
 
     def _places(self, now: float) -> bool:
         settled = now - self._placer_since >= SETTLE_S
-        return self._host in self._placers and settled and not self.stopping
+        return self._host in self._table.placers and settled and not self.stopping
 
     def _answer(self, ask: PlaceAsk, verdict: Verdict) -> None:
         answer = PlaceAnswer(host=self._host, request=ask.request, verdict=verdict)
         self._send(ask.host, answer)
 
     def _send(self, host: str, message: PlaceMessage) -> None:
-        if host in self._addresses:
-            self._sender.send_to(self._addresses[host], message)
+        address = self._table.address(host)
+        if address is not None:
+            self._sender.send_to(address, message)
 
     def on_decision(self, decision: Decision) -> None:
         """Tell another host what was decided of its request."""
@@ -298,6 +293,7 @@
             self._send(*told)
 
     def _on_answer(self, now: float, answer: PlaceAnswer) -> None:
+        self._on_heard(now, answer.host)
         asked = self._asked.get(answer.request)
         if asked is None or asked.placer != answer.host:
             # What it holds for a request that is decided goes with the next roll.
@@ -306,7 +302,7 @@
             case Verdict.QUEUED:
                 asked.queued = True
             case Verdict.PASS:
-                self._mute[answer.host] = now + ANSWER_S
+                self._table.on_pass(now, answer.host, ANSWER_S)
                 self._decide_here(lambda other: other is asked)
             case Verdict.REFUSE:
                 del self._asked[answer.request]
@@ -341,30 +337,28 @@
     def on_round(self) -> None:
         """Take over who lives; called a few times a second."""
         now = self._timers.now
-        rows = self._sender.routers()
-        self._addresses = {row.host: row.address for row in rows}
-        placers = placers_among(self._addresses)
-        if self._host not in placers:
+        changed = self._table.update(self._sender.routers())
+        if self._host not in self._table.placers:
             self._placer_since = float("inf")
         elif self._placer_since == float("inf"):
             self._placer_since = now
-        if placers != self._placers:
-            self._placers = placers
-            self._owners.clear()
-            gone = set(self._mute) - self._addresses.keys()
-            for host in gone:
-                del self._mute[host]
+        if changed:
+            placers = self._table.placers
             self._decide_here(lambda asked: asked.placer not in placers)
             self._roll()
-        self._book.own(self._owned())
+        self._own()
         self._carry_out(self._desk.drop_silent(now))
 
-    def _owned(self) -> frozenset[str] | None:
-        if self._host not in self._placers:
-            return None
-        ids = self._endpoints.ids()
-        self._owners = {e: o for e, o in self._owners.items() if e in ids}
-        return frozenset(e for e in ids if self._owner(e) == self._host)
+    def _own(self) -> None:
+        owned = self._table.owned(self._endpoints.ids())
+        if owned != self._owned:
+            self._owned = owned
+            self._book.own(owned)
+            self._log.write(
+                DecisionEvent.PLACING,
+                placers=" ".join(self._table.placers),
+                endpoints=len(owned or ()),
+            )
 
     def _roll(self) -> None:
         """Tell each placer all that runs or waits there."""
@@ -379,7 +373,7 @@
         for request, run in self._runs.items():
             if run.live:
                 placed = PlacedRun(request, run.endpoint.id, run.reading, run.memory)
-                rolls.setdefault(self._owner(run.endpoint.id), []).append(placed)
+                rolls.setdefault(self._table.owner(run.endpoint.id), []).append(placed)
         self._roll_until = {
             host: now + ROLLS_ON_S if runs else self._roll_until[host]
             for host, runs in rolls.items()
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -63,6 +63,9 @@
     STORE_REGAINED = ("GG732", Level.STATE, "after_ms")
     PEERS_LOST = ("GG733", Level.STATE, "live known")
     PEERS_REGAINED = ("GG734", Level.STATE, "live known after_ms")
+    PLACER_SILENT = ("GG735", Level.STATE, "placer asked")
+    PLACER_HEARD = ("GG736", Level.STATE, "placer after_ms")
+    PLACING = ("GG737", Level.STATE, "placers endpoints")
 
     STARTED = ("GG741", Level.STATE, "zone version")
     STOPPING = ("GG742", Level.STATE, "running waiting")
--- a/greengageflow/ops/explain.py
+++ b/greengageflow/ops/explain.py
@@ -35,6 +35,7 @@
     Event.KEYS_UNTRUSTED,
     Event.STORE_LOST,
     Event.PEERS_LOST,
+    Event.PLACER_SILENT,
     Event.STOPPING,
 }
 
--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -37,6 +37,10 @@
     Event.KEYS_TRUSTED: "keys trusted again after {after_ms} ms",
     Event.STORE_LOST: "store lost, unheard for {unheard_ms} ms: {why}",
     Event.STORE_REGAINED: "store back after {after_ms} ms",
+    Event.PLACER_SILENT: "placer {placer} does not answer, {asked} requests"
+    " decided here",
+    Event.PLACER_HEARD: "placer {placer} answers again after {after_ms} ms",
+    Event.PLACING: "places requests for {endpoints} endpoints, placers: {placers}",
     Event.PEERS_LOST: "peers lost: {live} of {known} live",
     Event.PEERS_REGAINED: "peers back after {after_ms} ms: {live} of {known} live",
     Event.STARTED: "router started, version {version}",
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,6 +13,7 @@
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
 from greengageflow.core.fleet_sums import FleetTotals
 from greengageflow.core.forward_request import Prompt, PromptPart
+from greengageflow.core.place_desk import ask_for
 from greengageflow.core.place_messages import (
     PlaceAnswer,
     PlaceMessage,
@@ -71,10 +72,11 @@
         self.book = ServiceBook(self.endpoints, "z", lambda: SendBudget(1, 9, 10.0))
         service = Service("model", slots=SLOTS, memory_tokens=100_000)
         self.book.on_routing(Routing(version=1, services={"model": service}))
+        self.lines = []
         self.started, self.refused, self.runs = {}, {}, count(1)
         self.hello = Hello(host=name, boot=1, ip="127.0.0.1", port=9 + index, zone="z")
         self.placement = Placement(
-            name, 1, self.book, self.endpoints, self, self, self.carry_out
+            name, 1, self.book, self.endpoints, self, self, self.carry_out, self
         )
         self.placement.start()
         self.every(0.25, self.round)
@@ -91,6 +93,9 @@
     def every(self, interval_s, call):
         self.after(interval_s, lambda: (call(), self.every(interval_s, call)))
 
+    def write(self, event, **_fields):
+        self.lines.append(event.name)
+
     def round(self):
         self.placement.on_round()
         self.carry_out(self.book.on_totals(self.now, FleetTotals()))
@@ -165,6 +170,7 @@
     assert third not in host.started
     fleet.run(0.01)
     assert third in host.started and fleet.running(fleet.placer) == 1
+    assert host.lines == ["PLACER_SILENT", "PLACER_HEARD"]
 
 
 def test_requests_that_wait_at_a_placer_are_decided_when_it_is_gone():
@@ -227,7 +233,8 @@
 def test_a_host_that_does_not_place_says_so_at_once():
     fleet = Fleet()
     host, stranger = fleet.others
-    ask = host.placement._ask(0.0, "model", job_of("7"), "a")
+    job = Job(Waiter("7", "a", 1.0, 0, 0.0, 1.0, 0.5), 1.0, PROMPT)
+    ask = ask_for(host.name, 1, 0.0, "model", job, "a", ())
     answers = []
     host.placement.receive = answers.append
     stranger.placement.receive(decode(encode(ask)))
@@ -235,10 +242,6 @@
     assert [answer.verdict for answer in answers] == [Verdict.PASS]
 
 
-def job_of(name):
-    return Job(Waiter(name, "a", 1.0, 0, 0.0, 1.0, 0.5), 1.0, PROMPT)
-
-
 @given(st.sets(st.text(max_size=5), min_size=1, max_size=80), st.text(max_size=5))
 def test_placers_that_come_or_go_move_only_their_own_endpoints(hosts, endpoint):
     placers = placers_among(hosts)
