Parts count as read from their first request on, and when their first event has come

Cause: an engine was taken to have read a prompt part 0.3 s after it was sent it last. A part that is asked for more often never seemed read: nobody fetched it, and each other engine read it again. Now the first request counts, or the first event of one; where a part is kept or being read, reading it once more weighs double.

--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -12,7 +12,7 @@
 FAILING_PENALTY_S = 1.0
 AWAY_PENALTY_S = 0.015
 FETCH_PART = 0.3
-READ_S = 0.3
+AGAIN_PART = 1.0
 PLAIN_QUEUE = 3.0
 PLAIN_AWAY = 0.3
 PLAIN_FAILING = 8.0
@@ -97,6 +97,9 @@
             reading, source = _reading(endpoint, keepers, prompt, transfers)
             wait_s = ahead_s + reading / load.rate
             cost_s = self._cost_s(endpoint, load, wait_s)
+            if keepers and reading >= prompt.tokens_in:
+                # What others would have to wait for while it is read once more.
+                cost_s += AGAIN_PART * prompt.shared_tokens / load.rate
             if home is not None and endpoint.id == home.id:
                 cost_s -= HOME_BONUS_S
             if cost_s < best_s:
@@ -122,7 +125,7 @@
             return []
         by_id = {endpoint.id: endpoint for endpoint in endpoints}
         return [
-            _Keeper(by_id[holder.endpoint], holder.age_s >= READ_S)
+            _Keeper(by_id[holder.endpoint], holder.has_read)
             for holder in self._places.holders(now, prompt.affinity)
             if holder.endpoint in by_id and not self._health.rests(now, holder.endpoint)
         ]
--- a/greengageflow/core/prompt_places.py
+++ b/greengageflow/core/prompt_places.py
@@ -8,6 +8,7 @@
 from greengageflow.core.endpoint_list import ListedEndpoint
 
 _KEPT = 20_000
+READ_S = 0.3
 
 
 def home_of(part: str, endpoints: Iterable[ListedEndpoint]) -> ListedEndpoint | None:
@@ -29,11 +30,20 @@
 
     Args:
         endpoint: Its id.
-        age_s: Seconds since then.
+        age_s: Seconds since it was sent the part last.
+        has_read: It has read the part, as far as is known.
     """
 
     endpoint: str
     age_s: float
+    has_read: bool
+
+
+@dataclass(slots=True)
+class _Place:
+    first: float
+    last: float
+    has_read: bool = False
 
 
 class PromptPlaces:
@@ -45,22 +55,37 @@
 
     def __init__(self, fresh_s: float = 10.0) -> None:
         self._fresh_s = fresh_s
-        self._seen: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self._seen: OrderedDict[str, dict[str, _Place]] = OrderedDict()
 
     def note(self, at: float, part: str, endpoint: str) -> None:
         """Note that a request with ``part`` was sent to an endpoint."""
         places = self._seen.setdefault(part, {})
-        places[endpoint] = max(at, places.get(endpoint, at))
+        place = places.get(endpoint)
+        if place is None or at - place.last > self._fresh_s:
+            places[endpoint] = _Place(at, at)
+        else:
+            place.last = max(at, place.last)
         self._seen.move_to_end(part)
         if len(self._seen) > _KEPT:
             self._seen.popitem(last=False)
 
+    def on_read(self, part: str, endpoint: str) -> None:
+        """Note that an endpoint has read a part that it was sent."""
+        place = self._seen.get(part, {}).get(endpoint)
+        if place is not None:
+            place.has_read = True
+
     def holders(self, now: float, part: str) -> list[Holder]:
         """Return the endpoints that were sent ``part`` lately, the last one first."""
         places = self._seen.get(part)
         if not places:
             return []
-        for endpoint in [e for e, at in places.items() if now - at > self._fresh_s]:
+        for endpoint in [e for e, p in places.items() if now - p.last > self._fresh_s]:
             del places[endpoint]
-        found = [Holder(name, now - at) for name, at in places.items()]
+        # Counted from the first request on: a part that is asked for all the time would
+        # otherwise seem unread for good, and be read again wherever it goes.
+        found = [
+            Holder(name, now - p.last, p.has_read or now - p.first >= READ_S)
+            for name, p in places.items()
+        ]
         return sorted(found, key=lambda holder: holder.age_s)
--- a/tests/test_service_core.py
+++ b/tests/test_service_core.py
@@ -381,3 +381,16 @@
     assert [frame.number for frame in found] == [12, None] and frames.torn
     with pytest.raises(FrameTooLarge):
         list(frames.feed(b"x" * FRAME_LIMIT))
+
+
+def test_a_part_that_is_asked_for_all_the_time_counts_as_read():
+    """Callers ask for a hot prompt part five times a second. Counted from the last of
+    them it would never seem read, and each other engine would read it again."""
+    places = PromptPlaces()
+    for step in range(6):
+        places.note(0.2 * step, "hot", "e0")
+    places.note(1.0, "hot", "e1")
+    found = {one.endpoint: one.has_read for one in places.holders(1.1, "hot")}
+    assert found == {"e0": True, "e1": False}
+    places.on_read("hot", "e1")
+    assert all(one.has_read for one in places.holders(1.1, "hot"))
