Soak: endpoints that lie about their health, go down and up, or drop idle connections

New steps, drawn by seeds from 500 on (the plans of seeds 0 to 499 are unchanged, by digest): mute (health good, work runs and is not answered, for all routers or one), false_ill (health bad, serves), abort (answers reset after the run, streams torn), drop_idle (idle connections are reset by what comes next), flap (link down and up by turns). mute, false_ill and drop_idle are noted as no trouble: their callers must get an answer in time all the same. No router asks for the health of endpoints today, so false_ill guards only what may come.

--- a/greengageflow/lab/_platform_batch.py
+++ b/greengageflow/lab/_platform_batch.py
@@ -14,6 +14,13 @@
     TOKEN_COUNT,
 )
 
+STAGE = {"stage": "prefill_decode"}
+NOTHING_MORE = (
+    STAGE
+    | {"busy": False}
+    | dict.fromkeys(("sequence", "handles", "pinned", "held", "next"), 0)
+)
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -78,6 +85,13 @@
             count += 1
         return count
 
+    def fetched(self, job: Job, found: Mapping[str, int]) -> Iterator[tuple[str, int]]:
+        """Yield the parts after the kept ones that another has, up to a gap."""
+        for name, _ in job.parts[self.kept(job) :]:
+            if name not in found:
+                return
+            yield name, found[name]
+
     def keep(self, model: str, parts: Iterator, used: int) -> None:
         """Keep parts beside ``used`` tokens of running requests."""
         for name, tokens in parts:
--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -36,8 +36,10 @@
         grey: Every that many-th run ends with a 500; 0 for none.
         spoil: Send bytes that are no answer.
         refuse: Refuse connections.
+        health: Status of the health check, whatever is true; 0: the true one.
         times: Requests to hit; negative for all.
         path: Only requests whose path begins so.
+        via: Only requests whose path has this in it.
     """
 
     lose: str = ""
@@ -50,12 +52,15 @@
     grey: int = 0
     spoil: bool = False
     refuse: bool = False
+    health: int = 0
     times: int = -1
     path: str = ""
+    via: str = ""
 
     def concern(self, call: Call) -> bool:
         """Whether a request is hit."""
-        return self.times != 0 and call.path.startswith(self.path)
+        here = call.path.startswith(self.path) and self.via in call.path
+        return self.times != 0 and here
 
     def used(self) -> "ReplicaFaults":
         """Return the faults after one request was hit."""
--- a/greengageflow/lab/_soak_callers.py
+++ b/greengageflow/lab/_soak_callers.py
@@ -109,7 +109,9 @@
         id, streams = f"{random.getrandbits(64):016x}", kind in STREAMS
         deadline_s = STREAM_DEADLINE_S if streams else DEADLINE_S
         body_sha256 = sha256(id.encode()).hexdigest()
-        asked = Asked(id, kind, router, key, f"/{kind}/{id}", deadline_s, body_sha256)
+        # The router's name, so that a replica's fault can hit its requests alone.
+        target = f"/{kind}/{router}/{id}"
+        asked = Asked(id, kind, router, key, target, deadline_s, body_sha256)
         asked.wanted = -(-tokens // STRIDE) if streams else 0
         return asked
 
--- a/greengageflow/lab/_soak_steps.py
+++ b/greengageflow/lab/_soak_steps.py
@@ -6,6 +6,7 @@
 from select import select
 from time import monotonic, sleep
 
+from greengageflow.lab._platform_faults import RESET
 from greengageflow.lab._processes import await_ready
 from greengageflow.lab._soak_fleet import SoakFleet
 from greengageflow.lab.soak_checks import GRACE_S, Breach
@@ -18,6 +19,7 @@
 SHOWN_WITHIN_S = 5.0
 START_WITHIN_S = 60.0
 END_SLACK_S = 4.0
+DROP_EVERY_S = 0.2
 RULES = {
     Do.CUT: "cut",
     Do.ONE_WAY: "freeze",
@@ -28,6 +30,12 @@
     Do.SILENCE: "half_open",
     Do.LOSS: "lose",
 }
+# What a replica does that says it is well, or, the second, that it is not.
+REPLICA_FAULTS = {
+    Do.MUTE: {"hang": True},
+    Do.FALSE_ILL: {"health": 503},
+    Do.ABORT: {"lose": RESET, "cut_after": 3},
+}
 
 
 class Conductor:
@@ -76,6 +84,12 @@
             case Do.CONFIGURE | Do.REVOKE:
                 yield from self._thawed()
                 self._fleet.publish_next(revoke=step.do is Do.REVOKE)
+            case Do.MUTE | Do.FALSE_ILL | Do.ABORT:
+                yield from self._mislead(step)
+            case Do.DROP_IDLE:
+                yield from self._drop_idle(step)
+            case Do.FLAP:
+                yield from self._flap(step)
             case _:
                 yield from self._harm_link(step)
 
@@ -90,6 +104,31 @@
         with self._fleet.trouble(step.target), self._fleet.rule(**rule):
             yield step.for_s
 
+    def _flap(self, step: Step) -> Iterator[float]:
+        until = monotonic() + step.for_s
+        with self._fleet.trouble(step.target):
+            while monotonic() < until:
+                with self._fleet.rule(do="cut", route=step.target):
+                    yield step.amount
+                yield step.amount
+
+    def _mislead(self, step: Step) -> Iterator[float]:
+        name = self._fleet.incarnation(step.target)
+        # Torn streams alone excuse anything: all else has to be answered in time.
+        torn = [step.target] if step.do is Do.ABORT else []
+        with self._fleet.trouble(*torn):
+            via = f"/{step.source}/" if step.source else ""
+            self._fleet.fault(name, **REPLICA_FAULTS[step.do], via=via)
+            yield step.for_s
+            self._fleet.fault(name)
+
+    def _drop_idle(self, step: Step) -> Iterator[float]:
+        # No trouble is noted: callers must not see it.
+        until, name = monotonic() + step.for_s, self._fleet.incarnation(step.target)
+        while monotonic() < until:
+            self._fleet.control(self._fleet.replicas[name], "POST", "/drop")
+            yield DROP_EVERY_S
+
     def _end_router(self, step: Step) -> Iterator[float]:
         name, planned = step.target, step.do is Do.TERMINATE
         process = self._fleet.routers[name]
--- a/greengageflow/lab/platform_http.py
+++ b/greengageflow/lab/platform_http.py
@@ -24,7 +24,10 @@
 
 @dataclass(slots=True, eq=False)
 class Wire:
-    """One connection; a ``mute`` one swallows what is sent on it."""
+    """One connection; a ``mute`` one swallows what is sent on it.
+
+    A ``dropped`` one is reset by what comes next on it.
+    """
 
     listener: "Listener"
     sock: socket
@@ -32,6 +35,7 @@
     http: h11.Connection = field(default_factory=lambda: h11.Connection(h11.SERVER))
     call: "Call | None" = None
     mute: bool = False
+    dropped: bool = False
     open: bool = True
 
     def send(self, data: bytes) -> None:
@@ -144,7 +148,10 @@
 
     @handler("read")
     def _on_read(self, sock: socket, data: bytes) -> None:
-        if wire := self.wires.get(sock):
+        wire = self.wires.get(sock)
+        if wire and wire.dropped:
+            wire.reset()
+        elif wire:
             wire.http.receive_data(data)
             self._advance(wire)
 
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -2,13 +2,12 @@
 
 import json
 from collections import deque
-from collections.abc import Iterator
 from itertools import count
 from time import monotonic
 
 import fire
 
-from greengageflow.lab._platform_batch import Batch, Job
+from greengageflow.lab._platform_batch import NOTHING_MORE, STAGE, Batch, Job
 from greengageflow.lab._platform_faults import (
     RUNNING,
     ReplicaFaults,
@@ -44,12 +43,6 @@
 )
 
 LONG_BODY = 65_536
-STAGE = {"stage": "prefill_decode"}
-NOTHING_MORE = (
-    STAGE
-    | {"busy": False}
-    | dict.fromkeys(("sequence", "handles", "pinned", "held", "next"), 0)
-)
 
 
 class PlatformReplica(HttpFake):
@@ -57,8 +50,9 @@
 
     Control calls: ``GET /runs`` (all requests that came, but probes), ``POST
     /fault`` (``ReplicaFaults``), ``PUT /state`` (``state``: ready, draining, or gone:
-    the entry is removed), ``POST /tear`` (streams, now), ``GET /conns`` (connections
-    taken so far).
+    the entry is removed), ``POST /tear`` (streams, now), ``POST /drop`` (idle
+    connections: what comes next on them is reset), ``GET /conns`` (connections taken so
+    far).
 
     Args:
         host: IP number to listen on.
@@ -178,7 +172,7 @@
             body = {"epoch": self._name, "next": 0, "held": held}
             self.finish(call, answer_bytes(200, body))
         elif call.path == self._health_path:
-            status = 200 if self._state == READY else 503
+            status = self._faults.health or (200 if self._state == READY else 503)
             self.finish(call, answer_bytes(status, b"", {REPLICA_ID: self._name}))
         else:
             self._request(call)
@@ -298,16 +292,10 @@
         if isinstance(answer, Response) and answer.status == 200:
             rows = answer.json()["held"]
             found = {name: n for _, name, n, model in rows if model == job.model}
-        parts = list(self._found(job, found))
+        parts = list(self._batch.cache.fetched(job, found))
         delay_s = sum(tokens for _, tokens in parts) * self._fetch_s
         self.timers.after(delay_s, lambda: self._generate(work, parts))
 
-    def _found(self, job: Job, found: dict[str, int]) -> Iterator[tuple[str, int]]:
-        for name, _ in job.parts[self._batch.cache.kept(job) :]:
-            if name not in found:
-                return
-            yield name, found[name]
-
     def _generate(self, work: Work, parts: list | None = None) -> None:
         if work.run.ended is not None:
             return
@@ -377,6 +365,9 @@
             case "POST", "/tear":
                 for work in [one for one in self._busy if one.head_sent]:
                     self._tear(work)
+            case "POST", "/drop":
+                for wire in self.data.wires.values():
+                    wire.dropped = wire.dropped or wire not in self._works
             case "PUT", "/state":
                 self._state = call.json["state"]
                 if self._state not in (READY, DRAINING):
--- a/greengageflow/lab/soak_plan.py
+++ b/greengageflow/lab/soak_plan.py
@@ -33,6 +33,11 @@
     REFUSE = "refuse"
     CONFIGURE = "configure"
     REVOKE = "revoke"
+    MUTE = "mute"
+    FALSE_ILL = "false_ill"
+    ABORT = "abort"
+    DROP_IDLE = "drop_idle"
+    FLAP = "flap"
 
 
 AT_ONCE = (Do.RESET, Do.SILENCE, Do.CONFIGURE, Do.REVOKE)
@@ -48,7 +53,13 @@
     (5, (Do.REFUSE, Do.FREEZE), ("store",)),
     (9, (Do.CONFIGURE, Do.REVOKE), ("operator",)),
 )
-WEIGHTS = tuple(weight for weight, _, _ in DRAWS)
+# Later kinds, drawn by later seeds alone: an old seed stands for its old plan.
+LATER_FROM = 500
+LATER = (
+    (20, (Do.MUTE, Do.FALSE_ILL, Do.ABORT), ("{p}",)),
+    (10, (Do.DROP_IDLE,), ("{p}",)),
+    (10, (Do.FLAP,), ("link:{p}",)),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,8 +73,8 @@
             ``front:r0``, ``gossip:r1``, ``link:app-1``).
         for_s: How long; a process that ended is started again afterwards.
         way: Direction that is cut, ``up`` to the target or ``down``.
-        amount: Seconds of delay, or share of datagrams that are lost.
-        source: Router whose datagrams are hit; empty for all.
+        amount: Seconds of delay or of each turn, or share of datagrams that are lost.
+        source: Router whose datagrams, or requests, are hit; empty for all.
     """
 
     at_s: float
@@ -77,13 +88,14 @@
 
 def draw_plan(seed: int, seconds: float) -> tuple[Step, ...]:
     """Return the steps of a seed, in order; they begin within ``seconds``."""
-    return tuple(_apart(_steps(Random(seed), seconds)))
+    draws = DRAWS if seed < LATER_FROM else (*DRAWS, *LATER)
+    return tuple(_apart(_steps(Random(seed), draws, seconds)))
 
 
-def _steps(random: Random, seconds: float) -> Iterator[Step]:
+def _steps(random: Random, draws: tuple, seconds: float) -> Iterator[Step]:
     at_s = QUIET_S
     while at_s < seconds:
-        yield _step(random, round(at_s, 2))
+        yield _step(random, draws, round(at_s, 2))
         at_s += random.expovariate(1 / BETWEEN_S)
 
 
@@ -97,8 +109,9 @@
             yield step
 
 
-def _step(random: Random, at_s: float) -> Step:
-    ((_, dos, targets),) = random.choices(DRAWS, WEIGHTS)
+def _step(random: Random, draws: tuple, at_s: float) -> Step:
+    weights = [weight for weight, _, _ in draws]
+    ((_, dos, targets),) = random.choices(draws, weights)
     do, router = random.choice(dos), random.choice(ROUTERS)
     target = random.choice(targets).format(r=router, p=random.choice(REPLICAS))
     # Long enough without the store for keys to run out.
@@ -114,6 +127,6 @@
         target,
         0.0 if do in AT_ONCE else length_s + REST_S * (do in LEAVING),
         way if do is Do.ONE_WAY else "",
-        amount if do in (Do.DELAY, Do.LOSS) else 0.0,
-        source if target.startswith("gossip") else "",
+        amount if do in (Do.DELAY, Do.LOSS, Do.FLAP) else 0.0,
+        source if target.startswith("gossip") or do is Do.MUTE else "",
     )
--- a/tests/test_platform_fakes.py
+++ b/tests/test_platform_fakes.py
@@ -209,6 +209,23 @@
     assert lab.runs("early")[0]["body_sha256"] == sha256(body).hexdigest()
 
 
+def test_replica_lies_about_its_health_and_drops_idle_connections(lab):
+    client = lab.direct("app-0")
+    assert client.ask("/health", method="GET").status == 200
+    lab.fault("app-0", health=503, hang=True, via="/r1/")
+    assert client.ask("/health", method="GET").status == 503
+    assert client.ask("/safe/r0/x").status == 200
+    held = lab.direct("app-0")
+    name = held.send("/safe/r1/x")
+    wait_for(lambda: lab.begun(name), "it runs and is not answered")
+    lab.control(lab.replicas["app-0"], "POST", "/drop")
+    name = client.send("/unsafe/r0/x")
+    with pytest.raises(Torn):
+        client.answer()
+    assert not lab.runs(name)
+    assert held.silent() and lab.direct("app-0").ask("/safe/r0/x").status == 200
+
+
 def test_engine_streams_resumes_and_tears(lab):
     headers = generation(20, ("aa", 500), ("bb", 300))
     client = lab.direct("scribe-0")
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -18,7 +18,7 @@
     Refused,
     Trouble,
 )
-from greengageflow.lab.soak_plan import draw_plan
+from greengageflow.lab.soak_plan import LATER, LATER_FROM, draw_plan
 from tests.soak_seeds import FAILED_SEEDS
 
 
@@ -169,6 +169,15 @@
     assert len(draw_plan(7, 60.0)) > 10
 
 
+def test_later_kinds_leave_the_plans_of_earlier_seeds_alone():
+    later = {do for _, dos, _ in LATER for do in dos}
+    before, after = (
+        {step.do for seed in seeds for step in draw_plan(seed, 60.0)}
+        for seeds in (range(LATER_FROM - 20, LATER_FROM), range(500, 520))
+    )
+    assert not before & later and later < after
+
+
 def test_tests_of_failed_seeds_exist():
     tests = "".join(path.read_text() for path in (ROOT / "tests").glob("test_*.py"))
     assert all(f"def {one.test}" in tests for one in FAILED_SEEDS if one.test)
