--- a/tests/soak_seeds.py
+++ b/tests/soak_seeds.py
@@ -40,8 +40,8 @@
         11,
         "As seed 1; besides, a request that the proxy took and reset, since the router "
         "had already ended as planned, counted as cut.",
-        "check: a connection opened after the SIGTERM, of which nothing reached a "
-        "replica, is not counted: the proxy or the kernel took it",
+        "check: a connection of which nothing reached a replica, opened as the router "
+        "ceased to listen, or later and noted by the proxy, is not counted",
     ),
     FailedSeed(
         201,
