--- a/greengageflow/lab/_platform_generations.py
+++ b/greengageflow/lab/_platform_generations.py
@@ -1,7 +1,6 @@
 """Generations of a fake model engine: fetched prompts, steps and their streams."""
 
 import json
-from collections.abc import Iterator
 from typing import Protocol
 
 from greengageflow.lab._platform_batch import Batch, Job
@@ -74,16 +73,10 @@
         if isinstance(answer, Response) and answer.status == 200:
             rows = answer.json()["held"]
             found = {name: n for _, name, n, model in rows if model == job.model}
-        parts = list(self._found(job, found))
+        parts = list(self._batch.cache.fetched(job, found))
         delay_s = sum(tokens for _, tokens in parts) * self._fetch_s
         self._timers.after(delay_s, lambda: self._generate(work, parts))
 
-    def _found(self, job: Job, found: dict[str, int]) -> Iterator[tuple[str, int]]:
-        for name, _ in job.parts[self._batch.cache.kept(job) :]:
-            if name not in found:
-                return
-            yield name, found[name]
-
     def _generate(self, work: Work, parts: list | None = None) -> None:
         if work.run.ended is not None:
             return
