Overload, recovery and log volume in docs/CAPACITY.md

Cause of plain-slow: up to 0.45 of the target is waited here and up to 1.76 runs in the endpoint's queue, which at 200 ms passes 800 ms.

--- a/greengageflow/lab/_capacity_gateway.py
+++ b/greengageflow/lab/_capacity_gateway.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from greengageflow.lab._capacity_gateway_text import HEAD, MISFITS, STORE, TABLE
+from greengageflow.lab._capacity_overload import overload_part
 from greengageflow.lab._processes import ROOT
 
 SAVED = ROOT / "docs" / "gateway-slopes.json"
@@ -26,6 +27,7 @@
     yield STORE
     yield from _store(rows)
     yield from _log(document["log"])
+    yield from overload_part()
     yield MISFITS
 
 
