--- /dev/null
+++ b/tests/test_gateway_bounds.py
@@ -0,0 +1,162 @@
+"""Gateways at the bounds of log, descriptors and connections, on real processes."""
+
+import json
+import os
+import re
+import sys
+from contextlib import closing
+from fcntl import F_SETPIPE_SZ, fcntl
+from subprocess import PIPE, Popen
+from tempfile import TemporaryFile
+
+from greengageflow.lab._processes import ROOT
+from tests.platform_lab import (
+    GATEWAY,
+    KEY,
+    SAFE,
+    PlatformLab,
+    PlatformShape,
+    configuration,
+    route,
+)
+from tests.support import Process, call, wait_for
+
+METRICS_PORT = 7302
+SMALL_PIPE = 4096
+FEW_FILES = 96
+LONG, LONG_MS = "/long/", 120_000
+LIMITED = (
+    "import resource, runpy, sys;"
+    "resource.setrlimit(resource.RLIMIT_NOFILE, ({0}, {0}));"
+    "sys.argv = sys.argv[1:]; runpy.run_module(sys.argv[0], run_name='__main__')"
+)
+DROPPED = re.compile(
+    r'^greengage_log_lines_dropped_total\{cause="buffer"\} (\S+)', re.M
+)
+
+
+class BoundLab(PlatformLab):
+    """A lab whose gateways may open few files and write to a pipe nobody reads."""
+
+    files = None
+    piped = False
+
+    def launch_router(self, name):
+        settings = self.settings[name]
+        settings["metrics"] = f"{settings['ip']}:{METRICS_PORT}"
+        if not (self.files or self.piped):
+            return super().launch_router(name)
+        path = os.path.join(self._dir.name, f"{name}.json")
+        with open(path, "w") as file:
+            json.dump(settings, file)
+        module = ["-m", GATEWAY]
+        if self.files:
+            module = ["-c", LIMITED.format(self.files), GATEWAY]
+        logs = TemporaryFile()  # noqa: SIM115 (lives as long as the process)
+        popen = Popen(
+            [sys.executable, *module, f"--settings={path}"],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            stdout=PIPE if self.piped else logs,
+            stderr=logs,
+        )
+        if self.piped:
+            fcntl(popen.stdout, F_SETPIPE_SZ, SMALL_PIPE)
+        self.routers[name] = Process(popen, {}, logs)
+        return self.routers[name]
+
+    def dropped(self):
+        """Return the lines dropped since the buffer was full."""
+        address = self.settings["r0"]["ip"], METRICS_PORT
+        found = DROPPED.search(call(address, "GET", "/metrics").data.decode())
+        return float(found[1]) if found else 0.0
+
+
+class PipedLab(BoundLab):
+    piped = True
+
+
+class FewFilesLab(BoundLab):
+    files = FEW_FILES
+
+
+def test_a_reader_of_the_log_that_has_stopped_delays_no_request():
+    """The collector behind a gateway's standard output stops reading. Pipe and buffer
+    fill and lines are dropped, which the metrics page counts; every request is served.
+    When the collector reads on it gets whole lines and how many are missing.
+    """
+    with PipedLab() as lab, closing(lab.client()) as client:
+
+        def asked_and_dropped():
+            assert client.ask(SAFE, key=KEY).status == 200
+            return lab.dropped()
+
+        wait_for(asked_and_dropped, "lines are dropped", 120.0)
+        assert all(client.ask(SAFE, key=KEY).status == 200 for _ in range(50))
+        lines = map(json.loads, lab.routers["r0"].popen.stdout)
+        report = next(line for line in lines if line["name"] == "LINES_DROPPED")
+        assert report["buffer"] > 0
+        assert client.ask(SAFE, key=KEY).status == 200
+
+
+def test_descriptors_run_out_and_come_back():
+    """Callers open more connections than the process may have files. The gateway can
+    neither accept more nor connect to endpoints for a while; callers whose connections
+    are open get an answer to each request, and all is well when the others have gone.
+    """
+    with FewFilesLab() as lab, closing(lab.client()) as client:
+        assert client.ask(SAFE, key=KEY).status == 200
+        idle = [lab.client() for _ in range(2 * FEW_FILES)]
+        own = f"/proc/{lab.routers['r0'].pid}/fd"
+        wait_for(lambda: len(os.listdir(own)) >= FEW_FILES, "all files are open")
+        statuses = {client.ask(SAFE, key=KEY).status for _ in range(20)}
+        assert statuses <= {200, 502, 503}
+        for one in idle:
+            one.close()
+        wait_for(lambda: lab.ask(SAFE).status == 200, "served again")
+        assert client.ask(SAFE, key=KEY).status == 200
+        assert lab.ready("r0") == 200
+
+
+def test_two_thousand_idle_connections_cost_nobody_an_answer():
+    """Callers keep 2,000 connections open and ask for nothing. Others are served, and
+    the idle ones still work afterwards."""
+    with BoundLab() as lab:
+        idle = [lab.client() for _ in range(2000)]
+        own = f"/proc/{lab.routers['r0'].pid}/fd"
+        wait_for(lambda: len(os.listdir(own)) > len(idle), "all are accepted")
+        assert {lab.ask(SAFE).status for _ in range(20)} == {200}
+        assert {one.ask(SAFE, key=KEY).status for one in idle[::100]} == {200}
+        for one in idle:
+            one.close()
+
+
+def test_slots_of_a_plain_service_come_back_when_their_host_is_lost():
+    """A gateway has taken up the whole of a plain endpoint, and another knows it and
+    refuses. The first one is killed: its requests end with its connections, and the
+    other serves with the endpoint again.
+    """
+    options = {"slots": 1, "queue": 4}
+    shape = PlatformShape(routers=2, plain=1, plain_options=options)
+    config = configuration(2)
+    long = route("long", LONG, "app", "idempotent", timeout_ms=LONG_MS)
+    config["routes"].append(long)
+    with PlatformLab(shape) as lab:
+        lab.publish(config)
+        for name in ("r0", "r1"):
+            wait_for(lambda n=name: lab.ask(LONG, n).status == 200, "in force")
+        before = len(lab.runs())
+        lab.fault("app-0", hang=True, times=3)
+        clients = [lab.client("r0") for _ in range(3)]
+        for client in clients:
+            client.send(LONG, key=KEY, deadline_ms=LONG_MS)
+        wait_for(lambda: len(lab.runs()) == before + 3, "the endpoint is full")
+
+        def status():
+            return lab.ask(LONG, "r1", deadline_ms=1500).status
+
+        wait_for(lambda: status() == 429, "the other one knows")
+        assert {status() for _ in range(3)} == {429}
+        lab.routers["r0"].kill()
+        wait_for(lambda: status() == 200, "served again")
+        assert not [run for run in lab.runs() if run["ended"] is None]
--- /dev/null
+++ b/tests/test_gateway_cuts.py
@@ -0,0 +1,132 @@
+"""Gateways whose words to each other or to the store are lost, on real processes."""
+
+import re
+from contextlib import contextmanager
+
+from tests.platform_lab import (
+    KEY,
+    SAFE,
+    PlatformLab,
+    PlatformShape,
+    configuration,
+    route,
+)
+from tests.support import Proxy, call, start, wait_for
+
+METRICS_PORT = 7302
+PEERS = re.compile(r"^greengage_peers_live (\d+)", re.M)
+ROUTERS = 3
+FIRST_ROUTER, FIRST_RELAY = 10, 50
+MARK = "/mark/"
+SPARE = "key-spare"
+
+
+class CutLab(PlatformLab):
+    """Gateways that reach the store and each other only by the fault proxy.
+
+    A gateway names its own address to others, so in all that reaches a gateway or the
+    store the addresses of all of them are replaced by those of their relays; a cut
+    would otherwise be passed by.
+    """
+
+    def __init__(self):
+        super().__init__(PlatformShape(routers=ROUTERS))
+        self._proxy_process = start("tests.fault_proxy", "127.0.0.1")
+        self.proxy = Proxy(self._proxy_process.address)
+        host = self.subnet.host
+        self.relays = {
+            host(FIRST_ROUTER + number): host(FIRST_RELAY + number)
+            for number in range(ROUTERS)
+        }
+
+    def close(self):
+        super().close()
+        self.proxy.close()
+        self._proxy_process.stop()
+
+    def launch_router(self, name):
+        settings = self.settings[name]
+        if "metrics" not in settings:
+            ip, _, port = settings["gossip"].partition(":")
+            settings["metrics"] = f"{ip}:{METRICS_PORT}"
+            listen = self.relays[ip], int(port)
+            target = ip, int(port)
+            self.proxy.datagrams(f"gossip:{name}", target, listen, self.relays)
+            store = self.proxy.route(
+                f"store:{name}", self.store.address, texts=self.relays
+            )
+            settings["store"] = "{}:{}".format(*store)
+            for ip, relay in self.relays.items():
+                settings["seeds"] = [
+                    seed.replace(ip + ":", relay + ":") for seed in settings["seeds"]
+                ]
+        return super().launch_router(name)
+
+    def peers(self, name):
+        address = self.settings[name]["ip"], METRICS_PORT
+        found = PEERS.search(call(address, "GET", "/metrics").data.decode())
+        return int(found[1])
+
+    def all_know(self, counts):
+        wait_for(
+            lambda: [self.peers(name) for name in self.settings] == counts,
+            f"gateways hear {counts} others",
+        )
+
+    @contextmanager
+    def rules(self, *rules):
+        self.proxy.rules(*rules)
+        yield
+        self.proxy.rules()
+
+
+def test_a_cut_in_one_direction_between_gateways():
+    """The first gateway, which reads the store for its zone, hears the second one but
+    is not heard by it. All go on serving, a new route and a key that was taken away
+    reach both sides, and the second one counts the first again after the cut.
+    """
+    with CutLab() as lab:
+        lab.all_know([2, 2, 2])
+        source = lab.settings["r0"]["ip"]
+        cut = {"do": "cut", "route": "gossip:r1", "source": source}
+        with lab.rules(cut):
+            lab.all_know([2, 1, 2])
+            for name in lab.settings:
+                assert lab.ask(SAFE, name).status == 200
+            config = configuration(7)
+            config["tenants"] = [{"name": "tenant-1", "api_keys": [SPARE]}]
+            mark = route("mark", MARK, "app", "idempotent")
+            lab.publish({**config, "routes": [*config["routes"], mark]})
+            for name in lab.settings:
+                asked = {"router": name, "key": SPARE}
+                wait_for(lambda a=asked: lab.ask(MARK, **a).status == 200, "in force")
+                assert lab.ask(SAFE, name, key=KEY).status in (401, 503)
+        lab.all_know([2, 2, 2])
+
+
+def test_a_gateway_cut_off_from_all_and_restarted_meanwhile():
+    """A gateway loses the store and its peers, and its process is killed and started
+    again before the cut ends. It knows no configuration then, says that it is not
+    ready and refuses with 503, by which callers may come back, and runs nothing. After
+    the cut it serves without help.
+    """
+    with CutLab() as lab:
+        lab.all_know([2, 2, 2])
+        own = lab.settings["r1"]["ip"]
+        cuts = [{"do": "cut", "route": "store:r1"}, {"do": "cut", "route": "gossip:r1"}]
+        cuts += [
+            {"do": "cut", "route": f"gossip:{name}", "source": own}
+            for name in ("r0", "r2")
+        ]
+        with lab.rules(*cuts):
+            lab.all_know([1, 0, 1])
+            lab.routers["r1"].kill()
+            lab.launch_router("r1")
+            wait_for(lambda: lab.ready("r1") == 503, "the new process answers")
+            refused = [lab.ask(SAFE, "r1") for _ in range(5)]
+            assert {answer.status for answer in refused} == {503}
+            assert not [run for one in refused for run in lab.runs(one.id)]
+            assert lab.ask(SAFE, "r0").status == 200
+        lab.wait_ready("r1")
+        assert lab.ask(SAFE, "r1").status == 200
+        lab.all_know([2, 2, 2])
