--- a/greengageflow/core/place_desk.py
+++ b/greengageflow/core/place_desk.py
@@ -164,7 +164,10 @@
                 yield from self._end(now, key)
 
     def _end(self, now: float, key: str) -> Iterator[Decision]:
-        placed = self._placed.pop(key)
+        # What is decided on the way may have refused it already.
+        placed = self._placed.pop(key, None)
+        if placed is None:
+            return
         endpoint = self._book.listed(placed.endpoint)
         if endpoint is not None:
             self._book.left(key, endpoint)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,11 +13,12 @@
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
 from greengageflow.core.fleet_sums import FleetTotals
 from greengageflow.core.forward_request import Prompt, PromptPart
-from greengageflow.core.place_desk import ask_for
+from greengageflow.core.place_desk import PlaceDesk, ask_for
 from greengageflow.core.place_messages import (
     PlaceAnswer,
     PlaceMessage,
     PlaceNote,
+    PlaceRoll,
     Verdict,
 )
 from greengageflow.core.placers import placer_of, placers_among
@@ -230,6 +231,23 @@
     assert waits not in host.started
 
 
+def test_a_roll_may_end_what_its_own_decisions_refuse():
+    """A host was cut off and has nothing any more. To end its first request lets the
+    queue be looked through, which refuses its second, long overdue; that was still on
+    the list of what to end, and the placer's handler failed there."""
+    fleet = Fleet()
+    desk = PlaceDesk("p", fleet.hosts[fleet.placer].book)
+    for number in range(SLOTS + 2):
+        waiter = Waiter(str(number), "a", 100.0, 0, 9.0, 10.0, 9.2)
+        job = Job(waiter, 1.0, PROMPT)
+        for decision in desk.ask(9.0, ask_for("h", 1, 9.0, "model", job, "a", ())):
+            desk.decided(9.0, decision)
+    roll = PlaceRoll(host="h", boot=1)
+    told = [desk.decided(10.0, decision) for decision in desk.roll(10.0, roll)]
+    assert {answer.verdict for _, answer in told} == {Verdict.REFUSE}
+    assert not len(desk)
+
+
 def test_a_host_that_does_not_place_says_so_at_once():
     fleet = Fleet()
     host, stranger = fleet.others
