--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -1,7 +1,7 @@
 """Which endpoint a request is sent to."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from greengageflow.core.endpoint_health import EndpointHealth
 from greengageflow.core.endpoint_list import ListedEndpoint
@@ -85,8 +85,9 @@
         awake = [e for e in may_run if not self._health.rests(now, e.id)]
         if prompt is None:
             return self._plain(awake or may_run, fill)
-        keepers = self._keepers(now, prompt, endpoints)
-        home = None if keepers else home_of(prompt.affinity, endpoints)
+        kept = self._kept(now, prompt, endpoints)
+        is_kept = 0 < prompt.shared_tokens == kept.most
+        home = None if is_kept else home_of(prompt.affinity, endpoints)
         best: Choice | None = None
         best_s = float("inf")
         for endpoint in awake:
@@ -94,12 +95,11 @@
             ahead_s = load.ahead_s
             if ahead_s > patience_s or not load.fits(prompt.tokens_in, fill):
                 continue
-            reading, source = _reading(endpoint, keepers, prompt, transfers)
+            reading, again, source = _reading(endpoint, kept, prompt, transfers)
             wait_s = ahead_s + reading / load.rate
             cost_s = self._cost_s(endpoint, load, wait_s)
-            if keepers and reading >= prompt.tokens_in:
-                # What others would have to wait for while it is read once more.
-                cost_s += AGAIN_PART * prompt.shared_tokens / load.rate
+            # What others would have to wait for while it is read once more.
+            cost_s += AGAIN_PART * again / load.rate
             if home is not None and endpoint.id == home.id:
                 cost_s -= HOME_BONUS_S
             if cost_s < best_s:
@@ -117,18 +117,27 @@
         """
         return [e for e in endpoints if self._loads(e).has_slot(PLAIN_QUEUE)]
 
-    def _keepers(
+    def _kept(
         self, now: float, prompt: Prompt, endpoints: Sequence[ListedEndpoint]
-    ) -> list["_Keeper"]:
-        """Return the endpoints that keep the prompt's shared parts, newest first."""
+    ) -> "_Kept":
+        kept = _Kept()
         if not prompt.shared_tokens:
-            return []
-        by_id = {endpoint.id: endpoint for endpoint in endpoints}
-        return [
-            _Keeper(by_id[holder.endpoint], holder.has_read)
-            for holder in self._places.holders(now, prompt.affinity)
-            if holder.endpoint in by_id and not self._health.rests(now, holder.endpoint)
-        ]
+            return kept
+        by_id = {
+            endpoint.id: endpoint
+            for endpoint in endpoints
+            if not self._health.rests(now, endpoint.id)
+        }
+        depth = 0
+        for part in prompt.parts[:-1]:
+            depth += part.tokens
+            for holder in self._places.holders(now, part.id):
+                if holder.endpoint not in by_id:
+                    continue
+                kept.tokens[holder.endpoint] = kept.most = depth
+                if holder.has_read and depth > kept.source_tokens:
+                    kept.source, kept.source_tokens = by_id[holder.endpoint], depth
+        return kept
 
     def _plain(self, endpoints: Sequence[ListedEndpoint], fill: float) -> Choice | None:
         """Return the least loaded endpoint of a plain service."""
@@ -155,28 +164,33 @@
         return cost_s + (AWAY_PENALTY_S if endpoint.zone != self._zone else 0.0)
 
 
-@dataclass(frozen=True, slots=True)
-class _Keeper:
-    endpoint: ListedEndpoint
-    has_read: bool
-
+@dataclass(slots=True)
+class _Kept:
+    """What engines keep of a prompt's shared parts.
 
-def _reading(
-    endpoint: ListedEndpoint,
-    keepers: Sequence[_Keeper],
-    prompt: Prompt,
-    transfers: bool,
-) -> tuple[float, ListedEndpoint | None]:
-    """Return the tokens that an endpoint has to read, and where it fetches others.
-
-    An engine that was sent the parts just now has them as soon as its turn comes, but
+    An engine that was sent parts just now has them as soon as its turn comes, but
     nobody can fetch them from it yet.
+
+    Args:
+        tokens: Tokens from the prompt's begin that an engine keeps, by its id.
+        most: The most that one keeps.
+        source: The engine that has read most of them, the last one used, or None.
+        source_tokens: How many it has read.
     """
-    own = float(prompt.tokens_in - prompt.shared_tokens)
-    shared = float(prompt.shared_tokens)
-    if any(keeper.endpoint.id == endpoint.id for keeper in keepers):
-        return own, None
-    source = next((k.endpoint for k in keepers if k.has_read), None)
-    if transfers and source is not None:
-        return own + FETCH_PART * shared, source
-    return own + shared, None
+
+    tokens: dict[str, int] = field(default_factory=dict)
+    most: int = 0
+    source: ListedEndpoint | None = None
+    source_tokens: int = 0
+
+
+def _reading(
+    endpoint: ListedEndpoint, kept: _Kept, prompt: Prompt, transfers: bool
+) -> tuple[float, float, ListedEndpoint | None]:
+    """Return tokens to read, those of them that another engine has, and the source."""
+    here = kept.tokens.get(endpoint.id, 0)
+    if transfers and kept.source_tokens > here:
+        fetched = kept.source_tokens - here
+        reading = prompt.tokens_in - kept.source_tokens + FETCH_PART * fetched
+        return reading, kept.most - kept.source_tokens, kept.source
+    return float(prompt.tokens_in - here), max(0, kept.most - here), None
--- a/greengageflow/core/place_desk.py
+++ b/greengageflow/core/place_desk.py
@@ -179,9 +179,9 @@
 
 
 def _prompt(ask: PlaceAsk) -> Prompt:
-    own = max(0, ask.tokens_in - ask.shared)
-    parts = (PromptPart(ask.affinity, ask.shared), PromptPart("", own))
-    return Prompt(parts, ask.tokens_in, ask.tokens_out)
+    shared = [PromptPart(name, tokens) for name, tokens in ask.parts]
+    own = max(0, ask.tokens_in - sum(part.tokens for part in shared))
+    return Prompt((*shared, PromptPart("", own)), ask.tokens_in, ask.tokens_out)
 
 
 def ask_for(
@@ -206,8 +206,7 @@
         left_s=waiter.target_at - now,
         patience_s=max(0.0, waiter.give_up_at - now),
         target_s=job.target_s,
-        affinity=prompt.affinity,
-        shared=prompt.shared_tokens,
+        parts=tuple((part.id, part.tokens) for part in prompt.parts[:-1]),
         tokens_in=prompt.tokens_in,
         tokens_out=prompt.tokens_out,
         avoid=avoid,
--- a/greengageflow/core/place_messages.py
+++ b/greengageflow/core/place_messages.py
@@ -41,8 +41,7 @@
         left_s: Seconds until its answer is late, negative when it is.
         patience_s: Seconds until it is given up.
         target_s: Time from its arrival within which it is worth most, in seconds.
-        affinity: Id of its deepest shared prompt part.
-        shared: Prompt tokens that others may share.
+        parts: Ids and tokens of the prompt parts that others may share, in order.
         tokens_in: All prompt tokens.
         tokens_out: Most tokens to generate.
         avoid: Endpoints that do not answer this host.
@@ -58,8 +57,7 @@
     left_s: float
     patience_s: float
     target_s: float
-    affinity: str
-    shared: int
+    parts: tuple[tuple[str, int], ...]
     tokens_in: int
     tokens_out: int
     avoid: tuple[str, ...] = ()
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -59,7 +59,7 @@
         self._served: DecayedSums[AccountKey] = DecayedSums(FADE_S)
         self._offered: DecayedSums[AccountKey] = DecayedSums(FADE_S)
         self._placed: deque[tuple[float, str, str]] = deque()
-        self._parts: dict[str, str] = {}
+        self._parts: dict[str, tuple[str, ...]] = {}
         self._totals = FleetTotals()
         self._now = 0.0
         self._owned: frozenset[str] | None = None
@@ -256,15 +256,18 @@
         memory = prompt.tokens_in + prompt.tokens_out if prompt else 0
         self._load(endpoint).begin(now, request, choice.reading, memory)
         if prompt is not None:
-            self._places.note(now, prompt.affinity, endpoint.id)
-            self._parts[request] = prompt.affinity
+            shared = tuple(part.id for part in prompt.parts[:-1])
+            for part in shared:
+                self._places.note(now, part, endpoint.id)
+            self._parts[request] = shared
             if prompt.shared_tokens >= TOLD_TOKENS:
                 self._placed.append((now, prompt.affinity, endpoint.id))
 
     def first_event(self, now: float, request: str, endpoint: ListedEndpoint) -> None:
         """Note the first event of a request's answer."""
         self._load(endpoint).first_event(now, request)
-        self._places.on_read(self._parts.pop(request, ""), endpoint.id)
+        for part in self._parts.pop(request, ()):
+            self._places.on_read(part, endpoint.id)
         self._health.on_answer(endpoint.id, True)
 
     def left(self, request: str, endpoint: ListedEndpoint) -> None:
--- a/greengageflow/net/place_codec.py
+++ b/greengageflow/net/place_codec.py
@@ -36,8 +36,7 @@
                 round(message.left_s, 4),
                 round(message.patience_s, 4),
                 message.target_s,
-                message.affinity,
-                message.shared,
+                message.parts,
                 message.tokens_in,
                 message.tokens_out,
                 message.avoid,
@@ -70,8 +69,7 @@
 def ask_of(values: list[Any]) -> PlaceAsk:
     """Return an ask; raises ValueError, TypeError for what is none."""
     host, boot, request, service, account, priority, *rest = values
-    waited_s, left_s, patience_s, target_s, affinity, *tokens, avoid = rest
-    shared, tokens_in, tokens_out = (_count(value) for value in tokens)
+    waited_s, left_s, patience_s, target_s, parts, tokens_in, tokens_out, avoid = rest
     return PlaceAsk(
         host=str(host),
         boot=int(boot),
@@ -83,10 +81,9 @@
         left_s=_finite(left_s),
         patience_s=_amount(patience_s),
         target_s=_amount(target_s),
-        affinity=str(affinity),
-        shared=min(shared, tokens_in),
-        tokens_in=tokens_in,
-        tokens_out=tokens_out,
+        parts=tuple((str(name), _count(tokens)) for name, tokens in parts),
+        tokens_in=_count(tokens_in),
+        tokens_out=_count(tokens_out),
         avoid=tuple(str(name) for name in avoid),
     )
 
--- a/tests/test_service_core.py
+++ b/tests/test_service_core.py
@@ -394,3 +394,20 @@
     assert found == {"e0": True, "e1": False}
     places.on_read("hot", "e1")
     assert all(one.has_read for one in places.holders(1.1, "hot"))
+
+
+def test_a_new_thing_is_fetched_as_far_as_another_engine_has_read_it(engines):
+    """Prompts begin with a part that all of a kind share. The first request for a
+    thing found no engine that has the thing's part, and read the common one again."""
+    parts = PromptPart("common", 3000), PromptPart("thing", 800), PromptPart("own", 100)
+    prompt = Prompt(parts, 3900, 10)
+    engines.places.note(0.0, "common", "e1")
+    engines.loads["e1"].others = LoadShare(1, 90_000.0, 0.0)
+    choice = engines.choose(prompt)
+    assert choice.endpoint.id != "e1" and choice.fetch_from.id == "e1"
+    assert choice.reading < 3900 - 3000 / 2
+    engines.loads["e1"].others = LoadShare()
+    assert (engines.choose(prompt).endpoint.id, engines.choose(prompt).reading) == (
+        "e1",
+        900,
+    )
