Relays tell what changed in their sums, and a whole one each second

A sum of the fleet named all endpoints, accounts and places of prompt parts each 0.1 s: 1.2 MB/s out of a relay of 69 and 54 KB/s into each member. Now core/sum_changes.py tells what changed since the fifth message before (four lost in a row are made good by the next), keys as numbers of a table that grows, work of accounts each 0.25 s with the sequences that are counted in it (a router takes off its own part of loads and of work as they were counted), places of parts in two messages instead of each for 0.3 s. Who missed more asks (SumWanted) and all get a whole one at the next turn.

Tried: keys as places in the last whole sum, changes since the third message. Tried: pairs of prompt parts with names in five messages: 1022 KB/s out. The machine in test_sum_changes.py (lost, doubled, reordered) found that an endpoint that goes was told as 0.0, which receivers refuse. Tests changed: test_fleet_exchange takes SumBook from its new module, put() gives Taken instead of a bool, asserted as strictly; the drawn messages have the two new kinds.

--- a/greengageflow/core/fleet_sums.py
+++ b/greengageflow/core/fleet_sums.py
@@ -45,10 +45,12 @@
         host: The relay.
         boot: Start of its process.
         number: Count of its sums.
+        base: Number of the sum with which its tables began, see ``sum_changes``.
         zone: Its availability zone.
         whole: It is the sum of all zones.
         totals: The sums.
         counted: Sequence of the newest message that is counted, by host of the zone.
+        work_counted: The same when the work was told; not sent, see ``sum_changes``.
         version: Newest configuration that a counted router knows.
         list_mark: Offset of the last change of the list that one knows.
         heard_s: Seconds since that configuration was known to be the newest.
@@ -63,6 +65,8 @@
     whole: bool
     totals: FleetTotals
     counted: Mapping[str, int] = field(default_factory=dict)
+    work_counted: Mapping[str, int] = field(default_factory=dict)
+    base: int = 0
     version: int = 0
     list_mark: int = 0
     heard_s: float = float("inf")
@@ -153,40 +157,3 @@
             if told <= sequence:
                 return totals
         return FleetTotals()
-
-
-class SumBook:
-    """The newest sum of each relay."""
-
-    def __init__(self) -> None:
-        self._heard: dict[tuple[str, bool], tuple[SumReport, float]] = {}
-
-    def put(self, now: float, report: SumReport) -> bool:
-        """Take a sum; False when it is old."""
-        key = (report.host, report.whole)
-        known = self._heard.get(key)
-        if known is not None:
-            before = (known[0].boot, known[0].number)
-            if (report.boot, report.number) <= before:
-                return False
-        self._heard[key] = (report, now)
-        return True
-
-    def zones(self, now: float, own: str) -> list[tuple[SumReport, float]]:
-        """Return the newest sum of each other zone, with the time that it came."""
-        newest: dict[str, tuple[SumReport, float]] = {}
-        for report, at in self._live(now, whole=False):
-            known = newest.get(report.zone)
-            if report.zone != own and (known is None or at > known[1]):
-                newest[report.zone] = (report, at)
-        return list(newest.values())
-
-    def whole(self, now: float) -> tuple[SumReport, float] | None:
-        """Return the newest sum of the fleet, or None when none came lately."""
-        return max(self._live(now, whole=True), key=lambda row: row[1], default=None)
-
-    def _live(self, now: float, *, whole: bool) -> list[tuple[SumReport, float]]:
-        for key, (_, at) in list(self._heard.items()):
-            if now - at > QUIET_S:
-                del self._heard[key]
-        return [row for key, row in self._heard.items() if key[1] is whole]
--- a/greengageflow/core/relay_sums.py
+++ b/greengageflow/core/relay_sums.py
@@ -7,7 +7,6 @@
 from greengageflow.core.fleet_sums import (
     FleetTotals,
     OwnHistory,
-    SumBook,
     SumReport,
     merge,
     without,
@@ -15,6 +14,8 @@
 from greengageflow.core.peer_report import HeardReport, PeerBook, PeerReport
 from greengageflow.core.router_table import Hello, RouterTable
 from greengageflow.core.store_duty import StoreWord, best_word
+from greengageflow.core.sum_book import SumBook
+from greengageflow.core.sum_changes import SumChanges, SumTeller
 
 STEP_IN_S = 0.5
 SAME_S = 0.02
@@ -54,6 +55,7 @@
         self._table = table
         self._book = book
         self._fade_s = fade_s
+        self._tellers = {whole: SumTeller() for whole in (False, True)}
         self._zone_sum: _ZoneSum | None = None
 
     def others(self, now: float, quiet_s: float) -> FleetTotals:
@@ -64,8 +66,11 @@
             parts = [self._members_sum(now), *(report.totals for report, _ in zones)]
             return merge(parts)
         report, _ = whole
-        counted = report.counted.get(self._own.host, 0)
-        return without(report.totals, self.history.at(counted))
+        host = self._own.host
+        own = self.history.at(report.counted.get(host, 0))
+        work = self.history.at(report.work_counted.get(host, 0))
+        own = replace(own, served=work.served, offered=work.offered)
+        return without(report.totals, own)
 
     def is_relay(self, now: float, quiet_s: float) -> bool:
         """Return whether this router tells its zone the sums now.
@@ -82,16 +87,28 @@
         is_missed = whole is None or now - whole[1] > STEP_IN_S
         return names[0] == self._own.host or is_missed
 
-    def add(
+    def want_whole(self, now: float, whole: bool) -> bool:
+        """Return whether sums are due at once, since a router missed some."""
+        return self._tellers[whole].want_whole(now)
+
+    def tell(
         self, now: float, own: PeerReport, number: int
-    ) -> tuple[SumReport, SumReport]:
-        """Return the sum of this zone, and that of the whole fleet.
+    ) -> tuple[SumReport | SumChanges, SumReport | SumChanges]:
+        """Return what to tell other zones, and what to tell this one.
 
         Args:
             now: The time.
             own: The present report of this router.
             number: Count of its sums.
         """
+        zone, whole = self._add(now, own, number)
+        return self._tellers[False].tell(now, zone), self._tellers[True].tell(
+            now, whole
+        )
+
+    def _add(
+        self, now: float, own: PeerReport, number: int
+    ) -> tuple[SumReport, SumReport]:
         members = [*self._members(now), HeardReport(own, now)]
         mine = FleetTotals(own.served, own.offered, own.loads, 1)
         totals = merge([self._members_sum(now), mine])
--- a/greengageflow/core/router_table.py
+++ b/greengageflow/core/router_table.py
@@ -86,6 +86,11 @@
             if known is None or _place(known) != _place(hello):
                 self._living = None
 
+    def addresses(self, host: str) -> list[Address]:
+        """Return the address of a router, if it was heard."""
+        known = self._rows.get(host)
+        return [] if known is None else [known[0].address]
+
     def live(self, now: float, quiet_s: float) -> list[Hello]:
         """Return the other routers that were heard in the last ``quiet_s`` seconds."""
         rows = self._alive(now, quiet_s).rows
--- /dev/null
+++ b/greengageflow/core/sum_book.py
@@ -0,0 +1,63 @@
+"""The newest sum of each relay."""
+
+from enum import Enum
+
+from greengageflow.core.fleet_sums import QUIET_S, SumReport
+from greengageflow.core.sum_changes import SumChanges, SumHeard
+
+
+class Taken(Enum):
+    """What became of a message."""
+
+    NEW = "new"
+    OLD = "old"
+    MISSED = "missed"
+    """Others before it were missed: a whole sum is needed."""
+
+
+class SumBook:
+    """The newest sum of each relay."""
+
+    def __init__(self) -> None:
+        self._heard: dict[tuple[str, bool], SumHeard] = {}
+
+    def put(self, now: float, message: SumReport | SumChanges) -> Taken:
+        """Take a sum, or what changed in one."""
+        key = (message.host, message.whole)
+        known = self._heard.get(key)
+        if known is not None and known.is_old(message.boot, message.number):
+            return Taken.OLD
+        match message:
+            case SumReport():
+                self._heard[key] = SumHeard(now, message)
+            case SumChanges() if known is None or known.lacks(message):
+                return Taken.MISSED
+            case SumChanges():
+                try:
+                    known.apply(now, message)
+                except LookupError:
+                    return Taken.MISSED
+        return Taken.NEW
+
+    def placed(self, host: str, whole: bool) -> tuple[tuple[str, str], ...]:
+        """Return the prompt parts and endpoints in the newest sum of a relay."""
+        return self._heard[host, whole].report.placed
+
+    def zones(self, now: float, own: str) -> list[tuple[SumReport, float]]:
+        """Return the newest sum of each other zone, with the time that it came."""
+        newest: dict[str, tuple[SumReport, float]] = {}
+        for report, at in self._live(now, whole=False):
+            known = newest.get(report.zone)
+            if report.zone != own and (known is None or at > known[1]):
+                newest[report.zone] = (report, at)
+        return list(newest.values())
+
+    def whole(self, now: float) -> tuple[SumReport, float] | None:
+        """Return the newest sum of the fleet, or None when none came lately."""
+        return max(self._live(now, whole=True), key=lambda row: row[1], default=None)
+
+    def _live(self, now: float, *, whole: bool) -> list[tuple[SumReport, float]]:
+        for key, heard in list(self._heard.items()):
+            if now - heard.at > QUIET_S:
+                del self._heard[key]
+        return [(h.report, h.at) for key, h in self._heard.items() if key[1] is whole]
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -17,6 +17,8 @@
 from greengageflow.core.relay_sums import RelaySums, word_of
 from greengageflow.core.router_table import Hello, RouterTable
 from greengageflow.core.store_duty import StoreWord
+from greengageflow.core.sum_book import Taken
+from greengageflow.core.sum_changes import SumChanges, SumWanted
 from greengageflow.net.gossip_link import GossipLink
 from greengageflow.net.report_codec import ReportError, decode, encode
 from greengageflow.net.timers import Timers
@@ -92,6 +94,7 @@
         self._told: Mapping[str, LoadShare] = {}
         self._changed = False
         self._news = False
+        self._wanted = False
         self._turns = 0
         self._random = Random(own.host)
         self._ring = HelloRing(self._random)
@@ -164,11 +167,12 @@
                 self._on_hello(now, _hello(message))
             case LoadNotice() if self._book.add(message):
                 self._changed = True
-            case SumReport() if self._relayed.sums.put(now, message):
-                # Hellos of a few a round miss a router now and then; whoever forgot
-                # the first relay so would tell others, and its sums would lack them.
-                self._table.touch(now, message.host, message.boot)
-                self._changed = True
+            case SumReport() | SumChanges():
+                self._on_sum(now, message)
+                return
+            case SumWanted():
+                self._wanted |= self._relayed.want_whole(now, message.whole)
+                return
             case Hello():
                 self._on_hello(now, message)
                 return
@@ -176,6 +180,19 @@
                 return
         self._listener.on_placed(message.placed)
 
+    def _on_sum(self, now: float, message: SumReport | SumChanges) -> None:
+        # Hellos of a few a round miss a router now and then; whoever forgot
+        # the first relay so would tell others, and its sums would lack them.
+        self._table.touch(now, message.host, message.boot)
+        sums = self._relayed.sums
+        match sums.put(now, message):
+            case Taken.NEW:
+                self._changed = True
+                self._listener.on_placed(sums.placed(message.host, message.whole))
+            case Taken.MISSED:
+                data = encode(SumWanted(whole=message.whole))
+                self._send(data, self._table.addresses(message.host))
+
     def _on_hello(self, now: float, hello: Hello) -> None:
         if hello.host == self._own.host:
             return
@@ -198,9 +215,13 @@
             self._on_changed()
             self._notice(self._everybody())
         elif self._turns % relay_turns(len(self._addresses)) == 0:
+            self._wanted = False
             self._relay()
             self._on_changed()
             self._notice(self._own_relays())
+        elif self._wanted:
+            self._wanted = False
+            self._relay()
 
     def _on_changed(self) -> None:
         if self._changed:
@@ -307,9 +328,9 @@
         if not self._relayed.is_relay(now, quiet_s):
             return
         own = self._listener.report(self._number, self._sequence)
-        zone, whole = self._relayed.add(now, own, self._turns)
+        zone, whole = self._relayed.tell(now, own, self._turns)
         relays = self._table.relays(now, quiet_s).items()
-        others = {r.address for z, rows in relays if z != zone.zone for r in rows}
+        others = {r.address for z, rows in relays if z != self._own.zone for r in rows}
         self._send(encode(zone), others)
         rows = self._table.members(now, quiet_s)
         to = {row.address for row in rows} - {self._own.address}
--- a/greengageflow/lab/_gateway_world.py
+++ b/greengageflow/lab/_gateway_world.py
@@ -22,7 +22,7 @@
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.net.gossip_link import LARGEST
 from greengageflow.net.http_messages import HttpRequest, Response
-from greengageflow.net.report_codec import SUM, encode
+from greengageflow.net.report_codec import CHANGES, SUM, WANTED, encode
 
 FADE_S = 4.0
 TICK_S = 0.05
@@ -35,6 +35,7 @@
 SERVICES = 6
 SHARED_PARTS = 2000
 HOLDERS = 4
+SUMS = (SUM, CHANGES, WANTED)
 NEWEST = Response(200, (), b'{"items": [], "end": 0}')
 NOTHING_NEW = Response(200, (), bytes(16))
 
@@ -76,7 +77,7 @@
         largest: Bytes of the largest one that was to be sent.
         dropped: Datagrams that were too large.
         calls: Calls of the store.
-        sums: Bytes of the newest sum by kind (zone False, whole True).
+        sums: Bytes of the largest sum by kind (zone False, whole True).
     """
 
     cpu: float = 0.0
@@ -203,9 +204,10 @@
         spent.largest = max(spent.largest, len(data))
         kind = data[1] if data[0] & 0xF0 == 0x90 else data[3]
         node = self.world.nodes.get(address)
-        if kind == SUM and node is not None:
+        if kind in SUMS and node is not None:
             # Within a zone goes the sum of the fleet, between zones that of one.
-            spent.sums[node.own.zone == self.own.zone] = len(data)
+            same = node.own.zone == self.own.zone
+            spent.sums[same] = max(spent.sums.get(same, 0), len(data))
         if len(data) > LARGEST:
             spent.dropped += 1
             return
@@ -218,7 +220,7 @@
         """Take a datagram."""
         self.spent.taken += 1
         self.spent.bytes_taken += len(data)
-        if self.whole or kind != SUM:
+        if self.whole or kind not in SUMS:
             self.timed(self.exchange.receive, data)
 
     # The store.
--- a/greengageflow/net/_columns.py
+++ b/greengageflow/net/_columns.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Iterable, Mapping, Sequence
-from itertools import repeat
+from itertools import groupby, repeat
+from operator import itemgetter
 from socket import inet_aton, inet_ntoa
 from struct import Struct
 from typing import Any
@@ -21,18 +22,27 @@
 _ADDRESS = Struct("!4sH")
 
 
-def work_columns(served: AccountSums, offered: AccountSums) -> dict[str, list[Any]]:
-    """Return accounts, work begun and work asked for as columns, by service."""
-    services: dict[str, list[Any]] = {}
-    for key in served.keys() | offered.keys():
-        accounts, begun, asked = services.setdefault(key[0], [[], [], []])
-        accounts.append(key[1])
-        begun.append(int(served.get(key, _NONE)))
-        asked.append(int(offered.get(key, _NONE)))
-    return services
+def work_columns(
+    served: AccountSums, offered: AccountSums, *, ordered: bool = False
+) -> list[tuple[Any, ...]]:
+    """Return service, accounts, work begun and work asked for, as columns.
+
+    Args:
+        served: Work begun.
+        offered: Work asked for.
+        ordered: Put all accounts of a service together; else keys keep their order.
+    """
+    keys = dict.fromkeys([*served, *offered])
+    rows = []
+    for service, group in groupby(sorted(keys) if ordered else keys, itemgetter(0)):
+        found = list(group)
+        begun = [int(served.get(key, _NONE)) for key in found]
+        asked = [int(offered.get(key, _NONE)) for key in found]
+        rows.append((service, [account for _, account in found], begun, asked))
+    return rows
 
 
-def read_work(services: Mapping[Any, Any]) -> tuple[AccountSums, AccountSums]:
+def read_work(rows: Iterable[Any]) -> tuple[AccountSums, AccountSums]:
     """Return work begun and work asked for by service and account.
 
     Raises:
@@ -40,16 +50,17 @@
     """
     served: dict[tuple[str, str], float] = {}
     offered: dict[tuple[str, str], float] = {}
-    for service, (accounts, begun, asked) in services.items():
+    for service, accounts, begun, asked in rows:
         check_names((service, *accounts))
+        if not len(accounts) == len(begun) == len(asked):
+            raise ValueError("columns of several lengths")
+        keys = list(zip(repeat(service), accounts))
         for sums, column in ((served, begun), (offered, asked)):
             check_amounts(column, least=_NONE)
-            rows = zip(zip(repeat(service), accounts), column, strict=False)
+            cells = zip(keys, column, strict=True)
             if _NONE in column:
-                rows = (row for row in rows if row[1] != _NONE)
-            sums.update(rows)
-        if not len(accounts) == len(begun) == len(asked):
-            raise ValueError("columns of several lengths")
+                cells = (cell for cell in cells if cell[1] != _NONE)
+            sums.update(cells)
     return served, offered
 
 
@@ -80,8 +91,30 @@
     return dict(zip(names, shares, strict=True))
 
 
-def pair_columns(pairs: Pairs) -> list[list[str]]:
-    """Return pairs of names as two columns."""
+def change_columns(
+    rows: Mapping[int, tuple[int, ...]], width: int
+) -> tuple[list[int], ...]:
+    """Return places, and the values there as ``width`` columns."""
+    columns = zip(*rows.values(), strict=True) if rows else repeat((), width)
+    return (list(rows), *map(list, columns))
+
+
+def read_changes(columns: Sequence[Any], width: int) -> dict[int, tuple[int, ...]]:
+    """Return rows of ``width`` counts by place.
+
+    Raises:
+        ValueError: They are no such columns.
+    """
+    if len(columns) != width + 1:
+        raise ValueError("no changes")
+    for column in columns:
+        check_amounts(column)
+    places, *values = columns
+    return dict(zip(places, zip(*values, strict=True), strict=True))
+
+
+def pair_columns(pairs: Iterable[tuple[str, Any]]) -> list[list[Any]]:
+    """Return pairs as two columns."""
     return [[part for part, _ in pairs], [endpoint for _, endpoint in pairs]]
 
 
@@ -97,6 +130,18 @@
     return tuple(zip(parts, endpoints, strict=True))
 
 
+def read_places(columns: Sequence[Any]) -> tuple[tuple[str, int], ...]:
+    """Return pairs of a name and a place.
+
+    Raises:
+        ValueError: They are no such columns.
+    """
+    parts, places = columns
+    check_names(parts)
+    check_amounts(places)
+    return tuple(zip(parts, places, strict=True))
+
+
 def pack_addresses(addresses: Iterable[Address]) -> bytes:
     """Return IP numbers and ports, six bytes each."""
     return b"".join(_ADDRESS.pack(inet_aton(ip), port) for ip, port in addresses)
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -1,31 +1,37 @@
 """Messages between routers as bytes (msgpack)."""
 
+from collections.abc import Mapping
 from typing import Any
 
 from msgpack import packb, unpackb
 
-from greengageflow.core.fleet_sums import FleetTotals, SumReport
+from greengageflow.core.endpoint_load import LoadShare
+from greengageflow.core.fleet_sums import AccountKey, FleetTotals, SumReport
 from greengageflow.core.peer_report import LoadNotice, PeerReport
 from greengageflow.core.router_table import Hello
+from greengageflow.core.sum_changes import Changes, SumChanges, SumWanted, Work
 from greengageflow.net._columns import (
+    change_columns,
     check_amounts,
     check_names,
     load_columns,
     pack_addresses,
     pair_columns,
     read_addresses,
+    read_changes,
     read_loads,
     read_pairs,
+    read_places,
     read_work,
     work_columns,
 )
 
-REPORT, NOTICE, HELLO, SUM = 21, 22, 23, 24
+REPORT, NOTICE, HELLO, SUM, CHANGES, WANTED = 21, 22, 23, 24, 25, 26
 """First value of a message: its kind and the format that it is written in."""
 
 _NEVER = -1.0
 
-Message = PeerReport | LoadNotice | Hello | SumReport
+Message = PeerReport | LoadNotice | Hello | SumReport | SumChanges | SumWanted
 
 
 class ReportError(ValueError):
@@ -43,6 +49,10 @@
             return packb((HELLO, *_hello_values(message)))
         case SumReport():
             return packb((SUM, *_sum_values(message)))
+        case SumChanges():
+            return packb((CHANGES, *_changes_values(message)))
+        case SumWanted():
+            return packb((WANTED, message.whole))
 
 
 def decode(data: bytes) -> Message:
@@ -51,7 +61,14 @@
     Raises:
         ReportError: It is none; those of another version are none, too.
     """
-    makers = {REPORT: _report, NOTICE: _notice, HELLO: _hello, SUM: _sum}
+    makers = {
+        REPORT: _report,
+        NOTICE: _notice,
+        HELLO: _hello,
+        SUM: _sum,
+        CHANGES: _changes,
+        WANTED: _wanted,
+    }
     try:
         kind, *values = unpackb(data)
         return makers[kind](values)
@@ -68,7 +85,7 @@
         pack_addresses((report.address,)),
         report.zone,
         report.stopping,
-        work_columns(report.served, report.offered),
+        work_columns(report.served, report.offered, ordered=True),
         load_columns(report.loads),
         report.version,
         report.list_mark,
@@ -159,6 +176,7 @@
         report.host,
         report.boot,
         report.number,
+        report.base,
         report.zone,
         report.whole,
         work_columns(totals.served, totals.offered),
@@ -174,7 +192,7 @@
 
 
 def _sum(values: list[Any]) -> SumReport:
-    (host, boot, number, zone, whole, work, loads, hosts, counted, *rest) = values
+    (host, boot, number, base, zone, whole, work, loads, hosts, counted, *rest) = values
     (version, mark, heard_s, list_heard_s, placed) = rest
     check_names(counted)
     check_amounts(list(counted.values()))
@@ -182,6 +200,7 @@
         host=str(host),
         boot=int(boot),
         number=int(number),
+        base=int(base),
         zone=str(zone),
         whole=bool(whole),
         totals=FleetTotals(*read_work(work), read_loads(loads), int(hosts)),
@@ -194,6 +213,94 @@
     )
 
 
+def _changes_values(changes: SumChanges) -> tuple[Any, ...]:
+    loads, counted, work = changes.loads, changes.counted, changes.work
+    return (
+        changes.host,
+        changes.boot,
+        changes.number,
+        changes.whole,
+        changes.base,
+        (loads.after, loads.start, loads.new, *change_columns(loads.values, 3)),
+        (
+            counted.after,
+            counted.start,
+            counted.new,
+            list(counted.values),
+            list(counted.values.values()),
+        ),
+        work and _work_values(work),
+        changes.hosts,
+        changes.version,
+        changes.list_mark,
+        _age(changes.heard_s),
+        _age(changes.list_heard_s),
+        pair_columns(changes.placed),
+    )
+
+
+def _columns_of(values: Mapping[int, int]) -> tuple[list[int], list[int]]:
+    return list(values), list(values.values())
+
+
+def _work_values(work: Changes[AccountKey, Work]) -> tuple[Any, ...]:
+    columns = change_columns(work.values, 2)
+    return (work.after, work.start, pair_columns(work.new), *columns)
+
+
+def _changes(values: list[Any]) -> SumChanges:
+    (host, boot, number, whole, base, loads, counted, work, hosts, *rest) = values
+    (version, mark, heard_s, list_heard_s, placed) = rest
+    return SumChanges(
+        host=str(host),
+        boot=int(boot),
+        number=int(number),
+        whole=bool(whole),
+        base=int(base),
+        loads=_load_changes(*loads),
+        counted=_counted_changes(*counted),
+        work=None if work is None else _work_changes(*work),
+        hosts=int(hosts),
+        version=int(version),
+        list_mark=int(mark),
+        heard_s=_seconds(heard_s),
+        list_heard_s=_seconds(list_heard_s),
+        placed=read_places(placed),
+    )
+
+
+def _load_changes(*values: Any) -> Changes[str, LoadShare]:
+    after, start, new, *columns = values
+    check_names(new)
+    rows = {p: LoadShare(*row) for p, row in read_changes(columns, 3).items()}
+    return Changes(after=int(after), start=_place(start), new=tuple(new), values=rows)
+
+
+def _counted_changes(*values: Any) -> Changes[str, int]:
+    after, start, new, *columns = values
+    check_names(new)
+    rows = {place: row[0] for place, row in read_changes(columns, 1).items()}
+    return Changes(after=int(after), start=_place(start), new=tuple(new), values=rows)
+
+
+def _work_changes(*values: Any) -> Changes[AccountKey, Work]:
+    after, start, new, *columns = values
+    rows = read_changes(columns, 2)
+    new = read_pairs(new)
+    return Changes(after=int(after), start=_place(start), new=new, values=rows)
+
+
+def _place(value: Any) -> int:
+    if int(value) < 0:
+        raise ValueError(f"no place: {value!r}")
+    return int(value)
+
+
+def _wanted(values: list[Any]) -> SumWanted:
+    (whole,) = values
+    return SumWanted(whole=bool(whole))
+
+
 def _age(seconds: float) -> float:
     return _NEVER if seconds == float("inf") else round(seconds, 3)
 
--- a/tests/test_fleet_exchange.py
+++ b/tests/test_fleet_exchange.py
@@ -18,9 +18,11 @@
 from msgpack import packb, unpackb
 
 from greengageflow.core.endpoint_load import LoadShare
-from greengageflow.core.fleet_sums import FleetTotals, SumBook, SumReport, merge
+from greengageflow.core.fleet_sums import FleetTotals, SumReport, merge
 from greengageflow.core.peer_report import LoadNotice, PeerBook, PeerReport
 from greengageflow.core.router_table import Hello
+from greengageflow.core.sum_book import SumBook, Taken
+from greengageflow.core.sum_changes import Changes, SumChanges, SumWanted
 from greengageflow.daemon import fleet_exchange
 from greengageflow.daemon.fleet_exchange import FleetExchange
 from greengageflow.net.report_codec import ReportError, decode, encode
@@ -261,7 +263,8 @@
     sums = SumBook()
     head = {"host": "r1", "boot": 1, "zone": "z", "whole": False}
     first, second = (SumReport(number=n, totals=FleetTotals(), **head) for n in (1, 2))
-    assert [sums.put(1.0, s) for s in (second, first, second)] == [True, False, False]
+    new, old = Taken.NEW, Taken.OLD
+    assert [sums.put(1.0, s) for s in (second, first, second)] == [new, old, old]
     assert sums.zones(1.1, "other") == [(second, 1.0)]
     assert not sums.zones(1.1, "z") and not sums.whole(1.1)
 
@@ -300,13 +303,37 @@
     SumReport,
     zone=NAMES,
     whole=st.booleans(),
+    base=COUNTS,
     totals=st.builds(FleetTotals, SUMS, SUMS, LOADS, COUNTS),
     counted=st.dictionaries(NAMES, COUNTS, max_size=3),
     placed=PAIRS,
     **HEAD,
     **MARKS,
 )
-MESSAGES = HELLOS | NOTICES | REPORTS | SUM_REPORTS
+WANTED = st.builds(SumWanted, whole=st.booleans())
+WORK = st.tuples(COUNTS, COUNTS)
+INTS = st.builds(LoadShare, COUNTS, COUNTS, COUNTS)
+
+
+def changes_of(keys, values):
+    places = st.dictionaries(st.integers(0, 300), values, max_size=4)
+    new = st.lists(keys, max_size=2).map(tuple)
+    return st.builds(Changes, after=COUNTS, start=COUNTS, new=new, values=places)
+
+
+SUM_CHANGES = st.builds(
+    SumChanges,
+    whole=st.booleans(),
+    base=COUNTS,
+    loads=changes_of(NAMES, INTS),
+    counted=changes_of(NAMES, COUNTS),
+    work=st.none() | changes_of(st.tuples(NAMES, NAMES), WORK),
+    hosts=COUNTS,
+    placed=st.lists(st.tuples(NAMES, COUNTS), max_size=3).map(tuple),
+    **HEAD,
+    **MARKS,
+)
+MESSAGES = HELLOS | NOTICES | REPORTS | SUM_REPORTS | SUM_CHANGES | WANTED
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | NAMES,
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(NAMES, inner),
@@ -350,6 +377,8 @@
     for ip, port in [*own, *getattr(found, "peers", ())]:
         assert inet_pton(AF_INET, ip) and 0 < port < 65536
     loads = getattr(found, "loads", {})
+    if isinstance(found, SumChanges):
+        loads = {f"{place}": load for place, load in found.loads.values.items()}
     if isinstance(found, SumReport):
         loads = found.totals.loads
         merge([found.totals, found.totals])
--- /dev/null
+++ b/tests/test_sum_changes.py
@@ -0,0 +1,167 @@
+"""Sums of changes on a network that loses, doubles and reorders datagrams."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from greengageflow.core.endpoint_load import LoadShare
+from greengageflow.core.fleet_sums import FleetTotals, SumReport
+from greengageflow.core.sum_book import SumBook, Taken
+from greengageflow.core.sum_changes import OVERLAP, WHOLE_S, SumChanges, SumTeller
+from greengageflow.net.report_codec import decode, encode
+
+TURN_S = 0.1
+KEYS = st.integers(0, 5)
+VALUES = st.integers(0, 3)
+
+
+def some(values):
+    return {key: value for key, value in values.items() if value}
+
+
+def shown(report):
+    """Return what a sum says; what is gone stands in it as nothing."""
+    totals = report.totals
+    loads = {name: load for name, load in totals.loads.items() if load != LoadShare()}
+    work = some(totals.served), some(totals.offered)
+    return loads, *work, some(report.counted), totals.hosts, report.version
+
+
+class Sums(RuleBasedStateMachine):
+    """A relay tells its sums; a member takes what arrives, in any order.
+
+    What the member holds must be the sum of the message that it took last, as it was
+    told then: with a mixture of two it would take off more or less than is counted
+    of itself, and count itself or miss others.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now, self.number = 0.0, 0
+        self.loads, self.work, self.counted = {}, {}, {}
+        self.teller, self.book = SumTeller(), SumBook()
+        self.flying, self.told, self.work_told = [], {}, {}
+        self.work_at = None
+
+    def sum(self):
+        served = {("s", f"a{key}"): float(x) for key, x in self.work.items()}
+        totals = FleetTotals(served, served, dict(self.loads), len(self.counted))
+        return SumReport(
+            host="r1",
+            boot=1,
+            number=self.number,
+            zone="z",
+            whole=True,
+            totals=totals,
+            counted=dict(self.counted),
+            version=self.number // 4,
+        )
+
+    @rule(key=KEYS, value=VALUES)
+    def load(self, key, value):
+        self.loads[f"e{key}"] = LoadShare(value, 10 * value, 0)
+
+    @rule(key=KEYS)
+    def endpoint_goes(self, key):
+        self.loads.pop(f"e{key}", None)
+
+    @rule(key=KEYS, value=VALUES)
+    def work_of(self, key, value):
+        self.work[key] = value
+
+    @rule(key=KEYS, sequence=st.integers(1, 9))
+    def member(self, key, sequence):
+        self.counted[f"r{key}"] = sequence
+
+    @rule(key=KEYS)
+    def member_goes(self, key):
+        self.counted.pop(f"r{key}", None)
+
+    @rule(pause=st.sampled_from([1, 1, 1, 2, 4]))
+    def tell(self, pause):
+        self.now += pause * TURN_S
+        self.number += pause
+        report = self.sum()
+        message = self.teller.tell(self.now, report)
+        if isinstance(message, SumReport) or message.work is not None:
+            self.work_at = self.number
+        self.told[self.number] = shown(report)
+        self.work_told[self.number] = self.work_at
+        self.flying.append(encode(message))
+
+    @rule(data=st.data(), stays=st.booleans())
+    def arrive(self, data, stays):
+        if self.flying:
+            place = data.draw(st.integers(0, len(self.flying) - 1))
+            message = self.flying[place] if stays else self.flying.pop(place)
+            self.take(decode(message))
+
+    @rule(data=st.data())
+    def lose(self, data):
+        if self.flying:
+            del self.flying[data.draw(st.integers(0, len(self.flying) - 1))]
+
+    def take(self, message):
+        taken = self.book.put(self.now, message)
+        if taken is Taken.MISSED:
+            self.teller.want_whole(self.now)
+        return taken
+
+    @invariant()
+    def holds_one_sum(self):
+        found = self.book.whole(self.now)
+        if found is None:
+            return
+        report = found[0]
+        loads, served, offered, counted, hosts, version = self.told[report.number]
+        has = shown(report)
+        assert (has[0], *has[3:]) == (loads, counted, hosts, version)
+        # Work is of one message, too, and with it who is counted there.
+        works = (row for at, row in self.told.items() if self.work_told[at] == at)
+        counted = some(report.work_counted)
+        assert has[1:3] in [row[1:3] for row in works if row[3] == counted]
+
+    def teardown(self):
+        """After quiet the member knows what the relay knows."""
+        self.flying.clear()
+        for _ in range(int(2 * WHOLE_S / TURN_S)):
+            self.tell(1)
+            self.take(decode(self.flying.pop()))
+        assert shown(self.book.whole(self.now)[0]) == shown(self.sum())
+
+
+TestSums = Sums.TestCase
+TestSums.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+
+
+def relay(turns):
+    """Yield what a relay tells in turns of which each changes one load."""
+    teller = SumTeller()
+    for turn in range(1, turns + 1):
+        loads = {f"e{n}": LoadShare(n + 1) for n in range(30)}
+        loads[f"e{turn % 30}"] = LoadShare(90 + turn)
+        totals = FleetTotals({("s", "a"): 1.0 * turn}, {}, loads, 60)
+        head = {"host": "r1", "boot": 1, "zone": "z", "whole": True}
+        report = SumReport(number=turn, totals=totals, counted={"r9": turn}, **head)
+        yield teller.tell(turn * TURN_S, report)
+
+
+def test_few_datagrams_name_what_did_not_change():
+    told = list(relay(40))
+    whole = [message for message in told if isinstance(message, SumReport)]
+    assert len(whole) == 4
+    for message in told[OVERLAP + 1 :]:
+        if isinstance(message, SumChanges):
+            # Each turn changes one load and sets the one before back.
+            assert len(message.loads.values) <= OVERLAP + 1
+            assert len(encode(message)) < len(encode(whole[0])) / 2
+
+
+def test_lost_datagrams_are_made_good_by_the_next_one_that_comes():
+    """A member without sums takes itself for the only router."""
+    book, told = SumBook(), list(relay(9))
+    assert book.put(0.1, told[0]) is Taken.NEW
+    assert book.put(0.1 + OVERLAP * TURN_S, told[OVERLAP]) is Taken.NEW
+    late = SumBook()
+    late.put(0.1, told[0])
+    assert late.put(0.9, told[8]) is Taken.MISSED
