Load shares are made without a Python call each

namedtuple's _make was 0.10 of 0.42 s of what a second relay of 360 takes in (--profile, 48,151 calls in 2 s). Decoding the report of 92 accounts and 110 endpoints: 1.26 M instructions by cachegrind, 1.37 M before, 2.26 M on the baseline.

--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -6,8 +6,9 @@
 is known of an engine beforehand.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import NamedTuple
 
 FIRST_RATE = 20_000.0
@@ -59,6 +60,11 @@
     memory: float = 0.0
 
 
+def load_shares(rows: Iterable[tuple[int, float, float]]) -> Iterator[LoadShare]:
+    """Return a share for each row, with no Python call for each."""
+    return map(partial(tuple.__new__, LoadShare), rows)
+
+
 @dataclass(slots=True)
 class _Run:
     reading: float
--- a/greengageflow/core/fleet_sums.py
+++ b/greengageflow/core/fleet_sums.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from greengageflow.core.endpoint_load import LoadShare
+from greengageflow.core.endpoint_load import LoadShare, load_shares
 
 AccountKey = tuple[str, str]
 QUIET_S = 1.0
@@ -111,7 +111,7 @@
                 total[0] += running
                 total[1] += reading
                 total[2] += memory
-    return dict(zip(sums, map(LoadShare._make, sums.values()), strict=True))
+    return dict(zip(sums, load_shares(sums.values()), strict=True))
 
 
 def without(whole: FleetTotals, own: FleetTotals) -> FleetTotals:
--- a/greengageflow/net/_columns.py
+++ b/greengageflow/net/_columns.py
@@ -11,7 +11,7 @@
 from struct import Struct
 from typing import Any
 
-from greengageflow.core.endpoint_load import LoadShare
+from greengageflow.core.endpoint_load import LoadShare, load_shares
 
 AccountSums = Mapping[tuple[str, str], float]
 Address = tuple[str, int]
@@ -87,7 +87,7 @@
     check_names(names)
     for column in amounts:
         check_amounts(column)
-    shares = map(LoadShare._make, zip(*amounts, strict=True))
+    shares = load_shares(zip(*amounts, strict=True))
     return dict(zip(names, shares, strict=True))
 
 
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -5,7 +5,7 @@
 
 from msgpack import packb, unpackb
 
-from greengageflow.core.endpoint_load import LoadShare
+from greengageflow.core.endpoint_load import LoadShare, load_shares
 from greengageflow.core.fleet_sums import AccountKey, FleetTotals, SumReport
 from greengageflow.core.peer_report import LoadNotice, PeerReport
 from greengageflow.core.router_table import Hello
@@ -272,7 +272,8 @@
 def _load_changes(*values: Any) -> Changes[str, LoadShare]:
     after, start, new, *columns = values
     check_names(new)
-    rows = {p: LoadShare(*row) for p, row in read_changes(columns, 3).items()}
+    changed = read_changes(columns, 3)
+    rows = dict(zip(changed, load_shares(changed.values()), strict=True))
     return Changes(after=int(after), start=_place(start), new=tuple(new), values=rows)
 
 
