--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from greengageflow.core.endpoint_load import LoadShare
-from greengageflow.core.fleet_demand import add_loads, add_up
+from greengageflow.core.fleet_demand import add_up
 from greengageflow.core.fleet_sums import FleetTotals, SumReport, relay_turns
 from greengageflow.core.hello_ring import HelloRing
 from greengageflow.core.peer_report import LoadNotice, PeerBook, PeerReport
@@ -22,8 +22,11 @@
     PlaceRoll,
 )
 from greengageflow.core.relay_sums import RelaySums, word_of
-from greengageflow.core.router_table import Hello, RouterTable
+from greengageflow.core.router_table import RELAYS_A_ZONE, Hello, RouterTable
 from greengageflow.core.store_duty import StoreWord
+from greengageflow.core.sum_book import Taken
+from greengageflow.core.sum_changes import SumChanges, SumWanted
+from greengageflow.core.zone_loads import ZoneLoads
 from greengageflow.net.gossip_link import GossipLink
 from greengageflow.net.report_codec import ReportError, decode, encode
 from greengageflow.net.timers import Timers
@@ -95,6 +98,7 @@
         self._table = RouterTable(own)
         self._book = PeerBook(own.host)
         self._relayed = RelaySums(own, self._table, self._book, FADE_S)
+        self._mesh_loads = ZoneLoads()
         self._words: tuple[float, list[StoreWord]] = (float("-inf"), [])
         self._addresses: dict[Address, float] = {}
         self._number = 0
@@ -102,6 +106,7 @@
         self._told: Mapping[str, LoadShare] = {}
         self._changed = False
         self._news = False
+        self._wanted = False
         self._turns = 0
         self._random = Random(own.host)
         self._ring = HelloRing(self._random)
@@ -184,11 +189,12 @@
                 self._on_hello(now, _hello(message))
             case LoadNotice() if self._book.add(message):
                 self._changed = True
-            case SumReport() if self._relayed.sums.put(now, message):
-                # Hellos of a few a round miss a router now and then; whoever forgot
-                # the first relay so would tell others, and its sums would lack them.
-                self._table.touch(now, message.host, message.boot)
-                self._changed = True
+            case SumReport() | SumChanges():
+                self._on_sum(now, message)
+                return
+            case SumWanted():
+                self._wanted |= self._relayed.want_whole(now, message.whole)
+                return
             case Hello():
                 self._on_hello(now, message)
                 return
@@ -199,6 +205,19 @@
                 return
         self._listener.on_placed(message.placed)
 
+    def _on_sum(self, now: float, message: SumReport | SumChanges) -> None:
+        # Hellos of a few a round miss a router now and then; whoever forgot
+        # the first relay so would tell others, and its sums would lack them.
+        self._table.touch(now, message.host, message.boot)
+        sums = self._relayed.sums
+        match sums.put(now, message):
+            case Taken.NEW:
+                self._changed = True
+                self._listener.on_placed(sums.placed(message.host, message.whole))
+            case Taken.MISSED:
+                data = encode(SumWanted(whole=message.whole))
+                self._send(data, self._table.addresses(message.host))
+
     def _on_hello(self, now: float, hello: Hello) -> None:
         if hello.host == self._own.host:
             return
@@ -221,17 +240,25 @@
             self._on_changed()
             self._notice(self._everybody())
         elif self._turns % relay_turns(len(self._addresses)) == 0:
+            self._wanted = False
             self._relay()
             self._on_changed()
-            self._notice(self._own_relays())
+            # The second relay needs notices only while it stands in for the first.
+            is_missed = self._relayed.is_missed(self._now)
+            self._notice(self._own_relays(RELAYS_A_ZONE if is_missed else 1))
+        elif self._wanted:
+            self._wanted = False
+            self._relay()
 
     def _on_changed(self) -> None:
         if self._changed:
             self._changed = False
             if self._is_large:
-                self._listener.on_loads(self._others().loads)
+                loads = self._relayed.other_loads(self._now, self._quiet_s)
+                self._listener.on_loads(loads)
             else:
-                self._listener.on_loads(add_loads(self._book.live(self._now)))
+                heard = self._book.live(self._now)
+                self._listener.on_loads(self._mesh_loads.add_up(heard))
 
     def _notice(self, to: Iterable[Address]) -> None:
         loads = self._changed_loads()
@@ -283,10 +310,10 @@
     def _everybody(self) -> set[Address]:
         return self._seeds | self._addresses.keys()
 
-    def _own_relays(self) -> set[Address]:
+    def _own_relays(self, most: int = RELAYS_A_ZONE) -> set[Address]:
         relays = self._table.relays(self._now, self._quiet_s)
         found = relays.get(self._own.zone, ())
-        return {row.address for row in found} - {self._own.address}
+        return {row.address for row in found[:most]} - {self._own.address}
 
     def _send(self, data: bytes, to: Iterable[Address]) -> None:
         for address in to:
@@ -330,9 +357,9 @@
         if not self._relayed.is_relay(now, quiet_s):
             return
         own = self._listener.report(self._number, self._sequence)
-        zone, whole = self._relayed.add(now, own, self._turns)
+        zone, whole = self._relayed.tell(now, own, self._turns)
         relays = self._table.relays(now, quiet_s).items()
-        others = {r.address for z, rows in relays if z != zone.zone for r in rows}
+        others = {r.address for z, rows in relays if z != self._own.zone for r in rows}
         self._send(encode(zone), others)
         rows = self._table.members(now, quiet_s)
         to = {row.address for row in rows} - {self._own.address}
