A router that may have been held for dead gives its grants back when it wakes

Cause: an owner counts a slot granted to a router out of reach as free again once the endpoint reports that less runs (EndpointSlots._free_by_report). The grant still lies in that router's socket.

Mend: after a pause of suspicion_s or more (Membership.long_pause) the held grants go back, and the demand of what still waits is told again, for the owner had counted it as granted. A shorter pause takes them by the view, as before.

Ruled out: counting slots of routers out of reach until their deadline, which would idle a third of an endpoint for a minute after each lost host.

Tests: test_grants_to_a_router_that_was_held_for_dead_go_back, 7 <= 4 before; the Control test runs with a pause of 2 s (starts) and of 10 s (goes back; it had started there).

--- a/greengageflow/core/entry.py
+++ b/greengageflow/core/entry.py
@@ -161,7 +161,10 @@
         queue = self._queues.get((grant.account, grant.pool))
         if queue and self._is_valid(sender, grant):
             yield from self._start(now, sender, grant, queue)
-            return
+        else:
+            yield from self._decline(sender, grant)
+
+    def _decline(self, sender: PeerId, grant: Grant) -> Iterator[Send]:
         returned = GrantReturned(grant.grant, grant.endpoint)
         self._end(returned)
         yield from self._give_back(sender.host, returned)
@@ -314,12 +317,25 @@
         """
         self._paused = True
 
-    def on_confirmed(self, now: float) -> Iterator[Effect]:
-        """Take the grants that came since the pause, by the view as it is now."""
+    def on_confirmed(self, now: float, *, anew: bool) -> Iterator[Effect]:
+        """Take the grants that came since the pause, by the view as it is now.
+
+        Args:
+            now: The time.
+            anew: True when others may have held this router for dead. Their owners
+                have then used its slots again as soon as the endpoints reported them
+                free: its grants go back, and its demand is told anew.
+        """
         self._paused = False
         held, self._held = self._held, {}
         for sender, grant in held.values():
-            yield from self._on_grant(now, sender, grant)
+            if anew:
+                yield from self._decline(sender, grant)
+            else:
+                yield from self._on_grant(now, sender, grant)
+        for queue in self._queues.values():
+            if anew and queue:
+                yield from self._registrar.refresh(now, queue)
 
     def on_config(self, now: float, cfg: FleetConfig) -> Iterator[Effect]:
         """Take over a configuration."""
--- a/greengageflow/daemon/control.py
+++ b/greengageflow/daemon/control.py
@@ -306,7 +306,7 @@
         if confirmed:
             anew = self.membership.long_pause
             self.run(self.owner.on_confirmed(now, anew=anew))
-            self.run(self.entry.on_confirmed(now))
+            self.run(self.entry.on_confirmed(now, anew=anew))
         else:
             self.owner.on_pause()
             self.entry.on_pause()
--- a/tests/test_pause_faults.py
+++ b/tests/test_pause_faults.py
@@ -2,6 +2,7 @@
 
 from unittest.mock import Mock
 
+import pytest
 from core_net import Net, config
 
 from greengageflow.core.effects import Send
@@ -80,7 +81,7 @@
     net.drain()
     assert net.load()["e1"] == SLOTS
     see(net, [paused], owner)
-    net.run(asleep, asleep.entry.on_confirmed(net.now))
+    net.run(asleep, asleep.entry.on_confirmed(net.now, anew=False))
     steps(net, 10.0, run_s=1.0)
     assert not net.waiting.keys() & set(mine)
 
@@ -92,11 +93,41 @@
     net.submit(paused, "a")
     steps(net, 3.0)
     assert not net.running
-    net.run(node, node.entry.on_confirmed(net.now))
+    net.run(node, node.entry.on_confirmed(net.now, anew=False))
     assert len(net.running) == 1
     steps(net, 1.0)
 
 
+def test_grants_to_a_router_that_was_held_for_dead_go_back():
+    """Four grants lie in the socket of a router that stands still until others hold it
+    for dead. Their owner lives on, and grants the slots again once the endpoint reports
+    that nothing runs. The view of before and after is the same: the router started all
+    four when it woke, and the endpoint ran 7 requests in 4 slots."""
+    net, owner, paused = fleet()
+    mine = [net.submit(paused, "a", deadline_s=60.0) for _ in range(SLOTS)]
+    grants = []
+    while len(grants) < SLOTS:
+        net.deliver()
+        grants += put_aside(net, lambda _, to, message: isinstance(message, Grant))
+    net.drain()
+    asleep = net.nodes.pop(paused)
+    see(net, net.nodes, paused)
+    for host in net.nodes:
+        net.submit(host, "a")
+    for _ in range(12):
+        net.nodes[owner].owner.on_load(net.now, "e1", net.load()["e1"])
+        net.step(0.25)
+    assert net.load()["e1"] == SLOTS - 1
+    net.nodes[paused] = asleep
+    asleep.entry.on_pause()
+    net.messages += grants
+    see(net, HOSTS, None)
+    net.drain()
+    net.run(asleep, asleep.entry.on_confirmed(net.now, anew=True))
+    steps(net, 10.0, run_s=1.0)
+    assert not net.waiting.keys() & set(mine)
+
+
 def test_a_lost_registration_is_told_to_the_new_owner_again():
     """The owner dies while four requests run, and all that tells the next one of them
     is lost on a connection that does not stand yet. It was told once, took the slots
@@ -174,6 +205,10 @@
     def started(self):
         return [c.args[0].grant for c in self.node.requests.on_start.call_args_list]
 
+    @property
+    def returned(self):
+        return [m.grant for m in self.sent if isinstance(m, GrantReturned)]
+
     def tell(self, message):
         self.node.receive(PeerId("r1", 1), message)
 
@@ -198,14 +233,18 @@
     return Member(host, 1, 0, "alive", "127.0.0.1", 1, "za")
 
 
-def test_a_grant_read_after_a_pause_waits_for_an_answer_asked_after_it(monkeypatch):
-    """A router stands still for 10 s and reads a grant before its next tick. It waits
-    for a router that has the same view, in an answer to a probe of after the pause:
-    one of before lies in the socket too, and says what was true then."""
+@pytest.mark.parametrize(("pause_s", "anew"), [(2.0, False), (10.0, True)])
+def test_a_grant_read_after_a_pause_waits_for_an_answer_asked_after_it(
+    monkeypatch, pause_s, anew
+):
+    """A router stands still and reads a grant before its next tick. It waits for a
+    router that has the same view, in an answer to a probe of after the pause: one of
+    before lies in the socket too, and says what was true then. After a pause in which
+    others may have held it for dead, the grant goes back."""
     world = World(monkeypatch)
     world.tick(0.1)
     (old,) = [m for m in world.answers() if isinstance(m, Ack)]
-    world.now += 10.0
+    world.now += pause_s
     world.grant()
     world.tell(old)
     world.tick(0.1)
@@ -214,8 +253,9 @@
     monkeypatch.setattr(world.node.owner, "on_confirmed", confirmed)
     for message in world.answers():
         world.tell(message)
-    confirmed.assert_called_once_with(world.now, anew=True)
-    assert world.started == ["r1:1:1"]
+    confirmed.assert_called_once_with(world.now, anew=anew)
+    assert world.started == ([] if anew else ["r1:1:1"])
+    assert world.returned == (["r1:1:1"] if anew else [])
 
 
 def test_a_router_that_nobody_answers_gives_the_grants_back(monkeypatch):
@@ -228,4 +268,4 @@
     for _ in range(40):
         world.tick(0.125)
     assert not world.started
-    assert [m.grant for m in world.sent if isinstance(m, GrantReturned)] == ["r1:1:1"]
+    assert world.returned == ["r1:1:1"]
