Datagram cuts of the soak hit: all routers' addresses are replaced, in bytes too

Cause: the soak's fleet replaced only the target's own address in what went to it, so routers learned each other's real ones and sent past the proxy. Since addresses go as four bytes, which a replacement of text never finds; that spoiled test_gateway_cuts as well, whose imports named modules that had moved to the lab.

Before: tests/test_soak_fleet.py failed (r1 still counted 2 others 30 s into the cut), also with all addresses replaced as text alone. After: it and test_gateway_cuts pass (3 passed).

--- a/greengageflow/lab/_soak_fleet.py
+++ b/greengageflow/lab/_soak_fleet.py
@@ -96,7 +96,8 @@
     def _open_links(self, name: str, settings: dict[str, Any]) -> None:
         ip, port = _address(settings["gossip"])
         relay = self._relay_of(ip), port
-        texts = {ip: relay[0]}
+        # All routers': one that learned another's own address would send past a cut.
+        texts = self._texts()
         store = _address(settings["store"])
         ip_port = self._proxy.route(f"store:{name}", store, texts=texts)
         settings["store"] = "{}:{}".format(*ip_port)
@@ -106,6 +107,10 @@
         seeds = map(_address, settings["seeds"])
         settings["seeds"] = [f"{self._relay_of(ip)}:{port}" for ip, port in seeds]
 
+    def _texts(self) -> dict[str, str]:
+        numbers = range(FIRST_ROUTER, FIRST_ROUTER + self.shape.routers)
+        return {ip: self._relay_of(ip) for ip in map(self.subnet.host, numbers)}
+
     @staticmethod
     def _relay_of(ip: str) -> str:
         base, _, number = ip.rpartition(".")
--- a/greengageflow/lab/fault_proxy.py
+++ b/greengageflow/lab/fault_proxy.py
@@ -8,7 +8,8 @@
   listener and names its address. A second call moves the target. In what goes to the
   target, ``texts`` (old to new, of one length) are replaced, so that a router that
   names its own address names the proxy's, and stays behind it.
-- ``{"op": "datagrams", "name", "target", "listen", "texts"}`` relays datagrams.
+- ``{"op": "datagrams", "name", "target", "listen", "texts"}`` relays datagrams. The
+  texts are IP numbers there, and are replaced in their four bytes too.
 - ``{"op": "refused"}`` tells the connections whose target did not listen: route, port
   of the client, and when (seconds, monotonic).
 - ``{"op": "rules", "rules": [...]}`` replaces all rules. A rule has ``do`` (an
@@ -99,6 +100,8 @@
         """Take one datagram and apply the first rule that matches."""
         data, (source, _) = self.sock.recvfrom(CHUNK)
         data = replaced(data, self.texts)
+        for old, new in self.texts.items():
+            data = data.replace(socket.inet_aton(old), socket.inet_aton(new))
         rule = next((one for one in rules if one.takes_datagram(self, source)), None)
         now = time.monotonic()
         match rule:
--- a/tests/test_gateway_cuts.py
+++ b/tests/test_gateway_cuts.py
@@ -3,7 +3,7 @@
 import re
 from contextlib import contextmanager
 
-from tests.platform_lab import (
+from greengageflow.lab.platform_lab import (
     KEY,
     SAFE,
     PlatformLab,
@@ -11,7 +11,6 @@
     configuration,
     route,
 )
-
 from tests.support import Proxy, call, start, wait_for
 
 METRICS_PORT = 7302
@@ -32,7 +31,7 @@
 
     def __init__(self):
         super().__init__(PlatformShape(routers=ROUTERS))
-        self._proxy_process = start("tests.fault_proxy", "127.0.0.1")
+        self._proxy_process = start("greengageflow.lab.fault_proxy", "127.0.0.1")
         self.proxy = Proxy(self._proxy_process.address)
         host = self.subnet.host
         self.relays = {
