--- a/tests/test_gateway_bounds.py
+++ b/tests/test_gateway_bounds.py
@@ -9,7 +9,8 @@
 from subprocess import PIPE, Popen
 from tempfile import TemporaryFile
 
-from tests.platform_lab import (
+from greengageflow.lab._processes import ROOT
+from greengageflow.lab.platform_lab import (
     GATEWAY,
     KEY,
     SAFE,
@@ -18,8 +19,6 @@
     configuration,
     route,
 )
-
-from greengageflow.lab._processes import ROOT
 from tests.support import Process, call, wait_for
 
 METRICS_PORT = 7302
--- a/tests/test_gateway_explain.py
+++ b/tests/test_gateway_explain.py
@@ -5,8 +5,9 @@
 from subprocess import run
 from tempfile import TemporaryDirectory
 
-from tests.platform_client import Torn
-from tests.platform_lab import (
+from greengageflow.lab._processes import ROOT
+from greengageflow.lab.platform_client import Torn
+from greengageflow.lab.platform_lab import (
     KEY,
     SAFE,
     TALE,
@@ -15,8 +16,6 @@
     PlatformShape,
     generation,
 )
-
-from greengageflow.lab._processes import ROOT
 from tests.support import wait_for
 
 HELD = 3
