Answers of placers name the process that asked

Cause: each process numbers its requests from 1, and an answer named the number alone. A placer that still had requests of a killed process started them as its slots came free (the new process's first roll ends the old runs one by one), and the new process took that as the word on its own request of that number: sent uncounted, perhaps to an endpoint of another service, or refused falsely.

Test: with hosts in memory, 5 requests were started on an engine of 4 slots of which the placer counted 3; now as many as it counts.

--- a/greengageflow/core/place_desk.py
+++ b/greengageflow/core/place_desk.py
@@ -88,6 +88,7 @@
                 source = choice.fetch_from
                 return placed.host, PlaceAnswer(
                     host=self._host,
+                    boot=placed.boot,
                     request=placed.request,
                     verdict=Verdict.START,
                     endpoint=choice.endpoint.id,
@@ -99,6 +100,7 @@
                 del self._placed[decision.request]
                 return placed.host, PlaceAnswer(
                     host=self._host,
+                    boot=placed.boot,
                     request=placed.request,
                     verdict=Verdict.REFUSE,
                     kind=kind.value,
--- a/greengageflow/core/place_messages.py
+++ b/greengageflow/core/place_messages.py
@@ -71,7 +71,8 @@
 
     Args:
         host: The placer.
-        request: Id of the request at the host that asked.
+        boot: Start of the process that asked.
+        request: Id of the request there.
         verdict: The decision.
         endpoint: Where it goes, with ``START``.
         fetch_from: Engine that keeps shared parts, or empty.
@@ -83,6 +84,7 @@
     """
 
     host: str
+    boot: int
     request: str
     verdict: Verdict
     endpoint: str = ""
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -278,7 +278,9 @@
         return self._host in self._table.placers and settled and not self.stopping
 
     def _answer(self, ask: PlaceAsk, verdict: Verdict) -> None:
-        answer = PlaceAnswer(host=self._host, request=ask.request, verdict=verdict)
+        answer = PlaceAnswer(
+            host=self._host, boot=ask.boot, request=ask.request, verdict=verdict
+        )
         self._send(ask.host, answer)
 
     def _send(self, host: str, message: PlaceMessage) -> None:
@@ -295,7 +297,10 @@
     def _on_answer(self, now: float, answer: PlaceAnswer) -> None:
         self._on_heard(now, answer.host)
         asked = self._asked.get(answer.request)
-        if asked is None or asked.placer != answer.host:
+        # Each process numbers its requests from 1: an answer to the one before this
+        # would start another request, even at an endpoint of another service.
+        other = answer.boot != self._boot
+        if other or asked is None or asked.placer != answer.host:
             # What it holds for a request that is decided goes with the next roll.
             return
         match answer.verdict:
--- a/greengageflow/net/place_codec.py
+++ b/greengageflow/net/place_codec.py
@@ -46,6 +46,7 @@
             return (
                 ANSWER,
                 message.host,
+                message.boot,
                 message.request,
                 int(message.verdict),
                 message.endpoint,
@@ -93,12 +94,13 @@
 
 def answer_of(values: list[Any]) -> PlaceAnswer:
     """Return an answer; raises ValueError, TypeError for what is none."""
-    host, request, verdict, endpoint, fetch_from, reading, wait_s, *rest = values
-    kind, text, retry_after_s = rest
+    host, boot, request, verdict, endpoint, fetch_from, *rest = values
+    reading, wait_s, kind, text, retry_after_s = rest
     if int(verdict) == Verdict.REFUSE:
         ErrorKind(kind)
     return PlaceAnswer(
         host=str(host),
+        boot=int(boot),
         request=str(request),
         verdict=Verdict(verdict),
         endpoint=str(endpoint),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -57,6 +57,12 @@
             call()
         self.now = end
 
+    def restart(self, host):
+        """Replace a host's process by a new one, which has nothing under way."""
+        new = HostStub(self, host.name, host.hello.port - 9, host.hello.boot + 1)
+        self.hosts[host.name] = new
+        return new
+
     def running(self, host):
         load = self.hosts[host].book.own_loads().get("e0")
         return load.running if load else 0
@@ -65,7 +71,7 @@
 class HostStub:
     """Timer service, sender and requests of one host."""
 
-    def __init__(self, fleet, name, index):
+    def __init__(self, fleet, name, index, boot=1):
         self.fleet, self.name = fleet, name
         self.endpoints = EndpointList()
         engine = ListedEndpoint("e0", "model", "10.0.0.1", 80, "z", slots=SLOTS)
@@ -75,9 +81,10 @@
         self.book.on_routing(Routing(version=1, services={"model": service}))
         self.lines = []
         self.started, self.refused, self.runs = {}, {}, count(1)
-        self.hello = Hello(host=name, boot=1, ip="127.0.0.1", port=9 + index, zone="z")
+        address = {"ip": "127.0.0.1", "port": 9 + index}
+        self.hello = Hello(host=name, boot=boot, zone="z", **address)
         self.placement = Placement(
-            name, 1, self.book, self.endpoints, self, self, self.carry_out, self
+            name, boot, self.book, self.endpoints, self, self, self.carry_out, self
         )
         self.placement.start()
         self.every(0.25, self.round)
@@ -87,10 +94,14 @@
         return self.fleet.now
 
     def after(self, delay_s, call):
-        alive = lambda: self.name not in self.fleet.dead  # noqa: E731
-        self.fleet.at(self.now + delay_s, lambda: alive() and call())
+        self.fleet.at(self.now + delay_s, lambda: self.alive and call())
         return SimpleNamespace(cancel=lambda: None)
 
+    @property
+    def alive(self):
+        lives = self.fleet.hosts[self.name] is self
+        return lives and self.name not in self.fleet.dead
+
     def every(self, interval_s, call):
         self.after(interval_s, lambda: (call(), self.every(interval_s, call)))
 
@@ -174,6 +185,25 @@
     assert host.lines == ["PLACER_SILENT", "PLACER_HEARD"]
 
 
+def test_answers_to_an_earlier_process_start_nothing_of_the_next_one():
+    """A host's process is killed and started again, and numbers its requests from 1 as
+    the one before it did. A place found for a request of the old process would start
+    the new one's of that number, at an engine that nobody counts it at."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    for _ in range(SLOTS + 1):
+        host.ask(patience_s=3.0)
+    fleet.run(0.05)
+    new = fleet.restart(host)
+    fleet.run(0.3)
+    for _ in range(SLOTS + 1):
+        new.ask(patience_s=3.0)
+    fleet.run(0.05)
+    assert not new.started
+    fleet.run(0.4)
+    assert 0 < len(new.started) == fleet.running(fleet.placer)
+
+
 def test_requests_that_wait_at_a_placer_are_decided_when_it_is_gone():
     fleet = Fleet()
     host = fleet.others[0]
