A placer without endpoints of a service lets the hosts decide

Cause: a host that is started again while it is cut off from the store is a placer again after a second, with an empty list, and refused every engine request of the fleet: "no endpoint of the service is known". It answers that it does not place this now.

Found by reading. Test: with hosts in memory a request was refused though its host knew the engine; it starts now.

--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -266,7 +266,9 @@
                 self._carry_out(self._desk.roll(now, message))
 
     def _on_ask(self, now: float, ask: PlaceAsk) -> None:
-        if not self._places(now):
+        # A host that began while cut off from the store knows no endpoint, and would
+        # refuse the requests of all; others know theirs and decide.
+        if not self._places(now) or not any(self._endpoints.usable(ask.service)):
             self._answer(ask, Verdict.PASS)
             return
         self._carry_out(self._desk.ask(now, ask))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -204,6 +204,18 @@
     assert 0 < len(new.started) == fleet.running(fleet.placer)
 
 
+def test_a_placer_that_knows_no_engine_lets_hosts_decide():
+    """A placer's host is started again while it is cut off from the store, so that its
+    list of endpoints is empty. It would refuse the engine requests of the whole fleet
+    for want of an endpoint that all the other hosts know."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    list(fleet.hosts[fleet.placer].endpoints.drop("e0"))
+    name = host.ask()
+    fleet.run(0.05)
+    assert name in host.started and not host.refused
+
+
 def test_requests_that_wait_at_a_placer_are_decided_when_it_is_gone():
     fleet = Fleet()
     host = fleet.others[0]
