Streams that stood still may go back to the engine they left

The first one was ruled out, so the stream was cut at its caller. Not a matter of placers.

Ruled out: waiting for the other engine's first event before the first is left; it would run the stream twice at once. Test: Torn before, whole after; the tests of streams in test_platform_answers pass.

--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -240,6 +240,7 @@
 
     def on_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         """Go on elsewhere after an answer that is not whole, or give up."""
+        flight.avoid.add(flight.attempt.endpoint.id)
         self._note_failure(flight, failure)
         text = f"{flight.attempt.endpoint.id}: {failure.message}"
         if not failure.sent or (flight.repeatable and flight.runs_left):
@@ -251,7 +252,6 @@
 
     def _note_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         endpoint = flight.attempt.endpoint
-        flight.avoid.add(endpoint.id)
         rests = self.placement.silent(self._timers.now, flight.id, endpoint)
         self.placement.left(flight.id, endpoint)
         self._notes.suspect(flight, failure.message, rests)
@@ -285,7 +285,8 @@
 
     def _leave_stalled(self, flight: ForwardFlight) -> None:
         # An engine that was only slow goes on later. To give up on it with nowhere
-        # else to go would cut a stream that its caller would have got whole.
+        # else to go would cut a stream that its caller would have got whole. It is not
+        # ruled out either: the other one may turn out to be dead.
         choice = self._next_choice(flight)
         if choice is None:
             return
--- a/tests/soak_seeds.py
+++ b/tests/soak_seeds.py
@@ -69,4 +69,12 @@
         "since its stop took 7.5 s and the next step on it had begun.",
         "soak: a step waits until the one before it on the same target has ended",
     ),
+    FailedSeed(
+        502,
+        "A resumable stream stood still for 1.5 s (the machine was late by 1.1 s) and "
+        "was moved to an engine that had crashed; the first one was ruled out, so the "
+        "stream was cut.",
+        "product: an engine that stood still may be gone back to",
+        "test_stream_that_stands_still_goes_back_when_the_next_engine_is_dead",
+    ),
 )
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -206,3 +206,23 @@
     seen.extend(events)
     assert [event.id for event in seen] == list(range(1, 301))
     assert [run["outcome"] for run in lab.begun(name)] == ["done"]
+
+
+def test_stream_that_stands_still_goes_back_when_the_next_engine_is_dead():
+    """An engine stands still, and the stream is moved to one that has crashed and is
+    still listed. The first goes on soon; its caller must get the stream whole."""
+    with PlatformLab(PlatformShape(engines=2)) as lab:
+        client = lab.client()
+        name = client.send(CHAT, key=KEY, headers=generation(600, ("e1", 50)))
+        client.head()
+        events = client.events()
+        seen = [next(events)]
+        [run] = lab.begun(name)
+        [other] = {"scribe-0", "scribe-1"} - {run["replica"]}
+        lab.replicas[other].kill()
+        engine = lab.replicas[run["replica"]]
+        engine.pause()
+        sleep(2 * STALL_S)
+        engine.go_on()
+        seen.extend(events)
+        assert [event.id for event in seen] == list(range(1, 301))
