--- a/tests/soak_seeds.py
+++ b/tests/soak_seeds.py
@@ -77,4 +77,10 @@
         "product: an engine that stood still may be gone back to",
         "test_stream_that_stands_still_goes_back_when_the_next_engine_is_dead",
     ),
+    FailedSeed(
+        503,
+        "As 502, but the next engine's link reset the connection after the request was "
+        "sent: the last of the route's two attempts. The machine was late by 0.75 s.",
+        "open: the first engine would have to be kept until the next one answers",
+    ),
 )
