--- a/greengageflow/net/_columns.py
+++ b/greengageflow/net/_columns.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable, Mapping, Sequence
-from itertools import groupby, repeat
+from itertools import chain, groupby, repeat
 from operator import itemgetter
 from socket import inet_aton, inet_ntoa
 from struct import Struct
@@ -34,7 +34,9 @@
     """
     keys = dict.fromkeys([*served, *offered])
     rows = []
-    for service, group in groupby(sorted(keys) if ordered else keys, itemgetter(0)):
+    groups: Iterable[tuple[str, Iterable[tuple[str, str]]]]
+    groups = _by_service(keys) if ordered else groupby(keys, itemgetter(0))
+    for service, group in groups:
         found = list(group)
         begun = [int(served.get(key, _NONE)) for key in found]
         asked = [int(offered.get(key, _NONE)) for key in found]
@@ -42,6 +44,15 @@
     return rows
 
 
+def _by_service(
+    keys: Iterable[tuple[str, str]],
+) -> Iterable[tuple[str, list[tuple[str, str]]]]:
+    services: dict[str, list[tuple[str, str]]] = {}
+    for key in keys:
+        services.setdefault(key[0], []).append(key)
+    return services.items()
+
+
 def read_work(rows: Iterable[Any]) -> tuple[AccountSums, AccountSums]:
     """Return work begun and work asked for by service and account.
 
@@ -85,8 +96,7 @@
     if len(amounts) != 3:
         raise ValueError("no loads")
     check_names(names)
-    for column in amounts:
-        check_amounts(column)
+    check_amounts([*chain(*amounts)])
     shares = load_shares(zip(*amounts, strict=True))
     return dict(zip(names, shares, strict=True))
 
@@ -125,8 +135,7 @@
         ValueError: They are no such columns.
     """
     parts, endpoints = columns
-    check_names(parts)
-    check_names(endpoints)
+    check_names([*parts, *endpoints])
     return tuple(zip(parts, endpoints, strict=True))
 
 
