--- a/greengageflow/lab/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -341,6 +341,11 @@
         ]
         return [row for row in rows if name in (None, row["id"])]
 
+    @property
+    def log(self) -> str:
+        """All lines of all routers that run."""
+        return "".join(process.stderr for process in self.routers.values())
+
     def begun(self, name: str) -> list[dict[str, Any]]:
         """Return the runs of a request that began."""
         return [row for row in self.runs(name) if row["begun"] is not None]
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -182,6 +182,7 @@
     waiting = lab.client()
     left = waiting.send(SAFE, key=KEY)
     waiting.close()
+    wait_for(lambda: "CALLER_LEFT" in lab.log, "the router has seen it")
     for name in ("app-0", "app-1"):
         lab.fault(name)
     for client in clients:
