--- a/tests/soak_seeds.py
+++ b/tests/soak_seeds.py
@@ -83,4 +83,10 @@
         "sent: the last of the route's two attempts. The machine was late by 0.75 s.",
         "open: the first engine would have to be kept until the next one answers",
     ),
+    FailedSeed(
+        600,
+        "A key ran 2.39 s after it was gone: connections to the store were silent, and "
+        "by the log's times the poll and its first retry both timed out after 1 s.",
+        "open: a retry after a timeout should take a fresh connection",
+    ),
 )
