A read of the store after one that failed takes a new connection

Test: of the reads after a failure all might reuse kept connections; now none does until one was answered.

--- a/greengageflow/daemon/topic_follower.py
+++ b/greengageflow/daemon/topic_follower.py
@@ -1,6 +1,7 @@
 """Follows one keyed topic of the platform's store."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from greengageflow.net.http_messages import Failure, Response
@@ -114,6 +115,9 @@
         self.calls += 1
         self.asked_at = self._clock()
         asked = request(self._address, *call, b"", wait_s + ANSWER_S)
+        if self._retry_s > FIRST_RETRY_S:
+            # Kept connections that fell silent together would cost a second each.
+            asked = replace(asked, retry_stale=False)
         self._exchange = self._pool.fetch(
             asked, lambda result: self._take(result, on_good), PAGE_LIMIT
         )
--- a/tests/soak_seeds.py
+++ b/tests/soak_seeds.py
@@ -87,6 +87,7 @@
         600,
         "A key ran 2.39 s after it was gone: connections to the store were silent, and "
         "by the log's times the poll and its first retry both timed out after 1 s.",
-        "open: a retry after a timeout should take a fresh connection",
+        "product: a read after one that failed takes a new connection",
+        "test_a_read_after_one_that_failed_takes_a_new_connection",
     ),
 )
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -82,6 +82,7 @@
 
     def __init__(self, store, *, reads=False):
         self.store, self.reads, self.stuck = store, reads, False
+        self.kept = []
         self.paths, self.open, self.changes, self.versions = [], [], [], []
         self.endpoints = EndpointList()
         self.view = StoreView(
@@ -108,6 +109,7 @@
         call = SimpleNamespace(path=request.path, at=self.now, on_done=on_done)
         call.cancel = lambda: self.open.remove(call)
         self.paths.append(request.path)
+        self.kept.append(request.retry_stale)
         self.open.append(call)
         return call
 
@@ -271,3 +273,17 @@
     store.forget()
     run(store, hosts, 2)
     assert [host.view.version for host in hosts] == [4, 4, 4]
+
+
+def test_a_read_after_one_that_failed_takes_a_new_connection(store, hosts):
+    """Kept connections to the store have all fallen silent. A retry on the second of
+    them would take its full time as well, and a key that was taken away run longer."""
+    host = hosts[0]
+    run(store, hosts, 1.0)
+    host.kept.clear()
+    store.down = True
+    run(store, hosts, 3.0)
+    assert host.kept and not any(host.kept[2:])
+    store.down = False
+    run(store, hosts, 3.0)
+    assert host.kept[-1]
