--- /dev/null
+++ b/greengageflow/lab/_overload_fleet.py
@@ -0,0 +1,264 @@
+"""Gateways before stand-in endpoints of known capacity, for ``bench_overload``."""
+
+import json
+import os
+import re
+import sys
+from collections.abc import Iterator
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from subprocess import DEVNULL, Popen
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from greengageflow.lab._processes import (
+    ROOT,
+    Process,
+    await_ready,
+    call,
+    launch,
+    wait_for,
+)
+from greengageflow.lab._subnets import Subnet
+from greengageflow.platform.names import (
+    IDEMPOTENT,
+    READY_PATH,
+    SERVERS_TOPIC,
+    STREAM,
+)
+
+GATEWAY = "greengageflow.daemon.gateway"
+HOST = "app.example"
+PATH = "/work/"
+SERVICE = "work"
+CALLERS_PORT, READY_PORT, METRICS_PORT, GOSSIP_PORT = 7300, 7301, 7302, 7400
+TARGET_MS, DEADLINE_MS = 800, 5000
+ACCOUNTS = 4
+_SAMPLE = re.compile(r"^greengage_(\w+)(?:\{(.*)\})? (\S+)$", re.M)
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoints:
+    """The endpoints and the work of one request.
+
+    Args:
+        kind: ``plain`` or ``engine``.
+        count: Number of endpoints.
+        slots: Requests that each runs at once.
+        work_ms: Milliseconds that a plain request runs, or that an engine's step of a
+            batch of one takes.
+        prompt: Prompt tokens of a generation.
+        wanted: Tokens that it makes.
+    """
+
+    kind: str
+    count: int
+    slots: int
+    work_ms: float
+    prompt: int = 0
+    wanted: int = 0
+
+    GROWTH = 0.1
+
+    @property
+    def capacity(self) -> float:
+        """Requests a second that all of them finish at most, by their parameters."""
+        if self.kind == "plain":
+            return self.count * self.slots * 1000 / self.work_ms
+        step_ms = self.work_ms * (1 + self.GROWTH * (self.slots - 1))
+        return self.count * self.slots * 1000 / (step_ms * self.wanted)
+
+    @property
+    def flags(self) -> dict[str, Any]:
+        """Flags of a stand-in."""
+        common = {"service": SERVICE, "slots": self.slots, "queue": 2 * self.slots}
+        if self.kind == "plain":
+            return {**common, "work_ms": self.work_ms}
+        return {**common, "model": "m", "step_ms": self.work_ms, "growth": self.GROWTH}
+
+
+def configuration(endpoints: Endpoints) -> dict[str, Any]:
+    """Return a configuration of one route and a few accounts."""
+    engine = endpoints.kind == "engine"
+    route = {
+        "name": SERVICE,
+        "host": HOST,
+        "path_prefix": PATH,
+        "service": SERVICE,
+        "kind": STREAM if engine else IDEMPOTENT,
+        "timeout_ms": 15_000,
+        "target_latency_ms": TARGET_MS,
+        "gap_target_ms": 400,
+        "max_attempts": 2,
+        "resumable": engine,
+        "priority": 1,
+        "public": False,
+    }
+    service = {"name": SERVICE, "health_path": "/health", "max_conns": 400}
+    if engine:
+        service["engine"] = {"slots": endpoints.slots, "kv_capacity": 100_000}
+    limits = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 8_388_608,
+        "header_timeout_ms": 10_000,
+        "idle_timeout_ms": 60_000,
+    }
+    return {
+        "version": 1,
+        "routes": [route],
+        "services": [service],
+        "tenants": [
+            {"name": f"account-{n}", "api_keys": [key]} for n, key in enumerate(keys())
+        ],
+        "limits": limits,
+    }
+
+
+def keys() -> list[str]:
+    """Return one key of each account."""
+    return [f"key-{number}" for number in range(ACCOUNTS)]
+
+
+class OverloadFleet:
+    """Starts and ends the processes; use it in a ``with`` block.
+
+    Args:
+        endpoints: What stands behind the gateways.
+        gateways: Number of gateways.
+    """
+
+    def __init__(self, endpoints: Endpoints, gateways: int) -> None:
+        self.routers: dict[str, Process] = {}
+        self.replicas: dict[str, Process] = {}
+        self._endpoints, self._count = endpoints, gateways
+        self._subnet = Subnet()
+        self._store: Process | None = None
+        self._dir = TemporaryDirectory(prefix="greengageflow-")
+
+    def __enter__(self) -> "OverloadFleet":
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def _start(self) -> None:
+        host = f"--host={self._subnet.host(1)}"
+        self._store = await_ready(launch("greengageflow.lab.platform_store", host))
+        self._control("PUT", "/config", configuration(self._endpoints))
+        for number in range(self._endpoints.count):
+            name = f"e-{number}"
+            self.replicas[name] = self._launch_replica(name)
+        for process in self.replicas.values():
+            await_ready(process)
+        path = f"/newest?topic={SERVERS_TOPIC}"
+        wait_for(
+            lambda: self._control("GET", path).keys() >= self.replicas.keys(), "listed"
+        )
+        for number in range(self._count):
+            self.routers[f"r{number}"] = self._launch_router(number)
+        for number in range(self._count):
+            ready = self._ip(number), READY_PORT
+            wait_for(lambda a=ready: call(a, "GET", READY_PATH).status == 200, "ready")
+
+    def _control(self, method: str, path: str, body: Any = None) -> Any:
+        ready = self._store.ready
+        return call((ready["host"], ready["control"]), method, path, body).json
+
+    def _launch_replica(self, name: str) -> Process:
+        ready = self._store.ready
+        flags = {
+            "host": self._subnet.host(2),
+            "store": f"{ready['host']}:{ready['control']}",
+            "name": name,
+            **self._endpoints.flags,
+        }
+        module = "greengageflow.lab.platform_replica"
+        return launch(module, *(f"--{key}={value}" for key, value in flags.items()))
+
+    def _ip(self, number: int) -> str:
+        return self._subnet.host(10 + number)
+
+    def _launch_router(self, number: int) -> Process:
+        ip, name = self._ip(number), f"r{number}"
+        settings = {
+            "host": name,
+            "zone": "zone-1",
+            "ip": ip,
+            "callers": f"{ip}:{CALLERS_PORT}",
+            "ready": f"{ip}:{READY_PORT}",
+            "metrics": f"{ip}:{METRICS_PORT}",
+            "gossip": f"{ip}:{GOSSIP_PORT}",
+            "store": "{host}:{port}".format(**self._store.ready),
+            "seeds": [f"{self._ip(n)}:{GOSSIP_PORT}" for n in range(number)],
+        }
+        path = Path(self._dir.name, f"{name}.json")
+        path.write_text(json.dumps(settings))
+        with self.log_of(name).open("wb") as out, self._errors(name).open("wb") as err:
+            popen = Popen(
+                [sys.executable, "-m", GATEWAY, f"--settings={path}"],
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": str(ROOT)},
+                stdin=DEVNULL,
+                stdout=out,
+                stderr=err,
+            )
+        return Process(popen, {}, self._errors(name).open("rb"))
+
+    def _errors(self, name: str) -> Path:
+        return Path(self._dir.name, f"{name}.err")
+
+    def log_of(self, name: str) -> Path:
+        """Return the file that gets a gateway's standard output."""
+        return Path(self._dir.name, f"{name}.log")
+
+    @property
+    def folder(self) -> Path:
+        """Folder of the run, removed at its end."""
+        return Path(self._dir.name)
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        """Where callers connect."""
+        return [(self._ip(number), CALLERS_PORT) for number in range(self._count)]
+
+    def metrics(self) -> dict[str, float]:
+        """Return the sums of the gateways' metrics, without histograms' parts."""
+        sums: dict[str, float] = {}
+        for number in range(self._count):
+            for name, value in _samples(self._ip(number)):
+                sums[name] = sums.get(name, 0.0) + value
+        return sums
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Return all requests that came to the endpoints."""
+        rows = []
+        for process in self.replicas.values():
+            address = process.ready["host"], process.ready["control"]
+            rows += call(address, "GET", "/runs").json
+        return rows
+
+    def close(self) -> None:
+        """End everything."""
+        mine = [*self.routers.values(), *self.replicas.values()]
+        for process in (*mine, *filter(None, [self._store])):
+            with suppress(ProcessLookupError):
+                process.popen.kill()
+            process.popen.wait()
+            if process.popen.stdout:
+                process.popen.stdout.close()
+            process.errors.close()
+        self._dir.cleanup()
+        self._subnet.close()
+
+
+def _samples(ip: str) -> Iterator[tuple[str, float]]:
+    text = call((ip, METRICS_PORT), "GET", "/metrics").data.decode()
+    for name, labels, value in _SAMPLE.findall(text):
+        if not name.endswith(("_bucket", "_created")):
+            yield f"{name} {labels}".strip(), float(value)
--- a/greengageflow/lab/bench.py
+++ b/greengageflow/lab/bench.py
@@ -1,5 +1,6 @@
 """``greengage-bench``: demo, load and experiments on a fleet of real processes."""
 
+import json
 import sys
 
 import fire
@@ -8,6 +9,7 @@
 from greengageflow.lab.bench_demo import run_demo
 from greengageflow.lab.bench_fleet import POLICIES, run_fleet
 from greengageflow.lab.bench_latency import run_bench
+from greengageflow.lab.bench_overload import run_overload
 from greengageflow.lab.bench_sixty import SIZES, run_sixty
 from greengageflow.lab.capacity import write_page
 from greengageflow.lab.slopes import ROLES, run_events, run_slopes
@@ -72,6 +74,30 @@
     sys.exit(status)
 
 
+def overload(
+    kind: str = "plain",
+    gateways: int = 1,
+    work_ms: float = 0.0,
+    out: str = "overload",
+) -> None:
+    """Load gateways with 0.5, 1, 2, 4 and 0.5 times what stand-in endpoints give.
+
+    It takes about a minute and prints what it found, without the seconds.
+
+    Args:
+        kind: ``plain`` or ``engine``.
+        gateways: Number of gateways.
+        work_ms: Milliseconds of a plain request, or of an engine's step; 0 for the
+            usual ones.
+        out: Path of the JSON and the SVG file, without their endings.
+
+    Example:
+        greengage-bench overload --kind=engine --gateways=2 --out=engine
+    """
+    found = run_overload(kind=kind, gateways=gateways, work_ms=work_ms, out=out)
+    print(json.dumps({**found, "seconds": len(found["seconds"])}, indent=1))
+
+
 def slopes(*roles: str, events: bool = True) -> None:
     """Measure what each role costs as one driver grows, and write the page.
 
@@ -139,6 +165,7 @@
         greengage-bench demo
         greengage-bench latency
         greengage-bench fleet --plan=peristeri --policies=central,owned
+        greengage-bench overload --kind=engine
         greengage-bench slopes && greengage-bench capacity
         greengage-bench sixty 9 60
         greengage-bench soak --seed 3
@@ -148,6 +175,7 @@
         self.demo = demo
         self.fleet = fleet
         self.latency = latency
+        self.overload = overload
         self.slopes = slopes
         self.capacity = capacity
         self.sixty = sixty
--- a/greengageflow/lab/bench_latency.py
+++ b/greengageflow/lab/bench_latency.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from itertools import pairwise
+from subprocess import Popen
 from time import sleep
 
 from greengageflow.lab._processes import Process, start
@@ -37,7 +38,7 @@
     rss_mb: float
 
 
-def usage_of(process: Process) -> Usage:
+def usage_of(process: Process | Popen) -> Usage:
     """Read a process's usage from the kernel."""
     with open(f"/proc/{process.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
--- /dev/null
+++ b/greengageflow/lab/bench_overload.py
@@ -0,0 +1,220 @@
+"""Overload and recovery of gateways before stand-in endpoints of known capacity."""
+
+import json
+import os
+import sys
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+from subprocess import DEVNULL, Popen
+from time import gmtime, monotonic, sleep, strftime
+from typing import Any
+
+from greengageflow.lab._overload_callers import CallPlan, CallRow
+from greengageflow.lab._overload_fleet import (
+    DEADLINE_MS,
+    HOST,
+    PATH,
+    TARGET_MS,
+    Endpoints,
+    OverloadFleet,
+    keys,
+)
+from greengageflow.lab._overload_sums import OverloadSums, Span
+from greengageflow.lab._processes import ROOT
+from greengageflow.lab._slopes_svg import draw
+from greengageflow.lab.bench_latency import Usage, usage_of
+
+KINDS = {
+    "plain": Endpoints("plain", count=2, slots=4, work_ms=100.0),
+    "engine": Endpoints("engine", count=3, slots=8, work_ms=5.0, prompt=300, wanted=40),
+}
+PHASES = (("0.5", 6.0), ("1", 9.0), ("2", 10.0), ("4", 10.0), ("0.5", 12.0))
+QUIET, FULL, AFTER = 0, 1, 4
+BEGIN_S = 1.0
+CLIENT_END_S = 20.0
+PANELS = {
+    "new requests/s": "fresh",
+    "served in time/s": "in_time",
+    "refused/s": "refused",
+    "late/s": "late",
+    "failed/s": "failed",
+    "wait p50, ms": "wait_p50_ms",
+    "wait p95, ms": "wait_p95_ms",
+    "back after a refusal/s": "again",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """What processes and pages say at one moment."""
+
+    at: float
+    usage: dict[str, Usage]
+    metrics: dict[str, float]
+    log_bytes: dict[str, int]
+    log_lines: dict[str, int]
+
+
+def run_overload(
+    kind: str = "plain",
+    gateways: int = 1,
+    work_ms: float = 0.0,
+    out: str = "overload",
+) -> dict[str, Any]:
+    """Load gateways with 0.5, 1, 2, 4 and 0.5 times what the endpoints give.
+
+    Args:
+        kind: ``plain`` or ``engine``.
+        gateways: Number of gateways.
+        work_ms: Milliseconds of a plain request, or of an engine's step; 0 for the
+            usual ones.
+        out: Path of the JSON and the SVG file, without their endings.
+
+    Returns:
+        What is written to the JSON file.
+
+    Raises:
+        KeyError: Unknown kind.
+        RuntimeError: The callers' process failed.
+    """
+    endpoints = KINDS[kind]
+    if work_ms:
+        endpoints = replace(endpoints, work_ms=work_ms)
+    spans = list(_spans(endpoints.capacity))
+    with OverloadFleet(endpoints, gateways) as fleet:
+        load_before = os.getloadavg()[0]
+        start, rows, samples = _drive(fleet, endpoints, spans)
+        begun = {
+            run["id"]: run["begun"] - start
+            for run in fleet.runs()
+            if run["begun"] is not None
+        }
+    sums = OverloadSums(rows, begun, TARGET_MS / 1000)
+    document = {
+        "date": strftime("%Y-%m-%d %H:%M UTC", gmtime()),
+        "load_average": [round(load_before, 2), round(os.getloadavg()[0], 2)],
+        "gateways": gateways,
+        "endpoints": asdict(endpoints) | {"capacity": round(endpoints.capacity, 2)},
+        "target_ms": TARGET_MS,
+        **_findings(sums, spans, samples),
+        "seconds": list(sums.seconds(spans[-1].end)),
+    }
+    Path(f"{out}.json").write_text(json.dumps(document, indent=1) + "\n")
+    Path(f"{out}.svg").write_text(_plot(document["seconds"]))
+    return document
+
+
+def _spans(capacity: float) -> Iterator[Span]:
+    begin = 0.0
+    for name, seconds in PHASES:
+        yield Span(name, begin, begin + seconds, float(name) * capacity)
+        begin += seconds
+
+
+def _drive(
+    fleet: OverloadFleet, endpoints: Endpoints, spans: list[Span]
+) -> tuple[float, list[CallRow], list[Sample]]:
+    start = monotonic() + BEGIN_S
+    plan = CallPlan(
+        addresses=fleet.addresses,
+        keys=keys(),
+        path=PATH,
+        host=HOST,
+        deadline_ms=DEADLINE_MS,
+        prompt=endpoints.prompt,
+        wanted=endpoints.wanted,
+        phases=[(span.end - span.begin, span.rate) for span in spans],
+        start=start,
+    )
+    given, taken = fleet.folder / "plan.json", fleet.folder / "rows.json"
+    given.write_text(json.dumps(asdict(plan)))
+    client = Popen(
+        [sys.executable, "-m", "greengageflow.lab._overload_callers", given, taken],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+        stdin=DEVNULL,
+    )
+    try:
+        samples = list(_samples(fleet, client, start, spans))
+        if client.wait(CLIENT_END_S):
+            raise RuntimeError("the callers' process failed")
+    finally:
+        client.kill()
+        client.wait()
+    rows = [CallRow(**row) for row in json.loads(taken.read_text())]
+    return start, rows, samples
+
+
+def _samples(
+    fleet: OverloadFleet, client: Popen, start: float, spans: list[Span]
+) -> Iterator[Sample]:
+    """Yield one sample at the beginning of each phase and at the end of the last."""
+    for at in (*(span.begin for span in spans), spans[-1].end):
+        sleep(max(0.0, start + at - monotonic()))
+        processes = {**fleet.routers, **fleet.replicas}
+        usage = {name: usage_of(process) for name, process in processes.items()}
+        logs = {name: fleet.log_of(name).read_bytes() for name in fleet.routers}
+        yield Sample(
+            monotonic() - start,
+            usage | {"callers": usage_of(client)},
+            fleet.metrics(),
+            {name: len(log) for name, log in logs.items()},
+            {name: log.count(b"\n") for name, log in logs.items()},
+        )
+
+
+def _findings(
+    sums: OverloadSums, spans: list[Span], samples: list[Sample]
+) -> dict[str, Any]:
+    phases = [
+        sums.phase(span) | _cost(*samples[number : number + 2])
+        for number, span in enumerate(spans)
+    ]
+    best = max(phase["in_time"] for phase in phases)
+    normal_s = sums.normal_s(spans[QUIET])
+    return {
+        "best_in_time": best,
+        "ratio": {
+            phase["load"]: round(phase["in_time"] / best, 3)
+            for phase in phases[FULL:AFTER]
+        },
+        "normal_wait_ms": round(1000 * normal_s, 1),
+        "recovery_s": sums.recovery_s(spans[AFTER], normal_s),
+        "without_whole_answer": sums.unanswered,
+        "phases": phases,
+    }
+
+
+def _cost(before: Sample, after: Sample) -> dict[str, Any]:
+    """Return what processes, pages and logs took a second between two samples."""
+    seconds = after.at - before.at
+    counts = {
+        name: round(value - before.metrics.get(name, 0.0))
+        for name, value in after.metrics.items()
+        if name.startswith(("refusals", "requests", "log_lines", "retries", "endpoint"))
+    }
+    return {
+        "core_percent": {
+            name: round(100 * (now.cpu_s - before.usage[name].cpu_s) / seconds, 1)
+            for name, now in after.usage.items()
+        },
+        "log_lines_per_s": _rates(before.log_lines, after.log_lines, seconds),
+        "log_bytes_per_s": _rates(before.log_bytes, after.log_bytes, seconds),
+        "counts": {name: count for name, count in counts.items() if count},
+    }
+
+
+def _rates(
+    before: dict[str, int], after: dict[str, int], seconds: float
+) -> dict[str, float]:
+    return {name: round((after[name] - before[name]) / seconds, 1) for name in after}
+
+
+def _plot(seconds: list[dict[str, float]]) -> str:
+    return draw(
+        {
+            title: {"points": [(row["second"], row[name]) for row in seconds]}
+            for title, name in PANELS.items()
+        }
+    )
