First events as a line over prompt tokens; zone of the host that sends; policy tool

Cause: an engine shows its first event a fixed time (0.15 s here) after it has read a prompt. Placers took their own zone for that of the host that asked. Ruled out: slots (20 of 64 run). Change: ReadingModel (rate and fixed time apart), fluid backlog of an engine, zone in asks, shares of the work that operators state; `greengage-bench policy` plays the core.

--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from math import inf
 
 from greengageflow.core.endpoint_health import EndpointHealth
 from greengageflow.core.endpoint_list import ListedEndpoint
@@ -18,6 +19,13 @@
 PLAIN_FAILING = 8.0
 HOME_BONUS_S = 0.05
 FILL = 0.92
+LEAST_AHEAD_S = 0.05
+SURE_READING = 1.2
+"""Tokens to read, in a prompt's own ones, up to which its time teaches a rate.
+
+Whether shared parts that nobody sent there lately are kept is not known: after a
+restart of all hosts they are, and engines seem ten times as fast as they are.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,12 +37,14 @@
         reading: Prompt tokens that it has to read, by all that is known.
         wait_s: Predicted seconds to the first event.
         fetch_from: Engine that keeps shared parts which this one lacks, or None.
+        sure: Whether the endpoint keeps the shared parts is known.
     """
 
     endpoint: ListedEndpoint
     reading: float = 0.0
     wait_s: float = 0.0
     fetch_from: ListedEndpoint | None = None
+    sure: bool = True
 
 
 class EndpointChooser:
@@ -66,9 +76,11 @@
         prompt: Prompt | None,
         *,
         patience_s: float,
+        first_by_s: float = inf,
         transfers: bool,
         fill: float = FILL,
         room: Sequence[ListedEndpoint] | None = None,
+        zone: str = "",
     ) -> Choice | None:
         """Return the best endpoint, or None when none has room in time.
 
@@ -77,34 +89,45 @@
             endpoints: Those of the service; they may keep parts.
             prompt: Its work, for a model engine.
             patience_s: Longest wait for the endpoint to begin, in seconds.
+            first_by_s: Seconds from now by which the first event should come. An
+                endpoint that begins in ``LEAST_AHEAD_S`` is taken all the same: none
+                is sooner.
             transfers: Engines fetch prompt parts from each other.
             fill: Part of an engine's slots that may be taken.
             room: Those that may run the request, if not all; see ``with_room``.
+            zone: Availability zone of the host that sends it; empty: this host's.
         """
+        zone = zone or self._zone
         may_run = endpoints if room is None else room
         awake = [e for e in may_run if not self._health.rests(now, e.id)]
         if prompt is None:
-            return self._plain(awake or may_run, fill)
+            return self._plain(awake or may_run, fill, zone)
         kept = self._kept(now, prompt, endpoints)
         is_kept = 0 < prompt.shared_tokens == kept.most
         home = None if is_kept else home_of(prompt.affinity, endpoints)
         best: Choice | None = None
-        best_s = float("inf")
+        best_s = inf
+        own = prompt.tokens_in - prompt.shared_tokens
         for endpoint in awake:
             load = self._loads(endpoint)
-            ahead_s = load.ahead_s
-            if ahead_s > patience_s or not load.fits(prompt.tokens_in, fill):
+            if not load.fits(prompt.tokens_in, fill):
                 continue
+            ahead_s = load.ahead_s(now)
             reading, again, source = _reading(endpoint, kept, prompt, transfers)
-            wait_s = ahead_s + reading / load.rate
-            cost_s = self._cost_s(endpoint, load, wait_s)
+            first_s = load.model.first_event_s(reading)
+            longest_s = max(LEAST_AHEAD_S, min(patience_s, first_by_s - first_s))
+            if ahead_s > longest_s:
+                continue
+            wait_s = ahead_s + first_s
+            cost_s = self._cost_s(endpoint, load, wait_s, zone)
             # What others would have to wait for while it is read once more.
-            cost_s += AGAIN_PART * again / load.rate
+            cost_s += AGAIN_PART * again / load.model.rate
             if home is not None and endpoint.id == home.id:
                 cost_s -= HOME_BONUS_S
             if cost_s < best_s:
                 best_s = cost_s
-                best = Choice(endpoint, reading, wait_s, source)
+                sure = source is None and reading <= SURE_READING * own
+                best = Choice(endpoint, reading, wait_s, source, sure)
         return best
 
     def with_room(
@@ -139,7 +162,9 @@
                     kept.source, kept.source_tokens = by_id[holder.endpoint], depth
         return kept
 
-    def _plain(self, endpoints: Sequence[ListedEndpoint], fill: float) -> Choice | None:
+    def _plain(
+        self, endpoints: Sequence[ListedEndpoint], fill: float, zone: str
+    ) -> Choice | None:
         """Return the least loaded endpoint of a plain service."""
         best: ListedEndpoint | None = None
         best_cost = float("inf")
@@ -149,7 +174,7 @@
             # each of those is an arrival that the budget of repeats has to bear.
             if load.running >= PLAIN_QUEUE * fill * load.slots:
                 continue
-            away = PLAIN_AWAY if endpoint.zone != self._zone else 0.0
+            away = PLAIN_AWAY if endpoint.zone != zone else 0.0
             failing = PLAIN_FAILING * self._health.failing(endpoint.id)
             cost = load.running + away + failing
             if cost < best_cost:
@@ -157,11 +182,11 @@
         return Choice(best) if best else None
 
     def _cost_s(
-        self, endpoint: ListedEndpoint, load: EndpointLoad, wait_s: float
+        self, endpoint: ListedEndpoint, load: EndpointLoad, wait_s: float, zone: str
     ) -> float:
         cost_s = wait_s + FAILING_PENALTY_S * self._health.failing(endpoint.id)
         cost_s += 0.1 * load.running / load.slots
-        return cost_s + (AWAY_PENALTY_S if endpoint.zone != self._zone else 0.0)
+        return cost_s + (AWAY_PENALTY_S if endpoint.zone != zone else 0.0)
 
 
 @dataclass(slots=True)
--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -1,9 +1,8 @@
 """How busy an endpoint is, learned from what is seen of it.
 
 A model engine has two bounds: it reads prompts one after the other, and it runs a
-fixed number of requests at once. The time to the first event is the prompt tokens
-that wait ahead, divided by a rate that is learned from first events. Nothing here
-is known of an engine beforehand.
+fixed number of requests at once. How long a prompt waits follows from the prompts sent
+before it and from a ``ReadingModel``. Nothing here is known of an engine beforehand.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
@@ -11,37 +10,14 @@
 from functools import partial
 from typing import NamedTuple
 
-FIRST_RATE = 20_000.0
-SLOWEST_RATE = 1_000.0
-FASTEST_RATE = 5_000_000.0
-LEAST_SAMPLE_TOKENS = 2000.0
-RISE = 0.1
-FALL = 0.03
-TRUSTED_SAMPLES = 20
+from greengageflow.core.reading_model import TRUSTED_SAMPLES, ReadingModel
 
+LATE_SLACK_S = 0.1
+"""Seconds by which a first event may be late before the engine counts as behind.
 
-class ReadingRate:
-    """Prompt tokens that an engine reads in a second, learned from first events.
-
-    A first event often comes later than reading took, since other hosts' prompts
-    stood ahead unseen, and seldom sooner. So the estimate rises faster than it falls,
-    which makes it an upper quantile of what is seen.
-
-    Args:
-        first: What to begin with, in tokens a second.
-    """
-
-    def __init__(self, first: float = FIRST_RATE) -> None:
-        self.value = first
-        self.samples = 0
-
-    def learn(self, sample: float) -> None:
-        """Take in one observation, in tokens a second."""
-        self.samples += 1
-        weight = RISE if sample > self.value else FALL
-        weight = max(weight, 1.0 / self.samples)
-        value = self.value + weight * (sample - self.value)
-        self.value = min(FASTEST_RATE, max(SLOWEST_RATE, value))
+Steps of an engine and datagrams of hosts spread first events by some 30 ms; an engine
+that stands still is so found behind in the time of three steps.
+"""
 
 
 class LoadShare(NamedTuple):
@@ -67,10 +43,25 @@
 
 @dataclass(slots=True)
 class _Run:
+    """A request that an endpoint has.
+
+    Args:
+        reading: Prompt tokens to read, 0 from the first event on.
+        memory: Tokens that it takes up in the end.
+        sent_at: Time of the sending.
+        ahead: Tokens that were to be read then, its own with them.
+        mark: Prompt tokens sent there so far, its own with them.
+        alone: No other prompt was to be read then, as far as is known.
+        sure: What is to be read of its prompt was known.
+    """
+
     reading: float
     memory: float
-    ahead: float
     sent_at: float
+    ahead: float
+    mark: float
+    alone: bool
+    sure: bool
 
 
 class EndpointLoad:
@@ -79,23 +70,29 @@
     Args:
         slots: Requests that it runs at once.
         memory_tokens: Tokens that fit into its memory; 0 for a plain service.
-        common: Rate of all endpoints of the service, used until this one is known.
+        common: What is known of all endpoints of the service, used until this one
+            is known.
     """
 
     def __init__(
         self,
         slots: int,
         memory_tokens: int = 0,
-        common: ReadingRate | None = None,
+        common: ReadingModel | None = None,
     ) -> None:
         self.slots = max(1, slots)
         self.memory_tokens = memory_tokens
         self.others = LoadShare()
-        self._common = common or ReadingRate()
-        self._rate = ReadingRate()
+        self._common = common or ReadingModel()
+        self._model = ReadingModel()
         self._runs: dict[str, _Run] = {}
+        self._unread: dict[str, _Run] = {}
         self._reading = 0.0
         self._memory = 0.0
+        self._level = 0.0
+        self._level_at = 0.0
+        self._sent = 0.0
+        self._last_event_at = float("-inf")
 
     @property
     def own(self) -> LoadShare:
@@ -108,15 +105,34 @@
         return len(self._runs) + self.others.running
 
     @property
-    def rate(self) -> float:
-        """Prompt tokens that it reads in a second, as learned."""
-        known = self._rate.samples >= TRUSTED_SAMPLES
-        return self._rate.value if known else self._common.value
+    def model(self) -> ReadingModel:
+        """How fast it reads, as far as is known."""
+        known = self._model.samples >= TRUSTED_SAMPLES
+        return self._model if known else self._common
 
-    @property
-    def ahead_s(self) -> float:
-        """Seconds until it would begin to read a prompt that is sent now."""
-        return (self._reading + self.others.reading) / self.rate
+    def ahead_s(self, now: float) -> float:
+        """Return the seconds until it would begin to read a prompt that is sent now.
+
+        A request without a first event may be read already: for the fixed time it
+        does not show. So prompts that were sent are taken to be read at the learned
+        rate, and first events that are late put that right.
+        """
+        rate = self.model.rate
+        level = self._drained(now)
+        oldest = next(iter(self._unread.values()), None)
+        if oldest is not None:
+            due_at = oldest.sent_at + self.model.first_event_s(oldest.ahead)
+            late_s = now - due_at
+            if late_s > LATE_SLACK_S:
+                level = min(self._reading, level + late_s * rate)
+        return (level + self.others.reading) / rate
+
+    def _drained(self, now: float) -> float:
+        """Return this host's prompt tokens that are yet to be read."""
+        read = max(0.0, now - self._level_at) * self.model.rate
+        self._level = max(0.0, min(self._level - read, self._reading))
+        self._level_at = now
+        return self._level
 
     def has_slot(self, queue: float) -> bool:
         """Whether one more request might go there.
@@ -140,29 +156,64 @@
             return True
         return self._memory + self.others.memory + memory <= self.memory_tokens
 
-    def begin(self, now: float, request: str, reading: float, memory: float) -> None:
-        """Note a request that is sent there."""
-        ahead = self._reading + self.others.reading
-        self._runs[request] = _Run(reading, memory, ahead + reading, now)
+    def begin(
+        self,
+        now: float,
+        request: str,
+        reading: float,
+        memory: float,
+        *,
+        sure: bool = True,
+    ) -> None:
+        """Note a request that is sent there.
+
+        Args:
+            now: The time.
+            request: Its id.
+            reading: Prompt tokens to read.
+            memory: Tokens that it takes up in the end.
+            sure: Whether the endpoint keeps its shared parts is known.
+        """
+        alone = not self._unread and not self.others.reading
+        level = self._drained(now) + reading
+        self._sent += reading
+        run = _Run(reading, memory, now, level, self._sent, alone, sure)
+        self._runs[request] = run
+        if reading:
+            self._unread[request] = run
         self._reading += reading
         self._memory += memory
+        self._level = level
 
     def first_event(self, now: float, request: str) -> None:
         """Note a request's first event, and learn from the time that it took."""
-        run = self._runs.get(request)
-        if run is None or not run.reading:
+        run = self._unread.pop(request, None)
+        if run is None:
             return
-        took_s = now - run.sent_at
-        if run.ahead >= LEAST_SAMPLE_TOKENS and took_s > 0:
-            self._rate.learn(run.ahead / took_s)
-            self._common.learn(run.ahead / took_s)
+        self._learn(now, run)
+        self._last_event_at = now
+        # All that was sent up to it is read, and some of what was sent later.
+        self._level = min(self._drained(now), self._sent - run.mark)
         self._reading -= run.reading
         run.reading = 0.0
 
+    def _learn(self, now: float, run: _Run) -> None:
+        took_s = now - run.sent_at
+        if not run.sure or took_s <= 0:
+            return
+        if run.alone:
+            for model in (self._model, self._common):
+                model.learn_idle(run.reading, took_s)
+        elif run.sent_at <= self._last_event_at - self.model.fixed_s:
+            # It was there when the engine began to read it.
+            for model in (self._model, self._common):
+                model.learn_busy(run.reading, now - self._last_event_at)
+
     def end(self, request: str) -> None:
         """Note that a request no longer runs there."""
         run = self._runs.pop(request, None)
         if run is not None:
+            self._unread.pop(request, None)
             self._reading -= run.reading
             self._memory -= run.memory
 
@@ -172,7 +223,7 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, EndpointLoad] = {}
-        self._rates: dict[str, ReadingRate] = {}
+        self._models: dict[str, ReadingModel] = {}
         self._others: Mapping[str, LoadShare] = {}
 
     def add(
@@ -181,7 +232,7 @@
         """Return the load of an endpoint that is new, or that of one that is known."""
         load = self._loads.get(endpoint)
         if load is None:
-            common = self._rates.setdefault(service, ReadingRate())
+            common = self._models.setdefault(service, ReadingModel())
             load = EndpointLoad(slots, memory_tokens, common)
             self._loads[endpoint] = load
             load.others = self._others.get(endpoint, LoadShare())
--- a/greengageflow/core/place_desk.py
+++ b/greengageflow/core/place_desk.py
@@ -68,7 +68,7 @@
             now + ask.left_s,
             now + ask.patience_s,
         )
-        job = Job(waiter, ask.target_s, prompt, frozenset(ask.avoid))
+        job = Job(waiter, ask.target_s, prompt, frozenset(ask.avoid), ask.zone)
         yield from self._book.submit(now, ask.service, job, ask.account, counted=False)
 
     def is_waiting(self, ask: PlaceAsk) -> bool:
@@ -194,6 +194,7 @@
     job: Job,
     account: str,
     avoid: tuple[str, ...],
+    zone: str,
 ) -> PlaceAsk:
     """Return the ask of a host for a request; ``PlaceDesk.ask`` takes it."""
     waiter, prompt = job.waiter, job.prompt
@@ -212,4 +213,5 @@
         tokens_in=prompt.tokens_in,
         tokens_out=prompt.tokens_out,
         avoid=avoid,
+        zone=zone,
     )
--- a/greengageflow/core/place_messages.py
+++ b/greengageflow/core/place_messages.py
@@ -45,6 +45,7 @@
         tokens_in: All prompt tokens.
         tokens_out: Most tokens to generate.
         avoid: Endpoints that do not answer this host.
+        zone: Availability zone of the host.
     """
 
     host: str
@@ -61,6 +62,7 @@
     tokens_in: int
     tokens_out: int
     avoid: tuple[str, ...] = ()
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -88,7 +88,7 @@
         memory: float,
     ) -> None:
         """Count a request that an earlier placer sent."""
-        self._load(endpoint).begin(now, request, reading, memory)
+        self._load(endpoint).begin(now, request, reading, memory, sure=False)
 
     def _placed_at(self, service: str) -> list[ListedEndpoint]:
         """Return the endpoints that this host sends new requests to."""
@@ -171,18 +171,27 @@
         own = _of_service(service, dict(self._offered.items(now, 1.0)))
         others = _of_service(service, self._totals.offered)
         done = sum(self.level(service, a) for a in own.keys() | others.keys())
-        parts = part_demand(own, others, max(done, LEAST_DONE))
+        parts = part_demand(own, others, max(self._owed(done), LEAST_DONE))
         loads = [self._load(e) for e in self._placed_at(service)]
         slots = sum(load.slots for load in loads)
-        rate = sum(load.rate for load in loads)
+        reading = sum(_read_ahead(load) for load in loads)
         # A placer's engines get no work but by it.
         part = parts.own if self._owned is None else 1.0
         return Allowance(
             running=max(LEAST_RUNNING, FILL * slots * part),
-            reading=max(1.0, READ_AHEAD_S * rate * part),
+            reading=max(1.0, reading * part),
             levels={a: LEVEL_SLACK * share for a, share in parts.shares.items()},
         )
 
+    def _owed(self, done: float) -> float:
+        """Return the work lately of which accounts have even shares.
+
+        Args:
+            done: The work that was begun lately.
+        """
+        stated = self._routing.tokens_per_s * FADE_S
+        return min(done, stated) if stated else done
+
     # Requests.
 
     def submit(
@@ -259,7 +268,9 @@
         """Note that a request was sent to an endpoint."""
         endpoint = choice.endpoint
         memory = prompt.tokens_in + prompt.tokens_out if prompt else 0
-        self._load(endpoint).begin(now, request, choice.reading, memory)
+        self._load(endpoint).begin(
+            now, request, choice.reading, memory, sure=choice.sure
+        )
         if prompt is not None:
             shared = tuple(part.id for part in prompt.parts[:-1])
             for part in shared:
@@ -333,5 +344,11 @@
         return sum(self._load(endpoint).own.reading for endpoint in usable)
 
 
+def _read_ahead(load: EndpointLoad) -> float:
+    """Return the tokens to read that an engine may be sent beyond its first event."""
+    model = load.model
+    return (READ_AHEAD_S + model.fixed_s) * model.rate
+
+
 def _of_service(service: str, sums: Mapping[AccountKey, float]) -> dict[str, float]:
     return {account: work for (name, account), work in sums.items() if name == service}
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
-from math import log
+from math import inf, log
 
 from greengageflow.core.endpoint_choice import FILL, Choice, EndpointChooser
 from greengageflow.core.endpoint_list import ListedEndpoint
@@ -10,8 +10,12 @@
 from greengageflow.core.work_queue import Waiter, WorkQueue
 from greengageflow.errors import ErrorKind
 
-AHEAD_PART = 0.45
-LEAST_AHEAD_S = 0.05
+FIRST_PART = 0.8
+"""Part of a target by which the first event is to be expected.
+
+What is seen spreads by a fifth of a target round what is predicted: with all of it each
+second request at the edge is late, with half of it engines idle while callers wait.
+"""
 SLACK_FILL = 0.6
 LEAST_COME_BACK_S = 1.0
 LONGEST_COME_BACK_S = 5.0
@@ -27,12 +31,14 @@
         target_s: Time from its arrival within which it is worth most, in seconds.
         prompt: Its work, for a model engine.
         avoid: Endpoints that it may not be sent to.
+        zone: Availability zone of the host that sends it; empty: this host's.
     """
 
     waiter: Waiter
     target_s: float
     prompt: Prompt | None = None
     avoid: frozenset[str] = frozenset()
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +51,8 @@
         levels: Service by client account from which on others go first.
     """
 
-    running: float = float("inf")
-    reading: float = float("inf")
+    running: float = inf
+    reading: float = inf
     levels: Mapping[str, float] = field(default_factory=dict)
 
 
@@ -169,15 +175,19 @@
         if not room:
             return None
         for waiter in self._queue.heads(now, self._level):
-            most = allowed.levels.get(waiter.account, float("inf"))
+            most = allowed.levels.get(waiter.account, inf)
             busy = not within or self._level(waiter.account) > most
             job = self._jobs[waiter.id]
+            # Beyond this host's or its account's part a request starts only where
+            # engines have time to spare: no capacity idles, and nobody else waits.
             choice = self._chooser.choose(
                 now,
                 endpoints,
                 job.prompt,
                 room=[e for e in room if e.id not in job.avoid],
-                patience_s=self._patience_s(now, job, busy),
+                patience_s=SLACK_AHEAD_PART * job.target_s if busy else inf,
+                zone=job.zone,
+                first_by_s=FIRST_PART * job.target_s - (now - waiter.arrived),
                 transfers=self.transfers,
                 fill=SLACK_FILL if busy else FILL,
             )
@@ -185,18 +195,6 @@
                 return StartJob(waiter, choice)
         return None
 
-    @staticmethod
-    def _patience_s(now: float, job: Job, busy: bool) -> float:
-        """Return the longest wait for an endpoint to begin, in seconds.
-
-        A request beyond this host's or its account's part starts only where engines
-        have time to spare: no capacity idles, and nobody else waits for it.
-        """
-        if busy:
-            return SLACK_AHEAD_PART * job.target_s
-        waited_s = now - job.waiter.arrived
-        return max(LEAST_AHEAD_S, AHEAD_PART * job.target_s - waited_s)
-
     def next_due(self) -> float | None:
         """Return the time by which ``pump`` is to be called, or None."""
         return self._queue.next_expiry()
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -120,8 +120,7 @@
         seeds = [(seed.ip, seed.port) for seed in settings.seeds]
         self._exchange = FleetExchange(hello, self._link, self._timers, seeds, self)
         self._placement = self._forwarder.placement = Placement(
-            settings.host,
-            self._boot,
+            hello,
             self._book,
             self._endpoints,
             self._timers,
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -72,8 +72,7 @@
     placer is left alone for ``MUTE_S``.
 
     Args:
-        host: This host.
-        boot: Start of this process.
+        own: This host.
         book: Decides what is decided here.
         endpoints: Listed endpoints.
         timers: Timer service.
@@ -84,8 +83,7 @@
 
     def __init__(
         self,
-        host: str,
-        boot: int,
+        own: Hello,
         book: ServiceBook,
         endpoints: EndpointList,
         timers: Timers,
@@ -94,18 +92,19 @@
         log: DecisionLog,
     ) -> None:
         self.stopping = False
-        self._host = host
-        self._boot = boot
+        self._host = own.host
+        self._zone = own.zone
+        self._boot = own.boot
         self._book = book
         self._endpoints = endpoints
         self._timers = timers
         self._sender = sender
         self._carry_out = carry_out
         self._log = log
-        self._desk = PlaceDesk(host, book)
+        self._desk = PlaceDesk(own.host, book)
         self._asked: dict[str, _Asked] = {}
         self._runs: dict[str, _Run] = {}
-        self._table = PlacerTable(host, MUTE_S)
+        self._table = PlacerTable(own.host, MUTE_S)
         self._owned: frozenset[str] | None = None
         self._roll_until: dict[str, float] = {}
         self._placer_since = float("inf")
@@ -139,7 +138,9 @@
         self._asked[request] = _Asked(placer, service, job, account, now)
         self._roll_until[placer] = now + ROLLS_ON_S
         avoid = self._book.resting(now, service)
-        ask = ask_for(self._host, self._boot, now, service, job, account, avoid)
+        ask = ask_for(
+            self._host, self._boot, now, service, job, account, avoid, self._zone
+        )
         self._send(placer, ask)
         self._timers.after(ANSWER_S, lambda: self._on_silence(request))
 
--- a/greengageflow/lab/bench.py
+++ b/greengageflow/lab/bench.py
@@ -10,6 +10,7 @@
 from greengageflow.lab.bench_fleet import POLICIES, run_fleet
 from greengageflow.lab.bench_latency import run_bench
 from greengageflow.lab.bench_overload import run_overload
+from greengageflow.lab.bench_policy import MECHANISMS, run_policy
 from greengageflow.lab.bench_sixty import SIZES, run_sixty
 from greengageflow.lab.capacity import write_page
 from greengageflow.lab.gateway_slopes import profile_roles, run_gateway
@@ -175,6 +176,35 @@
     sys.exit(run_seeds(range(int(first), int(last or first) + 1), seconds, out) > 0)
 
 
+def policy(
+    sheet: str = "long",
+    seeds: str = "1-12",
+    without: str | tuple[str, ...] = (),
+    out: str = "",
+) -> None:
+    """Play the decision core against simulated engines, in simulated time.
+
+    Prints means over the seeds with their standard errors, and for each mechanism that
+    is left out the paired difference.
+
+    Args:
+        sheet: ``long`` or ``short`` prompts.
+        seeds: Seeds, as ``FIRST-LAST``.
+        without: Mechanisms to leave out, one at a time, or ``all``.
+        out: SVG file for the worth by second.
+
+    Example:
+        greengage-bench policy --seeds 1-20 --without zones,fetch
+    """
+    first, _, last = str(seeds).partition("-")
+    names = tuple(without.split(",")) if isinstance(without, str) else tuple(without)
+    names = tuple(MECHANISMS) if names == ("all",) else names
+    unknown = [name for name in names if name not in MECHANISMS]
+    if unknown:
+        sys.exit(f"no mechanism {unknown[0]!r}; there are {', '.join(MECHANISMS)}")
+    run_policy(sheet, range(int(first), int(last or first) + 1), names, out)
+
+
 class Commands:
     """Demo, load and experiments on a fleet of real processes.
 
@@ -194,6 +224,7 @@
         self.fleet = fleet
         self.latency = latency
         self.overload = overload
+        self.policy = policy
         self.slopes = slopes
         self.capacity = capacity
         self.gateway = gateway
--- /dev/null
+++ b/greengageflow/lab/bench_policy.py
@@ -0,0 +1,140 @@
+"""Plays the decision core against simulated engines, with and without a mechanism."""
+
+from collections.abc import Callable, Iterator, Mapping
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from math import inf
+from pathlib import Path
+from statistics import fmean, stdev
+
+from greengageflow.core import (
+    endpoint_choice,
+    reading_model,
+    service_book,
+    service_scheduler,
+)
+from greengageflow.daemon import forward_admission
+from greengageflow.lab._slopes_svg import draw
+from greengageflow.lab.policy_load import SHEETS
+from greengageflow.lab.policy_play import Play
+from greengageflow.lab.policy_sums import seconds_of, sums_of
+
+PROCESSES = 6
+
+Figures = Mapping[str, float]
+Course = list[tuple[float, float]]
+
+
+def _set(module: object, **values: object) -> Callable[[], None]:
+    def change() -> None:
+        for name, value in values.items():
+            if not hasattr(module, name):
+                raise AttributeError(f"{module} has no {name}")
+            setattr(module, name, value)
+
+    return change
+
+
+def _no_fixed_time() -> None:
+    fit = reading_model.ReadingModel._fit
+
+    def without(model: reading_model.ReadingModel) -> None:
+        fit(model)
+        model.fixed_s = 0.0
+
+    reading_model.ReadingModel._fit = without
+
+
+def _no_fetch() -> None:
+    choose = endpoint_choice.EndpointChooser.choose
+
+    def without(*args: object, **options: object) -> object:
+        return choose(*args, **(options | {"transfers": False}))
+
+    endpoint_choice.EndpointChooser.choose = without
+
+
+MECHANISMS: Mapping[str, Callable[[], None]] = {
+    "fixed-time": _no_fixed_time,
+    "zones": _set(endpoint_choice, AWAY_PENALTY_S=0.0),
+    "homes": _set(endpoint_choice, HOME_BONUS_S=0.0),
+    "fetch": _no_fetch,
+    "fetch-price": _set(endpoint_choice, FETCH_PART=0.05),
+    "again-price": _set(endpoint_choice, AGAIN_PART=0.0),
+    "levels": _set(service_book, LEVEL_SLACK=inf),
+    "slack": _set(service_scheduler, SLACK_AHEAD_PART=inf, SLACK_FILL=1.0),
+    "first-by": _set(service_scheduler, FIRST_PART=inf),
+    "queue": _set(forward_admission, QUEUE_PART=0.0),
+}
+"""What can be left out, by name."""
+
+
+def _play(without: str, sheet: str, seed: int) -> tuple[Figures, Course]:
+    if without:
+        MECHANISMS[without]()
+    played = Play(SHEETS[sheet], seed).run()
+    return sums_of(played, SHEETS[sheet]), seconds_of(played, SHEETS[sheet])
+
+
+def play_seeds(
+    sheet: str, seeds: range, without: str = ""
+) -> list[tuple[Figures, Course]]:
+    """Return figures and course of each seed's day, in order.
+
+    Args:
+        sheet: Name of a deployment.
+        seeds: Seeds.
+        without: Mechanism that is left out.
+    """
+    job = partial(_play, without, sheet)
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        return list(pool.map(job, seeds))
+
+
+def run_policy(sheet: str, seeds: range, without: tuple[str, ...], out: str) -> None:
+    """Print a table of all mechanisms beside one without each, and draw the days.
+
+    Args:
+        sheet: Name of a deployment.
+        seeds: Seeds.
+        without: Names of mechanisms.
+        out: SVG file; empty: none.
+    """
+    base = play_seeds(sheet, seeds)
+    courses = {"all": _mean_course([course for _, course in base])}
+    columns = {"all": [figures for figures, _ in base]}
+    for name in without:
+        days = play_seeds(sheet, seeds, name)
+        columns[f"no {name}"] = [figures for figures, _ in days]
+        courses[f"no {name}"] = _mean_course([course for _, course in days])
+    print("\n".join(_table(columns)))
+    if out:
+        panels = {name: {"points": points} for name, points in courses.items()}
+        Path(out).write_text(draw(panels))
+
+
+def _table(columns: Mapping[str, list[Figures]]) -> Iterator[str]:
+    """Yield lines: means and spread, and for others the paired difference."""
+    base = columns["all"]
+    others = [name for name in columns if name != "all"]
+    yield " ".join([f"{'':17}", f"{'all':>15}", *(f"{n:>17}" for n in others)])
+    for figure in base[0]:
+        of_base = [day.get(figure, 0.0) for day in base]
+        cells = [f"{fmean(of_base):7.3f} +-{_spread(of_base):5.3f}"]
+        for name in others:
+            pairs = zip(columns[name], of_base, strict=True)
+            differences = [day.get(figure, 0.0) - before for day, before in pairs]
+            mean, spread = fmean(differences), _spread(differences)
+            cells.append(f"{mean:+8.3f} +-{spread:5.3f}")
+        yield " ".join([f"{figure:17}", *cells])
+
+
+def _spread(values: list[float]) -> float:
+    """Return the standard error of the mean."""
+    return stdev(values) / len(values) ** 0.5 if len(values) > 1 else 0.0
+
+
+def _mean_course(courses: list[Course]) -> Course:
+    seconds = sorted({second for course in courses for second, _ in course})
+    by_second = [dict(course) for course in courses]
+    return [(s, fmean(c[s] for c in by_second if s in c)) for s in seconds]
--- a/greengageflow/net/place_codec.py
+++ b/greengageflow/net/place_codec.py
@@ -40,6 +40,7 @@
                 message.tokens_in,
                 message.tokens_out,
                 message.avoid,
+                message.zone,
             )
         case PlaceAnswer():
             return (
@@ -70,7 +71,8 @@
 def ask_of(values: list[Any]) -> PlaceAsk:
     """Return an ask; raises ValueError, TypeError for what is none."""
     host, boot, request, service, account, priority, *rest = values
-    waited_s, left_s, patience_s, target_s, parts, tokens_in, tokens_out, avoid = rest
+    waited_s, left_s, patience_s, target_s, *rest = rest
+    parts, tokens_in, tokens_out, avoid, zone = rest
     return PlaceAsk(
         host=str(host),
         boot=int(boot),
@@ -86,6 +88,7 @@
         tokens_in=_count(tokens_in),
         tokens_out=_count(tokens_out),
         avoid=tuple(str(name) for name in avoid),
+        zone=str(zone),
     )
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -84,7 +84,7 @@
         address = {"ip": "127.0.0.1", "port": 9 + index}
         self.hello = Hello(host=name, boot=boot, zone="z", **address)
         self.placement = Placement(
-            name, boot, self.book, self.endpoints, self, self, self.carry_out, self
+            self.hello, self.book, self.endpoints, self, self, self.carry_out, self
         )
         self.placement.start()
         self.every(0.25, self.round)
@@ -282,7 +282,7 @@
     for number in range(SLOTS + 2):
         waiter = Waiter(str(number), "a", 100.0, 0, 9.0, 10.0, 9.2)
         job = Job(waiter, 1.0, PROMPT)
-        for decision in desk.ask(9.0, ask_for("h", 1, 9.0, "model", job, "a", ())):
+        for decision in desk.ask(9.0, ask_for("h", 1, 9.0, "model", job, "a", (), "z")):
             desk.decided(9.0, decision)
     roll = PlaceRoll(host="h", boot=1)
     told = [desk.decided(10.0, decision) for decision in desk.roll(10.0, roll)]
@@ -294,7 +294,7 @@
     fleet = Fleet()
     host, stranger = fleet.others
     job = Job(Waiter("7", "a", 1.0, 0, 0.0, 1.0, 0.5), 1.0, PROMPT)
-    ask = ask_for(host.name, 1, 0.0, "model", job, "a", ())
+    ask = ask_for(host.name, 1, 0.0, "model", job, "a", (), "z")
     answers = []
     host.placement.receive = answers.append
     stranger.placement.receive(decode(encode(ask)))
