Engines say what they keep when a placer begins; a mirror of their memory

A fixed time of keeping is wrong in both directions. Change: a placer asks each engine once for its parts (kv-list), and follows the order in which they yield from what it sends.

--- a/greengageflow/core/prompt_places.py
+++ b/greengageflow/core/prompt_places.py
@@ -75,6 +75,10 @@
         if place is not None:
             place.has_read = True
 
+    def forget(self, part: str, endpoint: str) -> None:
+        """Note that an endpoint keeps a part no longer."""
+        self._seen.get(part, {}).pop(endpoint, None)
+
     def holders(self, now: float, part: str) -> list[Holder]:
         """Return the endpoints that were sent ``part`` lately, the last one first."""
         places = self._seen.get(part)
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -1,7 +1,7 @@
 """All that one host decides about the services that it routes to."""
 
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from math import inf
 
 from greengageflow.core.decayed import DecayedSums
@@ -11,7 +11,8 @@
 from greengageflow.core.endpoint_load import EndpointLoad, LoadBook, LoadShare
 from greengageflow.core.fleet_demand import part_demand
 from greengageflow.core.fleet_sums import FleetTotals
-from greengageflow.core.forward_request import Prompt
+from greengageflow.core.forward_request import Prompt, PromptPart
+from greengageflow.core.kept_mirror import KeptMirror
 from greengageflow.core.prompt_places import PromptPlaces
 from greengageflow.core.routes import Routing, Service
 from greengageflow.core.send_budget import SendBudget
@@ -65,6 +66,7 @@
         self._offered: DecayedSums[AccountKey] = DecayedSums(FADE_S)
         self._placed: deque[tuple[float, str, str]] = deque()
         self._parts: dict[str, tuple[str, ...]] = {}
+        self._mirrors: dict[str, KeptMirror] = {}
         self._totals = FleetTotals()
         self._now = 0.0
         self._owned: frozenset[str] | None = None
@@ -79,6 +81,10 @@
         """Return an endpoint by id, or None when it is not listed."""
         return self._endpoints.get(endpoint)
 
+    def is_engine(self, endpoint: ListedEndpoint | None) -> bool:
+        """Whether an endpoint is a model engine."""
+        return endpoint is not None and self.service(endpoint.service).is_engine
+
     def adopt(
         self,
         now: float,
@@ -90,6 +96,23 @@
         """Count a request that an earlier placer sent."""
         self._load(endpoint).begin(now, request, reading, memory, sure=False)
 
+    def keeps(
+        self, now: float, endpoint: ListedEndpoint, parts: Sequence[PromptPart]
+    ) -> None:
+        """Take over which prompt parts an engine keeps, by its own word."""
+        for part in parts:
+            self._places.note(now, part.id, endpoint.id)
+            self._places.on_read(part.id, endpoint.id)
+        self._mirror(endpoint, parts)
+
+    def _mirror(self, endpoint: ListedEndpoint, parts: Iterable[PromptPart]) -> None:
+        capacity = self.service(endpoint.service).memory_tokens
+        if not capacity:
+            return
+        mirror = self._mirrors.setdefault(endpoint.id, KeptMirror(capacity))
+        for part in mirror.touch(parts):
+            self._places.forget(part, endpoint.id)
+
     def _placed_at(self, service: str) -> list[ListedEndpoint]:
         """Return the endpoints that this host sends new requests to."""
         usable = list(self._endpoints.usable(service))
@@ -147,6 +170,7 @@
         """Forget an endpoint that is gone."""
         self._health.forget(endpoint)
         self._loads.forget(endpoint)
+        self._mirrors.pop(endpoint, None)
 
     def on_loads(self, loads: Mapping[str, LoadShare]) -> None:
         """Take over what all other hosts have under way."""
@@ -277,6 +301,7 @@
             shared = tuple(part.id for part in prompt.parts[:-1])
             for part in shared:
                 self._places.note(now, part, endpoint.id)
+            self._mirror(endpoint, _in_memory(request, prompt))
             self._parts[request] = shared
             if prompt.shared_tokens >= TOLD_TOKENS:
                 self._placed.append((now, prompt.affinity, endpoint.id))
@@ -352,5 +377,12 @@
     return (READ_AHEAD_S + model.fixed_s) * model.rate
 
 
+def _in_memory(request: str, prompt: Prompt) -> Iterator[PromptPart]:
+    """Yield the parts that a request leaves in memory, its own and its answer last."""
+    yield from prompt.parts[:-1]
+    own = prompt.tokens_in - prompt.shared_tokens + prompt.tokens_out
+    yield PromptPart(f"own {request}", max(0, own))
+
+
 def _of_service(service: str, sums: Mapping[AccountKey, float]) -> dict[str, float]:
     return {account: work for (name, account), work in sums.items() if name == service}
--- a/greengageflow/daemon/forward_notes.py
+++ b/greengageflow/daemon/forward_notes.py
@@ -58,6 +58,8 @@
             route=flight.route.name,
             endpoint=choice.endpoint.id,
             fetch_from=choice.fetch_from.id if choice.fetch_from else "",
+            prompt=flight.req.prompt.tokens_in if flight.req.prompt else 0,
+            reading=round(choice.reading),
             waited_ms=_ms(now - flight.arrived),
             predicted_ms=_ms(choice.wait_s),
             placer=placer,
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -29,6 +29,7 @@
     load_gateway_settings,
     settings_path,
 )
+from greengageflow.daemon.kept_parts import KeptParts
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.program import Program
 from greengageflow.daemon.router_registry import RouterRegistry
@@ -127,6 +128,7 @@
             self._exchange,
             self._forwarder.carry_out,
             self._log,
+            KeptParts(self._pool, self._timers, self._book, self._log),
         )
         self._store = StoreView(
             self._pool,
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -23,6 +23,7 @@
 from greengageflow.core.router_table import Hello
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
+from greengageflow.daemon.kept_parts import PartsAsker
 from greengageflow.errors import ErrorKind
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
@@ -33,6 +34,12 @@
 ROLL_S = 0.5
 ROLLS_ON_S = 2.0
 SETTLE_S = 1.0
+STEADY_S = 0.3
+"""Seconds as placer after which engines are asked what they keep.
+
+A host that starts takes itself for the only one until it has heard of others, which
+takes a round; nine of them would ask each engine.
+"""
 LATE_WORD_S = 0.1
 
 
@@ -79,6 +86,7 @@
         sender: Carries messages.
         carry_out: Takes decisions on requests of this host.
         log: Takes a line when a placer falls silent or this host becomes one.
+        parts: Learns what the engines keep for which this host places.
     """
 
     def __init__(
@@ -90,6 +98,7 @@
         sender: PlaceSender,
         carry_out: Callable[[Iterable[Decision]], None],
         log: DecisionLog,
+        parts: PartsAsker,
     ) -> None:
         self.stopping = False
         self._host = own.host
@@ -101,6 +110,7 @@
         self._sender = sender
         self._carry_out = carry_out
         self._log = log
+        self._parts = parts
         self._desk = PlaceDesk(own.host, book)
         self._asked: dict[str, _Asked] = {}
         self._runs: dict[str, _Run] = {}
@@ -355,6 +365,9 @@
             self._decide_here(lambda asked: asked.placer not in placers)
             self._roll()
         self._own()
+        if now - self._placer_since >= STEADY_S:
+            listed = map(self._endpoints.get, self._owned or ())
+            self._parts.ask(e for e in listed if self._book.is_engine(e))
         self._carry_out(self._desk.drop_silent(now))
 
     def _own(self) -> None:
--- a/greengageflow/lab/policy_engine.py
+++ b/greengageflow/lab/policy_engine.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from greengageflow.core.forward_request import PromptPart
 from greengageflow.lab.policy_load import Asked, Sheet
 
 CHUNK = 2048
@@ -66,6 +67,11 @@
         self._cache: OrderedDict[str, int] = OrderedDict()
         self._link_free_at = 0.0
 
+    @property
+    def kept(self) -> tuple[PromptPart, ...]:
+        """All that it keeps, the least recently used first."""
+        return tuple(PromptPart(name, n) for name, n in self._cache.items())
+
     def keeps(self, part: str) -> bool:
         """Whether it keeps a prompt part."""
         return part in self._cache
@@ -134,6 +140,8 @@
             run.last_event_at = now
         if run.made >= run.asked.out and run in self.runs:
             self.runs.remove(run)
+            own = run.asked.prompt.parts[1]
+            self._keep(own.id, own.tokens + run.made)
             self._on_end(self, run, now)
 
     def _admit(self, now: float) -> None:
--- a/greengageflow/lab/policy_play.py
+++ b/greengageflow/lab/policy_play.py
@@ -32,6 +32,7 @@
 ROUND_S = 0.25
 START_S = 1.0
 RELIST_S = 1.5
+ASKED_S = 0.3
 RETRIES = 1
 ANSWER_TOKEN_BYTES = 60
 
@@ -349,3 +350,11 @@
             self._stop(tried, "failed")
         self._book = self._new_book()
         self._down_until = self._now + START_S
+        self._at(self._down_until + ASKED_S, self._ask_engines)
+
+    def _ask_engines(self) -> None:
+        """Let a placer that has just begun hear what engines keep."""
+        for name, engine in self._engines.items():
+            listed = self._listed.get(name)
+            if listed is not None:
+                self._book.keeps(self._now, listed, engine.kept)
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -28,8 +28,8 @@
     SENT = (
         "GG701",
         Level.ROUTINE,
-        "request digest account route endpoint fetch_from waited_ms predicted_ms placer"
-        " queued level report_age_ms config",
+        "request digest account route endpoint fetch_from prompt reading waited_ms"
+        " predicted_ms placer queued level report_age_ms config",
     )
     REFUSED = (
         "GG702",
@@ -66,6 +66,8 @@
     PLACER_SILENT = ("GG735", Level.STATE, "placer asked")
     PLACER_HEARD = ("GG736", Level.STATE, "placer after_ms")
     PLACING = ("GG737", Level.STATE, "placers endpoints")
+    PARTS_LEARNED = ("GG738", Level.STATE, "endpoint parts")
+    PARTS_UNKNOWN = ("GG739", Level.STATE, "endpoint why")
 
     STARTED = ("GG741", Level.STATE, "zone version")
     STOPPING = ("GG742", Level.STATE, "running waiting")
--- a/greengageflow/platform/records.py
+++ b/greengageflow/platform/records.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.core.forward_request import PromptPart
 from greengageflow.core.routes import (
     Backend,
     CallerBounds,
@@ -13,6 +14,7 @@
     Routing,
     Service,
 )
+from greengageflow.net.http_messages import Response
 from greengageflow.platform.names import DRAINING, IDEMPOTENT, STREAM
 
 _REPEATS = {IDEMPOTENT: Repeat.ANY}
@@ -112,3 +114,26 @@
         )
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise RecordError(f"endpoint {key}: {exc!r}") from exc
+
+
+def parse_kept(response: Response) -> tuple[PromptPart, ...]:
+    """Return the prompt parts that an engine says it keeps.
+
+    Raises:
+        RecordError: The answer is no list of them.
+    """
+    if response.status != 200:
+        raise RecordError(f"status {response.status}")
+    try:
+        held = json.loads(response.body)["held"]
+        return tuple(map(_kept_part, held))
+    except (ValueError, KeyError, TypeError, IndexError) as exc:
+        raise RecordError(f"kept parts: {exc!r}") from exc
+
+
+def _kept_part(entry: list[Any]) -> PromptPart:
+    # An entry is an empty text, the part's id, its tokens and the model.
+    _, name, tokens, _ = entry
+    if not isinstance(name, str) or not isinstance(tokens, int) or tokens < 0:
+        raise ValueError(f"part {entry!r}")
+    return PromptPart(name, tokens)
--- a/greengageflow/platform/requests.py
+++ b/greengageflow/platform/requests.py
@@ -18,6 +18,7 @@
     KV_BACKUP,
     KV_FETCH,
     KV_FROM,
+    KV_LIST,
     LAST_EVENT_ID,
     LENGTH_HINT,
     PIN_MS,
@@ -136,3 +137,8 @@
         (*req.headers, *extra),
         req.body,
     )
+
+
+def kept_call(engine: ListedEndpoint) -> HttpRequest:
+    """Return the request that asks an engine which prompt parts it keeps."""
+    return HttpRequest("GET", engine.ip, engine.port, KV_LIST)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 from contextlib import suppress
 from heapq import heappop, heappush
 from itertools import count
+from operator import attrgetter
 from types import SimpleNamespace
 
 import pytest
@@ -32,6 +33,7 @@
 from greengageflow.net.report_codec import ReportError, decode, encode
 
 SLOTS = 4
+ID = attrgetter("id")
 PROMPT = Prompt((PromptPart("shared", 500), PromptPart("own", 100)), 600, 50)
 
 
@@ -80,12 +82,19 @@
         self.book = ServiceBook(self.endpoints, "z", lambda: SendBudget(1, 9, 10.0))
         service = Service("model", slots=SLOTS, memory_tokens=100_000)
         self.book.on_routing(Routing(version=1, services={"model": service}))
-        self.lines = []
+        self.lines, self.asked = [], set()
         self.started, self.refused, self.runs = {}, {}, count(1)
         address = {"ip": "127.0.0.1", "port": 9 + index}
         self.hello = Hello(host=name, boot=boot, zone="z", **address)
         self.placement = Placement(
-            self.hello, self.book, self.endpoints, self, self, self.carry_out, self
+            self.hello,
+            self.book,
+            self.endpoints,
+            self,
+            self,
+            self.carry_out,
+            self,
+            SimpleNamespace(ask=lambda engines: self.asked.update(map(ID, engines))),
         )
         self.placement.start()
         self.every(0.25, self.round)
