--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -6,8 +6,8 @@
 from greengageflow.ops.decision_lines import DecisionLine
 
 SENTENCES = {
-    Event.SENT: "sent to {endpoint}: predicted wait {predicted_ms} ms, {queued} queued"
-    " there, account {account} at level {level}, reports {report_age_ms} ms old,"
+    Event.SENT: "sent to {endpoint}: {reading} of {prompt} prompt tokens to read,"
+    " predicted wait {predicted_ms} ms, {queued} queued there, account {account} at level {level}, reports {report_age_ms} ms old,"
     " configuration {config}",
     Event.REFUSED: "refused, {why} ({text}), come back after {retry_after_ms} ms:"
     " waited {waited_ms} ms, {queued} queued, account {account} at level {level},"
@@ -41,6 +41,8 @@
     " decided here",
     Event.PLACER_HEARD: "placer {placer} answers again after {after_ms} ms",
     Event.PLACING: "places requests for {endpoints} endpoints, placers: {placers}",
+    Event.PARTS_LEARNED: "endpoint {endpoint} keeps {parts} prompt parts",
+    Event.PARTS_UNKNOWN: "endpoint {endpoint} does not say what it keeps: {why}",
     Event.PEERS_LOST: "peers lost: {live} of {known} live",
     Event.PEERS_REGAINED: "peers back after {after_ms} ms: {live} of {known} live",
     Event.STARTED: "router started, version {version}",
