--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -7,8 +7,8 @@
 
 SENTENCES = {
     Event.SENT: "sent to {endpoint}: {reading} of {prompt} prompt tokens to read,"
-    " predicted wait {predicted_ms} ms, {queued} queued there, account {account} at level {level}, reports {report_age_ms} ms old,"
-    " configuration {config}",
+    " predicted wait {predicted_ms} ms, {queued} queued there, account {account} at"
+    " level {level}, reports {report_age_ms} ms old, configuration {config}",
     Event.REFUSED: "refused, {why} ({text}), come back after {retry_after_ms} ms:"
     " waited {waited_ms} ms, {queued} queued, account {account} at level {level},"
     " reports {report_age_ms} ms old, configuration {config}",
