Lines for the list of endpoints: lost, read again, a removal that is held

Cause: a request went to an endpoint 2.4 s after its removal; the lines of the three hosts showed only that ENDPOINT_GONE came 2.2 s after the others'. That they had read the removal in time and held it had to be worked out from counts of calls. Ruled out: STORE_LOST and STORE_REGAINED for this; they are about the configuration. Change: GG716 ENDPOINT_HELD, GG717 LIST_LOST, GG718 LIST_REGAINED, one line a change of state, with their sentences for explain. Figures: none; a test plays an outage and reads the lines. Conclusion: a held removal and a late one can be told apart from lines alone.

--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -169,12 +169,19 @@
     def list_heard(self, at: float) -> None:
         """Note that the list was the newest at time ``at``."""
         self.list_confirmed = max(self.list_confirmed, at)
-        self._list_lost_at = None
+        if self._list_lost_at is not None:
+            after_s = self._age_s(self._list_lost_at)
+            self._list_lost_at = None
+            self._log.write(DecisionEvent.LIST_REGAINED, after_ms=round(1000 * after_s))
 
-    def list_lost(self) -> None:
+    def list_lost(self, text: str) -> None:
         """Note that the list could not be read."""
         if self._list_lost_at is None:
             self._list_lost_at = self._clock()
+            age_s = min(self._age_s(self.list_confirmed), 1e6)
+            self._log.write(
+                DecisionEvent.LIST_LOST, why=text, unheard_ms=round(1000 * age_s)
+            )
 
     def _before_list(self) -> None:
         # Entries lapse while the store is down, and those of live endpoints come back
@@ -183,7 +190,6 @@
         lost_at = self._list_lost_at
         if lost_at is not None and self._clock() - lost_at > OUTAGE_S:
             self._hold_until = self._timers.now + HELD_S
-            self._list_lost_at = None
 
     def take_list(self, records: Iterable[KeyedRecord]) -> None:
         """Take over records of the list."""
@@ -214,9 +220,16 @@
         self.take_list(sorted(records, key=lambda record: record.offset))
 
     def _drop(self, endpoint: str) -> Iterable[ListChange]:
-        if self._timers.now >= self._hold_until:
+        left_s = self._hold_until - self._timers.now
+        if left_s <= 0:
             return list(self._endpoints.drop(endpoint))
-        self._held.setdefault(endpoint, self._hold_until)
+        if endpoint not in self._held:
+            self._held[endpoint] = self._hold_until
+            self._log.write(
+                DecisionEvent.ENDPOINT_HELD,
+                endpoint=endpoint,
+                for_ms=round(1000 * left_s),
+            )
         return []
 
     def _drop_held(self, now: float) -> None:
@@ -275,5 +288,5 @@
     def on_heard(self, at: float) -> None:
         self._view.list_heard(at)
 
-    def on_lost(self, _text: str) -> None:
-        self._view.list_lost()
+    def on_lost(self, text: str) -> None:
+        self._view.list_lost(text)
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -54,6 +54,9 @@
     ENDPOINT_GONE = ("GG713", Level.STATE, "endpoint source")
     ENDPOINT_SUSPECT = ("GG714", Level.STATE, "endpoint why failures")
     ENDPOINT_BACK = ("GG715", Level.STATE, "endpoint after_ms")
+    ENDPOINT_HELD = ("GG716", Level.STATE, "endpoint for_ms")
+    LIST_LOST = ("GG717", Level.STATE, "why unheard_ms")
+    LIST_REGAINED = ("GG718", Level.STATE, "after_ms")
 
     CONFIG_IN_FORCE = ("GG721", Level.STATE, "config source age_ms")
     KEYS_UNTRUSTED = ("GG722", Level.STATE, "config unheard_ms")
--- a/greengageflow/ops/explain.py
+++ b/greengageflow/ops/explain.py
@@ -31,6 +31,8 @@
     Event.ENDPOINT_LEAVING,
     Event.ENDPOINT_GONE,
     Event.ENDPOINT_SUSPECT,
+    Event.ENDPOINT_HELD,
+    Event.LIST_LOST,
     Event.CONFIG_IN_FORCE,
     Event.KEYS_UNTRUSTED,
     Event.STORE_LOST,
--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -31,6 +31,10 @@
     Event.ENDPOINT_SUSPECT: "endpoint {endpoint} is suspect after {failures}"
     " failures: {why}",
     Event.ENDPOINT_BACK: "endpoint {endpoint} is back after {after_ms} ms",
+    Event.ENDPOINT_HELD: "endpoint {endpoint} is no longer listed and kept for"
+    " {for_ms} ms, lest its entry only lapsed",
+    Event.LIST_LOST: "list of endpoints lost, unheard for {unheard_ms} ms: {why}",
+    Event.LIST_REGAINED: "list of endpoints read again after {after_ms} ms",
     Event.CONFIG_IN_FORCE: "configuration {config} in force, from {source},"
     " {age_ms} ms old",
     Event.KEYS_UNTRUSTED: "keys no longer trusted: store unheard for {unheard_ms} ms",
--- a/tests/test_held_removal.py
+++ b/tests/test_held_removal.py
@@ -37,7 +37,7 @@
         clock=lambda: now[0],
     )
     view.take_list([KeyedRecord("app-0", json.dumps(ENTRY).encode(), 4)])
-    view.list_lost()
+    view.list_lost("timeout")
     now[0] += 2 * OUTAGE_S
     view.take_list([KeyedRecord("app-0", None, 7)])
     assert endpoints.ids() == {"app-0"}
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -83,7 +83,7 @@
 
     def __init__(self, store, *, reads=False):
         self.store, self.reads, self.stuck = store, reads, False
-        self.kept = []
+        self.kept, self.lines = [], []
         self.paths, self.open, self.changes, self.versions = [], [], [], []
         self.endpoints = EndpointList()
         self.view = StoreView(
@@ -104,7 +104,7 @@
         return self.store.now
 
     def write(self, event, **fields):
-        pass
+        self.lines.append((event.name, fields.get("endpoint", "")))
 
     def fetch(self, request, on_done, limit):
         call = SimpleNamespace(path=request.path, at=self.now, on_done=on_done)
@@ -228,6 +228,20 @@
     assert not host.endpoints.ids(), "without an outage nothing is held"
 
 
+def test_lines_tell_when_the_list_was_lost_and_what_was_held(store, hosts):
+    """Who reads only a host's lines sees its own outage of the list and each removal
+    that it kept back; without them a held removal looks like one that came late."""
+    host = hosts[0]
+    host.lines.clear()
+    store.down = True
+    run(store, [host], 3)
+    store.endpoint("e1", listed=False)
+    store.down = False
+    run(store, [host], HELD_S + 1.5)
+    lines = [line for line in host.lines if not line[0].startswith("STORE_")]
+    assert lines == [("LIST_LOST", ""), ("ENDPOINT_HELD", "e1"), ("LIST_REGAINED", "")]
+
+
 def test_forgotten_records_lead_to_a_new_snapshot(store, hosts):
     host = hosts[0]
     store.endpoint("e1", listed=False)
