--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,32 @@
+from pathlib import Path
+
+import pytest
 from hypothesis import settings
 
 # Seeded and without deadlines, so that CI gives the same verdict every time.
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=100)
 settings.load_profile("ci")
+
+KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
+MARK = "test: "
+
+
+def known_red():
+    """Return the ids of tests that fail for a fault that is known and open."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text().splitlines()
+    return [line.removeprefix(MARK) for line in lines if line.startswith(MARK)]
+
+
+def pytest_collection_modifyitems(items):
+    red = set(known_red())
+    for item in items:
+        if item.nodeid in red:
+            item.add_marker(pytest.mark.xfail(reason="listed in KNOWN-RED.txt"))
+
+
+def pytest_terminal_summary(terminalreporter):
+    if KNOWN_RED.exists():
+        terminalreporter.section("known red")
+        terminalreporter.write(KNOWN_RED.read_text())
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -228,6 +228,21 @@
     assert not host.endpoints.ids(), "without an outage nothing is held"
 
 
+def test_a_removal_long_after_an_outage_is_taken_at_once_by_all(store, hosts):
+    """Callers' requests reached an endpoint 2.4 s after the store had acknowledged that
+    it was taken away. The store had been away for five seconds and back for three.
+    Three of nine hosts went on sending for 2.2 s after they had read the removal, just
+    those that had not read the list since the store's return.
+    """
+    store.down = True
+    run(store, hosts, 5)
+    store.down = False
+    run(store, hosts, 3)
+    store.endpoint("e1", listed=False)
+    run(store, hosts, 2 * PACE_S)
+    assert [host.endpoints.ids() for host in hosts] == [{"e2"}] * 3
+
+
 def test_lines_tell_when_the_list_was_lost_and_what_was_held(store, hosts):
     """Who reads only a host's lines sees its own outage of the list and each removal
     that it kept back; without them a held removal looks like one that came late."""
