Removals are held from the store's return on, not from a host's next read

Callers saw a request reach an endpoint 2.4 s after its removal was acknowledged (bound 2 s). Cause: after an outage of the store removals are held for 2.2 s, since entries of live endpoints lapse in it. The hold began with the first read of the list that a host made after one that failed. Hosts that do not read for their zone make that read when a peer tells of a change: just the removal, three seconds after the store's return. Class: a grace period that starts with the observer's own late look and not with the event that it is for. Change: core/outage_hold counts from the first answer of the store to anybody: this host's reads of either topic, empty ones too, or a peer's word. It holds because the return is one event that all hosts hear of within a round of the exchange, whoever reads. The same cause on its other sides: an empty first read ended the hold before it began, so that an entry that lapsed a moment later was taken at once; and a host that was cut off alone held removals that its peers had taken seconds before.

--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from greengageflow.core.endpoint_list import EndpointList, ListChange, ListedEndpoint
+from greengageflow.core.outage_hold import OutageHold
 from greengageflow.core.routes import Routing
 from greengageflow.core.store_duty import (
     STALE_PACES,
@@ -19,9 +20,6 @@
 from greengageflow.platform.records import RecordError, parse_config, parse_endpoint
 from greengageflow.platform.store import KeyedRecord
 
-HELD_S = 2.2
-OUTAGE_S = 1.0
-
 
 class StoreView:
     """Keeps what the store says, read by few hosts and by each when it must.
@@ -72,7 +70,7 @@
         self._lost_at: float | None = None
         self._list_lost_at: float | None = None
         self._held: dict[str, float] = {}
-        self._hold_until = float("-inf")
+        self._hold = OutageHold()
         self._config = TopicFollower(
             pool, timers, address, OPERATOR_TOPIC, _ConfigTopic(self), clock=clock
         )
@@ -112,8 +110,21 @@
             due = reads and self._age_s(self._list.asked_at) >= self._pace_s
             if due or behind or stale:
                 self._list.read()
+        if self._hold.waits:
+            self._note_answers(now, words)
         self._drop_held(now)
 
+    def _note_answers(self, now: float, words: Iterable[StoreWord]) -> None:
+        # A host that does not read for its zone may not read for long after the
+        # store's return; its peers' word is all it has of it.
+        for word in words:
+            age_s = min(word.heard_s, word.list_heard_s) + now - word.at
+            self._hold.answered(self._clock(), self._clock() - age_s)
+
+    def _store_answered(self) -> None:
+        now = self._clock()
+        self._hold.answered(now, now)
+
     def _age_s(self, at: float) -> float:
         return self._clock() - at
 
@@ -122,6 +133,7 @@
     def config_heard(self, at: float) -> None:
         """Note that the configuration was the newest at time ``at``."""
         self.confirmed = max(self.confirmed, at)
+        self._store_answered()
         if self._lost_at is not None:
             after_s = self._clock() - self._lost_at
             self._lost_at = None
@@ -169,6 +181,7 @@
     def list_heard(self, at: float) -> None:
         """Note that the list was the newest at time ``at``."""
         self.list_confirmed = max(self.list_confirmed, at)
+        self._store_answered()
         if self._list_lost_at is not None:
             after_s = self._age_s(self._list_lost_at)
             self._list_lost_at = None
@@ -176,6 +189,7 @@
 
     def list_lost(self, text: str) -> None:
         """Note that the list could not be read."""
+        self._hold.lost(self._clock())
         if self._list_lost_at is None:
             self._list_lost_at = self._clock()
             age_s = min(self._age_s(self.list_confirmed), 1e6)
@@ -183,17 +197,9 @@
                 DecisionEvent.LIST_LOST, why=text, unheard_ms=round(1000 * age_s)
             )
 
-    def _before_list(self) -> None:
-        # Entries lapse while the store is down, and those of live endpoints come back
-        # within two seconds of its return. Without this hold the first read after an
-        # outage would leave the fleet without endpoints.
-        lost_at = self._list_lost_at
-        if lost_at is not None and self._clock() - lost_at > OUTAGE_S:
-            self._hold_until = self._timers.now + HELD_S
-
     def take_list(self, records: Iterable[KeyedRecord]) -> None:
         """Take over records of the list."""
-        self._before_list()
+        self._store_answered()
         for record in records:
             self._hand_on(list(self._take_one(record)), record.offset + 1)
             if record.key in self._held:
@@ -213,18 +219,18 @@
 
     def replace_list(self, records: Iterable[KeyedRecord]) -> None:
         """Take over the whole list."""
-        self._before_list()
+        self._store_answered()
         listed = {record.key for record in records if record.value is not None}
         for gone in self._endpoints.ids() - listed:
             self._hand_on(list(self._drop(gone)), self.list_mark)
         self.take_list(sorted(records, key=lambda record: record.offset))
 
     def _drop(self, endpoint: str) -> Iterable[ListChange]:
-        left_s = self._hold_until - self._timers.now
+        left_s = self._hold.left_s(self._clock())
         if left_s <= 0:
             return list(self._endpoints.drop(endpoint))
         if endpoint not in self._held:
-            self._held[endpoint] = self._hold_until
+            self._held[endpoint] = self._timers.now + left_s
             self._log.write(
                 DecisionEvent.ENDPOINT_HELD,
                 endpoint=endpoint,
--- a/tests/test_held_removal.py
+++ b/tests/test_held_removal.py
@@ -4,7 +4,8 @@
 from types import SimpleNamespace
 
 from greengageflow.core.endpoint_list import EndpointList
-from greengageflow.daemon.store_view import OUTAGE_S, StoreView
+from greengageflow.core.outage_hold import OUTAGE_S
+from greengageflow.daemon.store_view import StoreView
 from greengageflow.platform.store import KeyedRecord
 
 ENTRY = {
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -9,8 +9,9 @@
 import pytest
 
 from greengageflow.core.endpoint_list import EndpointList
+from greengageflow.core.outage_hold import HELD_S
 from greengageflow.core.store_duty import StoreWord
-from greengageflow.daemon.store_view import HELD_S, StoreView
+from greengageflow.daemon.store_view import StoreView
 from greengageflow.daemon.topic_follower import LOST_S
 from greengageflow.net.http_messages import Failure, FailureKind, Response
 from greengageflow.platform.names import (
@@ -83,6 +84,7 @@
 
     def __init__(self, store, *, reads=False):
         self.store, self.reads, self.stuck = store, reads, False
+        self.refused = False
         self.kept, self.lines = [], []
         self.paths, self.open, self.changes, self.versions = [], [], [], []
         self.endpoints = EndpointList()
@@ -122,6 +124,8 @@
     def step(self, words):
         for call in list(self.open):
             result = None if self.stuck else self.store.answer(call.path, call.at)
+            if self.refused:
+                result = Failure(FailureKind.CONNECT, False, "refused")
             if result is not None:
                 self.open.remove(call)
                 call.on_done(result)
@@ -233,6 +237,12 @@
     it was taken away. The store had been away for five seconds and back for three.
     Three of nine hosts went on sending for 2.2 s after they had read the removal, just
     those that had not read the list since the store's return.
+
+    Cause: removals are held after an outage, since entries lapse in it, and the hold
+    began with a host's own next read of the list instead of the store's return. A host
+    that does not read for its zone makes that read when something is removed.
+    Evidence: the three hosts' calls (none of the list since the return, one in the
+    second of the removal, none when they dropped it) and 2.2 s between the two.
     """
     store.down = True
     run(store, hosts, 5)
@@ -243,6 +253,34 @@
     assert [host.endpoints.ids() for host in hosts] == [{"e2"}] * 3
 
 
+def test_an_entry_that_lapses_after_the_first_read_is_held_as_well(store, hosts):
+    """The store is back and the first read brings nothing. Entries that nobody could
+    renew lapse only then, and are listed again a second later. Without a hold that
+    counts from the return the fleet has no endpoint meanwhile.
+    """
+    store.down = True
+    run(store, hosts, 5)
+    store.down = False
+    run(store, hosts, 0.5)
+    store.endpoint("e1", listed=False)
+    run(store, hosts, 1)
+    assert [host.endpoints.ids() for host in hosts] == [{"e1", "e2"}] * 3
+
+
+def test_a_host_that_was_cut_off_alone_holds_nothing(store, hosts):
+    """The store refuses one host for seconds and serves the others, who drop what was
+    removed at once. The one must do so too when it reads again: it would send to
+    endpoints that have left long ago."""
+    cut = hosts[2]
+    cut.refused = True
+    store.endpoint("e1", listed=False)
+    run(store, hosts, 5)
+    assert cut.endpoints.ids() == {"e1", "e2"}
+    cut.refused = False
+    run(store, hosts, 1.5)
+    assert [host.endpoints.ids() for host in hosts] == [{"e2"}] * 3
+
+
 def test_lines_tell_when_the_list_was_lost_and_what_was_held(store, hosts):
     """Who reads only a host's lines sees its own outage of the list and each removal
     that it kept back; without them a held removal looks like one that came late."""
