Peers hear of an entry that is listed again while its removal is held

Callers got failures for want of an endpoint a second long after an outage of the store. Cause: the removal of a lapsed entry is told to peers although it is held; that the entry came back was not, since nothing had changed for the host that reads. Peers held the removal too, read nothing more and dropped the endpoint at the end of their hold. Ruled out: endpoints that were away (the three readers kept all of them). Change: the mark of the list is told when a held entry changes either way.

--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -201,10 +201,12 @@
         """Take over records of the list."""
         self._store_answered()
         for record in records:
+            was_held = record.key in self._held
             self._hand_on(list(self._take_one(record)), record.offset + 1)
-            if record.key in self._held:
-                # Peers that were not cut off need no hold; they read when they hear
-                # that the list has changed.
+            if was_held or record.key in self._held:
+                # Nothing changes here, but peers read only when they hear of a change:
+                # one that needs no hold would go on using an endpoint that has left,
+                # and one that holds it as well would drop one that is listed again.
                 self._tell(record.offset + 1)
 
     def _take_one(self, record: KeyedRecord) -> Iterable[ListChange]:
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -267,6 +267,27 @@
     assert [host.endpoints.ids() for host in hosts] == [{"e1", "e2"}] * 3
 
 
+def test_an_entry_that_comes_back_during_the_hold_is_known_to_all(store, hosts):
+    """After an outage six of nine hosts dropped all eleven endpoints at the end of their
+    hold and had none for a second; requests failed for want of one.
+
+    The entries had lapsed and were listed again within the hold. Only the hosts that
+    read for their zone knew: for them nothing had changed, so they told nobody, and the
+    others' hold ended with the removal still the last that they had read.
+    Evidence: no ENDPOINT_GONE at the three readers; 11 at each of the others 2.2 s after
+    the store's return, and 11 ENDPOINT_SEEN 1.1 s later, when they read by themselves.
+    """
+    store.down = True
+    run(store, hosts, 5)
+    store.endpoint("e1", listed=False)
+    store.down = False
+    run(store, hosts, 1)
+    store.endpoint("e1")
+    run(store, hosts, HELD_S)
+    assert [host.endpoints.ids() for host in hosts] == [{"e1", "e2"}] * 3
+    assert not any(("gone", "e1") in host.changes for host in hosts)
+
+
 def test_a_host_that_was_cut_off_alone_holds_nothing(store, hosts):
     """The store refuses one host for seconds and serves the others, who drop what was
     removed at once. The one must do so too when it reads again: it would send to
