--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -268,14 +268,14 @@
 
 
 def test_an_entry_that_comes_back_during_the_hold_is_known_to_all(store, hosts):
-    """After an outage six of nine hosts dropped all eleven endpoints at the end of their
-    hold and had none for a second; requests failed for want of one.
+    """After an outage six of nine hosts dropped all eleven endpoints at the end of
+    their hold and had none for a second.
 
     The entries had lapsed and were listed again within the hold. Only the hosts that
     read for their zone knew: for them nothing had changed, so they told nobody, and the
     others' hold ended with the removal still the last that they had read.
-    Evidence: no ENDPOINT_GONE at the three readers; 11 at each of the others 2.2 s after
-    the store's return, and 11 ENDPOINT_SEEN 1.1 s later, when they read by themselves.
+    Evidence: no ENDPOINT_GONE at the three readers; 11 at each of the others two
+    seconds after the store's return, and 11 ENDPOINT_SEEN 1.1 s later.
     """
     store.down = True
     run(store, hosts, 5)
