Lines and metrics for a host that works behind what callers send

Cause: a host at its whole processor share had 4,950 connections and 300 requests, and nothing of its own told whether connections wait to be accepted, how many are open, or how late it is. Ruled out: greengage_running and greengage_waiting for this; they count what was read. Change: GG745 HOST_BEHIND and GG746 HOST_CAUGHT_UP, one line a change; gauges of open and of unaccepted connections (the listener's queue, where the system tells) and of the loop's lateness, a counter of connections accepted. No decision changes.

--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -30,6 +30,7 @@
     settings_path,
 )
 from greengageflow.daemon.kept_parts import KeptParts
+from greengageflow.daemon.loop_watch import LoopWatch
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.program import Program
 from greengageflow.daemon.router_registry import RouterRegistry
@@ -161,11 +162,21 @@
             self._timers,
             interface=CallerInterface(),
         ).register(self)
+        self._watch = LoopWatch(
+            self._timers,
+            self._log,
+            self._callers,
+            running=lambda: self._in_flight,
+            waiting=lambda: self._book.waiting,
+            period_s=TICK_S,
+        )
         pages = GatewayPages(
             self._page,
             unready=self._forwarder.unready,
             waiting=lambda: self._book.waiting,
-            running=lambda: self._forwarder.flights - self._book.waiting,
+            running=lambda: self._in_flight,
+            callers=self._callers,
+            late=lambda: self._watch.worst_s,
             peers=lambda: self._exchange.hosts,
             version=lambda: self._store.version,
             unheard=lambda: self._trust.age_s(clock()),
@@ -187,6 +198,10 @@
             channel=channel,
         ).register(self)
 
+    @property
+    def _in_flight(self) -> int:
+        return self._forwarder.flights - self._book.waiting
+
     # Other routers.
 
     def _on_datagram(self, data: bytes) -> None:
@@ -304,6 +319,7 @@
         self._store.on_tick(self._exchange.reads_store, self._exchange.words())
         self._confirm(now)
         self._forwarder.on_tick()
+        self._watch.on_tick()
 
     @handler("started", channel="*")
     def _on_started(self, *_args: object) -> None:
@@ -334,7 +350,7 @@
             return
         self._log.write(
             DecisionEvent.STOPPING,
-            running=self._forwarder.flights - self._book.waiting,
+            running=self._in_flight,
             waiting=self._book.waiting,
         )
         self._forwarder.stopping = self._exchange.stopping = True
--- a/greengageflow/daemon/gateway_pages.py
+++ b/greengageflow/daemon/gateway_pages.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from greengageflow.errors import RouterError
+from greengageflow.net.callers import CallerServer
 from greengageflow.net.forward_calls import PageCall
 from greengageflow.net.metrics_page import CONTENT_TYPE, MetricsPage, PageMetric
 
@@ -15,6 +16,8 @@
         unready: Returns why the balancer should send nothing here, or None.
         waiting: Returns the requests that wait.
         running: Returns the requests that were sent.
+        callers: Tells of callers' connections.
+        late: Returns the seconds by which the event loop was late.
         peers: Returns the other routers that are heard.
         version: Returns the version of the configuration.
         unheard: Returns the seconds since it was known to be the newest.
@@ -30,6 +33,8 @@
         unready: Callable[[], RouterError | None],
         waiting: Callable[[], int],
         running: Callable[[], int],
+        callers: CallerServer,
+        late: Callable[[], float],
         peers: Callable[[], int],
         version: Callable[[], int],
         unheard: Callable[[], float],
@@ -41,6 +46,10 @@
         self._page = page
         page.read(PageMetric.WAITING, waiting)
         page.read(PageMetric.RUNNING, running)
+        page.read(PageMetric.CONNECTIONS, lambda: callers.connections)
+        page.read(PageMetric.CONNECTIONS_TAKEN, lambda: callers.taken)
+        page.read(PageMetric.CONNECTIONS_WAITING, lambda: callers.unaccepted)
+        page.read(PageMetric.LOOP_LATE, late)
         page.read(PageMetric.PEERS_LIVE, peers)
         page.read(PageMetric.CONFIG_VERSION, version)
         page.read(PageMetric.STORE_UNHEARD, unheard)
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -5,7 +5,9 @@
 """
 
 from dataclasses import replace
-from socket import SHUT_WR, SO_SNDBUF, SOL_SOCKET, socket
+from math import nan
+from socket import IPPROTO_TCP, SHUT_WR, SO_SNDBUF, SOL_SOCKET, TCP_INFO, socket
+from struct import unpack_from
 from time import monotonic
 from typing import Protocol
 
@@ -44,6 +46,10 @@
 SEND_BUFFER = 131_072
 SWEEP_S = 0.2
 
+_INFO_SIZE = 104
+_INFO_WAITING = 24
+"""Where Linux's ``tcp_info`` of a listening socket has its queue's length."""
+
 
 class RequestHandler(Protocol):
     """What callers' requests are handed to."""
@@ -197,6 +203,7 @@
         self._interface = interface
         self._budget = BodyBudget(body_budget)
         self._max_connections = max_connections
+        self.taken = 0
         self._links: dict[socket, _CallerLink] = {}
         self._address = (self.web.host, self.web.port)
         self._timers = timers
@@ -212,6 +219,16 @@
         """Open connections."""
         return len(self._links)
 
+    @property
+    def unaccepted(self) -> float:
+        """Connections that wait to be accepted, or NaN where that is not told."""
+        sock = self.web.server._sock
+        try:
+            info = sock.getsockopt(IPPROTO_TCP, TCP_INFO, _INFO_SIZE)
+        except (OSError, AttributeError):
+            return nan
+        return unpack_from("I", info, _INFO_WAITING)[0]
+
     @property
     def answering(self) -> int:
         """Calls that are not answered yet."""
@@ -287,6 +304,7 @@
 
     def _admit(self, sock: socket) -> _CallerLink | None:
         link = _CallerLink(self, sock)
+        self.taken += 1
         if len(self._links) >= self._max_connections:
             link.drop()
             return None
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -77,6 +77,9 @@
     STOPPED = ("GG743", Level.STATE, "cut total_ms")
     RELOADED = ("GG744", Level.STATE, "changed")
 
+    HOST_BEHIND = ("GG745", Level.STATE, "late_ms connections running waiting")
+    HOST_CAUGHT_UP = ("GG746", Level.STATE, "after_ms connections")
+
     LINES_DROPPED = ("GG751", Level.STATE, "sampled budget buffer sink")
 
     def __init__(self, number: str, level: Level, fields: str) -> None:
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -67,6 +67,7 @@
     ENDPOINT_FAILURES = PageMetricType("endpoint_failures", PageKind.COUNTER, "service")
     CONTROL_BYTES = PageMetricType("control_bytes", PageKind.COUNTER, "direction")
     STORE_CALLS = PageMetricType("store_calls", PageKind.COUNTER, "result")
+    CONNECTIONS_TAKEN = PageMetricType("connections_taken", PageKind.COUNTER)
     LOG_LINES_DROPPED = PageMetricType("log_lines_dropped", PageKind.COUNTER, "cause")
 
     WAITING_TIME = PageMetricType(
@@ -84,6 +85,9 @@
 
     RUNNING = PageMetricType("running", PageKind.GAUGE)
     WAITING = PageMetricType("waiting", PageKind.GAUGE)
+    CONNECTIONS = PageMetricType("connections", PageKind.GAUGE)
+    CONNECTIONS_WAITING = PageMetricType("connections_waiting", PageKind.GAUGE)
+    LOOP_LATE = PageMetricType("loop_late_seconds", PageKind.GAUGE)
     PEERS_LIVE = PageMetricType("peers_live", PageKind.GAUGE)
     CONFIG_VERSION = PageMetricType("config_version", PageKind.GAUGE)
     STORE_UNHEARD = PageMetricType("store_unheard_seconds", PageKind.GAUGE)
--- a/greengageflow/ops/explain.py
+++ b/greengageflow/ops/explain.py
@@ -39,6 +39,7 @@
     Event.PEERS_LOST,
     Event.PLACER_SILENT,
     Event.STOPPING,
+    Event.HOST_BEHIND,
 }
 
 Source = Callable[[], Iterable[str]]
--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -53,6 +53,10 @@
     Event.STOPPING: "router is stopping, {running} running, {waiting} waiting",
     Event.STOPPED: "router stopped after {total_ms} ms, {cut} requests cut",
     Event.RELOADED: "settings read again, changed: {changed}",
+    Event.HOST_BEHIND: "the loop is {late_ms} ms late, {connections} connections,"
+    " {running} running, {waiting} waiting",
+    Event.HOST_CAUGHT_UP: "the loop is on time again after {after_ms} ms,"
+    " {connections} connections",
     Event.LINES_DROPPED: "log lines left out: {sampled} sampled away, {budget} over"
     " the budget, {buffer} with a full buffer, {sink} not written",
 }
