A connection costs the same however many stand open

A host with thousands of callers' connections spent most of its processor time on lists. Cause: circuits keeps the sockets that it reads, writes and serves in lists and looks each up some ten times in its life, comparing it with all others. Ruled out: the kernel's part and h11 (the cost without a request grew as well). Change: net/poller, an EPoll with sets in their place; the callers' server uses the same set.

--- a/greengageflow/daemon/program.py
+++ b/greengageflow/daemon/program.py
@@ -1,11 +1,11 @@
 """What the programs of a host have in common, whatever they serve."""
 
 from circuits import BaseComponent, Event, handler
-from circuits.core.pollers import EPoll
 from loguru import logger
 
 from greengageflow.events import Event as LogEvent
 from greengageflow.events import log
+from greengageflow.net.poller import SocketPoller
 from greengageflow.net.timers import Timers
 
 
@@ -19,7 +19,7 @@
     def __init__(self) -> None:
         super().__init__()
         # Registered first, or each socket component would bring its own poller.
-        EPoll().register(self)
+        SocketPoller().register(self)
         self._timers = Timers().register(self)
 
     @handler("exception", channel="*")
--- a/greengageflow/net/caller_sockets.py
+++ b/greengageflow/net/caller_sockets.py
@@ -6,6 +6,8 @@
 from circuits import handler
 from circuits.net.sockets import TCPServer
 
+from greengageflow.net.poller import SocketSet
+
 SEND_BUFFER = 131_072
 """Bytes that a caller's socket takes from us ahead of the caller."""
 
@@ -34,6 +36,7 @@
             channel=channel,
             socket_options=[(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER)],
         )
+        self._clients = SocketSet()
 
     @handler("_read", priority=1, override=True)
     def _on_read(self, sock: socket) -> None:
