A late host turns away unread what one account sends beyond its part

One account's callers gathered at one small host. All that came there waited up to seconds before it was read, of other accounts as well, and callers left without an answer. Cause: whatever arrives is read, parsed and decided in the order of arrival, however late the loop is; each request that comes too late makes the next one later (congestion collapse). Ruled out: the queue of connections, bounded before, only moved the wait into the process. Change: core/loop_load averages the rounds of the loop, core/arrival_gate decides by it and by what each account had read lately; the account is found in the first bytes, the answer is written without the parser: 503 host_busy, half a second, not run. GG747 TURNED_AWAY a second. Why it holds: to turn away costs a tenth of reading, and rounds stay below a tenth of a second on average, so that a host at its limit still reads what others send, and answers everybody.

--- /dev/null
+++ b/greengageflow/daemon/arrivals.py
@@ -0,0 +1,68 @@
+"""Turns requests away unread while the host is late."""
+
+from collections.abc import Callable
+
+from greengageflow.core.arrival_gate import ArrivalGate
+from greengageflow.core.loop_load import LoopLoad
+from greengageflow.errors import ErrorKind
+from greengageflow.net.decision_events import DecisionEvent
+from greengageflow.net.decision_log import DecisionLog
+from greengageflow.net.metrics_page import MetricsPage, PageMetric
+from greengageflow.net.timers import Timers
+
+LINE_S = 1.0
+
+
+class Arrivals:
+    """Looks at the first bytes of each request.
+
+    Args:
+        load: How long the rounds of the event loop are.
+        timers: Timer service.
+        log: Takes a line a second with what was turned away.
+        page: Counts it.
+        sender_of: Returns what tells accounts apart, from a request's first bytes.
+    """
+
+    def __init__(
+        self,
+        load: LoopLoad,
+        timers: Timers,
+        log: DecisionLog,
+        page: MetricsPage,
+        sender_of: Callable[[bytes], bytes],
+    ) -> None:
+        self._load = load
+        self._timers = timers
+        self._log = log
+        self._page = page
+        self._sender_of = sender_of
+        self._gate = ArrivalGate()
+        self._senders: set[bytes] = set()
+        self._count = 0
+
+    def turns_away(self, data: bytes) -> bool:
+        """Return whether a request that begins with ``data`` is not read."""
+        now = self._timers.now
+        sender = self._sender_of(data)
+        present_s, average_s = self._load.present_s(now), self._load.average_s(now)
+        if self._gate.admits(now, sender, present_s=present_s, average_s=average_s):
+            return False
+        self._page.count(PageMetric.REQUESTS, "refused")
+        self._page.count(PageMetric.REFUSALS, ErrorKind.HOST_BUSY.value)
+        if not self._count:
+            self._timers.after(LINE_S, self._tell)
+        self._count += 1
+        self._senders.add(sender)
+        return True
+
+    def _tell(self) -> None:
+        round_ms = round(1000 * self._load.average_s(self._timers.now))
+        self._log.write(
+            DecisionEvent.TURNED_AWAY,
+            requests=self._count,
+            accounts=len(self._senders),
+            round_ms=round_ms,
+        )
+        self._count = 0
+        self._senders.clear()
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -19,6 +19,7 @@
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.store_duty import pace_s, peers_know_config
 from greengageflow.core.trust import KeyTrust
+from greengageflow.daemon.arrivals import Arrivals
 from greengageflow.daemon.fleet_exchange import FleetExchange, Placed
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_notes import ForwardNotes
@@ -155,12 +156,17 @@
 
     def _add_servers(self) -> None:
         settings = self._settings
+        interface = CallerInterface()
+        arrivals = Arrivals(
+            self._poller.load, self._timers, self._log, self._page, interface.sender
+        )
         self._callers = CallerServer(
             settings.callers.ip,
             settings.callers.port,
             self._forwarder,
             self._timers,
-            interface=CallerInterface(),
+            interface=interface,
+            turns_away=arrivals.turns_away,
         ).register(self)
         self._watch = LoopWatch(
             self._timers,
--- a/greengageflow/daemon/program.py
+++ b/greengageflow/daemon/program.py
@@ -19,7 +19,7 @@
     def __init__(self) -> None:
         super().__init__()
         # Registered first, or each socket component would bring its own poller.
-        SocketPoller().register(self)
+        self._poller = SocketPoller().register(self)
         self._timers = Timers().register(self)
 
     @handler("exception", channel="*")
--- a/greengageflow/errors.py
+++ b/greengageflow/errors.py
@@ -30,6 +30,7 @@
     DEADLINE = "deadline"
     NO_ENDPOINT = "no_endpoint"
     STOPPING = "stopping"
+    HOST_BUSY = "host_busy"
     NOT_CONFIGURED = "not_configured"
     LOG_UNAVAILABLE = "log_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -70,6 +71,7 @@
     ErrorKind.DEADLINE: Answer(503, retry_after_s=1),
     ErrorKind.NO_ENDPOINT: Answer(503, retry_after_s=1),
     ErrorKind.STOPPING: Answer(503, retry_after_s=1),
+    ErrorKind.HOST_BUSY: Answer(503, retry_after_s=1),
     ErrorKind.NOT_CONFIGURED: Answer(503, retry_after_s=1),
     ErrorKind.LOG_UNAVAILABLE: Answer(503, retry_after_s=2),
     ErrorKind.OUTCOME_UNKNOWN: Answer(504, Ran.UNKNOWN, retry_after_s=2),
--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from greengageflow.core.arrival_gate import RETRY_S
 from greengageflow.errors import ErrorKind, RouterError
 from greengageflow.net._caller_parts import (
     BodyBudget,
@@ -16,7 +17,7 @@
     Link,
 )
 from greengageflow.net.calls import CallerCall, CallerRequest
-from greengageflow.net.reply import Header, Reply, date_header
+from greengageflow.net.reply import Header, Reply, date_header, refusal
 
 BODILESS = frozenset({204, 304})
 HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
@@ -106,6 +107,16 @@
             self._enter(Phase.READING)
         self._advance()
 
+    def turn_away(self) -> None:
+        """Answer a request unread, and close."""
+        exc = RouterError(
+            ErrorKind.HOST_BUSY, "this host is busy", retry_after_s=RETRY_S
+        )
+        self._enter(Phase.ANSWERING)
+        # Through no parser: that would cost most of what the request itself does.
+        self._link.send(refusal(exc, self._interface.retry_after))
+        self._close()
+
     def _advance(self) -> None:
         # An answer given from within ``on_call`` comes back here; the loop that
         # is already running takes the next request.
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -4,6 +4,7 @@
 ``circuits.web`` loses and mixes requests (see ``docs/design/http.md``).
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 from math import nan
 from socket import IPPROTO_TCP, SHUT_WR, TCP_INFO, socket
@@ -159,6 +160,8 @@
         max_connections: Most connections at once; more are closed at once.
         body_budget: Most bytes of request bodies under way on all connections.
         interface: How callers speak.
+        turns_away: Returns, for the first bytes of a request, whether it is answered
+            unread that the host is busy.
         channel: Tells the events of several servers in one process apart.
 
     Raises:
@@ -178,6 +181,7 @@
         max_connections: int = 4096,
         body_budget: int = 67_108_864,
         interface: CallInterface = OWN_INTERFACE,
+        turns_away: Callable[[bytes], bool] = lambda _data: False,
         channel: str = "callers",
     ) -> None:
         super().__init__(channel=channel)
@@ -189,6 +193,7 @@
         self._max_connections = max_connections
         self.taken = 0
         self.abandoned = 0
+        self._turns_away = turns_away
         self._links: dict[socket, _CallerLink] = {}
         self._address = (self.sockets.host, self.sockets.port)
         self._timers = timers
@@ -318,6 +323,9 @@
         # anything for it would only keep those waiting who are still there.
         more = _received(link.sock) if 0 < len(data) < READ_SIZE else None
         if data and more != b"":
+            if link.conn.phase is Phase.IDLE and self._turns_away(data):
+                link.conn.turn_away()
+                return
             link.conn.receive(data + more if more else data)
             return
         if data and link.conn.phase is Phase.IDLE:
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -79,6 +79,7 @@
 
     HOST_BEHIND = ("GG745", Level.STATE, "late_ms connections running waiting")
     HOST_CAUGHT_UP = ("GG746", Level.STATE, "after_ms connections")
+    TURNED_AWAY = ("GG747", Level.STATE, "requests accounts round_ms")
 
     LINES_DROPPED = ("GG751", Level.STATE, "sampled budget buffer sink")
 
--- a/greengageflow/net/poller.py
+++ b/greengageflow/net/poller.py
@@ -6,6 +6,8 @@
 
 from circuits.core.pollers import EPoll
 
+from greengageflow.core.loop_load import LoopLoad
+
 
 class SocketSet:
     """Sockets in the order in which they came, in place of a list of ``circuits``.
@@ -49,16 +51,16 @@
     """``EPoll`` whose cost for a socket does not grow with the number of others.
 
     Attributes:
-        polled_at: When it last looked for events, in monotonic seconds. What the
-            program handles now was there by then.
+        load: How long the rounds between two looks for events are.
     """
 
     def __init__(self) -> None:
         super().__init__()
-        self.polled_at = monotonic()
+        self.load = LoopLoad()
         self._read = SocketSet(self._read)
         self._write = SocketSet(self._write)
 
     def _generate_events(self, event: object) -> None:
+        self.load.end(monotonic())
         super()._generate_events(event)
-        self.polled_at = monotonic()
+        self.load.begin(monotonic())
--- a/greengageflow/net/reply.py
+++ b/greengageflow/net/reply.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable, Iterable
 from email.utils import formatdate
+from http import HTTPStatus
 from math import ceil
 from typing import Any, Protocol
 
@@ -65,6 +66,21 @@
     return "Date", formatdate(usegmt=True)
 
 
+def refusal(exc: RouterError, retry_after: Callable[[float], str]) -> bytes:
+    """Return a whole answer that refuses a request and ends the connection."""
+    body = json.dumps(exc.body).encode()
+    headers = (
+        date_header(),
+        ("Content-Type", JSON_TYPE),
+        *error_headers(exc, retry_after),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+    )
+    phrase = HTTPStatus(exc.status).phrase
+    lines = [f"HTTP/1.1 {exc.status} {phrase}", *(f"{k}: {v}" for k, v in headers)]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
 class Reply:
     """Answers one call, once; after the end or when the caller is gone it is inert.
 
--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -57,6 +57,8 @@
     " {running} running, {waiting} waiting",
     Event.HOST_CAUGHT_UP: "the loop is on time again after {after_ms} ms,"
     " {connections} connections",
+    Event.TURNED_AWAY: "{requests} requests of {accounts} accounts turned away unread"
+    " in a second, rounds of {round_ms} ms",
     Event.LINES_DROPPED: "log lines left out: {sampled} sampled away, {budget} over"
     " the budget, {buffer} with a full buffer, {sink} not written",
 }
--- a/greengageflow/platform/interfaces.py
+++ b/greengageflow/platform/interfaces.py
@@ -5,7 +5,7 @@
 from greengageflow.errors import ErrorKind, RouterError
 from greengageflow.net.calls import CallerRequest, HealthCall
 from greengageflow.net.forward_calls import ForwardCall, PageCall
-from greengageflow.platform.names import READY_PATH
+from greengageflow.platform.names import CREDENTIAL, READY_PATH
 from greengageflow.platform.requests import parse_request
 
 if TYPE_CHECKING:
@@ -13,6 +13,8 @@
 
 METRICS_PATH = "/metrics"
 _METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+_KEY_LINE = f"\r\n{CREDENTIAL}:".encode()
+_HEAD_BYTES = 2048
 _READS = frozenset({"GET", "HEAD"})
 
 
@@ -42,6 +44,12 @@
         """Return a time to come back; fractions are allowed."""
         return _seconds(seconds)
 
+    def sender(self, data: bytes) -> bytes:
+        """Return the key in the first bytes of a request, unparsed; empty if none."""
+        head = data[:_HEAD_BYTES].lower()
+        _, _, rest = head.partition(_KEY_LINE)
+        return rest.partition(b"\r")[0].strip()
+
 
 class ReadyInterface:
     """The balancer, and who reads metrics."""
--- /dev/null
+++ b/tests/test_arrival_gate.py
@@ -0,0 +1,105 @@
+"""A host that is sent more than it can read, in simulated time."""
+
+from random import Random
+
+import pytest
+
+from greengageflow.core.arrival_gate import ArrivalGate
+from greengageflow.core.loop_load import LoopLoad
+
+READ_S, TURN_AWAY_S, LEFT_S = 0.0035, 0.0003, 0.0001
+"""Processor time of a request that is read, turned away, or found to be abandoned, on
+half a core."""
+
+PATIENCE_S = 1.0
+SECONDS = 6
+OTHERS = [b"%d" % number for number in range(10)]
+
+
+class Open:
+    """Reads everything."""
+
+    def admits(self, *_args, **_fields):
+        return True
+
+
+def arrivals(hot_a_second):
+    """Return (time, account) of requests, one account's beside those of ten others."""
+    random = Random(3)
+    rows = [(random.uniform(0, SECONDS), b"hot") for _ in range(hot_a_second * SECONDS)]
+    rows += [(random.uniform(0, SECONDS), one) for one in OTHERS for _ in range(18)]
+    return sorted(rows)
+
+
+def play(gate, rows):
+    """Return for each account the waits of what was read, and counts of the rest."""
+    load, now = LoopLoad(), 0.0
+    waits, turned, left = {}, {}, {}
+    rows = list(rows)
+    while rows:
+        load.end(now)
+        now = max(now, rows[0][0])
+        load.begin(now)
+        ready = [row for row in rows if row[0] <= now]
+        rows = rows[len(ready) :]
+        for at, account in ready:
+            if now - at > PATIENCE_S:
+                left[account] = left.get(account, 0) + 1
+                now += LEFT_S
+                continue
+            late = {"present_s": load.present_s(now), "average_s": load.average_s(now)}
+            if gate.admits(now, account, **late):
+                waits.setdefault(account, []).append(now - at)
+                now += READ_S
+            else:
+                turned[account] = turned.get(account, 0) + 1
+                now += TURN_AWAY_S
+    return waits, turned, left
+
+
+def test_one_account_beyond_a_host_keeps_no_other_from_it():
+    """One account's callers gather at one host, at twice what it can read. Callers of
+    all accounts waited the longer the more came, and left before they were read.
+
+    The host must read what the others send, in time, and use what is left of it for the
+    account; whom it can't read it tells at once, so that nobody leaves unread.
+    """
+    rows = arrivals(500)
+    waits, _, left = play(Open(), rows)
+    assert sum(left.values()) > 500
+    assert any(account in left for account in OTHERS)
+    waits, turned, left = play(ArrivalGate(), rows)
+    assert not left
+    read = sum(map(len, waits.values()))
+    assert read > 0.8 * SECONDS / READ_S
+    others = [wait for account in OTHERS for wait in waits[account]]
+    assert len(others) >= 0.97 * 18 * len(OTHERS)
+    assert sorted(others)[int(0.95 * len(others))] < 0.25
+    assert set(turned) - {b"hot"} <= set(OTHERS)
+
+
+@pytest.mark.parametrize("hot_a_second", [50, 150, 200])
+def test_a_host_that_can_read_all_turns_nobody_away(hot_a_second):
+    _, turned, left = play(ArrivalGate(), arrivals(hot_a_second))
+    assert not turned and not left
+
+
+def test_a_short_burst_is_read_in_full():
+    """Seventy callers come back in the same moment after a loss of all hosts."""
+    rows = [(1.0, b"%d" % (number % 12)) for number in range(70)]
+    waits, turned, _ = play(ArrivalGate(), rows)
+    assert not turned
+    assert sum(map(len, waits.values())) == 70
+
+
+def test_one_long_round_turns_away_no_more_than_it_delayed():
+    """A host stands still for seconds in the middle of a round. What it reads after it
+    comes in short rounds again, and nobody is turned away any more."""
+    load, gate = LoopLoad(), ArrivalGate()
+    load.end(10.0)
+    load.begin(10.0)
+    load.end(14.0)
+    load.begin(14.0)
+    late = {"present_s": load.present_s(14.02), "average_s": load.average_s(14.02)}
+    assert late["average_s"] > 1
+    assert all(gate.admits(14.02, b"hot", **late) for _ in range(50))
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -1,3 +1,4 @@
+import json
 from contextlib import closing
 from time import sleep
 
@@ -8,6 +9,8 @@
 from http_fakes import wait_for
 
 from greengageflow.net.callers import SWEEP_S, Limits
+from greengageflow.platform.interfaces import CallerInterface
+from greengageflow.platform.names import CREDENTIAL
 
 
 @pytest.fixture
@@ -128,3 +131,27 @@
         third = server.caller()
         third.send(post("/services/a/b"))
         third.until(b"POST /b ")
+
+
+def test_a_request_that_is_turned_away_gets_a_whole_answer():
+    """A late host answers before it has read a long body. Closing at once would reset
+    the connection, and the caller might never see the answer."""
+    with closing(Server()) as server:
+        server.callers._turns_away = lambda data: data.startswith(b"POST")
+        answer = server.ask(post("/services/a/b", b"x" * 500_000))
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"\r\nRetry-After: " in head and b"\r\nConnection: close" in head
+        assert json.loads(body)["error"]["ran"] == "no"
+        assert not server.handler.calls
+        get = b"GET /services/a/b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        assert server.ask(get).startswith(b"HTTP/1.1 200 ")
+
+
+def test_the_account_of_a_request_is_found_without_parsing_it():
+    sender = CallerInterface().sender
+    lines = f"POST /x HTTP/1.1\r\nHost: a\r\n{CREDENTIAL}: k1\r\nA: b\r\n\r\n"
+    assert sender(lines.encode()) == b"k1"
+    assert sender(lines.title().encode()) == b"k1"
+    assert sender(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n") == b""
+    assert sender(b"\xff" * 5000) == b""
