Callers' connections leave descriptors for endpoints, pages and the store

A host whose callers held as many connections as it had descriptors answered nobody, readiness not either, and used a whole core, without a line of the cause. Cause: the bound of 4,096 connections took no notice of the process's descriptors, of which the platform's settings say how many there are (4,100 to 8,192, 200 reserved), and connections to endpoints and the store come out of the same. Where none is left, accept failed silently and the poller reported the listener again at once. Ruled out as the cause of the host that took no connection: it answered all the time. Change: core/file_budget; setting max_files from the platform's; connections on which nothing is asked give way, oldest first; with none of them the host says host_busy on its readiness page; the listener rests for 0.2 s when no descriptor is left. GG748 CONNECTIONS_FULL. Test: test_descriptors_run_out_and_come_back allowed 502 and 503 and that all files are open, which is the fault; in its place one that demands 200 for each request and for readiness all the while, and one with no idle connection. Conclusion: no silent stop of accepting by descriptors.

--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -30,12 +30,13 @@
     load_gateway_settings,
     settings_path,
 )
+from greengageflow.daemon.host_watch import HostWatch
 from greengageflow.daemon.kept_parts import KeptParts
-from greengageflow.daemon.loop_watch import LoopWatch
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.program import Program
 from greengageflow.daemon.router_registry import RouterRegistry
 from greengageflow.daemon.store_view import StoreView
+from greengageflow.errors import ErrorKind, RouterError
 from greengageflow.events import Event as LogEvent
 from greengageflow.events import log, setup_logging
 from greengageflow.net.callers import CallerServer
@@ -84,7 +85,9 @@
         self._stop_began = 0.0
         self._trusted = False
         self._untrusted_at = self._awake_at
-        self._pool = HttpPool(self._timers, max_idle=64).register(self)
+        self._pool = HttpPool(
+            self._timers, max_idle=64, max_idle_of_all=settings.files.idle
+        ).register(self)
         self._log = DecisionLog(sys.stdout.fileno(), settings.host)
         self._page = MetricsPage()
         self._trust = KeyTrust(settings.bounds.revoke_s)
@@ -166,9 +169,11 @@
             self._forwarder,
             self._timers,
             interface=interface,
+            max_connections=settings.files.callers,
             turns_away=arrivals.turns_away,
+            on_full=lambda *counts: self._watch.on_full(*counts),
         ).register(self)
-        self._watch = LoopWatch(
+        self._watch = HostWatch(
             self._timers,
             self._log,
             self._callers,
@@ -178,7 +183,7 @@
         )
         pages = GatewayPages(
             self._page,
-            unready=self._forwarder.unready,
+            unready=self._unready,
             waiting=lambda: self._book.waiting,
             running=lambda: self._in_flight,
             callers=self._callers,
@@ -208,6 +213,11 @@
     def _in_flight(self) -> int:
         return self._forwarder.flights - self._book.waiting
 
+    def _unready(self) -> RouterError | None:
+        if self._callers.full:
+            return RouterError(ErrorKind.HOST_BUSY, "no room for one more connection")
+        return self._forwarder.unready()
+
     # Other routers.
 
     def _on_datagram(self, data: bytes) -> None:
--- a/greengageflow/daemon/gateway_settings.py
+++ b/greengageflow/daemon/gateway_settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from os import environ
+from resource import RLIMIT_NOFILE, getrlimit
 from typing import Any
 
 from greengageflow.core.check import (
@@ -15,7 +16,8 @@
     sequence,
     simple,
 )
-from greengageflow.core.value_checks import ip_number, name, number
+from greengageflow.core.file_budget import FileBudget
+from greengageflow.core.value_checks import integer, ip_number, name, number
 from greengageflow.settings import Address, read_document
 
 SETTINGS_VARIABLE = "GREENGAGEFLOW_NODE_FILE"
@@ -73,6 +75,7 @@
         metrics: Where the metrics page is served, or None.
         seeds: Such addresses of hosts through which others are found.
         bounds: What the operators ask of the fleet.
+        max_files: Descriptors that the process may have; None for its own limit.
     """
 
     host: str
@@ -85,6 +88,13 @@
     metrics: Address | None = None
     seeds: tuple[Address, ...] = ()
     bounds: FleetBounds = field(default_factory=FleetBounds)
+    max_files: int | None = None
+
+    @property
+    def files(self) -> FileBudget:
+        """Descriptors of the process, shared out."""
+        own, _ = getrlimit(RLIMIT_NOFILE)
+        return FileBudget(min(own, self.max_files or own))
 
 
 def _address() -> Check:
@@ -129,6 +139,7 @@
         metrics=optional(_address()),
         seeds=optional(sequence(_address()), ()),
         bounds=optional(bounds, defaults),
+        max_files=optional(integer(64, 1_048_576)),
     )
 
 
--- a/greengageflow/daemon/loop_watch.py
+++ b/greengageflow/daemon/host_watch.py
@@ -1,4 +1,4 @@
-"""Says when the host works behind what callers send."""
+"""Says when the host cannot keep up with what callers send."""
 
 from collections.abc import Callable
 
@@ -8,8 +8,10 @@
 from greengageflow.net.decision_log import DecisionLog
 from greengageflow.net.timers import Timers
 
+FULL_LINE_S = 1.0
 
-class LoopWatch:
+
+class HostWatch:
     """Measures how late the event loop runs, and logs when it gets behind.
 
     Args:
@@ -37,12 +39,24 @@
         self._running = running
         self._waiting = waiting
         self._lateness = Lateness(period_s)
+        self._full_at = float("-inf")
 
     @property
     def worst_s(self) -> float:
         """The latest that the loop came in the last one to two seconds."""
         return self._lateness.worst_s
 
+    def on_full(self, connections: int, gave_way: int) -> None:
+        """Note that there was no room for one more connection."""
+        now = self._timers.now
+        if now - self._full_at >= FULL_LINE_S:
+            self._full_at = now
+            self._log.write(
+                DecisionEvent.CONNECTIONS_FULL,
+                connections=connections,
+                gave_way=gave_way,
+            )
+
     def on_tick(self) -> None:
         """Note a call of the timer."""
         now = self._timers.now
--- a/greengageflow/net/_idle_conns.py
+++ b/greengageflow/net/_idle_conns.py
@@ -14,14 +14,21 @@
     Args:
         close: Closes a connection that is not kept (any more).
         most: Most connections kept for one address.
+        most_of_all: Most connections kept.
         idle_s: Seconds after which one is closed.
     """
 
     def __init__(
-        self, close: Callable[[Connection], None], *, most: int, idle_s: float
+        self,
+        close: Callable[[Connection], None],
+        *,
+        most: int,
+        most_of_all: int,
+        idle_s: float,
     ) -> None:
         self._close = close
         self._most = most
+        self._most_of_all = most_of_all
         self._idle_s = idle_s
         self._since: dict[socket, tuple[Connection, float]] = {}
         self._by_address: dict[tuple[str, int], deque[Connection]] = defaultdict(deque)
@@ -49,6 +56,9 @@
         if len(conns) >= self._most:
             self._close(conn)
             return
+        if len(self._since) >= self._most_of_all:
+            self.drop(next(iter(self._since)))
+        conns = self._by_address[conn.address]
         conns.append(conn)
         self._since[conn.sock] = (conn, monotonic())
 
--- a/greengageflow/net/caller_sockets.py
+++ b/greengageflow/net/caller_sockets.py
@@ -37,6 +37,7 @@
             socket_options=[(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER)],
         )
         self._clients = SocketSet()
+        self._resting = False
 
     @handler("_read", priority=1, override=True)
     def _on_read(self, sock: socket) -> None:
@@ -45,6 +46,12 @@
         else:
             self._read(sock)
 
+    def accept_again(self) -> None:
+        """Look at the listener again after descriptors had run out."""
+        if self._resting and self._sock is not None:
+            self._resting = False
+            self._poller.addReader(self, self._sock)
+
     def accept_waiting(self) -> None:
         """Accept all connections that wait."""
         for _ in range(MOST_UNACCEPTED):
@@ -55,7 +62,10 @@
             except ConnectionAbortedError:
                 continue
             except OSError:
-                # No descriptor is left; the listener shows again when there is one.
+                # No descriptor is left. The poller would report the listener again at
+                # once, and a process that can take nobody use a whole core for it.
+                self._poller.removeReader(self._sock)
+                self._resting = True
                 return
             with suppress(OSError):
                 self._on_accept_done(sock)
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -45,6 +45,9 @@
 READ_SIZE = 65_536
 QUEUE_SLICE = 65_536
 SWEEP_S = 0.2
+GIVE_WAY = 16
+"""Part of all connections, one in so many, that gives way at once."""
+
 
 _INFO_SIZE = 104
 _INFO_WAITING = 24
@@ -75,6 +78,11 @@
         self._callers = callers
         self._server = callers.sockets
 
+    @property
+    def idle(self) -> bool:
+        """Whether it is open and nothing is asked on it."""
+        return self.open and self.conn.phase is Phase.IDLE
+
     @property
     def queued(self) -> int:
         """Bytes that wait to be sent."""
@@ -162,6 +170,8 @@
         interface: How callers speak.
         turns_away: Returns, for the first bytes of a request, whether it is answered
             unread that the host is busy.
+        on_full: Takes how many connections are open when there is no room for one more,
+            and how many idle ones give way.
         channel: Tells the events of several servers in one process apart.
 
     Raises:
@@ -182,6 +192,7 @@
         body_budget: int = 67_108_864,
         interface: CallInterface = OWN_INTERFACE,
         turns_away: Callable[[bytes], bool] = lambda _data: False,
+        on_full: Callable[[int, int], None] = lambda _open, _idle: None,
         channel: str = "callers",
     ) -> None:
         super().__init__(channel=channel)
@@ -194,6 +205,7 @@
         self.taken = 0
         self.abandoned = 0
         self._turns_away = turns_away
+        self._on_full = on_full
         self._links: dict[socket, _CallerLink] = {}
         self._address = (self.sockets.host, self.sockets.port)
         self._timers = timers
@@ -285,7 +297,7 @@
     def _admit(self, sock: socket) -> _CallerLink | None:
         link = _CallerLink(self, sock)
         self.taken += 1
-        if len(self._links) >= self._max_connections:
+        if self._has_no_room and not self._make_room():
             link.drop()
             return None
         link.conn = CallerConnection(
@@ -294,6 +306,32 @@
         self._links[sock] = link
         return link
 
+    @property
+    def _has_no_room(self) -> bool:
+        if len(self._links) < self._max_connections:
+            return False
+        # Closed ones are among them until their event comes.
+        return sum(link.open for link in self._links.values()) >= self._max_connections
+
+    def _make_room(self) -> bool:
+        """Close connections on which nothing is asked; return whether there were any.
+
+        A caller whose next request crosses that close may send it again, while one that
+        finds no room, or no file left for its endpoint, gets nothing.
+        """
+        idle = [link for link in self._links.values() if link.idle]
+        idle.sort(key=lambda link: link.conn.phase_at)
+        some = idle[: 1 + self._max_connections // GIVE_WAY]
+        self._on_full(len(self._links), len(some))
+        for link in some:
+            link.drop()
+        return bool(some)
+
+    @property
+    def full(self) -> bool:
+        """Whether there is no room for one more connection, and none gives way."""
+        return self._has_no_room and not any(link.idle for link in self._links.values())
+
     @handler("connect")
     def _on_connect(self, sock: socket, *_peer: object) -> None:
         if sock not in self._links and sock in self.sockets._clients:
@@ -356,6 +394,7 @@
 
     def _on_sweep(self) -> None:
         now = monotonic()
+        self.sockets.accept_again()
         for link in list(self._links.values()):
             if link.open:
                 link.conn.check_time(now)
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -80,6 +80,7 @@
     HOST_BEHIND = ("GG745", Level.STATE, "late_ms connections running waiting")
     HOST_CAUGHT_UP = ("GG746", Level.STATE, "after_ms connections")
     TURNED_AWAY = ("GG747", Level.STATE, "requests accounts round_ms")
+    CONNECTIONS_FULL = ("GG748", Level.STATE, "connections gave_way")
 
     LINES_DROPPED = ("GG751", Level.STATE, "sampled budget buffer sink")
 
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -57,6 +57,7 @@
         timers: Timer service.
         source_ip: Local IP number of outgoing connections, or None.
         max_idle: Most idle connections kept for one address.
+        max_idle_of_all: Most idle connections kept.
         idle_s: Seconds after which an idle connection is closed.
     """
 
@@ -68,6 +69,7 @@
         *,
         source_ip: str | None = None,
         max_idle: int = 16,
+        max_idle_of_all: int = 4096,
         idle_s: float = 20.0,
     ) -> None:
         super().__init__()
@@ -75,7 +77,9 @@
         self._source_ip = source_ip
         self._poller: BasePoller | None = None
         self._active: dict[socket, Exchange] = {}
-        self._idle = IdleConns(self._close, most=max_idle, idle_s=idle_s)
+        self._idle = IdleConns(
+            self._close, most=max_idle, most_of_all=max_idle_of_all, idle_s=idle_s
+        )
         self._sweep: Subscription | None = None
 
     def open(self, request: HttpRequest, receiver: Receiver) -> Exchange:
--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -59,6 +59,8 @@
     " {connections} connections",
     Event.TURNED_AWAY: "{requests} requests of {accounts} accounts turned away unread"
     " in a second, rounds of {round_ms} ms",
+    Event.CONNECTIONS_FULL: "no room beside {connections} callers' connections,"
+    " {gave_way} idle ones gave way",
     Event.LINES_DROPPED: "log lines left out: {sampled} sampled away, {budget} over"
     " the budget, {buffer} with a full buffer, {sink} not written",
 }
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -122,8 +122,9 @@
     with closing(Server()) as server:
         server.callers._max_connections = 1
         first = server.caller()
-        first.send(post("/services/a/b"))
-        first.until(b"POST /b ")
+        first.send(chat())
+        wait_for(lambda: server.handler.calls)
+        assert server.callers.full
         with closing(server.caller().sock) as second:
             assert second.recv(1) == b""
         first.sock.close()
@@ -131,6 +132,11 @@
         third = server.caller()
         third.send(post("/services/a/b"))
         third.until(b"POST /b ")
+        assert not server.callers.full
+        fourth = server.caller()
+        fourth.send(post("/services/a/b"))
+        fourth.until(b"POST /b ")
+        assert third.rest() == b"", "on which nothing was asked any more"
 
 
 def test_a_request_that_is_turned_away_gets_a_whole_answer():
--- a/tests/test_gateway_bounds.py
+++ b/tests/test_gateway_bounds.py
@@ -4,7 +4,7 @@
 import os
 import re
 import sys
-from contextlib import closing
+from contextlib import closing, suppress
 from fcntl import F_SETPIPE_SZ, fcntl
 from subprocess import PIPE, Popen
 from tempfile import TemporaryFile
@@ -99,23 +99,45 @@
         assert client.ask(SAFE, key=KEY).status == 200
 
 
-def test_descriptors_run_out_and_come_back():
-    """Callers open more connections than the process may have files. The gateway can
-    neither accept more nor connect to endpoints for a while; callers whose connections
-    are open get an answer to each request, and all is well when the others have gone.
+def test_callers_connections_leave_descriptors_for_all_else():
+    """Callers open more connections than the process may have files, and keep them.
+    New callers got no answer, nor did the balancer, and the process spun; nothing of
+    its lines told why.
+
+    Connections on which nothing is asked give way, so that files are left for new
+    callers, endpoints and readiness: each request is served all the while.
     """
-    with FewFilesLab() as lab, closing(lab.client()) as client:
-        assert client.ask(SAFE, key=KEY).status == 200
+    with FewFilesLab() as lab:
         idle = [lab.client() for _ in range(2 * FEW_FILES)]
         own = f"/proc/{lab.routers['r0'].pid}/fd"
-        wait_for(lambda: len(os.listdir(own)) >= FEW_FILES, "all files are open")
-        statuses = {client.ask(SAFE, key=KEY).status for _ in range(20)}
-        assert statuses <= {200, 502, 503}
+        assert {lab.ask(SAFE).status for _ in range(20)} == {200}
+        assert lab.ready("r0") == 200
+        assert len(os.listdir(own)) < FEW_FILES
+        assert "CONNECTIONS_FULL" in lab.log
         for one in idle:
             one.close()
+        assert lab.ask(SAFE).status == 200
+
+
+def test_callers_that_all_wait_for_answers_leave_descriptors_for_readiness():
+    """Every caller's connection has a request under way, so that none may give way. A
+    host that can take nobody must say so to the balancer, which then asks elsewhere,
+    and serve again when there is room."""
+    shape = PlatformShape(plain_options={"slots": 2 * FEW_FILES})
+    with FewFilesLab(shape) as lab:
+        lab.fault("app-0", hang=True, times=FEW_FILES)
+        lab.fault("app-1", hang=True, times=FEW_FILES)
+        busy = [lab.client() for _ in range(FEW_FILES)]
+        for one in busy:
+            with suppress(OSError):
+                one.send(SAFE, key=KEY, deadline_ms=60_000)
+        wait_for(lambda: lab.ready("r0") == 503, "it says that it can take nobody")
+        for one in busy:
+            one.close()
+        lab.fault("app-0")
+        lab.fault("app-1")
+        wait_for(lambda: lab.ready("r0") == 200, "ready again")
         wait_for(lambda: lab.ask(SAFE).status == 200, "served again")
-        assert client.ask(SAFE, key=KEY).status == 200
-        assert lab.ready("r0") == 200
 
 
 def test_two_thousand_idle_connections_cost_nobody_an_answer():
