--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -17,7 +17,7 @@
 from greengageflow.core.routes import Routing
 from greengageflow.core.send_budget import SendBudget
 from greengageflow.core.service_book import ServiceBook
-from greengageflow.core.store_duty import pace_s, peers_know_config
+from greengageflow.core.store_duty import pace_s
 from greengageflow.core.trust import KeyTrust
 from greengageflow.daemon.arrivals import Arrivals
 from greengageflow.daemon.fleet_exchange import FleetExchange, Placed
@@ -32,6 +32,7 @@
 )
 from greengageflow.daemon.host_watch import HostWatch
 from greengageflow.daemon.kept_parts import KeptParts
+from greengageflow.daemon.key_watch import KeyWatch
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.program import Program
 from greengageflow.daemon.router_registry import RouterRegistry
@@ -52,8 +53,6 @@
 STOP_TICK_S = 0.05
 LEAVE_BALANCER_S = 2.6
 EXIT_EARLY_S = 0.4
-ASLEEP_S = 0.5
-PEER_MARGIN_S = 0.3
 VERSION = "0.2.0"
 
 
@@ -80,11 +79,7 @@
         self._settings = settings
         self._path = path
         self._boot = int(time() * 1000)
-        self._awake_at = clock()
-        self._doubt_until = 0.0
         self._stop_began = 0.0
-        self._trusted = False
-        self._untrusted_at = self._awake_at
         self._pool = HttpPool(
             self._timers, max_idle=64, max_idle_of_all=settings.files.idle
         ).register(self)
@@ -147,6 +142,7 @@
             pace_s=pace_s(*settings.bounds.known_within_s),
             clock=clock,
         )
+        self._keys = KeyWatch(self._trust, self._store, self._log, clock())
         self._registry = RouterRegistry(
             self._pool,
             self._timers,
@@ -221,12 +217,7 @@
     # Other routers.
 
     def _on_datagram(self, data: bytes) -> None:
-        # After a pause the socket holds reports of before it, whose ages would be
-        # taken for fresh and keys trusted that were taken away meanwhile.
-        now = clock()
-        if now - self._awake_at > ASLEEP_S:
-            self._doubt_until = now + ASLEEP_S
-        self._awake_at = now
+        self._keys.awake(clock())
         self._exchange.receive(data)
 
     def report(self, number: int, sequence: int) -> PeerReport:
@@ -299,41 +290,13 @@
         if change.what == "gone":
             self._book.forget_endpoint(change.id)
 
-    def _confirm(self, now: float) -> None:
-        self._trust.confirm(self._store.confirmed)
-        words = self._exchange.words()
-        if words and now >= self._doubt_until:
-            known = peers_know_config(self._timers.now, self._store.version, words)
-            self._trust.confirm(now - known.heard_s - PEER_MARGIN_S)
-        self._note_trust(now)
-
-    def _note_trust(self, now: float) -> None:
-        trusted = self._trust.holds(now)
-        if trusted == self._trusted:
-            return
-        self._trusted = trusted
-        version = self._store.version
-        if trusted:
-            after_ms = round(1000 * (now - self._untrusted_at))
-            self._log.write(
-                DecisionEvent.KEYS_TRUSTED, config=version, after_ms=after_ms
-            )
-            return
-        self._untrusted_at = now
-        unheard_ms = round(1000 * min(self._trust.age_s(now), 1e6))
-        self._log.write(
-            DecisionEvent.KEYS_UNTRUSTED, config=version, unheard_ms=unheard_ms
-        )
-
     # Life.
 
     def _on_tick(self) -> None:
-        now = clock()
-        if now - self._awake_at > ASLEEP_S:
-            self._doubt_until = now + ASLEEP_S
-        self._awake_at = now
-        self._store.on_tick(self._exchange.reads_store, self._exchange.words())
-        self._confirm(now)
+        now, words = clock(), self._exchange.words()
+        self._keys.awake(now)
+        self._store.on_tick(self._exchange.reads_store, words)
+        self._keys.confirm(now, self._timers.now, words)
         self._forwarder.on_tick()
         self._watch.on_tick()
 
