The product's own interface keeps descriptors for endpoints and the log as well

Cause: the same bound of 4,096 callers' connections, whatever the process may open, stood at the router of the product's own interface; found by looking for the cause elsewhere. Change: the same budget there, from the process's own limit; idle connections to endpoints are bounded in all. Ruled out: readiness of its own, which stands on the callers' port there and fails by itself when nothing is accepted. Conclusion: requests are not turned away unread there; its loop's lateness is not watched.

--- a/greengageflow/daemon/router.py
+++ b/greengageflow/daemon/router.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from resource import RLIMIT_NOFILE, getrlimit
 from time import time
 
 import fire
@@ -11,6 +12,7 @@
 
 from greengageflow.core.catalog import FleetConfig
 from greengageflow.core.config_roles import config_roles
+from greengageflow.core.file_budget import FileBudget
 from greengageflow.core.hosts import HostEntry, HostKind, HostState
 from greengageflow.core.leaving import LaggingSource
 from greengageflow.core.membership import Membership, Seed
@@ -56,7 +58,10 @@
         self._settings = settings
         own = PeerId(settings.host, int(time() * 1000))
         self._own = own
-        self._pool = HttpPool(self._timers, source_ip=settings.ip).register(self)
+        files = FileBudget(getrlimit(RLIMIT_NOFILE)[0])
+        self._pool = HttpPool(
+            self._timers, source_ip=settings.ip, max_idle_of_all=files.idle
+        ).register(self)
         self._log_client = LogClient(self._pool, settings.log.ip, settings.log.port)
         self._metrics = Metrics(settings.statsd, settings.host)
         self._link = PeerLink(
@@ -91,6 +96,7 @@
             self._requests,
             self._timers,
             limits=Limits(),
+            max_connections=files.callers,
         ).register(self)
         self._watch = EndpointWatch(
             self._pool,
