No descriptor for a new connection leaves a line

Cause: where accept itself found no descriptor the listener rested in silence. Change: CONNECTIONS_FULL then too. Ruled out: a line for each try; one a second at most. Conclusion: no silent stop of accepting.

--- a/greengageflow/net/caller_sockets.py
+++ b/greengageflow/net/caller_sockets.py
@@ -46,11 +46,13 @@
         else:
             self._read(sock)
 
-    def accept_again(self) -> None:
-        """Look at the listener again after descriptors had run out."""
-        if self._resting and self._sock is not None:
-            self._resting = False
-            self._poller.addReader(self, self._sock)
+    def accept_again(self) -> bool:
+        """Look at the listener again, if descriptors had run out; return whether."""
+        if not self._resting or self._sock is None:
+            return False
+        self._resting = False
+        self._poller.addReader(self, self._sock)
+        return True
 
     def accept_waiting(self) -> None:
         """Accept all connections that wait."""
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -48,7 +48,6 @@
 GIVE_WAY = 16
 """Part of all connections, one in so many, that gives way at once."""
 
-
 _INFO_SIZE = 104
 _INFO_WAITING = 24
 """Where Linux's ``tcp_info`` of a listening socket has its queue's length."""
@@ -394,7 +393,8 @@
 
     def _on_sweep(self) -> None:
         now = monotonic()
-        self.sockets.accept_again()
+        if self.sockets.accept_again():
+            self._on_full(len(self._links), 0)
         for link in list(self._links.values()):
             if link.open:
                 link.conn.check_time(now)
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -132,7 +132,7 @@
         third = server.caller()
         third.send(post("/services/a/b"))
         third.until(b"POST /b ")
-        assert not server.callers.full
+        wait_for(lambda: not server.callers.full)
         fourth = server.caller()
         fourth.send(post("/services/a/b"))
         fourth.until(b"POST /b ")
