More callers may wait to be accepted, since a look turns them away in time

Cause: 128 places fill in less than a round of the loop at 1,500 connections a second; whoever comes then loses the second in which a connection may be set up. Change: 384 places. Ruled out: thousands, which a host of half a core cannot turn away within a caller's patience; the test's bound of 500 stands.

--- a/greengageflow/net/caller_sockets.py
+++ b/greengageflow/net/caller_sockets.py
@@ -11,8 +11,8 @@
 SEND_BUFFER = 131_072
 """Bytes that a caller's socket takes from us ahead of the caller."""
 
-MOST_UNACCEPTED = 128
-"""Connections that may wait to be accepted."""
+MOST_UNACCEPTED = 384
+"""Connections that may wait to be accepted; a look turns so many away in time."""
 
 
 class CallerSockets(TCPServer):
