Keys that nobody holds count as one account at a late host

Cause: the gate told accounts apart by the key as it was sent. Who sends each request with another key is a new account each time, and is read before accounts that have had their part. Change: the key's account by the configuration in force; unknown keys and requests without one are one account, and the keys of one account are one. Ruled out: judging keys at the gate; a refusal for good needs a configuration that is known to be recent.

--- a/greengageflow/daemon/arrivals.py
+++ b/greengageflow/daemon/arrivals.py
@@ -21,7 +21,8 @@
         timers: Timer service.
         log: Takes a line a second with what was turned away.
         page: Counts it.
-        sender_of: Returns what tells accounts apart, from a request's first bytes.
+        account_of: Returns whose a request is, from its first bytes. Unknown keys are
+            one account: each its own, whoever makes them up would be read first.
     """
 
     def __init__(
@@ -30,30 +31,30 @@
         timers: Timers,
         log: DecisionLog,
         page: MetricsPage,
-        sender_of: Callable[[bytes], bytes],
+        account_of: Callable[[bytes], str],
     ) -> None:
         self._load = load
         self._timers = timers
         self._log = log
         self._page = page
-        self._sender_of = sender_of
+        self._account_of = account_of
         self._gate = ArrivalGate()
-        self._senders: set[bytes] = set()
+        self._accounts: set[str] = set()
         self._count = 0
 
     def turns_away(self, data: bytes) -> bool:
         """Return whether a request that begins with ``data`` is not read."""
         now = self._timers.now
-        sender = self._sender_of(data)
+        account = self._account_of(data)
         present_s, average_s = self._load.present_s(now), self._load.average_s(now)
-        if self._gate.admits(now, sender, present_s=present_s, average_s=average_s):
+        if self._gate.admits(now, account, present_s=present_s, average_s=average_s):
             return False
         self._page.count(PageMetric.REQUESTS, "refused")
         self._page.count(PageMetric.REFUSALS, ErrorKind.HOST_BUSY.value)
         if not self._count:
             self._timers.after(LINE_S, self._tell)
         self._count += 1
-        self._senders.add(sender)
+        self._accounts.add(account)
         return True
 
     def _tell(self) -> None:
@@ -61,8 +62,8 @@
         self._log.write(
             DecisionEvent.TURNED_AWAY,
             requests=self._count,
-            accounts=len(self._senders),
+            accounts=len(self._accounts),
             round_ms=round_ms,
         )
         self._count = 0
-        self._senders.clear()
+        self._accounts.clear()
--- a/greengageflow/daemon/forward_admission.py
+++ b/greengageflow/daemon/forward_admission.py
@@ -45,6 +45,10 @@
         self._routing = routing
         self._table = RouteTable(routing.routes)
 
+    def account_of(self, key: str) -> str:
+        """Return the account that holds a key, empty for none."""
+        return self._routing.accounts.get(key, "")
+
     def unready(self) -> RouterError | None:
         """Return why requests cannot be judged now, or None."""
         if not self._routing.version:
@@ -90,7 +94,7 @@
 
     def _account(self, route: Route, key: str) -> str:
         if route.public or not self._routing.keyed:
-            return self._routing.accounts.get(key, "")
+            return self.account_of(key)
         if not self._trust.holds(self._clock()):
             text = "keys cannot be checked, the log is out of reach"
             kind = ErrorKind.LOG_UNAVAILABLE
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -89,12 +89,13 @@
         self._endpoints = EndpointList()
         self._book = ServiceBook(self._endpoints, settings.zone, self._budget)
         self._notes = ForwardNotes(self._log, self._page, self._book)
+        self._admission = ForwardAdmission(self._timers, self._trust, clock)
         self._forwarder = Forwarder(
             self._pool,
             self._timers,
             self._endpoints,
             self._book,
-            ForwardAdmission(self._timers, self._trust, clock),
+            self._admission,
             self._notes,
         )
         self._add_fleet()
@@ -157,7 +158,11 @@
         settings = self._settings
         interface = CallerInterface()
         arrivals = Arrivals(
-            self._poller.load, self._timers, self._log, self._page, interface.sender
+            self._poller.load,
+            self._timers,
+            self._log,
+            self._page,
+            lambda data: self._admission.account_of(interface.key(data)),
         )
         self._callers = CallerServer(
             settings.callers.ip,
--- a/greengageflow/platform/interfaces.py
+++ b/greengageflow/platform/interfaces.py
@@ -44,11 +44,14 @@
         """Return a time to come back; fractions are allowed."""
         return _seconds(seconds)
 
-    def sender(self, data: bytes) -> bytes:
+    def key(self, data: bytes) -> str:
         """Return the key in the first bytes of a request, unparsed; empty if none."""
-        head = data[:_HEAD_BYTES].lower()
-        _, _, rest = head.partition(_KEY_LINE)
-        return rest.partition(b"\r")[0].strip()
+        head = data[:_HEAD_BYTES]
+        at = head.lower().find(_KEY_LINE)
+        if at < 0:
+            return ""
+        value, _, _ = head[at + len(_KEY_LINE) :].partition(b"\r")
+        return value.strip().decode("latin-1")
 
 
 class ReadyInterface:
--- a/tests/test_arrival_gate.py
+++ b/tests/test_arrival_gate.py
@@ -1,11 +1,13 @@
 """A host that is sent more than it can read, in simulated time."""
 
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
 from greengageflow.core.arrival_gate import ArrivalGate
 from greengageflow.core.loop_load import LoopLoad
+from greengageflow.daemon.arrivals import Arrivals
 
 READ_S, TURN_AWAY_S, LEFT_S = 0.0035, 0.0007, 0.0003
 """Processor time of a request that is read, turned away, or found to be abandoned, on
@@ -112,3 +114,29 @@
     assert [gate.admits(1.0, "one", **late) for _ in range(3)] == [True, False, False]
     assert gate.admits(1.0, "other", **late)
     assert gate.admits(9.0, "one", **late)
+
+
+def test_keys_that_nobody_holds_are_one_account():
+    """Somebody sends as much as the host can read, each request with another key that
+    nobody holds. Each its own account, all would be read, and accounts with keys that
+    are held would be turned away in their place."""
+    counts = {}
+    load = SimpleNamespace(present_s=lambda _now: 0.05, average_s=lambda _now: 0.2)
+    timers = SimpleNamespace(now=0.0, after=lambda *_args: None)
+    held = {"held": "account"}
+    arrivals = Arrivals(
+        load,
+        timers,
+        SimpleNamespace(write=lambda *_args, **_fields: None),
+        SimpleNamespace(count=lambda *_args: None),
+        lambda data: held.get(data.decode(), ""),
+    )
+    for number in range(15_000):
+        timers.now += 0.002
+        for key in (f"made-up-{number}", *["held"] * (number % 750 == 0)):
+            read = not arrivals.turns_away(key.encode())
+            sent = counts.setdefault(key == "held", [0, 0])
+            sent[0] += 1
+            sent[1] += read
+    assert counts[True] == [20, 20]
+    assert counts[False][1] < 0.2 * counts[False][0]
