--- a/greengageflow/daemon/kept_parts.py
+++ b/greengageflow/daemon/kept_parts.py
@@ -32,9 +32,8 @@
     """Learns once from each engine that this host begins to place for.
 
     A placer that begins knows of no part that engines keep: it sends requests anywhere,
-    and what they share is read again. After a restart of all hosts that was 46 of 100
-    tokens that were read again (simulated days). One call an engine brings it back;
-    later ones follow from what this host sends.
+    and what they share is read again. One call an engine brings it back; later ones
+    follow from what this host sends.
 
     Args:
         pool: Sends the calls.
