Readers of the store pass records on to their zone

Cause: each host read the store for each change of the list or the configuration that a peer told a mark of, so that calls grew with hosts times changes; and a message of more than 60,000 bytes was dropped without a sign.

Change: the host that reads for its zone sends the records themselves (core/store_news). Each message says from which offset on nothing is missed, with the changes of the last second once more; a host that missed some reads 0.25 s after it heard of the change. Messages that do not fit one datagram go in several (net/_fragments); what is longer still is counted (control_too_long). Records nested too deep or with figures too large are errors like others (RecursionError, OverflowError went up).

--- a/greengageflow/core/store_duty.py
+++ b/greengageflow/core/store_duty.py
@@ -6,6 +6,9 @@
 STALE_PACES = 1.67
 """Times the pace after which what is known of the store counts as stale."""
 
+NEWS_S = 0.25
+"""Seconds that a host waits for a peer to pass on a change that it heard of."""
+
 LONGEST_PACE_S = 0.9
 SHORTEST_PACE_S = 0.2
 
@@ -41,6 +44,28 @@
     list_heard_s: float
 
 
+class CatchUp:
+    """Says when a host that is behind its peers reads for itself."""
+
+    def __init__(self) -> None:
+        self._behind_at: float | None = None
+
+    def is_due(self, now: float, is_behind: bool, reads: bool) -> bool:
+        """Return whether to read now.
+
+        Args:
+            now: The time.
+            is_behind: A peer knows of a change that is not known here.
+            reads: This host reads for its zone, so nobody passes on anything to it.
+        """
+        if not is_behind:
+            self._behind_at = None
+            return False
+        if self._behind_at is None:
+            self._behind_at = now
+        return reads or now - self._behind_at >= NEWS_S
+
+
 @dataclass(frozen=True, slots=True)
 class PeersKnow:
     """What the other routers know of one part of the store.
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -25,6 +25,7 @@
 from greengageflow.core.router_table import RELAYS_A_ZONE, Hello, RouterTable
 from greengageflow.core.service_book import FADE_S
 from greengageflow.core.store_duty import StoreWord
+from greengageflow.core.store_news import StoreNews
 from greengageflow.core.sum_book import Taken
 from greengageflow.core.sum_changes import SumChanges, SumWanted
 from greengageflow.core.zone_loads import ZoneLoads
@@ -66,6 +67,9 @@
     def on_totals(self, totals: FleetTotals) -> None:
         """Take the sums of all other routers, after each round."""
 
+    def on_store_news(self, news: StoreNews) -> None:
+        """Take what another router read in the platform's store."""
+
     def on_place_message(self, message: PlaceMessage) -> None:
         """Take what another router asks or tells of a request's place."""
 
@@ -147,6 +151,11 @@
         """Send one router a message, at best effort."""
         self._link.send(to, encode(message))
 
+    def pass_on(self, news: StoreNews) -> None:
+        """Send the routers of this zone what this one read for them in the store."""
+        if self.reads_store:
+            self._send(encode(news), self._zone_mates())
+
     @property
     def reads_store(self) -> bool:
         """Whether this router reads the store for its zone.
@@ -198,6 +207,9 @@
             case Hello():
                 self._on_hello(now, message)
                 return
+            case StoreNews():
+                self._listener.on_store_news(message)
+                return
             case PlaceAsk() | PlaceAnswer() | PlaceNote() | PlaceRoll():
                 self._listener.on_place_message(message)
                 return
@@ -361,9 +373,11 @@
         relays = self._table.relays(now, quiet_s).items()
         others = {r.address for z, rows in relays if z != self._own.zone for r in rows}
         self._send(encode(zone), others)
-        rows = self._table.members(now, quiet_s)
-        to = {row.address for row in rows} - {self._own.address}
-        self._send(encode(whole), to)
+        self._send(encode(whole), self._zone_mates())
+
+    def _zone_mates(self) -> set[Address]:
+        rows = self._table.members(self._now, self._quiet_s)
+        return {row.address for row in rows} - {self._own.address}
 
 
 def _hello(report: PeerReport) -> Hello:
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -18,6 +18,7 @@
 from greengageflow.core.send_budget import SendBudget
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.store_duty import pace_s
+from greengageflow.core.store_news import StoreNews
 from greengageflow.core.trust import KeyTrust
 from greengageflow.daemon.arrivals import Arrivals
 from greengageflow.daemon.fleet_exchange import FleetExchange, Placed
@@ -140,6 +141,7 @@
             on_routing=self._on_routing,
             on_change=self._on_change,
             on_news=self._exchange.tell_soon,
+            on_read=self._exchange.pass_on,
             pace_s=pace_s(*settings.bounds.known_within_s),
             clock=clock,
         )
@@ -193,6 +195,7 @@
             version=lambda: self._store.version,
             unheard=lambda: self._trust.age_s(clock()),
             control_bytes=lambda: (self._link.bytes_in, self._link.bytes_out),
+            control_too_long=lambda: self._link.too_long,
             store_calls=lambda: self._store.calls + self._registry.calls,
             dropped=lambda: self._log.dropped,
         )
@@ -271,6 +274,10 @@
         self._placement.on_round()
         self._forwarder.carry_out(self._book.on_totals(now, totals))
 
+    def on_store_news(self, news: StoreNews) -> None:
+        """Take what another router read in the store."""
+        self._store.take_news(news)
+
     def on_place_message(self, message: PlaceMessage) -> None:
         """Take what another router asks or tells of a request's place."""
         self._placement.receive(message)
--- a/greengageflow/daemon/gateway_pages.py
+++ b/greengageflow/daemon/gateway_pages.py
@@ -22,6 +22,7 @@
         version: Returns the version of the configuration.
         unheard: Returns the seconds since it was known to be the newest.
         control_bytes: Returns bytes of reports that came in and went out.
+        control_too_long: Returns messages that were left out because of their length.
         store_calls: Returns the calls of the store.
         dropped: Returns the log lines dropped by cause.
     """
@@ -39,6 +40,7 @@
         version: Callable[[], int],
         unheard: Callable[[], float],
         control_bytes: Callable[[], tuple[int, int]],
+        control_too_long: Callable[[], int],
         store_calls: Callable[[], int],
         dropped: Callable[[], Mapping[str, int]],
     ) -> None:
@@ -59,6 +61,7 @@
             PageMetric.CONTROL_BYTES,
             lambda: dict(zip(("in", "out"), control_bytes(), strict=True)),
         )
+        page.read(PageMetric.CONTROL_TOO_LONG, control_too_long)
         page.read(PageMetric.LOG_LINES_DROPPED, lambda: dict(dropped()))
 
     def on_call(self, call: PageCall) -> None:
--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -3,14 +3,17 @@
 from collections.abc import Callable, Iterable
 
 from greengageflow.core.endpoint_list import EndpointList, ListChange, ListedEndpoint
+from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.core.outage_hold import OutageHold
 from greengageflow.core.routes import Routing
 from greengageflow.core.store_duty import (
     STALE_PACES,
+    CatchUp,
     StoreWord,
     peers_know_config,
     peers_know_list,
 )
+from greengageflow.core.store_news import NewsTeller, StoreNews, StoreTopic
 from greengageflow.daemon.topic_follower import TopicFollower
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
@@ -18,14 +21,17 @@
 from greengageflow.net.timers import Timers
 from greengageflow.platform.names import CONFIG_KEY, OPERATOR_TOPIC, SERVERS_TOPIC
 from greengageflow.platform.records import RecordError, parse_config, parse_endpoint
-from greengageflow.platform.store import KeyedRecord
+
+NEWS_BYTES = 24_000
+"""Bytes of records that one message to other hosts holds, where it holds several."""
 
 
 class StoreView:
     """Keeps what the store says, read by few hosts and by each when it must.
 
-    A host that reads for its zone polls all the time. The others read when a peer
-    knows of something newer, or when no peer has heard from the store lately.
+    A host that reads for its zone polls all the time, and passes changes on. The
+    others read when a peer knows of something newer that was not passed on to them,
+    or when no peer has heard from the store lately.
 
     Args:
         pool: Sends the calls.
@@ -36,6 +42,7 @@
         on_routing: Takes a new configuration.
         on_change: Takes a change of the list.
         on_news: Called when something changed that peers should hear of at once.
+        on_read: Takes changes, for hosts that do not read themselves.
         pace_s: Seconds between two reads of a part, for hosts that read.
         clock: Returns a time that goes on while the host is suspended, in seconds.
     """
@@ -51,6 +58,7 @@
         on_routing: Callable[[Routing], None],
         on_change: Callable[[ListChange], None],
         on_news: Callable[[], None],
+        on_read: Callable[[StoreNews], None],
         pace_s: float,
         clock: Callable[[], float],
     ) -> None:
@@ -64,6 +72,7 @@
         self._on_routing = on_routing
         self._on_change = on_change
         self._on_news = on_news
+        self._on_read = on_read
         self._pace_s = pace_s
         self._stale_s = STALE_PACES * pace_s
         self._clock = clock
@@ -71,6 +80,8 @@
         self._list_lost_at: float | None = None
         self._held: dict[str, float] = {}
         self._hold = OutageHold()
+        self._config_wait, self._list_wait = CatchUp(), CatchUp()
+        self._tellers = {topic: NewsTeller(topic, NEWS_BYTES) for topic in StoreTopic}
         self._config = TopicFollower(
             pool, timers, address, OPERATOR_TOPIC, _ConfigTopic(self), clock=clock
         )
@@ -95,7 +106,7 @@
         self._list.check()
         if self._config.idle:
             known = peers_know_config(now, self.version, words)
-            behind = known.mark > self.version
+            behind = self._config_wait.is_due(now, known.mark > self.version, reads)
             stale = min(known.heard_s, self._age_s(self.confirmed)) > self._stale_s
             if reads and not behind:
                 # A wait for the whole pace would be known of only when the next one
@@ -105,7 +116,8 @@
                 self._config.read()
         if self._list.idle:
             known = peers_know_list(now, self._list.offset, words)
-            behind = known.mark > self._list.offset
+            is_behind = known.mark > self._list.offset
+            behind = self._list_wait.is_due(now, is_behind, reads)
             stale = min(known.heard_s, self._age_s(self.list_confirmed)) > self._stale_s
             due = reads and self._age_s(self._list.asked_at) >= self._pace_s
             if due or behind or stale:
@@ -128,6 +140,24 @@
     def _age_s(self, at: float) -> float:
         return self._clock() - at
 
+    # What hosts that read pass on.
+
+    def take_news(self, news: StoreNews) -> None:
+        """Take over what another host read."""
+        follower = self._config if news.topic is StoreTopic.CONFIG else self._list
+        records = follower.take(news.since, news.end, news.records)
+        match news.topic:
+            case StoreTopic.CONFIG:
+                # The newest configuration counts, whatever was missed before it.
+                self.take_config(news.records)
+            case StoreTopic.ENDPOINTS if records:
+                self.take_list(records)
+
+    def _pass_on(self, topic: StoreTopic, records: list[KeyedRecord], end: int) -> None:
+        teller = self._tellers[topic]
+        for news in teller.tell(self._timers.now, records, end):
+            self._on_read(news)
+
     # The configuration.
 
     def config_heard(self, at: float) -> None:
@@ -152,6 +182,7 @@
 
     def take_config(self, records: Iterable[KeyedRecord]) -> None:
         """Take over the newest configuration among records."""
+        taken = []
         for record in records:
             if record.key != CONFIG_KEY or record.value is None:
                 continue
@@ -166,6 +197,7 @@
                 )
                 continue
             if routing.version > self.version:
+                taken.append(record)
                 self.version = routing.version
                 self._log.write(
                     DecisionEvent.CONFIG_IN_FORCE,
@@ -175,6 +207,7 @@
                 )
                 self._on_routing(routing)
                 self._on_news()
+        self._pass_on(StoreTopic.CONFIG, taken[-1:], self._config.offset)
 
     # The list of endpoints.
 
@@ -199,15 +232,25 @@
 
     def take_list(self, records: Iterable[KeyedRecord]) -> None:
         """Take over records of the list."""
+        taken = self._take_records(records)
+        self._pass_on(StoreTopic.ENDPOINTS, taken, self._list.offset)
+
+    def _take_records(self, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
+        """Take over records of the list; return those that changed something."""
         self._store_answered()
+        taken = []
         for record in records:
             was_held = record.key in self._held
-            self._hand_on(list(self._take_one(record)), record.offset + 1)
+            changes = list(self._take_one(record))
+            self._hand_on(changes, record.offset + 1)
+            if changes or was_held or record.key in self._held:
+                taken.append(record)
             if was_held or record.key in self._held:
                 # Nothing changes here, but peers read only when they hear of a change:
                 # one that needs no hold would go on using an endpoint that has left,
                 # and one that holds it as well would drop one that is listed again.
                 self._tell(record.offset + 1)
+        return taken
 
     def _take_one(self, record: KeyedRecord) -> Iterable[ListChange]:
         if record.value is None:
@@ -225,7 +268,10 @@
         listed = {record.key for record in records if record.value is not None}
         for gone in self._endpoints.ids() - listed:
             self._hand_on(list(self._drop(gone)), self.list_mark)
-        self.take_list(sorted(records, key=lambda record: record.offset))
+        self._take_records(sorted(records, key=lambda record: record.offset))
+        # A snapshot does not tell which removals came before its end, so that nobody
+        # may be told that it misses none.
+        self._tellers[StoreTopic.ENDPOINTS].begin(self._list.offset)
 
     def _drop(self, endpoint: str) -> Iterable[ListChange]:
         left_s = self._hold.left_s(self._clock())
--- a/greengageflow/daemon/topic_follower.py
+++ b/greengageflow/daemon/topic_follower.py
@@ -1,14 +1,14 @@
 """Follows one keyed topic of the platform's store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Protocol
 
+from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.net.http_messages import Failure, Response
 from greengageflow.net.http_pool import Exchange, HttpPool
 from greengageflow.net.timers import Timers
 from greengageflow.platform.store import (
-    KeyedRecord,
     StoreAnswerError,
     is_forgotten,
     newest_call,
@@ -76,6 +76,7 @@
         self._listener = listener
         self._clock = clock
         self._asking = False
+        self._asked_from = 0
         self._exchange: Exchange | None = None
         self._known = False
         self._pages: list[KeyedRecord] = []
@@ -99,6 +100,7 @@
     def read(self, wait_s: float = 0.0) -> None:
         """Begin a read, which may wait ``wait_s`` seconds for a record."""
         self._asking = True
+        self._asked_from = self.offset
         if self._known:
             call = read_call(self._topic, self.offset, wait_s)
             self._ask(call, wait_s, self._on_read)
@@ -106,6 +108,20 @@
             self._pages = []
             self._ask(newest_call(self._topic, ""), 0.0, self._on_newest)
 
+    def take(
+        self, since: int, end: int, records: Iterable[KeyedRecord]
+    ) -> tuple[KeyedRecord, ...] | None:
+        """Take over what another router read up to ``end``.
+
+        Returns:
+            The records that are news here, or None when some before them are missing.
+        """
+        if not self._known or since > self.offset:
+            return None
+        fresh = tuple(record for record in records if record.offset >= self.offset)
+        self.offset = max(self.offset, end)
+        return fresh
+
     def _ask(
         self,
         call: tuple[str, str],
@@ -158,10 +174,11 @@
         self._heard()
 
     def _on_read(self, response: Response) -> None:
-        batch = parse_read(response, self.offset)
-        self.offset = batch.end
-        if batch.records:
-            self._listener.on_records(batch.records)
+        batch = parse_read(response, self._asked_from)
+        # Others may have told of some of them since the call went out.
+        records = self.take(self._asked_from, batch.end, batch.records)
+        if records:
+            self._listener.on_records(records)
         self._heard()
 
     def _heard(self) -> None:
--- a/greengageflow/lab/_gateway_world.py
+++ b/greengageflow/lab/_gateway_world.py
@@ -19,9 +19,10 @@
 from greengageflow.core.router_table import Hello
 from greengageflow.core.service_book import FADE_S
 from greengageflow.core.store_duty import pace_s
+from greengageflow.core.store_news import StoreNews
 from greengageflow.daemon.fleet_exchange import FleetExchange, Placed
 from greengageflow.daemon.store_view import StoreView
-from greengageflow.net.gossip_link import LARGEST
+from greengageflow.net._fragments import LARGEST
 from greengageflow.net.http_messages import HttpRequest, Response
 from greengageflow.net.report_codec import CHANGES, SUM, WANTED, encode
 
@@ -143,6 +144,7 @@
             on_routing=lambda _routing: None,
             on_change=lambda _change: None,
             on_news=self.exchange.tell_soon,
+            on_read=self.exchange.pass_on,
             pace_s=PACE_S,
             clock=lambda: world.now,
         )
@@ -306,6 +308,10 @@
         """Take what others have under way."""
         self._loads.set_others(loads)
 
+    def on_store_news(self, news: StoreNews) -> None:
+        """Take what another router read in the store."""
+        self.view.take_news(news)
+
     def on_totals(self, totals: FleetTotals) -> None:
         """Take the sums, and part each service's capacity."""
         self.hosts = totals.hosts
--- a/greengageflow/net/gossip_link.py
+++ b/greengageflow/net/gossip_link.py
@@ -13,7 +13,8 @@
 from circuits.core.pollers import BasePoller, EPoll
 from circuits.core.utils import findcmp
 
-LARGEST = 60_000
+from greengageflow.net._fragments import LARGEST, Fragments, split
+
 MOST_IN_A_ROW = 64
 
 
@@ -37,6 +38,9 @@
         super().__init__()
         self.bytes_out = 0
         self.bytes_in = 0
+        self.too_long = 0
+        self._number = 0
+        self._fragments = Fragments()
         self._on_datagram = on_datagram
         self._sock = socket(AF_INET, SOCK_DGRAM)
         self._sock.setblocking(False)
@@ -54,12 +58,17 @@
         self._poller.addReader(self, self._sock)
 
     def send(self, address: tuple[str, int], data: bytes) -> None:
-        """Send one datagram, at best effort."""
-        if len(data) > LARGEST:
+        """Send a message, at best effort."""
+        self._number += 1
+        try:
+            datagrams = list(split(self._number, data))
+        except ValueError:
+            self.too_long += 1
             return
         with suppress(OSError):
-            self._sock.sendto(data, address)
-            self.bytes_out += len(data)
+            for datagram in datagrams:
+                self._sock.sendto(datagram, address)
+                self.bytes_out += len(datagram)
 
     @handler("_read")
     def _on_read(self, sock: socket) -> None:
@@ -67,8 +76,10 @@
             return
         for _ in range(MOST_IN_A_ROW):
             try:
-                data = sock.recv(LARGEST)
+                data, sender = sock.recvfrom(LARGEST)
             except OSError:
                 return
             self.bytes_in += len(data)
-            self._on_datagram(data)
+            message = self._fragments.take(sender, data)
+            if message is not None:
+                self._on_datagram(message)
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -66,6 +66,7 @@
     CANCELLED = PageMetricType("cancelled", PageKind.COUNTER, "service")
     ENDPOINT_FAILURES = PageMetricType("endpoint_failures", PageKind.COUNTER, "service")
     CONTROL_BYTES = PageMetricType("control_bytes", PageKind.COUNTER, "direction")
+    CONTROL_TOO_LONG = PageMetricType("control_too_long", PageKind.COUNTER)
     STORE_CALLS = PageMetricType("store_calls", PageKind.COUNTER, "result")
     CONNECTIONS_TAKEN = PageMetricType("connections_taken", PageKind.COUNTER)
     ABANDONED = PageMetricType("abandoned", PageKind.COUNTER)
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -7,9 +7,11 @@
 
 from greengageflow.core.endpoint_load import LoadShare, load_shares
 from greengageflow.core.fleet_sums import AccountKey, FleetTotals, SumReport
+from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.core.peer_report import LoadNotice, PeerReport
 from greengageflow.core.place_messages import PlaceMessage
 from greengageflow.core.router_table import Hello
+from greengageflow.core.store_news import StoreNews, StoreTopic
 from greengageflow.core.sum_changes import Changes, SumChanges, SumWanted, Work
 from greengageflow.net._columns import (
     change_columns,
@@ -38,13 +40,20 @@
     roll_of,
 )
 
-REPORT, NOTICE, HELLO, SUM, CHANGES, WANTED = 21, 22, 23, 24, 25, 26
+REPORT, NOTICE, HELLO, SUM, CHANGES, WANTED, NEWS = 21, 22, 23, 24, 25, 26, 27
 """First value of a message: its kind and the format that it is written in."""
 
 _NEVER = -1.0
 
 Message = (
-    PeerReport | LoadNotice | Hello | SumReport | SumChanges | SumWanted | PlaceMessage
+    PeerReport
+    | LoadNotice
+    | Hello
+    | SumReport
+    | SumChanges
+    | SumWanted
+    | StoreNews
+    | PlaceMessage
 )
 
 
@@ -67,6 +76,8 @@
             return packb((CHANGES, *_changes_values(message)))
         case SumWanted():
             return packb((WANTED, message.whole))
+        case StoreNews():
+            return packb((NEWS, *_news_values(message)))
         case _:
             return packb(place_values(message))
 
@@ -310,6 +321,28 @@
     return SumWanted(whole=bool(whole))
 
 
+def _news_values(news: StoreNews) -> tuple[Any, ...]:
+    records = tuple((row.key, row.value, row.offset) for row in news.records)
+    return (int(news.topic), news.since, news.end, records)
+
+
+def _news(values: list[Any]) -> StoreNews:
+    topic, since, end, records = values
+    return StoreNews(
+        topic=StoreTopic(topic),
+        since=_place(since),
+        end=_place(end),
+        records=tuple(_record(*row) for row in records),
+    )
+
+
+def _record(key: Any, value: Any, offset: Any) -> KeyedRecord:
+    check_names((key,))
+    if not isinstance(value, bytes | None):
+        raise ValueError(f"no value: {value!r}")
+    return KeyedRecord(key, value, _place(offset))
+
+
 def _age(seconds: float) -> float:
     return _NEVER if seconds == float("inf") else round(seconds, 3)
 
@@ -325,6 +358,7 @@
     SUM: _sum,
     CHANGES: _changes,
     WANTED: _wanted,
+    NEWS: _news,
     ASK: ask_of,
     ANSWER: answer_of,
     NOTE: note_of,
--- a/greengageflow/platform/records.py
+++ b/greengageflow/platform/records.py
@@ -21,6 +21,17 @@
 _REPEATS = {IDEMPOTENT: Repeat.ANY}
 
 
+_UNREADABLE = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What comes of bytes that are not what they should be, however deeply nested."""
+
+
 class RecordError(ValueError):
     """A record of the store cannot be read."""
 
@@ -33,7 +44,7 @@
     """
     try:
         return _routing(json.loads(value))
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except _UNREADABLE as exc:
         raise RecordError(f"configuration: {exc!r}") from exc
 
 
@@ -117,7 +128,7 @@
             leaving=state == DRAINING,
             born=_whole(doc, "born") if "born" in doc else 0,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except _UNREADABLE as exc:
         raise RecordError(f"endpoint {key}: {exc!r}") from exc
 
 
@@ -154,7 +165,7 @@
     try:
         held = json.loads(response.body)["held"]
         return tuple(map(_kept_part, held))
-    except (ValueError, KeyError, TypeError, IndexError) as exc:
+    except _UNREADABLE as exc:
         raise RecordError(f"kept parts: {exc!r}") from exc
 
 
--- a/greengageflow/platform/store.py
+++ b/greengageflow/platform/store.py
@@ -6,6 +6,7 @@
 from struct import Struct
 from urllib.parse import quote, urlencode
 
+from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.net.http_messages import HttpRequest, Response
 from greengageflow.platform.names import LOG_APPEND, LOG_NEWEST, LOG_READ
 
@@ -18,21 +19,6 @@
     """The store's answer is not what its page says."""
 
 
-@dataclass(frozen=True, slots=True)
-class KeyedRecord:
-    """The value of a key, as one record of a keyed topic.
-
-    Args:
-        key: The key.
-        value: Its value, or None when the key was dropped.
-        offset: Its place in the log.
-    """
-
-    key: str
-    value: bytes | None
-    offset: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Records that were read.
@@ -136,7 +122,7 @@
         )
         more = bool(doc.get("truncated")) and bool(items)
         return Batch(items, int(doc["end"]), items[-1].key if more else "")
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
         raise StoreAnswerError(f"not a list of records: {exc!r}") from exc
 
 
--- a/tests/test_held_removal.py
+++ b/tests/test_held_removal.py
@@ -4,9 +4,9 @@
 from types import SimpleNamespace
 
 from greengageflow.core.endpoint_list import EndpointList
+from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.core.outage_hold import OUTAGE_S
 from greengageflow.daemon.store_view import StoreView
-from greengageflow.platform.store import KeyedRecord
 
 ENTRY = {
     "service": "app",
@@ -34,6 +34,7 @@
         on_routing=lambda _routing: None,
         on_change=lambda _change: None,
         on_news=lambda: news.append(view.list_mark),
+        on_read=lambda _news: None,
         pace_s=1.0,
         clock=lambda: now[0],
     )
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -8,7 +8,13 @@
 
 from greengageflow.core.endpoint_list import EndpointList
 from greengageflow.net.http_messages import Response
-from greengageflow.platform.records import RecordError, parse_endpoint, parse_kept
+from greengageflow.platform.records import (
+    RecordError,
+    parse_config,
+    parse_endpoint,
+    parse_kept,
+)
+from greengageflow.platform.store import StoreAnswerError, parse_newest
 
 WHOLE = {
     "service": "model",
@@ -81,6 +87,22 @@
     assert all(isinstance(part.id, str) and part.tokens >= 0 for part in parts)
 
 
+SPOILED = [b"[" * 100_000, b'{"a":' * 100_000, b'{"version": 1e999}', b"\xff", b"1"]
+
+
+@pytest.mark.parametrize("value", SPOILED)
+def test_deep_nesting_and_huge_figures_are_errors_and_go_no_further(value):
+    """Anything else would end the read, and with it all that the store says."""
+    with pytest.raises(RecordError):
+        parse_endpoint("e", value)
+    with pytest.raises(RecordError):
+        parse_config(value)
+    with pytest.raises(RecordError):
+        parse_kept(Response(200, (), value))
+    with pytest.raises(StoreAnswerError):
+        parse_newest(Response(200, (), value))
+
+
 def test_an_endpoint_that_starts_again_under_its_id_is_gone_and_new():
     """A replica crashes and starts again under the id that it had. Taken for the same
     one, it was sent prompts whose parts it no longer kept, and stayed marked as leaving
--- a/tests/test_report_codec.py
+++ b/tests/test_report_codec.py
@@ -10,8 +10,10 @@
 
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_sums import FleetTotals, SumReport, merge
+from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.core.peer_report import LoadNotice, PeerReport
 from greengageflow.core.router_table import Hello
+from greengageflow.core.store_news import StoreNews, StoreTopic
 from greengageflow.core.sum_changes import Changes, SumChanges, SumWanted
 from greengageflow.net.report_codec import ReportError, decode, encode
 
@@ -79,7 +81,17 @@
     **HEAD,
     **MARKS,
 )
-MESSAGES = HELLOS | NOTICES | REPORTS | SUM_REPORTS | SUM_CHANGES | WANTED
+RECORDS = st.builds(
+    KeyedRecord, key=NAMES, value=st.none() | st.binary(max_size=9), offset=COUNTS
+)
+NEWS = st.builds(
+    StoreNews,
+    topic=st.sampled_from(StoreTopic),
+    since=COUNTS,
+    end=COUNTS,
+    records=st.lists(RECORDS, max_size=3).map(tuple),
+)
+MESSAGES = HELLOS | NOTICES | REPORTS | SUM_REPORTS | SUM_CHANGES | WANTED | NEWS
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | NAMES,
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(NAMES, inner),
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -10,10 +10,11 @@
 
 from greengageflow.core.endpoint_list import EndpointList
 from greengageflow.core.outage_hold import HELD_S
-from greengageflow.core.store_duty import StoreWord
+from greengageflow.core.store_duty import NEWS_S, StoreWord
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.daemon.topic_follower import LOST_S
 from greengageflow.net.http_messages import Failure, FailureKind, Response
+from greengageflow.net.report_codec import decode, encode
 from greengageflow.platform.names import (
     CONFIG_KEY,
     LOG_NEWEST,
@@ -22,6 +23,7 @@
 )
 
 STEP_S = 0.05
+LAST = {"n9", "n10", "n11"}
 PACE_S = 0.6
 
 
@@ -85,6 +87,7 @@
     def __init__(self, store, *, reads=False):
         self.store, self.reads, self.stuck = store, reads, False
         self.refused = False
+        self.mates, self.news_lost = [], False
         self.kept, self.lines = [], []
         self.paths, self.open, self.changes, self.versions = [], [], [], []
         self.endpoints = EndpointList()
@@ -97,6 +100,7 @@
             on_routing=lambda routing: self.versions.append(routing.version),
             on_change=lambda change: self.changes.append((change.what, change.id)),
             on_news=lambda: None,
+            on_read=self.pass_on,
             pace_s=PACE_S,
             clock=lambda: store.now,
         )
@@ -121,6 +125,12 @@
         ages = now - view.confirmed, now - view.list_confirmed
         return StoreWord(now, view.version, view.list_mark, *ages)
 
+    def pass_on(self, news):
+        if self.reads and not self.news_lost:
+            data = encode(news)
+            for mate in self.mates:
+                mate.view.take_news(decode(data))
+
     def step(self, words):
         for call in list(self.open):
             result = None if self.stuck else self.store.answer(call.path, call.at)
@@ -179,6 +189,74 @@
         assert len(host.paths) - count == 2
 
 
+@pytest.fixture
+def zone(hosts):
+    """The same, where the reader's messages arrive."""
+    hosts[0].mates = hosts[1:]
+    return hosts
+
+
+def test_changes_reach_the_zone_through_its_reader_alone(store, zone):
+    """Calls of the store must not grow with hosts times changes."""
+    before = [len(host.paths) for host in zone]
+    for version in range(2, 12):
+        store.config(version)
+        store.endpoint(f"n{version}")
+        store.endpoint(f"n{version - 3}", listed=False)
+        run(store, zone, 1)
+        store.endpoint("e1")  # said again; changes nothing
+        run(store, zone, 1)
+    run(store, zone, PACE_S + 0.4)
+    assert [host.view.version for host in zone] == [11] * 3
+    assert [host.endpoints.ids() for host in zone] == [{"e1", "e2", *LAST}] * 3
+    assert [len(h.paths) - n for h, n in zip(zone, before, strict=True)][1:] == [0, 0]
+
+
+def test_a_host_that_missed_a_change_reads_it(store, zone):
+    """A lost message must delay a removal by no more than a moment."""
+    reader, *_ = zone
+    reader.news_lost = True
+    store.endpoint("e1", listed=False)
+    run(store, zone, PACE_S + 0.2 + NEWS_S)
+    assert [host.endpoints.ids() for host in zone] == [{"e2"}] * 3
+    reader.news_lost = False
+    before = [len(host.paths) for host in zone]
+    store.endpoint("e2", listed=False)
+    run(store, zone, PACE_S + 0.4)
+    assert [host.endpoints.ids() for host in zone] == [set()] * 3
+    assert [len(h.paths) - n for h, n in zip(zone, before, strict=True)][1:] == [0, 0]
+
+
+def test_what_a_snapshot_left_out_is_not_taken_for_known(store, zone):
+    """The reader was away for so long that the store forgot a removal. It tells of a
+    later change; a host that was not away must read the removal too."""
+    reader, other, _ = zone
+    store.endpoint("e1", listed=False)
+    store.forget()
+    store.endpoint("e2")
+    run(store, [reader], 2)
+    store.endpoint("e3")
+    run(store, zone, PACE_S + 0.4 + NEWS_S)
+    assert reader.endpoints.ids() == {"e2", "e3"}
+    assert other.endpoints.ids() == {"e2", "e3"}
+
+
+def test_a_peer_tells_while_the_own_read_is_under_way(store, zone):
+    """Both bring the same records; none may be taken at a wrong place of the log."""
+    _, other, _ = zone
+    other.stuck = True
+    other.reads = True
+    run(store, zone, PACE_S + 0.1)
+    store.endpoint("e3")
+    run(store, zone, PACE_S + 0.1)
+    assert other.endpoints.ids() == {"e1", "e2", "e3"}
+    other.stuck = False
+    store.endpoint("e4")
+    run(store, zone, PACE_S + 0.4)
+    assert other.endpoints.ids() == {"e1", "e2", "e3", "e4"}
+    assert other.view.list_mark == 4
+
+
 def test_others_read_when_nobody_has_heard_lately(store, hosts):
     """The reader dies. Its last word gets old, and who sees that reads; the other
     one hears of it, so that both together read about once in the stale time."""
