A configuration from a peer is taken by a host that has read nothing yet

Cause: the line CONFIG_IN_FORCE counted from the host's own last read; before any read that is infinite, round() raised OverflowError in the datagram's handler, and the version was noted without its routes: the host stayed unready for good.

Ruled out: the machine's load (the traceback names the line).

Change: the line says source=peer and bounds the age, as other lines do. The test (seen to fail before) starts a host while the reader passes a configuration on.

--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -149,7 +149,7 @@
         match news.topic:
             case StoreTopic.CONFIG:
                 # The newest configuration counts, whatever was missed before it.
-                self.take_config(news.records)
+                self.take_config(news.records, source="peer")
             case StoreTopic.ENDPOINTS if records:
                 self.take_list(records)
 
@@ -180,7 +180,9 @@
                 DecisionEvent.STORE_LOST, why=text, unheard_ms=round(1000 * age_s)
             )
 
-    def take_config(self, records: Iterable[KeyedRecord]) -> None:
+    def take_config(
+        self, records: Iterable[KeyedRecord], source: str = "store"
+    ) -> None:
         """Take over the newest configuration among records."""
         taken = []
         for record in records:
@@ -202,8 +204,8 @@
                 self._log.write(
                     DecisionEvent.CONFIG_IN_FORCE,
                     config=self.version,
-                    source="store",
-                    age_ms=round(1000 * self._age_s(self._config.asked_at)),
+                    source=source,
+                    age_ms=round(1000 * min(self._age_s(self._config.asked_at), 1e6)),
                 )
                 self._on_routing(routing)
                 self._on_news()
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -110,6 +110,7 @@
         return self.store.now
 
     def write(self, event, **fields):
+        json.dumps(fields, allow_nan=False)
         self.lines.append((event.name, fields.get("endpoint", "")))
 
     def fetch(self, request, on_done, limit):
@@ -227,6 +228,18 @@
     assert [len(h.paths) - n for h, n in zip(zone, before, strict=True)][1:] == [0, 0]
 
 
+def test_a_host_that_has_read_nothing_yet_takes_a_configuration(store, zone):
+    """It begins just as the reader passes one on; it must be in force there, and the
+    list, of which it knows nothing, must still be read."""
+    late = Host(store)
+    zone[0].mates.append(late)
+    store.config(2)
+    run(store, [zone[0]], PACE_S)
+    assert late.view.version == 2 and late.versions == [2]
+    run(store, [*zone, late], 1)
+    assert late.endpoints.ids() == {"e1", "e2"}
+
+
 def test_what_a_snapshot_left_out_is_not_taken_for_known(store, zone):
     """The reader was away for so long that the store forgot a removal. It tells of a
     later change; a host that was not away must read the removal too."""
