The test of a full host opens callers until it is full

Cause: the test opened a fixed number of callers and waited until the host says that it can take nobody. On a busy machine connections to the stand-ins took longer than 0.4 s; their requests were refused at once (no_endpoint), so their connections gave way and the host was never full again.

Ruled out: the parser (the code before it fails alike).

Change: callers come one after the other until the host says so. What is asked of the host is the same: unready while full, ready and serving when there is room.

--- a/tests/test_gateway_bounds.py
+++ b/tests/test_gateway_bounds.py
@@ -127,11 +127,16 @@
     with FewFilesLab(shape) as lab:
         lab.fault("app-0", hang=True, times=FEW_FILES)
         lab.fault("app-1", hang=True, times=FEW_FILES)
-        busy = [lab.client() for _ in range(FEW_FILES)]
-        for one in busy:
+        busy = []
+
+        def is_full_with_one_more():
+            # Some that have not asked yet give way to later ones.
+            busy.append(lab.client())
             with suppress(OSError):
-                one.send(SAFE, key=KEY, deadline_ms=60_000)
-        wait_for(lambda: lab.ready("r0") == 503, "it says that it can take nobody")
+                busy[-1].send(SAFE, key=KEY, deadline_ms=60_000)
+            return lab.ready("r0") == 503
+
+        wait_for(is_full_with_one_more, "it says that it can take nobody")
         for one in busy:
             one.close()
         lab.fault("app-0")
