--- a/greengageflow/daemon/gateway_settings.py
+++ b/greengageflow/daemon/gateway_settings.py
@@ -18,7 +18,7 @@
 )
 from greengageflow.core.file_budget import FileBudget
 from greengageflow.core.value_checks import integer, ip_number, name, number
-from greengageflow.settings import Address, read_document
+from greengageflow.settings_file import Address, read_document
 
 SETTINGS_VARIABLE = "GREENGAGEFLOW_NODE_FILE"
 
--- a/greengageflow/metrics.py
+++ b/greengageflow/metrics.py
@@ -7,7 +7,7 @@
 
 from statsd import StatsClient
 
-from greengageflow.settings import Address
+from greengageflow.settings_file import Address
 
 _UNSAFE = re.compile(r"[^A-Za-z0-9_-]+")
 
--- a/greengageflow/ops/_ctl_config.py
+++ b/greengageflow/ops/_ctl_config.py
@@ -31,7 +31,7 @@
     router_status,
 )
 from greengageflow.ops.ctl_publish import Publisher, PublishError, await_in_force
-from greengageflow.settings import Address
+from greengageflow.settings_file import Address
 
 IN_FORCE_WITHIN_S = 12.0
 LOG_VARIABLE = "GREENGAGE_LOG"
--- a/greengageflow/ops/_ctl_fleet.py
+++ b/greengageflow/ops/_ctl_fleet.py
@@ -10,7 +10,7 @@
 from greengageflow.ops._ctl_text import Report, status_text, trace_text
 from greengageflow.ops._platform_http import CallError, router_status
 from greengageflow.ops.ctl_orders import give, merged
-from greengageflow.settings import Address
+from greengageflow.settings_file import Address
 
 
 def _ask(address: Address, request: str = "") -> Mapping[str, Any] | str:
--- a/greengageflow/ops/_platform_http.py
+++ b/greengageflow/ops/_platform_http.py
@@ -10,7 +10,7 @@
 
 from greengageflow.core.fold import CONFIG_STREAM
 from greengageflow.core.log_records import Lapsed, LogRecord, Records
-from greengageflow.settings import Address
+from greengageflow.settings_file import Address
 
 _TIMEOUT_S = 5.0
 _PAGE_LENGTH = 50
--- a/greengageflow/ops/ctl_publish.py
+++ b/greengageflow/ops/ctl_publish.py
@@ -10,7 +10,7 @@
 from greengageflow.core.fold import Fold
 from greengageflow.core.log_records import Lapsed, LogRecord
 from greengageflow.ops._platform_http import BlockingLog, CallError, router_status
-from greengageflow.settings import Address
+from greengageflow.settings_file import Address
 
 _HISTORY_LENGTH = 100_000
 _RETRY_S = 0.5
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 from dataclasses import MISSING, dataclass, fields
 from ipaddress import ip_address
-from pathlib import Path
 from typing import Any
 
 from greengageflow.core.check import (
@@ -18,7 +17,6 @@
     run,
     sequence,
 )
-from greengageflow.core.json_text import parse_json
 from greengageflow.core.membership import Seed
 from greengageflow.core.value_checks import (
     choice,
@@ -29,26 +27,13 @@
     number,
     string,
 )
+from greengageflow.settings_file import Address, read_document
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 SHARING = ("owned", "split", "local")
 _LONGEST_S = 86_400.0
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Where something listens, by IP number."""
-
-    ip: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return ``ip:port``."""
-        return (
-            f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class Timing:
     """Intervals and timeouts, in seconds.
@@ -220,20 +205,6 @@
     return run(_CHECK, document, title)
 
 
-def read_document(path: str) -> Any:
-    """Return the JSON value in a settings file.
-
-    Raises:
-        ExceptionGroup: Holds the ``Fault`` of what is no JSON, or the ``OSError``
-            of a file that cannot be read.
-    """
-    try:
-        text = Path(path).read_bytes()
-    except OSError as exc:
-        raise ExceptionGroup(path or "settings", [exc]) from None
-    return parse_json(text, path)
-
-
 def load_settings(path: str) -> RouterSettings:
     """Return the settings in a JSON file.
 
