Two zones read the store; others spare it while it is away

Cause: each zone's first router read it all the time, some 3.3 calls a second and zone; and while it was away every host asked it again and again.

Change: the first routers of the first two zones read and pass on, to their zone and to the relays of others, who pass on to theirs. The other relays stand by: they read after 1.2 paces without word (all others after 1.67) and say so at once. A member tries at most every 3 s. Only routers that others should find put their address into the store, in place of each one at its start.

Bounds: staleness of members is as before (1.67 paces), so that the loss of both readers is felt no later; keys are trusted as before.

--- a/greengageflow/core/store_duty.py
+++ b/greengageflow/core/store_duty.py
@@ -2,10 +2,20 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum, auto
+
+READING_ZONES = 2
+"""Zones whose first router reads; with one alone, its loss would be felt by all."""
 
 STALE_PACES = 1.67
 """Times the pace after which what is known of the store counts as stale."""
 
+STANDBY_PACES = 1.2
+"""The same for routers that read in place of a lost one before all others do."""
+
+MEMBER_RETRY_S = 3.0
+"""Least seconds between two reads of a router that leaves reading to others."""
+
 NEWS_S = 0.25
 """Seconds that a host waits for a peer to pass on a change that it heard of."""
 
@@ -13,6 +23,19 @@
 SHORTEST_PACE_S = 0.2
 
 
+class StoreRole(Enum):
+    """What a router does about the store."""
+
+    READER = auto()
+    """It reads all the time."""
+
+    STANDBY = auto()
+    """It reads as soon as it seems that no reader does."""
+
+    MEMBER = auto()
+    """It reads when nobody else seems to."""
+
+
 def pace_s(*bounds_s: float) -> float:
     """Return the seconds between two reads of the store, by the operators' bounds.
 
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -24,7 +24,7 @@
 from greengageflow.core.relay_sums import RelaySums, word_of
 from greengageflow.core.router_table import RELAYS_A_ZONE, Hello, RouterTable
 from greengageflow.core.service_book import FADE_S
-from greengageflow.core.store_duty import StoreWord
+from greengageflow.core.store_duty import READING_ZONES, StoreRole, StoreWord
 from greengageflow.core.store_news import StoreNews
 from greengageflow.core.sum_book import Taken
 from greengageflow.core.sum_changes import SumChanges, SumWanted
@@ -152,20 +152,37 @@
         self._link.send(to, encode(message))
 
     def pass_on(self, news: StoreNews) -> None:
-        """Send the routers of this zone what this one read for them in the store."""
-        if self.reads_store:
-            self._send(encode(news), self._zone_mates())
+        """Send others what this router read in the store, or was told of it."""
+        now, quiet_s = self._now, self._quiet_s
+        stands_in = self._is_large and self._relayed.is_relay(now, quiet_s)
+        if not (stands_in or self._leads_zone):
+            return
+        to = self._zone_mates()
+        if self.store_role is StoreRole.READER:
+            to |= self._other_relays()
+        self._send(encode(news), to)
+
+    @property
+    def _leads_zone(self) -> bool:
+        relays = self._table.relays(self._now, self._quiet_s)
+        found = relays.get(self._own.zone)
+        return not found or found[0].host == self._own.host
 
     @property
-    def reads_store(self) -> bool:
-        """Whether this router reads the store for its zone.
+    def store_role(self) -> StoreRole:
+        """What this router does about the platform's store.
 
         Routers that see it differently for a while read once too often, or notice
         that nobody does (``store_duty.STALE_PACES``): nothing hangs on agreement.
         """
         relays = self._table.relays(self._now, self._quiet_s)
-        found = relays.get(self._own.zone)
-        return not found or found[0].host == self._own.host
+        reading = sorted(relays)[:READING_ZONES]
+        zone = relays.get(self._own.zone, ())
+        if not zone or (self._leads_zone and self._own.zone in reading):
+            return StoreRole.READER
+        if self._own.host in (row.host for row in zone):
+            return StoreRole.STANDBY
+        return StoreRole.MEMBER
 
     def words(self) -> list[StoreWord]:
         """Return what other routers know of the store."""
@@ -370,11 +387,13 @@
             return
         own = self._listener.report(self._number, self._sequence)
         zone, whole = self._relayed.tell(now, own, self._turns)
-        relays = self._table.relays(now, quiet_s).items()
-        others = {r.address for z, rows in relays if z != self._own.zone for r in rows}
-        self._send(encode(zone), others)
+        self._send(encode(zone), self._other_relays())
         self._send(encode(whole), self._zone_mates())
 
+    def _other_relays(self) -> set[Address]:
+        relays = self._table.relays(self._now, self._quiet_s).items()
+        return {r.address for z, rows in relays if z != self._own.zone for r in rows}
+
     def _zone_mates(self) -> set[Address]:
         rows = self._table.members(self._now, self._quiet_s)
         return {row.address for row in rows} - {self._own.address}
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -5,7 +5,6 @@
 from signal import SIGHUP, signal
 from time import CLOCK_BOOTTIME, clock_gettime, time
 
-import fire
 from circuits import handler
 
 from greengageflow.core.endpoint_list import EndpointList, ListChange
@@ -17,7 +16,7 @@
 from greengageflow.core.routes import Routing
 from greengageflow.core.send_budget import SendBudget
 from greengageflow.core.service_book import ServiceBook
-from greengageflow.core.store_duty import pace_s
+from greengageflow.core.store_duty import StoreRole, pace_s
 from greengageflow.core.store_news import StoreNews
 from greengageflow.core.trust import KeyTrust
 from greengageflow.daemon.arrivals import Arrivals
@@ -48,7 +47,7 @@
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.metrics_page import MetricsPage
 from greengageflow.platform.interfaces import CallerInterface, ReadyInterface
-from greengageflow.settings import Address
+from greengageflow.settings_file import Address
 
 TICK_S = 0.05
 STOP_TICK_S = 0.05
@@ -153,6 +152,7 @@
             settings.host,
             own,
             is_alone=lambda: not self._exchange.hosts,
+            is_contact=lambda: self._exchange.store_role is not StoreRole.MEMBER,
             on_found=self._exchange.add_addresses,
         )
 
@@ -307,7 +307,7 @@
     def _on_tick(self) -> None:
         now, words = clock(), self._exchange.words()
         self._keys.awake(now)
-        self._store.on_tick(self._exchange.reads_store, words)
+        self._store.on_tick(self._exchange.store_role, words)
         self._keys.confirm(now, self._timers.now, words)
         self._forwarder.on_tick()
         self._watch.on_tick()
@@ -389,6 +389,13 @@
 
 def main() -> None:
     """Run the program."""
+    if not sys.argv[1:]:
+        # As the platform starts it: the command line's library is half a tenth of a
+        # second of processor time, in which a small host is not back yet.
+        run()
+        return
+    import fire  # noqa: PLC0415
+
     fire.Fire(run, name="greengage-gateway")
 
 
--- a/greengageflow/daemon/router_registry.py
+++ b/greengageflow/daemon/router_registry.py
@@ -18,7 +18,6 @@
 TIMEOUT_S = 2.0
 LOOK_EVERY_S = 2.0
 FIRST_LOOK_S = 1.0
-PUT_AGAIN_S = 3.0
 
 Address = tuple[str, int]
 
@@ -27,7 +26,8 @@
     """Puts this router's address into the store, and looks for others there.
 
     Settings name few hosts, and all of them may be gone when this one starts. Whoever
-    finds one router learns of the others from its reports.
+    finds one router learns of the others from its reports, so that the addresses of
+    a few are enough; a call of each router at its start would be many at once.
 
     Args:
         pool: Sends the calls.
@@ -36,6 +36,7 @@
         host: This host.
         own: Where it takes reports.
         is_alone: Whether no other router is heard.
+        is_contact: Whether this one is among the few that others should find.
         on_found: Takes addresses where routers may be.
     """
 
@@ -48,6 +49,7 @@
         own: Address,
         *,
         is_alone: Callable[[], bool],
+        is_contact: Callable[[], bool],
         on_found: Callable[[Iterable[Address]], None],
     ) -> None:
         self.calls = 0
@@ -57,23 +59,27 @@
         self._host = host
         self._own = own
         self._is_alone = is_alone
+        self._is_contact = is_contact
+        self._is_put = False
         self._on_found = on_found
 
     def start(self) -> None:
-        """Put the address, and begin to look."""
-        self._put()
+        """Begin to look."""
         self._timers.after(FIRST_LOOK_S, self._look)
 
     def _put(self) -> None:
+        self._is_put = True
         value = f"{self._own[0]}:{self._own[1]}".encode()
         method, target, body = put_call(ROUTERS_TOPIC, self._host, value)
         self._ask(method, target, body, self._on_put)
 
     def _on_put(self, result: Response | Failure) -> None:
         if isinstance(result, Failure) or result.status != 200:
-            self._timers.after(PUT_AGAIN_S, self._put)
+            self._is_put = False
 
     def _look(self) -> None:
+        if not self._is_put and self._is_contact():
+            self._put()
         if self._is_alone():
             self._ask(*newest_call(ROUTERS_TOPIC, ""), b"", self._on_newest)
         self._timers.after(LOOK_EVERY_S, self._look)
--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -7,8 +7,11 @@
 from greengageflow.core.outage_hold import OutageHold
 from greengageflow.core.routes import Routing
 from greengageflow.core.store_duty import (
+    MEMBER_RETRY_S,
     STALE_PACES,
+    STANDBY_PACES,
     CatchUp,
+    StoreRole,
     StoreWord,
     peers_know_config,
     peers_know_list,
@@ -29,9 +32,9 @@
 class StoreView:
     """Keeps what the store says, read by few hosts and by each when it must.
 
-    A host that reads for its zone polls all the time, and passes changes on. The
-    others read when a peer knows of something newer that was not passed on to them,
-    or when no peer has heard from the store lately.
+    A reader polls all the time, and passes changes on. The others read when a peer
+    knows of something newer that was not passed on to them, or when no peer has heard
+    from the store lately.
 
     Args:
         pool: Sends the calls.
@@ -74,7 +77,7 @@
         self._on_news = on_news
         self._on_read = on_read
         self._pace_s = pace_s
-        self._stale_s = STALE_PACES * pace_s
+        self._role = StoreRole.READER
         self._clock = clock
         self._lost_at: float | None = None
         self._list_lost_at: float | None = None
@@ -94,20 +97,38 @@
         """Calls of the store so far."""
         return self._config.calls + self._list.calls
 
-    def on_tick(self, reads: bool, words: list[StoreWord]) -> None:
+    @property
+    def _stale_s(self) -> float:
+        paces = STANDBY_PACES if self._role is StoreRole.STANDBY else STALE_PACES
+        return paces * self._pace_s
+
+    def _may_read(self, follower: TopicFollower, words: list[StoreWord]) -> bool:
+        """Return whether a read for want of other hosts' word may begin.
+
+        While the store is away each host would else ask it again and again, although
+        the first one that gets an answer tells the others.
+        """
+        if self._role is not StoreRole.MEMBER or not words:
+            return True
+        return self._age_s(follower.asked_at) >= MEMBER_RETRY_S
+
+    def on_tick(self, role: StoreRole, words: list[StoreWord]) -> None:
         """Read what is due.
 
         Args:
-            reads: This host reads for its availability zone.
+            role: What this host does about the store.
             words: What peers know of the store.
         """
         now = self._timers.now
+        self._role = role
+        reads = role is StoreRole.READER
         self._config.check()
         self._list.check()
         if self._config.idle:
             known = peers_know_config(now, self.version, words)
             behind = self._config_wait.is_due(now, known.mark > self.version, reads)
-            stale = min(known.heard_s, self._age_s(self.confirmed)) > self._stale_s
+            heard_s = min(known.heard_s, self._age_s(self.confirmed))
+            stale = heard_s > self._stale_s and self._may_read(self._config, words)
             if reads and not behind:
                 # A wait for the whole pace would be known of only when the next one
                 # ends, at twice the pace: stale, so that all others read as well.
@@ -118,7 +139,8 @@
             known = peers_know_list(now, self._list.offset, words)
             is_behind = known.mark > self._list.offset
             behind = self._list_wait.is_due(now, is_behind, reads)
-            stale = min(known.heard_s, self._age_s(self.list_confirmed)) > self._stale_s
+            heard_s = min(known.heard_s, self._age_s(self.list_confirmed))
+            stale = heard_s > self._stale_s and self._may_read(self._list, words)
             due = reads and self._age_s(self._list.asked_at) >= self._pace_s
             if due or behind or stale:
                 self._list.read()
@@ -133,6 +155,11 @@
             age_s = min(word.heard_s, word.list_heard_s) + now - word.at
             self._hold.answered(self._clock(), self._clock() - age_s)
 
+    def _tell_in_place(self, before: float) -> None:
+        # Members wait only a little longer before they all read.
+        if self._role is StoreRole.STANDBY and self._age_s(before) > self._stale_s:
+            self._on_news()
+
     def _store_answered(self) -> None:
         now = self._clock()
         self._hold.answered(now, now)
@@ -162,6 +189,7 @@
 
     def config_heard(self, at: float) -> None:
         """Note that the configuration was the newest at time ``at``."""
+        self._tell_in_place(self.confirmed)
         self.confirmed = max(self.confirmed, at)
         self._store_answered()
         if self._lost_at is not None:
@@ -215,6 +243,7 @@
 
     def list_heard(self, at: float) -> None:
         """Note that the list was the newest at time ``at``."""
+        self._tell_in_place(self.list_confirmed)
         self.list_confirmed = max(self.list_confirmed, at)
         self._store_answered()
         if self._list_lost_at is not None:
--- a/greengageflow/lab/_gateway_world.py
+++ b/greengageflow/lab/_gateway_world.py
@@ -238,7 +238,7 @@
         self.after(STORE_S + int(wait or 0) / 1000, lambda: on_done(answer))
 
     def _tick(self) -> None:
-        self.view.on_tick(self.exchange.reads_store, self.exchange.words())
+        self.view.on_tick(self.exchange.store_role, self.exchange.words())
         self.exchange.words()
 
     # Requests; their own cost is not control's and is not charged.
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -10,7 +10,7 @@
 
 from greengageflow.core.endpoint_list import EndpointList
 from greengageflow.core.outage_hold import HELD_S
-from greengageflow.core.store_duty import NEWS_S, StoreWord
+from greengageflow.core.store_duty import MEMBER_RETRY_S, NEWS_S, StoreRole, StoreWord
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.daemon.topic_follower import LOST_S
 from greengageflow.net.http_messages import Failure, FailureKind, Response
@@ -86,7 +86,7 @@
 
     def __init__(self, store, *, reads=False):
         self.store, self.reads, self.stuck = store, reads, False
-        self.refused = False
+        self.refused, self.role = False, StoreRole.MEMBER
         self.mates, self.news_lost = [], False
         self.kept, self.lines = [], []
         self.paths, self.open, self.changes, self.versions = [], [], [], []
@@ -140,7 +140,8 @@
             if result is not None:
                 self.open.remove(call)
                 call.on_done(result)
-        self.view.on_tick(self.reads, words)
+        role = StoreRole.READER if self.reads else self.role
+        self.view.on_tick(role, words)
 
 
 def run(store, hosts, seconds, lost=()):
@@ -283,6 +284,31 @@
     assert 8 <= sum(len(host.paths) for host in others) - before <= 60
 
 
+def test_members_leave_reading_to_a_standby_when_the_reader_is_lost(store, hosts):
+    """Else all hosts of a large fleet call the store at once."""
+    reader, standby, member = hosts
+    standby.role = StoreRole.STANDBY
+    before = len(member.paths)
+    store.endpoint("e1", listed=False)
+    standby.mates = [member]
+    run(store, [standby, member], 10, lost=[reader])
+    assert member.endpoints.ids() == {"e2"}
+    assert len(member.paths) - before <= 1
+
+
+def test_members_spare_a_store_that_is_down(store, hosts):
+    """Each call of a fleet of hundreds is counted, and none brings anything."""
+    reader, member, _ = hosts
+    before = len(member.paths)
+    store.down = True
+    run(store, hosts, 12)
+    assert len(member.paths) - before <= 2 * 12 / MEMBER_RETRY_S
+    store.down = False
+    store.endpoint("e3")
+    run(store, hosts, 1.5)
+    assert [host.endpoints.ids() for host in hosts] == [{"e1", "e2", "e3"}] * 3
+
+
 def test_marks_of_a_change_are_the_same_whenever_it_is_read(store, hosts):
     """A host that read more than the last change must tell no higher mark for it:
     the others would read once more for nothing."""
