--- a/greengageflow/core/endpoint_health.py
+++ b/greengageflow/core/endpoint_health.py
@@ -36,6 +36,11 @@
         found = self._records.get(endpoint)
         return found is not None and now < found.rest_until
 
+    def resting(self, now: float) -> frozenset[str]:
+        """Return the endpoints that get no work now."""
+        records = self._records.items()
+        return frozenset(name for name, one in records if now < one.rest_until)
+
     def failing(self, endpoint: str) -> float:
         """Return the part of an endpoint's answers that were failures, 0 to 1."""
         found = self._records.get(endpoint)
--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -53,6 +53,7 @@
     def __init__(self) -> None:
         self._listed: dict[str, ListedEndpoint] = {}
         self._left: dict[str, float] = {}
+        self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
 
     def __len__(self) -> int:
         """Return how many are listed."""
@@ -66,11 +67,16 @@
         """Return an endpoint by id, or None when it is not listed."""
         return self._listed.get(endpoint)
 
-    def usable(self, service: str) -> Iterator[ListedEndpoint]:
-        """Yield the endpoints of a service that may get new work."""
-        for endpoint in self._listed.values():
-            if endpoint.service == service and self.may_use(endpoint.id):
-                yield endpoint
+    def usable(self, service: str) -> tuple[ListedEndpoint, ...]:
+        """Return the endpoints of a service that may get new work."""
+        found = self._usable.get(service)
+        if found is None:
+            found = self._usable[service] = tuple(
+                endpoint
+                for endpoint in self._listed.values()
+                if endpoint.service == service and self.may_use(endpoint.id)
+            )
+        return found
 
     def may_use(self, endpoint: str) -> bool:
         """Whether an endpoint may get new work."""
@@ -87,6 +93,7 @@
         if endpoint in self._left or endpoint not in self._listed:
             return False
         self._left[endpoint] = now
+        self._usable.clear()
         return True
 
     def put(self, endpoint: ListedEndpoint) -> Iterator[ListChange]:
@@ -102,7 +109,9 @@
         # Leaving is for good, whatever order entries come in.
         if before is not None and before.leaving:
             return
-        self._listed[endpoint.id] = endpoint
+        if endpoint != before:
+            self._listed[endpoint.id] = endpoint
+            self._usable.clear()
         if before is None:
             yield ListChange(endpoint.id, "new")
         if endpoint.leaving:
@@ -112,4 +121,5 @@
         """Take over that an endpoint is no longer listed."""
         if self._listed.pop(endpoint, None) is not None:
             self._left.pop(endpoint, None)
+            self._usable.clear()
             yield ListChange(endpoint, "gone")
--- a/greengageflow/core/placers.py
+++ b/greengageflow/core/placers.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 from hashlib import blake2b
 
 from greengageflow.core.router_table import Address, Hello
@@ -15,6 +16,7 @@
 HOSTS_A_PLACER = 20
 
 
+@lru_cache(maxsize=4096)
 def _rank(text: str) -> bytes:
     return blake2b(text.encode(), digest_size=8).digest()
 
--- a/greengageflow/core/prompt_places.py
+++ b/greengageflow/core/prompt_places.py
@@ -3,11 +3,15 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 from hashlib import blake2b
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 
 _KEPT = 20_000
+_HOMES = 2_000
+"""Parts whose homes are remembered; a hash of each engine for each request adds up."""
+
 READ_S = 0.3
 
 
@@ -17,11 +21,16 @@
     It is the one with the highest hash of part and endpoint, so that an endpoint that
     comes or goes moves only the parts that are its own.
     """
+    rows = tuple(endpoints)
+    return rows[_home_among(part, tuple(one.id for one in rows))] if rows else None
+
 
-    def weight(endpoint: ListedEndpoint) -> bytes:
-        return blake2b(f"{part} {endpoint.id}".encode(), digest_size=8).digest()
+@lru_cache(maxsize=_HOMES)
+def _home_among(part: str, names: tuple[str, ...]) -> int:
+    def weight(at: int) -> bytes:
+        return blake2b(f"{part} {names[at]}".encode(), digest_size=8).digest()
 
-    return max(endpoints, key=weight, default=None)
+    return max(range(len(names)), key=weight)
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -335,8 +335,10 @@
 
     def resting(self, now: float, service: str) -> tuple[str, ...]:
         """Return the endpoints of a service that do not answer this host now."""
-        usable = self._endpoints.usable(service)
-        return tuple(e.id for e in usable if self._health.rests(now, e.id))
+        resting = self._health.resting(now)
+        if not resting:
+            return ()
+        return tuple(e.id for e in self._endpoints.usable(service) if e.id in resting)
 
     def failures(self, endpoint: ListedEndpoint) -> int:
         """Return how often in a row an endpoint did not answer."""
--- a/greengageflow/daemon/forward_flight.py
+++ b/greengageflow/daemon/forward_flight.py
@@ -55,6 +55,7 @@
     first_event_at: float | None = None
     last_event: int | None = None
     moved_at: float = 0.0
+    longest_pause_s: float = 0.0
     timer: Subscription | None = None
 
     @property
--- a/greengageflow/daemon/forward_notes.py
+++ b/greengageflow/daemon/forward_notes.py
@@ -99,9 +99,11 @@
             PageMetric.FIRST_EVENT_TIME, now - flight.arrived, flight.service
         )
 
-    def pause(self, seconds: float, flight: ForwardFlight) -> None:
-        """Note the time between two events of a stream."""
-        self._page.observe(PageMetric.PAUSE_TIME, seconds, flight.service)
+    def pause(self, flight: ForwardFlight) -> None:
+        """Note the longest time between two events of a stream that has ended."""
+        self._page.observe(
+            PageMetric.PAUSE_TIME, flight.longest_pause_s, flight.service
+        )
 
     def finished(self, now: float, flight: ForwardFlight, status: int) -> None:
         """Note a whole answer."""
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -178,7 +178,7 @@
             self._notes.first_event(now, flight)
             flight.reply.begin(attempt.head.status, headers_for_caller(attempt.head))
         else:
-            self._notes.pause(now - flight.moved_at, flight)
+            flight.longest_pause_s = max(flight.longest_pause_s, now - flight.moved_at)
         flight.moved_at = now
         flight.reply.piece(b"".join(_fresh(flight, frames)))
         if flight.reply.blocked:
@@ -234,6 +234,8 @@
         self.placement.left(flight.id, flight.attempt.endpoint)
         if flight.phase is not Phase.STREAMING:
             flight.reply.begin(head.status, headers_for_caller(head))
+        else:
+            self._notes.pause(flight)
         self._notes.finished(self._timers.now, flight, head.status)
         flight.reply.finish()
         self._end(flight)
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -173,7 +173,7 @@
             self._timers,
             interface=interface,
             max_connections=settings.files.callers,
-            turns_away=arrivals.turns_away,
+            gate=arrivals,
             on_full=lambda *counts: self._watch.on_full(*counts),
         ).register(self)
         self._watch = HostWatch(
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -279,7 +279,7 @@
     def _on_ask(self, now: float, ask: PlaceAsk) -> None:
         # A host that began while cut off from the store knows no endpoint, and would
         # refuse the requests of all; others know theirs and decide.
-        if not self._places(now) or not any(self._endpoints.usable(ask.service)):
+        if not self._places(now) or not self._endpoints.usable(ask.service):
             self._answer(ask, Verdict.PASS)
             return
         self._carry_out(self._desk.ask(now, ask))
--- a/greengageflow/net/_http_parse.py
+++ b/greengageflow/net/_http_parse.py
@@ -5,6 +5,7 @@
 disagree, is checked here.
 """
 
+import re
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -24,6 +25,20 @@
 CHUNKED = "chunked"
 
 
+_LENGTH = re.compile(rb"\ncontent-length:[ \t]*(\d{1,9})[ \t]*\r", re.IGNORECASE)
+_CHUNKED = re.compile(rb"\ntransfer-encoding:", re.IGNORECASE)
+
+
+def is_whole_request(data: bytes) -> bool:
+    """Return whether bytes plainly hold one whole request and nothing else."""
+    end = data.find(b"\r\n\r\n")
+    if end < 0 or _CHUNKED.search(data, 0, end):
+        return False
+    found = _LENGTH.findall(data, 0, end + 2)
+    length = int(found[0]) if found else 0
+    return len(found) <= 1 and len(data) == end + 4 + length
+
+
 class BadMessage(Exception):
     """The bytes are not valid HTTP/1.1.
 
--- a/greengageflow/net/caller_sockets.py
+++ b/greengageflow/net/caller_sockets.py
@@ -1,5 +1,6 @@
 """The listening socket of a caller server and the sockets that it accepts."""
 
+from collections.abc import Callable
 from contextlib import suppress
 from socket import SO_SNDBUF, SOL_SOCKET, socket
 
@@ -27,9 +28,20 @@
         ip: IP number to listen on.
         port: TCP port, or 0 for a free one.
         channel: Tells the events of several servers in one process apart.
+        on_accepted: Takes a new connection; returns whether nothing more is to be
+            done about it.
+        on_bytes: Takes an accepted socket on which something arrived.
     """
 
-    def __init__(self, ip: str, port: int, channel: str) -> None:
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        channel: str,
+        *,
+        on_accepted: Callable[[socket], bool],
+        on_bytes: Callable[[socket], None],
+    ) -> None:
         super().__init__(
             (ip, port),
             backlog=MOST_UNACCEPTED,
@@ -38,13 +50,22 @@
         )
         self._clients = SocketSet()
         self._resting = False
+        self._on_accepted = on_accepted
+        self._on_bytes = on_bytes
 
     @handler("_read", priority=1, override=True)
     def _on_read(self, sock: socket) -> None:
+        self.on_readable(sock)
+
+    def on_readable(self, sock: socket) -> None:
+        """Accept, or take what has arrived; the poller calls this."""
+        # Not by the server's own handler, which at the end of the caller's bytes waits
+        # for its buffer to drain while the poller reports the same end again and
+        # again: a caller that stops reading would cost a whole core.
         if sock is self._sock:
             self.accept_waiting()
         else:
-            self._read(sock)
+            self._on_bytes(sock)
 
     def accept_again(self) -> bool:
         """Look at the listener again, if descriptors had run out; return whether."""
@@ -70,4 +91,6 @@
                 self._resting = True
                 return
             with suppress(OSError):
-                self._on_accept_done(sock)
+                sock.setblocking(False)
+                if not self._on_accepted(sock):
+                    self._on_accept_done(sock)
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -5,19 +5,21 @@
 """
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from math import nan
 from socket import IPPROTO_TCP, SHUT_WR, TCP_INFO, socket
 from struct import unpack_from
-from time import monotonic
+from time import monotonic, time
 from typing import Protocol
 
-from circuits import BaseComponent, Event, handler
+from circuits import BaseComponent, handler
 
 from greengageflow.core.routes import CallerBounds
 from greengageflow.errors import RouterError
 from greengageflow.net._caller_conn import CallerConnection, Phase
 from greengageflow.net._caller_parts import BodyBudget, CallInterface, Limits
+from greengageflow.net._http_parse import is_whole_request
 from greengageflow.net.caller_sockets import CallerSockets
 from greengageflow.net.calls import (
     OWN_INTERFACE,
@@ -27,7 +29,7 @@
     ServiceCall,
     StatusCall,
 )
-from greengageflow.net.reply import Reply
+from greengageflow.net.reply import Reply, busy_answer
 from greengageflow.net.timers import Timers
 
 __all__ = [
@@ -66,6 +68,27 @@
         """Return why the balancer should send nothing here, or None."""
 
 
+class RequestGate(Protocol):
+    """Says which requests a host that is late does not read."""
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether some may be turned away now."""
+
+    def turns_away(self, data: bytes) -> bool:
+        """Return whether a request that begins with ``data`` is not read."""
+
+
+class OpenGate:
+    """Turns nothing away."""
+
+    is_closing = False
+
+    def turns_away(self, _data: bytes) -> bool:
+        """Return False."""
+        return False
+
+
 class _CallerLink:
     """The socket below one ``CallerConnection``."""
 
@@ -167,8 +190,7 @@
         max_connections: Most connections at once; more are closed at once.
         body_budget: Most bytes of request bodies under way on all connections.
         interface: How callers speak.
-        turns_away: Returns, for the first bytes of a request, whether it is answered
-            unread that the host is busy.
+        gate: Says which requests are answered unread that the host is busy.
         on_full: Takes how many connections are open when there is no room for one more,
             and how many idle ones give way.
         channel: Tells the events of several servers in one process apart.
@@ -190,20 +212,26 @@
         max_connections: int = 4096,
         body_budget: int = 67_108_864,
         interface: CallInterface = OWN_INTERFACE,
-        turns_away: Callable[[bytes], bool] = lambda _data: False,
+        gate: RequestGate | None = None,
         on_full: Callable[[int, int], None] = lambda _open, _idle: None,
         channel: str = "callers",
     ) -> None:
         super().__init__(channel=channel)
         self.limits = limits or Limits()
-        self.sockets = CallerSockets(ip, port, self.channel).register(self)
+        self.sockets = CallerSockets(
+            ip,
+            port,
+            self.channel,
+            on_accepted=self._take_accepted,
+            on_bytes=self._on_bytes,
+        ).register(self)
         self._handler = handler
         self._interface = interface
         self._budget = BodyBudget(body_budget)
         self._max_connections = max_connections
         self.taken = 0
         self.abandoned = 0
-        self._turns_away = turns_away
+        self._gate = gate or OpenGate()
         self._on_full = on_full
         self._links: dict[socket, _CallerLink] = {}
         self._address = (self.sockets.host, self.sockets.port)
@@ -336,20 +364,45 @@
         if sock not in self._links and sock in self.sockets._clients:
             self._admit(sock)
 
-    @handler("_read", priority=2)
-    def _on_socket_read(self, event: Event, sock: socket) -> None:
-        # Comes before the server's own handler, which at the end of the caller's
-        # bytes waits for its buffer to drain while the poller reports the same end
-        # again and again: a caller that stops reading would cost a whole core.
+    def _on_bytes(self, sock: socket) -> None:
         link = self._links.get(sock)
-        if link is None:
-            if sock not in self.sockets._clients:
-                return
+        if link is None and sock in self.sockets._clients:
             link = self._admit(sock)
-        event.stop()
         if link is not None:
             self._read(link)
 
+    def _take_accepted(self, sock: socket) -> bool:
+        """Read a new connection of a late host at once; return whether it was taken.
+
+        To watch a connection, and to wait for its end, costs several times what it
+        takes to turn its request away. One whose request has not arrived whole is
+        watched, since closing it with bytes on their way would reset it.
+        """
+        if not self._gate.is_closing or self._has_no_room:
+            return False
+        data = _received(sock)
+        if data is None:
+            return False
+        if not data:
+            self.taken += 1
+            self.abandoned += 1
+            sock.close()
+            return True
+        is_turned_away = self._gate.turns_away(data)
+        if is_turned_away and is_whole_request(data):
+            self.taken += 1
+            with suppress(OSError):
+                sock.send(busy_answer(self._interface.retry_after, int(time())))
+            sock.close()
+            return True
+        self.sockets._on_accept_done(sock)
+        link = self._admit(sock)
+        if link is not None and is_turned_away:
+            link.conn.turn_away()
+        elif link is not None:
+            link.conn.receive(data)
+        return True
+
     def _read(self, link: _CallerLink) -> None:
         if not link.open:
             return
@@ -360,7 +413,7 @@
         # anything for it would only keep those waiting who are still there.
         more = _received(link.sock) if 0 < len(data) < READ_SIZE else None
         if data and more != b"":
-            if link.conn.phase is Phase.IDLE and self._turns_away(data):
+            if link.conn.phase is Phase.IDLE and self._gate.turns_away(data):
                 link.conn.turn_away()
                 return
             link.conn.receive(data + more if more else data)
--- a/greengageflow/net/gossip_link.py
+++ b/greengageflow/net/gossip_link.py
@@ -71,7 +71,8 @@
                 self.bytes_out += len(datagram)
 
     @handler("_read")
-    def _on_read(self, sock: socket) -> None:
+    def on_readable(self, sock: socket) -> None:
+        """Take what has arrived; called by the poller, or as its event."""
         if sock is not self._sock:
             return
         for _ in range(MOST_IN_A_ROW):
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -228,7 +228,8 @@
     # Events of the poller.
 
     @handler("_read")
-    def _on_read(self, sock: socket) -> None:
+    def on_readable(self, sock: socket) -> None:
+        """Take what has arrived; called by the poller, or as its event."""
         exchange = self._active.get(sock)
         if exchange is not None:
             self._receive(exchange)
@@ -263,7 +264,8 @@
                 self._finish(exchange, arrival)
 
     @handler("_write")
-    def _on_write(self, sock: socket) -> None:
+    def on_writable(self, sock: socket) -> None:
+        """Send what there is room for; called by the poller, or as its event."""
         exchange = self._active.get(sock)
         if exchange is None:
             return
--- a/greengageflow/net/poller.py
+++ b/greengageflow/net/poller.py
@@ -1,9 +1,12 @@
 """The poller of a program that has thousands of sockets."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from select import EPOLLIN, EPOLLOUT
 from socket import socket
+from sys import exc_info
 from time import monotonic
 
+from circuits.core.events import exception
 from circuits.core.pollers import EPoll
 
 from greengageflow.core.loop_load import LoopLoad
@@ -48,19 +51,74 @@
 
 
 class SocketPoller(EPoll):
-    """``EPoll`` whose cost for a socket does not grow with the number of others.
+    """``EPoll`` for thousands of sockets and events a second.
+
+    What it costs for a socket does not grow with the number of others. A component
+    that has ``on_readable`` or ``on_writable`` is called with its socket at once; an
+    event of ``circuits`` on the way there would cost as much as reading the socket.
 
     Attributes:
         load: How long the rounds between two looks for events are.
     """
 
     def __init__(self) -> None:
+        self._sources: dict[socket, object] = {}
         super().__init__()
         self.load = LoopLoad()
         self._read = SocketSet(self._read)
         self._write = SocketSet(self._write)
 
+    def addReader(self, source: object, fd: socket) -> None:  # noqa: N802
+        """Watch a socket for bytes that arrive."""
+        self._sources[fd] = source
+        super().addReader(source, fd)
+
+    def addWriter(self, source: object, fd: socket) -> None:  # noqa: N802
+        """Watch a socket for room to write."""
+        self._sources[fd] = source
+        super().addWriter(source, fd)
+
+    def _updateRegistration(self, fd: socket) -> None:  # noqa: N802
+        super()._updateRegistration(fd)
+        if fd not in self._targets:
+            self._sources.pop(fd, None)
+
     def _generate_events(self, event: object) -> None:
         self.load.end(monotonic())
-        super()._generate_events(event)
+        ready = self._look(event.time_left)
         self.load.begin(monotonic())
+        # By socket: one that is closed below may leave its number to a new one.
+        found = [(number, self._map.get(number), flags) for number, flags in ready]
+        for number, sock, flags in found:
+            if sock is not None and self._map.get(number) is sock:
+                self._handle(number, sock, flags)
+
+    def _look(self, time_left: float) -> list[tuple[int, int]]:
+        try:
+            return self._poller.poll(time_left if time_left >= 0 else None)
+        except InterruptedError:
+            return []
+
+    def _handle(self, number: int, sock: socket, flags: int) -> None:
+        source = self._sources.get(sock)
+        is_lost = flags & self._disconnected_flag and not flags & EPOLLIN
+        read = getattr(source, "on_readable", None) if flags & EPOLLIN else None
+        write = getattr(source, "on_writable", None) if flags & EPOLLOUT else None
+        if is_lost or not (read or write):
+            self._process(number, flags)
+            return
+        if read:
+            self._call(read, sock)
+        if self._map.get(number) is not sock or not flags & EPOLLOUT:
+            return
+        if write:
+            self._call(write, sock)
+        else:
+            self._process(number, EPOLLOUT)
+
+    def _call(self, take: Callable[[socket], None], sock: socket) -> None:
+        try:
+            take(sock)
+        except Exception:
+            # As an event's handler that fails: it costs its own socket's turn only.
+            self.fire(exception(*exc_info(), handler=take, fevent=None))
--- a/greengageflow/net/timers.py
+++ b/greengageflow/net/timers.py
@@ -10,15 +10,23 @@
 
 from greengageflow.events import Event, log
 
+EARLY_PART = 0.1
+"""Part of its interval by which a repeated call may come early.
+
+Most turns of an idle router's loop are repeated calls. Those that nearly coincide
+share a turn from then on.
+"""
+
 
 class Subscription:
     """One timer; call ``cancel`` to end it."""
 
-    __slots__ = ("call", "interval_s", "live")
+    __slots__ = ("call", "early_s", "interval_s", "live")
 
     def __init__(self, call: Callable[[], None], interval_s: float | None) -> None:
         self.call = call
         self.interval_s = interval_s
+        self.early_s = EARLY_PART * (interval_s or 0.0)
         self.live = True
 
     def cancel(self) -> None:
@@ -52,7 +60,7 @@
         return self._push(delay_s, Subscription(call, None))
 
     def every(self, interval_s: float, call: Callable[[], None]) -> Subscription:
-        """Call every ``interval_s`` seconds, first after one interval."""
+        """Call about every ``interval_s`` seconds, first after one interval."""
         return self._push(interval_s, Subscription(call, interval_s))
 
     def _push(self, delay_s: float, sub: Subscription) -> Subscription:
@@ -60,7 +68,7 @@
         return sub
 
     def _due(self, now: float) -> Iterator[Subscription]:
-        while self._heap and self._heap[0][0] <= now:
+        while self._heap and self._heap[0][0] - self._heap[0][2].early_s <= now:
             _, _, sub = heappop(self._heap)
             if sub.live:
                 yield sub
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -8,6 +8,7 @@
 from circuits.core.pollers import _read
 from http_fakes import wait_for
 
+from greengageflow.net._http_parse import is_whole_request
 from greengageflow.net.callers import SWEEP_S, Limits
 from greengageflow.platform.interfaces import CallerInterface
 from greengageflow.platform.names import CREDENTIAL
@@ -139,12 +140,24 @@
         assert third.rest() == b"", "on which nothing was asked any more"
 
 
-def test_a_request_that_is_turned_away_gets_a_whole_answer():
+class NoPosts:
+    """A gate that turns away what is posted."""
+
+    def __init__(self, is_closing):
+        self.is_closing = is_closing
+
+    def turns_away(self, data):
+        return data.startswith(b"POST")
+
+
+@pytest.mark.parametrize("size", [0, 10, 500_000])
+@pytest.mark.parametrize("is_closing", [False, True])
+def test_a_request_that_is_turned_away_gets_a_whole_answer(is_closing, size):
     """A late host answers before it has read a long body. Closing at once would reset
     the connection, and the caller might never see the answer."""
     with closing(Server()) as server:
-        server.callers._turns_away = lambda data: data.startswith(b"POST")
-        answer = server.ask(post("/services/a/b", b"x" * 500_000))
+        server.callers._gate = NoPosts(is_closing)
+        answer = server.ask(post("/services/a/b", b"x" * size))
         head, _, body = answer.partition(b"\r\n\r\n")
         assert head.startswith(b"HTTP/1.1 503 ")
         assert b"\r\nRetry-After: " in head and b"\r\nConnection: close" in head
@@ -154,6 +167,24 @@
         assert server.ask(get).startswith(b"HTTP/1.1 200 ")
 
 
+@pytest.mark.parametrize(
+    ("data", "is_whole"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", True),
+        (b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab", True),
+        (b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", False),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nab", False),
+        (b"POST / HTTP/1.1\r\nX-Content-Length: 2\r\n\r\nab", False),
+        (b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", False),
+        (b"POST / HTTP/1.1\r\nContent-Length: 0\r\n", False),
+        (b"", False),
+    ],
+)
+def test_only_what_is_plainly_whole_is_answered_without_being_watched(data, is_whole):
+    """Closing with bytes on their way would reset the connection."""
+    assert is_whole_request(data) is is_whole
+
+
 def test_the_key_of_a_request_is_found_without_parsing_it():
     key = CallerInterface().key
     lines = f"POST /x HTTP/1.1\r\nHost: a\r\n{CREDENTIAL}: kEy\r\nA: b\r\n\r\n"
--- a/tests/test_poller.py
+++ b/tests/test_poller.py
@@ -1,8 +1,9 @@
 """What looking a socket up costs beside thousands of others, by comparisons."""
 
 from socket import socketpair
+from types import SimpleNamespace
 
-from circuits import BaseComponent
+from circuits import BaseComponent, handler
 
 from greengageflow.net.poller import SocketPoller, SocketSet
 
@@ -51,3 +52,70 @@
     assert not poller.isWriting(one)
     one.close()
     other.close()
+
+
+class Source(BaseComponent):
+    """Takes its sockets' events from the poller itself, or of circuits where not."""
+
+    channel = "source"
+
+    def __init__(self):
+        super().__init__()
+        self.read, self.events, self.faults = [], [], []
+        self.closes = None
+
+    def on_readable(self, sock):
+        self.read.append(sock.recv(10))
+        if self.closes:
+            poller, other = self.closes
+            poller.discard(other)
+            other.close()
+            raise RuntimeError("failed")
+
+    @handler("_write")
+    def _on_write(self, sock):
+        self.events.append(sock)
+
+    @handler("exception", channel="*")
+    def _on_exception(self, _kind, exc, _trace, **_rest):
+        self.faults.append(str(exc))
+
+
+def turn(source, poller):
+    poller._generate_events(SimpleNamespace(time_left=0.0))
+    for _ in range(3):
+        source.flush()
+
+
+def test_sources_are_called_at_once_and_others_get_events():
+    source = Source()
+    poller = SocketPoller().register(source)
+    one, other = socketpair()
+    poller.addReader(source, one)
+    poller.addWriter(source, one)
+    other.send(b"abc")
+    turn(source, poller)
+    assert source.read == [b"abc"]
+    assert source.events == [one]
+    poller.discard(one)
+    assert not poller._sources
+    one.close()
+    other.close()
+
+
+def test_a_source_that_fails_or_closes_others_harms_no_other_socket():
+    """Two sockets are ready together; handling the first closes the second. Its number
+    may already belong to a new socket, which must not be taken for it."""
+    source = Source()
+    poller = SocketPoller().register(source)
+    pairs = [socketpair() for _ in range(2)]
+    for one, other in pairs:
+        poller.addReader(source, one)
+        other.send(b"abc")
+    source.closes = poller, pairs[1][0]
+    turn(source, poller)
+    assert source.read == [b"abc"]
+    assert source.faults == ["failed"]
+    for pair in pairs:
+        for sock in pair:
+            sock.close()
--- /dev/null
+++ b/tests/test_timers.py
@@ -0,0 +1,59 @@
+"""When subscribers of the timer service are called, in simulated time."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from greengageflow.net import timers as timers_module
+from greengageflow.net.timers import Timers
+
+
+class Loop:
+    """A poller that sleeps until the timers want to be woken."""
+
+    def __init__(self, monkeypatch):
+        self.now = 100.0
+        self.turns = 0
+        monkeypatch.setattr(timers_module, "monotonic", lambda: self.now)
+        self.timers = Timers()
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            event = SimpleNamespace(left=end - self.now)
+            event.reduce_time_left = lambda s, e=event: setattr(
+                e, "left", min(e.left, s)
+            )
+            self.timers._on_generate_events(event)
+            self.turns += 1
+            self.now += max(event.left, 1e-6)
+
+
+@pytest.fixture
+def loop(monkeypatch):
+    return Loop(monkeypatch)
+
+
+def test_repeated_calls_that_nearly_coincide_share_a_turn(loop):
+    """An idle host of a large fleet spends most of its time on turns of its loop."""
+    calls = []
+    for offset, interval_s in ((0.0, 0.05), (0.003, 0.05), (0.004, 0.1), (0.011, 0.2)):
+        loop.now = 100.0 + offset
+        name = (offset, interval_s)
+        loop.timers.every(interval_s, lambda name=name: calls.append((name, loop.now)))
+    loop.turns = 0
+    loop.run(10)
+    assert loop.turns <= 10 / 0.05 * 1.2
+    for name in {name for name, _ in calls}:
+        times = [at for called, at in calls if called == name]
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        assert min(gaps) >= 0.89 * name[1] and max(gaps) <= 1.01 * name[1]
+
+
+def test_a_single_call_is_never_early(loop):
+    """Deadlines and retries are promises to others."""
+    at = []
+    loop.timers.every(0.05, lambda: None)
+    loop.timers.after(0.0521, lambda: at.append(loop.now))
+    loop.run(1)
+    assert len(at) == 1 and at[0] >= 100.0521
