Who stands by passes on what it read, to all zones

Cause, by reading: while the store turns both readers away, a relay that stands by reads, but told its own zone at most, and a second relay nobody. Hosts that the store turns away as well could then not get a new configuration from anyone, and would refuse keys after the bound.

Change: what a reader or a stand-by read itself goes to its zone and to all other relays; what it was told goes to its zone only. A member's own read goes nowhere.

Test: test_fleet_exchange (failed before for stand-bys).

--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -159,16 +159,24 @@
         """Send one router a message, at best effort."""
         self._link.send(to, encode(message))
 
-    def pass_on(self, news: StoreNews) -> None:
-        """Send others what this router read in the store, or was told of it."""
+    def pass_on(self, news: StoreNews, is_own: bool) -> None:
+        """Send others what was read in the platform's store.
+
+        Args:
+            news: What was read.
+            is_own: This router read it; else a peer did.
+        """
+        if is_own and self.store_role is not StoreRole.MEMBER:
+            # Also by one that stands by: the store may turn all readers away.
+            self._send(encode(news), self._zone_mates() | self._other_relays())
+        elif not is_own and self._relays_to_zone:
+            self._send(encode(news), self._zone_mates())
+
+    @property
+    def _relays_to_zone(self) -> bool:
         now, quiet_s = self._now, self._quiet_s
         stands_in = self._is_large and self._relayed.is_relay(now, quiet_s)
-        if not (stands_in or self._leads_zone):
-            return
-        to = self._zone_mates()
-        if self.store_role is StoreRole.READER:
-            to |= self._other_relays()
-        self._send(encode(news), to)
+        return stands_in or self._leads_zone
 
     @property
     def _leads_zone(self) -> bool:
--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -45,7 +45,8 @@
         on_routing: Takes a new configuration.
         on_change: Takes a change of the list.
         on_news: Called when something changed that peers should hear of at once.
-        on_read: Takes changes, for hosts that do not read themselves.
+        on_read: Takes changes, for hosts that do not read themselves, and whether
+            they were read here, not told by a peer.
         pace_s: Seconds between two reads of a part, for hosts that read.
         clock: Returns a time that goes on while the host is suspended, in seconds.
     """
@@ -61,7 +62,7 @@
         on_routing: Callable[[Routing], None],
         on_change: Callable[[ListChange], None],
         on_news: Callable[[], None],
-        on_read: Callable[[StoreNews], None],
+        on_read: Callable[[StoreNews, bool], None],
         pace_s: float,
         clock: Callable[[], float],
     ) -> None:
@@ -176,14 +177,16 @@
         match news.topic:
             case StoreTopic.CONFIG:
                 # The newest configuration counts, whatever was missed before it.
-                self.take_config(news.records, source="peer")
+                self.take_config(news.records, is_own=False)
             case StoreTopic.ENDPOINTS if records:
-                self.take_list(records)
+                self.take_list(records, is_own=False)
 
-    def _pass_on(self, topic: StoreTopic, records: list[KeyedRecord], end: int) -> None:
+    def _pass_on(
+        self, topic: StoreTopic, records: list[KeyedRecord], end: int, is_own: bool
+    ) -> None:
         teller = self._tellers[topic]
         for news in teller.tell(self._timers.now, records, end):
-            self._on_read(news)
+            self._on_read(news, is_own)
 
     # The configuration.
 
@@ -209,9 +212,9 @@
             )
 
     def take_config(
-        self, records: Iterable[KeyedRecord], source: str = "store"
+        self, records: Iterable[KeyedRecord], *, is_own: bool = True
     ) -> None:
-        """Take over the newest configuration among records."""
+        """Take over the newest configuration among records, read here or by a peer."""
         taken = []
         for record in records:
             if record.key != CONFIG_KEY or record.value is None:
@@ -232,12 +235,12 @@
                 self._log.write(
                     DecisionEvent.CONFIG_IN_FORCE,
                     config=self.version,
-                    source=source,
+                    source="store" if is_own else "peer",
                     age_ms=round(1000 * min(self._age_s(self._config.asked_at), 1e6)),
                 )
                 self._on_routing(routing)
                 self._on_news()
-        self._pass_on(StoreTopic.CONFIG, taken[-1:], self._config.offset)
+        self._pass_on(StoreTopic.CONFIG, taken[-1:], self._config.offset, is_own)
 
     # The list of endpoints.
 
@@ -261,10 +264,10 @@
                 DecisionEvent.LIST_LOST, why=text, unheard_ms=round(1000 * age_s)
             )
 
-    def take_list(self, records: Iterable[KeyedRecord]) -> None:
-        """Take over records of the list."""
+    def take_list(self, records: Iterable[KeyedRecord], *, is_own: bool = True) -> None:
+        """Take over records of the list, read here or by a peer."""
         taken = self._take_records(records)
-        self._pass_on(StoreTopic.ENDPOINTS, taken, self._list.offset)
+        self._pass_on(StoreTopic.ENDPOINTS, taken, self._list.offset, is_own)
 
     def _take_records(self, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
         """Take over records of the list; return those that changed something."""
--- a/tests/test_fleet_exchange.py
+++ b/tests/test_fleet_exchange.py
@@ -133,7 +133,7 @@
     def on_store_news(self, news):
         self.news.append(news)
         if self.news.count(news) == 1:
-            self.exchange.pass_on(news)
+            self.exchange.pass_on(news, is_own=False)
 
     def stop(self):
         del self.network.routers[self.address]
@@ -312,14 +312,23 @@
     assert router.exchange.store_role is StoreRole.READER
 
 
-def test_what_a_reader_passes_on_reaches_each_router_once_or_twice(monkeypatch):
-    """Relays pass on what other zones' readers told them; no message goes round."""
+@pytest.mark.parametrize("role", [StoreRole.READER, StoreRole.STANDBY])
+def test_what_one_router_reads_reaches_each_one_and_does_not_go_round(
+    monkeypatch, role
+):
+    """The store may turn all readers away, while one that stands by is served."""
     network, routers = fleet(monkeypatch, 60, 4)
     network.run(8.0)
     record = KeyedRecord("e1", b"{}", 7)
     news = StoreNews(topic=StoreTopic.ENDPOINTS, since=0, end=8, records=(record,))
-    reader = next(r for r in routers if r.exchange.store_role is StoreRole.READER)
-    reader.news.append(news)
-    reader.exchange.pass_on(news)
-    network.run(0.5)
-    assert {len(router.news) for router in routers} <= {1, 2, 3}
+    for reader in [r for r in routers if r.exchange.store_role is role]:
+        for router in routers:
+            router.news.clear()
+        reader.news.append(news)
+        reader.exchange.pass_on(news, is_own=True)
+        network.run(0.5)
+        assert {len(router.news) for router in routers} <= {1, 2}
+    member = next(r for r in routers if r.exchange.store_role is StoreRole.MEMBER)
+    network.count_anew()
+    member.exchange.pass_on(news, is_own=True)
+    assert not network.sent[member.address]
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -126,7 +126,7 @@
         ages = now - view.confirmed, now - view.list_confirmed
         return StoreWord(now, view.version, view.list_mark, *ages)
 
-    def pass_on(self, news):
+    def pass_on(self, news, _is_own):
         if self.reads and not self.news_lost:
             data = encode(news)
             for mate in self.mates:
