Both readers of HTTP messages share what they have in common

The bound on a head, errors and the state of the parser stood twice, and the head of an answer in two classes.

--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from time import monotonic
 
-from greengageflow.net._http_conn import Connection, Head
+from greengageflow.net._http_conn import Connection
+from greengageflow.net._http_parse import Head
 from greengageflow.net.http_messages import (
     Failure,
     FailureKind,
--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -17,10 +17,10 @@
 
 from greengageflow.net._http_parse import (
     AnswerEnd,
-    AnswerHead,
     AnswerReader,
     BadMessage,
     Body,
+    Head,
 )
 from greengageflow.net._http_write import request_head
 
@@ -36,23 +36,6 @@
     """The other side sent something that is not HTTP/1.1."""
 
 
-@dataclass(frozen=True, slots=True)
-class Head:
-    """Status and headers of an answer.
-
-    Args:
-        status: HTTP status code.
-        headers: Names in lower case and values, in the order received.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-    def header(self, name: str, default: str = "") -> str:
-        """Return the first value of header ``name`` (lower case)."""
-        return next((value for key, value in self.headers if key == name), default)
-
-
 @dataclass(frozen=True, slots=True)
 class Chunk:
     """Body bytes that one read brought."""
@@ -212,8 +195,7 @@
         events = self._answers.feed(data)
         for event in events:
             match event:
-                case AnswerHead():
-                    head = Head(event.status, event.headers)
+                case Head() as head:
                     self._skipping = not (self._accepts is None or self._accepts(head))
                     if not self._skipping:
                         yield head
--- a/greengageflow/net/_http_parse.py
+++ b/greengageflow/net/_http_parse.py
@@ -86,6 +86,37 @@
     """The message is whole."""
 
 
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Status and headers of an answer.
+
+    Args:
+        status: HTTP status code.
+        headers: Names in lower case and values, in the order received.
+    """
+
+    status: int
+    headers: HeaderLines
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the first value of header ``name`` (lower case)."""
+        return next((value for key, value in self.headers if key == name), default)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is whole.
+
+    Args:
+        keep_alive: The connection may carry another one.
+    """
+
+    keep_alive: bool
+
+
+Event = RequestHead | Head | Body | MessageEnd | AnswerEnd | BadMessage
+
+
 class _Headers:
     """Collects header lines; those behind a body (trailers) are left out."""
 
@@ -129,27 +160,32 @@
             raise BadMessage("content-length beside transfer-encoding")
 
 
-class RequestReader:
-    """Reads the requests of one connection; callbacks of the parser are methods.
+class _MessageReader:
+    """What both readers share: the parser, the bound on a head, and its errors.
+
+    Callbacks of the parser are methods of the readers.
 
     Args:
-        largest_head: Most bytes before the end of a request's headers.
+        parser: Class of the parser.
+        largest_head: Most bytes before the end of a message's headers.
     """
 
-    def __init__(self, largest_head: int) -> None:
+    def __init__(
+        self,
+        parser: type[HttpRequestParser] | type[HttpResponseParser],
+        largest_head: int,
+    ) -> None:
+        self.begun = False
+        """Whether bytes of a message arrived that is not whole yet."""
+        self._parser = parser(self)
         self._largest_head = largest_head
-        self._parser = HttpRequestParser(self)
-        self._events: deque[RequestHead | Body | MessageEnd | BadMessage] = deque()
+        self._events: deque[Event] = deque()
         self._headers = _Headers()
-        self._target = b""
         self._head_bytes = 0
         self._in_head = True
         self._over = False
-        self.begun = False
-        """Whether bytes of a request arrived that is not whole yet."""
 
-    def feed(self, data: bytes) -> None:
-        """Take bytes; what is in them comes from ``next``."""
+    def _parse(self, data: bytes) -> None:
         if self._over:
             return
         # Counted by reads: one that holds the end of a head also counts what follows.
@@ -158,25 +194,69 @@
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
-            # No other protocol is spoken here, and bytes that follow are of one.
-            self._over = True
+            self._on_upgrade()
         except HttpParserError as exc:
-            self._fail(exc)
+            # What a method of this class raised comes wrapped.
+            cause = exc.__context__
+            known = cause if isinstance(cause, BadMessage) else BadMessage(str(exc))
+            self._end(known)
         if self._in_head and self.begun and self._head_bytes > self._largest_head:
             self._end(BadMessage("head too large", too_large=True))
 
+    def _on_upgrade(self) -> None:
+        """Take note that what follows is of another protocol."""
+        raise NotImplementedError
+
+    def _end(self, exc: BadMessage) -> None:
+        self._over = True
+        self._events.append(exc)
+
+    def _next(self) -> "Event":
+        event = self._events.popleft()
+        if isinstance(event, BadMessage):
+            raise event
+        return event
+
+    def _end_head(self) -> None:
+        self._in_head = False
+        self._head_bytes = 0
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        self._headers = _Headers()
+        self._in_head = self.begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.add(name, value)
+
+    def on_message_complete(self) -> None:
+        self.begun = False
+        self._in_head = True
+
+
+class RequestReader(_MessageReader):
+    """Reads the requests of one connection.
+
+    Args:
+        largest_head: Most bytes before the end of a request's headers.
+    """
+
+    def __init__(self, largest_head: int) -> None:
+        super().__init__(HttpRequestParser, largest_head)
+        self._target = b""
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes; what is in them comes from ``next``."""
+        self._parse(data)
+
     def next(self) -> RequestHead | Body | MessageEnd | None:
         """Return what comes next, or None when more bytes are needed.
 
         Raises:
             BadMessage: The bytes are not valid HTTP/1.1.
         """
-        if not self._events:
-            return None
-        event = self._events.popleft()
-        if isinstance(event, BadMessage):
-            raise event
-        return event
+        return self._next() if self._events else None
 
     @property
     def has_more(self) -> bool:
@@ -188,32 +268,21 @@
         """Whether something of a body, or a request's end, waits to be taken."""
         return bool(self._events)
 
-    def _fail(self, exc: HttpParserError) -> None:
-        # What a method of this class raised comes wrapped.
-        cause = exc.__context__
-        known = cause if isinstance(cause, BadMessage) else BadMessage(str(exc))
-        self._end(known)
-
-    def _end(self, exc: BadMessage) -> None:
+    def _on_upgrade(self) -> None:
+        # No other protocol is spoken here, and bytes that follow are of one.
         self._over = True
-        self._events.append(exc)
 
     # Called by the parser.
 
     def on_message_begin(self) -> None:
-        self._headers = _Headers()
+        super().on_message_begin()
         self._target = b""
-        self._in_head = self.begun = True
 
     def on_url(self, url: bytes) -> None:
         self._target += url
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.add(name, value)
-
     def on_headers_complete(self) -> None:
-        self._in_head = False
-        self._head_bytes = 0
+        self._end_head()
         headers, version = self._headers, self._parser.get_http_version()
         headers.check_framing(both=True)
         hosts = headers.values("host")
@@ -234,101 +303,46 @@
         self._events.append(Body(data))
 
     def on_message_complete(self) -> None:
-        self.begun = False
-        self._in_head = True
+        super().on_message_complete()
         self._events.append(MessageEnd())
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """An answer before its body.
-
-    Args:
-        status: HTTP status code.
-        headers: Names in lower case and values, in the order received.
-    """
-
-    status: int
-    headers: HeaderLines
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerEnd:
-    """The answer is whole.
-
-    Args:
-        keep_alive: The connection may carry another one.
-    """
-
-    keep_alive: bool
-
-
-class AnswerReader:
-    """Reads the answers on one connection; callbacks of the parser are methods."""
+class AnswerReader(_MessageReader):
+    """Reads the answers on one connection."""
 
     def __init__(self) -> None:
-        self._parser = HttpResponseParser(self)
-        self._events: deque[AnswerHead | Body | AnswerEnd | BadMessage] = deque()
-        self._headers = _Headers()
-        self._head_bytes = 0
-        self._in_head = True
-        self._interim = False
-        self._over = False
-        self._bodiless = False
-        self.begun = False
-        """Whether bytes of an answer arrived that is not whole yet."""
+        super().__init__(HttpResponseParser, LARGEST_ANSWER_HEAD)
         self.until_close = False
         """Whether only the end of the connection ends the answer under way."""
+        self._interim = False
+        self._bodiless = False
 
     def expect(self, method: str) -> None:
         """Note the method of the request whose answer comes next."""
         self._bodiless = method == "HEAD"
 
-    def feed(self, data: bytes) -> Iterator[AnswerHead | Body | AnswerEnd]:
+    def feed(self, data: bytes) -> Iterator[Head | Body | AnswerEnd]:
         """Take bytes and yield what is in them.
 
         Raises:
             BadMessage: The bytes are not valid HTTP/1.1.
         """
-        if data and not self._over:
+        if data:
             self._parse(data)
         while self._events:
-            event = self._events.popleft()
-            if isinstance(event, BadMessage):
-                raise event
-            yield event
-
-    def _parse(self, data: bytes) -> None:
-        if self._in_head:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._end(BadMessage("another protocol was not asked for"))
-        except HttpParserError as exc:
-            cause = exc.__context__
-            known = cause if isinstance(cause, BadMessage) else BadMessage(str(exc))
-            self._end(known)
-        if self._in_head and self.begun and self._head_bytes > LARGEST_ANSWER_HEAD:
-            self._end(BadMessage("head too large", too_large=True))
+            yield self._next()
 
-    def _end(self, exc: BadMessage) -> None:
-        self._over = True
-        self._events.append(exc)
+    def _on_upgrade(self) -> None:
+        self._end(BadMessage("another protocol was not asked for"))
 
     # Called by the parser.
 
     def on_message_begin(self) -> None:
-        self._headers = _Headers()
-        self._in_head = self.begun = True
+        super().on_message_begin()
         self._interim = self.until_close = False
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.add(name, value)
-
     def on_headers_complete(self) -> None:
-        self._in_head = False
-        self._head_bytes = 0
+        self._end_head()
         status = self._parser.get_status_code()
         self._interim = 100 <= status < 200
         headers = self._headers
@@ -337,7 +351,7 @@
             return
         known = headers.values("content-length") or headers.values("transfer-encoding")
         self.until_close = not known and status not in (204, 304)
-        self._events.append(AnswerHead(status, headers.close()))
+        self._events.append(Head(status, headers.close()))
         if self._bodiless and known and known != ["0"]:
             # The parser does not know that no body follows, and takes the next
             # answer for one.
@@ -350,7 +364,6 @@
             self._events.append(Body(data))
 
     def on_message_complete(self) -> None:
-        self.begun = False
-        self._in_head = True
+        super().on_message_complete()
         if not (self._interim or self._over):
             self._events.append(AnswerEnd(self._parser.should_keep_alive()))
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Any, Protocol
 
-from greengageflow.net._http_conn import Head
+from greengageflow.net._http_parse import Head
 
 HOP_BY_HOP = frozenset(
     {
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -20,8 +20,8 @@
     Chunk,
     Connection,
     End,
-    Head,
 )
+from greengageflow.net._http_parse import Head
 from greengageflow.net._http_write import BadHead
 from greengageflow.net._idle_conns import IdleConns
 from greengageflow.net.http_messages import (
--- a/tests/test_http_parse.py
+++ b/tests/test_http_parse.py
@@ -13,10 +13,10 @@
 from greengageflow.net._http_parse import (
     LARGEST_ANSWER_HEAD,
     AnswerEnd,
-    AnswerHead,
     AnswerReader,
     BadMessage,
     Body,
+    Head,
     MessageEnd,
     RequestHead,
     RequestReader,
@@ -74,9 +74,7 @@
 def answer_by_reader(parts):
     reader = AnswerReader()
     reader.expect("GET")
-    assert list(reader.feed(HEAD)) == [
-        AnswerHead(200, (("transfer-encoding", "chunked"),))
-    ]
+    assert list(reader.feed(HEAD)) == [Head(200, (("transfer-encoding", "chunked"),))]
     body = b""
     for part in parts:
         try:
@@ -312,6 +310,6 @@
     reader.expect("HEAD")
     data = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n"
     assert list(reader.feed(data)) == [
-        AnswerHead(200, (("content-length", "3"),)),
+        Head(200, (("content-length", "3"),)),
         AnswerEnd(keep_alive=False),
     ]
