Fault tests of answers begin once the fleet serves

The test ran alone (taken over by another process as the last one), as the first in a new fleet. New owners wait out grants of earlier ones, about 2 s, and its deadline is 2 s, so the caller got 503 'the deadline passed while the request waited' and no engine saw it. Seen with the test alone: 503 after 2.0 s, and in another run an answer that began at 2.0 s. It does not depend on load: run alone, its two cases failed 3 times in 3 runs of both (6 cases), on an idle machine.

Ruled out: the engine's stall fault and state left by other tests (the fleet was new).

Change: the fixture of the module waits until every router answers every account. The assertions stay as they are.

Conclusion: a test that depended on the order of tests; the wait of new owners is as designed.

--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -62,6 +62,25 @@
         )
 
 
+def wait_served(lab: Lab, account: str) -> None:
+    """Wait until every router's caller of that account gets an answer.
+
+    A new owner first waits out grants of an earlier one, so that a request with a
+    short deadline is refused in a fleet that has only just begun.
+    """
+    message = {"role": "user", "content": "served"}
+    body = {"model": lab.plan.model, "messages": [message], "x_tokens": 1}
+    headers = {"Authorization": f"Bearer {key_of(account)}"}
+    path = "/v1/chat/completions"
+    for host, router in lab.routers.items():
+        wait_for(
+            lambda router=router: (
+                router.call("POST", path, body, headers=headers).status == 200
+            ),
+            f"an answer at {host}",
+        )
+
+
 def effects(lab: Lab) -> list[dict[str, Any]]:
     return [
         one
--- a/tests/test_answer_faults.py
+++ b/tests/test_answer_faults.py
@@ -15,6 +15,7 @@
     chats,
     executions,
     most_at_once,
+    wait_served,
     wait_started,
 )
 from tests.support import sse_events, start, wait_for
@@ -36,6 +37,8 @@
 @pytest.fixture(scope="module", params=[False, True], ids=["plain", "resumes"])
 def shared(request):
     with Lab(plan(request.param)) as lab:
+        for account in lab.plan.accounts:
+            wait_served(lab, account)
         yield lab
 
 
