Routers that begin are greeted at once, so that a fleet knows itself within a second

Cause: a router lives for another one only once its own hello has come, and hellos go round all known addresses, 10 each 0.25 s. After the loss of all hosts that takes hosts / 40 seconds and more, 5 s at 195: until then each takes itself for a relay or placer, or asks placers that do not yet know that they are.

Ruled out: the start itself (all 195 processes had begun 0.4 s after the first) and the configuration (in force within 0.1 s of the start).

Change: Greetings holds addresses that were not told yet; 25 of them get a hello each turn of 50 ms, and a process that is heard for the first time is told back. The round of hellos stays as it is, for silence.

A router that begins again is known to all 99 others within 0.5 s.

--- a/greengageflow/core/router_table.py
+++ b/greengageflow/core/router_table.py
@@ -65,13 +65,14 @@
         self._rows: dict[str, tuple[Hello, float]] = {}
         self._living: _Living | None = None
 
-    def put(self, now: float, hello: Hello) -> None:
-        """Note that a router was heard."""
+    def put(self, now: float, hello: Hello) -> bool:
+        """Note that a router was heard; True when this process of it was not before."""
         known = self._rows.get(hello.host)
         if hello.host == self._own.host:
-            return
+            return False
         if known is None or hello.boot >= known[0].boot:
             self._note(now, hello)
+        return known is None or hello.boot > known[0].boot
 
     def touch(self, now: float, host: str, boot: int) -> None:
         """Note that a router that is known was heard, by another message of it."""
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -12,6 +12,7 @@
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_demand import add_up
 from greengageflow.core.fleet_sums import FleetTotals, SumReport, relay_turns
+from greengageflow.core.greetings import Greetings
 from greengageflow.core.hello_ring import HelloRing
 from greengageflow.core.peer_report import LoadNotice, PeerBook, PeerReport
 from greengageflow.core.place_messages import (
@@ -37,6 +38,7 @@
 PERIOD_S = 0.25
 NOTICE_S = 0.05
 HELLOS_A_ROUND = 10
+GREETINGS_A_TURN = 25
 TOLD_PEERS = 8
 QUIET_S = 1.5
 FORGET_S = 10.0
@@ -121,6 +123,7 @@
         self._turns = 0
         self._random = Random(own.host)
         self._ring = HelloRing(self._random)
+        self._greetings = Greetings()
 
     def start(self) -> None:
         """Begin to tell."""
@@ -215,8 +218,9 @@
     def add_addresses(self, addresses: Iterable[Address]) -> None:
         """Take note of where other routers may be."""
         for address in addresses:
-            if address != self._own.address:
-                self._addresses.setdefault(address, self._now)
+            if address != self._own.address and address not in self._addresses:
+                self._addresses[address] = self._now
+                self._greetings.add([address])
 
     # What comes in.
 
@@ -268,7 +272,8 @@
     def _on_hello(self, now: float, hello: Hello) -> None:
         if hello.host == self._own.host:
             return
-        self._table.put(now, hello)
+        if self._table.put(now, hello):
+            self._greetings.begun(now, hello.address)
         self._addresses[hello.address] = now
         self.add_addresses(hello.peers)
 
@@ -280,6 +285,7 @@
 
     def _turn(self) -> None:
         self._turns += 1
+        self._say_hello(self._greetings.next(self._now, GREETINGS_A_TURN))
         if self._news:
             self._news = False
             self._tell()
@@ -366,15 +372,19 @@
         for address in to:
             self._link.send(address, data)
 
-    def _say_hello(self) -> None:
+    def _turns_of_hello(self) -> set[Address]:
         to = set(self._ring.next(self._addresses, HELLOS_A_ROUND))
         # One seed a round: all seeds each round made them hear the whole fleet four
         # times a second.
         seeds = sorted(self._seeds)
         if seeds:
             to.add(seeds[self._number % len(seeds)])
-        own = replace(self._own, stopping=self.stopping, peers=self._told_peers())
-        self._send(encode(own), to)
+        return to
+
+    def _say_hello(self, to: Iterable[Address]) -> None:
+        if to:
+            own = replace(self._own, stopping=self.stopping, peers=self._told_peers())
+            self._send(encode(own), to)
 
     def _round(self) -> None:
         # First, lest a fault in one round end all and others drop a live router.
@@ -385,9 +395,10 @@
         for address, at in list(self._addresses.items()):
             if now - at > forget_s:
                 del self._addresses[address]
+                self._greetings.forget(address)
         self._tell()
         if self._is_large:
-            self._say_hello()
+            self._say_hello(self._turns_of_hello())
         self._listener.on_totals(self._others())
 
     # Sums.
--- a/tests/test_fleet_exchange.py
+++ b/tests/test_fleet_exchange.py
@@ -70,11 +70,11 @@
 class RouterStub:
     """Timer service, link and listener of one exchange."""
 
-    def __init__(self, network, index, zone, seeds):
+    def __init__(self, network, index, zone, seeds, boot=1):
         self.network = network
         self.address = (f"127.0.{index // 200}.{index % 200 + 1}", 7000)
         self.hello = Hello(
-            host=f"r{index:03}", boot=1, ip=self.address[0], port=7000, zone=zone
+            host=f"r{index:03}", boot=boot, ip=self.address[0], port=7000, zone=zone
         )
         self.work = {("model", "a"): 100.0 + index, ("model", f"b{index % 3}"): 7.0}
         self.asked = {key: 2 * work for key, work in self.work.items()}
@@ -104,7 +104,7 @@
     def report(self, number, sequence):
         return PeerReport(
             host=self.hello.host,
-            boot=1,
+            boot=self.hello.boot,
             number=number,
             sequence=sequence,
             ip=self.hello.ip,
@@ -332,3 +332,28 @@
     network.count_anew()
     member.exchange.pass_on(news, is_own=True)
     assert not network.sent[member.address]
+
+
+@pytest.mark.parametrize("size", [60, 200])
+def test_a_fleet_that_begins_at_once_knows_all_its_routers_soon(monkeypatch, size):
+    """After the loss of all hosts: until they know each other, they disagree on who
+    relays and who places, and decide on part of what the others do."""
+    network, routers = fleet(monkeypatch, size, 5)
+    network.run(2.0)
+    known = sorted(router.exchange.hosts for router in routers)
+    assert known[size // 10] >= 0.99 * (size - 1), known
+
+
+def test_a_router_that_begins_again_is_known_to_all_soon(monkeypatch):
+    """And knows them, though it begins with a seed's address alone."""
+    network, routers = fleet(monkeypatch, 100, 5)
+    network.run(12.0)
+    routers[50].stop()
+    network.run(1.0)
+    again = RouterStub(network, 50, "z0", [("127.0.0.1", 7000)], boot=2)
+    again.exchange.start()
+    network.run(0.5)
+    assert again.exchange.hosts == 99
+    for router in routers[:50] + routers[51:]:
+        boots = {row.host: row.boot for row in router.exchange.routers()}
+        assert boots["r050"] == 2
