Records told again with later ones are bounded in bytes

Each message told all records of the last second once more, and in a start thousands come; and hosts that know few others take themselves for readers, which the greetings shorten.

Ruled out: sums by endpoint and hellos, the guesses of before (0.8 and 0.7 MB).

Change: at most 8,000 bytes of records are told again. A router that lost more reads, as it does when it misses any.

--- a/greengageflow/core/store_news.py
+++ b/greengageflow/core/store_news.py
@@ -15,6 +15,9 @@
 REPEAT_S = 1.0
 """Seconds for which a record is told again with later ones, against a lost message."""
 
+REPEAT_BYTES = 8_000
+"""Bytes of records told again at most; a router that lacks others reads them."""
+
 RECORD_BYTES = 64
 """Bytes that a record takes up in a message beside its key and value."""
 
@@ -79,8 +82,7 @@
             records: Those that changed something.
             end: The offset up to which all is known now.
         """
-        while self._told and now - self._told[0].at > REPEAT_S:
-            self._told.popleft()
+        self._drop_old(now)
         mark = self._mark
         for record in records:
             # From the last change on: what was read since then changed nothing, and
@@ -90,6 +92,11 @@
         if self._mark != mark:
             yield from self._messages(max(end, self._mark))
 
+    def _drop_old(self, now: float) -> None:
+        size = sum(_size(one.record) for one in self._told)
+        while self._told and (size > REPEAT_BYTES or now - self._told[0].at > REPEAT_S):
+            size -= _size(self._told.popleft().record)
+
     def _messages(self, end: int) -> Iterator[StoreNews]:
         part: list[_Told] = []
         size = 0
