A host that knows no list asks the store as soon as a peer has it

Ruled out: shorter pauses for all (calls are charged, and the store may turn hosts away for long).

Test: test_store_return, of which the first failed on the old view.

--- a/greengageflow/core/store_duty.py
+++ b/greengageflow/core/store_duty.py
@@ -73,20 +73,20 @@
     def __init__(self) -> None:
         self._behind_at: float | None = None
 
-    def is_due(self, now: float, is_behind: bool, reads: bool) -> bool:
+    def is_due(self, now: float, is_behind: bool, alone: bool) -> bool:
         """Return whether to read now.
 
         Args:
             now: The time.
             is_behind: A peer knows of a change that is not known here.
-            reads: This host reads for its zone, so nobody passes on anything to it.
+            alone: Nobody passes on anything to this host that it can take over.
         """
         if not is_behind:
             self._behind_at = None
             return False
         if self._behind_at is None:
             self._behind_at = now
-        return reads or now - self._behind_at >= NEWS_S
+        return alone or now - self._behind_at >= NEWS_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -125,9 +125,13 @@
         reads = role is StoreRole.READER
         self._config.check()
         self._list.check()
+        known = peers_know_config(now, self.version, words)
+        is_behind = known.mark > self.version
+        if is_behind:
+            self._config.hasten()
         if self._config.idle:
-            known = peers_know_config(now, self.version, words)
-            behind = self._config_wait.is_due(now, known.mark > self.version, reads)
+            alone = reads or not self._config.is_known
+            behind = self._config_wait.is_due(now, is_behind, alone)
             heard_s = min(known.heard_s, self._age_s(self.confirmed))
             stale = heard_s > self._stale_s and self._may_read(self._config, words)
             if reads and not behind:
@@ -136,10 +140,13 @@
                 self._config.read(self._pace_s / 2)
             elif behind or stale:
                 self._config.read()
+        known = peers_know_list(now, self._list.offset, words)
+        is_behind = known.mark > self._list.offset
+        if is_behind:
+            self._list.hasten()
         if self._list.idle:
-            known = peers_know_list(now, self._list.offset, words)
-            is_behind = known.mark > self._list.offset
-            behind = self._list_wait.is_due(now, is_behind, reads)
+            alone = reads or not self._list.is_known
+            behind = self._list_wait.is_due(now, is_behind, alone)
             heard_s = min(known.heard_s, self._age_s(self.list_confirmed))
             stale = heard_s > self._stale_s and self._may_read(self._list, words)
             due = reads and self._age_s(self._list.asked_at) >= self._pace_s
--- a/greengageflow/daemon/topic_follower.py
+++ b/greengageflow/daemon/topic_follower.py
@@ -83,6 +83,12 @@
         self._first_end = 0
         self._not_before = float("-inf")
         self._retry_s = FIRST_RETRY_S
+        self._hastened = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the topic was read, so that what others read can be taken over."""
+        return self._known
 
     @property
     def idle(self) -> bool:
@@ -97,6 +103,15 @@
             self._exchange.cancel()
             self._again("no end of a call")
 
+    def hasten(self) -> None:
+        """Let the next read begin now, since another router got an answer.
+
+        Once after each answer at most: the store may turn away this host alone.
+        """
+        if not self._known and not self._hastened:
+            self._hastened = True
+            self._not_before = float("-inf")
+
     def read(self, wait_s: float = 0.0) -> None:
         """Begin a read, which may wait ``wait_s`` seconds for a record."""
         self._asking = True
@@ -184,4 +199,5 @@
     def _heard(self) -> None:
         self._asking = False
         self._retry_s = FIRST_RETRY_S
+        self._hastened = False
         self._listener.on_heard(self.asked_at)
