--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from random import Random
-from typing import Protocol
 
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_demand import add_up
@@ -30,6 +29,7 @@
 from greengageflow.core.sum_book import Taken
 from greengageflow.core.sum_changes import SumChanges, SumWanted
 from greengageflow.core.zone_loads import ZoneLoads
+from greengageflow.daemon.exchange_listener import ExchangeListener
 from greengageflow.net.gossip_link import GossipLink
 from greengageflow.net.report_codec import ReportError, decode, encode
 from greengageflow.net.timers import Timers
@@ -51,35 +51,6 @@
 """
 
 Address = tuple[str, int]
-Placed = tuple[tuple[str, str], ...]
-
-
-class ExchangeListener(Protocol):
-    """What the exchange asks of the router and hands to it."""
-
-    def report(self, number: int, sequence: int) -> PeerReport:
-        """Return the present report of this router."""
-
-    def loads(self) -> Mapping[str, LoadShare]:
-        """Return what this router has under way, by endpoint."""
-
-    def placed(self) -> Placed:
-        """Return prompt parts and the endpoints that they were sent to lately."""
-
-    def on_placed(self, placed: Placed) -> None:
-        """Take where other routers sent prompt parts."""
-
-    def on_loads(self, loads: Mapping[str, LoadShare]) -> None:
-        """Take what other routers have under way, when that changed."""
-
-    def on_totals(self, totals: FleetTotals) -> None:
-        """Take the sums of all other routers, after each round."""
-
-    def on_store_news(self, news: StoreNews) -> None:
-        """Take what another router read in the platform's store."""
-
-    def on_place_message(self, message: PlaceMessage) -> None:
-        """Take what another router asks or tells of a request's place."""
 
 
 class FleetExchange:
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -20,7 +20,8 @@
 from greengageflow.core.store_news import StoreNews
 from greengageflow.core.trust import KeyTrust
 from greengageflow.daemon.arrivals import Arrivals
-from greengageflow.daemon.fleet_exchange import FleetExchange, Placed
+from greengageflow.daemon.exchange_listener import Placed
+from greengageflow.daemon.fleet_exchange import FleetExchange
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_notes import ForwardNotes
 from greengageflow.daemon.forwarder import Forwarder
--- a/greengageflow/lab/_gateway_world.py
+++ b/greengageflow/lab/_gateway_world.py
@@ -20,7 +20,8 @@
 from greengageflow.core.service_book import FADE_S
 from greengageflow.core.store_duty import pace_s
 from greengageflow.core.store_news import StoreNews
-from greengageflow.daemon.fleet_exchange import FleetExchange, Placed
+from greengageflow.daemon.exchange_listener import Placed
+from greengageflow.daemon.fleet_exchange import FleetExchange
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.net._fragments import LARGEST
 from greengageflow.net.http_messages import HttpRequest, Response
