What is late from an endpoint's earlier start changes nothing of the later one

Cause: an endpoint starts again under its id. Failures of connections to its crashed process, its sign of leaving, its word of what it keeps and what other hosts tell their placer of requests sent to it came after the later start was listed, and were booked by id: the new process rested, was taken for leaving for good, or for keeping parts.

Change: health, parts and signs of leaving count for a listed start only; a placer remembers the start it sent a request to; the parts of an endpoint go with it. note_left's page said that ids are never used again, which no longer holds.

An endpoint that is dropped from the list and comes back as the same process is taken to keep nothing; its parts are read again once.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -83,16 +83,21 @@
         found = self._listed.get(endpoint)
         return found is not None and not found.leaving and endpoint not in self._left
 
-    def note_left(self, endpoint: str, now: float) -> bool:
+    def is_current(self, endpoint: ListedEndpoint) -> bool:
+        """Whether an endpoint is listed, and no later start of it."""
+        listed = self._listed.get(endpoint.id)
+        return listed is not None and listed.born <= endpoint.born
+
+    def note_left(self, endpoint: ListedEndpoint, now: float) -> bool:
         """Take the endpoint's own sign of leaving; True when it is news.
 
         The list learns of a stop late or never; an answer that closes its
-        connection while others are kept says it sooner. Ids are never used again,
-        so that the sign holds for good.
+        connection while others are kept says it sooner. The sign holds for good,
+        for this start of the endpoint.
         """
-        if endpoint in self._left or endpoint not in self._listed:
+        if endpoint.id in self._left or not self.is_current(endpoint):
             return False
-        self._left[endpoint] = now
+        self._left[endpoint.id] = now
         self._usable.clear()
         return True
 
--- a/greengageflow/core/place_desk.py
+++ b/greengageflow/core/place_desk.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import Prompt, PromptPart
 from greengageflow.core.place_messages import (
     Happened,
@@ -29,7 +30,7 @@
     service: str
     since: float
     prompt: Prompt | None = None
-    endpoint: str = ""
+    endpoint: ListedEndpoint | None = None
 
 
 class PlaceDesk:
@@ -74,7 +75,7 @@
     def is_waiting(self, ask: PlaceAsk) -> bool:
         """Whether a request waits here."""
         found = self._placed.get(_key(ask.host, ask.boot, ask.request))
-        return found is not None and not found.endpoint
+        return found is not None and found.endpoint is None
 
     def decided(self, now: float, decision: Decision) -> tuple[str, PlaceAnswer] | None:
         """Return whom to answer what, or None when nobody asked."""
@@ -83,7 +84,7 @@
             return None
         match decision:
             case StartJob(choice=choice):
-                placed.endpoint = choice.endpoint.id
+                placed.endpoint = choice.endpoint
                 self._book.sent(now, decision.request, choice, placed.prompt)
                 source = choice.fetch_from
                 return placed.host, PlaceAnswer(
@@ -115,7 +116,7 @@
         placed = self._placed.get(key)
         if placed is None:
             return
-        endpoint = self._book.listed(placed.endpoint)
+        endpoint = placed.endpoint
         match note.happened:
             case Happened.ENDED:
                 yield from self._end(now, key)
@@ -155,7 +156,7 @@
             run.request,
             endpoint.service,
             now,
-            endpoint=endpoint.id,
+            endpoint=endpoint,
         )
         self._book.adopt(now, key, endpoint, run.reading, run.memory)
 
@@ -170,9 +171,8 @@
         placed = self._placed.pop(key, None)
         if placed is None:
             return
-        endpoint = self._book.listed(placed.endpoint)
-        if endpoint is not None:
-            self._book.left(key, endpoint)
+        if placed.endpoint is not None:
+            self._book.left(key, placed.endpoint)
         yield from self._book.ended(now, placed.service, key)
 
 
--- a/greengageflow/core/prompt_places.py
+++ b/greengageflow/core/prompt_places.py
@@ -90,6 +90,11 @@
         """Note that an endpoint keeps a part no longer."""
         self._seen.get(part, {}).pop(endpoint, None)
 
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Note that an endpoint keeps nothing any more."""
+        for places in self._seen.values():
+            places.pop(endpoint, None)
+
     def holders(self, now: float, part: str) -> list[Holder]:
         """Return the endpoints that were sent ``part`` lately, the last one first."""
         places = self._seen.get(part)
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -104,6 +104,8 @@
         self, now: float, endpoint: ListedEndpoint, parts: Sequence[PromptPart]
     ) -> None:
         """Take over which prompt parts an engine keeps, by its own word."""
+        if not self._endpoints.is_current(endpoint):
+            return
         for part in parts:
             self._places.note(now, part.id, endpoint.id)
             self._places.on_read(part.id, endpoint.id)
@@ -175,6 +177,7 @@
         self._health.forget(endpoint)
         self._loads.forget(endpoint)
         self._mirrors.pop(endpoint, None)
+        self._places.forget_endpoint(endpoint)
 
     def on_loads(self, loads: Mapping[str, LoadShare]) -> None:
         """Take over what all other hosts have under way."""
@@ -313,6 +316,8 @@
 
     def first_event(self, now: float, request: str, endpoint: ListedEndpoint) -> None:
         """Note the first event of a request's answer."""
+        if not self._endpoints.is_current(endpoint):
+            return
         self._load(endpoint).first_event(now, request)
         for part in self._parts.pop(request, ()):
             self._places.on_read(part, endpoint.id)
@@ -327,10 +332,14 @@
 
     def answered(self, endpoint: ListedEndpoint, good: bool) -> bool:
         """Note an endpoint's answer; True when it rested before."""
+        if not self._endpoints.is_current(endpoint):
+            return False
         return self._health.on_answer(endpoint.id, good)
 
     def silent(self, now: float, endpoint: ListedEndpoint) -> bool:
         """Note that an endpoint did not answer; True when it begins to rest."""
+        if not self._endpoints.is_current(endpoint):
+            return False
         return self._health.on_silence(now, endpoint.id)
 
     def resting(self, now: float, service: str) -> tuple[str, ...]:
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -193,7 +193,7 @@
         if note.not_run:
             self.placement.left(flight.id, endpoint)
             if note.replaced:
-                self._endpoints.note_left(endpoint.id, self._timers.now)
+                self._endpoints.note_left(endpoint, self._timers.now)
             self._try_again(flight, self._not_taken(flight, note.status))
             return
         flight.may_have_run = True
