--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -18,7 +18,7 @@
 COPY_PART = 0.3
 """What a copied token takes from others, memory and link, in the same measure.
 
-With 0.05 for a fetched token in all, copies pushed each other out of memory.
+Copies that seem cheap push each other out of memory.
 """
 PLAIN_QUEUE = 3.0
 PLAIN_AWAY = 0.3
@@ -80,8 +80,8 @@
     def look(self, now: float, endpoints: Sequence[ListedEndpoint]) -> "Look":
         """Return what all waiting requests have in common to choose from.
 
-        A queue is looked through at each event. While engines are full, to look at all
-        of them for each account's first request took a placer 1.5 to 3.2 ms a request.
+        A queue is looked through at each event; while engines are full, to look at all
+        of them for each account's first request would take most of a placer's time.
         """
         room = [e for e in endpoints if self._loads(e).has_slot(PLAIN_QUEUE)]
         awake = [e for e in room if not self._health.rests(now, e.id)]
--- a/greengageflow/core/hello_ring.py
+++ b/greengageflow/core/hello_ring.py
@@ -11,8 +11,8 @@
 class HelloRing:
     """Goes round all known addresses, so that each one's turn comes.
 
-    Drawn by lot each time, a router of 360 went unheard for over 24 s by 7 % of the
-    others at any time, and they took it for dead.
+    Drawn by lot each time, some would go unheard for so long that others take them
+    for dead.
 
     Args:
         random: Draws where in the ring a new address comes.
--- a/greengageflow/core/prompt_places.py
+++ b/greengageflow/core/prompt_places.py
@@ -60,8 +60,7 @@
 
     Args:
         fresh_s: Seconds for which an endpoint is taken to keep a part, unless it is
-            known to have let go of it. With 10 s, 36 of 100 tokens that were read
-            again were kept elsewhere.
+            known to have let go of it.
     """
 
     def __init__(self, fresh_s: float = 40.0) -> None:
--- a/greengageflow/daemon/control.py
+++ b/greengageflow/daemon/control.py
@@ -60,8 +60,7 @@
 OWNER_TICK_S = 0.05
 ACTION_TICK_S = 0.1
 SETTLE_S = 2.0
-"""Time in which a change of members reaches all routers; 1.6 s was seen for one that
-leaves a fleet of 360, simulated (``docs/design/membership.md``)."""
+"""Time in which a change of members reaches all routers."""
 
 
 class RequestSide(Protocol):
--- a/greengageflow/daemon/kept_parts.py
+++ b/greengageflow/daemon/kept_parts.py
@@ -18,7 +18,7 @@
 AGAIN_S = 0.5
 MOST_TRIES = 3
 LARGEST = 1_048_576
-"""Bytes of an answer, worked out: 64 of a part, and 59 to 248 parts were seen."""
+"""Bytes of an answer."""
 
 
 class PartsAsker(Protocol):
