A placer counts requests of other hosts neither as waiting nor as running of its own

A request that waits at its placer counted as running at its own host.

Change: what waits is what callers of this host wait for, here or at a placer; log lines, the metrics running and waiting and the watch take it from there.

Test: test_a_request_waits_at_the_host_of_its_caller; Placement had no such count before. It asserts the queue's own count beside it.

--- a/greengageflow/core/place_desk.py
+++ b/greengageflow/core/place_desk.py
@@ -51,6 +51,11 @@
         """Return the requests of other hosts that wait or run."""
         return len(self._placed)
 
+    @property
+    def waiting(self) -> int:
+        """Requests of other hosts that wait here."""
+        return sum(one.endpoint is None for one in self._placed.values())
+
     def ask(self, now: float, ask: PlaceAsk) -> Iterator[Decision]:
         """Queue a request, and yield what can be decided."""
         key = _key(ask.host, ask.boot, ask.request)
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -185,13 +185,13 @@
             self._log,
             self._callers,
             running=lambda: self._in_flight,
-            waiting=lambda: self._book.waiting,
+            waiting=lambda: self._placement.waiting,
             period_s=TICK_S,
         )
         pages = GatewayPages(
             self._page,
             unready=self._unready,
-            waiting=lambda: self._book.waiting,
+            waiting=lambda: self._placement.waiting,
             running=lambda: self._in_flight,
             callers=self._callers,
             late=lambda: self._watch.worst_s,
@@ -219,7 +219,7 @@
 
     @property
     def _in_flight(self) -> int:
-        return self._forwarder.flights - self._book.waiting
+        return self._forwarder.flights - self._placement.waiting
 
     def _unready(self) -> RouterError | None:
         if self._callers.full:
@@ -346,7 +346,7 @@
         self._log.write(
             DecisionEvent.STOPPING,
             running=self._in_flight,
-            waiting=self._book.waiting,
+            waiting=self._placement.waiting,
         )
         self._forwarder.stopping = self._exchange.stopping = True
         self._placement.stopping = True
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -130,6 +130,11 @@
 
     # Requests of this host.
 
+    @property
+    def waiting(self) -> int:
+        """Requests of this host that wait, here or at a placer."""
+        return self._book.waiting - self._desk.waiting + len(self._asked)
+
     def placer(self, request: str) -> str:
         """Return the host that placed a request, or empty when this one did."""
         run = self._runs.get(request)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -283,6 +283,21 @@
     assert waits not in host.started
 
 
+def test_a_request_waits_at_the_host_of_its_caller():
+    """A placer's log line said that less than none of its requests were running."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    for _ in range(SLOTS + 2):
+        host.ask()
+    fleet.run(0.05)
+    placer = fleet.hosts[fleet.placer]
+    assert host.placement.waiting == placer.book.waiting >= 2
+    assert placer.placement.waiting == 0
+    placer.ask()
+    fleet.run(0.05)
+    assert placer.placement.waiting == 1
+
+
 def test_a_roll_may_end_what_its_own_decisions_refuse():
     """A host was cut off and has nothing any more. To end its first request lets the
     queue be looked through, which refuses its second, long overdue; that was still on
