--- a/greengageflow/core/router_table.py
+++ b/greengageflow/core/router_table.py
@@ -84,6 +84,8 @@
         self._rows[hello.host] = (hello, now)
         if self._living is not None:
             known = self._living.rows.get(hello.host)
+            if known is hello:
+                return
             if known is None or _place(known) != _place(hello):
                 self._living = None
 
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -23,6 +23,7 @@
 )
 from greengageflow.core.relay_sums import RelaySums, word_of
 from greengageflow.core.router_table import RELAYS_A_ZONE, Hello, RouterTable
+from greengageflow.core.same_hellos import SameHellos
 from greengageflow.core.service_book import FADE_S
 from greengageflow.core.store_duty import READING_ZONES, StoreRole, StoreWord
 from greengageflow.core.store_news import StoreNews
@@ -95,6 +96,7 @@
         self._random = Random(own.host)
         self._ring = HelloRing(self._random)
         self._greetings = Greetings()
+        self._same_hellos = SameHellos()
 
     def start(self) -> None:
         """Begin to tell."""
@@ -197,11 +199,14 @@
 
     def receive(self, data: bytes) -> None:
         """Take a datagram."""
+        now = self._now
+        if (hello := self._same_hellos.get(data)) is not None:
+            self._on_hello(now, hello)
+            return
         try:
             message = decode(data)
         except ReportError:
             return
-        now = self._now
         self._words = (float("-inf"), [])
         match message:
             case PeerReport() if self._book.put(now, message):
@@ -215,6 +220,8 @@
                 self._wanted |= self._relayed.want_whole(now, message.whole)
                 return
             case Hello():
+                if not message.peers:
+                    self._same_hellos.put(data, message)
                 self._on_hello(now, message)
                 return
             case StoreNews():
@@ -256,7 +263,8 @@
 
     def _turn(self) -> None:
         self._turns += 1
-        self._say_hello(self._greetings.next(self._now, GREETINGS_A_TURN))
+        greeted = self._greetings.next(self._now, GREETINGS_A_TURN)
+        self._say_hello(greeted, self._told_peers() if greeted else ())
         if self._news:
             self._news = False
             self._tell()
@@ -352,9 +360,9 @@
             to.add(seeds[self._number % len(seeds)])
         return to
 
-    def _say_hello(self, to: Iterable[Address]) -> None:
+    def _say_hello(self, to: Iterable[Address], peers: tuple[Address, ...]) -> None:
         if to:
-            own = replace(self._own, stopping=self.stopping, peers=self._told_peers())
+            own = replace(self._own, stopping=self.stopping, peers=peers)
             self._send(encode(own), to)
 
     def _round(self) -> None:
@@ -369,7 +377,9 @@
                 self._greetings.forget(address)
         self._tell()
         if self._is_large:
-            self._say_hello(self._turns_of_hello())
+            # Greetings and reports tell addresses; these stay the same for their
+            # receivers' sake.
+            self._say_hello(self._turns_of_hello(), ())
         self._listener.on_totals(self._others())
 
     # Sums.
