Hosts that begin together ask placers from the start, and hold back while alone

Ruled out: unknown members (the greetings made placers known in that second).

Change: a host that knows no other one holds engine requests back, for 0.3 s after its start at most, and looks each 0.05 s who lives while it begins. Where the placers began together (within 10 s by their clocks) and this host has just begun, there was no placer before, so it need not settle.

Test: three tests of test_placement, of which the herd's two cases and the caller that leaves failed with both mechanisms off (18 requests at an engine of 4 slots). One placement rule is relaxed only for a whole fleet's begin; SETTLE_S stays otherwise.

--- a/greengageflow/core/placers.py
+++ b/greengageflow/core/placers.py
@@ -14,6 +14,8 @@
 from greengageflow.core.router_table import Address, Hello
 
 HOSTS_A_PLACER = 20
+TOGETHER_MS = 10_000
+"""Milliseconds between starts that count as one, by clocks that differ."""
 
 
 @lru_cache(maxsize=4096)
@@ -54,6 +56,7 @@
 
     def __init__(self, host: str, mute_s: float) -> None:
         self.placers: tuple[str, ...] = ()
+        self.began_together = True
         self._host = host
         self._mute_s = mute_s
         self._addresses: dict[str, Address] = {}
@@ -69,6 +72,10 @@
             for host in known.keys() - self._addresses.keys():
                 del known[host]
         placers = placers_among(known_rows)
+        boots = [row.boot for row in known_rows if row.host in placers]
+        self.began_together = (
+            max(boots, default=0) <= min(boots, default=0) + TOGETHER_MS
+        )
         changed = placers != self.placers
         if changed:
             self.placers = placers
@@ -94,6 +101,11 @@
         """Return where a live host takes messages, or None."""
         return self._addresses.get(host)
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether no other host is known."""
+        return not self._addresses.keys() - {self._host}
+
     def answers(self, now: float, host: str) -> bool:
         """Whether another host lives and may be asked."""
         known = host != self._host and host in self._addresses
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -34,6 +34,13 @@
 ROLL_S = 0.5
 ROLLS_ON_S = 2.0
 SETTLE_S = 1.0
+ALONE_S = 0.3
+"""Seconds from its start for which a host that knows no other holds requests back.
+
+When all begin at once, each would send the engines what the whole fleet may.
+"""
+BEGIN_S = 3.0
+LOOK_S = 0.05
 STEADY_S = 0.3
 """Seconds as placer after which engines are asked what they keep.
 
@@ -118,10 +125,23 @@
         self._owned: frozenset[str] | None = None
         self._roll_until: dict[str, float] = {}
         self._placer_since = float("inf")
+        self._begun_at = float("-inf")
 
     def start(self) -> None:
         """Begin to tell placers what runs."""
+        self._begun_at = self._timers.now
         self._timers.every(ROLL_S, self._roll)
+        self._look()
+
+    @property
+    def _begins(self) -> bool:
+        return self._timers.now - self._begun_at < BEGIN_S
+
+    def _look(self) -> None:
+        # A round is a long time for requests that are held back.
+        if self._begins:
+            self.on_round()
+            self._timers.after(LOOK_S, self._look)
 
     @property
     def placed(self) -> int:
@@ -144,11 +164,23 @@
         self, now: float, service: str, job: Job, account: str
     ) -> Iterator[Decision]:
         """Ask for a place for a request, and yield what can be decided here."""
+        self._book.count(now, service)
+        if job.prompt is not None and self._holds_back(now):
+            held = _Asked("", service, job, account, now, queued=True)
+            self._asked[job.waiter.id] = held
+            return
+        yield from self._place(now, service, job, account)
+
+    def _holds_back(self, now: float) -> bool:
+        return self._table.is_alone and now - self._begun_at < ALONE_S
+
+    def _place(
+        self, now: float, service: str, job: Job, account: str
+    ) -> Iterator[Decision]:
         placer = self._placer_for(now, service, job.prompt)
         if not placer:
-            yield from self._book.submit(now, service, job, account)
+            yield from self._book.submit(now, service, job, account, counted=False)
             return
-        self._book.count(now, service)
         request = job.waiter.id
         self._asked[request] = _Asked(placer, service, job, account, now)
         self._roll_until[placer] = now + ROLLS_ON_S
@@ -292,7 +324,9 @@
             self._answer(ask, Verdict.QUEUED)
 
     def _places(self, now: float) -> bool:
-        settled = now - self._placer_since >= SETTLE_S
+        # Where all began together there was no placer before, and nothing runs.
+        fresh = self._begins and self._table.began_together
+        settled = fresh or now - self._placer_since >= SETTLE_S
         return self._host in self._table.placers and settled and not self.stopping
 
     def _answer(self, ask: PlaceAsk, verdict: Verdict) -> None:
@@ -367,14 +401,25 @@
             self._placer_since = now
         if changed:
             placers = self._table.placers
-            self._decide_here(lambda asked: asked.placer not in placers)
+            self._decide_here(lambda asked: asked.placer not in ("", *placers))
             self._roll()
         self._own()
+        self._release(now)
         if now - self._placer_since >= STEADY_S:
             listed = map(self._endpoints.get, self._owned or ())
             self._parts.ask(e for e in listed if self._book.is_engine(e))
         self._carry_out(self._desk.drop_silent(now))
 
+    def _release(self, now: float) -> None:
+        """Place the requests that were held back, once others are known."""
+        if self._holds_back(now):
+            return
+        for request, asked in list(self._asked.items()):
+            if not asked.placer and self._asked.pop(request, None) is not None:
+                self._carry_out(
+                    self._place(now, asked.service, asked.job, asked.account)
+                )
+
     def _own(self) -> None:
         owned = self._table.owned(self._endpoints.ids())
         if owned != self._owned:
@@ -395,7 +440,8 @@
             host: [] for host, until in self._roll_until.items() if now < until
         }
         for request, asked in self._asked.items():
-            rolls.setdefault(asked.placer, []).append(PlacedRun(request))
+            if asked.placer:
+                rolls.setdefault(asked.placer, []).append(PlacedRun(request))
         for request, run in self._runs.items():
             if run.live:
                 placed = PlacedRun(request, run.endpoint.id, run.reading, run.memory)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -29,7 +29,14 @@
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.service_scheduler import Job, RefuseJob, StartJob
 from greengageflow.core.work_queue import Waiter
-from greengageflow.daemon.placement import ANSWER_S, MUTE_S, SETTLE_S, Placement
+from greengageflow.daemon.placement import (
+    ALONE_S,
+    ANSWER_S,
+    LOOK_S,
+    MUTE_S,
+    SETTLE_S,
+    Placement,
+)
 from greengageflow.net.report_codec import ReportError, decode, encode
 
 SLOTS = 4
@@ -43,6 +50,7 @@
     def __init__(self, hosts=3):
         self.now, self.deaf, self.dead = 0.0, set(), set()
         self.drops = lambda message: False
+        self.known_at = 0.0
         self._heap, self._order = [], count()
         self.hosts = {f"h{i}": HostStub(self, f"h{i}", i) for i in range(hosts)}
         rows = [host.hello for host in self.hosts.values()]
@@ -124,6 +132,8 @@
 
     def routers(self):
         hosts = getattr(self.fleet, "hosts", {})
+        if self.now < self.fleet.known_at:
+            hosts = {self.name: self}
         return [h.hello for n, h in hosts.items() if n not in self.fleet.dead]
 
     def send_to(self, to, message):
@@ -283,6 +293,43 @@
     assert waits not in host.started
 
 
+@pytest.mark.parametrize("known_after_s", [0.0, 0.2])
+def test_hosts_that_all_begin_at_once_send_an_engine_what_one_may(known_after_s):
+    """After the loss of all hosts callers come at once. Hosts that each decided for
+    themselves until they knew a placer that had settled sent it several times that."""
+    fleet = Fleet(6)
+    fleet.known_at = fleet.now + known_after_s
+    for host in list(fleet.hosts.values()):
+        fleet.restart(host)
+    known = fleet.hosts
+    names = [(host, host.ask()) for host in known.values() for _ in range(3)]
+    fleet.run(known_after_s + 0.1)
+    started = [(host, name) for host, name in names if name in host.started]
+    assert 0 < len(started) <= SLOTS
+    assert not any(host.refused for host in known.values())
+    for host, name in started:
+        host.end(name)
+    fleet.run(0.1)
+    assert sum(len(host.started) for host in known.values()) > len(started)
+
+
+def test_a_host_that_begins_alone_serves_its_callers_soon():
+    fleet = Fleet(1)
+    (host,) = fleet.hosts.values()
+    host = fleet.restart(host)
+    name = host.ask()
+    fleet.run(ALONE_S + 2 * LOOK_S)
+    assert name in host.started
+
+
+def test_a_caller_that_leaves_while_its_request_is_held_back_is_forgotten():
+    fleet = Fleet(1)
+    host = fleet.restart(next(iter(fleet.hosts.values())))
+    host.end(host.ask())
+    fleet.run(1.0)
+    assert not host.started
+
+
 def test_a_request_waits_at_the_host_of_its_caller():
     """A placer's log line said that less than none of its requests were running."""
     fleet = Fleet()
