Relays that are lost together are replaced after 1.5 s

Cause: when both relays of a zone are lost, its members go on telling them until they count as dead like any router, 1.5 s and 0.0625 s for each host later (7.75 s at 100, 13.7 s at 195), and take themselves for the only routers meanwhile. Known since the relays came ('the zone goes without for a while').

Change: a member gives up the relays of its zone, and a relay those of another zone, when none of them was heard for 1.5 s; their sums come each 0.1 to 0.4 s.

Test: test_relays_that_die_together_are_replaced_before_they_count_as_dead (100 routers, all sums right 3 s later); failed before.

A relay that is slower than 1.5 s is given up, too, and is one again with its next hello; meanwhile two tell sums, of which the newer counts.

--- a/greengageflow/core/relay_sums.py
+++ b/greengageflow/core/relay_sums.py
@@ -22,6 +22,8 @@
 from greengageflow.core.zone_loads import ZoneLoads
 
 STEP_IN_S = 0.5
+SILENT_S = 1.5
+"""Seconds after which relays of which nothing was heard are given up."""
 SAME_S = 0.02
 
 
@@ -110,6 +112,19 @@
         whole = self.sums.whole(now)
         return whole is None or now - whole[1] > STEP_IN_S
 
+    def drop_silent(self, now: float, quiet_s: float) -> None:
+        """Let the next routers of a zone relay whose relays fell silent together.
+
+        A member hears the relays of its own zone all the time, a relay those of other
+        zones. Until a router counts as dead like any other, which in a fleet of
+        hundreds takes long, a zone would go without sums.
+        """
+        relays = self._table.relays(now, quiet_s)
+        own = self._own.zone
+        is_relay = self._own.host in (row.host for row in relays.get(own, ()))
+        for zone in relays.keys() - {own} if is_relay else {own}:
+            self._table.drop_silent(now, relays.get(zone, ()), SILENT_S)
+
     def want_whole(self, now: float, whole: bool) -> bool:
         """Return whether sums are due at once, since a router missed some."""
         return self._tellers[whole].want_whole(now)
--- a/greengageflow/core/router_table.py
+++ b/greengageflow/core/router_table.py
@@ -1,5 +1,6 @@
 """The routers that this one knows of, and the relays among them."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from math import inf
 
@@ -89,6 +90,17 @@
             if known is None or _place(known) != _place(hello):
                 self._living = None
 
+    def drop_silent(self, now: float, rows: Iterable[Hello], silent_s: float) -> None:
+        """Forget routers none of which was heard for a while.
+
+        Whoever lives all the same is known again by its next hello.
+        """
+        known = [row.host for row in rows if row.host in self._rows]
+        if all(now - self._rows[host][1] > silent_s for host in known):
+            for host in known:
+                del self._rows[host]
+                self._living = None
+
     def addresses(self, host: str) -> list[Address]:
         """Return the address of a router, if it was heard."""
         known = self._rows.get(host)
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -273,6 +273,7 @@
             self._notice(self._everybody())
         elif self._turns % relay_turns(len(self._addresses)) == 0:
             self._wanted = False
+            self._relayed.drop_silent(self._now, self._quiet_s)
             self._relay()
             self._on_changed()
             # The second relay needs notices only while it stands in for the first.
--- a/tests/test_fleet_exchange.py
+++ b/tests/test_fleet_exchange.py
@@ -219,6 +219,20 @@
     assert dead == 2 or min(fewest) >= 58
 
 
+def test_relays_that_die_together_are_replaced_before_they_count_as_dead(monkeypatch):
+    """A zone's members would else take themselves for the only routers for long: a
+    router counts as dead when its hello has not come round, in seconds that grow with
+    the fleet."""
+    network, routers = fleet(monkeypatch, 100, 4)
+    network.run(10)
+    for index in (0, 4):
+        routers[index].stop()
+    left = [router for router in routers if router.address in network.routers]
+    network.run(3.0)
+    assert not list(wrong(left))
+    assert all(router.exchange.hosts >= 97 for router in left)
+
+
 @pytest.mark.parametrize("size", [30, 60])
 def test_traffic_of_a_router_is_bounded(monkeypatch, size):
     """All bounds are per second. A member's are the same for any fleet; a relay's
