--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -1,8 +1,6 @@
 """Where requests are decided: at this host, or by the placer of their engine."""
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
-from typing import Protocol
 
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
@@ -23,6 +21,7 @@
 from greengageflow.core.router_table import Hello
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
+from greengageflow.daemon.asked_places import Asked, PlaceSender, Run
 from greengageflow.daemon.kept_parts import PartsAsker
 from greengageflow.errors import ErrorKind
 from greengageflow.net.decision_events import DecisionEvent
@@ -50,35 +49,6 @@
 LATE_WORD_S = 0.1
 
 
-class PlaceSender(Protocol):
-    """Carries messages to other hosts."""
-
-    def routers(self) -> list[Hello]:
-        """Return the live hosts that are not stopping, this one with them."""
-
-    def send_to(self, to: tuple[str, int], message: PlaceMessage) -> None:
-        """Send a message, at best effort."""
-
-
-@dataclass(slots=True)
-class _Asked:
-    placer: str
-    service: str
-    job: Job
-    account: str
-    at: float
-    queued: bool = False
-
-
-@dataclass(slots=True)
-class _Run:
-    placer: str
-    endpoint: ListedEndpoint
-    reading: float
-    memory: float
-    live: bool = True
-
-
 class Placement:
     """Hands requests to the placer of their engine, and places those of others.
 
@@ -119,8 +89,8 @@
         self._log = log
         self._parts = parts
         self._desk = PlaceDesk(own.host, book)
-        self._asked: dict[str, _Asked] = {}
-        self._runs: dict[str, _Run] = {}
+        self._asked: dict[str, Asked] = {}
+        self._runs: dict[str, Run] = {}
         self._table = PlacerTable(own.host, MUTE_S)
         self._owned: frozenset[str] | None = None
         self._roll_until: dict[str, float] = {}
@@ -166,7 +136,7 @@
         """Ask for a place for a request, and yield what can be decided here."""
         self._book.count(now, service)
         if job.prompt is not None and self._holds_back(now):
-            held = _Asked("", service, job, account, now, queued=True)
+            held = Asked("", service, job, account, now, queued=True)
             self._asked[job.waiter.id] = held
             return
         yield from self._place(now, service, job, account)
@@ -182,7 +152,7 @@
             yield from self._book.submit(now, service, job, account, counted=False)
             return
         request = job.waiter.id
-        self._asked[request] = _Asked(placer, service, job, account, now)
+        self._asked[request] = Asked(placer, service, job, account, now)
         self._roll_until[placer] = now + ROLLS_ON_S
         avoid = self._book.resting(now, service)
         ask = ask_for(
@@ -225,7 +195,7 @@
                 DecisionEvent.PLACER_HEARD, placer=placer, after_ms=after_ms
             )
 
-    def _decide_here(self, which: Callable[[_Asked], bool]) -> None:
+    def _decide_here(self, which: Callable[[Asked], bool]) -> None:
         """Decide here what was asked and has no answer."""
         now = self._timers.now
         for request, asked in list(self._asked.items()):
@@ -284,7 +254,7 @@
             self._note(request, run, Happened.ENDED)
         yield from self._book.ended(now, service, request)
 
-    def _note(self, request: str, run: _Run, happened: Happened) -> None:
+    def _note(self, request: str, run: Run, happened: Happened) -> None:
         # An endpoint may have got another placer since, which has it from a roll.
         for host in {run.placer, self._table.owner(run.endpoint.id)}:
             self._tell(host, request, happened)
@@ -373,7 +343,7 @@
             case Verdict.START:
                 self._on_start(asked, answer)
 
-    def _on_start(self, asked: _Asked, answer: PlaceAnswer) -> None:
+    def _on_start(self, asked: Asked, answer: PlaceAnswer) -> None:
         endpoint = self._endpoints.get(answer.endpoint)
         if endpoint is None or not self._endpoints.may_use(endpoint.id):
             self._tell(asked.placer, answer.request, Happened.ENDED)
@@ -382,9 +352,7 @@
         del self._asked[answer.request]
         prompt = asked.job.prompt
         memory = prompt.tokens_in + prompt.tokens_out
-        self._runs[answer.request] = _Run(
-            asked.placer, endpoint, answer.reading, memory
-        )
+        self._runs[answer.request] = Run(asked.placer, endpoint, answer.reading, memory)
         source = self._endpoints.get(answer.fetch_from)
         choice = Choice(endpoint, answer.reading, answer.wait_s, source)
         self._carry_out([StartJob(asked.job.waiter, choice)])
