A request that was sent on a kept connection is never called unsent

By its decision lines and the stand-in's log: r1 sent it to app-2 on a kept connection, which broke unheard (the link flapped); the pool went on by a new connection, which could not be made (errno 104), and reported that failure alone, as not sent. The next endpoint could not be reached either, and the caller was told that the request had not run.

Change: an exchange remembers that bytes of it left on an earlier connection, and each of its failures says so.

Test: test_what_was_sent_on_a_kept_connection_is_not_called_unsent; failed before.

--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -37,6 +37,7 @@
         self.conn: Connection | None = None
         self.paused = False
         self.live = True
+        self.sent_before = False
         self.moved_at = monotonic()
         self._on_paused = on_paused
         self._on_cancel = on_cancel
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -130,7 +130,7 @@
         try:
             conn = Connection(exchange.request.address, self._source_ip)
         except OSError as exc:
-            failure = Failure(FailureKind.CONNECT, False, str(exc))
+            failure = Failure(FailureKind.CONNECT, exchange.sent_before, str(exc))
             self._timers.after(0, lambda: self._report(exchange, failure))
             return
         self._find_poller().addReader(self, conn.sock)
@@ -196,7 +196,7 @@
 
     def _fail(self, exchange: Exchange, kind: FailureKind, message: str) -> None:
         conn = exchange.conn
-        sent = conn is not None and conn.sent_any
+        sent = exchange.sent_before or (conn is not None and conn.sent_any)
         self._drop(exchange)
         self._report(exchange, Failure(kind, sent, message))
 
@@ -206,7 +206,10 @@
             self._fail(exchange, FailureKind.CONNECT, message)
         elif conn.reused and not conn.heard_any and exchange.request.retry_stale:
             # The other side closes idle connections as it likes; its close and
-            # our request cross. Only a reused connection does so, hence once.
+            # our request cross. Only a reused connection does so, hence once. Or it
+            # has read the request and is lost: whoever gives up then may not say that
+            # nothing was sent.
+            exchange.sent_before = exchange.sent_before or conn.sent_any
             self._drop(exchange)
             self._connect(exchange)
         else:
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -159,6 +159,27 @@
     assert len(peer.requests) == (3 if retry_stale else 2)
 
 
+def test_what_was_sent_on_a_kept_connection_is_not_called_unsent(loop):
+    """The caller of the pool must not say that the request has not run.
+
+    The peer reads the second request on the connection that was kept, and is lost. A
+    new connection cannot be made, and nothing was sent on that one.
+    """
+
+    def script(conn, _number):
+        conn.request()
+        conn.answer(b"0")
+        conn.request()
+        peer.sock.shutdown(socket.SHUT_RDWR)
+        peer.close()
+
+    peer = FakePeer(script)
+    assert fetch(loop, peer.port).body == b"0"
+    failure = fetch(loop, peer.port)
+    assert len(peer.requests) == 2
+    assert (failure.kind, failure.sent) == (FailureKind.CONNECT, True)
+
+
 def test_an_early_answer_survives_a_broken_body(loop, monkeypatch):
     """The caller of the pool sees the 413 and not a broken connection.
 
