--- /dev/null
+++ b/greengageflow/lab/_capacity_sweep.py
@@ -0,0 +1,117 @@
+"""The part of docs/CAPACITY.md that comes from a sweep of the users' bench."""
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from math import exp, log
+
+from greengageflow.lab._processes import ROOT
+from greengageflow.lab.slopes_fit import fit_line
+
+SAVED = ROOT / "docs" / "sweep-large.txt"
+NODES = 360
+BUDGETS = {"processor %": 2.0, "memory MB": 32.0, "kB a second": 30.0}
+
+HEAD = """# Capacity
+
+Made by `greengage-bench capacity` from [sweep-large.txt](sweep-large.txt),
+[gateway-slopes.json](gateway-slopes.json) and [slopes.json](slopes.json); do not edit
+it, change `greengageflow/lab/capacity.py` and the modules `_capacity_*.py` beside it.
+
+## One host, by sweep
+
+`fleetbench sweep` of the large deployment at {sizes} hosts, ten endpoints a host, with
+faults and a restart of all. A cell holds the middle host and the busiest one.
+Requests and faults are in the figures as well as control: the budget of the
+design size is for control alone, so that what fits here fits, and what does not may.
+The last columns carry the line through the logarithms on to {nodes} hosts.
+Run: {origin}.
+
+| a host | {columns} | at {nodes}, carried on | budget | fits |
+| --- | {rules} | --- | --- | --- |"""
+
+
+@dataclass(frozen=True, slots=True)
+class SweepRow:
+    """One measure of a sweep.
+
+    Args:
+        name: What was measured.
+        cells: The middle host's and the busiest one's, by size.
+    """
+
+    name: str
+    cells: tuple[tuple[float, float], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Sweep:
+    """What a sweep printed.
+
+    Args:
+        origin: The first line: of what code, when.
+        sizes: Numbers of hosts.
+        rows: The measures.
+    """
+
+    origin: str
+    sizes: tuple[int, ...]
+    rows: tuple[SweepRow, ...]
+
+
+def read_sweep(text: str) -> Sweep:
+    """Return the table in a sweep's output.
+
+    Raises:
+        ValueError: There is no such table.
+    """
+    lines = text.splitlines()
+    heads = [at for at, line in enumerate(lines) if line.lstrip().startswith("30 ")]
+    if not heads:
+        raise ValueError("no table of sizes")
+    sizes = tuple(int(size) for size in re.findall(r"\d+", lines[heads[0]])[:-1])
+    rows = []
+    for line in lines[heads[0] + 1 :]:
+        cells = re.findall(r"(\d+(?:\.\d+)?) / (\d+(?:\.\d+)?)", line)
+        if len(cells) == len(sizes):
+            name = re.split(r"\s{2,}", line.strip())[0].removeprefix("router: ")
+            rows.append(SweepRow(name, tuple((float(a), float(b)) for a, b in cells)))
+    return Sweep(lines[0], sizes, tuple(rows))
+
+
+def carried_on(sizes: tuple[int, ...], values: tuple[float, ...], to: int) -> float:
+    """Return what values that grow as a power of the size would be at another size."""
+    if min(values) <= 0:
+        return values[-1]
+    points = [(log(x), log(y)) for x, y in zip(sizes, values, strict=True)]
+    return exp(fit_line(points).at(log(to)))
+
+
+def sweep_part() -> Iterator[str]:
+    """Yield the lines of the part."""
+    sweep = read_sweep(SAVED.read_text())
+    yield HEAD.format(
+        sizes=", ".join(map(str, sweep.sizes)),
+        origin=sweep.origin,
+        nodes=NODES,
+        columns=" | ".join(map(str, sweep.sizes)),
+        rules=" | ".join("---" for _ in sweep.sizes),
+    )
+    for row in sweep.rows:
+        yield _line(sweep.sizes, row)
+    yield ""
+
+
+def _line(sizes: tuple[int, ...], row: SweepRow) -> str:
+    ends = [carried_on(sizes, values, NODES) for values in zip(*row.cells, strict=True)]
+    cells = [f"{middle:g}, {most:g}" for middle, most in row.cells]
+    budget = BUDGETS.get(row.name)
+    fits = ["", ""] if budget is None else [f"{budget:g}", _verdict(budget, *ends)]
+    columns = [row.name, *cells, f"{ends[0]:.3g}, {ends[1]:.3g}", *fits]
+    return f"| {' | '.join(columns)} |"
+
+
+def _verdict(budget: float, middle: float, most: float) -> str:
+    if most <= budget:
+        return "yes"
+    return "the middle one" if middle <= budget else "**no**"
--- a/greengageflow/lab/capacity.py
+++ b/greengageflow/lab/capacity.py
@@ -16,6 +16,7 @@
     rows_at,
     total,
 )
+from greengageflow.lab._capacity_sweep import sweep_part
 from greengageflow.lab._capacity_text import (
     ASSUMPTIONS,
     HEAD,
@@ -37,6 +38,7 @@
 def page(document: Mapping[str, Any]) -> str:
     """Return the page's text for what was measured."""
     parts = [
+        *sweep_part(),
         *gateway_part(),
         HEAD.format(**_origin(document)),
         *_assumptions(Size()),
