--- a/greengageflow/lab/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -25,6 +25,7 @@
 )
 from greengageflow.lab._subnets import Subnet
 from greengageflow.lab.platform_client import PlatformAnswer, PlatformClient
+from greengageflow.lab.platform_replica import CRASHED
 from greengageflow.platform.names import (
     IDEMPOTENT,
     MODEL,
@@ -224,6 +225,12 @@
         self.replicas[name] = await_ready(self._launch(name, options))
         return self.replicas[name]
 
+    @property
+    def crashed(self) -> list[str]:
+        """Names of the replicas that ran a poison request."""
+        processes = self.replicas.items()
+        return [name for name, one in processes if one.popen.poll() == CRASHED]
+
     def start_routers(self) -> None:
         """Start the shape's routers; return once all are ready."""
         for _ in range(self.shape.routers):
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -1,6 +1,7 @@
 """Fake of one of the platform's replicas: a plain service, or a model engine."""
 
 import json
+import os
 from collections import deque
 from itertools import count
 from time import monotonic
@@ -41,6 +42,8 @@
 )
 
 LONG_BODY = 65_536
+CRASHED = 70
+"""Exit status of a replica that ran a poison request."""
 
 
 class PlatformReplica(HttpFake):
@@ -75,6 +78,8 @@
         health_path: Path of the health check.
         heartbeat_ms: Milliseconds between heartbeats.
         max_conns: Connections taken at once; more are reset.
+        poison: The process crashes as it begins to run a request whose body has this
+            text in it; empty: none does.
     """
 
     def __init__(
@@ -102,6 +107,7 @@
         health_path: str = "/health",
         heartbeat_ms: int = 3000,
         max_conns: int = 1000,
+        poison: str = "",
     ) -> None:
         super().__init__(host, port, control_port)
         self._name, self._service, self._zone = str(name), service, zone
@@ -111,6 +117,7 @@
         self._stride = stride
         self._model, self._weights = model, weights
         self._health_path, self._max_conns = health_path, max_conns
+        self._poison = poison.encode()
         self._batch = Batch(step_ms / 1000, growth, chunk, kv_capacity)
         pool = HttpPool(self.timers).register(self)
         self._generations = Generations(
@@ -222,6 +229,8 @@
     def _start_next(self) -> None:
         while self._waiting and len(self._busy) < self._slots:
             work = self._waiting.popleft()
+            if self._poison and self._poison in work.call.body:
+                os._exit(CRASHED)
             self._busy.append(work)
             work.run.begun, work.run.outcome = monotonic(), RUNNING
             if work.faults.hang:
--- /dev/null
+++ b/tests/test_poison_requests.py
@@ -0,0 +1,52 @@
+"""Requests that crash the replicas that run them, on real processes."""
+
+import pytest
+
+from greengageflow.lab.platform_client import Torn
+from greengageflow.lab.platform_lab import (
+    CHAT,
+    SAFE,
+    TALE,
+    UNSAFE,
+    PlatformLab,
+    PlatformShape,
+    generation,
+)
+from tests.support import wait_for
+
+POISON = "crash"
+BODY = b'{"text": "crash"}'
+OPTIONS = {"poison": POISON}
+REPLICAS = 7
+MOST_CRASHES = 6
+"""Three, and three more sendings."""
+
+
+def lab_of(path):
+    kind = "engines" if path in (CHAT, TALE) else "plain"
+    shape = {"plain": 1, "engines": 1, kind: REPLICAS}
+    return PlatformLab(
+        PlatformShape(routers=3, plain_options=OPTIONS, engine_options=OPTIONS, **shape)
+    )
+
+
+def ask(lab, path, router, body=BODY):
+    headers = generation(6, ("p", 50)) if path in (CHAT, TALE) else {}
+    try:
+        return lab.ask(path, router, body=body, headers=headers)
+    except Torn:
+        return None
+
+
+@pytest.mark.parametrize("path", [SAFE, UNSAFE, CHAT, TALE])
+def test_request_that_crashes_replicas_is_held_back_at_every_host(path):
+    """Each repeat at any host would take one more replica down."""
+    with lab_of(path) as lab:
+        for number in range(2 * REPLICAS):
+            ask(lab, path, f"r{number % 3}")
+        assert len(lab.crashed) <= MOST_CRASHES
+        refused = ask(lab, path, "r0")
+        assert refused.status == 503
+        assert not lab.runs(refused.id)
+        assert float(refused.headers["retry-after"]) > 1
+        assert ask(lab, path, "r0", b'{"text": "sound"}').status == 200
