Requests that crash the endpoints that run them are quarantined at all hosts

A caller's request took down each engine that ran it: the caller got 502, came again under a new id at any host, and with each engine all that ran there was cut. Failures were remembered by endpoint alone; nothing connected two sendings of one request. Class: state kept by the victim and not by the cause. Ruled out: retries of the router (the route may not be repeated, one sending each); engines that crash by themselves (one digest in flight at four crashes, all others at two at most and answered later). Change: a request has a fingerprint of account, method, host, target and body. A run that is cut before or within a second of its first event makes its request a suspect; if the endpoint then refuses connections, it crashed. Two crashes with no good answer in between quarantine the request for ten minutes: 503, not run, with Retry-After; queued copies are taken from endpoints. Hosts tell each other, at once and by gossip, so that one that starts knows within seconds. Lines GG719, GG761, GG762, two metrics, settings 'quarantine'. Open: what a fleet keeps when all hosts restart, the product's own interface.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -28,6 +28,11 @@
     leaving: bool = False
     born: int = 0
 
+    @property
+    def start(self) -> str:
+        """Names this start of the endpoint, among all that have its id."""
+        return f"{self.id} {self.born}" if self.born else self.id
+
     @property
     def address(self) -> tuple[str, int]:
         """IP number and port."""
--- a/greengageflow/core/forward_request.py
+++ b/greengageflow/core/forward_request.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from greengageflow.core.quarantine import Fingerprint, fingerprint_of
+
 Header = tuple[str, str]
 
 
@@ -82,3 +84,9 @@
     def path(self) -> str:
         """Path without the query."""
         return self.target.partition("?")[0]
+
+
+def request_fingerprint(req: ForwardRequest, account: str) -> Fingerprint:
+    """Return what stays the same when the caller sends a request again."""
+    head = f"{req.method} {req.host} {req.target}"
+    return fingerprint_of(account.encode(), head.encode(), req.body)
--- a/greengageflow/daemon/exchange_listener.py
+++ b/greengageflow/daemon/exchange_listener.py
@@ -7,6 +7,7 @@
 from greengageflow.core.fleet_sums import FleetTotals
 from greengageflow.core.peer_report import PeerReport
 from greengageflow.core.place_messages import PlaceMessage
+from greengageflow.core.quarantine import CrashReport
 from greengageflow.core.store_news import StoreNews
 
 Placed = tuple[tuple[str, str], ...]
@@ -36,5 +37,8 @@
     def on_store_news(self, news: StoreNews) -> None:
         """Take what another router read in the platform's store."""
 
+    def on_crash_report(self, report: CrashReport) -> None:
+        """Take which requests crashed endpoints."""
+
     def on_place_message(self, message: PlaceMessage) -> None:
         """Take what another router asks or tells of a request's place."""
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -21,6 +21,7 @@
     PlaceNote,
     PlaceRoll,
 )
+from greengageflow.core.quarantine import CrashRecord, CrashReport
 from greengageflow.core.relay_sums import RelaySums, word_of
 from greengageflow.core.router_table import RELAYS_A_ZONE, Hello, RouterTable
 from greengageflow.core.same_hellos import SameHellos
@@ -135,6 +136,18 @@
         """Send one router a message, at best effort."""
         self._link.send(to, encode(message))
 
+    def send_crashes(self, records: tuple[CrashRecord, ...], most: int | None) -> None:
+        """Send which requests crashed endpoints.
+
+        Args:
+            records: What is known.
+            most: Routers that get it, drawn at random; None for all.
+        """
+        to = self._everybody()
+        if most is not None:
+            to = set(self._random.sample(sorted(to), min(most, len(to))))
+        self._send(encode(CrashReport(records)), to)
+
     def pass_on(self, news: StoreNews, is_own: bool) -> None:
         """Send others what was read in the platform's store.
 
@@ -227,6 +240,9 @@
             case StoreNews():
                 self._listener.on_store_news(message)
                 return
+            case CrashReport():
+                self._listener.on_crash_report(message)
+                return
             case PlaceAsk() | PlaceAnswer() | PlaceNote() | PlaceRoll():
                 self._listener.on_place_message(message)
                 return
--- a/greengageflow/daemon/forward_admission.py
+++ b/greengageflow/daemon/forward_admission.py
@@ -4,6 +4,7 @@
 from itertools import count
 from random import Random
 
+from greengageflow.core.forward_request import request_fingerprint
 from greengageflow.core.routes import Route, RouteTable, Routing
 from greengageflow.core.service_scheduler import QUEUE_PART, Job
 from greengageflow.core.trust import KeyTrust
@@ -82,6 +83,7 @@
             service=route.pick(self._random),
             arrived=now,
             deadline=now + max(0.0, wait_s - ANSWER_EARLY_S),
+            fingerprint=request_fingerprint(req, account),
             last_event=req.last_event,
         )
 
--- a/greengageflow/daemon/forward_flight.py
+++ b/greengageflow/daemon/forward_flight.py
@@ -4,6 +4,7 @@
 from enum import Enum, auto
 
 from greengageflow.core.forward_request import ForwardRequest
+from greengageflow.core.quarantine import Fingerprint
 from greengageflow.core.routes import Repeat, Route
 from greengageflow.net.endpoint_attempt import EndpointAttempt
 from greengageflow.net.reply import Reply
@@ -32,6 +33,10 @@
         service: Service that runs it.
         arrived: Time at which it came.
         deadline: Time by which it gets its final answer.
+        fingerprint: Tells it from other requests when it comes again.
+
+    Attributes:
+        run_began_at: Time of the first event of the endpoint that has it now, or None.
     """
 
     id: str
@@ -43,6 +48,7 @@
     service: str
     arrived: float
     deadline: float
+    fingerprint: Fingerprint
     phase: Phase = Phase.QUEUED
     attempt: EndpointAttempt | None = None
     runs: int = 0
@@ -53,6 +59,7 @@
     predicted_s: float = 0.0
     first_sent_at: float = 0.0
     first_event_at: float | None = None
+    run_began_at: float | None = None
     last_event: int | None = None
     moved_at: float = 0.0
     longest_pause_s: float = 0.0
--- a/greengageflow/daemon/forward_notes.py
+++ b/greengageflow/daemon/forward_notes.py
@@ -1,12 +1,13 @@
 """Writes down what is decided of forwarded requests: log lines and metrics."""
 
 from greengageflow.core.endpoint_choice import Choice
-from greengageflow.core.forward_request import ForwardRequest
+from greengageflow.core.forward_request import ForwardRequest, request_fingerprint
+from greengageflow.core.quarantine import short
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.daemon.forward_flight import ForwardFlight, Phase
 from greengageflow.errors import Ran, RouterError
 from greengageflow.net.decision_events import DecisionEvent
-from greengageflow.net.decision_log import DecisionLog, digest
+from greengageflow.net.decision_log import DecisionLog
 from greengageflow.net.metrics_page import MetricsPage, PageMetric
 
 
@@ -36,7 +37,7 @@
         self._log.write(
             DecisionEvent.REFUSED,
             request=req.id,
-            digest=_digest(req, ""),
+            digest=short(request_fingerprint(req, "")),
             why=exc.kind.value,
             text=exc.message,
             retry_after_ms=_ms(exc.retry_after_s or 0.0),
@@ -53,7 +54,7 @@
         self._log.write(
             DecisionEvent.SENT,
             request=flight.req.id,
-            digest=_digest(flight.req, flight.account),
+            digest=short(flight.fingerprint),
             account=flight.account,
             route=flight.route.name,
             endpoint=choice.endpoint.id,
@@ -138,7 +139,7 @@
         self._log.write(
             DecisionEvent.REFUSED,
             request=flight.req.id,
-            digest=_digest(flight.req, flight.account),
+            digest=short(flight.fingerprint),
             account=flight.account,
             route=flight.route.name,
             why=exc.kind.value,
@@ -198,7 +199,3 @@
                 why=why,
                 failures=self._book.failures(flight.attempt.endpoint),
             )
-
-
-def _digest(req: ForwardRequest, account: str) -> str:
-    return digest(account.encode(), req.target.encode(), req.body)
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -5,9 +5,11 @@
 
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.endpoint_list import EndpointList
+from greengageflow.core.quarantine import Fingerprint, Quarantine
 from greengageflow.core.routes import Repeat, Routing
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.service_scheduler import Decision, RefuseJob, StartJob
+from greengageflow.daemon.crash_watch import CrashWatch
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_flight import ForwardFlight, Phase
 from greengageflow.daemon.forward_notes import ForwardNotes
@@ -27,6 +29,9 @@
 CONNECT_S = 0.4
 REUSE_S = 1.0
 STALL_S = 1.5
+NEW_RUN_S = 1.0
+"""Seconds from its first event in which a run may be what crashes its endpoint."""
+CUTS = frozenset({FailureKind.CUT, FailureKind.CONNECT})
 RAN_NOT = frozenset({408, 421, 429, 503})
 """Statuses that promise the caller that its request has not run and never will."""
 
@@ -41,12 +46,15 @@
         book: Decides what is sent when and where.
         admission: Finds routes and accounts.
         notes: Logs and counts.
+        quarantine: Which requests are held back.
 
     Attributes:
         placement: Decides or has decided where requests go; set before the first.
+        crashes: Learns of requests that endpoints cut; set before the first.
     """
 
     placement: Placement
+    crashes: CrashWatch
 
     def __init__(
         self,
@@ -56,6 +64,7 @@
         book: ServiceBook,
         admission: ForwardAdmission,
         notes: ForwardNotes,
+        quarantine: Quarantine,
     ) -> None:
         self.stopping = False
         self.refusing = False
@@ -65,6 +74,7 @@
         self._book = book
         self._admission = admission
         self._notes = notes
+        self._quarantine = quarantine
         self._flights: dict[str, ForwardFlight] = {}
         self._by_call: dict[int, ForwardFlight] = {}
 
@@ -98,6 +108,10 @@
             self._notes.turned_away(call.request, exc)
             call.reply.error(exc)
             return
+        if (exc := self._held_back(flight)) is not None:
+            self._notes.refused(self._timers.now, flight, exc)
+            call.reply.error(exc)
+            return
         self._flights[flight.id] = flight
         self._by_call[flight.call_key] = flight
         left_s = flight.deadline - flight.arrived
@@ -107,6 +121,30 @@
             self.placement.submit(flight.arrived, flight.service, job, flight.account)
         )
 
+    def _held_back(self, flight: ForwardFlight) -> RouterError | None:
+        """Return why a request must not be sent to any endpoint, or None."""
+        left_s = self._quarantine.left_s(self._timers.now, flight.fingerprint)
+        if not left_s:
+            return None
+        text = "endpoints crashed while they ran this request"
+        return RouterError(ErrorKind.QUARANTINED, text, retry_after_s=left_s)
+
+    def on_held(self, held: frozenset[Fingerprint]) -> None:
+        """End requests that are held back from now on.
+
+        One that an endpoint has queued is taken from it before it begins.
+        """
+        for flight in list(self._flights.values()):
+            begun = flight.phase is Phase.STREAMING
+            if flight.fingerprint in held and not begun and self._is_open(flight):
+                if flight.attempt is not None:
+                    self._stop_attempt(flight)
+                    flight.may_have_run = True
+                self._answer_error(flight, self._held_back(flight))
+
+    def _is_open(self, flight: ForwardFlight) -> bool:
+        return self._flights.get(flight.id) is flight
+
     def on_gone(self, call: ForwardCall) -> None:
         """Give up what a caller that left had asked for."""
         flight = self._by_call.get(id(call))
@@ -127,7 +165,10 @@
                 continue
             match decision:
                 case StartJob(choice=choice):
-                    self._start(flight, choice)
+                    if (exc := self._held_back(flight)) is None:
+                        self._start(flight, choice)
+                    else:
+                        self._answer_error(flight, exc)
                 case RefuseJob(kind=kind, message=message, retry_after_s=wait_s):
                     exc = RouterError(kind, message, retry_after_s=wait_s)
                     self._answer_error(flight, exc)
@@ -144,6 +185,7 @@
         now = self._timers.now
         flight.sendings += 1
         flight.moved_at = now
+        flight.run_began_at = None
         self.placement.sent(now, flight.id, choice, flight.req.prompt)
         request = outgoing(
             flight.req,
@@ -172,6 +214,7 @@
         if attempt.events == len(frames):
             self.placement.first_event(now, flight.id, attempt.endpoint)
             flight.may_have_run = True
+            flight.run_began_at = now
         if flight.phase is not Phase.STREAMING:
             flight.phase = Phase.STREAMING
             flight.first_event_at = now
@@ -202,6 +245,8 @@
         good = note.good or 400 <= note.status < 500
         self.placement.answered(flight.id, endpoint, good)
         self.placement.left(flight.id, endpoint)
+        if note.good:
+            self.crashes.answered(flight.fingerprint)
         if not spoiled and note.status < 500:
             self._answer(flight, body)
         elif flight.repeatable and flight.runs_left and self._go_on(flight, "failed"):
@@ -232,6 +277,7 @@
         """Note that a stream ended in order."""
         head = flight.attempt.head
         self.placement.left(flight.id, flight.attempt.endpoint)
+        self.crashes.answered(flight.fingerprint)
         if flight.phase is not Phase.STREAMING:
             flight.reply.begin(head.status, headers_for_caller(head))
         else:
@@ -243,6 +289,8 @@
     def on_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         """Go on elsewhere after an answer that is not whole, or give up."""
         flight.avoid.add(flight.attempt.endpoint.id)
+        if failure.sent and failure.kind in CUTS and self._is_new_run(flight):
+            self.crashes.cut(flight.attempt.endpoint, flight.fingerprint)
         self._note_failure(flight, failure)
         text = f"{flight.attempt.endpoint.id}: {failure.message}"
         if not failure.sent or (flight.repeatable and flight.runs_left):
@@ -252,6 +300,10 @@
         else:
             self._answer_error(flight, RouterError(ErrorKind.ENDPOINT_CUT, text))
 
+    def _is_new_run(self, flight: ForwardFlight) -> bool:
+        began_at = flight.run_began_at
+        return began_at is None or self._timers.now - began_at < NEW_RUN_S
+
     def _note_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         endpoint = flight.attempt.endpoint
         rests = self.placement.silent(self._timers.now, flight.id, endpoint)
@@ -276,7 +328,7 @@
     def _next_choice(self, flight: ForwardFlight) -> Choice | None:
         now = self._timers.now
         late = now >= flight.deadline - LAST_MOMENT_S
-        if flight.sendings >= MOST_SENDINGS or late:
+        if flight.sendings >= MOST_SENDINGS or late or self._held_back(flight):
             return None
         avoid = flight.avoid | {flight.attempt.endpoint.id}
         return self._book.again(now, flight.service, flight.req.prompt, avoid)
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -12,6 +12,7 @@
 from greengageflow.core.fleet_sums import FleetTotals
 from greengageflow.core.peer_report import PeerReport
 from greengageflow.core.place_messages import PlaceMessage
+from greengageflow.core.quarantine import CrashReport, Quarantine
 from greengageflow.core.router_table import Hello
 from greengageflow.core.routes import Routing
 from greengageflow.core.send_budget import SendBudget
@@ -20,6 +21,7 @@
 from greengageflow.core.store_news import StoreNews
 from greengageflow.core.trust import KeyTrust
 from greengageflow.daemon.arrivals import Arrivals
+from greengageflow.daemon.crash_watch import CrashWatch
 from greengageflow.daemon.exchange_listener import Placed
 from greengageflow.daemon.fleet_exchange import FleetExchange
 from greengageflow.daemon.forward_admission import ForwardAdmission
@@ -36,12 +38,14 @@
 from greengageflow.daemon.key_watch import KeyWatch
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.program import Program
+from greengageflow.daemon.quarantine_notes import QuarantineNotes
 from greengageflow.daemon.router_registry import RouterRegistry
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.errors import ErrorKind, RouterError
 from greengageflow.events import Event as LogEvent
 from greengageflow.events import log, setup_logging
 from greengageflow.net.callers import CallerServer
+from greengageflow.net.connect_check import ConnectCheck
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import FLUSH_INTERVAL_S, DecisionLog
 from greengageflow.net.gossip_link import GossipLink
@@ -91,6 +95,9 @@
         self._book = ServiceBook(self._endpoints, settings.zone, self._budget)
         self._notes = ForwardNotes(self._log, self._page, self._book)
         self._admission = ForwardAdmission(self._timers, self._trust, clock)
+        self._quarantine = Quarantine(
+            crashes=settings.quarantine.crashes, hold_s=settings.quarantine.hold_s
+        )
         self._forwarder = Forwarder(
             self._pool,
             self._timers,
@@ -98,6 +105,7 @@
             self._book,
             self._admission,
             self._notes,
+            self._quarantine,
         )
         self._add_fleet()
         self._add_servers()
@@ -132,6 +140,14 @@
             self._log,
             KeptParts(self._pool, self._timers, self._book, self._log),
         )
+        self._crashes = self._forwarder.crashes = CrashWatch(
+            self._quarantine,
+            self._timers,
+            ConnectCheck(self._timers).register(self),
+            self._exchange,
+            QuarantineNotes(self._log, self._page),
+            self._forwarder.on_held,
+        )
         self._store = StoreView(
             self._pool,
             self._timers,
@@ -202,6 +218,7 @@
             control_too_long=lambda: self._link.too_long,
             store_calls=lambda: self._store.calls + self._registry.calls,
             dropped=lambda: self._log.dropped,
+            quarantined=lambda: len(self._quarantine.held(self._timers.now)),
         )
         self._serve_pages(settings.ready, pages, "ready")
         if settings.metrics is not None:
@@ -282,6 +299,10 @@
         """Take what another router read in the store."""
         self._store.take_news(news)
 
+    def on_crash_report(self, report: CrashReport) -> None:
+        """Take which requests crashed endpoints."""
+        self._crashes.receive(report.records)
+
     def on_place_message(self, message: PlaceMessage) -> None:
         """Take what another router asks or tells of a request's place."""
         self._placement.receive(message)
@@ -324,6 +345,7 @@
         signal(SIGHUP, lambda *_args: self._timers.after(0, self._reload))
         self._exchange.start()
         self._placement.start()
+        self._crashes.start()
         self._registry.start()
         self._timers.every(TICK_S, self._on_tick)
         self._timers.every(FLUSH_INTERVAL_S, self._log.flush)
--- a/greengageflow/daemon/gateway_pages.py
+++ b/greengageflow/daemon/gateway_pages.py
@@ -25,6 +25,7 @@
         control_too_long: Returns messages that were left out because of their length.
         store_calls: Returns the calls of the store.
         dropped: Returns the log lines dropped by cause.
+        quarantined: Returns the requests that are held back for crashes.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         control_too_long: Callable[[], int],
         store_calls: Callable[[], int],
         dropped: Callable[[], Mapping[str, int]],
+        quarantined: Callable[[], int],
     ) -> None:
         self.unready = unready
         self._page = page
@@ -55,6 +57,7 @@
         page.read(PageMetric.LOOP_LATE, late)
         page.read(PageMetric.PEERS_LIVE, peers)
         page.read(PageMetric.CONFIG_VERSION, version)
+        page.read(PageMetric.QUARANTINED, quarantined)
         page.read(PageMetric.STORE_UNHEARD, unheard)
         page.read(PageMetric.STORE_CALLS, lambda: {"sent": store_calls()})
         page.read(
--- a/greengageflow/daemon/gateway_settings.py
+++ b/greengageflow/daemon/gateway_settings.py
@@ -17,6 +17,7 @@
     simple,
 )
 from greengageflow.core.file_budget import FileBudget
+from greengageflow.core.quarantine import CRASHES, HOLD_S, MOST_ENDPOINTS
 from greengageflow.core.value_checks import integer, ip_number, name, number
 from greengageflow.settings_file import Address, read_document
 
@@ -60,6 +61,19 @@
         return float("inf") if self.revoke_ms is None else self.revoke_ms / 1000
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineSettings:
+    """When requests that crash endpoints are held back.
+
+    Args:
+        crashes: Endpoints that must have crashed under a request.
+        hold_s: Time from the last crash for which it is held back, in seconds.
+    """
+
+    crashes: int = CRASHES
+    hold_s: float = HOLD_S
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Settings of one router.
@@ -75,6 +89,7 @@
         metrics: Where the metrics page is served, or None.
         seeds: Such addresses of hosts through which others are found.
         bounds: What the operators ask of the fleet.
+        quarantine: When requests that crash endpoints are held back.
         max_files: Descriptors that the process may have; None for its own limit.
     """
 
@@ -88,6 +103,7 @@
     metrics: Address | None = None
     seeds: tuple[Address, ...] = ()
     bounds: FleetBounds = field(default_factory=FleetBounds)
+    quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
     max_files: int | None = None
 
     @property
@@ -127,6 +143,12 @@
         budget_slack=_positive(defaults.budget_slack),
         budget_window_s=_positive(defaults.budget_window_s),
     )
+    held = QuarantineSettings()
+    quarantine = record(
+        QuarantineSettings,
+        crashes=optional(integer(1, MOST_ENDPOINTS), held.crashes),
+        hold_s=_positive(held.hold_s),
+    )
     return record(
         GatewaySettings,
         host=required(name()),
@@ -139,6 +161,7 @@
         metrics=optional(_address()),
         seeds=optional(sequence(_address()), ()),
         bounds=optional(bounds, defaults),
+        quarantine=optional(quarantine, held),
         max_files=optional(integer(64, 1_048_576)),
     )
 
--- a/greengageflow/errors.py
+++ b/greengageflow/errors.py
@@ -31,6 +31,7 @@
     NO_ENDPOINT = "no_endpoint"
     STOPPING = "stopping"
     HOST_BUSY = "host_busy"
+    QUARANTINED = "quarantined"
     NOT_CONFIGURED = "not_configured"
     LOG_UNAVAILABLE = "log_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -72,6 +73,7 @@
     ErrorKind.NO_ENDPOINT: Answer(503, retry_after_s=1),
     ErrorKind.STOPPING: Answer(503, retry_after_s=1),
     ErrorKind.HOST_BUSY: Answer(503, retry_after_s=1),
+    ErrorKind.QUARANTINED: Answer(503, retry_after_s=600),
     ErrorKind.NOT_CONFIGURED: Answer(503, retry_after_s=1),
     ErrorKind.LOG_UNAVAILABLE: Answer(503, retry_after_s=2),
     ErrorKind.OUTCOME_UNKNOWN: Answer(504, Ran.UNKNOWN, retry_after_s=2),
--- /dev/null
+++ b/greengageflow/net/connect_check.py
@@ -0,0 +1,95 @@
+"""Tells whether a process listens at an address, by a connection and no request."""
+
+from collections.abc import Callable
+from enum import Enum, auto
+from errno import ECONNREFUSED, EINPROGRESS
+from socket import AF_INET, SO_ERROR, SOCK_STREAM, SOL_SOCKET, socket
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller, EPoll
+from circuits.core.utils import findcmp
+
+from greengageflow.net.timers import Subscription, Timers
+
+TIMEOUT_S = 0.3
+
+Address = tuple[str, int]
+
+
+class Reach(Enum):
+    """What became of a connection."""
+
+    LISTENS = auto()
+    REFUSED = auto()
+    UNKNOWN = auto()
+    """No answer in time, or another error: the way there may be cut."""
+
+
+class ConnectCheck(BaseComponent):
+    """Opens connections and closes them at once.
+
+    Args:
+        timers: Timer service.
+    """
+
+    channel = "connect_check"
+
+    def __init__(self, timers: Timers) -> None:
+        super().__init__()
+        self._timers = timers
+        self._poller: BasePoller | None = None
+        self._open: dict[socket, tuple[Callable[[Reach], None], Subscription]] = {}
+
+    def check(self, address: Address, on_done: Callable[[Reach], None]) -> None:
+        """Call ``on_done`` once, from the loop, with what became of a connection."""
+        sock = socket(AF_INET, SOCK_STREAM)
+        sock.setblocking(False)
+        code = sock.connect_ex(address)
+        if code not in (0, EINPROGRESS):
+            sock.close()
+            self._timers.after(0, lambda: on_done(_reach(code)))
+            return
+        timer = self._timers.after(TIMEOUT_S, lambda: self._settle(sock, Reach.UNKNOWN))
+        self._open[sock] = on_done, timer
+        if self._poller is None:
+            self._poller = findcmp(self.root, BasePoller) or EPoll().register(self)
+        self._poller.addWriter(self, sock)
+
+    def _settle(self, sock: socket, reach: Reach) -> None:
+        found = self._open.pop(sock, None)
+        if found is None:
+            return
+        on_done, timer = found
+        timer.cancel()
+        # The poller looks a socket up by its file number, which is gone once closed.
+        self._poller.discard(sock)
+        sock.close()
+        on_done(reach)
+
+    def _on_outcome(self, sock: socket) -> None:
+        if sock in self._open:
+            self._settle(sock, _reach(sock.getsockopt(SOL_SOCKET, SO_ERROR)))
+
+    @handler("_write")
+    def on_writable(self, sock: socket) -> None:
+        """Take an outcome; called by the poller, or as its event."""
+        self._on_outcome(sock)
+
+    @handler("_disconnect")
+    def _on_disconnect(self, sock: socket) -> None:
+        self._on_outcome(sock)
+
+    @handler("stopped", channel="*")
+    def _on_stopped(self, _manager: object) -> None:
+        for sock in list(self._open):
+            self._settle(sock, Reach.UNKNOWN)
+
+
+def _reach(code: int) -> Reach:
+    match code:
+        case 0:
+            return Reach.LISTENS
+        case _ if code == ECONNREFUSED:
+            return Reach.REFUSED
+        case _:
+            return Reach.UNKNOWN
--- /dev/null
+++ b/greengageflow/net/crash_codec.py
@@ -0,0 +1,40 @@
+"""Crash reports as values for msgpack."""
+
+from collections.abc import Iterable
+from math import isfinite
+from typing import Any
+
+from greengageflow.core.quarantine import FINGERPRINT_BYTES, CrashRecord, CrashReport
+from greengageflow.net._columns import check_names
+
+CRASHES = 28
+
+
+def crash_values(report: CrashReport) -> tuple[Any, ...]:
+    """Return the values of a report, its kind first."""
+    rows = [
+        (one.fingerprint, one.crashed, one.cleared, round(one.age_s, 3))
+        for one in report.records
+    ]
+    return CRASHES, rows
+
+
+def crashes_of(values: list[Any]) -> CrashReport:
+    """Return a report; raises ValueError, TypeError for what is none."""
+    (rows,) = values
+    return CrashReport(tuple(_record(*row) for row in rows))
+
+
+def _record(fingerprint: Any, crashed: Any, cleared: Any, age_s: Any) -> CrashRecord:
+    if not isinstance(fingerprint, bytes) or len(fingerprint) != FINGERPRINT_BYTES:
+        raise ValueError(f"no fingerprint: {fingerprint!r}")
+    age_s = float(age_s)
+    if not isfinite(age_s) or age_s < 0:
+        raise ValueError(f"no age: {age_s!r}")
+    return CrashRecord(fingerprint, _names(crashed), _names(cleared), age_s)
+
+
+def _names(values: Iterable[Any]) -> tuple[str, ...]:
+    names = tuple(values)
+    check_names(names)
+    return names
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -16,8 +16,8 @@
     """Every event of the decision log.
 
     GG70 is a request, GG71 endpoints, GG72 the configuration, GG73 the store and the
-    peers, GG74 the process, GG75 the log itself. Times in fields are whole
-    milliseconds and end in ``_ms``; ``config`` is the version that decided.
+    peers, GG74 the process, GG75 the log itself, GG76 the quarantine. Times in fields
+    are whole milliseconds and end in ``_ms``; ``config`` is the version that decided.
 
     Attributes:
         number: Its number, never used again.
@@ -58,6 +58,8 @@
     LIST_LOST = ("GG717", Level.STATE, "why unheard_ms")
     LIST_REGAINED = ("GG718", Level.STATE, "after_ms")
 
+    ENDPOINT_CRASHED = ("GG719", Level.STATE, "endpoint requests digests")
+
     CONFIG_IN_FORCE = ("GG721", Level.STATE, "config source age_ms")
     KEYS_UNTRUSTED = ("GG722", Level.STATE, "config unheard_ms")
     KEYS_TRUSTED = ("GG723", Level.STATE, "config after_ms")
@@ -84,6 +86,9 @@
 
     LINES_DROPPED = ("GG751", Level.STATE, "sampled budget buffer sink")
 
+    QUARANTINED = ("GG761", Level.STATE, "digest source for_ms")
+    QUARANTINE_CLEARED = ("GG762", Level.STATE, "digest")
+
     def __init__(self, number: str, level: Level, fields: str) -> None:
         # Plain attributes: Enum.value is a descriptor in Python code, too slow for
         # a lookup on each line.
--- a/greengageflow/net/decision_log.py
+++ b/greengageflow/net/decision_log.py
@@ -240,18 +240,3 @@
     if len(line) <= _LONGEST_LINE:
         return line
     return _joined(head, {"request": texts.get("request", "")})
-
-
-def digest(*parts: bytes) -> str:
-    """Return what stays the same when a caller sends a request again.
-
-    Each attempt may have an id of its own; ``greengage-ctl explain`` links them by
-    this value. Two other requests may share it, so it is a hint and no key.
-
-    Args:
-        *parts: Account, path, body and whatever else an attempt repeats.
-    """
-    value = 0
-    for part in parts:
-        value = crc32(part, value)
-    return f"{value:08x}"
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -65,6 +65,7 @@
     RESUMED = PageMetricType("streams_resumed", PageKind.COUNTER, "service")
     CANCELLED = PageMetricType("cancelled", PageKind.COUNTER, "service")
     ENDPOINT_FAILURES = PageMetricType("endpoint_failures", PageKind.COUNTER, "service")
+    ENDPOINT_CRASHES = PageMetricType("endpoint_crashes", PageKind.COUNTER, "service")
     CONTROL_BYTES = PageMetricType("control_bytes", PageKind.COUNTER, "direction")
     CONTROL_TOO_LONG = PageMetricType("control_too_long", PageKind.COUNTER)
     STORE_CALLS = PageMetricType("store_calls", PageKind.COUNTER, "result")
@@ -91,6 +92,7 @@
     CONNECTIONS_WAITING = PageMetricType("connections_waiting", PageKind.GAUGE)
     LOOP_LATE = PageMetricType("loop_late_seconds", PageKind.GAUGE)
     PEERS_LIVE = PageMetricType("peers_live", PageKind.GAUGE)
+    QUARANTINED = PageMetricType("quarantined", PageKind.GAUGE)
     CONFIG_VERSION = PageMetricType("config_version", PageKind.GAUGE)
     STORE_UNHEARD = PageMetricType("store_unheard_seconds", PageKind.GAUGE)
 
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -10,6 +10,7 @@
 from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.core.peer_report import LoadNotice, PeerReport
 from greengageflow.core.place_messages import PlaceMessage
+from greengageflow.core.quarantine import CrashReport
 from greengageflow.core.router_table import Hello
 from greengageflow.core.store_news import StoreNews, StoreTopic
 from greengageflow.core.sum_changes import Changes, SumChanges, SumWanted, Work
@@ -28,6 +29,7 @@
     read_work,
     work_columns,
 )
+from greengageflow.net.crash_codec import CRASHES, crash_values, crashes_of
 from greengageflow.net.place_codec import (
     ANSWER,
     ASK,
@@ -53,6 +55,7 @@
     | SumChanges
     | SumWanted
     | StoreNews
+    | CrashReport
     | PlaceMessage
 )
 
@@ -78,6 +81,8 @@
             return packb((WANTED, message.whole))
         case StoreNews():
             return packb((NEWS, *_news_values(message)))
+        case CrashReport():
+            return packb(crash_values(message))
         case _:
             return packb(place_values(message))
 
@@ -359,6 +364,7 @@
     CHANGES: _changes,
     WANTED: _wanted,
     NEWS: _news,
+    CRASHES: crashes_of,
     ASK: ask_of,
     ANSWER: answer_of,
     NOTE: note_of,
--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -35,6 +35,8 @@
     " {for_ms} ms, lest its entry only lapsed",
     Event.LIST_LOST: "list of endpoints lost, unheard for {unheard_ms} ms: {why}",
     Event.LIST_REGAINED: "list of endpoints read again after {after_ms} ms",
+    Event.ENDPOINT_CRASHED: "endpoint {endpoint} crashed with {requests} requests of"
+    " this host in flight: {digests}",
     Event.CONFIG_IN_FORCE: "configuration {config} in force, from {source},"
     " {age_ms} ms old",
     Event.KEYS_UNTRUSTED: "keys no longer trusted: store unheard for {unheard_ms} ms",
@@ -63,6 +65,9 @@
     " {gave_way} idle ones gave way",
     Event.LINES_DROPPED: "log lines left out: {sampled} sampled away, {budget} over"
     " the budget, {buffer} with a full buffer, {sink} not written",
+    Event.QUARANTINED: "request {digest} is held back for {for_ms} ms, known from"
+    " {source}",
+    Event.QUARANTINE_CLEARED: "request {digest} was answered and is cleared of crashes",
 }
 
 
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -7,7 +7,7 @@
 
 from greengageflow.net import decision_log
 from greengageflow.net.decision_events import DecisionEvent as Event
-from greengageflow.net.decision_log import DecisionLog, digest
+from greengageflow.net.decision_log import DecisionLog
 
 
 @pytest.fixture
@@ -140,8 +140,3 @@
         log.flush()
     lines = (tmp_path / "log").read_text().splitlines()
     assert [json.loads(line)["request"] for line in lines] == list(map(str, range(150)))
-
-
-def test_a_digest_depends_on_every_part():
-    assert digest(b"olive", b"/v1", b"body") == digest(b"olive", b"/v1", b"body")
-    assert digest(b"olive", b"/v1", b"body") != digest(b"olive", b"/v1", b"other")
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -12,9 +12,11 @@
     PlatformShape,
     generation,
 )
+from greengageflow.net.decision_events import DecisionEvent
 from tests.support import wait_for
 
 POISON = "crash"
+QUARANTINED = f'"{DecisionEvent.QUARANTINED.number}"'
 BODY = b'{"text": "crash"}'
 OPTIONS = {"poison": POISON}
 REPLICAS = 7
@@ -50,3 +52,22 @@
         assert not lab.runs(refused.id)
         assert float(refused.headers["retry-after"]) > 1
         assert ask(lab, path, "r0", b'{"text": "sound"}').status == 200
+
+
+def is_held(lab, router):
+    return QUARANTINED in lab.routers[router].stderr
+
+
+def test_router_that_starts_again_learns_which_requests_are_held_back():
+    """It knows nothing of before, and would run each of them anew."""
+    with lab_of(TALE) as lab:
+        for _ in range(2):
+            ask(lab, TALE, "r0")
+        wait_for(lambda: all(is_held(lab, name) for name in lab.routers), "all know")
+        assert len(lab.crashed) == 2
+        lab.routers["r1"].kill()
+        lab.launch_router("r1")
+        lab.wait_ready("r1")
+        wait_for(lambda: is_held(lab, "r1"), "the new process knows")
+        assert ask(lab, TALE, "r1").status == 503
+        assert len(lab.crashed) == 2
--- a/tests/test_report_codec.py
+++ b/tests/test_report_codec.py
@@ -12,6 +12,12 @@
 from greengageflow.core.fleet_sums import FleetTotals, SumReport, merge
 from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.core.peer_report import LoadNotice, PeerReport
+from greengageflow.core.quarantine import (
+    FINGERPRINT_BYTES,
+    CrashRecord,
+    CrashReport,
+    Quarantine,
+)
 from greengageflow.core.router_table import Hello
 from greengageflow.core.store_news import StoreNews, StoreTopic
 from greengageflow.core.sum_changes import Changes, SumChanges, SumWanted
@@ -91,7 +97,17 @@
     end=COUNTS,
     records=st.lists(RECORDS, max_size=3).map(tuple),
 )
-MESSAGES = HELLOS | NOTICES | REPORTS | SUM_REPORTS | SUM_CHANGES | WANTED | NEWS
+CRASH_RECORDS = st.builds(
+    CrashRecord,
+    fingerprint=st.binary(min_size=FINGERPRINT_BYTES, max_size=FINGERPRINT_BYTES),
+    crashed=st.lists(NAMES, max_size=3).map(tuple),
+    cleared=st.lists(NAMES, max_size=3).map(tuple),
+    age_s=st.integers(0, 600).map(float),
+)
+CRASHES = st.builds(CrashReport, records=st.lists(CRASH_RECORDS, max_size=3).map(tuple))
+MESSAGES = (
+    HELLOS | NOTICES | REPORTS | SUM_REPORTS | SUM_CHANGES | WANTED | NEWS | CRASHES
+)
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | NAMES,
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(NAMES, inner),
@@ -140,5 +156,9 @@
     if isinstance(found, SumReport):
         loads = found.totals.loads
         merge([found.totals, found.totals])
+    if isinstance(found, CrashReport):
+        quarantine = Quarantine()
+        quarantine.receive(1.0, found.records)
+        list(quarantine.records(2.0, 10.0, 9))
     merge([FleetTotals(loads=loads)] * 2)
     assert all(0 <= load.reading < inf for load in loads.values())
