The product's own interface quarantines requests that crash endpoints

Callers of the product's own interface lost each engine or service replica in turn, as on the platform's. Cause: the same; its dispatcher is another one. Ruled out: nothing. Change: the dispatcher asks the same Quarantine before a request is queued and before it is sent, and hands cuts to the same CrashWatch; routers tell each other by message 10. A protected action asks the log first: one whose first attempt may have run is still told 'unknown', a new key is refused 'no' and its intent released. The configuration does not name starts of a process, so that an endpoint counts as crashing once in five seconds. Events GG507, GG606, GG607, two metrics, setting 'quarantine'. Stand-ins of engine and service crash on a given text. Open: after a restart of all hosts at once nothing is known of before.

--- a/greengageflow/daemon/control.py
+++ b/greengageflow/daemon/control.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from random import Random
 from time import monotonic
 from typing import Any, Protocol
 
@@ -51,6 +52,7 @@
 )
 from greengageflow.core.owner import EndpointOwner
 from greengageflow.core.placement import FleetView, LiveMember
+from greengageflow.core.quarantine import CrashRecord, CrashReport
 from greengageflow.core.roster import Roster
 from greengageflow.core.shares import ServiceLedger, share_interval_s
 from greengageflow.net.log_client import LogClient
@@ -92,6 +94,7 @@
         on_config_message: Takes ``ConfigRequest`` and ``ConfigState``.
         on_newer_revision: Takes a host and the revision it has in force.
         on_order_notice: Takes ``OrderNotice``.
+        on_crash_report: Takes ``CrashReport``.
         sharing: See ``RouterSettings``.
     """
 
@@ -107,6 +110,7 @@
         on_config_message: Callable[[str, Any], None],
         on_newer_revision: Callable[[str, int], None],
         on_order_notice: Callable[[OrderNotice], None] = lambda _notice: None,
+        on_crash_report: Callable[[CrashReport], None] = lambda _report: None,
         sharing: str = "owned",
     ) -> None:
         self.own = own
@@ -132,6 +136,8 @@
         self._on_config_message = on_config_message
         self._on_newer_revision = on_newer_revision
         self._on_order_notice = on_order_notice
+        self._on_crash_report = on_crash_report
+        self._random = Random(own.host)
         self._local: deque[Any] = deque()
         self._delivering = False
         self._confirmed = True
@@ -202,6 +208,8 @@
                 self._on_config_message(sender.host, message)
             case OrderNotice():
                 self._on_order_notice(message)
+            case CrashReport():
+                self._on_crash_report(message)
             case IntentRequest() | OutcomeReport():
                 self.run(self.writer.receive(now, sender, message))
             case IntentVerdict():
@@ -264,6 +272,18 @@
         """Send a message to a host, this one included."""
         self.run((Send(host, message),))
 
+    def send_crashes(self, records: tuple[CrashRecord, ...], most: int | None) -> None:
+        """Send other routers which requests crashed endpoints.
+
+        Args:
+            records: What is known.
+            most: Routers that get it, drawn at random; None for all.
+        """
+        hosts = sorted(self.view.live.keys() - {self.own.host})
+        if most is not None:
+            hosts = self._random.sample(hosts, min(most, len(hosts)))
+        self.run([Send(host, CrashReport(records)) for host in hosts])
+
     def note_leaving(self, endpoint: str) -> bool:
         """Take a sign that an endpoint leaves; return whether it is news."""
         if self.leaving.has_left(endpoint):
--- a/greengageflow/daemon/crash_watch.py
+++ b/greengageflow/daemon/crash_watch.py
@@ -1,6 +1,7 @@
 """Finds requests that crash endpoints, and holds them back at all hosts."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Protocol
 
 from greengageflow.core.quarantine import CrashRecord, Fingerprint, Quarantine
@@ -20,10 +21,11 @@
 MOST_SENT = 128
 
 
-class Endpoint(Protocol):
+@dataclass(frozen=True, slots=True)
+class EndpointStart:
     """One start of an endpoint.
 
-    Attributes:
+    Args:
         id: Names the endpoint.
         start: Names this start of it.
         service: Service that it belongs to.
@@ -53,7 +55,9 @@
 class CrashNotes(Protocol):
     """Writes down what is found out."""
 
-    def crashed(self, endpoint: Endpoint, requests: frozenset[Fingerprint]) -> None:
+    def crashed(
+        self, endpoint: EndpointStart, requests: frozenset[Fingerprint]
+    ) -> None:
         """Note a crash and the requests that may have caused it."""
 
     def held(self, fingerprint: Fingerprint, source: str, for_s: float) -> None:
@@ -99,7 +103,7 @@
         """Begin to repeat to other hosts what is known."""
         self._timers.every(REPEAT_S, self._repeat)
 
-    def cut(self, endpoint: Endpoint, fingerprint: Fingerprint) -> None:
+    def cut(self, endpoint: EndpointStart, fingerprint: Fingerprint) -> None:
         """Note that an endpoint cut a request that it may have begun to run."""
         start = endpoint.start
         self._quarantine.suspect(self._timers.now, start, fingerprint)
@@ -107,12 +111,12 @@
             self._checking.add(start)
             self._timers.after(CHECK_AFTER_S, lambda: self._check(endpoint))
 
-    def _check(self, endpoint: Endpoint) -> None:
+    def _check(self, endpoint: EndpointStart) -> None:
         self._reachability.check(
             endpoint.address, lambda reach: self._on_reach(endpoint, reach)
         )
 
-    def _on_reach(self, endpoint: Endpoint, reach: Reach) -> None:
+    def _on_reach(self, endpoint: EndpointStart, reach: Reach) -> None:
         self._checking.discard(endpoint.start)
         if reach is not Reach.REFUSED:
             self._quarantine.alive(endpoint.start)
--- a/greengageflow/daemon/dispatch.py
+++ b/greengageflow/daemon/dispatch.py
@@ -1,14 +1,17 @@
 """Takes callers' requests through queue, grant and endpoint to their answers."""
 
-from time import monotonic
+from http import HTTPStatus
+from time import monotonic, time
 
 from greengageflow.core.affinity import PrefixMap
-from greengageflow.core.catalog import FleetConfig
+from greengageflow.core.catalog import Endpoint, FleetConfig
 from greengageflow.core.effects import Refuse, Replay, Start
 from greengageflow.core.entry import WaitingRequest
 from greengageflow.core.limits import RetryBudget
+from greengageflow.core.quarantine import Fingerprint, Quarantine
 from greengageflow.daemon.admission import Admission
 from greengageflow.daemon.control import Control
+from greengageflow.daemon.crash_watch import CrashWatch, EndpointStart
 from greengageflow.daemon.endpoint_run import EndpointRuns, RunEnd
 from greengageflow.daemon.flight import Flight, Phase
 from greengageflow.daemon.flights import Flights
@@ -28,6 +31,10 @@
 from greengageflow.tracing import Tracing
 
 MOST_ATTEMPTS = 3
+NEW_RUN_S = 1.0
+"""Seconds from its first piece in which a run may be what crashes its endpoint."""
+START_S = 5.0
+"""Seconds within which an endpoint crashes once at most."""
 CALLER_FAULTS = frozenset({400, 404, 405, 413, 415, 422})
 
 
@@ -40,8 +47,14 @@
         tracing: Spans of the hops.
         metrics: Counters and timers.
         status: Answers ``/status``.
+        quarantine: Which requests are held back.
+
+    Attributes:
+        crashes: Learns of requests that endpoints cut; set before the first.
     """
 
+    crashes: CrashWatch
+
     def __init__(
         self,
         control: Control,
@@ -50,6 +63,7 @@
         tracing: Tracing,
         metrics: Metrics,
         status: StatusSource,
+        quarantine: Quarantine,
     ) -> None:
         self.stopping = False
         self.refusing = False
@@ -58,6 +72,7 @@
         self._tracing = tracing
         self._notes = RequestNotes(metrics)
         self._status = status
+        self._quarantine = quarantine
         self._cfg = FleetConfig()
         self._admission = Admission(control.own)
         self._flights = Flights()
@@ -95,6 +110,9 @@
             if self.refusing:
                 raise RouterError(ErrorKind.STOPPING, "this router is stopping")
             flight = self._admission.admit(call)
+            # A protected action that is repeated may have run: the log says so first.
+            if not flight.protected:
+                self._check_held_back(flight)
         except RouterError as exc:
             self._notes.refused(exc)
             call.reply.error(exc)
@@ -112,6 +130,29 @@
         else:
             self._queue(flight)
 
+    def _held_back(self, flight: Flight) -> RouterError | None:
+        """Return why a request must not be sent to any endpoint, or None."""
+        if not self._quarantine:
+            return None
+        left_s = self._quarantine.left_s(monotonic(), flight.fingerprint)
+        if not left_s:
+            return None
+        text = "endpoints crashed while they ran this request"
+        return RouterError(ErrorKind.QUARANTINED, text, retry_after_s=left_s)
+
+    def _check_held_back(self, flight: Flight) -> None:
+        if (exc := self._held_back(flight)) is not None:
+            raise exc
+
+    def on_held(self, held: frozenset[Fingerprint]) -> None:
+        """End requests that wait and are held back from now on."""
+        waiting = [f for f in self._flights if f.phase is Phase.QUEUED]
+        for flight in waiting:
+            if flight.fingerprint in held:
+                cancelled = self._control.entry.cancel(monotonic(), flight.id)
+                self._control.run(cancelled)
+                self._refuse(flight, self._held_back(flight))
+
     def on_gone(self, call: ChatCall | ServiceCall | StatusCall) -> None:
         """Give up what a caller that left had asked for."""
         flight = self._flights.of_call(call)
@@ -146,7 +187,10 @@
             self._control.run(give_up)
             return
         self._tracing.finish(flight.hop)
-        self._queue(flight)
+        if (exc := self._held_back(flight)) is not None:
+            self._refuse(flight, exc)
+        else:
+            self._queue(flight)
 
     def _queue(self, flight: Flight) -> None:
         flight.phase = Phase.QUEUED
@@ -209,6 +253,8 @@
         elif now >= flight.deadline or not self._may_send(flight):
             text = "the deadline passed before the request could be sent"
             self._refuse(flight, RouterError(ErrorKind.DEADLINE, text))
+        elif (exc := self._held_back(flight)) is not None:
+            self._refuse(flight, exc)
         else:
             self._send(flight, now)
 
@@ -261,6 +307,7 @@
                 self._cut(flight, end)
 
     def _complete(self, flight: Flight, end: Completed) -> None:
+        self.crashes.answered(flight.fingerprint)
         served = end.usage.completion_tokens if end.usage else flight.pieces
         self._give_back(flight.grant, flight, served=float(served))
         self._runs.answer_completed(flight, end)
@@ -270,6 +317,8 @@
         self._end(flight, "complete", tokens=served)
 
     def _answer(self, flight: Flight, end: ServiceAnswer) -> None:
+        if end.status < HTTPStatus.MULTIPLE_CHOICES:
+            self.crashes.answered(flight.fingerprint)
         self._give_back(flight.grant, flight, served=flight.cost)
         headers = (*end.headers, ("X-Request-Id", flight.wire_id))
         flight.call.reply.raw(end.status, headers, end.body)
@@ -280,6 +329,8 @@
     def _cut(self, flight: Flight, end: Cut) -> None:
         self._give_back(flight.grant, flight, served=float(flight.pieces), failed=True)
         self._notes.cut(flight)
+        if end.lost and _is_new_run(flight):
+            self.crashes.cut(_start_of(flight.endpoint), flight.fingerprint)
         text = f"endpoint {flight.endpoint.name}: {end.message}"
         exc = RouterError(ErrorKind.ENDPOINT_CUT, text, ran=end.ran)
         repeatable = not flight.protected and isinstance(flight.call, ChatCall)
@@ -297,6 +348,9 @@
             self._refuse_sent(flight, exc)
             return
         late = monotonic() >= flight.deadline
+        if (held := self._held_back(flight)) is not None:
+            self._refuse(flight, held)
+            return
         if late or flight.attempts >= MOST_ATTEMPTS or not self._budget.take():
             self._refuse(flight, exc)
             return
@@ -388,6 +442,20 @@
             self._refuse_sent(flight, RouterError(ErrorKind.DEADLINE, text, ran=ran))
 
 
+def _is_new_run(flight: Flight) -> bool:
+    """Whether a run may be what crashed its endpoint."""
+    run = flight.run
+    first_s = run.first_piece_s if isinstance(run, EngineCall) else None
+    return first_s is None or run.seconds - first_s < NEW_RUN_S
+
+
+def _start_of(endpoint: Endpoint) -> EndpointStart:
+    # The configuration does not tell starts of a process apart.
+    start = f"{endpoint.name} {endpoint.generation} {int(time() // START_S)}"
+    address = endpoint.host, endpoint.port
+    return EndpointStart(endpoint.name, start, endpoint.pool, address)
+
+
 def _failed(message: str, retry_after_s: float | None) -> RouterError:
     return RouterError(
         ErrorKind.ENDPOINT_FAILED, message, ran=Ran.NO, retry_after_s=retry_after_s
--- a/greengageflow/daemon/flight.py
+++ b/greengageflow/daemon/flight.py
@@ -8,6 +8,7 @@
 from opentelemetry.trace import Span
 
 from greengageflow.core.catalog import ClientAccount, Endpoint, Pool
+from greengageflow.core.quarantine import Fingerprint, fingerprint_of
 from greengageflow.errors import Ran
 from greengageflow.net.callers import ChatCall, ServiceCall
 from greengageflow.net.engine_client import EngineCall
@@ -59,6 +60,7 @@
     phase: Phase = Phase.NEW
     span: Span | None = None
     hop: Span | None = None
+    _fingerprint: Fingerprint = b""
 
     def describe(self, result: str = "") -> dict[str, object]:
         """Return what operators may want to know of it; times in seconds."""
@@ -93,6 +95,14 @@
                 same = (call.method, call.service, call.target, call.body)
         return sha256(repr(same).encode()).hexdigest()
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """What stays the same when the caller sends a request again."""
+        if not self._fingerprint:
+            parts = (self.account.name, self.pool.name, self.digest)
+            self._fingerprint = fingerprint_of(*map(str.encode, parts))
+        return self._fingerprint
+
     @property
     def protected(self) -> bool:
         """True when the request must run at most once."""
--- a/greengageflow/daemon/flights.py
+++ b/greengageflow/daemon/flights.py
@@ -25,6 +25,10 @@
         """Return how many have no final answer yet."""
         return len(self._by_id)
 
+    def __iter__(self) -> Iterator[Flight]:
+        """Yield those that have no final answer yet."""
+        return iter(list(self._by_id.values()))
+
     def add(self, flight: Flight) -> None:
         """Take a request that began."""
         self._by_id[flight.id] = flight
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -31,7 +31,6 @@
 STALL_S = 1.5
 NEW_RUN_S = 1.0
 """Seconds from its first event in which a run may be what crashes its endpoint."""
-CUTS = frozenset({FailureKind.CUT, FailureKind.CONNECT})
 RAN_NOT = frozenset({408, 421, 429, 503})
 """Statuses that promise the caller that its request has not run and never will."""
 
@@ -289,7 +288,7 @@
     def on_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         """Go on elsewhere after an answer that is not whole, or give up."""
         flight.avoid.add(flight.attempt.endpoint.id)
-        if failure.sent and failure.kind in CUTS and self._is_new_run(flight):
+        if failure.lost and self._is_new_run(flight):
             self.crashes.cut(flight.attempt.endpoint, flight.fingerprint)
         self._note_failure(flight, failure)
         text = f"{flight.attempt.endpoint.id}: {failure.message}"
--- a/greengageflow/daemon/gateway_settings.py
+++ b/greengageflow/daemon/gateway_settings.py
@@ -17,9 +17,13 @@
     simple,
 )
 from greengageflow.core.file_budget import FileBudget
-from greengageflow.core.quarantine import CRASHES, HOLD_S, MOST_ENDPOINTS
 from greengageflow.core.value_checks import integer, ip_number, name, number
-from greengageflow.settings_file import Address, read_document
+from greengageflow.settings_file import (
+    Address,
+    QuarantineSettings,
+    quarantine_settings,
+    read_document,
+)
 
 SETTINGS_VARIABLE = "GREENGAGEFLOW_NODE_FILE"
 
@@ -61,19 +65,6 @@
         return float("inf") if self.revoke_ms is None else self.revoke_ms / 1000
 
 
-@dataclass(frozen=True, slots=True)
-class QuarantineSettings:
-    """When requests that crash endpoints are held back.
-
-    Args:
-        crashes: Endpoints that must have crashed under a request.
-        hold_s: Time from the last crash for which it is held back, in seconds.
-    """
-
-    crashes: int = CRASHES
-    hold_s: float = HOLD_S
-
-
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Settings of one router.
@@ -143,12 +134,6 @@
         budget_slack=_positive(defaults.budget_slack),
         budget_window_s=_positive(defaults.budget_window_s),
     )
-    held = QuarantineSettings()
-    quarantine = record(
-        QuarantineSettings,
-        crashes=optional(integer(1, MOST_ENDPOINTS), held.crashes),
-        hold_s=_positive(held.hold_s),
-    )
     return record(
         GatewaySettings,
         host=required(name()),
@@ -161,7 +146,7 @@
         metrics=optional(_address()),
         seeds=optional(sequence(_address()), ()),
         bounds=optional(bounds, defaults),
-        quarantine=optional(quarantine, held),
+        quarantine=optional(quarantine_settings(), QuarantineSettings()),
         max_files=optional(integer(64, 1_048_576)),
     )
 
--- a/greengageflow/daemon/observer.py
+++ b/greengageflow/daemon/observer.py
@@ -39,6 +39,7 @@
         log_client: The platform's log.
         metrics: Where gauges and counters go.
         host_list: Returns the reader of the platform's list, if there is one.
+        quarantined: Returns the requests that are held back for crashes.
     """
 
     def __init__(
@@ -49,12 +50,14 @@
         metrics: Metrics,
         *,
         host_list: Callable[[], HostList | None],
+        quarantined: Callable[[], int],
     ) -> None:
         self._control = control
         self._link = link
         self._log = log_client
         self._metrics = metrics
         self._host_list = host_list
+        self._quarantined = quarantined
         self._members: dict[str, tuple[int, bool]] = {}
         self._suspects: frozenset[str] = frozenset()
         self._usage: dict[str, EndpointUsage] = {}
@@ -141,6 +144,7 @@
         stopping = sum(member.stopping for member in control.view.live.values())
         metrics.gauge(Metric.MEMBERS, len(control.view.live) - stopping, "live")
         metrics.gauge(Metric.MEMBERS, stopping, "stopping")
+        metrics.gauge(Metric.QUARANTINED, self._quarantined())
         self._send_traffic()
 
     @property
--- a/greengageflow/daemon/quarantine_notes.py
+++ b/greengageflow/daemon/quarantine_notes.py
@@ -1,7 +1,9 @@
 """Writes down crashes of endpoints and requests that are held back for them."""
 
 from greengageflow.core.quarantine import Fingerprint, short
-from greengageflow.daemon.crash_watch import Endpoint
+from greengageflow.daemon.crash_watch import EndpointStart
+from greengageflow.events import Event, log
+from greengageflow.metrics import Metric, Metrics
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
 from greengageflow.net.metrics_page import MetricsPage, PageMetric
@@ -21,7 +23,9 @@
         self._log = log
         self._page = page
 
-    def crashed(self, endpoint: Endpoint, requests: frozenset[Fingerprint]) -> None:
+    def crashed(
+        self, endpoint: EndpointStart, requests: frozenset[Fingerprint]
+    ) -> None:
         """Note a crash and the requests that may have caused it."""
         self._page.count(PageMetric.ENDPOINT_CRASHES, endpoint.service)
         digests = sorted(map(short, requests))
@@ -44,3 +48,35 @@
     def cleared(self, fingerprint: Fingerprint) -> None:
         """Note that a good answer has cleared a request."""
         self._log.write(DecisionEvent.QUARANTINE_CLEARED, digest=short(fingerprint))
+
+
+class RouterQuarantineNotes:
+    """The same on the product's own interface, as events and by statsd.
+
+    Args:
+        metrics: Takes the counts.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def crashed(
+        self, endpoint: EndpointStart, requests: frozenset[Fingerprint]
+    ) -> None:
+        """Note a crash and the requests that may have caused it."""
+        self._metrics.count(Metric.ENDPOINT_CRASHES, part=endpoint.id)
+        digests = sorted(map(short, requests))
+        log(
+            Event.ENDPOINT_CRASHED,
+            endpoint=endpoint.id,
+            requests=len(digests),
+            digests=" ".join(digests[:MOST_DIGESTS]),
+        )
+
+    def held(self, fingerprint: Fingerprint, source: str, for_s: float) -> None:
+        """Note that a request is held back."""
+        log(Event.QUARANTINED, digest=short(fingerprint), source=source, seconds=for_s)
+
+    def cleared(self, fingerprint: Fingerprint) -> None:
+        """Note that a good answer has cleared a request."""
+        log(Event.QUARANTINE_CLEARED, digest=short(fingerprint))
--- a/greengageflow/daemon/router.py
+++ b/greengageflow/daemon/router.py
@@ -17,20 +17,24 @@
 from greengageflow.core.leaving import LaggingSource
 from greengageflow.core.membership import Membership, Seed
 from greengageflow.core.messages import Member, OrderNotice, PeerId
+from greengageflow.core.quarantine import Quarantine
 from greengageflow.core.roster import Roster
 from greengageflow.daemon.config_follower import ConfigFollower
 from greengageflow.daemon.control import Control
+from greengageflow.daemon.crash_watch import CrashWatch
 from greengageflow.daemon.dispatch import Dispatcher
 from greengageflow.daemon.endpoint_run import EndpointRuns
 from greengageflow.daemon.endpoint_watch import EndpointWatch
 from greengageflow.daemon.observer import Observer
 from greengageflow.daemon.order_follower import OrderFollower
 from greengageflow.daemon.program import Program
+from greengageflow.daemon.quarantine_notes import RouterQuarantineNotes
 from greengageflow.daemon.status import StatusSource
 from greengageflow.events import Event as LogEvent
 from greengageflow.events import log, setup_logging
 from greengageflow.metrics import Metrics
 from greengageflow.net.callers import CallerServer, Limits
+from greengageflow.net.connect_check import ConnectCheck
 from greengageflow.net.host_list import HostList
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.log_client import LogClient
@@ -67,6 +71,9 @@
         self._link = PeerLink(
             own, settings.peer_ip, settings.peer_port, self._on_peer_message
         ).register(self)
+        self._quarantine = Quarantine(
+            crashes=settings.quarantine.crashes, hold_s=settings.quarantine.hold_s
+        )
         self._control = self._make_control()
         self._follower = self._make_follower()
         self._orders = self._make_orders()
@@ -88,8 +95,17 @@
             tracing=Tracing(settings.host, _span_writer(settings.trace_file)),
             metrics=self._metrics,
             status=self._status,
+            quarantine=self._quarantine,
         )
         self._control.requests = self._requests
+        self._crashes = self._requests.crashes = CrashWatch(
+            self._quarantine,
+            self._timers,
+            ConnectCheck(self._timers, source_ip=settings.ip).register(self),
+            self._control,
+            RouterQuarantineNotes(self._metrics),
+            self._requests.on_held,
+        )
         self._callers = CallerServer(
             settings.ip,
             settings.caller_port,
@@ -114,6 +130,7 @@
             self._log_client,
             self._metrics,
             host_list=lambda: self._host_list,
+            quarantined=lambda: len(self._quarantine.held(self._timers.now)),
         )
         self._stop_began = 0.0
 
@@ -145,6 +162,7 @@
             on_config_message=self._on_config_message,
             on_newer_revision=self._on_newer_revision,
             on_order_notice=self._on_order_notice,
+            on_crash_report=lambda report: self._crashes.receive(report.records),
             sharing=settings.sharing,
         )
 
@@ -239,6 +257,7 @@
         self._follower.start()
         self._orders.start()
         self._watch.start()
+        self._crashes.start()
         if settings.host_list is not None:
             self._host_list = HostList(
                 self._pool,
--- a/greengageflow/events.py
+++ b/greengageflow/events.py
@@ -90,6 +90,10 @@
         "GG506", "ERROR", "order {order} to {endpoint} may have run or not: {text}"
     )
 
+    ENDPOINT_CRASHED = EventType(
+        "GG507", "ERROR", "endpoint {endpoint} crashed under {requests}: {digests}"
+    )
+
     QUEUE_FULL = EventType(
         "GG601", "WARNING", "queue of account {account} is full at {limit}"
     )
@@ -108,6 +112,11 @@
         "GG605", "ERROR", "protected action {request} of {account}: outcome unknown"
     )
 
+    QUARANTINED = EventType(
+        "GG606", "ERROR", "request {digest} held back {seconds:.0f} s, by {source}"
+    )
+    QUARANTINE_CLEARED = EventType("GG607", "INFO", "request {digest} is cleared")
+
     @property
     def number(self) -> str:
         """Its number."""
--- a/greengageflow/lab/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -25,7 +25,7 @@
 )
 from greengageflow.lab._subnets import Subnet
 from greengageflow.lab.platform_client import PlatformAnswer, PlatformClient
-from greengageflow.lab.platform_replica import CRASHED
+from greengageflow.lab.poison import CRASHED
 from greengageflow.platform.names import (
     IDEMPOTENT,
     MODEL,
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -1,7 +1,6 @@
 """Fake of one of the platform's replicas: a plain service, or a model engine."""
 
 import json
-import os
 from collections import deque
 from itertools import count
 from time import monotonic
@@ -24,6 +23,7 @@
     Wire,
     answer_bytes,
 )
+from greengageflow.lab.poison import crash_if_poison
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.platform.names import (
     DEADLINE_MS,
@@ -42,8 +42,6 @@
 )
 
 LONG_BODY = 65_536
-CRASHED = 70
-"""Exit status of a replica that ran a poison request."""
 
 
 class PlatformReplica(HttpFake):
@@ -229,8 +227,7 @@
     def _start_next(self) -> None:
         while self._waiting and len(self._busy) < self._slots:
             work = self._waiting.popleft()
-            if self._poison and self._poison in work.call.body:
-                os._exit(CRASHED)
+            crash_if_poison(self._poison, work.call.body)
             self._busy.append(work)
             work.run.begun, work.run.outcome = monotonic(), RUNNING
             if work.faults.hang:
--- a/greengageflow/lab/standin_engine.py
+++ b/greengageflow/lab/standin_engine.py
@@ -23,6 +23,7 @@
     whole_answer,
 )
 from greengageflow.lab._standin_http import BadCallError, Call, Reply, StandIn
+from greengageflow.lab.poison import crash_if_poison
 
 EVENT_STREAM = "text/event-stream"
 
@@ -64,6 +65,8 @@
         resume_grace_s: Seconds that a cut stream runs on before it is cancelled,
             when the engine resumes.
         checks_fencing: Refuse orders with an old fencing number.
+        poison: The process crashes as it begins to run a request whose body has this
+            text in it; empty: none does.
     """
 
     control_paths = frozenset({"/executions"})
@@ -88,9 +91,11 @@
         resumes: bool = False,
         resume_grace_s: float = 2.0,
         checks_fencing: bool = False,
+        poison: str = "",
     ) -> None:
         super().__init__(host, port)
         self._name = str(name)
+        self._poison = poison.encode()
         self._prefill_s_per_token = prefill_s_per_token
         self._load_lag_s = load_lag_s
         self._lengths = Lengths(seed, median_tokens, sigma)
@@ -173,6 +178,7 @@
             if not start.isdecimal():
                 raise BadCallError("X-Resume-From is no number")
             return self._resume(call, request_id, int(start))
+        crash_if_poison(self._poison, call.data)
         execution = self._execute(call, body, request_id)
         output = _Output(call, execution, streamed)
         if call.faulty and streamed and self.faults.lose_answers > 0:
--- a/greengageflow/lab/standin_service.py
+++ b/greengageflow/lab/standin_service.py
@@ -5,6 +5,7 @@
 from time import time
 
 from greengageflow.lab._standin_http import Call, Reply, StandIn
+from greengageflow.lab.poison import crash_if_poison
 
 BY_KEY = "by-key"
 
@@ -33,6 +34,8 @@
         port: TCP port; 0 for any free one.
         name: Name of the replica, given in each answer.
         latency_s: Seconds between the effect and the answer.
+        poison: The process crashes as it begins to run a call whose body has this text
+            in it; empty: none does.
     """
 
     control_paths = frozenset({"/effects"})
@@ -44,10 +47,12 @@
         *,
         name: str = "service",
         latency_s: float = 0.0,
+        poison: str = "",
     ) -> None:
         super().__init__(host, port)
         self._name = str(name)
         self._latency_s = latency_s
+        self._poison = poison.encode()
         self._effects: list[Effect] = []
 
     def operation(self, call: Call) -> str:
@@ -61,6 +66,7 @@
                 return Reply(200, {"effects": [asdict(one) for one in self._effects]})
             case ["effects", "by-key", key]:
                 return self._by_key(key)
+        crash_if_poison(self._poison, call.data)
         effect = self._take(call)
         reply = Reply(
             200,
--- a/greengageflow/net/connect_check.py
+++ b/greengageflow/net/connect_check.py
@@ -30,12 +30,14 @@
 
     Args:
         timers: Timer service.
+        source_ip: Local IP number of the connections, or None.
     """
 
     channel = "connect_check"
 
-    def __init__(self, timers: Timers) -> None:
+    def __init__(self, timers: Timers, *, source_ip: str | None = None) -> None:
         super().__init__()
+        self._source_ip = source_ip
         self._timers = timers
         self._poller: BasePoller | None = None
         self._open: dict[socket, tuple[Callable[[Reach], None], Subscription]] = {}
@@ -44,6 +46,8 @@
         """Call ``on_done`` once, from the loop, with what became of a connection."""
         sock = socket(AF_INET, SOCK_STREAM)
         sock.setblocking(False)
+        if self._source_ip is not None:
+            sock.bind((self._source_ip, 0))
         code = sock.connect_ex(address)
         if code not in (0, EINPROGRESS):
             sock.close()
--- a/greengageflow/net/endings.py
+++ b/greengageflow/net/endings.py
@@ -56,10 +56,12 @@
     Args:
         message: What happened.
         ran: ``YES`` once a piece was received, else ``UNKNOWN``.
+        lost: The connection ended, or there was none to go on with.
     """
 
     message: str
     ran: Ran = Ran.UNKNOWN
+    lost: bool = False
 
 
 EngineEnd = Completed | Refused | Unreachable | Cut
--- a/greengageflow/net/engine_client.py
+++ b/greengageflow/net/engine_client.py
@@ -23,6 +23,7 @@
 from greengageflow.net.http_pool import (
     Exchange,
     Failure,
+    FailureKind,
     Head,
     HttpPool,
     HttpRequest,
@@ -248,7 +249,7 @@
             case Failure(sent=False, message=message):
                 self._end(Unreachable(message))
             case Failure(message=message):
-                self._end(Cut(message))
+                self._end(Cut(message, lost=outcome.lost))
             case Response(status=200, body=body):
                 self._end(self._whole(body))
             case Response(status=status, body=body):
@@ -333,11 +334,12 @@
         if not failure.sent and not self.resumed:
             self._end(Unreachable(failure.message))
         else:
-            self._cut(failure.message)
+            no_way = failure.kind in (FailureKind.CUT, FailureKind.CONNECT)
+            self._cut(failure.message, lost=no_way)
 
     # Resuming.
 
-    def _cut(self, message: str) -> None:
+    def _cut(self, message: str, *, lost: bool = False) -> None:
         if self._ended:
             return
         self._stop()
@@ -348,4 +350,4 @@
             self._wait = self._timers.after(delay_s, self._open)
         else:
             ran = Ran.YES if self._check.expected else Ran.UNKNOWN
-            self._end(Cut(message, ran))
+            self._end(Cut(message, ran, lost))
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -133,6 +133,11 @@
     sent: bool
     message: str
 
+    @property
+    def lost(self) -> bool:
+        """Whether the connection ended, or there was none, after it was sent."""
+        return self.sent and self.kind in (FailureKind.CUT, FailureKind.CONNECT)
+
 
 class Receiver(Protocol):
     """Gets an answer as it arrives: ``on_end`` or ``on_failure`` comes once, last."""
--- a/greengageflow/net/service_client.py
+++ b/greengageflow/net/service_client.py
@@ -138,6 +138,6 @@
             case Failure(sent=False, message=message):
                 on_done(Unreachable(message))
             case Failure(message=message):
-                on_done(Cut(message))
+                on_done(Cut(message, lost=outcome.lost))
 
     return pool.fetch(request.to_http(), on_outcome, limit)
--- a/greengageflow/net/wire.py
+++ b/greengageflow/net/wire.py
@@ -38,6 +38,7 @@
     WorkCall,
     ZoneTotals,
 )
+from greengageflow.core.quarantine import CrashRecord, CrashReport
 
 _SMALL = 2**32
 
@@ -52,6 +53,7 @@
         7: FleetTotals,
         8: WorkCall,
         9: LeavingNotice,
+        10: CrashReport,
         20: Ping,
         21: Ack,
         22: PingRequest,
@@ -69,7 +71,7 @@
 _NUMBERS = {type_: number for number, type_ in TYPES.items()}
 _FIELDS = {
     type_: tuple(field.name for field in fields(type_))
-    for type_ in (*TYPES.values(), AccountService, Member)
+    for type_ in (*TYPES.values(), AccountService, Member, CrashRecord)
 }
 _DEFAULTS = {
     type_: tuple(field.default for field in fields(type_)) for type_ in _FIELDS
@@ -81,6 +83,7 @@
     (Ping, "news"): Member,
     (Ack, "news"): Member,
     (View, "members"): Member,
+    (CrashReport, "records"): CrashRecord,
 }
 
 
@@ -111,6 +114,10 @@
     return value
 
 
+def _frozen(value: Any) -> Any:
+    return tuple(value) if isinstance(value, list) else value
+
+
 def encode(sender: PeerId, message: Any) -> bytes:
     """Return the wire form of ``message`` from ``sender``."""
     row = [_plain(value) for value in _row(message)]
@@ -128,7 +135,7 @@
         type_ = TYPES[number]
         names = _FIELDS[type_]
         args = [
-            tuple(nested(*part) for part in value)
+            tuple(nested(*map(_frozen, part)) for part in value)
             if (nested := _NESTED.get((type_, name)))
             else value
             for name, value in zip(names, row, strict=False)
--- a/greengageflow/settings.py
+++ b/greengageflow/settings.py
@@ -27,7 +27,12 @@
     number,
     string,
 )
-from greengageflow.settings_file import Address, read_document
+from greengageflow.settings_file import (
+    Address,
+    QuarantineSettings,
+    quarantine_settings,
+    read_document,
+)
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 SHARING = ("owned", "split", "local")
@@ -97,6 +102,7 @@
             gives each router its part of the slots of every endpoint, ``local``
             does so and leaves out the fleet's totals. The same on every router.
         timing: Intervals and timeouts.
+        quarantine: When requests that crash endpoints are held back.
     """
 
     host: str
@@ -115,6 +121,7 @@
     log_level: str = "INFO"
     sharing: str = "owned"
     timing: Timing = Timing()
+    quarantine: QuarantineSettings = QuarantineSettings()
 
     def __post_init__(self) -> None:
         """Fill in what follows from other settings."""
@@ -189,6 +196,7 @@
         log_level=optional(choice(LOG_LEVELS), "INFO"),
         sharing=optional(choice(SHARING), "owned"),
         timing=optional(_timing(), Timing()),
+        quarantine=optional(quarantine_settings(), QuarantineSettings()),
     )
     return refine(settings, _reachable)
 
--- a/greengageflow/settings_file.py
+++ b/greengageflow/settings_file.py
@@ -4,7 +4,10 @@
 from pathlib import Path
 from typing import Any
 
+from greengageflow.core.check import Check, optional, record
 from greengageflow.core.json_text import parse_json
+from greengageflow.core.quarantine import CRASHES, HOLD_S, MOST_ENDPOINTS
+from greengageflow.core.value_checks import integer, number
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +24,29 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineSettings:
+    """When requests that crash endpoints are held back.
+
+    Args:
+        crashes: Endpoints that must have crashed under a request.
+        hold_s: Time from the last crash for which it is held back, in seconds.
+    """
+
+    crashes: int = CRASHES
+    hold_s: float = HOLD_S
+
+
+def quarantine_settings() -> Check:
+    """Return the check of ``QuarantineSettings``."""
+    defaults = QuarantineSettings()
+    return record(
+        QuarantineSettings,
+        crashes=optional(integer(1, MOST_ENDPOINTS), defaults.crashes),
+        hold_s=optional(number(0.0, 86_400.0), defaults.hold_s),
+    )
+
+
 def read_document(path: str) -> Any:
     """Return the JSON value in a settings file.
 
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from greengageflow.lab.lab import Lab, LabPlan, key_of
 from greengageflow.lab.platform_client import Torn
 from greengageflow.lab.platform_lab import (
     CHAT,
@@ -12,8 +13,9 @@
     PlatformShape,
     generation,
 )
+from greengageflow.lab.poison import CRASHED
 from greengageflow.net.decision_events import DecisionEvent
-from tests.support import wait_for
+from tests.support import call, wait_for
 
 POISON = "crash"
 QUARANTINED = f'"{DecisionEvent.QUARANTINED.number}"'
@@ -71,3 +73,55 @@
         wait_for(lambda: is_held(lab, "r1"), "the new process knows")
         assert ask(lab, TALE, "r1").status == 503
         assert len(lab.crashed) == 2
+
+
+PLANS = {
+    "engine": LabPlan(engines=REPLICAS, engine_options=OPTIONS),
+    "engine that resumes": LabPlan(
+        engines=REPLICAS,
+        engine_options={**OPTIONS, "resumes": True},
+        engine_fields={"resumes": True},
+    ),
+    "service": LabPlan(services=REPLICAS, service_options=OPTIONS),
+}
+CALLS = {
+    "engine": {"model": "scribe", "stream": True},
+    "engine that resumes": {"model": "scribe", "stream": True},
+    "service": {},
+}
+
+
+def own_call(lab, kind, router, text, key=""):
+    headers = {"Authorization": f"Bearer {key_of('acme')}"}
+    path = "/v1/chat/completions"
+    if kind == "service":
+        path, headers["Idempotency-Key"] = "/services/rounds/visit", key
+    message = {"role": "user", "content": text}
+    body = {**CALLS[kind], "messages": [message], "x_tokens": 3}
+    try:
+        return call(lab.routers[router].address, "POST", path, body, headers)
+    except OSError:
+        return None
+
+
+@pytest.mark.parametrize("kind", PLANS)
+def test_request_that_crashes_endpoints_is_held_back_on_the_own_interface(kind):
+    """Each repeat, a protected action with a new key as well, takes one more down."""
+    with Lab(PLANS[kind]) as lab:
+        endpoints = lab.services if kind == "service" else lab.engines
+        wait_for(
+            lambda: own_call(lab, kind, "r1", "sound", "s").status == 200, "an answer"
+        )
+        for number in range(2 * REPLICAS):
+            own_call(lab, kind, f"r{number % 3 + 1}", POISON, f"key-{number}")
+        crashed = [one.popen.poll() == CRASHED for one in endpoints.values()]
+        assert sum(crashed) <= MOST_CRASHES
+        refused = own_call(lab, kind, "r1", POISON, "one-more")
+        assert refused.status == 503
+        assert refused.json["error"]["kind"] == "quarantined"
+        assert refused.json["error"]["ran"] == "no"
+        if kind == "service":
+            ran = own_call(lab, kind, "r1", POISON, "key-0").json["error"]["ran"]
+            assert ran == "unknown", "the first one with this key was sent"
+        after = [one.popen.poll() == CRASHED for one in endpoints.values()]
+        assert after == crashed
