Quarantined requests are kept in the platform's store

After a power loss of all hosts at once nobody knew which requests crash endpoints, and the next repeats took endpoints down anew. Cause: what was known lived in the hosts' memory and in gossip alone. Ruled out: a read by each host at its start (calls grow with hosts); a record in the topic of the routers' addresses (it is read only by a host that hears nobody). Change: the host that sees the deciding crash writes one record in the topic keyed.quarantine, again until the store has it; hosts that read for their zone read the topic once after their start and tell the others. A request that is cleared is dropped; what is over is dropped by who reads it. Records that cannot be read hold nothing back. One call of the store for each reader's start and each request held back. The product's own interface keeps nothing over a restart of all: open.

--- a/greengageflow/core/quarantine.py
+++ b/greengageflow/core/quarantine.py
@@ -81,6 +81,15 @@
         """Crashes that speak against the request."""
         return len(self.crashed.keys() - self.cleared)
 
+    def told(self, now: float, fingerprint: Fingerprint) -> CrashRecord:
+        """Return it as other hosts get it."""
+        return CrashRecord(
+            fingerprint,
+            tuple(self.crashed),
+            tuple(sorted(self.cleared)),
+            max(0.0, now - self.at),
+        )
+
     def take(self, at: float, crashed: Iterable[str], cleared: Iterable[str]) -> bool:
         """Add crashes; True when one was not known."""
         before = len(self.crashed), len(self.cleared)
@@ -199,12 +208,13 @@
         ]
         rows.sort(key=lambda row: -row[0])
         for _, fingerprint, record in rows[:most]:
-            yield CrashRecord(
-                fingerprint,
-                tuple(record.crashed),
-                tuple(sorted(record.cleared)),
-                max(0.0, now - record.at),
-            )
+            yield record.told(now, fingerprint)
+
+    def record(self, now: float, fingerprint: Fingerprint) -> CrashRecord | None:
+        """Return what is known of a request that is held back, else None."""
+        if not self._is_held(now, fingerprint):
+            return None
+        return self._records[fingerprint].told(now, fingerprint)
 
     def _take(
         self,
--- a/greengageflow/daemon/crash_watch.py
+++ b/greengageflow/daemon/crash_watch.py
@@ -80,6 +80,8 @@
         sender: Tells other hosts.
         notes: Logs and counts.
         on_held: Takes requests that are held back from now on.
+        on_found: Takes requests of which this host found out that they are held back,
+            or are no more.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         sender: CrashReportSender,
         notes: CrashNotes,
         on_held: Callable[[frozenset[Fingerprint]], None],
+        on_found: Callable[[Fingerprint], None] = lambda _fingerprint: None,
     ) -> None:
         self._quarantine = quarantine
         self._timers = timers
@@ -97,6 +100,7 @@
         self._sender = sender
         self._notes = notes
         self._on_held = on_held
+        self._on_found = on_found
         self._checking: set[str] = set()
 
     def start(self) -> None:
@@ -125,14 +129,21 @@
         before = set(self._quarantine.held(now))
         suspects = self._quarantine.crashed(now, endpoint.start)
         self._notes.crashed(endpoint, suspects)
-        self._note_held(set(self._quarantine.held(now)) - before, "crash")
+        held = set(self._quarantine.held(now)) - before
+        self._note_held(held, "crash")
         self._send_all()
+        for fingerprint in held:
+            self._on_found(fingerprint)
 
     def answered(self, fingerprint: Fingerprint) -> None:
         """Note a good answer to a request."""
-        if self._quarantine.answered(self._timers.now, fingerprint):
+        now = self._timers.now
+        was_held = self._quarantine.record(now, fingerprint) is not None
+        if self._quarantine.answered(now, fingerprint):
             self._notes.cleared(fingerprint)
             self._send_all()
+            if was_held:
+                self._on_found(fingerprint)
 
     def receive(self, records: Iterable[CrashRecord]) -> None:
         """Take over what another host knows."""
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -39,6 +39,7 @@
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.program import Program
 from greengageflow.daemon.quarantine_notes import QuarantineNotes
+from greengageflow.daemon.quarantine_store import QuarantineStore
 from greengageflow.daemon.router_registry import RouterRegistry
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.errors import ErrorKind, RouterError
@@ -147,6 +148,15 @@
             self._exchange,
             QuarantineNotes(self._log, self._page),
             self._forwarder.on_held,
+            lambda fingerprint: self._kept.update(fingerprint),
+        )
+        self._kept = QuarantineStore(
+            self._pool,
+            self._timers,
+            store,
+            self._quarantine,
+            is_reader=self._is_contact,
+            on_read=self._crashes.receive,
         )
         self._store = StoreView(
             self._pool,
@@ -169,13 +179,14 @@
             settings.host,
             own,
             is_alone=lambda: not self._exchange.hosts,
-            is_contact=lambda: (
-                not self._exchange.hosts
-                or self._exchange.store_role is not StoreRole.MEMBER
-            ),
+            is_contact=self._is_contact,
             on_found=self._exchange.add_addresses,
         )
 
+    def _is_contact(self) -> bool:
+        alone = not self._exchange.hosts
+        return alone or self._exchange.store_role is not StoreRole.MEMBER
+
     def _add_servers(self) -> None:
         settings = self._settings
         interface = CallerInterface()
@@ -216,7 +227,9 @@
             unheard=lambda: self._trust.age_s(clock()),
             control_bytes=lambda: (self._link.bytes_in, self._link.bytes_out),
             control_too_long=lambda: self._link.too_long,
-            store_calls=lambda: self._store.calls + self._registry.calls,
+            store_calls=lambda: (
+                self._store.calls + self._registry.calls + self._kept.calls
+            ),
             dropped=lambda: self._log.dropped,
             quarantined=lambda: len(self._quarantine.held(self._timers.now)),
         )
@@ -347,6 +360,7 @@
         self._placement.start()
         self._crashes.start()
         self._registry.start()
+        self._kept.start()
         self._timers.every(TICK_S, self._on_tick)
         self._timers.every(FLUSH_INTERVAL_S, self._log.flush)
 
--- /dev/null
+++ b/greengageflow/daemon/quarantine_store.py
@@ -0,0 +1,152 @@
+"""Requests that are held back, in the platform's store.
+
+Hosts learn of them from each other. When all have lost power at once, nobody knows
+them, and each would take endpoints down anew.
+"""
+
+import json
+from collections.abc import Callable, Iterable
+from time import time
+
+from greengageflow.core.keyed_record import KeyedRecord
+from greengageflow.core.quarantine import (
+    FINGERPRINT_BYTES,
+    CrashRecord,
+    Fingerprint,
+    Quarantine,
+)
+from greengageflow.net.http_messages import Failure, Response
+from greengageflow.net.http_pool import HttpPool
+from greengageflow.net.timers import Timers
+from greengageflow.platform.names import QUARANTINE_TOPIC
+from greengageflow.platform.store import (
+    StoreAnswerError,
+    newest_call,
+    parse_newest,
+    put_call,
+    request,
+)
+
+TIMEOUT_S = 2.0
+FIRST_LOOK_S = 1.0
+LOOK_EVERY_S = 2.0
+MOST_DROPPED = 8
+"""Old records that one host drops from the store when it reads them."""
+_DROPPED = b""
+
+Address = tuple[str, int]
+
+
+class QuarantineStore:
+    """Writes what this host found out, and reads once what others wrote.
+
+    Args:
+        pool: Sends the calls.
+        timers: Timer service.
+        store: IP number and port of the store.
+        quarantine: Which requests are held back.
+        is_reader: Whether this host is among the few that read for others.
+        on_read: Takes what was read.
+    """
+
+    def __init__(
+        self,
+        pool: HttpPool,
+        timers: Timers,
+        store: Address,
+        quarantine: Quarantine,
+        *,
+        is_reader: Callable[[], bool],
+        on_read: Callable[[Iterable[CrashRecord]], None],
+    ) -> None:
+        self.calls = 0
+        self._pool = pool
+        self._timers = timers
+        self._store = store
+        self._quarantine = quarantine
+        self._is_reader = is_reader
+        self._on_read = on_read
+        self._is_read = False
+        self._unwritten: dict[Fingerprint, None] = {}
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._timers.after(FIRST_LOOK_S, self._look)
+
+    def update(self, fingerprint: Fingerprint) -> None:
+        """Write whether a request is held back, again until the store has it."""
+        self._unwritten[fingerprint] = None
+        self._write(fingerprint)
+
+    def _look(self) -> None:
+        for fingerprint in list(self._unwritten):
+            self._write(fingerprint)
+        if not self._is_read and self._is_reader():
+            self._ask(*newest_call(QUARANTINE_TOPIC, ""), b"", self._on_newest)
+        self._timers.after(LOOK_EVERY_S, self._look)
+
+    def _write(self, fingerprint: Fingerprint) -> None:
+        def done(result: Response | Failure) -> None:
+            if isinstance(result, Response) and result.status == 200:
+                self._unwritten.pop(fingerprint, None)
+
+        record = self._quarantine.record(self._timers.now, fingerprint)
+        value = _DROPPED if record is None else _value(record)
+        call = put_call(QUARANTINE_TOPIC, fingerprint.hex(), value)
+        self._ask(*call, done)
+
+    def _on_newest(self, result: Response | Failure) -> None:
+        if isinstance(result, Failure):
+            return
+        try:
+            rows = parse_newest(result).records
+        except StoreAnswerError:
+            return
+        self._is_read = True
+        records = [one for one in map(_record, rows) if one is not None]
+        self._on_read(records)
+        now = self._timers.now
+        for one in records[:MOST_DROPPED]:
+            if self._quarantine.record(now, one.fingerprint) is None:
+                self.update(one.fingerprint)
+
+    def _ask(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        on_done: Callable[[Response | Failure], None],
+    ) -> None:
+        self.calls += 1
+        asked = request(self._store, method, target, body, TIMEOUT_S)
+        self._pool.fetch(asked, on_done)
+
+
+def _value(record: CrashRecord) -> bytes:
+    doc = {
+        "crashed": record.crashed,
+        "cleared": record.cleared,
+        "at_ms": int(1000 * (time() - record.age_s)),
+    }
+    return json.dumps(doc).encode()
+
+
+def _record(row: KeyedRecord) -> CrashRecord | None:
+    """Return a record of the store, or None for one that cannot be read."""
+    try:
+        fingerprint = bytes.fromhex(row.key)
+        doc = json.loads(row.value or b"")
+        crashed, cleared = map(_names, (doc["crashed"], doc["cleared"]))
+        age_s = max(0.0, time() - doc["at_ms"] / 1000)
+    except (ValueError, TypeError, LookupError, OverflowError, RecursionError):
+        return None
+    if len(fingerprint) != FINGERPRINT_BYTES:
+        return None
+    return CrashRecord(fingerprint, crashed, cleared, age_s)
+
+
+def _names(values: Iterable[object]) -> tuple[str, ...]:
+    names = tuple(values)
+    if not all(isinstance(name, str) for name in names):
+        raise ValueError(f"not names: {names!r}")
+    return names
--- a/greengageflow/platform/names.py
+++ b/greengageflow/platform/names.py
@@ -35,6 +35,7 @@
 STATUS_TOPIC = "keyed.status"
 KEYED = "keyed."
 ROUTERS_TOPIC = "keyed.routers"
+QUARANTINE_TOPIC = "keyed.quarantine"
 CONFIG_KEY = "config"
 
 COLD_MS = "cold_remaining_ms"
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -15,6 +15,7 @@
 )
 from greengageflow.lab.poison import CRASHED
 from greengageflow.net.decision_events import DecisionEvent
+from greengageflow.platform.names import QUARANTINE_TOPIC
 from tests.support import call, wait_for
 
 POISON = "crash"
@@ -75,6 +76,23 @@
         assert len(lab.crashed) == 2
 
 
+def test_requests_stay_held_back_when_all_routers_end_at_once():
+    """No host is left that could tell the others."""
+    with lab_of(TALE) as lab:
+        for _ in range(2):
+            ask(lab, TALE, "r0")
+        wait_for(lambda: lab.newest(QUARANTINE_TOPIC), "the store has it")
+        for router in list(lab.routers):
+            lab.routers[router].kill()
+        for router in list(lab.routers):
+            lab.launch_router(router)
+        wait_for(lambda: all(is_held(lab, name) for name in lab.routers), "all know")
+        for router in lab.routers:
+            lab.wait_ready(router)
+            assert ask(lab, TALE, router).status == 503
+        assert len(lab.crashed) == 2
+
+
 PLANS = {
     "engine": LabPlan(engines=REPLICAS, engine_options=OPTIONS),
     "engine that resumes": LabPlan(
--- /dev/null
+++ b/tests/test_quarantine_store.py
@@ -0,0 +1,145 @@
+"""What hosts write of held back requests into the store, and who reads it."""
+
+import json
+from base64 import b64encode
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengageflow.core.quarantine import FINGERPRINT_BYTES, HOLD_S, Quarantine
+from greengageflow.daemon.quarantine_store import QuarantineStore
+from greengageflow.net.http_messages import Failure, FailureKind, Response
+from tests.test_quarantine import FINGERPRINT, crash
+
+
+class World:
+    """Timer service and store of one host."""
+
+    def __init__(self, *, reader=False, items=()):
+        self.reader, self.down, self.items = reader, False, list(items)
+        self.now, self.due, self.written, self.reads, self.read = 0.0, [], [], 0, []
+        self.quarantine = Quarantine()
+        self.store = QuarantineStore(
+            self,
+            self,
+            ("127.0.0.1", 9),
+            self.quarantine,
+            is_reader=lambda: self.reader,
+            on_read=self.take,
+        )
+        self.store.start()
+
+    def take(self, records):
+        self.read.extend(records)
+        self.quarantine.receive(self.now, records)
+
+    def after(self, delay_s, call):
+        self.due.append((self.now + delay_s, call))
+
+    def fetch(self, request, on_done):
+        if self.down:
+            on_done(Failure(FailureKind.CONNECT, False, "refused"))
+        elif request.method == "POST":
+            size = request.body[4]
+            key, value = request.body[5 : 5 + size], request.body[5 + size :]
+            self.written.append((key.decode(), value))
+            on_done(Response(200, (), b"{}"))
+        else:
+            self.reads += 1
+            doc = {"items": self.items, "end": 1}
+            on_done(Response(200, (), json.dumps(doc).encode()))
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.due and min(self.due, key=lambda row: row[0])[0] <= end:
+            row = min(self.due, key=lambda row: row[0])
+            self.due.remove(row)
+            self.now = row[0]
+            row[1]()
+        self.now = end
+
+    def hold(self):
+        for start in ("e1", "e2"):
+            crash(self.quarantine, self.now, start, FINGERPRINT)
+        self.store.update(FINGERPRINT)
+
+
+def item(key, value):
+    return {"key": key, "value": b64encode(value).decode(), "offset": 0}
+
+
+def test_a_host_reads_once_and_only_where_it_reads_for_others():
+    """At the start of hundreds each call of each of them would come at once."""
+    member, reader = World(), World(reader=True)
+    for world in (member, reader):
+        world.run(600)
+    assert (member.reads, reader.reads) == (0, 1)
+
+
+def test_what_one_host_wrote_is_held_back_at_one_that_starts():
+    first = World()
+    first.hold()
+    late = World(reader=True, items=[item(*first.written[0])])
+    late.run(3)
+    assert late.quarantine.held(late.now) == [FINGERPRINT]
+    assert not late.written
+
+
+def test_a_record_is_written_again_until_the_store_has_it():
+    world = World()
+    world.down = True
+    world.hold()
+    world.run(30)
+    world.down = False
+    world.run(30)
+    assert len(world.written) == 1
+
+
+def test_a_cleared_request_is_dropped_from_the_store():
+    world = World()
+    world.hold()
+    world.quarantine.answered(1, FINGERPRINT)
+    world.store.update(FINGERPRINT)
+    assert world.written[-1] == (FINGERPRINT.hex(), b"")
+
+
+def test_a_record_that_is_over_is_dropped_by_who_reads_it():
+    old = {"crashed": ["e1", "e2"], "cleared": [], "at_ms": 0}
+    key = FINGERPRINT.hex()
+    world = World(reader=True, items=[item(key, json.dumps(old).encode())])
+    world.run(3)
+    assert not world.quarantine.held(world.now)
+    assert world.written == [(key, b"")]
+    assert world.read[0].age_s > HOLD_S
+
+
+@pytest.mark.parametrize("key", ["", "no hex", "00", FINGERPRINT.hex()])
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"\xff", b"[]", b"{}", b"[" * 100_000, b'{"crashed": 1, "cleared": []}'],
+)
+def test_records_that_cannot_be_read_do_not_hide_the_others(key, value):
+    good = World()
+    good.hold()
+    world = World(reader=True, items=[item(key, value), item(*good.written[0])])
+    world.run(3)
+    assert world.quarantine.held(world.now) == [FINGERPRINT]
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["crashed", "cleared", "at_ms"]), inner)
+    ),
+    max_leaves=8,
+)
+
+
+@given(JSON)
+def test_no_value_in_a_record_ends_the_reading(value):
+    key = "00" * FINGERPRINT_BYTES
+    world = World(reader=True, items=[item(key, json.dumps(value).encode())])
+    world.run(3)
+    assert world.reads == 1
