--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -37,6 +37,8 @@
         spoil: Send bytes that are no answer.
         refuse: Refuse connections.
         health: Status of the health check, whatever is true; 0: the true one.
+        says_leaving: Say in each answer that it leaves, though the list does not.
+        backoff_s: Turn each request away and ask for so many seconds of backoff.
         times: Requests to hit; negative for all.
         path: Only requests whose path begins so.
         via: Only requests whose path has this in it.
@@ -53,6 +55,8 @@
     spoil: bool = False
     refuse: bool = False
     health: int = 0
+    says_leaving: bool = False
+    backoff_s: float = 0.0
     times: int = -1
     path: str = ""
     via: str = ""
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -38,10 +38,12 @@
     REQUEST_ID,
     RESPONSE_SEAL,
     RETRY_AFTER,
+    SERVER_LEAVING,
     WEIGHT_VERSIONS,
 )
 
 LONG_BODY = 65_536
+FULL_BACKOFF_S = 0.1
 
 
 class PlatformReplica(HttpFake):
@@ -215,11 +217,15 @@
         job = Job.of(call.headers, self._stride)
         too_large = job and job.prompt + job.wanted > self._batch.cache.capacity
         full = len(self._busy) + len(self._waiting) >= self._places
+        full = full or self._faults.backoff_s > 0
         return 503 if full or too_large else 0
 
     def _refuse(self, call: Call, run: Run, status: int) -> None:
         run.end(str(status))
-        headers = {NOT_EXECUTED: "1", REPLICA_ID: self._name, RETRY_AFTER: "0.1"}
+        wait_s = self._faults.backoff_s or FULL_BACKOFF_S
+        headers = {NOT_EXECUTED: "1", REPLICA_ID: self._name}
+        headers |= {RETRY_AFTER: str(wait_s)} if status == 503 else {}
+        headers |= self._leaving
         if run.id:
             headers[REQUEST_ID] = run.id
         self.finish(call, answer_bytes(status, b"", headers))
@@ -270,7 +276,12 @@
             headers[WEIGHT_VERSIONS] = str(self._weights)
         if self._state == DRAINING:
             headers["Connection"] = "close"
-        return headers
+        return headers | self._leaving
+
+    @property
+    def _leaving(self) -> dict[str, str]:
+        says = self._state == DRAINING or self._faults.says_leaving
+        return {SERVER_LEAVING: "1"} if says else {}
 
     def _done(self, work: Work) -> None:
         run, call = work.run, work.call
