An endpoint that says in an answer that it leaves gets no new work from any host

Callers' requests went to an engine for 11 s after it had said that it leaves; what still ran when it ended would have been cut. Class: a sign that reaches a host on one path (the list) is not taken from another one (answers). Ruled out: that other hosts knew (first line of all at 20.18 s). Change: the header is read with the head of each answer (streams, plain answers, refusals, what engines keep). The sign holds for that start of the endpoint for good, whether it is listed or not. Hosts tell each other at once and repeat it for a minute, so that placers and hosts that start know it; GG712 says from whom. An answer of another endpoint at the address (421) says nothing of this one. Open: the product's own interface, backoff.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -3,6 +3,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+MOST_LEFT = 4096
+"""Endpoints of which it is remembered that they said that they leave."""
+
 
 @dataclass(frozen=True, slots=True)
 class ListedEndpoint:
@@ -56,8 +59,9 @@
     """The endpoints that are listed, by id."""
 
     def __init__(self) -> None:
+        # By id and start: an entry may lapse and come back while an endpoint leaves.
+        self._left: dict[str, int] = {}
         self._listed: dict[str, ListedEndpoint] = {}
-        self._left: dict[str, float] = {}
         self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
 
     def __len__(self) -> int:
@@ -86,23 +90,35 @@
     def may_use(self, endpoint: str) -> bool:
         """Whether an endpoint may get new work."""
         found = self._listed.get(endpoint)
-        return found is not None and not found.leaving and endpoint not in self._left
+        return found is not None and not found.leaving and not self._says_left(found)
+
+    def _says_left(self, endpoint: ListedEndpoint) -> bool:
+        return self._left.get(endpoint.id, -1) >= endpoint.born
 
     def is_current(self, endpoint: ListedEndpoint) -> bool:
         """Whether an endpoint is listed, and no later start of it."""
         listed = self._listed.get(endpoint.id)
         return listed is not None and listed.born <= endpoint.born
 
-    def note_left(self, endpoint: ListedEndpoint, now: float) -> bool:
+    def note_left(self, endpoint: str, born: int) -> bool:
         """Take the endpoint's own sign of leaving; True when it is news.
 
-        The list learns of a stop late or never; an answer that closes its
-        connection while others are kept says it sooner. The sign holds for good,
-        for this start of the endpoint.
+        The list learns of a stop late or never, and not at all while the store is
+        away. The sign holds for good, for this start of the endpoint and those before.
+
+        Args:
+            endpoint: Its id.
+            born: Its start; 0 when not said.
         """
-        if endpoint.id in self._left or not self.is_current(endpoint):
+        if self._left.get(endpoint, -1) >= born:
+            return False
+        listed = self._listed.get(endpoint)
+        if listed is not None and listed.born > born:
             return False
-        self._left[endpoint.id] = now
+        self._left.pop(endpoint, None)
+        self._left[endpoint] = born
+        if len(self._left) > MOST_LEFT:
+            del self._left[next(iter(self._left))]
         self._usable.clear()
         return True
 
@@ -130,6 +146,5 @@
     def drop(self, endpoint: str) -> Iterator[ListChange]:
         """Take over that an endpoint is no longer listed."""
         if self._listed.pop(endpoint, None) is not None:
-            self._left.pop(endpoint, None)
             self._usable.clear()
             yield ListChange(endpoint, "gone")
--- a/greengageflow/daemon/exchange_listener.py
+++ b/greengageflow/daemon/exchange_listener.py
@@ -5,6 +5,7 @@
 
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_sums import FleetTotals
+from greengageflow.core.leaving_signs import LeavingReport
 from greengageflow.core.peer_report import PeerReport
 from greengageflow.core.place_messages import PlaceMessage
 from greengageflow.core.quarantine import CrashReport
@@ -40,5 +41,8 @@
     def on_crash_report(self, report: CrashReport) -> None:
         """Take which requests crashed endpoints."""
 
+    def on_leaving_report(self, report: LeavingReport) -> None:
+        """Take which endpoints said that they leave."""
+
     def on_place_message(self, message: PlaceMessage) -> None:
         """Take what another router asks or tells of a request's place."""
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -13,6 +13,7 @@
 from greengageflow.core.fleet_sums import FleetTotals, SumReport, relay_turns
 from greengageflow.core.greetings import Greetings
 from greengageflow.core.hello_ring import HelloRing
+from greengageflow.core.leaving_signs import LeavingReport
 from greengageflow.core.peer_report import LoadNotice, PeerBook, PeerReport
 from greengageflow.core.place_messages import (
     PlaceAnswer,
@@ -143,10 +144,17 @@
             records: What is known.
             most: Routers that get it, drawn at random; None for all.
         """
-        to = self._everybody()
-        if most is not None:
-            to = set(self._random.sample(sorted(to), min(most, len(to))))
-        self._send(encode(CrashReport(records)), to)
+        self._send(encode(CrashReport(records)), self._some(most))
+
+    def send_leaving(self, report: LeavingReport, most: int | None) -> None:
+        """Send which endpoints said that they leave, as ``send_crashes`` does."""
+        self._send(encode(report), self._some(most))
+
+    def _some(self, most: int | None) -> set[Address]:
+        known = self._everybody()
+        if most is None:
+            return known
+        return set(self._random.sample(sorted(known), min(most, len(known))))
 
     def pass_on(self, news: StoreNews, is_own: bool) -> None:
         """Send others what was read in the platform's store.
@@ -243,6 +251,9 @@
             case CrashReport():
                 self._listener.on_crash_report(message)
                 return
+            case LeavingReport():
+                self._listener.on_leaving_report(message)
+                return
             case PlaceAsk() | PlaceAnswer() | PlaceNote() | PlaceRoll():
                 self._listener.on_place_message(message)
                 return
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -13,6 +13,7 @@
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_flight import ForwardFlight, Phase
 from greengageflow.daemon.forward_notes import ForwardNotes
+from greengageflow.daemon.leaving_watch import LeavingWatch
 from greengageflow.daemon.placement import Placement
 from greengageflow.errors import ErrorKind, Ran, RouterError
 from greengageflow.net.endpoint_attempt import EndpointAttempt
@@ -50,10 +51,12 @@
     Attributes:
         placement: Decides or has decided where requests go; set before the first.
         crashes: Learns of requests that endpoints cut; set before the first.
+        leaving: Learns of endpoints that say that they leave; set before the first.
     """
 
     placement: Placement
     crashes: CrashWatch
+    leaving: LeavingWatch
 
     def __init__(
         self,
@@ -206,6 +209,12 @@
 
     # What endpoints did.
 
+    def on_head(self, flight: ForwardFlight) -> None:
+        """Take what an endpoint says of itself beside its answer."""
+        attempt = flight.attempt
+        if attempt.note.leaving:
+            self.leaving.said(attempt.endpoint)
+
     def on_events(self, flight: ForwardFlight, frames: list[Frame]) -> None:
         """Pass events on."""
         now = self._timers.now
@@ -235,7 +244,7 @@
         if note.not_run:
             self.placement.left(flight.id, endpoint)
             if note.replaced:
-                self._endpoints.note_left(endpoint, self._timers.now)
+                self._endpoints.note_left(endpoint.id, endpoint.born)
             self._try_again(flight, self._not_taken(flight, note.status))
             return
         flight.may_have_run = True
@@ -436,6 +445,10 @@
         self._forwarder = forwarder
         self._flight = flight
 
+    def on_head(self, attempt: EndpointAttempt) -> None:
+        if self._flight.attempt is attempt:
+            self._forwarder.on_head(self._flight)
+
     def on_events(self, attempt: EndpointAttempt, frames: list[Frame]) -> None:
         if self._flight.attempt is attempt:
             self._forwarder.on_events(self._flight, frames)
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -10,6 +10,7 @@
 from greengageflow.core.endpoint_list import EndpointList, ListChange
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_sums import FleetTotals
+from greengageflow.core.leaving_signs import LeavingReport
 from greengageflow.core.peer_report import PeerReport
 from greengageflow.core.place_messages import PlaceMessage
 from greengageflow.core.quarantine import CrashReport, Quarantine
@@ -36,6 +37,7 @@
 from greengageflow.daemon.host_watch import HostWatch
 from greengageflow.daemon.kept_parts import KeptParts
 from greengageflow.daemon.key_watch import KeyWatch
+from greengageflow.daemon.leaving_watch import LeavingWatch
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.program import Program
 from greengageflow.daemon.quarantine_notes import QuarantineNotes
@@ -139,7 +141,13 @@
             self._exchange,
             self._forwarder.carry_out,
             self._log,
-            KeptParts(self._pool, self._timers, self._book, self._log),
+            KeptParts(
+                self._pool,
+                self._timers,
+                self._book,
+                self._log,
+                lambda engine: self._leaving.said(engine),
+            ),
         )
         self._crashes = self._forwarder.crashes = CrashWatch(
             self._quarantine,
@@ -150,6 +158,9 @@
             self._forwarder.on_held,
             lambda fingerprint: self._kept.update(fingerprint),
         )
+        self._leaving = self._forwarder.leaving = LeavingWatch(
+            self._endpoints, self._timers, self._exchange, self._on_left
+        )
         self._kept = QuarantineStore(
             self._pool,
             self._timers,
@@ -316,6 +327,10 @@
         """Take which requests crashed endpoints."""
         self._crashes.receive(report.records)
 
+    def on_leaving_report(self, report: LeavingReport) -> None:
+        """Take which endpoints said that they leave."""
+        self._leaving.receive(report.signs)
+
     def on_place_message(self, message: PlaceMessage) -> None:
         """Take what another router asks or tells of a request's place."""
         self._placement.receive(message)
@@ -326,6 +341,11 @@
         self._forwarder.on_routing(routing)
         self._callers.set_bounds(routing.bounds)
 
+    def _on_left(self, endpoint: str, source: str) -> None:
+        self._log.write(
+            DecisionEvent.ENDPOINT_LEAVING, endpoint=endpoint, source=source
+        )
+
     def _on_change(self, change: ListChange) -> None:
         event = {
             "new": DecisionEvent.ENDPOINT_SEEN,
@@ -359,6 +379,7 @@
         self._exchange.start()
         self._placement.start()
         self._crashes.start()
+        self._leaving.start()
         self._registry.start()
         self._kept.start()
         self._timers.every(TICK_S, self._on_tick)
--- a/greengageflow/daemon/kept_parts.py
+++ b/greengageflow/daemon/kept_parts.py
@@ -1,6 +1,6 @@
 """Asks model engines which prompt parts they keep."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from greengageflow.core.endpoint_list import ListedEndpoint
@@ -10,6 +10,7 @@
 from greengageflow.net.http_messages import Failure, HttpRequest, Response
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
+from greengageflow.platform.answers import says_leaving
 from greengageflow.platform.records import RecordError, parse_kept
 from greengageflow.platform.requests import kept_call
 
@@ -40,15 +41,22 @@
         timers: Timer service.
         book: Takes what is learned.
         log: Takes a line for each engine.
+        on_leaving: Takes an engine that says that it leaves.
     """
 
     def __init__(
-        self, pool: HttpPool, timers: Timers, book: ServiceBook, log: DecisionLog
+        self,
+        pool: HttpPool,
+        timers: Timers,
+        book: ServiceBook,
+        log: DecisionLog,
+        on_leaving: Callable[[ListedEndpoint], None],
     ) -> None:
         self._pool = pool
         self._timers = timers
         self._book = book
         self._log = log
+        self._on_leaving = on_leaving
         self._asked: set[str] = set()
 
     def ask(self, engines: Iterable[ListedEndpoint]) -> None:
@@ -67,6 +75,8 @@
     def _take(
         self, engine: ListedEndpoint, number: int, result: Response | Failure
     ) -> None:
+        if isinstance(result, Response) and says_leaving(result):
+            self._on_leaving(engine)
         try:
             if isinstance(result, Failure):
                 raise RecordError(result.message)
--- a/greengageflow/net/endpoint_answer.py
+++ b/greengageflow/net/endpoint_answer.py
@@ -15,6 +15,7 @@
         replaced: Another endpoint has the address.
         closing: The endpoint ends the connection after it.
         encoded: The body is not the endpoint's plain body.
+        leaving: The endpoint says that it leaves.
     """
 
     status: int
@@ -24,6 +25,7 @@
     replaced: bool
     closing: bool
     encoded: bool
+    leaving: bool = False
 
     @property
     def good(self) -> bool:
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -16,6 +16,9 @@
 class AttemptListener(Protocol):
     """Hears of an attempt; ``on_answer``, ``on_end`` or ``on_failure`` comes last."""
 
+    def on_head(self, attempt: "EndpointAttempt") -> None:
+        """Take note of an answer that begins."""
+
     def on_events(self, attempt: "EndpointAttempt", frames: list[Frame]) -> None:
         """Take events of a successful stream."""
 
@@ -93,6 +96,7 @@
         self.note = self._judge(head)
         if self._stream and self.note.good:
             self._frames = EventFrames()
+        self._listener.on_head(self)
 
     def on_data(self, data: bytes) -> None:
         """Take bytes of the body."""
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -8,6 +8,7 @@
 from greengageflow.core.endpoint_load import LoadShare, load_shares
 from greengageflow.core.fleet_sums import AccountKey, FleetTotals, SumReport
 from greengageflow.core.keyed_record import KeyedRecord
+from greengageflow.core.leaving_signs import LeavingReport
 from greengageflow.core.peer_report import LoadNotice, PeerReport
 from greengageflow.core.place_messages import PlaceMessage
 from greengageflow.core.quarantine import CrashReport
@@ -30,6 +31,7 @@
     work_columns,
 )
 from greengageflow.net.crash_codec import CRASHES, crash_values, crashes_of
+from greengageflow.net.leaving_codec import LEAVING, leaving_of, leaving_values
 from greengageflow.net.place_codec import (
     ANSWER,
     ASK,
@@ -56,6 +58,7 @@
     | SumWanted
     | StoreNews
     | CrashReport
+    | LeavingReport
     | PlaceMessage
 )
 
@@ -83,6 +86,8 @@
             return packb((NEWS, *_news_values(message)))
         case CrashReport():
             return packb(crash_values(message))
+        case LeavingReport():
+            return packb(leaving_values(message))
         case _:
             return packb(place_values(message))
 
@@ -365,6 +370,7 @@
     WANTED: _wanted,
     NEWS: _news,
     CRASHES: crashes_of,
+    LEAVING: leaving_of,
     ASK: ask_of,
     ANSWER: answer_of,
     NOTE: note_of,
--- a/greengageflow/platform/answers.py
+++ b/greengageflow/platform/answers.py
@@ -2,12 +2,13 @@
 
 from greengageflow.core.forward_request import Header
 from greengageflow.net.endpoint_answer import AnswerNote
-from greengageflow.net.http_messages import Head
+from greengageflow.net.http_messages import Head, Response
 from greengageflow.platform.names import (
     NOT_EXECUTED,
     REPLICA_ID,
     REQUEST_ID,
     RESPONSE_SEAL,
+    SERVER_LEAVING,
 )
 from greengageflow.platform.requests import HOP_HEADERS
 
@@ -26,9 +27,16 @@
         replaced=misdirected and bool(head.header(REPLICA_ID)),
         closing="close" in head.header("connection").lower(),
         encoded=bool(head.header("content-encoding")),
+        # Another endpoint that has the address now speaks for itself.
+        leaving=not misdirected and says_leaving(head),
     )
 
 
+def says_leaving(answer: Head | Response) -> bool:
+    """Whether an endpoint says in an answer that it leaves."""
+    return answer.header(SERVER_LEAVING).strip() not in ("", "0")
+
+
 def headers_for_caller(head: Head) -> tuple[Header, ...]:
     """Return the headers of an answer that the caller gets."""
     return tuple(
--- a/tests/test_fleet_exchange.py
+++ b/tests/test_fleet_exchange.py
@@ -80,7 +80,7 @@
         self.asked = {key: 2 * work for key, work in self.work.items()}
         self.share = {f"e{index % 5}": LoadShare(1 + index % 4, 10.0 * index, 5.0)}
         self.totals, self.seen_loads, self.seen_placed = FleetTotals(), {}, set()
-        self.news, self.crashes = [], []
+        self.news, self.crashes, self.leaving = [], [], []
         self.exchange = FleetExchange(self.hello, self, self, seeds, self)
         network.routers[self.address] = self
 
@@ -138,6 +138,9 @@
     def on_crash_report(self, report):
         self.crashes.append(report)
 
+    def on_leaving_report(self, report):
+        self.leaving.append(report)
+
     def stop(self):
         del self.network.routers[self.address]
 
--- a/tests/test_kept_parts.py
+++ b/tests/test_kept_parts.py
@@ -25,6 +25,7 @@
 
     def __init__(self, *answers):
         self.answers, self.asked, self.lines = list(answers), [], []
+        self.left = []
         self.engines = [endpoint("e0"), endpoint("e1"), endpoint("e2")]
         listed = EndpointList()
         for engine in self.engines:
@@ -32,7 +33,7 @@
         self.book = ServiceBook(listed, "z", lambda: SendBudget(1, 9, 10.0))
         service = Service("model", 4, memory_tokens=100_000)
         self.book.on_routing(Routing(version=1, services={"model": service}))
-        self.parts = KeptParts(self, self, self.book, self)
+        self.parts = KeptParts(self, self, self.book, self, self.left.append)
 
     def fetch(self, request, on_done, _limit):
         self.asked.append((request.ip, request.port, request.path))
@@ -78,3 +79,11 @@
     assert len(asked.asked) == MOST_TRIES
     assert asked.lines == [("PARTS_UNKNOWN", "e0")]
     assert asked.start() is not None
+
+
+def test_engine_that_says_that_it_leaves_is_handed_on():
+    body = json.dumps(KEPT).encode()
+    leaving = Response(200, (("server-leaving", "1"),), body)
+    asked = Asked(Response(200, (), body), leaving)
+    asked.parts.ask(asked.engines[:2])
+    assert asked.left == [asked.engines[1]]
--- a/tests/test_report_codec.py
+++ b/tests/test_report_codec.py
@@ -8,9 +8,11 @@
 from hypothesis import strategies as st
 from msgpack import packb, unpackb
 
+from greengageflow.core.endpoint_list import EndpointList
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_sums import FleetTotals, SumReport, merge
 from greengageflow.core.keyed_record import KeyedRecord
+from greengageflow.core.leaving_signs import LeavingReport, LeavingSign
 from greengageflow.core.peer_report import LoadNotice, PeerReport
 from greengageflow.core.quarantine import (
     FINGERPRINT_BYTES,
@@ -105,6 +107,10 @@
     age_s=st.integers(0, 600).map(float),
 )
 CRASHES = st.builds(CrashReport, records=st.lists(CRASH_RECORDS, max_size=3).map(tuple))
+LEAVING = st.builds(
+    LeavingReport,
+    signs=st.lists(st.builds(LeavingSign, NAMES, COUNTS), max_size=3).map(tuple),
+)
 MESSAGES = (
     HELLOS | NOTICES | REPORTS | SUM_REPORTS | SUM_CHANGES | WANTED | NEWS | CRASHES
 )
@@ -160,5 +166,8 @@
         quarantine = Quarantine()
         quarantine.receive(1.0, found.records)
         list(quarantine.records(2.0, 10.0, 9))
+    if isinstance(found, LeavingReport):
+        for sign in found.signs:
+            EndpointList().note_left(sign.endpoint, sign.born)
     merge([FleetTotals(loads=loads)] * 2)
     assert all(0 <= load.reading < inf for load in loads.values())
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -5,7 +5,11 @@
 import pytest
 
 from greengageflow.core.endpoint_choice import Choice
-from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
+from greengageflow.core.endpoint_list import (
+    MOST_LEFT,
+    EndpointList,
+    ListedEndpoint,
+)
 from greengageflow.core.forward_request import Prompt, PromptPart
 from greengageflow.core.place_desk import PlaceDesk
 from greengageflow.core.place_messages import Happened, PlaceAsk, PlaceNote
@@ -91,10 +95,41 @@
 
 def test_the_earlier_starts_sign_of_leaving_is_not_the_later_ones(fleet):
     fleet.put(NEW)
-    assert not fleet.listed.note_left(OLD, 1.0)
+    assert not fleet.listed.note_left(OLD.id, OLD.born)
     assert fleet.listed.may_use("e")
-    assert fleet.listed.note_left(NEW, 1.0)
+    assert fleet.listed.note_left(NEW.id, NEW.born)
     assert not fleet.listed.may_use("e")
+    fleet.put(replace(NEW, born=12))
+    assert fleet.listed.may_use("e")
+
+
+@pytest.mark.parametrize("born", [0, 5])
+def test_sign_of_leaving_outlasts_an_entry_that_lapses_and_comes_back(born):
+    """Entries of live endpoints lapse while the store is away."""
+    listed = EndpointList()
+    entry = replace(OLD, born=born)
+    list(listed.put(entry))
+    assert listed.note_left(entry.id, entry.born)
+    list(listed.drop(entry.id))
+    assert not listed.note_left(entry.id, entry.born), "no news"
+    list(listed.put(entry))
+    assert not listed.usable(entry.service)
+    assert not listed.may_use(entry.id)
+
+
+def test_sign_of_leaving_holds_for_an_entry_that_comes_later():
+    listed = EndpointList()
+    assert listed.note_left(OLD.id, OLD.born)
+    list(listed.put(OLD))
+    assert not listed.may_use(OLD.id)
+
+
+def test_signs_of_leaving_are_bounded():
+    listed = EndpointList()
+    for number in range(MOST_LEFT + 9):
+        listed.note_left(f"e{number}", 0)
+    assert listed.note_left("e0", 0), "the oldest one is forgotten"
+    assert not listed.note_left(f"e{MOST_LEFT}", 0)
 
 
 def test_another_hosts_word_of_the_earlier_start_is_not_the_later_ones(fleet):
