An endpoint that asks for backoff gets nothing from that host until it is over

Callers got 429 while other engines had room: an engine that turned requests away at once, with Retry-After, was sent request after request, up to 35 from one host in three seconds. The header was not read; an answer 'not run' says nothing of the endpoint's health, so that one that refuses at once has nothing under way, looks idle and is chosen first, by hosts and by placers. Class: a refusal is taken for spare capacity. Ruled out: requests that were under way. Change: the time is kept by endpoint and start beside its health. Until it is over the endpoint is no choice for new requests, plain or engine, for retries and for a placer's word that comes late; asks tell placers to avoid it; a host that begins to place does not ask it what it keeps. While all endpoints of a service ask for backoff, requests whose time to wait would end sooner are refused at once, with the end of the first one as Retry-After; others wait.

--- a/greengageflow/core/endpoint_health.py
+++ b/greengageflow/core/endpoint_health.py
@@ -14,6 +14,7 @@
     rest_until: float = 0.0
     rest_s: float = FIRST_REST_S
     failing: float = 0.0
+    backoff_until: float = 0.0
 
 
 class EndpointHealth:
@@ -21,7 +22,8 @@
 
     An endpoint that does not answer at all rests, longer each time; when the rest is
     over one request tries it. An endpoint that answers part of its requests with
-    failures is ranked behind others by that part.
+    failures is ranked behind others by that part. One that turns a request away may ask
+    for backoff: it gets nothing at all until that is over.
     """
 
     def __init__(self) -> None:
@@ -36,10 +38,25 @@
         found = self._records.get(endpoint)
         return found is not None and now < found.rest_until
 
+    def ask_backoff(self, now: float, endpoint: str, seconds: float) -> bool:
+        """Note that an endpoint wants nothing for so long; True when it is news."""
+        record = self._records.setdefault(endpoint, _Record())
+        is_news = record.backoff_until <= now
+        record.backoff_until = max(record.backoff_until, now + seconds)
+        return is_news
+
+    def backoff_s(self, now: float, endpoint: str) -> float:
+        """Return for how long an endpoint wants nothing, in seconds."""
+        found = self._records.get(endpoint)
+        return max(0.0, found.backoff_until - now) if found else 0.0
+
     def resting(self, now: float) -> frozenset[str]:
         """Return the endpoints that get no work now."""
-        records = self._records.items()
-        return frozenset(name for name, one in records if now < one.rest_until)
+        return frozenset(
+            name
+            for name, one in self._records.items()
+            if now < max(one.rest_until, one.backoff_until)
+        )
 
     def failing(self, endpoint: str) -> float:
         """Return the part of an endpoint's answers that were failures, 0 to 1."""
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -121,7 +121,7 @@
 
     def _placed_at(self, service: str) -> list[ListedEndpoint]:
         """Return the endpoints that this host sends new requests to."""
-        usable = list(self._endpoints.usable(service))
+        usable = self.open_endpoints(self._now, service)
         if self._owned is None or not self.service(service).is_engine:
             return usable
         return [endpoint for endpoint in usable if endpoint.id in self._owned] or usable
@@ -283,7 +283,7 @@
             prompt: Its work, for a model engine.
             avoid: Endpoints that it was sent to.
         """
-        usable = self._endpoints.usable(service)
+        usable = self.open_endpoints(now, service)
         look = self._chooser.look(now, [e for e in usable if e.id not in avoid])
         choice = self._chooser.choose(
             now,
@@ -330,6 +330,30 @@
         if load is not None:
             load.end(request)
 
+    def ask_backoff(self, now: float, endpoint: ListedEndpoint, seconds: float) -> bool:
+        """Note that an endpoint wants nothing for so long; True when it is news."""
+        if not self._endpoints.is_current(endpoint):
+            return False
+        return self._health.ask_backoff(now, endpoint.id, seconds)
+
+    def open_endpoints(self, now: float, service: str) -> list[ListedEndpoint]:
+        """Return the endpoints of a service that may get new work from this host."""
+        usable = self._endpoints.usable(service)
+        return [e for e in usable if not self._health.backoff_s(now, e.id)]
+
+    def is_open(self, now: float, endpoint: ListedEndpoint) -> bool:
+        """Whether an endpoint may get new work from this host."""
+        may_use = self._endpoints.may_use(endpoint.id)
+        return may_use and not self._health.backoff_s(now, endpoint.id)
+
+    def backoff_s(self, now: float, service: str) -> float:
+        """Return the seconds until one of a service's endpoints wants work again.
+
+        It is 0 where one does now, or there is none.
+        """
+        usable = self._endpoints.usable(service)
+        return min((self._health.backoff_s(now, e.id) for e in usable), default=0.0)
+
     def answered(self, endpoint: ListedEndpoint, good: bool) -> bool:
         """Note an endpoint's answer; True when it rested before."""
         if not self._endpoints.is_current(endpoint):
@@ -343,7 +367,7 @@
         return self._health.on_silence(now, endpoint.id)
 
     def resting(self, now: float, service: str) -> tuple[str, ...]:
-        """Return the endpoints of a service that do not answer this host now."""
+        """Return the endpoints of a service that get nothing from this host now."""
         resting = self._health.resting(now)
         if not resting:
             return ()
@@ -377,6 +401,7 @@
                 self._chooser,
                 lambda account: self.level(service, account),
                 lambda: self._reading(service),
+                lambda: self.backoff_s(self._now, service),
                 fade_s=FADE_S,
             )
         found.transfers = self.service(service).transfers
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -91,6 +91,8 @@
         level: Returns an account's service lately, over the whole fleet.
         reading: Returns the prompt tokens of this host's requests that no endpoint
             of the service has read yet.
+        backoff_s: Returns the seconds until one of the endpoints wants work again; 0 if
+            one does now, or there is none.
         fade_s: Time constant of the service lately, in seconds.
         transfers: Engines fetch prompt parts from each other.
     """
@@ -101,6 +103,7 @@
         chooser: EndpointChooser,
         level: Callable[[str], float],
         reading: Callable[[], float],
+        backoff_s: Callable[[], float],
         *,
         fade_s: float,
         transfers: bool = False,
@@ -112,6 +115,7 @@
         self._chooser = chooser
         self._level = level
         self._reading = reading
+        self._backoff_s = backoff_s
         self._fade_s = fade_s
         self._queue = WorkQueue()
         self._jobs: dict[str, Job] = {}
@@ -123,7 +127,7 @@
 
     def submit(self, now: float, job: Job) -> Iterator[Decision]:
         """Queue a request and yield what can be decided."""
-        if not self._endpoints():
+        if not self._endpoints() and not self._backoff_s():
             text = "no endpoint of the service is known"
             yield RefuseJob(job.waiter.id, ErrorKind.NO_ENDPOINT, text, 1.0)
             return
@@ -143,6 +147,7 @@
 
     def pump(self, now: float) -> Iterator[Decision]:
         """Yield every start and refusal that is due."""
+        yield from self._refuse_hopeless(now)
         for waiter in list(self._queue.expired(now)):
             del self._jobs[waiter.id]
             text = "no endpoint had room in time"
@@ -154,6 +159,17 @@
             self.running.add(start.request)
             yield start
 
+    def _refuse_hopeless(self, now: float) -> Iterator[RefuseJob]:
+        """Refuse what would be given up before any endpoint wants work again."""
+        wait_s = self._backoff_s()
+        if not wait_s:
+            return
+        for waiter in [job.waiter for job in self._jobs.values()]:
+            if now + wait_s >= waiter.give_up_at:
+                self.cancel(waiter.id)
+                text = "all endpoints of the service ask for backoff"
+                yield RefuseJob(waiter.id, ErrorKind.NO_ENDPOINT, text, wait_s)
+
     def _come_back_s(self, account: str) -> float:
         """Return the seconds until the account is below its share again."""
         most = self.allowance.levels.get(account, 0.0)
--- a/greengageflow/daemon/forward_notes.py
+++ b/greengageflow/daemon/forward_notes.py
@@ -1,6 +1,7 @@
 """Writes down what is decided of forwarded requests: log lines and metrics."""
 
 from greengageflow.core.endpoint_choice import Choice
+from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import ForwardRequest, request_fingerprint
 from greengageflow.core.quarantine import short
 from greengageflow.core.service_book import ServiceBook
@@ -189,6 +190,13 @@
             total_ms=_ms(now - flight.arrived),
         )
 
+    def backoff(self, endpoint: ListedEndpoint, seconds: float) -> None:
+        """Note that an endpoint asks for backoff."""
+        self._page.count(PageMetric.BACKOFFS, endpoint.service)
+        self._log.write(
+            DecisionEvent.ENDPOINT_BACKOFF, endpoint=endpoint.id, for_ms=_ms(seconds)
+        )
+
     def suspect(self, flight: ForwardFlight, why: str, rests: bool) -> None:
         """Note that an endpoint did not answer."""
         self._page.count(PageMetric.ENDPOINT_FAILURES, flight.service)
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from greengageflow.core.endpoint_choice import Choice
-from greengageflow.core.endpoint_list import EndpointList
+from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
 from greengageflow.core.quarantine import Fingerprint, Quarantine
 from greengageflow.core.routes import Repeat, Routing
 from greengageflow.core.service_book import ServiceBook
@@ -243,6 +243,8 @@
         flight.avoid.add(endpoint.id)
         if note.not_run:
             self.placement.left(flight.id, endpoint)
+            if note.backoff_s:
+                self._on_backoff(endpoint, note.backoff_s)
             if note.replaced:
                 self._endpoints.note_left(endpoint.id, endpoint.born)
             self._try_again(flight, self._not_taken(flight, note.status))
@@ -265,10 +267,16 @@
         else:
             self._answer(flight, body)
 
-    @staticmethod
-    def _not_taken(flight: ForwardFlight, status: int) -> RouterError:
+    def _on_backoff(self, endpoint: ListedEndpoint, seconds: float) -> None:
+        now = self._timers.now
+        if self._book.ask_backoff(now, endpoint, seconds):
+            self._notes.backoff(endpoint, seconds)
+            self.carry_out(self._book.pump(now))
+
+    def _not_taken(self, flight: ForwardFlight, status: int) -> RouterError:
         text = f"{flight.attempt.endpoint.id} did not take the request: {status}"
-        return RouterError(ErrorKind.QUEUE_FULL, text)
+        wait_s = self._book.backoff_s(self._timers.now, flight.service)
+        return RouterError(ErrorKind.QUEUE_FULL, text, retry_after_s=wait_s or None)
 
     def _answer(self, flight: ForwardFlight, body: bytes) -> None:
         head = flight.attempt.head
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -164,7 +164,7 @@
     def _placer_for(self, now: float, service: str, prompt: Prompt | None) -> str:
         if prompt is None:
             return ""
-        home = home_of(prompt.affinity, self._endpoints.usable(service))
+        home = home_of(prompt.affinity, self._book.open_endpoints(now, service))
         placer = self._table.owner(home.id) if home else ""
         return placer if self._table.answers(now, placer) else ""
 
@@ -345,7 +345,8 @@
 
     def _on_start(self, asked: Asked, answer: PlaceAnswer) -> None:
         endpoint = self._endpoints.get(answer.endpoint)
-        if endpoint is None or not self._endpoints.may_use(endpoint.id):
+        now = self._timers.now
+        if endpoint is None or not self._book.is_open(now, endpoint):
             self._tell(asked.placer, answer.request, Happened.ENDED)
             self._decide_here(lambda other: other is asked)
             return
@@ -374,8 +375,9 @@
         self._own()
         self._release(now)
         if now - self._placer_since >= STEADY_S:
-            listed = map(self._endpoints.get, self._owned or ())
-            self._parts.ask(e for e in listed if self._book.is_engine(e))
+            listed = filter(None, map(self._endpoints.get, self._owned or ()))
+            engines = filter(self._book.is_engine, listed)
+            self._parts.ask(e for e in engines if self._book.is_open(now, e))
         self._carry_out(self._desk.drop_silent(now))
 
     def _release(self, now: float) -> None:
--- a/greengageflow/net/endpoint_answer.py
+++ b/greengageflow/net/endpoint_answer.py
@@ -16,6 +16,8 @@
         closing: The endpoint ends the connection after it.
         encoded: The body is not the endpoint's plain body.
         leaving: The endpoint says that it leaves.
+        backoff_s: Seconds for which the endpoint wants nothing more; 0 if it did not
+            say.
     """
 
     status: int
@@ -26,6 +28,7 @@
     closing: bool
     encoded: bool
     leaving: bool = False
+    backoff_s: float = 0.0
 
     @property
     def good(self) -> bool:
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 from typing import Any, Protocol
 
 from greengageflow.net._http_parse import Head
@@ -23,6 +24,21 @@
 )
 
 
+LONGEST_BACKOFF_S = 3600.0
+
+
+def retry_after_s(text: str) -> float:
+    """Return the seconds in a ``Retry-After`` header, 0 for none.
+
+    Fractions count. A date is none: it goes by a clock that is not ours.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    return min(seconds, LONGEST_BACKOFF_S) if 0.0 < seconds < inf else 0.0
+
+
 def hop_by_hop(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
     """Return the headers that end with this hop, those that it names included."""
     return HOP_BY_HOP.union(
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -65,6 +65,7 @@
     RESUMED = PageMetricType("streams_resumed", PageKind.COUNTER, "service")
     CANCELLED = PageMetricType("cancelled", PageKind.COUNTER, "service")
     ENDPOINT_FAILURES = PageMetricType("endpoint_failures", PageKind.COUNTER, "service")
+    BACKOFFS = PageMetricType("endpoint_backoffs", PageKind.COUNTER, "service")
     ENDPOINT_CRASHES = PageMetricType("endpoint_crashes", PageKind.COUNTER, "service")
     CONTROL_BYTES = PageMetricType("control_bytes", PageKind.COUNTER, "direction")
     CONTROL_TOO_LONG = PageMetricType("control_too_long", PageKind.COUNTER)
--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -65,6 +65,7 @@
     " {gave_way} idle ones gave way",
     Event.LINES_DROPPED: "log lines left out: {sampled} sampled away, {budget} over"
     " the budget, {buffer} with a full buffer, {sink} not written",
+    Event.ENDPOINT_BACKOFF: "endpoint {endpoint} asks for {for_ms} ms of backoff",
     Event.QUARANTINED: "request {digest} is held back for {for_ms} ms, known from"
     " {source}",
     Event.QUARANTINE_CLEARED: "request {digest} was answered and is cleared of crashes",
--- a/greengageflow/platform/answers.py
+++ b/greengageflow/platform/answers.py
@@ -2,33 +2,38 @@
 
 from greengageflow.core.forward_request import Header
 from greengageflow.net.endpoint_answer import AnswerNote
-from greengageflow.net.http_messages import Head, Response
+from greengageflow.net.http_messages import Head, Response, retry_after_s
 from greengageflow.platform.names import (
     NOT_EXECUTED,
     REPLICA_ID,
     REQUEST_ID,
     RESPONSE_SEAL,
+    RETRY_AFTER,
     SERVER_LEAVING,
 )
 from greengageflow.platform.requests import HOP_HEADERS
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 
 
 def note_of(head: Head, request_id: str) -> AnswerNote:
     """Return what an answer's head says of the request ``request_id``."""
     echoed = head.header(REQUEST_ID)
     misdirected = head.status == MISDIRECTED
+    not_run = misdirected or bool(head.header(NOT_EXECUTED))
+    turned_away = not_run and head.status == UNAVAILABLE
     return AnswerNote(
         status=head.status,
         own=echoed in ("", request_id),
         sealed=bool(head.header(RESPONSE_SEAL)) and echoed == request_id,
-        not_run=misdirected or bool(head.header(NOT_EXECUTED)),
+        not_run=not_run,
         replaced=misdirected and bool(head.header(REPLICA_ID)),
         closing="close" in head.header("connection").lower(),
         encoded=bool(head.header("content-encoding")),
         # Another endpoint that has the address now speaks for itself.
         leaving=not misdirected and says_leaving(head),
+        backoff_s=retry_after_s(head.header(RETRY_AFTER)) if turned_away else 0.0,
     )
 
 
--- a/tests/test_service_core.py
+++ b/tests/test_service_core.py
@@ -166,12 +166,13 @@
 
     def __init__(self):
         self.engines = Engines()
-        self.levels, self.reading = {}, 0.0
+        self.levels, self.reading, self.backoff_s = {}, 0.0, 0.0
         self.scheduler = ServiceScheduler(
             lambda: self.engines.listed,
             self.engines.chooser,
             lambda account: self.levels.get(account, 0.0),
             lambda: self.reading,
+            lambda: self.backoff_s,
             fade_s=4.0,
         )
 
@@ -242,6 +243,22 @@
     assert refusal.kind is ErrorKind.NO_ENDPOINT and refusal.retry_after_s > 0
 
 
+def test_requests_wait_for_the_end_of_a_backoff_only_if_it_comes_in_time(service):
+    listed, service.engines.listed = service.engines.listed, []
+    service.backoff_s = 0.1
+    assert service.submit("one") == []
+    service.backoff_s = 9.5
+    refusals = {one.request: one for one in service.submit("two")}
+    assert refusals.keys() == {"one", "two"}, "also those that wait already"
+    assert {one.retry_after_s for one in refusals.values()} == {9.5}
+    assert {one.kind for one in refusals.values()} == {ErrorKind.NO_ENDPOINT}
+    service.backoff_s = 0.1
+    assert service.submit("three") == []
+    service.backoff_s, service.engines.listed = 0.0, listed
+    (start,) = service.scheduler.pump(0.15)
+    assert start.request == "three"
+
+
 PIECES = st.lists(
     st.sampled_from([b"data: x", b"id: 7", b"\n", b"\r\n", b"\n\n", b"\r\n\r\n", b":"]),
     max_size=20,
