A request whose caller left the queue of the own interface is forgotten

A caller that left while its request waited left it in the queue: it took a slot later and was run for nobody; the log had GG105, TypeError of EntryQueue.cancel. Cause: cancel was called with the time and the id; it takes the id alone. Found since the same call was copied for requests that are held back. Ruled out: nothing else reached that line.

--- a/greengageflow/daemon/dispatch.py
+++ b/greengageflow/daemon/dispatch.py
@@ -149,7 +149,7 @@
         waiting = [f for f in self._flights if f.phase is Phase.QUEUED]
         for flight in waiting:
             if flight.fingerprint in held:
-                cancelled = self._control.entry.cancel(monotonic(), flight.id)
+                cancelled = self._control.entry.cancel(flight.id)
                 self._control.run(cancelled)
                 self._refuse(flight, self._held_back(flight))
 
@@ -165,7 +165,7 @@
         if flight.phase is Phase.RUNNING:
             self._stop_run(flight)
         elif flight.phase is Phase.QUEUED:
-            self._control.run(self._control.entry.cancel(monotonic(), flight.id))
+            self._control.run(self._control.entry.cancel(flight.id))
         self._release(flight)
         self._end(flight, "gone")
 
