A crash is seen through a proxy that goes on to take connections

Cause: only a refused connection counted. Ruled out: to count one such connection: an endpoint that has too many ends new ones, too. Change: a connection has to last 50 ms to count as taken.

--- a/greengageflow/daemon/crash_watch.py
+++ b/greengageflow/daemon/crash_watch.py
@@ -131,7 +131,7 @@
 
     def _settle(self, endpoint: EndpointStart, reach: Reach) -> None:
         self._checking.discard(endpoint.start)
-        if reach is not Reach.REFUSED:
+        if reach not in (Reach.REFUSED, Reach.CLOSED):
             self._quarantine.alive(endpoint.start)
             return
         now = self._timers.now
--- a/greengageflow/net/connect_check.py
+++ b/greengageflow/net/connect_check.py
@@ -12,6 +12,8 @@
 from greengageflow.net.timers import Subscription, Timers
 
 TIMEOUT_S = 0.3
+HOLD_S = 0.05
+"""Seconds for which a connection must last to count as taken."""
 
 Address = tuple[str, int]
 
@@ -21,12 +23,15 @@
 
     LISTENS = auto()
     REFUSED = auto()
+    CLOSED = auto()
+    """It was taken and ended at once: by a proxy whose endpoint is gone, or a process
+    that has too many."""
     UNKNOWN = auto()
     """No answer in time, or another error: the way there may be cut."""
 
 
 class ConnectCheck(BaseComponent):
-    """Opens connections and closes them at once.
+    """Opens connections, and closes them after a moment.
 
     Args:
         timers: Timer service.
@@ -71,14 +76,36 @@
         on_done(reach)
 
     def _on_outcome(self, sock: socket) -> None:
-        if sock in self._open:
-            self._settle(sock, _reach(sock.getsockopt(SOL_SOCKET, SO_ERROR)))
+        if sock not in self._open:
+            return
+        reach = _reach(sock.getsockopt(SOL_SOCKET, SO_ERROR))
+        if reach is not Reach.LISTENS:
+            self._settle(sock, reach)
+            return
+        self._poller.removeWriter(sock)
+        self._poller.addReader(self, sock)
+        self._timers.after(HOLD_S, lambda: self._settle(sock, Reach.LISTENS))
 
     @handler("_write")
     def on_writable(self, sock: socket) -> None:
         """Take an outcome; called by the poller, or as its event."""
         self._on_outcome(sock)
 
+    @handler("_read")
+    def on_readable(self, sock: socket) -> None:
+        """Take what ends a connection; called by the poller, or as its event."""
+        if sock not in self._open:
+            return
+        try:
+            spoken = bool(sock.recv(1))
+        except BlockingIOError:
+            return
+        except OSError as exc:
+            refused = exc.errno == ECONNREFUSED
+            self._settle(sock, Reach.REFUSED if refused else Reach.CLOSED)
+            return
+        self._settle(sock, Reach.LISTENS if spoken else Reach.CLOSED)
+
     @handler("_disconnect")
     def _on_disconnect(self, sock: socket) -> None:
         self._on_outcome(sock)
--- /dev/null
+++ b/tests/test_connect_check.py
@@ -0,0 +1,52 @@
+"""Looks at addresses where somebody listens, nobody does, or a proxy does."""
+
+from contextlib import closing
+from socket import create_server
+
+import pytest
+from http_fakes import Loop, wait_for
+
+from greengageflow.net.connect_check import ConnectCheck, Reach
+
+
+class Checks:
+    """A check on a loop of its own."""
+
+    def __init__(self, loop):
+        self.loop, self.seen = loop, []
+        self.check = ConnectCheck(loop.timers).register(loop.app)
+
+    def begin(self, address):
+        self.loop.call(lambda: self.check.check(address, self.seen.append))
+
+    def reach(self):
+        return wait_for(lambda: self.seen)[0]
+
+
+@pytest.fixture
+def checks():
+    with closing(Loop()) as loop:
+        checks = Checks(loop)
+        loop.thread.start()
+        yield checks
+
+
+def test_process_that_listens_is_seen(checks):
+    with create_server(("127.0.0.1", 0)) as server:
+        checks.begin(server.getsockname())
+        assert checks.reach() is Reach.LISTENS
+
+
+def test_address_where_nobody_listens_refuses(checks):
+    with create_server(("127.0.0.1", 0)) as server:
+        address = server.getsockname()
+    checks.begin(address)
+    assert checks.reach() is Reach.REFUSED
+
+
+def test_connection_that_ends_at_once_counts_as_closed(checks):
+    with create_server(("127.0.0.1", 0)) as server:
+        checks.begin(server.getsockname())
+        taken, _ = server.accept()
+        taken.close()
+        assert checks.reach() is Reach.CLOSED
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -217,6 +217,15 @@
     assert seen.lines == [("crashed", "e1", 1)]
 
 
+def test_crash_is_seen_through_a_proxy_that_goes_on_to_take_connections():
+    closed = [Reach.CLOSED] * len(CHECKS_S)
+    seen = Watched(*closed, Reach.CLOSED, Reach.LISTENS, Reach.LISTENS)
+    seen.watch.cut(endpoint("e1"), b"poison")
+    assert seen.lines == [("crashed", "e1", 1)]
+    seen.watch.cut(endpoint("e2"), b"poison")
+    assert len(seen.lines) == 1, "it had too many connections for a moment"
+
+
 def test_cut_counts_as_a_crash_only_where_connections_are_refused():
     """Connections are reset by endpoints that go on, and by links that are cut."""
     alive = [Reach.LISTENS] * len(CHECKS_S)
