An endpoint that says in an answer that it leaves gets no more slots on the own interface

Callers of the product's own interface were sent on to endpoints that had said so. Cause: the same as on the platform's; routers asked engines for it once a second and did not read answers, services were not asked at all. Ruled out: nothing. Change: the header is read from answers of engines, with the first pieces, and of services; the sign goes the way of all signs (LeavingSigns), to all routers and the endpoint's owner.

--- a/greengageflow/daemon/dispatch.py
+++ b/greengageflow/daemon/dispatch.py
@@ -1,5 +1,6 @@
 """Takes callers' requests through queue, grant and endpoint to their answers."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from time import monotonic, time
 
@@ -48,6 +49,8 @@
         metrics: Counters and timers.
         status: Answers ``/status``.
         quarantine: Which requests are held back.
+        on_leaving: Takes the name of an endpoint that says that it leaves, and who said
+            so.
 
     Attributes:
         crashes: Learns of requests that endpoints cut; set before the first.
@@ -64,6 +67,7 @@
         metrics: Metrics,
         status: StatusSource,
         quarantine: Quarantine,
+        on_leaving: Callable[[str, str], None],
     ) -> None:
         self.stopping = False
         self.refusing = False
@@ -73,6 +77,7 @@
         self._notes = RequestNotes(metrics)
         self._status = status
         self._quarantine = quarantine
+        self._on_leaving = on_leaving
         self._cfg = FleetConfig()
         self._admission = Admission(control.own)
         self._flights = Flights()
@@ -283,11 +288,17 @@
     def on_progress(self, flight: Flight, pieces: int) -> None:
         """Charge pieces as they stream."""
         self._control.entry.progress(flight.grant, pieces)
+        self._note_leaving(flight)
+
+    def _note_leaving(self, flight: Flight) -> None:
+        if isinstance(flight.run, EngineCall) and flight.run.leaving:
+            self._on_leaving(flight.endpoint.name, "answer")
 
     def on_run_end(self, flight: Flight, end: RunEnd) -> None:
         """Take how a run ended."""
         if isinstance(flight.run, EngineCall):
             self._notes.stream(flight, flight.run)
+            self._note_leaving(flight)
         match end:
             case Completed():
                 self._complete(flight, end)
@@ -317,6 +328,8 @@
         self._end(flight, "complete", tokens=served)
 
     def _answer(self, flight: Flight, end: ServiceAnswer) -> None:
+        if end.leaving:
+            self._on_leaving(flight.endpoint.name, "answer")
         if end.status < HTTPStatus.MULTIPLE_CHOICES:
             self.crashes.answered(flight.fingerprint)
         self._give_back(flight.grant, flight, served=flight.cost)
--- a/greengageflow/daemon/kept_parts.py
+++ b/greengageflow/daemon/kept_parts.py
@@ -7,10 +7,14 @@
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
-from greengageflow.net.http_messages import Failure, HttpRequest, Response
+from greengageflow.net.http_messages import (
+    Failure,
+    HttpRequest,
+    Response,
+    says_leaving,
+)
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
-from greengageflow.platform.answers import says_leaving
 from greengageflow.platform.records import RecordError, parse_kept
 from greengageflow.platform.requests import kept_call
 
--- a/greengageflow/daemon/router.py
+++ b/greengageflow/daemon/router.py
@@ -96,6 +96,7 @@
             metrics=self._metrics,
             status=self._status,
             quarantine=self._quarantine,
+            on_leaving=self._on_leaving,
         )
         self._control.requests = self._requests
         self._crashes = self._requests.crashes = CrashWatch(
--- a/greengageflow/lab/_standin_faults.py
+++ b/greengageflow/lab/_standin_faults.py
@@ -23,6 +23,7 @@
         late: Engine: send every piece again one step later.
         stall: Engine: stop advancing.
         slow_start_s: Engine: seconds added before a request's first piece.
+        says_leaving: Say in each answer that it leaves.
     """
 
     down: bool = False
@@ -39,6 +40,7 @@
     late: bool = False
     stall: bool = False
     slow_start_s: float = 0.0
+    says_leaving: bool = False
 
     def lost(self) -> "Faults":
         """Return the faults after one answer was lost."""
--- a/greengageflow/lab/_standin_http.py
+++ b/greengageflow/lab/_standin_http.py
@@ -16,6 +16,7 @@
 from circuits.web.wrappers import Request, Response
 
 from greengageflow.lab._standin_faults import FAULT_NAMES, Faults
+from greengageflow.net.http_messages import SERVER_LEAVING
 from greengageflow.net.timers import Timers
 
 JSON_TYPE = "application/json"
@@ -155,7 +156,8 @@
 
     def open_stream(self, call: Call, content_type: str) -> None:
         """Send the head of a streamed answer."""
-        end = "Connection: close\r\n" if call.res.close else ""
+        signs = "".join(f"{name}: {value}\r\n" for name, value in self._signs.items())
+        end = signs + ("Connection: close\r\n" if call.res.close else "")
         head = (
             f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\n"
             f"Transfer-Encoding: chunked\r\n{end}\r\n"
@@ -194,7 +196,8 @@
         if call.sock.fileno() < 0:
             return
         call.res.status = reply.status
-        for name, value in reply.headers.items():
+        headers = {**reply.headers, **self._signs}
+        for name, value in headers.items():
             call.res.headers[name] = value
         if isinstance(reply.body, bytes):
             call.res.headers["Content-Type"] = "application/octet-stream"
@@ -204,6 +207,10 @@
             call.res.body = json.dumps(reply.body, ensure_ascii=False)
         self.fire(response(call.res))
 
+    @property
+    def _signs(self) -> dict[str, str]:
+        return {SERVER_LEAVING: "1"} if self.faults.says_leaving else {}
+
     def _applies(self, call: Call) -> bool:
         faults = self.faults
         if call.path == "/fault" or call.path in self.control_paths:
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -24,6 +24,7 @@
     answer_bytes,
 )
 from greengageflow.lab.poison import crash_if_poison
+from greengageflow.net.http_messages import SERVER_LEAVING
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.platform.names import (
     DEADLINE_MS,
@@ -38,7 +39,6 @@
     REQUEST_ID,
     RESPONSE_SEAL,
     RETRY_AFTER,
-    SERVER_LEAVING,
     WEIGHT_VERSIONS,
 )
 
--- a/greengageflow/net/engine_client.py
+++ b/greengageflow/net/engine_client.py
@@ -20,6 +20,7 @@
 )
 from greengageflow.net._sse import EventStream, EventTooLarge
 from greengageflow.net.endings import Completed, Cut, EngineEnd, Refused, Unreachable
+from greengageflow.net.http_messages import says_leaving
 from greengageflow.net.http_pool import (
     Exchange,
     Failure,
@@ -114,6 +115,9 @@
         timers: Timer service, for the wait before resuming.
         request: What to send.
         listener: Gets pieces and the end.
+
+    Attributes:
+        leaving: The engine said in an answer that it leaves.
     """
 
     def __init__(
@@ -126,6 +130,7 @@
         self.request = request
         self.first_piece_s: float | None = None
         self.resumed = 0
+        self.leaving = False
         self._pool = pool
         self._timers = timers
         self._listener = listener
@@ -245,6 +250,8 @@
     # Whole answers.
 
     def _on_whole(self, outcome: Response | Failure) -> None:
+        if isinstance(outcome, Response):
+            self.leaving = says_leaving(outcome)
         match outcome:
             case Failure(sent=False, message=message):
                 self._end(Unreachable(message))
@@ -282,6 +289,7 @@
     def on_head(self, head: Head) -> None:
         """Take status and headers."""
         self._head = head
+        self.leaving = self.leaving or says_leaving(head)
 
     def on_data(self, data: bytes) -> None:
         """Check the pieces in ``data`` and pass them on together."""
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -25,6 +25,7 @@
 
 
 LONGEST_BACKOFF_S = 3600.0
+SERVER_LEAVING = "server-leaving"
 
 
 def retry_after_s(text: str) -> float:
@@ -49,6 +50,11 @@
     )
 
 
+def says_leaving(answer: "Head | Response") -> bool:
+    """Whether an endpoint says in an answer that it leaves."""
+    return answer.header(SERVER_LEAVING).strip() not in ("", "0")
+
+
 class FailureKind(StrEnum):
     """Why an exchange did not bring a whole answer."""
 
--- a/greengageflow/net/service_client.py
+++ b/greengageflow/net/service_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from greengageflow.net.endings import Cut, Unreachable
-from greengageflow.net.http_messages import hop_by_hop
+from greengageflow.net.http_messages import hop_by_hop, says_leaving
 from greengageflow.net.http_pool import (
     Exchange,
     Failure,
@@ -100,11 +100,13 @@
         status: HTTP status code.
         headers: Headers to pass on to the caller.
         body: Whole body.
+        leaving: The service said that it leaves.
     """
 
     status: int
     headers: tuple[Header, ...]
     body: bytes
+    leaving: bool = False
 
     @property
     def content_type(self) -> str:
@@ -134,7 +136,8 @@
     def on_outcome(outcome: Response | Failure) -> None:
         match outcome:
             case Response(status, headers, body):
-                on_done(ServiceAnswer(status, tuple(end_to_end(headers)), body))
+                own = tuple(end_to_end(headers))
+                on_done(ServiceAnswer(status, own, body, says_leaving(outcome)))
             case Failure(sent=False, message=message):
                 on_done(Unreachable(message))
             case Failure(message=message):
--- a/greengageflow/platform/answers.py
+++ b/greengageflow/platform/answers.py
@@ -2,14 +2,13 @@
 
 from greengageflow.core.forward_request import Header
 from greengageflow.net.endpoint_answer import AnswerNote
-from greengageflow.net.http_messages import Head, Response, retry_after_s
+from greengageflow.net.http_messages import Head, retry_after_s, says_leaving
 from greengageflow.platform.names import (
     NOT_EXECUTED,
     REPLICA_ID,
     REQUEST_ID,
     RESPONSE_SEAL,
     RETRY_AFTER,
-    SERVER_LEAVING,
 )
 from greengageflow.platform.requests import HOP_HEADERS
 
@@ -37,11 +36,6 @@
     )
 
 
-def says_leaving(answer: Head | Response) -> bool:
-    """Whether an endpoint says in an answer that it leaves."""
-    return answer.header(SERVER_LEAVING).strip() not in ("", "0")
-
-
 def headers_for_caller(head: Head) -> tuple[Header, ...]:
     """Return the headers of an answer that the caller gets."""
     return tuple(
--- a/tests/test_endpoint_signs.py
+++ b/tests/test_endpoint_signs.py
@@ -1,7 +1,12 @@
 """What endpoints ask of a host in their answers, on real processes."""
 
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+
 import pytest
 
+from greengageflow.lab.lab import Lab, LabPlan, key_of
 from greengageflow.lab.platform_lab import (
     CHAT,
     SAFE,
@@ -13,11 +18,13 @@
 )
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.platform.names import RESPONSE_SEAL, SERVERS_TOPIC
-from tests.support import wait_for
+from tests.fleet_support import executions
+from tests.support import call, wait_for
 
 PATHS = pytest.mark.parametrize("path", [SAFE, UNSAFE, CHAT, TALE])
 LEAVING = f'"{DecisionEvent.ENDPOINT_LEAVING.number}"'
 ENOUGH = 12
+SLOTS = 4
 
 
 @pytest.fixture
@@ -80,3 +87,61 @@
     assert answer.status == 503
     assert len(lab.runs()) == before
     assert float(answer.headers["retry-after"]) > 60
+
+
+PLANS = {
+    "engine": LabPlan(engines=2, slots=SLOTS),
+    "service": LabPlan(services=2, service_slots=SLOTS),
+}
+KINDS = pytest.mark.parametrize("kind", PLANS)
+
+
+def own_call(lab, kind, number, router="r1"):
+    headers = {"Authorization": f"Bearer {key_of('acme')}"}
+    message = {"role": "user", "content": f"{kind} {number}"}
+    body = {"messages": [message], "x_tokens": 3, "stream": True, "model": "scribe"}
+    path = "/v1/chat/completions"
+    if kind == "service":
+        path, headers["Idempotency-Key"] = "/services/rounds/visit", f"{number}"
+    return call(lab.routers[router].address, "POST", path, body, headers).status
+
+
+def began(lab, kind):
+    """Return how many requests each endpoint began."""
+    if kind == "engine":
+        found = Counter(one["engine"] for one in executions(lab))
+        return {name: found[name] for name in lab.engines}
+    effects = {
+        name: one.call("GET", "/effects").json["effects"]
+        for name, one in lab.services.items()
+    }
+    return {name: len(rows) for name, rows in effects.items()}
+
+
+def ask_until(lab, kind, condition):
+    """Ask for more at once than one endpoint runs, so that each gets some."""
+    numbers = count()
+    with ThreadPoolExecutor(2 * SLOTS) as pool:
+
+        def asked():
+            names = [next(numbers) for _ in range(2 * SLOTS)]
+            list(pool.map(lambda number: own_call(lab, kind, number), names))
+            return condition()
+
+        wait_for(asked, "the state")
+
+
+@KINDS
+def test_endpoint_that_says_that_it_leaves_gets_no_more_slots(kind):
+    """The same on the product's own interface, at a router that is not its owner."""
+    with Lab(PLANS[kind]) as lab:
+        endpoints = lab.services if kind == "service" else lab.engines
+        name = next(iter(endpoints))
+        endpoints[name].fault(says_leaving=True)
+        ask_until(lab, kind, lambda: name in lab.status("r1")["leaving"])
+        for router in lab.routers:
+            wait_for(lambda r=router: name in lab.status(r)["leaving"], "all know")
+        before = began(lab, kind)[name]
+        for number in range(ENOUGH):
+            assert own_call(lab, kind, f"more-{number}") == 200
+        assert began(lab, kind)[name] == before
