An endpoint that asks for backoff gets no more slots from a router on the own interface

A router went on sending requests to an endpoint that had turned it away with Retry-After. Cause: the same as on the platform's: three failures in a row are a rest of a second there, whatever the endpoint asks for. Ruled out: nothing. Change: the entry router keeps the time by endpoint and gives grants for it back unused; the slot's return tells its owner (one field more, with a default), which grants none of its slots until it is over. The endpoint's next generation has asked for nothing. Fractions of a second count. A service's 503 with Retry-After is still the caller's answer. GG508, a metric. A request that waits while all endpoints of its pool ask for backoff waits to its deadline here: open.

--- a/greengageflow/core/entry.py
+++ b/greengageflow/core/entry.py
@@ -70,6 +70,7 @@
         self._of: dict[str, AccountQueue] = {}
         self._waiting: dict[str, int] = {}
         self._running: dict[str, _Running] = {}
+        self._backoff_until: dict[str, float] = {}
         self._ended: OrderedDict[str, GrantReturned] = OrderedDict()
         self._owed: dict[tuple[str, str], GrantReturned] = {}
         self._deadlines: list[tuple[float, str]] = []
@@ -159,13 +160,19 @@
             return
         yield from self._expire(now)
         queue = self._queues.get((grant.account, grant.pool))
-        if queue and self._is_valid(sender, grant):
+        backoff_s = self._backoff_until.get(grant.endpoint, now) - now
+        if backoff_s > 0:
+            # Its owner may be another one than when the endpoint asked.
+            yield from self._decline(sender, grant, backoff_s)
+        elif queue and self._is_valid(sender, grant):
             yield from self._start(now, sender, grant, queue)
         else:
             yield from self._decline(sender, grant)
 
-    def _decline(self, sender: PeerId, grant: Grant) -> Iterator[Send]:
-        returned = GrantReturned(grant.grant, grant.endpoint)
+    def _decline(
+        self, sender: PeerId, grant: Grant, backoff_s: float = 0.0
+    ) -> Iterator[Send]:
+        returned = GrantReturned(grant.grant, grant.endpoint, backoff_s=backoff_s)
         self._end(returned)
         yield from self._give_back(sender.host, returned)
 
@@ -239,8 +246,24 @@
         if run is not None:
             run.meter.charge(tokens)
 
+    def ask_backoff(self, now: float, endpoint: str, seconds: float) -> bool:
+        """Note that an endpoint wants nothing from this router for so long.
+
+        Returns:
+            True when it had not asked for it before, or that is over.
+        """
+        until = self._backoff_until.get(endpoint, now)
+        self._backoff_until[endpoint] = max(until, now + seconds)
+        return until <= now
+
     def finished(
-        self, grant: str, served: float, seconds: float, *, failed: bool = False
+        self,
+        grant: str,
+        served: float,
+        seconds: float,
+        *,
+        failed: bool = False,
+        backoff_s: float = 0.0,
     ) -> Iterator[Effect]:
         """Give the slot of a running request back.
 
@@ -249,12 +272,15 @@
             served: Tokens that the endpoint produced in all.
             seconds: Time for which the endpoint was busy with it.
             failed: True when the endpoint could not be reached or broke.
+            backoff_s: Seconds for which it wants nothing from this router.
         """
         run = self._running.pop(grant, None)
         if run is None:
             return
         run.meter.settle(served)
-        returned = GrantReturned(grant, run.endpoint, served, seconds, failed)
+        returned = GrantReturned(
+            grant, run.endpoint, served, seconds, failed, backoff_s
+        )
         self._end(returned)
         for host in sorted(run.told):
             yield from self._give_back(host, returned)
@@ -339,9 +365,13 @@
 
     def on_config(self, now: float, cfg: FleetConfig) -> Iterator[Effect]:
         """Take over a configuration."""
-        self._cfg = cfg
+        before, self._cfg = self._cfg.endpoints, cfg
         self._registrar.most = cfg.policy.owners_asked
         self._members = {}
+        for name in list(self._backoff_until):
+            now_is = cfg.endpoints.get(name)
+            if now_is is None or now_is.generation != before[name].generation:
+                del self._backoff_until[name]
         for endpoint in cfg.endpoints.values():
             if not endpoint.leaving:
                 self._members.setdefault(endpoint.pool, []).append(endpoint.name)
--- a/greengageflow/core/limits.py
+++ b/greengageflow/core/limits.py
@@ -32,6 +32,7 @@
         longest_rest_s: float = 15.0,
     ) -> None:
         self.slots = slots
+        self.backoff_until = 0.0
         self._limit = float(slots)
         self._slow_ratio = slow_ratio
         self._failures_allowed = failures
@@ -65,10 +66,16 @@
 
     def allowed(self, now: float) -> int:
         """Return the slots that may be used: 0 during a rest, 1 for a probe."""
+        if now < self.backoff_until:
+            return 0
         if self.resting:
             return 0 if now < self._rest_until else 1
         return max(1, min(self.slots, int(self._limit)))
 
+    def ask_backoff(self, now: float, seconds: float) -> None:
+        """Use no slot for so many seconds, as the endpoint asks."""
+        self.backoff_until = max(self.backoff_until, now + seconds)
+
     def observe(self, now: float, served: float, seconds: float, failed: bool) -> None:
         """Take in the result of one request."""
         if failed:
--- a/greengageflow/core/messages.py
+++ b/greengageflow/core/messages.py
@@ -98,6 +98,7 @@
         served: Tokens that the endpoint produced; 0 when it was not used.
         seconds: Time for which the endpoint was busy.
         failed: True when the endpoint could not be reached or broke.
+        backoff_s: Seconds for which the endpoint wants nothing from this router.
     """
 
     grant: str
@@ -105,6 +106,7 @@
     served: float = 0.0
     seconds: float = 0.0
     failed: bool = False
+    backoff_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/core/owner.py
+++ b/greengageflow/core/owner.py
@@ -268,6 +268,8 @@
             slots.limit.observe(now, message.served, message.seconds, message.failed)
         elif hold.charge:
             self._charges.cancel(hold.charge)
+        if message.backoff_s > 0:
+            slots.limit.ask_backoff(now, message.backoff_s)
         yield from self._fill(now, slots.endpoint.pool)
 
     # Time.
@@ -295,6 +297,8 @@
             times.append(slots.due_at)
             if slots.limit.resting and slots.limit.rest_until > now:
                 times.append(slots.limit.rest_until)
+            if slots.limit.backoff_until > now:
+                times.append(slots.limit.backoff_until)
         times += [calls.at for calls, _ in self._idle(now)]
         return max(now, min(times))
 
--- a/greengageflow/daemon/dispatch.py
+++ b/greengageflow/daemon/dispatch.py
@@ -308,8 +308,11 @@
                 self._give_back(flight.grant, flight)
                 exc = RouterError(ErrorKind.BAD_REQUEST, message, ran=Ran.NO)
                 self._refuse_sent(flight, exc)
-            case Refused(message=message, retry_after_s=wait):
-                self._give_back(flight.grant, flight, failed=True)
+            case Refused(status, message, wait):
+                asked_s = wait if status == HTTPStatus.SERVICE_UNAVAILABLE else None
+                self._give_back(
+                    flight.grant, flight, failed=True, backoff_s=asked_s or 0.0
+                )
                 self._retry(flight, _failed(message, wait))
             case Unreachable(message):
                 self._give_back(flight.grant, flight, failed=True)
@@ -332,7 +335,9 @@
             self._on_leaving(flight.endpoint.name, "answer")
         if end.status < HTTPStatus.MULTIPLE_CHOICES:
             self.crashes.answered(flight.fingerprint)
-        self._give_back(flight.grant, flight, served=flight.cost)
+        self._give_back(
+            flight.grant, flight, served=flight.cost, backoff_s=end.backoff_s
+        )
         headers = (*end.headers, ("X-Request-Id", flight.wire_id))
         flight.call.reply.raw(end.status, headers, end.body)
         self._record(flight, Ran.YES, end.status, end.content_type, end.body)
@@ -428,11 +433,18 @@
         *,
         served: float = 0.0,
         failed: bool = False,
+        backoff_s: float = 0.0,
     ) -> None:
+        if flight and backoff_s:
+            endpoint = flight.endpoint.name
+            if self._control.entry.ask_backoff(monotonic(), endpoint, backoff_s):
+                self._notes.backoff(endpoint, backoff_s)
         seconds = monotonic() - flight.started if flight else 0.0
         if flight:
             flight.grant = ""
-        finished = self._control.entry.finished(grant, served, seconds, failed=failed)
+        finished = self._control.entry.finished(
+            grant, served, seconds, failed=failed, backoff_s=backoff_s
+        )
         self._control.run(finished)
 
     def _stop_run(self, flight: Flight) -> None:
--- a/greengageflow/daemon/request_notes.py
+++ b/greengageflow/daemon/request_notes.py
@@ -54,6 +54,11 @@
             )
             self._metrics.count(Metric.PIECES_DROPPED, run.dropped, endpoint)
 
+    def backoff(self, endpoint: str, seconds: float) -> None:
+        """Note that an endpoint asks for backoff."""
+        log(Event.ENDPOINT_BACKOFF, endpoint=endpoint, seconds=seconds)
+        self._metrics.count(Metric.BACKOFFS, part=endpoint)
+
     def cut(self, flight: Flight) -> None:
         """Note that an endpoint broke an answer off."""
         endpoint = flight.endpoint.name
--- a/greengageflow/events.py
+++ b/greengageflow/events.py
@@ -94,6 +94,10 @@
         "GG507", "ERROR", "endpoint {endpoint} crashed under {requests}: {digests}"
     )
 
+    ENDPOINT_BACKOFF = EventType(
+        "GG508", "WARNING", "endpoint {endpoint} asks for {seconds:.1f} s of backoff"
+    )
+
     QUEUE_FULL = EventType(
         "GG601", "WARNING", "queue of account {account} is full at {limit}"
     )
--- a/greengageflow/lab/_standin_faults.py
+++ b/greengageflow/lab/_standin_faults.py
@@ -24,6 +24,7 @@
         stall: Engine: stop advancing.
         slow_start_s: Engine: seconds added before a request's first piece.
         says_leaving: Say in each answer that it leaves.
+        backoff_s: Turn each request away and ask for so many seconds of backoff.
     """
 
     down: bool = False
@@ -41,6 +42,7 @@
     stall: bool = False
     slow_start_s: float = 0.0
     says_leaving: bool = False
+    backoff_s: float = 0.0
 
     def lost(self) -> "Faults":
         """Return the faults after one answer was lost."""
--- a/greengageflow/lab/_standin_http.py
+++ b/greengageflow/lab/_standin_http.py
@@ -248,6 +248,9 @@
         elif call.faulty and faults.down:
             reply = Reply(503, {"error": "down"}, {"Retry-After": "1"})
             self._write_reply(call, reply)
+        elif call.faulty and faults.backoff_s > 0:
+            headers = {"Retry-After": str(faults.backoff_s)}
+            self._write_reply(call, Reply(503, {"error": "busy"}, headers))
         elif call.faulty and faults.delay_s > 0:
             self.timers.after(faults.delay_s, lambda: self._guarded(call, self.answer))
         else:
--- a/greengageflow/metrics.py
+++ b/greengageflow/metrics.py
@@ -57,6 +57,7 @@
     PIECES_DROPPED = MetricType("pieces_dropped", MetricKind.COUNTER, "endpoint")
     RETRIES = MetricType("retries", MetricKind.COUNTER, "endpoint")
     ACTIONS = MetricType("actions", MetricKind.COUNTER, "verdict")
+    BACKOFFS = MetricType("endpoint_backoffs", MetricKind.COUNTER, "endpoint")
     ENDPOINT_CRASHES = MetricType("endpoint_crashes", MetricKind.COUNTER, "endpoint")
     QUARANTINED = MetricType("quarantined", MetricKind.GAUGE)
     CONTROL_BYTES = MetricType("control.bytes", MetricKind.COUNTER, "direction")
--- a/greengageflow/net/engine_client.py
+++ b/greengageflow/net/engine_client.py
@@ -20,7 +20,7 @@
 )
 from greengageflow.net._sse import EventStream, EventTooLarge
 from greengageflow.net.endings import Completed, Cut, EngineEnd, Refused, Unreachable
-from greengageflow.net.http_messages import says_leaving
+from greengageflow.net.http_messages import retry_after_s, says_leaving
 from greengageflow.net.http_pool import (
     Exchange,
     Failure,
@@ -103,10 +103,6 @@
         return self.body.get("stream") is True
 
 
-def _retry_after(text: str) -> float | None:
-    return float(text) if text.isascii() and text.isdigit() else None
-
-
 class EngineCall:
     """One request to an engine; a receiver of ``HttpPool``.
 
@@ -282,7 +278,7 @@
             return Cut(message, Ran.YES)
         if self.resumed or status not in NOT_RUN_STATUSES:
             return Cut(message)
-        return Refused(status, message, _retry_after(retry_after))
+        return Refused(status, message, retry_after_s(retry_after) or None)
 
     # Streamed answers: methods of ``http_pool.Receiver``.
 
--- a/greengageflow/net/service_client.py
+++ b/greengageflow/net/service_client.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from greengageflow.net.endings import Cut, Unreachable
-from greengageflow.net.http_messages import hop_by_hop, says_leaving
+from greengageflow.net.http_messages import hop_by_hop, retry_after_s, says_leaving
 from greengageflow.net.http_pool import (
     Exchange,
     Failure,
@@ -101,12 +102,14 @@
         headers: Headers to pass on to the caller.
         body: Whole body.
         leaving: The service said that it leaves.
+        backoff_s: Seconds for which it wants nothing more; 0 if it did not say.
     """
 
     status: int
     headers: tuple[Header, ...]
     body: bytes
     leaving: bool = False
+    backoff_s: float = 0.0
 
     @property
     def content_type(self) -> str:
@@ -136,8 +139,12 @@
     def on_outcome(outcome: Response | Failure) -> None:
         match outcome:
             case Response(status, headers, body):
+                wait_s = 0.0
+                if status == HTTPStatus.SERVICE_UNAVAILABLE:
+                    wait_s = retry_after_s(outcome.header("retry-after"))
                 own = tuple(end_to_end(headers))
-                on_done(ServiceAnswer(status, own, body, says_leaving(outcome)))
+                leaving = says_leaving(outcome)
+                on_done(ServiceAnswer(status, own, body, leaving, wait_s))
             case Failure(sent=False, message=message):
                 on_done(Unreachable(message))
             case Failure(message=message):
--- a/tests/test_endpoint_signs.py
+++ b/tests/test_endpoint_signs.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from greengageflow.events import Event
 from greengageflow.lab.lab import Lab, LabPlan, key_of
 from greengageflow.lab.platform_lab import (
     CHAT,
@@ -145,3 +146,17 @@
         for number in range(ENOUGH):
             assert own_call(lab, kind, f"more-{number}") == 200
         assert began(lab, kind)[name] == before
+
+
+@KINDS
+def test_endpoint_that_asks_for_backoff_gets_no_more_slots(kind):
+    """A router whose request was turned away asks its owner for no more."""
+    with Lab(PLANS[kind]) as lab:
+        endpoints = lab.services if kind == "service" else lab.engines
+        name = next(iter(endpoints))
+        endpoints[name].fault(backoff_s=600.0)
+        line = Event.ENDPOINT_BACKOFF.number
+        ask_until(lab, kind, lambda: line in lab.routers["r1"].stderr)
+        statuses = [own_call(lab, kind, f"more-{n}") for n in range(ENOUGH)]
+        assert statuses == [200] * ENOUGH
+        assert lab.routers["r1"].stderr.count(line) == 1, "one line for all"
