The soak plays requests that crash replicas, signs of leaving and backoff

Ruled out: to draw them for old seeds, whose plans stay as they are. Change: three steps for seeds from 3000 on and a check each; a fake replica that crashes leaves what it has seen in its standard error, so that the other checks still see it. Each new check is broken once in tests/test_soak_checks.py.

--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -77,8 +77,9 @@
 
     Args:
         outcome: ``waiting``, ``running``, ``done``, ``cancelled``, ``deadline``,
-            or the status of a refusal (``503`` and such: never run).
+            or the status of a refusal (``503`` and such: never run), or ``crashed``.
         begun: When it began to run; None if it never did.
+        backoff_s: Seconds of backoff that its refusal asked for.
     """
 
     call: Call
@@ -86,6 +87,7 @@
     begun: float | None = None
     ended: float | None = None
     outcome: str = WAITING
+    backoff_s: float = 0.0
 
     @property
     def id(self) -> str:
@@ -120,6 +122,7 @@
             "begun": self.begun,
             "ended": self.ended,
             "outcome": self.outcome,
+            "backoff_s": self.backoff_s,
             "cancelled": self.outcome == "cancelled",
             "body_bytes": len(call.body),
             "body_sha256": self.body_sha256,
--- a/greengageflow/lab/_soak_callers.py
+++ b/greengageflow/lab/_soak_callers.py
@@ -15,6 +15,7 @@
 from greengageflow.lab.platform_lab import KEY, generation
 from greengageflow.lab.soak_checks import Breach, check_answer
 from greengageflow.lab.soak_facts import STREAMS, Asked, End, Kind
+from greengageflow.net.http_messages import SERVER_LEAVING
 from greengageflow.platform.names import REQUEST_ID, RESPONSE_SEAL
 
 STRIDE = 2
@@ -95,6 +96,15 @@
         self.ask_alone(asked)
         return asked.end is End.WHOLE and asked.status == 200
 
+    def ask_poison(self, kind: Kind, router: str, body: str) -> None:
+        """Begin a request that crashes the replica that runs it; don't wait."""
+        asked = self._new(Random(), kind, router, KEY, TOKENS[0])
+        # Its repeats have the same path and body, under ids of their own.
+        asked.target = f"/{kind}/poison"
+        asked.body = body.encode()
+        asked.body_sha256 = sha256(asked.body).hexdigest()
+        self._launch(self.ask_alone, asked)
+
     def ask_alone(self, asked: Asked) -> None:
         """Make a request on a connection of its own."""
         with suppress(OSError):
@@ -147,7 +157,7 @@
         client.sock.settimeout(asked.deadline_s + PATIENCE_S)
         client.send(
             asked.target,
-            asked.id.encode(),
+            asked.body or asked.id.encode(),
             name=asked.id,
             key=asked.key,
             deadline_ms=int(asked.deadline_s * 1000),
@@ -160,6 +170,7 @@
         head = client.head()
         asked.answer_id = head.headers.get(REQUEST_ID, "")
         asked.seal = head.headers.get(RESPONSE_SEAL, "")
+        asked.leaving = SERVER_LEAVING in head.headers
         asked.status = head.status
         for body in accumulate(client.pieces()):
             asked.body = body
--- a/greengageflow/lab/_soak_fleet.py
+++ b/greengageflow/lab/_soak_fleet.py
@@ -14,13 +14,15 @@
     configuration,
     route,
 )
+from greengageflow.lab.poison import records_of
 from greengageflow.lab.soak_facts import Facts, Published, Refused, Trouble, place_of
 from greengageflow.lab.soak_plan import REPLICAS, ROUTERS
 
 NOWHERE = ("127.0.0.1", 9)
 # Addresses are replaced as text, so both numbers have two digits.
 FIRST_ROUTER, FIRST_RELAY = 10, 50
-OPTIONS = {"slots": 6, "queue": 4}
+POISON = "poison"
+OPTIONS = {"slots": 6, "queue": 4, "poison": POISON}
 SHAPE = PlatformShape(
     routers=len(ROUTERS),
     plain=sum(name.startswith("app") for name in REPLICAS),
@@ -130,11 +132,20 @@
         """Return the id of the replica that is at a place now."""
         return next(name for name in self.replicas if place_of(name) == place)
 
+    def has_crashed(self, place: str) -> bool:
+        """Whether the replica that is at a place ran a poison request."""
+        return self.incarnation(place) in self.crashed
+
     def take_rows(self, name: str) -> None:
         """Keep what came to a replica that is about to end."""
         rows = self.control(self.replicas[name], "GET", "/runs")
         self.facts.rows.extend({**row, "replica": name} for row in rows)
 
+    def take_crashed(self, name: str) -> None:
+        """Keep what came to a replica that has crashed, by what it left."""
+        rows = records_of(self.replicas[name].stderr)
+        self.facts.rows.extend({**row, "replica": name} for row in rows)
+
     def take_refused(self) -> None:
         """Keep which connections the proxy took for routers that did not listen."""
         for path, port, at in self._proxy.refused():
--- a/greengageflow/lab/_soak_steps.py
+++ b/greengageflow/lab/_soak_steps.py
@@ -2,16 +2,17 @@
 
 from collections.abc import Iterator
 from heapq import heappop, heappush
-from itertools import count
+from itertools import count, cycle
 from select import select
 from time import monotonic, sleep
 
 from greengageflow.lab._platform_faults import RESET
 from greengageflow.lab._processes import await_ready
-from greengageflow.lab._soak_fleet import SoakFleet
+from greengageflow.lab._soak_callers import Callers
+from greengageflow.lab._soak_fleet import POISON, SoakFleet
 from greengageflow.lab.soak_checks import GRACE_S, Breach
-from greengageflow.lab.soak_facts import Leaving
-from greengageflow.lab.soak_plan import Do, Step
+from greengageflow.lab.soak_facts import Kind, Leaving, Poisoned
+from greengageflow.lab.soak_plan import REPLICAS, ROUTERS, Do, Step
 from greengageflow.platform.names import DRAINING, SERVERS_TOPIC
 
 POLL_S = 0.05
@@ -20,6 +21,10 @@
 START_WITHIN_S = 60.0
 END_SLACK_S = 4.0
 DROP_EVERY_S = 0.2
+POISON_EVERY_S = 0.4
+POISON_FOR_S = 10.0
+POISON_KINDS = {"app": (Kind.SAFE, Kind.UNSAFE), "scribe": (Kind.CHAT, Kind.TALE)}
+BACKOFF_S = 2.0
 RULES = {
     Do.CUT: "cut",
     Do.ONE_WAY: "freeze",
@@ -38,12 +43,19 @@
 }
 
 
+def _places(step: Step) -> set[str]:
+    """Return all places of the service that a step's target belongs to."""
+    service = step.target.partition("-")[0]
+    return {place for place in REPLICAS if place.startswith(service)}
+
+
 class Conductor:
-    """Runs a plan on a fleet."""
+    """Runs a plan on a fleet, whose callers repeat what crashes replicas."""
 
-    def __init__(self, fleet: SoakFleet) -> None:
+    def __init__(self, fleet: SoakFleet, callers: Callers) -> None:
         self.breaches: list[Breach] = []
         self._fleet = fleet
+        self._callers = callers
         self._frozen: set[str] = set()
         self._busy: set[str] = set()
         self._starts = count(1)
@@ -60,11 +72,12 @@
 
     def _parts(self, step: Step) -> Iterator[float]:
         # A stop or a start may last longer than the plan could know.
-        while step.target in self._busy:
+        targets = _places(step) if step.do is Do.POISON else {step.target}
+        while targets & self._busy:
             yield POLL_S
-        self._busy.add(step.target)
+        self._busy |= targets
         yield from self._carry_out(step)
-        self._busy.discard(step.target)
+        self._busy -= targets
 
     def _carry_out(self, step: Step) -> Iterator[float]:
         match step.do:
@@ -86,6 +99,12 @@
                 self._fleet.publish_next(revoke=step.do is Do.REVOKE)
             case Do.MUTE | Do.FALSE_ILL | Do.ABORT:
                 yield from self._mislead(step)
+            case Do.POISON:
+                yield from self._poison(step)
+            case Do.SAY_LEAVING:
+                yield from self._say_leaving(step)
+            case Do.BACKOFF:
+                yield from self._ask_backoff(step)
             case Do.DROP_IDLE:
                 yield from self._drop_idle(step)
             case Do.FLAP:
@@ -122,6 +141,45 @@
             yield step.for_s
             self._fleet.fault(name)
 
+    def _poison(self, step: Step) -> Iterator[float]:
+        """Repeat a request that crashes each replica; start them again."""
+        fleet, kinds = self._fleet, POISON_KINDS[step.target.partition("-")[0]]
+        kind = kinds[round(100 * step.at_s) % len(kinds)]
+        places = _places(step)
+        poisoned = Poisoned(f"{POISON} {step.at_s}")
+        fleet.facts.poisoned.append(poisoned)
+        until = monotonic() + POISON_FOR_S
+        with fleet.trouble(*places, *(f"link:{place}" for place in places)):
+            for router in cycle(ROUTERS):
+                self._callers.ask_poison(kind, router, poisoned.body)
+                yield POISON_EVERY_S
+                for place in places:
+                    if fleet.has_crashed(place):
+                        poisoned.crashed.append(monotonic())
+                        yield from self._start_again(place)
+                if monotonic() > until:
+                    return
+
+    def _start_again(self, place: str) -> Iterator[float]:
+        old = self._fleet.incarnation(place)
+        self._fleet.take_crashed(old)
+        del self._fleet.replicas[old]
+        yield from self._start_new(f"{place}.{next(self._starts)}")
+
+    def _say_leaving(self, step: Step) -> Iterator[float]:
+        # No trouble is noted: callers must not see it.
+        name = self._fleet.incarnation(step.target)
+        self._fleet.fault(name, says_leaving=True)
+        yield step.for_s
+        yield from self._replace(step.target, SETTLE_S)
+
+    def _ask_backoff(self, step: Step) -> Iterator[float]:
+        name = self._fleet.incarnation(step.target)
+        with self._fleet.trouble():
+            self._fleet.fault(name, backoff_s=BACKOFF_S)
+            yield step.for_s
+            self._fleet.fault(name)
+
     def _drop_idle(self, step: Step) -> Iterator[float]:
         # No trouble is noted: callers must not see it.
         until, name = monotonic() + step.for_s, self._fleet.incarnation(step.target)
@@ -182,13 +240,16 @@
                 fleet.take_rows(old)
                 fleet.replicas.pop(old).kill()
                 yield for_s
-                process = fleet.launch_replica(new)
-                while not select([process.popen.stdout], [], [], 0)[0]:
-                    yield POLL_S
-                fleet.replicas[new] = await_ready(process)
-                fleet.connect(new)
+                yield from self._start_new(new)
             yield from self._shown(new, leaving=False)
 
+    def _start_new(self, name: str) -> Iterator[float]:
+        process = self._fleet.launch_replica(name)
+        while not select([process.popen.stdout], [], [], 0)[0]:
+            yield POLL_S
+        self._fleet.replicas[name] = await_ready(process)
+        self._fleet.connect(name)
+
     def _leave(self, step: Step) -> Iterator[float]:
         name = self._fleet.incarnation(step.target)
         yield from self._thawed()
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -223,6 +223,7 @@
     def _refuse(self, call: Call, run: Run, status: int) -> None:
         run.end(str(status))
         wait_s = self._faults.backoff_s or FULL_BACKOFF_S
+        run.backoff_s = wait_s if status == 503 else 0.0
         headers = {NOT_EXECUTED: "1", REPLICA_ID: self._name}
         headers |= {RETRY_AFTER: str(wait_s)} if status == 503 else {}
         headers |= self._leaving
@@ -233,9 +234,9 @@
     def _start_next(self) -> None:
         while self._waiting and len(self._busy) < self._slots:
             work = self._waiting.popleft()
-            crash_if_poison(self._poison, work.call.body)
             self._busy.append(work)
             work.run.begun, work.run.outcome = monotonic(), RUNNING
+            self._crash_if_poison(work)
             if work.faults.hang:
                 continue
             if work.job is None:
@@ -244,6 +245,12 @@
             else:
                 self._generations.begin(work)
 
+    def _crash_if_poison(self, work: Work) -> None:
+        if self._poison and self._poison in work.call.body:
+            for run in self._runs:
+                run.end("crashed")
+            crash_if_poison(self._poison, work.call.body, [r.row for r in self._runs])
+
     def end(self, work: Work, outcome: str) -> None:
         """End a request with this outcome, and begin the next one."""
         work.run.end(outcome)
--- a/greengageflow/lab/soak.py
+++ b/greengageflow/lab/soak.py
@@ -82,7 +82,7 @@
     callers = Callers(seed, fleet)
     fleet.publish_next(revoke=False)
     callers.start(CALLERS)
-    conductor = Conductor(fleet)
+    conductor = Conductor(fleet, callers)
     conductor.run(plan)
     callers.stop()
     yield from conductor.breaches
--- a/greengageflow/lab/soak_checks.py
+++ b/greengageflow/lab/soak_checks.py
@@ -34,6 +34,10 @@
 RECOVER_S = 12.0
 LEFT_S = 5.0
 BEFORE_DEADLINE_S = 0.5
+BACKOFF_SLACK_S = 0.5
+MOST_IN_BACKOFF = 2
+MOST_LATER = 3
+"""Replicas that a poison request may crash later than ``STABLE_S`` after the third."""
 NOT_RUN = (408, 421, 429, 503)
 REFUSED = (401, 403, 404)
 
@@ -260,6 +264,55 @@
                 yield Breach("left", asked.id, text)
 
 
+def check_poison(facts: Facts) -> Iterator[Breach]:
+    """Check that a request stops crashing replicas soon after the third."""
+    for one in facts.poisoned:
+        third = one.crashed[2] if len(one.crashed) > 2 else inf
+        late_s = facts.late_s(third, third)
+        later = [at for at in one.crashed if at > third + STABLE_S + late_s]
+        if len(later) > MOST_LATER:
+            text = f"{one.body!r} crashed {len(one.crashed)}, {len(later)} of them late"
+            yield Breach("poison", "", text)
+
+
+def check_said_leaving(facts: Facts) -> Iterator[Breach]:
+    """Check that a replica whose answer said that it leaves gets nothing more."""
+    said: dict[tuple[str, int, str], float] = {}
+    rows_by_id = facts.rows_by_id()
+    for one in facts.asked:
+        if one.leaving and one.seal:
+            replica = one.seal.rpartition(".")[0]
+            place = one.router, one.life, replica
+            said[place] = min(one.ended, said.get(place, inf))
+    for one in facts.asked:
+        for row in rows_by_id.get(one.id, ()):
+            at = said.get((one.router, one.life, row["replica"]), inf)
+            bound_s = DRAIN_S + facts.late_s(at, one.sent)
+            if one.sent - at > bound_s and calm(facts, {one.router}, at, one.sent):
+                text = f"{row['replica']} said {one.sent - at:.2f} s ago that it leaves"
+                yield Breach("said leaving", one.id, text)
+
+
+def check_backoff(facts: Facts) -> Iterator[Breach]:
+    """Check that a replica gets nothing from a router that it asked for backoff."""
+    by_id = {one.id: one for one in facts.asked}
+    asked: dict[tuple[str, int, str], list[Row]] = {}
+    for row in facts.rows:
+        if row["id"] in by_id:
+            one = by_id[row["id"]]
+            asked.setdefault((one.router, one.life, row["replica"]), []).append(row)
+    for (router, _, replica), rows in asked.items():
+        for first in rows:
+            until = (first["ended"] or inf) + first["backoff_s"]
+            began = (first["ended"] or inf) + BACKOFF_SLACK_S
+            slack_s = facts.late_s(began, until)
+            late = [r for r in rows if began + slack_s < r["arrived"] < until]
+            path = {router, f"link:{place_of(replica)}"}
+            if len(late) > MOST_IN_BACKOFF and calm(facts, path, began, until):
+                text = f"{len(late)} requests of {router} to {replica} in its backoff"
+                yield Breach("backoff", first["id"], text)
+
+
 def check_all(facts: Facts) -> Iterator[Breach]:
     """Check everything that was seen."""
     for asked in facts.asked:
@@ -270,3 +323,6 @@
     yield from check_configuration(facts)
     yield from check_cuts(facts)
     yield from check_left(facts)
+    yield from check_poison(facts)
+    yield from check_said_leaving(facts)
+    yield from check_backoff(facts)
--- a/greengageflow/lab/soak_facts.py
+++ b/greengageflow/lab/soak_facts.py
@@ -47,6 +47,7 @@
         sent: Just before its first byte was sent.
         ended: When the caller saw its end.
         answer_id: Id of the request that the answer names.
+        leaving: The answer says that its replica leaves.
         events: Number and text of each event, as they came.
     """
 
@@ -68,6 +69,7 @@
     end: End = End.UNSENT
     status: int = 0
     answer_id: str = ""
+    leaving: bool = False
     seal: str = ""
     body: bytes = b""
     events: list[tuple[int, str]] = field(default_factory=list)
@@ -92,6 +94,19 @@
     acked: float
 
 
+@dataclass(slots=True)
+class Poisoned:
+    """A request that crashes each replica that runs it, repeated by its caller.
+
+    Args:
+        body: Its body.
+        crashed: When each replica was seen to have crashed under it.
+    """
+
+    body: str
+    crashed: list[float] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class Published:
     """A configuration, and the key that it took away."""
@@ -126,6 +141,7 @@
     leavings: list[Leaving] = field(default_factory=list)
     published: list[Published] = field(default_factory=list)
     refused: list[Refused] = field(default_factory=list)
+    poisoned: list[Poisoned] = field(default_factory=list)
     late: list[tuple[float, float]] = field(default_factory=list)
 
     def late_s(self, began: float, ended: float) -> float:
--- a/greengageflow/lab/soak_plan.py
+++ b/greengageflow/lab/soak_plan.py
@@ -38,10 +38,13 @@
     ABORT = "abort"
     DROP_IDLE = "drop_idle"
     FLAP = "flap"
+    POISON = "poison"
+    SAY_LEAVING = "say_leaving"
+    BACKOFF = "backoff"
 
 
 AT_ONCE = (Do.RESET, Do.SILENCE, Do.CONFIGURE, Do.REVOKE)
-LEAVING = (Do.DRAIN, Do.VANISH)
+LEAVING = (Do.DRAIN, Do.VANISH, Do.SAY_LEAVING)
 LINK_FAULTS = (Do.CUT, Do.ONE_WAY, Do.DELAY, Do.HALF_OPEN, Do.LOSE_ANSWER)
 # Weight, what is drawn from, and the targets, which are filled with drawn names.
 DRAWS = (
@@ -49,7 +52,7 @@
     (12, (Do.CUT, Do.LOSS, Do.DELAY), ("gossip:{r}",)),
     (18, (Do.KILL, Do.TERMINATE, Do.FREEZE), ("{r}",)),
     (14, (Do.CRASH, Do.FREEZE), ("{p}",)),
-    (12, LEAVING, ("{p}",)),
+    (12, (Do.DRAIN, Do.VANISH), ("{p}",)),
     (5, (Do.REFUSE, Do.FREEZE), ("store",)),
     (9, (Do.CONFIGURE, Do.REVOKE), ("operator",)),
 )
@@ -60,6 +63,8 @@
     (10, (Do.DROP_IDLE,), ("{p}",)),
     (10, (Do.FLAP,), ("link:{p}",)),
 )
+NEWEST_FROM = 3000
+NEWEST = ((24, (Do.POISON, Do.SAY_LEAVING, Do.BACKOFF), ("{p}",)),)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +94,7 @@
 def draw_plan(seed: int, seconds: float) -> tuple[Step, ...]:
     """Return the steps of a seed, in order; they begin within ``seconds``."""
     draws = DRAWS if seed < LATER_FROM else (*DRAWS, *LATER)
+    draws = draws if seed < NEWEST_FROM else (*draws, *NEWEST)
     return tuple(_apart(_steps(Random(seed), draws, seconds)))
 
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -14,11 +14,18 @@
     Facts,
     Kind,
     Leaving,
+    Poisoned,
     Published,
     Refused,
     Trouble,
 )
-from greengageflow.lab.soak_plan import LATER, LATER_FROM, draw_plan
+from greengageflow.lab.soak_plan import (
+    LATER,
+    LATER_FROM,
+    NEWEST,
+    NEWEST_FROM,
+    draw_plan,
+)
 from tests.soak_seeds import FAILED_SEEDS
 
 
@@ -41,7 +48,7 @@
     seen = {"id": one.id, "target": one.target, "body_sha256": one.body_sha256}
     times = {"arrived": one.sent, "begun": one.sent, "ended": one.ended}
     rest = {"replica": "app-0", "tenant": "tenant-1", "headers": {}, "outcome": "done"}
-    return {**seen, **times, **rest, **changes}
+    return {**seen, **times, **rest, "backoff_s": 0.0, **changes}
 
 
 def facts(*asked_all, rows=None, **more):
@@ -126,6 +133,27 @@
     "silent": ("cut", facts(asked(**{**TORN, "end": End.SILENT}), rows=[])),
     "runs on": ("left", facts(GOOD_LEFT := asked(Kind.CHAT, end=End.LEFT))),
 }
+SAID_LEAVING = asked(
+    id="q0",
+    answer_id="q0",
+    body=GOOD.body.replace(b"q1", b"q0"),
+    leaving=True,
+    sent=97.0,
+    ended=97.9,
+)
+BACKOFF = [row(GOOD, arrived=90.0 + n / 5, ended=90.0 + n / 5) for n in range(9)]
+BACKOFF[0]["backoff_s"] = 2.0
+BROKEN |= {
+    "poison": (
+        "poison",
+        facts(poisoned=[Poisoned("p", [1.0, 2.0, 3.0, 6.1, 7.0, 8.0, 9.0])]),
+    ),
+    "said leaving": (
+        "said leaving",
+        facts(GOOD, SAID_LEAVING),
+    ),
+    "backoff": ("backoff", facts(GOOD, rows=BACKOFF)),
+}
 BROKEN["runs on"][1].rows[0] |= {"ended": 106.0, "outcome": "done"}
 BROKEN["never ends"] = ("left", facts(GOOD_LEFT, rows=[row(GOOD_LEFT, ended=None)]))
 
@@ -137,7 +165,17 @@
 
 
 @pytest.mark.parametrize(
-    "name", ["cut", "silent", "leaving", "revoked", "late configuration", "runs on"]
+    "name",
+    [
+        "cut",
+        "silent",
+        "leaving",
+        "revoked",
+        "late configuration",
+        "runs on",
+        "said leaving",
+        "backoff",
+    ],
 )
 def test_a_machine_that_was_late_excuses_what_it_delayed(name):
     """The same facts with a machine that was late by 20 seconds: none is a breach,
@@ -159,6 +197,11 @@
     assert not list(check_all(facts(one, rows=[], troubles=stop, refused=refused)))
 
 
+@pytest.mark.parametrize("crashed", [[1.0, 2.0, 3.0, 5.9, 5.9, 5.9, 5.9], [1.0, 9.0]])
+def test_crashes_right_after_the_third_one_break_nothing(crashed):
+    assert not list(check_all(facts(poisoned=[Poisoned("p", crashed)])))
+
+
 def test_good_facts_break_nothing():
     kinds = [asked(kind) for kind in (Kind.SAFE, Kind.UNSAFE, Kind.CHAT, Kind.TALE)]
     assert [list(check_all(facts(one))) for one in kinds] == [[], [], [], []]
@@ -178,6 +221,15 @@
     assert not before & later and later < after
 
 
+def test_newest_kinds_leave_the_plans_of_earlier_seeds_alone():
+    newest = {do for _, dos, _ in NEWEST for do in dos}
+    before, after = (
+        {step.do for seed in seeds for step in draw_plan(seed, 60.0)}
+        for seeds in (range(NEWEST_FROM - 20, NEWEST_FROM), range(3000, 3020))
+    )
+    assert not before & newest and newest < after
+
+
 def test_tests_of_failed_seeds_exist():
     tests = "".join(path.read_text() for path in (ROOT / "tests").glob("test_*.py"))
     assert all(f"def {one.test}" in tests for one in FAILED_SEEDS if one.test)
