A request waits for the end of a short backoff

A request that all endpoints had turned away for a moment was refused with 429, though it might have waited that long for a place. Cause: since a backoff is honoured, a burst at replicas that are full finds none to retry at; before, it was sent to the same full ones again. Ruled out: to ignore short backoffs (endpoints ask for them). Change: such a request is sent again at the end of the first backoff, if that comes within the part of its target for which requests wait; an endpoint that asked for backoff is not ruled out for it afterwards.

--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -8,7 +8,12 @@
 from greengageflow.core.quarantine import Fingerprint, Quarantine
 from greengageflow.core.routes import Repeat, Routing
 from greengageflow.core.service_book import ServiceBook
-from greengageflow.core.service_scheduler import Decision, RefuseJob, StartJob
+from greengageflow.core.service_scheduler import (
+    QUEUE_PART,
+    Decision,
+    RefuseJob,
+    StartJob,
+)
 from greengageflow.daemon.crash_watch import CrashWatch
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_flight import ForwardFlight, Phase
@@ -16,6 +21,7 @@
 from greengageflow.daemon.leaving_watch import LeavingWatch
 from greengageflow.daemon.placement import Placement
 from greengageflow.errors import ErrorKind, Ran, RouterError
+from greengageflow.net.endpoint_answer import AnswerNote
 from greengageflow.net.endpoint_attempt import EndpointAttempt
 from greengageflow.net.event_frames import Frame
 from greengageflow.net.forward_calls import ForwardCall
@@ -240,15 +246,10 @@
         """Judge a whole answer."""
         note = flight.attempt.note
         endpoint = flight.attempt.endpoint
-        flight.avoid.add(endpoint.id)
         if note.not_run:
-            self.placement.left(flight.id, endpoint)
-            if note.backoff_s:
-                self._on_backoff(endpoint, note.backoff_s)
-            if note.replaced:
-                self._endpoints.note_left(endpoint.id, endpoint.born)
-            self._try_again(flight, self._not_taken(flight, note.status))
+            self._on_not_run(flight, note)
             return
+        flight.avoid.add(endpoint.id)
         flight.may_have_run = True
         flight.runs += 1
         spoiled = not note.good and note.status < 400
@@ -267,6 +268,34 @@
         else:
             self._answer(flight, body)
 
+    def _on_not_run(self, flight: ForwardFlight, note: AnswerNote) -> None:
+        endpoint = flight.attempt.endpoint
+        self.placement.left(flight.id, endpoint)
+        if note.backoff_s:
+            self._on_backoff(endpoint, note.backoff_s)
+        else:
+            flight.avoid.add(endpoint.id)
+        if note.replaced:
+            self._endpoints.note_left(endpoint.id, endpoint.born)
+        exc = self._not_taken(flight, note.status)
+        if not self._go_on(flight, exc.message) and not self._wait_out(flight, exc):
+            self._answer_error(flight, exc)
+
+    def _wait_out(self, flight: ForwardFlight, exc: RouterError) -> bool:
+        """Send a request again when a backoff ends, if it may wait for so long."""
+        now = self._timers.now
+        wait_s = self._book.backoff_s(now, flight.service)
+        most_s = QUEUE_PART * flight.route.target_s
+        late = now + wait_s > min(flight.arrived + most_s, flight.deadline)
+        if not wait_s or late or flight.sendings >= MOST_SENDINGS:
+            return False
+        self._timers.after(wait_s, lambda: self._after_backoff(flight, exc))
+        return True
+
+    def _after_backoff(self, flight: ForwardFlight, exc: RouterError) -> None:
+        if self._is_open(flight) and not self._go_on(flight, exc.message):
+            self._answer_error(flight, exc)
+
     def _on_backoff(self, endpoint: ListedEndpoint, seconds: float) -> None:
         now = self._timers.now
         if self._book.ask_backoff(now, endpoint, seconds):
@@ -335,18 +364,17 @@
 
     def _go_on(self, flight: ForwardFlight, why: str) -> bool:
         """Send a request once more, if that is allowed."""
-        choice = self._next_choice(flight)
+        choice = self._next_choice(flight, flight.avoid)
         if choice is None:
             return False
         self._move(flight, choice, why)
         return True
 
-    def _next_choice(self, flight: ForwardFlight) -> Choice | None:
+    def _next_choice(self, flight: ForwardFlight, avoid: set[str]) -> Choice | None:
         now = self._timers.now
         late = now >= flight.deadline - LAST_MOMENT_S
         if flight.sendings >= MOST_SENDINGS or late or self._held_back(flight):
             return None
-        avoid = flight.avoid | {flight.attempt.endpoint.id}
         return self._book.again(now, flight.service, flight.req.prompt, avoid)
 
     def _move(self, flight: ForwardFlight, choice: Choice, why: str) -> None:
@@ -357,7 +385,8 @@
         # An engine that was only slow goes on later. To give up on it with nowhere
         # else to go would cut a stream that its caller would have got whole. It is not
         # ruled out either: the other one may turn out to be dead.
-        choice = self._next_choice(flight)
+        avoid = flight.avoid | {flight.attempt.endpoint.id}
+        choice = self._next_choice(flight, avoid)
         if choice is None:
             return
         flight.attempt.cancel()
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -217,12 +217,17 @@
         job = Job.of(call.headers, self._stride)
         too_large = job and job.prompt + job.wanted > self._batch.cache.capacity
         full = len(self._busy) + len(self._waiting) >= self._places
-        full = full or self._faults.backoff_s > 0
+        full = full or self._backs_off(call)
         return 503 if full or too_large else 0
 
+    def _backs_off(self, call: Call) -> bool:
+        return self._faults.backoff_s > 0 and self._faults.concern(call)
+
     def _refuse(self, call: Call, run: Run, status: int) -> None:
         run.end(str(status))
-        wait_s = self._faults.backoff_s or FULL_BACKOFF_S
+        wait_s = FULL_BACKOFF_S
+        if self._backs_off(call):
+            wait_s, self._faults = self._faults.backoff_s, self._faults.used()
         run.backoff_s = wait_s if status == 503 else 0.0
         headers = {NOT_EXECUTED: "1", REPLICA_ID: self._name}
         headers |= {RETRY_AFTER: str(wait_s)} if status == 503 else {}
--- a/tests/test_endpoint_signs.py
+++ b/tests/test_endpoint_signs.py
@@ -75,6 +75,17 @@
     assert arrivals(lab, name) - before <= 1
 
 
+@PATHS
+def test_request_waits_for_the_end_of_a_short_backoff(lab, path):
+    """All endpoints turn it away for a moment; it was refused though it might wait."""
+    kind = "scribe" if path in (CHAT, TALE) else "app"
+    for number in range(3):
+        lab.fault(f"{kind}-{number}", backoff_s=0.05, times=1)
+    answer = ask(lab, path)
+    assert answer.status == 200
+    assert len(lab.begun(answer.id)) == 1
+
+
 @pytest.mark.parametrize("path", [SAFE, TALE])
 def test_request_is_refused_at_once_while_all_endpoints_ask_for_backoff(lab, path):
     """It would wait for a place in the queue that cannot come in time."""
