Backoffs cost nothing while there are none, and a stream that goes on elsewhere waits for one

Each request looked at each endpoint for a backoff, and a stream that was to be resumed at an engine that asked for backoff was cut at once. Cause: the time stood in the health record of each endpoint; the time to wait was that of a request that has not begun. Ruled out: nothing. Change: backoffs have a table of their own, empty as a rule. A stream waits as long as one may stand still.

--- a/greengageflow/core/endpoint_health.py
+++ b/greengageflow/core/endpoint_health.py
@@ -1,5 +1,6 @@
 """Endpoints that fail get less, and for a while no, new work."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 FAILURES_TO_REST = 2
@@ -14,7 +15,6 @@
     rest_until: float = 0.0
     rest_s: float = FIRST_REST_S
     failing: float = 0.0
-    backoff_until: float = 0.0
 
 
 class EndpointHealth:
@@ -28,10 +28,12 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._backoffs: dict[str, float] = {}
 
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that is gone."""
         self._records.pop(endpoint, None)
+        self._backoffs.pop(endpoint, None)
 
     def rests(self, now: float, endpoint: str) -> bool:
         """Whether an endpoint gets no work now."""
@@ -40,23 +42,21 @@
 
     def ask_backoff(self, now: float, endpoint: str, seconds: float) -> bool:
         """Note that an endpoint wants nothing for so long; True when it is news."""
-        record = self._records.setdefault(endpoint, _Record())
-        is_news = record.backoff_until <= now
-        record.backoff_until = max(record.backoff_until, now + seconds)
-        return is_news
+        until = self._backoffs.get(endpoint, now)
+        self._backoffs[endpoint] = max(until, now + seconds)
+        return until <= now
 
-    def backoff_s(self, now: float, endpoint: str) -> float:
-        """Return for how long an endpoint wants nothing, in seconds."""
-        found = self._records.get(endpoint)
-        return max(0.0, found.backoff_until - now) if found else 0.0
+    def backoffs(self, now: float) -> Mapping[str, float]:
+        """Return the seconds for which endpoints want nothing, by endpoint."""
+        if not self._backoffs:
+            return self._backoffs
+        self._backoffs = {e: at for e, at in self._backoffs.items() if at > now}
+        return {endpoint: until - now for endpoint, until in self._backoffs.items()}
 
     def resting(self, now: float) -> frozenset[str]:
         """Return the endpoints that get no work now."""
-        return frozenset(
-            name
-            for name, one in self._records.items()
-            if now < max(one.rest_until, one.backoff_until)
-        )
+        rests = (name for name, one in self._records.items() if now < one.rest_until)
+        return frozenset(rests).union(self.backoffs(now))
 
     def failing(self, endpoint: str) -> float:
         """Return the part of an endpoint's answers that were failures, 0 to 1."""
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -119,7 +119,7 @@
         for part in mirror.touch(parts):
             self._places.forget(part, endpoint.id)
 
-    def _placed_at(self, service: str) -> list[ListedEndpoint]:
+    def _placed_at(self, service: str) -> Sequence[ListedEndpoint]:
         """Return the endpoints that this host sends new requests to."""
         usable = self.open_endpoints(self._now, service)
         if self._owned is None or not self.service(service).is_engine:
@@ -336,23 +336,27 @@
             return False
         return self._health.ask_backoff(now, endpoint.id, seconds)
 
-    def open_endpoints(self, now: float, service: str) -> list[ListedEndpoint]:
+    def open_endpoints(self, now: float, service: str) -> Sequence[ListedEndpoint]:
         """Return the endpoints of a service that may get new work from this host."""
         usable = self._endpoints.usable(service)
-        return [e for e in usable if not self._health.backoff_s(now, e.id)]
+        backoffs = self._health.backoffs(now)
+        return [e for e in usable if e.id not in backoffs] if backoffs else usable
 
     def is_open(self, now: float, endpoint: ListedEndpoint) -> bool:
         """Whether an endpoint may get new work from this host."""
         may_use = self._endpoints.may_use(endpoint.id)
-        return may_use and not self._health.backoff_s(now, endpoint.id)
+        return may_use and endpoint.id not in self._health.backoffs(now)
 
     def backoff_s(self, now: float, service: str) -> float:
         """Return the seconds until one of a service's endpoints wants work again.
 
         It is 0 where one does now, or there is none.
         """
+        backoffs = self._health.backoffs(now)
+        if not backoffs:
+            return 0.0
         usable = self._endpoints.usable(service)
-        return min((self._health.backoff_s(now, e.id) for e in usable), default=0.0)
+        return min((backoffs.get(e.id, 0.0) for e in usable), default=0.0)
 
     def answered(self, endpoint: ListedEndpoint, good: bool) -> bool:
         """Note an endpoint's answer; True when it rested before."""
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -285,8 +285,10 @@
         """Send a request again when a backoff ends, if it may wait for so long."""
         now = self._timers.now
         wait_s = self._book.backoff_s(now, flight.service)
-        most_s = QUEUE_PART * flight.route.target_s
-        late = now + wait_s > min(flight.arrived + most_s, flight.deadline)
+        until = flight.arrived + QUEUE_PART * flight.route.target_s
+        if flight.phase is Phase.STREAMING:
+            until = flight.moved_at + STALL_S
+        late = now + wait_s > min(until, flight.deadline)
         if not wait_s or late or flight.sendings >= MOST_SENDINGS:
             return False
         self._timers.after(wait_s, lambda: self._after_backoff(flight, exc))
