Names of the field for what routers send each other of the store and of themselves

Greetings is an Announcer (add, on_start, next_batch), SameHellos a HelloCache, NewsTeller and StoreNews are an UpdatePublisher (publish) and a StoreUpdate, what placers were asked for are pending placements; on_news and tell_soon are on_update and report_soon. Change: names, files and docstrings alone, and the simulated gateways of the lab, which lacked what the store's eras ask of them.

--- a/greengageflow/core/same_hellos.py
+++ b/greengageflow/core/hello_cache.py
@@ -5,7 +5,7 @@
 KEPT = 2_000
 
 
-class SameHellos:
+class HelloCache:
     """Hellos by the datagram that they came in, so that it is decoded once.
 
     In a fleet of hundreds they are most of what a router receives.
--- a/greengageflow/core/relay_sums.py
+++ b/greengageflow/core/relay_sums.py
@@ -61,7 +61,7 @@
         self._table = table
         self._book = book
         self._fade_s = fade_s
-        self._tellers = {whole: SumTeller() for whole in (False, True)}
+        self._publishers = {whole: SumTeller() for whole in (False, True)}
         self._zone_loads = ZoneLoads()
         self._zone_work: _ZoneWork | None = None
 
@@ -127,7 +127,7 @@
 
     def want_whole(self, now: float, whole: bool) -> bool:
         """Return whether sums are due at once, since a router missed some."""
-        return self._tellers[whole].want_whole(now)
+        return self._publishers[whole].want_whole(now)
 
     def tell(
         self, now: float, own: PeerReport, number: int
@@ -141,8 +141,8 @@
         """
         zone, whole = self._add(now, own, number)
         return (
-            self._tellers[False].tell(now, zone),
-            self._tellers[True].tell(now, whole),
+            self._publishers[False].tell(now, zone),
+            self._publishers[True].tell(now, whole),
         )
 
     def _add(
@@ -152,7 +152,7 @@
         loads = self._zone_loads.add_up(members[:-1])
         totals = FleetTotals(loads=loads, hosts=len(members) - 1)
         mine = FleetTotals(loads=own.loads, hosts=1)
-        is_due = any(teller.tells_work(now) for teller in self._tellers.values())
+        is_due = any(teller.tells_work(now) for teller in self._publishers.values())
         if is_due:
             totals = replace(self._members_work(now), loads=loads)
             mine = FleetTotals(own.served, own.offered, own.loads, 1)
--- a/greengageflow/core/store_news.py
+++ b/greengageflow/core/store_updates.py
@@ -13,10 +13,10 @@
 from greengageflow.core.keyed_record import KeyedRecord
 
 REPEAT_S = 1.0
-"""Seconds for which a record is told again with later ones, against a lost message."""
+"""Seconds for which a record is retransmitted with later ones, as messages get lost."""
 
 REPEAT_BYTES = 8_000
-"""Bytes of records told again at most; a router that lacks others reads them."""
+"""Bytes of records retransmitted at most; a router that lacks others reads them."""
 
 RECORD_BYTES = 64
 """Bytes that a record takes up in a message beside its key and value."""
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class StoreNews:
+class StoreUpdate:
     """All records of a topic that changed something between two offsets.
 
     Args:
@@ -47,13 +47,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Told:
+class _SentRecord:
     at: float
     since: int
     record: KeyedRecord
 
 
-class NewsTeller:
+class UpdatePublisher:
     """Makes messages of the records that one router read.
 
     Args:
@@ -65,17 +65,17 @@
         self._topic = topic
         self._most = most
         self._mark = 0
-        self._told: deque[_Told] = deque()
+        self._sent: deque[_SentRecord] = deque()
 
     def begin(self, end: int) -> None:
         """Note that all is known up to ``end``, without the records before it."""
-        self._told.clear()
+        self._sent.clear()
         self._mark = end
 
-    def tell(
+    def publish(
         self, now: float, records: Iterable[KeyedRecord], end: int
-    ) -> Iterator[StoreNews]:
-        """Yield messages with records that were just read, and those told lately.
+    ) -> Iterator[StoreUpdate]:
+        """Yield messages with records that were just read, and those sent lately.
 
         Args:
             now: The time.
@@ -87,20 +87,20 @@
         for record in records:
             # From the last change on: what was read since then changed nothing, and
             # routers that read less of it miss nothing.
-            self._told.append(_Told(now, self._mark, record))
+            self._sent.append(_SentRecord(now, self._mark, record))
             self._mark = record.offset + 1
         if self._mark != mark:
             yield from self._messages(max(end, self._mark))
 
     def _drop_old(self, now: float) -> None:
-        size = sum(_size(one.record) for one in self._told)
-        while self._told and (size > REPEAT_BYTES or now - self._told[0].at > REPEAT_S):
-            size -= _size(self._told.popleft().record)
+        size = sum(_size(one.record) for one in self._sent)
+        while self._sent and (size > REPEAT_BYTES or now - self._sent[0].at > REPEAT_S):
+            size -= _size(self._sent.popleft().record)
 
-    def _messages(self, end: int) -> Iterator[StoreNews]:
-        part: list[_Told] = []
+    def _messages(self, end: int) -> Iterator[StoreUpdate]:
+        part: list[_SentRecord] = []
         size = 0
-        for one in self._told:
+        for one in self._sent:
             size += _size(one.record)
             if part and size > self._most:
                 yield self._message(part, one.since)
@@ -108,9 +108,9 @@
             part.append(one)
         yield self._message(part, end)
 
-    def _message(self, part: list[_Told], end: int) -> StoreNews:
+    def _message(self, part: list[_SentRecord], end: int) -> StoreUpdate:
         records = tuple(one.record for one in part)
-        return StoreNews(
+        return StoreUpdate(
             topic=self._topic, since=part[0].since, end=end, records=records
         )
 
--- a/greengageflow/daemon/exchange_listener.py
+++ b/greengageflow/daemon/exchange_listener.py
@@ -9,7 +9,7 @@
 from greengageflow.core.peer_report import PeerReport
 from greengageflow.core.place_messages import PlaceMessage
 from greengageflow.core.quarantine import CrashReport
-from greengageflow.core.store_news import StoreNews
+from greengageflow.core.store_updates import StoreUpdate
 
 Placed = tuple[tuple[str, str], ...]
 
@@ -35,7 +35,7 @@
     def on_totals(self, totals: FleetTotals) -> None:
         """Take the sums of all other routers, after each round."""
 
-    def on_store_news(self, news: StoreNews) -> None:
+    def on_store_update(self, update: StoreUpdate) -> None:
         """Take what another router read in the platform's store."""
 
     def on_crash_report(self, report: CrashReport) -> None:
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -8,10 +8,11 @@
 from dataclasses import replace
 from random import Random
 
+from greengageflow.core.announcer import Announcer
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.fleet_demand import add_up
 from greengageflow.core.fleet_sums import FleetTotals, SumReport, relay_turns
-from greengageflow.core.greetings import Greetings
+from greengageflow.core.hello_cache import HelloCache
 from greengageflow.core.hello_ring import HelloRing
 from greengageflow.core.leaving_signs import LeavingReport
 from greengageflow.core.peer_report import LoadNotice, PeerBook, PeerReport
@@ -25,10 +26,9 @@
 from greengageflow.core.quarantine import CrashRecord, CrashReport
 from greengageflow.core.relay_sums import RelaySums, word_of
 from greengageflow.core.router_table import RELAYS_A_ZONE, Hello, RouterTable
-from greengageflow.core.same_hellos import SameHellos
 from greengageflow.core.service_book import FADE_S
 from greengageflow.core.store_duty import READING_ZONES, StoreRole, StoreWord
-from greengageflow.core.store_news import StoreNews
+from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.core.sum_book import Taken
 from greengageflow.core.sum_changes import SumChanges, SumWanted
 from greengageflow.core.zone_loads import ZoneLoads
@@ -41,7 +41,7 @@
 PERIOD_S = 0.25
 NOTICE_S = 0.05
 HELLOS_A_ROUND = 10
-GREETINGS_A_TURN = 25
+ANNOUNCED_A_TURN = 25
 TOLD_PEERS = 8
 QUIET_S = 1.5
 FORGET_S = 10.0
@@ -92,13 +92,13 @@
         self._sequence = 0
         self._told: Mapping[str, LoadShare] = {}
         self._changed = False
-        self._news = False
+        self._report_due = False
         self._wanted = False
         self._turns = 0
         self._random = Random(own.host)
         self._ring = HelloRing(self._random)
-        self._greetings = Greetings()
-        self._same_hellos = SameHellos()
+        self._announcer = Announcer()
+        self._hello_cache = HelloCache()
 
     def start(self) -> None:
         """Begin to tell."""
@@ -156,18 +156,18 @@
             return known
         return set(self._random.sample(sorted(known), min(most, len(known))))
 
-    def pass_on(self, news: StoreNews, is_own: bool) -> None:
+    def pass_on(self, update: StoreUpdate, is_own: bool) -> None:
         """Send others what was read in the platform's store.
 
         Args:
-            news: What was read.
+            update: What was read.
             is_own: This router read it; else a peer did.
         """
         if is_own and self.store_role is not StoreRole.MEMBER:
             # Also by one that stands by: the store may turn all readers away.
-            self._send(encode(news), self._zone_mates() | self._other_relays())
+            self._send(encode(update), self._zone_mates() | self._other_relays())
         elif not is_own and self._relays_to_zone:
-            self._send(encode(news), self._zone_mates())
+            self._send(encode(update), self._zone_mates())
 
     @property
     def _relays_to_zone(self) -> bool:
@@ -214,14 +214,14 @@
         for address in addresses:
             if address != self._own.address and address not in self._addresses:
                 self._addresses[address] = self._now
-                self._greetings.add([address])
+                self._announcer.add([address])
 
     # What comes in.
 
     def receive(self, data: bytes) -> None:
         """Take a datagram."""
         now = self._now
-        if (hello := self._same_hellos.get(data)) is not None:
+        if (hello := self._hello_cache.get(data)) is not None:
             self._on_hello(now, hello)
             return
         try:
@@ -242,11 +242,11 @@
                 return
             case Hello():
                 if not message.peers:
-                    self._same_hellos.put(data, message)
+                    self._hello_cache.put(data, message)
                 self._on_hello(now, message)
                 return
-            case StoreNews():
-                self._listener.on_store_news(message)
+            case StoreUpdate():
+                self._listener.on_store_update(message)
                 return
             case CrashReport():
                 self._listener.on_crash_report(message)
@@ -278,22 +278,22 @@
         if hello.host == self._own.host:
             return
         if self._table.put(now, hello):
-            self._greetings.begun(now, hello.address)
+            self._announcer.on_start(now, hello.address)
         self._addresses[hello.address] = now
         self.add_addresses(hello.peers)
 
     # What goes out.
 
-    def tell_soon(self) -> None:
-        """Send a whole report at the next turn, for news that cannot wait."""
-        self._news = True
+    def report_soon(self) -> None:
+        """Send a whole report at the next turn, for changes that cannot wait."""
+        self._report_due = True
 
     def _turn(self) -> None:
         self._turns += 1
-        greeted = self._greetings.next(self._now, GREETINGS_A_TURN)
-        self._say_hello(greeted, self._told_peers() if greeted else ())
-        if self._news:
-            self._news = False
+        announced = self._announcer.next_batch(self._now, ANNOUNCED_A_TURN)
+        self._say_hello(announced, self._told_peers() if announced else ())
+        if self._report_due:
+            self._report_due = False
             self._tell()
         if not self._is_large:
             self._on_changed()
@@ -402,10 +402,10 @@
         for address, at in list(self._addresses.items()):
             if now - at > forget_s:
                 del self._addresses[address]
-                self._greetings.forget(address)
+                self._announcer.forget(address)
         self._tell()
         if self._is_large:
-            # Greetings and reports tell addresses; these stay the same for their
+            # Announcer and reports tell addresses; these stay the same for their
             # receivers' sake.
             self._say_hello(self._turns_of_hello(), ())
         self._listener.on_totals(self._others())
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -19,7 +19,7 @@
 from greengageflow.core.send_budget import SendBudget
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.store_duty import StoreRole, pace_s
-from greengageflow.core.store_news import StoreNews
+from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.core.trust import KeyTrust
 from greengageflow.daemon.arrivals import Arrivals
 from greengageflow.daemon.crash_watch import CrashWatch
@@ -177,7 +177,7 @@
             self._log,
             on_routing=self._on_routing,
             on_change=self._on_change,
-            on_news=self._exchange.tell_soon,
+            on_update=self._exchange.report_soon,
             on_read=self._exchange.pass_on,
             on_era=self._on_era,
             pace_s=pace_s(*settings.bounds.known_within_s),
@@ -321,9 +321,9 @@
         self._placement.on_round()
         self._forwarder.carry_out(self._book.on_totals(now, totals))
 
-    def on_store_news(self, news: StoreNews) -> None:
+    def on_store_update(self, update: StoreUpdate) -> None:
         """Take what another router read in the store."""
-        self._store.take_news(news)
+        self._store.take_update(update)
 
     def on_crash_report(self, report: CrashReport) -> None:
         """Take which requests crashed endpoints."""
--- a/greengageflow/daemon/asked_places.py
+++ b/greengageflow/daemon/pending_placements.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(slots=True)
-class Asked:
+class PendingPlacement:
     """A request that a placer was asked for, or that is held back.
 
     Args:
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -21,8 +21,8 @@
 from greengageflow.core.router_table import Hello
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
-from greengageflow.daemon.asked_places import Asked, PlaceSender, Run
 from greengageflow.daemon.kept_parts import PartsAsker
+from greengageflow.daemon.pending_placements import PendingPlacement, PlaceSender, Run
 from greengageflow.errors import ErrorKind
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
@@ -89,7 +89,7 @@
         self._log = log
         self._parts = parts
         self._desk = PlaceDesk(own.host, book)
-        self._asked: dict[str, Asked] = {}
+        self._pending: dict[str, PendingPlacement] = {}
         self._runs: dict[str, Run] = {}
         self._table = PlacerTable(own.host, MUTE_S)
         self._owned: frozenset[str] | None = None
@@ -123,7 +123,7 @@
     @property
     def waiting(self) -> int:
         """Requests of this host that wait, here or at a placer."""
-        return self._book.waiting - self._desk.waiting + len(self._asked)
+        return self._book.waiting - self._desk.waiting + len(self._pending)
 
     def placer(self, request: str) -> str:
         """Return the host that placed a request, or empty when this one did."""
@@ -136,8 +136,8 @@
         """Ask for a place for a request, and yield what can be decided here."""
         self._book.count(now, service)
         if job.prompt is not None and self._holds_back(now):
-            held = Asked("", service, job, account, now, queued=True)
-            self._asked[job.waiter.id] = held
+            held = PendingPlacement("", service, job, account, now, queued=True)
+            self._pending[job.waiter.id] = held
             return
         yield from self._place(now, service, job, account)
 
@@ -152,7 +152,7 @@
             yield from self._book.submit(now, service, job, account, counted=False)
             return
         request = job.waiter.id
-        self._asked[request] = Asked(placer, service, job, account, now)
+        self._pending[request] = PendingPlacement(placer, service, job, account, now)
         self._roll_until[placer] = now + ROLLS_ON_S
         avoid = self._book.resting(now, service)
         ask = ask_for(
@@ -169,7 +169,7 @@
         return placer if self._table.answers(now, placer) else ""
 
     def _on_silence(self, request: str) -> None:
-        asked = self._asked.get(request)
+        asked = self._pending.get(request)
         if asked is None:
             return
         if not asked.queued:
@@ -183,7 +183,7 @@
 
     def _on_mute(self, placer: str) -> None:
         if self._table.on_silence(self._timers.now, placer):
-            asked = sum(1 for other in self._asked.values() if other.placer == placer)
+            asked = sum(1 for other in self._pending.values() if other.placer == placer)
             self._log.write(DecisionEvent.PLACER_SILENT, placer=placer, asked=asked)
         self._decide_here(lambda other: other.placer == placer)
 
@@ -195,11 +195,11 @@
                 DecisionEvent.PLACER_HEARD, placer=placer, after_ms=after_ms
             )
 
-    def _decide_here(self, which: Callable[[Asked], bool]) -> None:
+    def _decide_here(self, which: Callable[[PendingPlacement], bool]) -> None:
         """Decide here what was asked and has no answer."""
         now = self._timers.now
-        for request, asked in list(self._asked.items()):
-            if which(asked) and self._asked.pop(request, None) is not None:
+        for request, asked in list(self._pending.items()):
+            if which(asked) and self._pending.pop(request, None) is not None:
                 self._carry_out(
                     self._book.submit(
                         now, asked.service, asked.job, asked.account, counted=False
@@ -246,7 +246,7 @@
 
     def ended(self, now: float, service: str, request: str) -> Iterator[Decision]:
         """Note that a request has its answer, or its caller is gone."""
-        asked = self._asked.pop(request, None)
+        asked = self._pending.pop(request, None)
         if asked is not None:
             self._tell(asked.placer, request, Happened.ENDED)
         run = self._runs.pop(request, None)
@@ -318,7 +318,7 @@
 
     def _on_answer(self, now: float, answer: PlaceAnswer) -> None:
         self._on_heard(now, answer.host)
-        asked = self._asked.get(answer.request)
+        asked = self._pending.get(answer.request)
         # Each process numbers its requests from 1: an answer to the one before this
         # would start another request, even at an endpoint of another service.
         other = answer.boot != self._boot
@@ -332,7 +332,7 @@
                 self._table.on_pass(now, answer.host, ANSWER_S)
                 self._decide_here(lambda other: other is asked)
             case Verdict.REFUSE:
-                del self._asked[answer.request]
+                del self._pending[answer.request]
                 refusal = RefuseJob(
                     answer.request,
                     ErrorKind(answer.kind),
@@ -343,14 +343,14 @@
             case Verdict.START:
                 self._on_start(asked, answer)
 
-    def _on_start(self, asked: Asked, answer: PlaceAnswer) -> None:
+    def _on_start(self, asked: PendingPlacement, answer: PlaceAnswer) -> None:
         endpoint = self._endpoints.get(answer.endpoint)
         now = self._timers.now
         if endpoint is None or not self._book.is_open(now, endpoint):
             self._tell(asked.placer, answer.request, Happened.ENDED)
             self._decide_here(lambda other: other is asked)
             return
-        del self._asked[answer.request]
+        del self._pending[answer.request]
         prompt = asked.job.prompt
         memory = prompt.tokens_in + prompt.tokens_out
         self._runs[answer.request] = Run(asked.placer, endpoint, answer.reading, memory)
@@ -384,8 +384,8 @@
         """Place the requests that were held back, once others are known."""
         if self._holds_back(now):
             return
-        for request, asked in list(self._asked.items()):
-            if not asked.placer and self._asked.pop(request, None) is not None:
+        for request, asked in list(self._pending.items()):
+            if not asked.placer and self._pending.pop(request, None) is not None:
                 self._carry_out(
                     self._place(now, asked.service, asked.job, asked.account)
                 )
@@ -409,7 +409,7 @@
         rolls: dict[str, list[PlacedRun]] = {
             host: [] for host, until in self._roll_until.items() if now < until
         }
-        for request, asked in self._asked.items():
+        for request, asked in self._pending.items():
             if asked.placer:
                 rolls.setdefault(asked.placer, []).append(PlacedRun(request))
         for request, run in self._runs.items():
--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -18,7 +18,7 @@
     peers_know_list,
 )
 from greengageflow.core.store_marks import era_of
-from greengageflow.core.store_news import NewsTeller, StoreNews, StoreTopic
+from greengageflow.core.store_updates import StoreTopic, StoreUpdate, UpdatePublisher
 from greengageflow.daemon.topic_follower import TopicFollower
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
@@ -29,7 +29,7 @@
 
 ERA_SPREAD_S = 1.0
 """Seconds in which hosts that do not read for others read a list that was restored."""
-NEWS_BYTES = 24_000
+UPDATE_BYTES = 24_000
 """Bytes of records that one message to other hosts holds, where it holds several."""
 
 
@@ -48,7 +48,7 @@
         log: Takes a line for each change.
         on_routing: Takes a new configuration.
         on_change: Takes a change of the list.
-        on_news: Called when something changed that peers should hear of at once.
+        on_update: Called when something changed that peers should hear of at once.
         on_era: Takes the store's era when it came back older, for what this host had
             written there.
         on_read: Takes changes, for hosts that do not read themselves, and whether
@@ -67,8 +67,8 @@
         *,
         on_routing: Callable[[Routing], None],
         on_change: Callable[[ListChange], None],
-        on_news: Callable[[], None],
-        on_read: Callable[[StoreNews, bool], None],
+        on_update: Callable[[], None],
+        on_read: Callable[[StoreUpdate, bool], None],
         on_era: Callable[[int], None],
         pace_s: float,
         clock: Callable[[], float],
@@ -82,7 +82,7 @@
         self._timers = timers
         self._on_routing = on_routing
         self._on_change = on_change
-        self._on_news = on_news
+        self._on_update = on_update
         self._on_read = on_read
         self._on_era = on_era
         self._era = 0
@@ -99,7 +99,9 @@
         self._held: dict[str, float] = {}
         self._hold = OutageHold()
         self._config_wait, self._list_wait = CatchUp(), CatchUp()
-        self._tellers = {topic: NewsTeller(topic, NEWS_BYTES) for topic in StoreTopic}
+        self._publishers = {
+            topic: UpdatePublisher(topic, UPDATE_BYTES) for topic in StoreTopic
+        }
         self._config = TopicFollower(
             pool, timers, address, OPERATOR_TOPIC, _ConfigTopic(self), clock=clock
         )
@@ -215,7 +217,7 @@
     def _tell_in_place(self, before: float) -> None:
         # Members wait only a little longer before they all read.
         if self._role is StoreRole.STANDBY and self._age_s(before) > self._stale_s:
-            self._on_news()
+            self._on_update()
 
     def _store_answered(self) -> None:
         now = self._clock()
@@ -226,23 +228,23 @@
 
     # What hosts that read pass on.
 
-    def take_news(self, news: StoreNews) -> None:
+    def take_update(self, update: StoreUpdate) -> None:
         """Take over what another host read."""
-        follower = self._config if news.topic is StoreTopic.CONFIG else self._list
-        records = follower.take(news.since, news.end, news.records)
-        match news.topic:
+        follower = self._config if update.topic is StoreTopic.CONFIG else self._list
+        records = follower.take(update.since, update.end, update.records)
+        match update.topic:
             case StoreTopic.CONFIG:
                 # The newest configuration counts, whatever was missed before it.
-                self.take_config(news.records, is_own=False)
+                self.take_config(update.records, is_own=False)
             case StoreTopic.ENDPOINTS if records:
                 self.take_list(records, is_own=False)
 
     def _pass_on(
         self, topic: StoreTopic, records: list[KeyedRecord], end: int, is_own: bool
     ) -> None:
-        teller = self._tellers[topic]
-        for news in teller.tell(self._timers.now, records, end):
-            self._on_read(news, is_own)
+        publisher = self._publishers[topic]
+        for update in publisher.publish(self._timers.now, records, end):
+            self._on_read(update, is_own)
 
     # The configuration.
 
@@ -306,7 +308,7 @@
                     age_ms=round(1000 * min(self._age_s(self._config.asked_at), 1e6)),
                 )
                 self._on_routing(routing)
-                self._on_news()
+                self._on_update()
         self._pass_on(StoreTopic.CONFIG, taken[-1:], self._config.offset, is_own)
 
     # The list of endpoints.
@@ -377,7 +379,7 @@
         self._take_records(sorted(records, key=lambda record: record.offset))
         # A snapshot does not tell which removals came before its end, so that nobody
         # may be told that it misses none.
-        self._tellers[StoreTopic.ENDPOINTS].begin(self._list.offset)
+        self._publishers[StoreTopic.ENDPOINTS].begin(self._list.offset)
 
     def _was_dropped(self, record: KeyedRecord) -> bool:
         """Whether a restored entry is one whose removal the store has lost."""
@@ -416,7 +418,7 @@
 
     def _tell(self, mark: int) -> None:
         self.list_mark = max(mark, self.list_mark)
-        self._on_news()
+        self._on_update()
 
     def _endpoint(self, record: KeyedRecord) -> ListedEndpoint | None:
         try:
--- a/greengageflow/lab/_capacity_gateway_text.py
+++ b/greengageflow/lab/_capacity_gateway_text.py
@@ -28,7 +28,7 @@
 0.5 s |
 | store | configuration, list | the first routers of two zones read all the time and \
 pass changes on; others read when they missed one or nobody heard | \
-`daemon.store_view`, `core.store_duty`, `core.store_news` |
+`daemon.store_view`, `core.store_duty`, `core.store_updates` |
 """
 
 TABLE = """
--- a/greengageflow/lab/_gateway_world.py
+++ b/greengageflow/lab/_gateway_world.py
@@ -14,12 +14,14 @@
 from greengageflow.core.endpoint_load import LoadBook, LoadShare
 from greengageflow.core.fleet_demand import part_demand
 from greengageflow.core.fleet_sums import FleetTotals
+from greengageflow.core.leaving_signs import LeavingReport
 from greengageflow.core.peer_report import PeerReport
 from greengageflow.core.prompt_places import PromptPlaces
+from greengageflow.core.quarantine import CrashReport
 from greengageflow.core.router_table import Hello
 from greengageflow.core.service_book import FADE_S
 from greengageflow.core.store_duty import pace_s
-from greengageflow.core.store_news import StoreNews
+from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.daemon.exchange_listener import Placed
 from greengageflow.daemon.fleet_exchange import FleetExchange
 from greengageflow.daemon.store_view import StoreView
@@ -144,8 +146,9 @@
             None,
             on_routing=lambda _routing: None,
             on_change=lambda _change: None,
-            on_news=self.exchange.tell_soon,
+            on_update=self.exchange.report_soon,
             on_read=self.exchange.pass_on,
+            on_era=lambda _era: None,
             pace_s=PACE_S,
             clock=lambda: world.now,
         )
@@ -309,9 +312,15 @@
         """Take what others have under way."""
         self._loads.set_others(loads)
 
-    def on_store_news(self, news: StoreNews) -> None:
+    def on_crash_report(self, report: CrashReport) -> None:
+        """Forget it: no request of this world crashes endpoints."""
+
+    def on_leaving_report(self, report: LeavingReport) -> None:
+        """Forget it: no endpoint of this world leaves."""
+
+    def on_store_update(self, news: StoreUpdate) -> None:
         """Take what another router read in the store."""
-        self.view.take_news(news)
+        self.view.take_update(news)
 
     def on_totals(self, totals: FleetTotals) -> None:
         """Take the sums, and part each service's capacity."""
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -13,7 +13,7 @@
 from greengageflow.core.place_messages import PlaceMessage
 from greengageflow.core.quarantine import CrashReport
 from greengageflow.core.router_table import Hello
-from greengageflow.core.store_news import StoreNews, StoreTopic
+from greengageflow.core.store_updates import StoreTopic, StoreUpdate
 from greengageflow.core.sum_changes import Changes, SumChanges, SumWanted, Work
 from greengageflow.net._columns import (
     change_columns,
@@ -44,7 +44,7 @@
     roll_of,
 )
 
-REPORT, NOTICE, HELLO, SUM, CHANGES, WANTED, NEWS = 21, 22, 23, 24, 25, 26, 27
+REPORT, NOTICE, HELLO, SUM, CHANGES, WANTED, UPDATE = 21, 22, 23, 24, 25, 26, 27
 """First value of a message: its kind and the format that it is written in."""
 
 _NEVER = -1.0
@@ -56,7 +56,7 @@
     | SumReport
     | SumChanges
     | SumWanted
-    | StoreNews
+    | StoreUpdate
     | CrashReport
     | LeavingReport
     | PlaceMessage
@@ -82,8 +82,8 @@
             return packb((CHANGES, *_changes_values(message)))
         case SumWanted():
             return packb((WANTED, message.whole))
-        case StoreNews():
-            return packb((NEWS, *_news_values(message)))
+        case StoreUpdate():
+            return packb((UPDATE, *_update_values(message)))
         case CrashReport():
             return packb(crash_values(message))
         case LeavingReport():
@@ -331,14 +331,14 @@
     return SumWanted(whole=bool(whole))
 
 
-def _news_values(news: StoreNews) -> tuple[Any, ...]:
-    records = tuple((row.key, row.value, row.offset) for row in news.records)
-    return (int(news.topic), news.since, news.end, records)
+def _update_values(update: StoreUpdate) -> tuple[Any, ...]:
+    records = tuple((row.key, row.value, row.offset) for row in update.records)
+    return (int(update.topic), update.since, update.end, records)
 
 
-def _news(values: list[Any]) -> StoreNews:
+def _update(values: list[Any]) -> StoreUpdate:
     topic, since, end, records = values
-    return StoreNews(
+    return StoreUpdate(
         topic=StoreTopic(topic),
         since=_place(since),
         end=_place(end),
@@ -368,7 +368,7 @@
     SUM: _sum,
     CHANGES: _changes,
     WANTED: _wanted,
-    NEWS: _news,
+    UPDATE: _update,
     CRASHES: crashes_of,
     LEAVING: leaving_of,
     ASK: ask_of,
--- a/tests/test_fleet_exchange.py
+++ b/tests/test_fleet_exchange.py
@@ -19,7 +19,7 @@
 from greengageflow.core.peer_report import LoadNotice, PeerBook, PeerReport
 from greengageflow.core.router_table import Hello
 from greengageflow.core.store_duty import READING_ZONES, StoreRole
-from greengageflow.core.store_news import StoreNews, StoreTopic
+from greengageflow.core.store_updates import StoreTopic, StoreUpdate
 from greengageflow.core.sum_book import SumBook, Taken
 from greengageflow.daemon import fleet_exchange
 from greengageflow.daemon.fleet_exchange import SETTLE_S, FleetExchange
@@ -130,7 +130,7 @@
     def on_totals(self, totals):
         self.totals, self.seen_loads = totals, totals.loads
 
-    def on_store_news(self, news):
+    def on_store_update(self, news):
         self.news.append(news)
         if self.news.count(news) == 1:
             self.exchange.pass_on(news, is_own=False)
@@ -340,7 +340,7 @@
     network, routers = fleet(monkeypatch, 60, 4)
     network.run(8.0)
     record = KeyedRecord("e1", b"{}", 7)
-    news = StoreNews(topic=StoreTopic.ENDPOINTS, since=0, end=8, records=(record,))
+    news = StoreUpdate(topic=StoreTopic.ENDPOINTS, since=0, end=8, records=(record,))
     for reader in [r for r in routers if r.exchange.store_role is role]:
         for router in routers:
             router.news.clear()
--- a/tests/test_held_removal.py
+++ b/tests/test_held_removal.py
@@ -33,7 +33,7 @@
         nothing,
         on_routing=lambda _routing: None,
         on_change=lambda _change: None,
-        on_news=lambda: news.append(view.list_mark),
+        on_update=lambda: news.append(view.list_mark),
         on_read=lambda _news, _is_own: None,
         on_era=lambda _era: None,
         pace_s=1.0,
--- a/tests/test_same_hellos.py
+++ b/tests/test_hello_cache.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
+from greengageflow.core.hello_cache import KEPT, HelloCache
 from greengageflow.core.router_table import Hello
-from greengageflow.core.same_hellos import KEPT, SameHellos
 from greengageflow.net.report_codec import encode
 
 HELLO = Hello(host="r", boot=1, ip="127.0.0.1", port=9, zone="z")
@@ -11,7 +11,7 @@
 
 def test_the_same_bytes_are_the_same_hello_and_others_are_not():
     """A router that stops, or starts again, says so in other bytes."""
-    same = SameHellos()
+    same = HelloCache()
     same.put(encode(HELLO), HELLO)
     assert same.get(encode(HELLO)) == HELLO
     assert same.get(encode(replace(HELLO, stopping=True))) is None
@@ -19,7 +19,7 @@
 
 
 def test_no_more_are_remembered_however_many_starts_there_are():
-    same = SameHellos()
+    same = HelloCache()
     for boot in range(2 * KEPT + 5):
         same.put(encode(replace(HELLO, boot=boot)), HELLO)
     assert len(same) <= KEPT
--- a/tests/test_report_codec.py
+++ b/tests/test_report_codec.py
@@ -21,7 +21,7 @@
     Quarantine,
 )
 from greengageflow.core.router_table import Hello
-from greengageflow.core.store_news import StoreNews, StoreTopic
+from greengageflow.core.store_updates import StoreTopic, StoreUpdate
 from greengageflow.core.sum_changes import Changes, SumChanges, SumWanted
 from greengageflow.net.report_codec import ReportError, decode, encode
 
@@ -93,7 +93,7 @@
     KeyedRecord, key=NAMES, value=st.none() | st.binary(max_size=9), offset=COUNTS
 )
 NEWS = st.builds(
-    StoreNews,
+    StoreUpdate,
     topic=st.sampled_from(StoreTopic),
     since=COUNTS,
     end=COUNTS,
--- a/tests/test_store_news.py
+++ b/tests/test_store_updates.py
@@ -1,11 +1,11 @@
 """What a router that reads the store passes on."""
 
 from greengageflow.core.keyed_record import KeyedRecord
-from greengageflow.core.store_news import (
+from greengageflow.core.store_updates import (
     REPEAT_BYTES,
     REPEAT_S,
-    NewsTeller,
     StoreTopic,
+    UpdatePublisher,
 )
 
 MOST = 24_000
@@ -21,12 +21,12 @@
 
 def test_few_records_are_told_again_with_later_ones():
     """Whoever lost the message with the first one has it from the next."""
-    teller = NewsTeller(StoreTopic.ENDPOINTS, MOST)
-    list(teller.tell(0.0, records(0, 1), 1))
-    (news,) = teller.tell(0.5 * REPEAT_S, records(1, 1), 2)
+    publisher = UpdatePublisher(StoreTopic.ENDPOINTS, MOST)
+    list(publisher.publish(0.0, records(0, 1), 1))
+    (news,) = publisher.publish(0.5 * REPEAT_S, records(1, 1), 2)
     assert [one.offset for one in news.records] == [0, 1]
     assert news.since == 0
-    (news,) = teller.tell(1.2 * REPEAT_S, records(2, 1), 3)
+    (news,) = publisher.publish(1.2 * REPEAT_S, records(2, 1), 3)
     assert [one.offset for one in news.records] == [1, 2]
     assert news.since == 1
 
@@ -34,11 +34,11 @@
 def test_what_many_endpoints_that_come_at_once_cost_is_bounded():
     """A fleet's thousand endpoints come in a second or two; what each message told
     again grew with all of them, and relays sent megabytes a second."""
-    teller = NewsTeller(StoreTopic.ENDPOINTS, MOST)
+    publisher = UpdatePublisher(StoreTopic.ENDPOINTS, MOST)
     told = []
     for turn in range(20):
         new = records(150 * turn, 150)
-        told += teller.tell(0.1 * turn, new, 150 * (turn + 1))
+        told += publisher.publish(0.1 * turn, new, 150 * (turn + 1))
     once = 20 * 150 * 150
     assert once <= size(told) <= once + 20 * REPEAT_BYTES
     known = 0
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -116,7 +116,7 @@
             self,
             on_routing=lambda routing: self.versions.append(routing.version),
             on_change=lambda change: self.changes.append((change.what, change.id)),
-            on_news=lambda: None,
+            on_update=lambda: None,
             on_read=self.pass_on,
             on_era=self.eras.append,
             pace_s=PACE_S,
@@ -151,7 +151,7 @@
         if self.reads and not self.news_lost:
             data = encode(news)
             for mate in self.mates:
-                mate.view.take_news(decode(data))
+                mate.view.take_update(decode(data))
 
     def step(self, words):
         for call in list(self.open):
