--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -91,9 +91,9 @@
     def may_use(self, endpoint: str) -> bool:
         """Whether an endpoint may get new work."""
         found = self._listed.get(endpoint)
-        return found is not None and not found.leaving and not self._says_left(found)
+        return found is not None and not found.leaving and not self._has_left(found)
 
-    def _says_left(self, endpoint: ListedEndpoint) -> bool:
+    def _has_left(self, endpoint: ListedEndpoint) -> bool:
         return self._left.get(endpoint.id, -1) >= endpoint.born
 
     def is_current(self, endpoint: ListedEndpoint) -> bool:
--- a/greengageflow/core/outage_hold.py
+++ b/greengageflow/core/outage_hold.py
@@ -25,7 +25,7 @@
         """Whether the store's return has not been seen yet."""
         return self._lost_at is not None
 
-    def came_back_older(self, now: float) -> None:
+    def on_restore(self, now: float) -> None:
         """Note that the store came back without what was written last.
 
         Entries that it lacks may be those of endpoints that were listed a moment ago.
--- a/greengageflow/core/quarantine.py
+++ b/greengageflow/core/quarantine.py
@@ -40,14 +40,14 @@
     return digest.digest()
 
 
-def short(fingerprint: Fingerprint) -> str:
+def short_digest(fingerprint: Fingerprint) -> str:
     """Return a fingerprint as log lines show it."""
     return fingerprint[:4].hex()
 
 
 @dataclass(frozen=True, slots=True)
 class CrashRecord:
-    """What hosts tell each other of one request.
+    """What hosts send each other about one request.
 
     Args:
         fingerprint: The request.
@@ -81,8 +81,8 @@
         """Crashes that speak against the request."""
         return len(self.crashed.keys() - self.cleared)
 
-    def told(self, now: float, fingerprint: Fingerprint) -> CrashRecord:
-        """Return it as other hosts get it."""
+    def to_record(self, now: float, fingerprint: Fingerprint) -> CrashRecord:
+        """Return what is sent to other hosts."""
         return CrashRecord(
             fingerprint,
             tuple(self.crashed),
@@ -146,7 +146,7 @@
             return False
         return now - record.at < self._hold_s
 
-    # What is seen here.
+    # Observations of this host.
 
     def suspect(self, now: float, endpoint: str, fingerprint: Fingerprint) -> None:
         """Note a request that was cut while it ran at a start of an endpoint."""
@@ -178,15 +178,15 @@
         record.changed_at = now
         return True
 
-    # What others tell.
+    # Reports of other hosts.
 
     def receive(
         self, now: float, records: Iterable[CrashRecord]
     ) -> tuple[Fingerprint, ...]:
-        """Take over what another host knows; return what is held back from now on."""
-        return tuple(one.fingerprint for one in records if self._is_news(now, one))
+        """Merge records of another host; return the newly quarantined requests."""
+        return tuple(one.fingerprint for one in records if self._merge(now, one))
 
-    def _is_news(self, now: float, one: CrashRecord) -> bool:
+    def _merge(self, now: float, one: CrashRecord) -> bool:
         if one.age_s >= self._hold_s:
             return False
         was_held = self._is_held(now, one.fingerprint)
@@ -195,7 +195,7 @@
         return not was_held and self._is_held(now, one.fingerprint)
 
     def records(self, now: float, changed_s: float, most: int) -> Iterator[CrashRecord]:
-        """Yield what other hosts need to know, the newest first.
+        """Yield the records for other hosts, the newest first.
 
         Args:
             now: The time.
@@ -211,13 +211,13 @@
         ]
         rows.sort(key=lambda row: -row[0])
         for _, fingerprint, record in rows[:most]:
-            yield record.told(now, fingerprint)
+            yield record.to_record(now, fingerprint)
 
     def record(self, now: float, fingerprint: Fingerprint) -> CrashRecord | None:
         """Return what is known of a request that is held back, else None."""
         if not self._is_held(now, fingerprint):
             return None
-        return self._records[fingerprint].told(now, fingerprint)
+        return self._records[fingerprint].to_record(now, fingerprint)
 
     def _take(
         self,
--- a/greengageflow/daemon/crash_watch.py
+++ b/greengageflow/daemon/crash_watch.py
@@ -81,8 +81,8 @@
         reachability: Looks for endpoints.
         sender: Tells other hosts.
         notes: Logs and counts.
-        on_held: Takes requests that are held back from now on.
-        on_found: Takes requests of which this host found out that they are held back,
+        on_quarantined: Takes requests that are held back from now on.
+        on_decided: Takes requests of which this host found out that they are held back,
             or are no more.
     """
 
@@ -93,23 +93,23 @@
         reachability: Reachability,
         sender: CrashReportSender,
         notes: CrashNotes,
-        on_held: Callable[[frozenset[Fingerprint]], None],
-        on_found: Callable[[Fingerprint], None] = lambda _fingerprint: None,
+        on_quarantined: Callable[[frozenset[Fingerprint]], None],
+        on_decided: Callable[[Fingerprint], None] = lambda _fingerprint: None,
     ) -> None:
         self._quarantine = quarantine
         self._timers = timers
         self._reachability = reachability
         self._sender = sender
         self._notes = notes
-        self._on_held = on_held
-        self._on_found = on_found
+        self._on_quarantined = on_quarantined
+        self._on_decided = on_decided
         self._checking: set[str] = set()
 
     def start(self) -> None:
         """Begin to repeat to other hosts what is known."""
         self._timers.every(REPEAT_S, self._repeat)
 
-    def cut(self, endpoint: EndpointStart, fingerprint: Fingerprint) -> None:
+    def on_cut(self, endpoint: EndpointStart, fingerprint: Fingerprint) -> None:
         """Note that an endpoint cut a request that it may have begun to run."""
         start = endpoint.start
         self._quarantine.suspect(self._timers.now, start, fingerprint)
@@ -139,12 +139,12 @@
         suspects = self._quarantine.crashed(now, endpoint.start)
         self._notes.crashed(endpoint, suspects)
         held = set(self._quarantine.held(now)) - before
-        self._note_held(held, "crash")
+        self._log_quarantined(held, "crash")
         self._send_all()
         for fingerprint in held:
-            self._on_found(fingerprint)
+            self._on_decided(fingerprint)
 
-    def answered(self, fingerprint: Fingerprint) -> None:
+    def on_good_answer(self, fingerprint: Fingerprint) -> None:
         """Note a good answer to a request."""
         now = self._timers.now
         was_held = self._quarantine.record(now, fingerprint) is not None
@@ -152,20 +152,20 @@
             self._notes.cleared(fingerprint)
             self._send_all()
             if was_held:
-                self._on_found(fingerprint)
+                self._on_decided(fingerprint)
 
     def receive(self, records: Iterable[CrashRecord]) -> None:
         """Take over what another host knows."""
         held = self._quarantine.receive(self._timers.now, records)
-        self._note_held(held, "peer")
+        self._log_quarantined(held, "peer")
 
-    def _note_held(self, held: Iterable[Fingerprint], source: str) -> None:
+    def _log_quarantined(self, held: Iterable[Fingerprint], source: str) -> None:
         found = frozenset(held)
         for fingerprint in found:
             left_s = self._quarantine.left_s(self._timers.now, fingerprint)
             self._notes.held(fingerprint, source, left_s)
         if found:
-            self._on_held(found)
+            self._on_quarantined(found)
 
     def _send_all(self) -> None:
         self._send(None)
--- a/greengageflow/daemon/dispatch.py
+++ b/greengageflow/daemon/dispatch.py
@@ -117,7 +117,7 @@
             flight = self._admission.admit(call)
             # A protected action that is repeated may have run: the log says so first.
             if not flight.protected:
-                self._check_held_back(flight)
+                self._check_quarantine(flight)
         except RouterError as exc:
             self._notes.refused(exc)
             call.reply.error(exc)
@@ -135,7 +135,7 @@
         else:
             self._queue(flight)
 
-    def _held_back(self, flight: Flight) -> RouterError | None:
+    def _quarantine_error(self, flight: Flight) -> RouterError | None:
         """Return why a request must not be sent to any endpoint, or None."""
         if not self._quarantine:
             return None
@@ -145,18 +145,18 @@
         text = "endpoints crashed while they ran this request"
         return RouterError(ErrorKind.QUARANTINED, text, retry_after_s=left_s)
 
-    def _check_held_back(self, flight: Flight) -> None:
-        if (exc := self._held_back(flight)) is not None:
+    def _check_quarantine(self, flight: Flight) -> None:
+        if (exc := self._quarantine_error(flight)) is not None:
             raise exc
 
-    def on_held(self, held: frozenset[Fingerprint]) -> None:
+    def on_quarantined(self, held: frozenset[Fingerprint]) -> None:
         """End requests that wait and are held back from now on."""
         waiting = [f for f in self._flights if f.phase is Phase.QUEUED]
         for flight in waiting:
             if flight.fingerprint in held:
                 cancelled = self._control.entry.cancel(flight.id)
                 self._control.run(cancelled)
-                self._refuse(flight, self._held_back(flight))
+                self._refuse(flight, self._quarantine_error(flight))
 
     def on_gone(self, call: ChatCall | ServiceCall | StatusCall) -> None:
         """Give up what a caller that left had asked for."""
@@ -192,7 +192,7 @@
             self._control.run(give_up)
             return
         self._tracing.finish(flight.hop)
-        if (exc := self._held_back(flight)) is not None:
+        if (exc := self._quarantine_error(flight)) is not None:
             self._refuse(flight, exc)
         else:
             self._queue(flight)
@@ -258,7 +258,7 @@
         elif now >= flight.deadline or not self._may_send(flight):
             text = "the deadline passed before the request could be sent"
             self._refuse(flight, RouterError(ErrorKind.DEADLINE, text))
-        elif (exc := self._held_back(flight)) is not None:
+        elif (exc := self._quarantine_error(flight)) is not None:
             self._refuse(flight, exc)
         else:
             self._send(flight, now)
@@ -321,7 +321,7 @@
                 self._cut(flight, end)
 
     def _complete(self, flight: Flight, end: Completed) -> None:
-        self.crashes.answered(flight.fingerprint)
+        self.crashes.on_good_answer(flight.fingerprint)
         served = end.usage.completion_tokens if end.usage else flight.pieces
         self._give_back(flight.grant, flight, served=float(served))
         self._runs.answer_completed(flight, end)
@@ -334,7 +334,7 @@
         if end.leaving:
             self._on_leaving(flight.endpoint.name, "answer")
         if end.status < HTTPStatus.MULTIPLE_CHOICES:
-            self.crashes.answered(flight.fingerprint)
+            self.crashes.on_good_answer(flight.fingerprint)
         self._give_back(
             flight.grant, flight, served=flight.cost, backoff_s=end.backoff_s
         )
@@ -348,7 +348,7 @@
         self._give_back(flight.grant, flight, served=float(flight.pieces), failed=True)
         self._notes.cut(flight)
         if end.lost and _is_new_run(flight):
-            self.crashes.cut(_start_of(flight.endpoint), flight.fingerprint)
+            self.crashes.on_cut(_start_of(flight.endpoint), flight.fingerprint)
         text = f"endpoint {flight.endpoint.name}: {end.message}"
         exc = RouterError(ErrorKind.ENDPOINT_CUT, text, ran=end.ran)
         repeatable = not flight.protected and isinstance(flight.call, ChatCall)
@@ -366,7 +366,7 @@
             self._refuse_sent(flight, exc)
             return
         late = monotonic() >= flight.deadline
-        if (held := self._held_back(flight)) is not None:
+        if (held := self._quarantine_error(flight)) is not None:
             self._refuse(flight, held)
             return
         if late or flight.attempts >= MOST_ATTEMPTS or not self._budget.take():
--- a/greengageflow/daemon/forward_notes.py
+++ b/greengageflow/daemon/forward_notes.py
@@ -3,7 +3,7 @@
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import ForwardRequest, request_fingerprint
-from greengageflow.core.quarantine import short
+from greengageflow.core.quarantine import short_digest
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.daemon.forward_flight import ForwardFlight, Phase
 from greengageflow.errors import Ran, RouterError
@@ -38,7 +38,7 @@
         self._log.write(
             DecisionEvent.REFUSED,
             request=req.id,
-            digest=short(request_fingerprint(req, "")),
+            digest=short_digest(request_fingerprint(req, "")),
             why=exc.kind.value,
             text=exc.message,
             retry_after_ms=_ms(exc.retry_after_s or 0.0),
@@ -55,7 +55,7 @@
         self._log.write(
             DecisionEvent.SENT,
             request=flight.req.id,
-            digest=short(flight.fingerprint),
+            digest=short_digest(flight.fingerprint),
             account=flight.account,
             route=flight.route.name,
             endpoint=choice.endpoint.id,
@@ -140,7 +140,7 @@
         self._log.write(
             DecisionEvent.REFUSED,
             request=flight.req.id,
-            digest=short(flight.fingerprint),
+            digest=short_digest(flight.fingerprint),
             account=flight.account,
             route=flight.route.name,
             why=exc.kind.value,
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -116,7 +116,7 @@
             self._notes.turned_away(call.request, exc)
             call.reply.error(exc)
             return
-        if (exc := self._held_back(flight)) is not None:
+        if (exc := self._quarantine_error(flight)) is not None:
             self._notes.refused(self._timers.now, flight, exc)
             call.reply.error(exc)
             return
@@ -129,7 +129,7 @@
             self.placement.submit(flight.arrived, flight.service, job, flight.account)
         )
 
-    def _held_back(self, flight: ForwardFlight) -> RouterError | None:
+    def _quarantine_error(self, flight: ForwardFlight) -> RouterError | None:
         """Return why a request must not be sent to any endpoint, or None."""
         left_s = self._quarantine.left_s(self._timers.now, flight.fingerprint)
         if not left_s:
@@ -137,7 +137,7 @@
         text = "endpoints crashed while they ran this request"
         return RouterError(ErrorKind.QUARANTINED, text, retry_after_s=left_s)
 
-    def on_held(self, held: frozenset[Fingerprint]) -> None:
+    def on_quarantined(self, held: frozenset[Fingerprint]) -> None:
         """End requests that are held back from now on.
 
         One that an endpoint has queued is taken from it before it begins.
@@ -148,7 +148,7 @@
                 if flight.attempt is not None:
                     self._stop_attempt(flight)
                     flight.may_have_run = True
-                self._answer_error(flight, self._held_back(flight))
+                self._answer_error(flight, self._quarantine_error(flight))
 
     def _is_open(self, flight: ForwardFlight) -> bool:
         return self._flights.get(flight.id) is flight
@@ -173,7 +173,7 @@
                 continue
             match decision:
                 case StartJob(choice=choice):
-                    if (exc := self._held_back(flight)) is None:
+                    if (exc := self._quarantine_error(flight)) is None:
                         self._start(flight, choice)
                     else:
                         self._answer_error(flight, exc)
@@ -219,7 +219,7 @@
         """Take what an endpoint says of itself beside its answer."""
         attempt = flight.attempt
         if attempt.note.leaving:
-            self.leaving.said(attempt.endpoint)
+            self.leaving.on_answer(attempt.endpoint)
 
     def on_events(self, flight: ForwardFlight, frames: list[Frame]) -> None:
         """Pass events on."""
@@ -257,7 +257,7 @@
         self.placement.answered(flight.id, endpoint, good)
         self.placement.left(flight.id, endpoint)
         if note.good:
-            self.crashes.answered(flight.fingerprint)
+            self.crashes.on_good_answer(flight.fingerprint)
         if not spoiled and note.status < 500:
             self._answer(flight, body)
         elif flight.repeatable and flight.runs_left and self._go_on(flight, "failed"):
@@ -324,7 +324,7 @@
         """Note that a stream ended in order."""
         head = flight.attempt.head
         self.placement.left(flight.id, flight.attempt.endpoint)
-        self.crashes.answered(flight.fingerprint)
+        self.crashes.on_good_answer(flight.fingerprint)
         if flight.phase is not Phase.STREAMING:
             flight.reply.begin(head.status, headers_for_caller(head))
         else:
@@ -337,7 +337,7 @@
         """Go on elsewhere after an answer that is not whole, or give up."""
         flight.avoid.add(flight.attempt.endpoint.id)
         if failure.lost and self._is_new_run(flight):
-            self.crashes.cut(flight.attempt.endpoint, flight.fingerprint)
+            self.crashes.on_cut(flight.attempt.endpoint, flight.fingerprint)
         self._note_failure(flight, failure)
         text = f"{flight.attempt.endpoint.id}: {failure.message}"
         if not failure.sent or (flight.repeatable and flight.runs_left):
@@ -375,7 +375,7 @@
     def _next_choice(self, flight: ForwardFlight, avoid: set[str]) -> Choice | None:
         now = self._timers.now
         late = now >= flight.deadline - LAST_MOMENT_S
-        if flight.sendings >= MOST_SENDINGS or late or self._held_back(flight):
+        if flight.sendings >= MOST_SENDINGS or late or self._quarantine_error(flight):
             return None
         return self._book.again(now, flight.service, flight.req.prompt, avoid)
 
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -146,7 +146,7 @@
                 self._timers,
                 self._book,
                 self._log,
-                lambda engine: self._leaving.said(engine),
+                lambda engine: self._leaving.on_answer(engine),
             ),
         )
         self._crashes = self._forwarder.crashes = CrashWatch(
@@ -155,7 +155,7 @@
             ConnectCheck(self._timers).register(self),
             self._exchange,
             QuarantineNotes(self._log, self._page),
-            self._forwarder.on_held,
+            self._forwarder.on_quarantined,
             lambda fingerprint: self._kept.update(fingerprint),
         )
         self._leaving = self._forwarder.leaving = LeavingWatch(
--- a/greengageflow/daemon/leaving_watch.py
+++ b/greengageflow/daemon/leaving_watch.py
@@ -50,7 +50,7 @@
         """Begin to repeat to other hosts what is known."""
         self._timers.every(REPEAT_S, self._repeat)
 
-    def said(self, endpoint: ListedEndpoint) -> None:
+    def on_answer(self, endpoint: ListedEndpoint) -> None:
         """Note that an endpoint said in an answer that it leaves."""
         sign = LeavingSign(endpoint.id, endpoint.born)
         if self._take(sign, "answer"):
--- a/greengageflow/daemon/quarantine_notes.py
+++ b/greengageflow/daemon/quarantine_notes.py
@@ -1,6 +1,6 @@
 """Writes down crashes of endpoints and requests that are held back for them."""
 
-from greengageflow.core.quarantine import Fingerprint, short
+from greengageflow.core.quarantine import Fingerprint, short_digest
 from greengageflow.daemon.crash_watch import EndpointStart
 from greengageflow.events import Event, log
 from greengageflow.metrics import Metric, Metrics
@@ -28,7 +28,7 @@
     ) -> None:
         """Note a crash and the requests that may have caused it."""
         self._page.count(PageMetric.ENDPOINT_CRASHES, endpoint.service)
-        digests = sorted(map(short, requests))
+        digests = sorted(map(short_digest, requests))
         self._log.write(
             DecisionEvent.ENDPOINT_CRASHED,
             endpoint=endpoint.id,
@@ -40,14 +40,16 @@
         """Note that a request is held back."""
         self._log.write(
             DecisionEvent.QUARANTINED,
-            digest=short(fingerprint),
+            digest=short_digest(fingerprint),
             source=source,
             for_ms=round(1000 * for_s),
         )
 
     def cleared(self, fingerprint: Fingerprint) -> None:
         """Note that a good answer has cleared a request."""
-        self._log.write(DecisionEvent.QUARANTINE_CLEARED, digest=short(fingerprint))
+        self._log.write(
+            DecisionEvent.QUARANTINE_CLEARED, digest=short_digest(fingerprint)
+        )
 
 
 class RouterQuarantineNotes:
@@ -65,7 +67,7 @@
     ) -> None:
         """Note a crash and the requests that may have caused it."""
         self._metrics.count(Metric.ENDPOINT_CRASHES, part=endpoint.id)
-        digests = sorted(map(short, requests))
+        digests = sorted(map(short_digest, requests))
         log(
             Event.ENDPOINT_CRASHED,
             endpoint=endpoint.id,
@@ -75,8 +77,13 @@
 
     def held(self, fingerprint: Fingerprint, source: str, for_s: float) -> None:
         """Note that a request is held back."""
-        log(Event.QUARANTINED, digest=short(fingerprint), source=source, seconds=for_s)
+        log(
+            Event.QUARANTINED,
+            digest=short_digest(fingerprint),
+            source=source,
+            seconds=for_s,
+        )
 
     def cleared(self, fingerprint: Fingerprint) -> None:
         """Note that a good answer has cleared a request."""
-        log(Event.QUARANTINE_CLEARED, digest=short(fingerprint))
+        log(Event.QUARANTINE_CLEARED, digest=short_digest(fingerprint))
--- a/greengageflow/daemon/router.py
+++ b/greengageflow/daemon/router.py
@@ -105,7 +105,7 @@
             ConnectCheck(self._timers, source_ip=settings.ip).register(self),
             self._control,
             RouterQuarantineNotes(self._metrics),
-            self._requests.on_held,
+            self._requests.on_quarantined,
         )
         self._callers = CallerServer(
             settings.ip,
--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -198,12 +198,12 @@
         self._list.begin_anew()
         return False
 
-    def came_back_older(self, era: int) -> None:
+    def on_restore(self, era: int) -> None:
         """Note that the store is of a later era than what is known of it here."""
         if era <= self._era:
             return
         before, self._era = self._era, era
-        self._hold.came_back_older(self._clock())
+        self._hold.on_restore(self._clock())
         self._log.write(DecisionEvent.STORE_ERA, era=era, before=before)
         self._on_era(era)
 
@@ -386,9 +386,9 @@
         endpoint = None if record.value is None else self._endpoint(record)
         return endpoint is not None and self._endpoints.was_dropped(endpoint)
 
-    def restored(self, era: int) -> None:
+    def on_restored_list(self, era: int) -> None:
         """Note that the next whole list is from a copy."""
-        self.came_back_older(era)
+        self.on_restore(era)
         self._is_restored = True
 
     def _drop(self, endpoint: str) -> Iterable[ListChange]:
@@ -438,7 +438,7 @@
         self._view.take_config(records)
 
     def on_era(self, era: int) -> None:
-        self._view.came_back_older(era)
+        self._view.on_restore(era)
 
     def on_records(self, records: tuple[KeyedRecord, ...]) -> None:
         self._view.take_config(records)
@@ -458,7 +458,7 @@
         self._view.replace_list(records)
 
     def on_era(self, era: int) -> None:
-        self._view.restored(era)
+        self._view.on_restored_list(era)
 
     def on_records(self, records: tuple[KeyedRecord, ...]) -> None:
         self._view.take_list(records)
--- a/tests/test_leaving_watch.py
+++ b/tests/test_leaving_watch.py
@@ -33,7 +33,7 @@
     hosts = [Host(router) for router in routers]
     network.run(8)
     for _ in range(3):
-        hosts[0].watch.said(endpoint("e0"))
+        hosts[0].watch.on_answer(endpoint("e0"))
     network.run(3)
     assert [host.lines for host in hosts] == [
         [("e0", "answer")],
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -222,16 +222,16 @@
     """A process that ends may take a while; on a busy machine the first look at it came
     too early, and its request went on to take others down."""
     seen = Watched(Reach.LISTENS, Reach.LISTENS, Reach.REFUSED)
-    seen.watch.cut(endpoint("e1"), b"poison")
+    seen.watch.on_cut(endpoint("e1"), b"poison")
     assert seen.lines == [("crashed", "e1", 1)]
 
 
 def test_crash_is_seen_through_a_proxy_that_goes_on_to_take_connections():
     closed = [Reach.CLOSED] * len(CHECKS_S)
     seen = Watched(*closed, Reach.CLOSED, Reach.LISTENS, Reach.LISTENS)
-    seen.watch.cut(endpoint("e1"), b"poison")
+    seen.watch.on_cut(endpoint("e1"), b"poison")
     assert seen.lines == [("crashed", "e1", 1)]
-    seen.watch.cut(endpoint("e2"), b"poison")
+    seen.watch.on_cut(endpoint("e2"), b"poison")
     assert len(seen.lines) == 1, "it had too many connections for a moment"
 
 
@@ -242,7 +242,7 @@
     seen = Watched(*alive, *unknown, Reach.REFUSED, Reach.REFUSED)
     for name in ("e1", "e2", "e3", "e4"):
         assert not seen.held_back
-        seen.watch.cut(endpoint(name), b"poison")
+        seen.watch.on_cut(endpoint(name), b"poison")
     assert seen.lines == [
         ("crashed", "e3", 1),
         ("crashed", "e4", 1),
@@ -254,9 +254,9 @@
 
 def test_crashes_at_two_hosts_hold_a_request_back_at_both():
     first, second = Watched(Reach.REFUSED), Watched(Reach.REFUSED)
-    first.watch.cut(endpoint("e1"), b"poison")
+    first.watch.on_cut(endpoint("e1"), b"poison")
     second.watch.receive(first.sent[-1][0])
-    second.watch.cut(endpoint("e2"), b"poison")
+    second.watch.on_cut(endpoint("e2"), b"poison")
     first.watch.receive(second.sent[-1][0])
     assert first.held_back == second.held_back == [frozenset([b"poison"])]
     assert first.lines[-1] == ("held", b"poison", "peer")
@@ -297,7 +297,7 @@
     watching = [WatchingRouter(router) for router in routers]
     network.run(8)
     for number in range(2):
-        watching[number].watch.cut(endpoint(f"e{number}"), FINGERPRINT)
+        watching[number].watch.on_cut(endpoint(f"e{number}"), FINGERPRINT)
     network.run(3)
     assert all(one.knows for one in watching)
     routers[1].stop()
