All quarantined requests in the store are read, and all that are over are dropped

A host that starts after a loss of all hosts read the first page of the topic alone (500 records or 1 MB): requests on later ones would have run again. Records that are over and stood behind the first eight stayed in the store for good. Cause: pages were not followed; the bound on records to drop was taken over all records. Found by reading the change once more. Ruled out: nothing. Change: pages are followed; the bound holds for records that are over.

--- a/greengageflow/daemon/quarantine_store.py
+++ b/greengageflow/daemon/quarantine_store.py
@@ -68,6 +68,7 @@
         self._on_read = on_read
         self._is_read = False
         self._unwritten: dict[Fingerprint, None] = {}
+        self._pages: list[KeyedRecord] = []
 
     def start(self) -> None:
         """Begin to look."""
@@ -88,6 +89,7 @@
         for fingerprint in list(self._unwritten):
             self._write(fingerprint)
         if not self._is_read and self._is_reader():
+            self._pages = []
             self._ask(*newest_call(QUARANTINE_TOPIC, ""), b"", self._on_newest)
         self._timers.after(LOOK_EVERY_S, self._look)
 
@@ -105,16 +107,23 @@
         if isinstance(result, Failure):
             return
         try:
-            rows = parse_newest(result).records
+            batch = parse_newest(result)
         except StoreAnswerError:
             return
+        self._pages.extend(batch.records)
+        if batch.after:
+            call = newest_call(QUARANTINE_TOPIC, batch.after)
+            self._ask(*call, b"", self._on_newest)
+            return
         self._is_read = True
-        records = [one for one in map(_record, rows) if one is not None]
+        records = [one for one in map(_record, self._pages) if one is not None]
+        self._pages = []
         self._on_read(records)
         now = self._timers.now
-        for one in records[:MOST_DROPPED]:
-            if self._quarantine.record(now, one.fingerprint) is None:
-                self.update(one.fingerprint)
+        held = set(self._quarantine.held(now))
+        over = [one.fingerprint for one in records if one.fingerprint not in held]
+        for fingerprint in over[:MOST_DROPPED]:
+            self.update(fingerprint)
 
     def _ask(
         self,
--- a/tests/test_quarantine_store.py
+++ b/tests/test_quarantine_store.py
@@ -2,6 +2,7 @@
 
 import json
 from base64 import b64encode
+from urllib.parse import parse_qs, urlsplit
 
 import pytest
 from hypothesis import given
@@ -18,6 +19,7 @@
 
     def __init__(self, *, reader=False, items=()):
         self.reader, self.down, self.items = reader, False, list(items)
+        self.page = 500
         self.now, self.due, self.written, self.reads, self.read = 0.0, [], [], 0, []
         self.quarantine = Quarantine()
         self.store = QuarantineStore(
@@ -47,7 +49,12 @@
             on_done(Response(200, (), b"{}"))
         else:
             self.reads += 1
-            doc = {"items": self.items, "end": 1}
+            query = parse_qs(urlsplit(request.path).query)
+            after = query.get("after", [""])[0]
+            items = sorted(self.items, key=lambda one: one["key"])
+            rest = [one for one in items if one["key"] > after]
+            page, more = rest[: self.page], len(rest) > self.page
+            doc = {"items": page, "truncated": more, "end": 1}
             on_done(Response(200, (), json.dumps(doc).encode()))
 
     def run(self, seconds):
@@ -114,6 +121,36 @@
     assert world.read[0].age_s > HOLD_S
 
 
+def key_of(number):
+    return number.to_bytes(FINGERPRINT_BYTES, "big").hex()
+
+
+def test_records_that_are_over_are_dropped_wherever_they_stand():
+    """Those behind eight that are held back stayed in the store for good."""
+    good = World()
+    good.hold()
+    _, live = good.written[0]
+    old = json.dumps({"crashed": ["e1", "e2"], "cleared": [], "at_ms": 0}).encode()
+    items = [item(key_of(number), live) for number in range(20)]
+    world = World(reader=True, items=[*items, item(key_of(90), old)])
+    world.run(3)
+    assert world.written == [(key_of(90), b"")]
+
+
+def test_records_on_later_pages_are_read():
+    """What stands there would be run again after a loss of all hosts."""
+    good = World()
+    good.hold()
+    _, live = good.written[0]
+    world = World(
+        reader=True, items=[item(key_of(number), live) for number in range(7)]
+    )
+    world.page = 3
+    world.run(3)
+    assert len(world.quarantine.held(world.now)) == 7
+    assert world.reads == 3
+
+
 @pytest.mark.parametrize("key", ["", "no hex", "00", FINGERPRINT.hex()])
 @pytest.mark.parametrize(
     "value",
