Calls on topics that routers share in the store are made in one place

RouterRegistry and QuarantineStore made, counted and bounded their calls in the same lines. Cause: the second was written after the first. Change: SharedTopic (put, newest, calls); both keep what they decide. Ruled out: TopicFollower, which follows a topic and is not asked once.

--- a/greengageflow/daemon/quarantine_store.py
+++ b/greengageflow/daemon/quarantine_store.py
@@ -15,19 +15,13 @@
     Fingerprint,
     Quarantine,
 )
+from greengageflow.daemon.shared_topic import SharedTopic
 from greengageflow.net.http_messages import Failure, Response
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
 from greengageflow.platform.names import QUARANTINE_TOPIC
-from greengageflow.platform.store import (
-    StoreAnswerError,
-    newest_call,
-    parse_newest,
-    put_call,
-    request,
-)
+from greengageflow.platform.store import StoreAnswerError, parse_newest
 
-TIMEOUT_S = 2.0
 FIRST_LOOK_S = 1.0
 LOOK_EVERY_S = 2.0
 MOST_DROPPED = 8
@@ -59,10 +53,8 @@
         is_reader: Callable[[], bool],
         on_read: Callable[[Iterable[CrashRecord]], None],
     ) -> None:
-        self.calls = 0
-        self._pool = pool
+        self._topic = SharedTopic(pool, store, QUARANTINE_TOPIC)
         self._timers = timers
-        self._store = store
         self._quarantine = quarantine
         self._is_reader = is_reader
         self._on_read = on_read
@@ -70,6 +62,11 @@
         self._unwritten: dict[Fingerprint, None] = {}
         self._pages: list[KeyedRecord] = []
 
+    @property
+    def calls(self) -> int:
+        """Calls of the store so far."""
+        return self._topic.calls
+
     def start(self) -> None:
         """Begin to look."""
         self._timers.after(FIRST_LOOK_S, self._look)
@@ -90,7 +87,7 @@
             self._write(fingerprint)
         if not self._is_read and self._is_reader():
             self._pages = []
-            self._ask(*newest_call(QUARANTINE_TOPIC, ""), b"", self._on_newest)
+            self._topic.newest("", self._on_newest)
         self._timers.after(LOOK_EVERY_S, self._look)
 
     def _write(self, fingerprint: Fingerprint) -> None:
@@ -100,8 +97,7 @@
 
         record = self._quarantine.record(self._timers.now, fingerprint)
         value = _DROPPED if record is None else _value(record)
-        call = put_call(QUARANTINE_TOPIC, fingerprint.hex(), value)
-        self._ask(*call, done)
+        self._topic.put(fingerprint.hex(), value, done)
 
     def _on_newest(self, result: Response | Failure) -> None:
         if isinstance(result, Failure):
@@ -112,8 +108,7 @@
             return
         self._pages.extend(batch.records)
         if batch.after:
-            call = newest_call(QUARANTINE_TOPIC, batch.after)
-            self._ask(*call, b"", self._on_newest)
+            self._topic.newest(batch.after, self._on_newest)
             return
         self._is_read = True
         records = [one for one in map(_record, self._pages) if one is not None]
@@ -125,17 +120,6 @@
         for fingerprint in over[:MOST_DROPPED]:
             self.update(fingerprint)
 
-    def _ask(
-        self,
-        method: str,
-        target: str,
-        body: bytes,
-        on_done: Callable[[Response | Failure], None],
-    ) -> None:
-        self.calls += 1
-        asked = request(self._store, method, target, body, TIMEOUT_S)
-        self._pool.fetch(asked, on_done)
-
 
 def _value(record: CrashRecord) -> bytes:
     doc = {
--- a/greengageflow/daemon/router_registry.py
+++ b/greengageflow/daemon/router_registry.py
@@ -3,19 +3,13 @@
 from collections.abc import Callable, Iterable
 from ipaddress import ip_address
 
+from greengageflow.daemon.shared_topic import SharedTopic
 from greengageflow.net.http_messages import Failure, Response
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
 from greengageflow.platform.names import ROUTERS_TOPIC
-from greengageflow.platform.store import (
-    StoreAnswerError,
-    newest_call,
-    parse_newest,
-    put_call,
-    request,
-)
-
-TIMEOUT_S = 2.0
+from greengageflow.platform.store import StoreAnswerError, parse_newest
+
 LOOK_EVERY_S = 2.0
 FIRST_LOOK_S = 1.0
 
@@ -52,10 +46,8 @@
         is_contact: Callable[[], bool],
         on_found: Callable[[Iterable[Address]], None],
     ) -> None:
-        self.calls = 0
-        self._pool = pool
+        self._topic = SharedTopic(pool, store, ROUTERS_TOPIC)
         self._timers = timers
-        self._store = store
         self._host = host
         self._own = own
         self._is_alone = is_alone
@@ -63,6 +55,11 @@
         self._is_put = False
         self._on_found = on_found
 
+    @property
+    def calls(self) -> int:
+        """Calls of the store so far."""
+        return self._topic.calls
+
     def start(self) -> None:
         """Begin to look."""
         self._timers.after(FIRST_LOOK_S, self._look)
@@ -74,8 +71,7 @@
     def _put(self) -> None:
         self._is_put = True
         value = f"{self._own[0]}:{self._own[1]}".encode()
-        method, target, body = put_call(ROUTERS_TOPIC, self._host, value)
-        self._ask(method, target, body, self._on_put)
+        self._topic.put(self._host, value, self._on_put)
 
     def _on_put(self, result: Response | Failure) -> None:
         if isinstance(result, Failure) or result.status != 200:
@@ -85,7 +81,7 @@
         if not self._is_put and self._is_contact():
             self._put()
         if self._is_alone():
-            self._ask(*newest_call(ROUTERS_TOPIC, ""), b"", self._on_newest)
+            self._topic.newest("", self._on_newest)
         self._timers.after(LOOK_EVERY_S, self._look)
 
     def _on_newest(self, result: Response | Failure) -> None:
@@ -98,17 +94,6 @@
         found = (_address(record.value) for record in records if record.value)
         self._on_found([address for address in found if address is not None])
 
-    def _ask(
-        self,
-        method: str,
-        target: str,
-        body: bytes,
-        on_done: Callable[[Response | Failure], None],
-    ) -> None:
-        self.calls += 1
-        asked = request(self._store, method, target, body, TIMEOUT_S)
-        self._pool.fetch(asked, on_done)
-
 
 def _address(value: bytes) -> Address | None:
     ip, _, port = value.decode("ascii", "replace").rpartition(":")
--- /dev/null
+++ b/greengageflow/daemon/shared_topic.py
@@ -0,0 +1,44 @@
+"""Short calls on one keyed topic that routers share in the platform's store."""
+
+from collections.abc import Callable
+
+from greengageflow.net.http_messages import Failure, Response
+from greengageflow.net.http_pool import HttpPool
+from greengageflow.platform.store import newest_call, put_call, request
+
+TIMEOUT_S = 2.0
+
+Address = tuple[str, int]
+OnDone = Callable[[Response | Failure], None]
+
+
+class SharedTopic:
+    """Writes and reads keys of one topic.
+
+    Args:
+        pool: Sends the calls.
+        store: IP number and port of the store.
+        topic: Its name.
+
+    Attributes:
+        calls: Calls so far.
+    """
+
+    def __init__(self, pool: HttpPool, store: Address, topic: str) -> None:
+        self.calls = 0
+        self._pool = pool
+        self._store = store
+        self._topic = topic
+
+    def put(self, key: str, value: bytes, on_done: OnDone) -> None:
+        """Set the value of a key; an empty one drops the key."""
+        self._ask(*put_call(self._topic, key, value), on_done)
+
+    def newest(self, after: str, on_done: OnDone) -> None:
+        """Read the newest record of each key, from the one after ``after`` on."""
+        self._ask(*newest_call(self._topic, after), b"", on_done)
+
+    def _ask(self, method: str, target: str, body: bytes, on_done: OnDone) -> None:
+        self.calls += 1
+        asked = request(self._store, method, target, body, TIMEOUT_S)
+        self._pool.fetch(asked, on_done)
