--- a/greengageflow/core/send_budget.py
+++ b/greengageflow/core/send_budget.py
@@ -1,6 +1,22 @@
 """How often a service's requests may be sent once more, over the whole fleet."""
 
 from collections import deque
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetUse:
+    """What a host's budget goes by at one moment.
+
+    Args:
+        requests: Requests of callers in the window.
+        repeats: Repeats in the window.
+        hosts: Hosts that share the slack.
+    """
+
+    requests: int
+    repeats: int
+    hosts: int
 
 
 class SendBudget:
@@ -36,6 +52,11 @@
         self._repeats.append(now)
         return True
 
+    def use(self, now: float, hosts: int) -> BudgetUse:
+        """Return what was counted in the window that ends now."""
+        self._forget(now)
+        return BudgetUse(len(self._requests), len(self._repeats), hosts)
+
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._repeats):
             while times and times[0] < now - self._window_s:
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -15,7 +15,7 @@
 from greengageflow.core.kept_mirror import KeptMirror
 from greengageflow.core.prompt_places import PromptPlaces
 from greengageflow.core.routes import Routing, Service
-from greengageflow.core.send_budget import SendBudget
+from greengageflow.core.send_budget import BudgetUse, SendBudget
 from greengageflow.core.service_scheduler import (
     Allowance,
     Decision,
@@ -277,6 +277,8 @@
     ) -> Choice | None:
         """Return where a request may be sent once more; None when nowhere.
 
+        ``take_repeat`` says whether it may be sent at all.
+
         Args:
             now: The time.
             service: Service that runs it.
@@ -285,16 +287,21 @@
         """
         usable = self.open_endpoints(now, service)
         look = self._chooser.look(now, [e for e in usable if e.id not in avoid])
-        choice = self._chooser.choose(
+        return self._chooser.choose(
             now,
             look,
             prompt,
             patience_s=inf,
             transfers=self.service(service).transfers,
         )
-        if choice is None or not self._budgets[service].take(now, self.hosts):
-            return None
-        return choice
+
+    def take_repeat(self, now: float, service: str) -> bool:
+        """Count a repeat at a service if its budget has room; else return False."""
+        return self._budgets[service].take(now, self.hosts)
+
+    def budget_use(self, now: float, service: str) -> BudgetUse:
+        """Return what the budget of a service's repeats goes by."""
+        return self._budgets[service].use(now, self.hosts)
 
     def sent(
         self, now: float, request: str, choice: Choice, prompt: Prompt | None
--- a/greengageflow/daemon/forward_notes.py
+++ b/greengageflow/daemon/forward_notes.py
@@ -11,6 +11,8 @@
 from greengageflow.net.decision_log import DecisionLog
 from greengageflow.net.metrics_page import MetricsPage, PageMetric
 
+OUT_OF_BUDGET_EVERY_S = 1.0
+
 
 def _ms(seconds: float) -> int:
     return round(1000 * seconds)
@@ -31,6 +33,7 @@
         self._log = log
         self._page = page
         self._book = book
+        self._out_of_budget_at: dict[str, float] = {}
 
     def turned_away(self, req: ForwardRequest, exc: RouterError) -> None:
         """Note a request that was refused before it had a place."""
@@ -95,6 +98,22 @@
             **more,
         )
 
+    def out_of_budget(self, now: float, service: str) -> None:
+        """Note that a request is not sent once more as the budget has no room."""
+        self._page.count(PageMetric.REPEATS_REFUSED, service)
+        before = self._out_of_budget_at.get(service, float("-inf"))
+        if now - before < OUT_OF_BUDGET_EVERY_S:
+            return
+        self._out_of_budget_at[service] = now
+        use = self._book.budget_use(now, service)
+        self._log.write(
+            DecisionEvent.OUT_OF_BUDGET,
+            service=service,
+            requests=use.requests,
+            repeats=use.repeats,
+            hosts=use.hosts,
+        )
+
     def first_event(self, now: float, flight: ForwardFlight) -> None:
         """Note the first event of a stream."""
         self._page.observe(
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -377,7 +377,11 @@
         late = now >= flight.deadline - LAST_MOMENT_S
         if flight.sendings >= MOST_SENDINGS or late or self._quarantine_error(flight):
             return None
-        return self._book.again(now, flight.service, flight.req.prompt, avoid)
+        choice = self._book.again(now, flight.service, flight.req.prompt, avoid)
+        if choice is not None and not self._book.take_repeat(now, flight.service):
+            self._notes.out_of_budget(now, flight.service)
+            return None
+        return choice
 
     def _move(self, flight: ForwardFlight, choice: Choice, why: str) -> None:
         self._notes.sent_again(flight, flight.attempt.endpoint.id, choice, why)
--- a/greengageflow/lab/policy_play.py
+++ b/greengageflow/lab/policy_play.py
@@ -262,7 +262,7 @@
             again = self._book.again(
                 self._now, SERVICE, asked.prompt, {choice.endpoint.id}
             )
-            if again is None:
+            if again is None or not self._book.take_repeat(self._now, SERVICE):
                 self._finish(tried, "failed")
             else:
                 self._send(tried, again)
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -17,8 +17,8 @@
 
     GG70 is a request, GG71 endpoints, GG72 the configuration, GG73 the store and the
     peers, GG74 the process, GG75 the log itself, GG76 the quarantine, GG77 backoff,
-    GG78 the store's eras. Times in fields are whole milliseconds and end in ``_ms``;
-    ``config`` is the version that decided.
+    GG78 the store's eras, GG79 the budget of repeats. Times in fields are whole
+    milliseconds and end in ``_ms``; ``config`` is the version that decided.
 
     Attributes:
         number: Its number, never used again.
@@ -94,6 +94,8 @@
 
     STORE_ERA = ("GG781", Level.STATE, "era before")
 
+    OUT_OF_BUDGET = ("GG791", Level.STATE, "service requests repeats hosts")
+
     def __init__(self, number: str, level: Level, fields: str) -> None:
         # Plain attributes: Enum.value is a descriptor in Python code, too slow for
         # a lookup on each line.
