Repeats over the budget when hosts start, wake or are cut off: failing tests

A fleet is played in simulated time: callers at a rate, a service that fails six sendings in ten, up to three repeats each, and the rule's own sum over every window.

--- /dev/null
+++ b/tests/test_repeat_budget.py
@@ -0,0 +1,170 @@
+"""Repeats of a whole fleet within any window, whatever becomes of its hosts."""
+
+from bisect import bisect_left
+from functools import partial
+from random import Random
+
+import pytest
+
+from greengageflow.core.endpoint_list import EndpointList
+from greengageflow.core.fleet_sums import FleetTotals
+from greengageflow.core.send_budget import SendBudget
+from greengageflow.core.service_book import ServiceBook
+
+SERVICE = "plain"
+RATIO, SLACK, WINDOW_S = 0.2, 58.0, 10.0
+LENGTH_S = 45.0
+STEP_S = 0.05
+ROUND_S = 0.25
+FAIL = 0.6
+MOST_REPEATS = 3
+TROUBLE_S = (12.0, 40.0)
+
+
+class Host:
+    """One host through all its starts.
+
+    Attributes:
+        down_until: Time at which it starts again.
+        still_until: Time at which it wakes from a freeze.
+        heard_at: Time from which it hears the others.
+        heard: How many others it hears then.
+    """
+
+    def __init__(self):
+        self.down_until = self.still_until = 0.0
+        self.start(-15.0)
+
+    def start(self, now):
+        budget = partial(SendBudget, RATIO, SLACK, WINDOW_S)
+        self.book = ServiceBook(EndpointList(), "z", budget)
+        self.heard_at = now + ROUND_S
+
+    def is_up(self, now):
+        return now >= max(self.down_until, self.still_until)
+
+    def hear(self, now, others):
+        list(self.book.on_totals(now, FleetTotals(hosts=others)))
+
+
+class Fleet:
+    """Hosts whose callers come at a rate, and a service that fails much of the time."""
+
+    def __init__(self, seed, hosts, rate):
+        self.random = Random(seed)
+        self.hosts = [Host() for _ in range(hosts)]
+        self.weights = [self.random.uniform(0.3, 2.0) for _ in self.hosts]
+        self.rate = rate
+        self.requests, self.repeats = [], []
+        self.cut = frozenset()
+
+    def play(self, trouble):
+        now = -15.0
+        while now < LENGTH_S:
+            if TROUBLE_S[0] <= now < TROUBLE_S[1]:
+                trouble(self, now)
+            self._hear(now)
+            rate = self.rate if now >= 0 else 0.0
+            for _ in range(int(rate * STEP_S + self.random.random())):
+                self._ask(now + self.random.uniform(0, STEP_S))
+            now = round(now + STEP_S, 6)
+
+    def _hear(self, now):
+        up = [i for i, host in enumerate(self.hosts) if host.is_up(now)]
+        for i in up:
+            host = self.hosts[i]
+            if host.heard_at <= now:
+                side = i in self.cut
+                others = sum(1 for j in up if j != i and (j in self.cut) == side)
+                host.hear(now, 0 if side else others)
+                host.heard_at = now + ROUND_S
+
+    def _ask(self, now):
+        self.requests.append(now)
+        (host,) = self.random.choices(self.hosts, self.weights)
+        if not host.is_up(now):
+            return
+        host.book.count(now, SERVICE)
+        fails = FAIL if now > 6.0 else 0.0
+        for _ in range(MOST_REPEATS):
+            if self.random.random() > fails:
+                return
+            now += 0.002
+            if not host.book.take_repeat(now, SERVICE):
+                return
+            self.repeats.append(now)
+
+    def some(self, share):
+        count = max(1, round(share * len(self.hosts)))
+        return self.random.sample(range(len(self.hosts)), count)
+
+    def worst(self):
+        """Return by how many repeats the worst window is over what is allowed."""
+        requests, repeats = sorted(self.requests), sorted(self.repeats)
+
+        def count(times, start):
+            return bisect_left(times, start + WINDOW_S) - bisect_left(times, start)
+
+        return max(
+            count(repeats, at)
+            - RATIO * max(count(requests, at - late) for late in (0.0, 5.0, 10.0))
+            - SLACK
+            for at in repeats
+        )
+
+
+def every(gap_s):
+    def is_due(now):
+        return (now - TROUBLE_S[0]) % gap_s < STEP_S - 1e-9
+
+    return is_due
+
+
+def kill(fleet, now, share, gap_s):
+    for host in fleet.hosts:
+        if host.down_until == now:
+            host.start(now)
+    if every(gap_s)(now):
+        for i in fleet.some(share):
+            fleet.hosts[i].down_until = round(now + 10 * STEP_S, 6)
+
+
+def freeze(fleet, now):
+    if every(6.0)(now):
+        for i in fleet.some(0.7):
+            host = fleet.hosts[i]
+            host.still_until = round(now + 3.0, 6)
+            host.heard_at = host.still_until + 0.6
+    for host in fleet.hosts:
+        # Who wakes up finds all that it has heard too old.
+        if host.still_until == now:
+            host.hear(now, 0)
+
+
+def cut(fleet, now):
+    fleet.cut = frozenset(range(len(fleet.hosts) // 2))
+
+
+def move(fleet, now):
+    if every(4.0)(now):
+        fleet.weights = [fleet.random.choice((0.05, 2.0)) for _ in fleet.hosts]
+
+
+TROUBLES = {
+    "some hosts start again and again": partial(kill, share=0.5, gap_s=3.0),
+    "all hosts start at once": partial(kill, share=1.0, gap_s=7.0),
+    "one host after the other starts": partial(kill, share=0.12, gap_s=0.7),
+    "hosts wake from a freeze": freeze,
+    "hosts are cut off from the others": cut,
+    "callers move to other hosts": move,
+}
+
+
+@pytest.mark.parametrize("hosts, rate", [(9, 40.0), (9, 120.0), (60, 250.0)])
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_no_window_of_the_fleet_has_more_repeats_than_allowed(trouble, hosts, rate):
+    """Endpoints in trouble get a multiple of what callers ask when hosts forget."""
+    for seed in range(6):
+        fleet = Fleet(seed, hosts, rate)
+        fleet.play(TROUBLES[trouble])
+        assert fleet.worst() <= 0, seed
