A host that hears nobody spends its own part of the slack of repeats, not all of it

What callers and endpoints saw: while hosts were cut off or woke from a freeze, the endpoints of a service in trouble got far more repeats than the budget allows.

Cause: the slack of the fleet was parted among the hosts heard in the last 1.5 s. A host that starts, wakes or is cut off hears nobody, and took the slack of all. Ruled out: to count by the routers in the store; it holds a few contacts only.

Change: the largest number of hosts known in the last hour, an hour being the longest that regions lose each other; hosts that the settings name count from the start. A fleet that shrinks spends less of the slack for an hour, never more than its part.

--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -10,6 +10,7 @@
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
 from greengageflow.core.endpoint_load import EndpointLoad, LoadBook, LoadShare
 from greengageflow.core.fleet_demand import part_demand
+from greengageflow.core.fleet_size import FleetSize
 from greengageflow.core.fleet_sums import FleetTotals
 from greengageflow.core.forward_request import Prompt, PromptPart
 from greengageflow.core.kept_mirror import KeptMirror
@@ -53,10 +54,16 @@
         endpoints: Listed endpoints.
         zone: Availability zone of this host.
         budget: Makes the budget of repeats of one service.
+        least_hosts: Hosts that are known from the start, this one with them.
     """
 
     def __init__(
-        self, endpoints: EndpointList, zone: str, budget: Callable[[], SendBudget]
+        self,
+        endpoints: EndpointList,
+        zone: str,
+        budget: Callable[[], SendBudget],
+        *,
+        least_hosts: int = 1,
     ) -> None:
         self._endpoints = endpoints
         self._routing = Routing()
@@ -72,6 +79,7 @@
         self._parts: dict[str, tuple[str, ...]] = {}
         self._mirrors: dict[str, KeptMirror] = {}
         self._totals = FleetTotals()
+        self._fleet = FleetSize(least_hosts)
         self._now = 0.0
         self._owned: frozenset[str] | None = None
 
@@ -133,11 +141,6 @@
         """Requests that wait."""
         return sum(scheduler.waiting for scheduler in self._schedulers.values())
 
-    @property
-    def hosts(self) -> int:
-        """Hosts of the fleet that are known to live, this one with them."""
-        return self._totals.hosts + 1
-
     def level(self, service: str, account: str) -> float:
         """Return an account's service lately in the whole fleet."""
         key = (service, account)
@@ -192,6 +195,7 @@
         """Take over the sums of what other hosts told."""
         self._now = now
         self._totals = totals
+        self._fleet.note(now, totals.hosts + 1)
         self._loads.set_others(totals.loads)
         for name, scheduler in self._schedulers.items():
             if self.service(name).is_engine:
@@ -297,11 +301,11 @@
 
     def take_repeat(self, now: float, service: str) -> bool:
         """Count a repeat at a service if its budget has room; else return False."""
-        return self._budgets[service].take(now, self.hosts)
+        return self._budgets[service].take(now, self._fleet.hosts)
 
     def budget_use(self, now: float, service: str) -> BudgetUse:
         """Return what the budget of a service's repeats goes by."""
-        return self._budgets[service].use(now, self.hosts)
+        return self._budgets[service].use(now, self._fleet.hosts)
 
     def sent(
         self, now: float, request: str, choice: Choice, prompt: Prompt | None
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -95,7 +95,12 @@
         self._page = MetricsPage()
         self._trust = KeyTrust(settings.bounds.revoke_s)
         self._endpoints = EndpointList()
-        self._book = ServiceBook(self._endpoints, settings.zone, self._budget)
+        self._book = ServiceBook(
+            self._endpoints,
+            settings.zone,
+            self._budget,
+            least_hosts=len({settings.gossip, *settings.seeds}),
+        )
         self._notes = ForwardNotes(self._log, self._page, self._book)
         self._admission = ForwardAdmission(self._timers, self._trust, clock)
         self._quarantine = Quarantine(
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -7,6 +7,7 @@
 import pytest
 
 from greengageflow.core.endpoint_list import EndpointList
+from greengageflow.core.fleet_size import KEPT_S, FleetSize
 from greengageflow.core.fleet_sums import FleetTotals
 from greengageflow.core.send_budget import SendBudget
 from greengageflow.core.service_book import ServiceBook
@@ -57,12 +58,17 @@
         self.rate = rate
         self.requests, self.repeats = [], []
         self.cut = frozenset()
+        self.failing = False
+        self.turns_at = 6.0
 
     def play(self, trouble):
         now = -15.0
         while now < LENGTH_S:
             if TROUBLE_S[0] <= now < TROUBLE_S[1]:
                 trouble(self, now)
+            if now >= self.turns_at:
+                self.failing = not self.failing
+                self.turns_at = now + self.random.uniform(1.0, 6.0)
             self._hear(now)
             rate = self.rate if now >= 0 else 0.0
             for _ in range(int(rate * STEP_S + self.random.random())):
@@ -85,7 +91,7 @@
         if not host.is_up(now):
             return
         host.book.count(now, SERVICE)
-        fails = FAIL if now > 6.0 else 0.0
+        fails = FAIL if self.failing else 0.0
         for _ in range(MOST_REPEATS):
             if self.random.random() > fails:
                 return
@@ -168,3 +174,15 @@
         fleet = Fleet(seed, hosts, rate)
         fleet.play(TROUBLES[trouble])
         assert fleet.worst() <= 0, seed
+
+
+def test_host_that_hears_nobody_shares_with_as_many_as_before():
+    fleet = FleetSize(least=3)
+    assert fleet.hosts == 3
+    for now, heard in ((0.0, 9), (1.0, 1), (2.0, 4)):
+        fleet.note(now, heard)
+        assert fleet.hosts == 9
+    fleet.note(KEPT_S + 1.0, 4)
+    assert fleet.hosts == 4
+    fleet.note(2 * KEPT_S + 2.0, 1)
+    assert fleet.hosts == 3
