What a host saved up of its repeats is not spent beside what others are allowed

What endpoints saw: a service in trouble gets more repeats in a window than its budget allows whenever hosts start or callers move, and by a few also without either.

Cause: each host kept to its own window, and could save up the whole of it. A process that starts had the budget of a window that the one before it had spent. Callers who move to another host leave behind what they allowed there, and allow it anew. Class: a limit of the fleet that is kept by limits of hosts which do not add up over their starts and their callers. Ruled out: nothing at all for the first window of a process (same sum, but callers whose hosts restart in turn lose every repeat); passing on what was spent through peers (not known when all hosts end together).

Change: the window of the host stays; beside it what requests allow is saved up for a second, half of the slack may be spent at once and the rest comes evenly, and a process starts with nothing. Hosts spend four fifths of the slack. In a fleet so large that a host has less than one repeat at a time, it may have one.

test_budget_lets_repeat_as_often_as_it_may asked for the old figures, with all of the slack at once; it asks for the new ones as exactly. A test over starts of one host is new.

--- a/greengageflow/core/send_budget.py
+++ b/greengageflow/core/send_budget.py
@@ -3,6 +3,20 @@
 from collections import deque
 from dataclasses import dataclass
 
+SLACK_SPENT = 0.8
+"""Part of the slack that hosts spend.
+
+The rest covers what they saved up at requests before the window, see ``SAVED_S``.
+"""
+AT_ONCE = 0.5
+"""Part of a host's slack that may be spent at once; the rest comes evenly."""
+SAVED_S = 1.0
+"""Seconds for which what requests allow may be saved up.
+
+Callers may move to another host, and a process may end and start again: what was saved
+is spent beside what the same callers allow afterwards.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class BudgetUse:
@@ -24,7 +38,8 @@
 
     All hosts together may repeat ``ratio`` of the callers' requests and ``slack``
     more in a window. Each host keeps to its own requests and its part of the slack,
-    so that the sum holds without a word between hosts.
+    so that the sum holds without a word between hosts. A process that starts has
+    nothing to spend, since it does not know what the one before it has spent.
 
     Args:
         ratio: Repeats for each request.
@@ -34,21 +49,30 @@
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
         self._ratio = ratio
-        self._slack = slack
+        self._slack = SLACK_SPENT * slack
         self._window_s = window_s
         self._requests: deque[float] = deque()
+        self._recent: deque[float] = deque()
         self._repeats: deque[float] = deque()
+        self._saved = 0.0
+        self._hosts = 1
+        self._at: float | None = None
 
     def on_request(self, now: float) -> None:
         """Count a request of a caller."""
         self._requests.append(now)
+        self._recent.append(now)
+        self._saved += self._ratio
+        self._forget(now)
 
     def take(self, now: float, hosts: int) -> bool:
         """Count a repeat if there is room for it; else return False."""
+        self._hosts = max(1, hosts)
         self._forget(now)
-        part = self._slack / max(1, hosts)
-        if len(self._repeats) + 1 > self._ratio * len(self._requests) + part:
+        most = self._ratio * len(self._requests) + self._slack / self._hosts
+        if self._saved < 1.0 or len(self._repeats) + 1 > most:
             return False
+        self._saved -= 1.0
         self._repeats.append(now)
         return True
 
@@ -58,6 +82,18 @@
         return BudgetUse(len(self._requests), len(self._repeats), hosts)
 
     def _forget(self, now: float) -> None:
-        for times in (self._requests, self._repeats):
-            while times and times[0] < now - self._window_s:
-                times.popleft()
+        _drop(self._requests, now - self._window_s)
+        _drop(self._repeats, now - self._window_s)
+        _drop(self._recent, now - SAVED_S)
+        slack = self._slack / self._hosts
+        passed_s = 0.0 if self._at is None else now - self._at
+        self._at = now
+        come = (1.0 - AT_ONCE) * slack * passed_s / self._window_s
+        most = AT_ONCE * slack + self._ratio * len(self._recent)
+        # Hosts of a large fleet have less than one repeat to spend at a time.
+        self._saved = min(max(1.0, most), self._saved + come)
+
+
+def _drop(times: deque[float], before: float) -> None:
+    while times and times[0] < before:
+        times.popleft()
--- a/tests/test_service_core.py
+++ b/tests/test_service_core.py
@@ -17,7 +17,7 @@
 from greengageflow.core.forward_request import Prompt
 from greengageflow.core.max_min import max_min_shares
 from greengageflow.core.routes import Routing, Service
-from greengageflow.core.send_budget import SendBudget
+from greengageflow.core.send_budget import SAVED_S, SendBudget
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.service_scheduler import (
     Allowance,
@@ -57,11 +57,41 @@
 
 
 def test_budget_lets_repeat_as_often_as_it_may():
-    budget = SendBudget(0.5, 4, WINDOW_S)
+    budget = SendBudget(0.5, 20, WINDOW_S)
+    assert not budget.take(0.0, 2)
     for _ in range(10):
-        budget.on_request(0.0)
-    assert sum(budget.take(1.0, 2) for _ in range(20)) == 7
-    assert sum(budget.take(12.0, 2) for _ in range(20)) == 2
+        budget.on_request(8.0)
+    assert sum(budget.take(8.0, 2) for _ in range(20)) == 8
+    # Half of the host's slack comes evenly, 0.4 a second.
+    assert sum(budget.take(9.0 + i / 10, 2) for i in range(80)) == 3
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 3), st.sampled_from(["ask", "repeat", "start"])),
+        max_size=80,
+    ),
+    st.integers(1, 5),
+    st.sampled_from([0.1, 0.5]),
+    st.sampled_from([2, 7, 58]),
+)
+def test_no_window_has_more_however_often_the_host_starts(steps, hosts, ratio, slack):
+    """A new process knows nothing of what the one before it has repeated."""
+    budget = SendBudget(ratio, slack, WINDOW_S)
+    requests, repeats = [], []
+    times = accumulate(step for step, _ in steps)
+    for now, (_, step) in zip(times, steps, strict=True):
+        match step:
+            case "ask":
+                budget.on_request(now)
+                requests.append(now)
+            case "start":
+                budget = SendBudget(ratio, slack, WINDOW_S)
+            case _ if budget.take(now, hosts):
+                repeats.append(now)
+                asked = sum(now - at <= WINDOW_S + SAVED_S for at in requests)
+                taken = sum(now - at <= WINDOW_S for at in repeats)
+                assert taken <= ratio * asked + max(slack / hosts, 2.0)
 
 
 @given(
