--- a/tests/test_service_core.py
+++ b/tests/test_service_core.py
@@ -68,12 +68,13 @@
 
 @given(
     st.lists(
-        st.tuples(st.floats(0, 3), st.sampled_from(["ask", "repeat", "start"])),
+        st.tuples(st.floats(0, 0.5), st.sampled_from(["ask", "repeat", "start"])),
+        min_size=20,
         max_size=80,
     ),
-    st.integers(1, 5),
+    st.integers(1, 3),
     st.sampled_from([0.1, 0.5]),
-    st.sampled_from([2, 7, 58]),
+    st.sampled_from([2, 4]),
 )
 def test_no_window_has_more_however_often_the_host_starts(steps, hosts, ratio, slack):
     """A new process knows nothing of what the one before it has repeated."""
