The slack of repeats comes from the start of the process on, not of a service's first request

A host that had run for long could repeat nothing of the first request of a service: its budget was made then, and began as that of a process that has just started.

--- a/greengageflow/core/send_budget.py
+++ b/greengageflow/core/send_budget.py
@@ -45,6 +45,9 @@
         ratio: Repeats for each request.
         slack: Repeats of the whole fleet beside it.
         window_s: Length of a window, in seconds.
+
+    Attributes:
+        at: Time up to which the slack has come, or None before the first.
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
@@ -56,7 +59,7 @@
         self._repeats: deque[float] = deque()
         self._saved = 0.0
         self._hosts = 1
-        self._at: float | None = None
+        self.at: float | None = None
 
     def on_request(self, now: float) -> None:
         """Count a request of a caller."""
@@ -86,8 +89,8 @@
         _drop(self._repeats, now - self._window_s)
         _drop(self._recent, now - SAVED_S)
         slack = self._slack / self._hosts
-        passed_s = 0.0 if self._at is None else now - self._at
-        self._at = now
+        passed_s = 0.0 if self.at is None else now - self.at
+        self.at = now
         come = (1.0 - AT_ONCE) * slack * passed_s / self._window_s
         most = AT_ONCE * slack + self._ratio * len(self._recent)
         # Hosts of a large fleet have less than one repeat to spend at a time.
--- a/greengageflow/core/service_book.py
+++ b/greengageflow/core/service_book.py
@@ -1,6 +1,6 @@
 """All that one host decides about the services that it routes to."""
 
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from math import inf
 
@@ -72,7 +72,9 @@
         self._places = PromptPlaces()
         self._chooser = EndpointChooser(self._load, self._health, self._places, zone)
         self._schedulers: dict[str, ServiceScheduler] = {}
-        self._budgets: dict[str, SendBudget] = defaultdict(budget)
+        self._make_budget = budget
+        self._budgets: dict[str, SendBudget] = {}
+        self._began: float | None = None
         self._served: DecayedSums[AccountKey] = DecayedSums(FADE_S)
         self._offered: DecayedSums[AccountKey] = DecayedSums(FADE_S)
         self._placed: deque[tuple[float, str, str]] = deque()
@@ -196,6 +198,8 @@
         self._now = now
         self._totals = totals
         self._fleet.note(now, totals.hosts + 1)
+        if self._began is None:
+            self._began = now
         self._loads.set_others(totals.loads)
         for name, scheduler in self._schedulers.items():
             if self.service(name).is_engine:
@@ -251,7 +255,7 @@
 
     def count(self, now: float, service: str) -> None:
         """Count a request of a caller, for the budget of repeats."""
-        self._budgets[service].on_request(now)
+        self._budget(service).on_request(now)
 
     def pump(self, now: float) -> Iterator[Decision]:
         """Yield every start and refusal that is due."""
@@ -301,11 +305,18 @@
 
     def take_repeat(self, now: float, service: str) -> bool:
         """Count a repeat at a service if its budget has room; else return False."""
-        return self._budgets[service].take(now, self._fleet.hosts)
+        return self._budget(service).take(now, self._fleet.hosts)
 
     def budget_use(self, now: float, service: str) -> BudgetUse:
         """Return what the budget of a service's repeats goes by."""
-        return self._budgets[service].use(now, self._fleet.hosts)
+        return self._budget(service).use(now, self._fleet.hosts)
+
+    def _budget(self, service: str) -> SendBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = self._budgets[service] = self._make_budget()
+            found.at = self._began
+        return found
 
     def sent(
         self, now: float, request: str, choice: Choice, prompt: Prompt | None
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -186,3 +186,11 @@
     assert fleet.hosts == 4
     fleet.note(2 * KEPT_S + 2.0, 1)
     assert fleet.hosts == 3
+
+
+def test_first_request_of_a_service_may_be_repeated_on_a_host_that_runs_for_long():
+    host = Host()
+    host.hear(0.0, 1)
+    host.book.count(100.0, SERVICE)
+    repeats = sum(host.book.take_repeat(100.0, SERVICE) for _ in range(100))
+    assert repeats == 11
