What is sent again on a new connection passes the budget of repeats

What endpoints saw: a request that came on a kept connection, and once more on a new one, although no repeat was allowed; and with the deadline of the first sending.

Cause: the pool of connections sends a request again by itself when a kept connection ends before a byte of the answer. That is meant for idle connections that a server closes; one that has read the request, or runs it, and then resets the connection got it twice. Neither the budget nor the log saw it, and the header with the time left was not made anew.

Change: the pool tells that a kept connection was closed, and the forwarder sends again, to the same endpoint, once, on a new connection, within the budget, with the time that is left and a RETRIED line whose two endpoints are the same. What the endpoint may have read counts as sent, so that a crash on a kept connection is still seen (test_poison_requests).

--- a/greengageflow/daemon/forward_flight.py
+++ b/greengageflow/daemon/forward_flight.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.forward_request import ForwardRequest
 from greengageflow.core.quarantine import Fingerprint
 from greengageflow.core.routes import Repeat, Route
@@ -36,6 +37,8 @@
         fingerprint: Tells it from other requests when it comes again.
 
     Attributes:
+        choice: Where it was sent last, or None.
+        sent_anew_to: Endpoint that got it again since a kept connection had ended.
         run_began_at: Time of the first event of the endpoint that has it now, or None.
     """
 
@@ -51,6 +54,8 @@
     fingerprint: Fingerprint
     phase: Phase = Phase.QUEUED
     attempt: EndpointAttempt | None = None
+    choice: Choice | None = None
+    sent_anew_to: str = ""
     runs: int = 0
     sendings: int = 0
     may_have_run: bool = False
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from math import inf
 
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
@@ -192,6 +193,7 @@
     def _send(self, flight: ForwardFlight, choice: Choice) -> None:
         now = self._timers.now
         flight.sendings += 1
+        flight.choice = choice
         flight.moved_at = now
         flight.run_began_at = None
         self.placement.sent(now, flight.id, choice, flight.req.prompt)
@@ -335,6 +337,9 @@
 
     def on_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         """Go on elsewhere after an answer that is not whole, or give up."""
+        if failure.stale and self._send_anew(flight, failure):
+            return
+        failure = _with_earlier(flight, failure)
         flight.avoid.add(flight.attempt.endpoint.id)
         if failure.lost and self._is_new_run(flight):
             self.crashes.on_cut(flight.attempt.endpoint, flight.fingerprint)
@@ -347,6 +352,20 @@
         else:
             self._answer_error(flight, RouterError(ErrorKind.ENDPOINT_CUT, text))
 
+    def _send_anew(self, flight: ForwardFlight, failure: Failure) -> bool:
+        """Send a request to its endpoint on a new connection, if that is allowed."""
+        endpoint = flight.attempt.endpoint
+        allowed = flight.repeatable and flight.sent_anew_to != endpoint.id
+        if not allowed or not self._book.is_open(self._timers.now, endpoint):
+            return False
+        if not self._may_go_on(flight) or not self._take_repeat(flight):
+            return False
+        flight.may_have_run = True
+        flight.sent_anew_to = endpoint.id
+        self.placement.left(flight.id, endpoint)
+        self._move(flight, flight.choice, failure.message)
+        return True
+
     def _is_new_run(self, flight: ForwardFlight) -> bool:
         began_at = flight.run_began_at
         return began_at is None or self._timers.now - began_at < NEW_RUN_S
@@ -373,15 +392,24 @@
         return True
 
     def _next_choice(self, flight: ForwardFlight, avoid: set[str]) -> Choice | None:
-        now = self._timers.now
-        late = now >= flight.deadline - LAST_MOMENT_S
-        if flight.sendings >= MOST_SENDINGS or late or self._quarantine_error(flight):
+        if not self._may_go_on(flight):
             return None
+        now = self._timers.now
         choice = self._book.again(now, flight.service, flight.req.prompt, avoid)
-        if choice is not None and not self._book.take_repeat(now, flight.service):
-            self._notes.out_of_budget(now, flight.service)
-            return None
-        return choice
+        return choice if choice and self._take_repeat(flight) else None
+
+    def _may_go_on(self, flight: ForwardFlight) -> bool:
+        late = self._timers.now >= flight.deadline - LAST_MOMENT_S
+        if flight.sendings >= MOST_SENDINGS or late:
+            return False
+        return self._quarantine_error(flight) is None
+
+    def _take_repeat(self, flight: ForwardFlight) -> bool:
+        now = self._timers.now
+        if self._book.take_repeat(now, flight.service):
+            return True
+        self._notes.out_of_budget(now, flight.service)
+        return False
 
     def _move(self, flight: ForwardFlight, choice: Choice, why: str) -> None:
         self._notes.sent_again(flight, flight.attempt.endpoint.id, choice, why)
@@ -448,15 +476,22 @@
 
 
 def _bounded(request: HttpRequest, flight: ForwardFlight, now: float) -> HttpRequest:
+    reuse_s = inf if flight.repeatable else REUSE_S
     return replace(
         request,
         connect_timeout_s=CONNECT_S,
         idle_timeout_s=max(LAST_MOMENT_S, flight.deadline - now),
-        retry_stale=flight.repeatable,
-        reuse_s=REUSE_S,
+        retry_stale=False,
+        reuse_s=0.0 if flight.sent_anew_to else reuse_s,
     )
 
 
+def _with_earlier(flight: ForwardFlight, failure: Failure) -> Failure:
+    """Return a failure that counts what the endpoint got on a kept connection."""
+    again = flight.sent_anew_to == flight.attempt.endpoint.id
+    return replace(failure, sent=failure.sent or again)
+
+
 def _fresh(flight: ForwardFlight, frames: Iterable[Frame]) -> Iterable[bytes]:
     """Yield events that the caller has not got, and note the last one's number."""
     for frame in frames:
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -149,11 +149,14 @@
         kind: Why.
         sent: False only when certainly no byte of the request left.
         message: What happened, for people.
+        stale: A kept connection ended before a byte of the answer came; servers close
+            idle ones as they like.
     """
 
     kind: FailureKind
     sent: bool
     message: str
+    stale: bool = False
 
     @property
     def lost(self) -> bool:
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -198,17 +198,25 @@
             exchange.live = False
             exchange.receiver.on_failure(failure)
 
-    def _fail(self, exchange: Exchange, kind: FailureKind, message: str) -> None:
+    def _fail(
+        self,
+        exchange: Exchange,
+        kind: FailureKind,
+        message: str,
+        *,
+        stale: bool = False,
+    ) -> None:
         conn = exchange.conn
         sent = exchange.sent_before or (conn is not None and conn.sent_any)
         self._drop(exchange)
-        self._report(exchange, Failure(kind, sent, message))
+        self._report(exchange, Failure(kind, sent, message, stale))
 
     def _fail_cut(self, exchange: Exchange, message: str) -> None:
         conn = exchange.conn
+        stale = conn.reused and not conn.heard_any
         if not conn.connected:
             self._fail(exchange, FailureKind.CONNECT, message)
-        elif conn.reused and not conn.heard_any and exchange.request.retry_stale:
+        elif stale and exchange.request.retry_stale:
             # The other side closes idle connections as it likes; its close and
             # our request cross. Only a reused connection does so, hence once. Or it
             # has read the request and is lost: whoever gives up then may not say that
@@ -218,7 +226,7 @@
             self._drop(exchange)
             self._connect(exchange)
         else:
-            self._fail(exchange, FailureKind.CUT, message)
+            self._fail(exchange, FailureKind.CUT, message, stale=stale)
 
     def _finish(self, exchange: Exchange, end: End) -> None:
         conn = exchange.conn
--- /dev/null
+++ b/tests/test_sent_anew.py
@@ -0,0 +1,62 @@
+"""Requests on kept connections that endpoints end before they answer."""
+
+import pytest
+
+from greengageflow.lab.platform_client import Torn
+from greengageflow.lab.platform_lab import (
+    CHAT,
+    SAFE,
+    PlatformLab,
+    PlatformShape,
+    generation,
+)
+from tests.support import wait_for
+
+NO_REPEATS = {"budget_slack": 0, "budget_ratio": 0}
+
+
+def lab_of(**shape):
+    return PlatformLab(PlatformShape(plain=1, engines=1, **shape))
+
+
+def ask(lab, path):
+    """Return the answer; None for a connection that ended before."""
+    headers = generation(6, ("p", 50)) if path == CHAT else {}
+    try:
+        return lab.ask(path, headers=headers, deadline_ms=3000)
+    except Torn:
+        return None
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_endpoint_that_ends_a_kept_connection_gets_no_repeat_beyond_the_budget(how):
+    """The pool would send each request once more without a word to the budget."""
+    with lab_of(bounds=NO_REPEATS) as lab:
+        for _ in range(4):
+            assert ask(lab, SAFE).status == 200
+            lab.fault("app-0", lose=how, times=1)
+            ask(lab, SAFE)
+        runs = [row["id"] for row in lab.runs()]
+        assert len(runs) == len(set(runs))
+
+
+def test_request_that_is_sent_anew_has_only_the_time_that_is_left():
+    """A header of the first sending would have the endpoint work past the deadline."""
+    with lab_of(plain_options={"work_ms": 600}) as lab:
+        assert ask(lab, SAFE).status == 200
+        lab.fault("app-0", lose="reset", times=1)
+        answer = ask(lab, SAFE)
+        first, second = (int(row["deadline_ms"]) for row in lab.runs(answer.id))
+        assert second <= first - 600
+
+
+@pytest.mark.parametrize("path", [SAFE, CHAT])
+def test_request_whose_kept_connection_was_closed_goes_to_the_same_endpoint(path):
+    """Servers close idle connections; no other endpoint may be there to answer."""
+    replica = "scribe-0" if path == CHAT else "app-0"
+    with lab_of() as lab:
+        for _ in range(4):
+            assert ask(lab, path).status == 200
+            lab.control(lab.replicas[replica], "POST", "/drop")
+            assert ask(lab, path).status == 200
+        wait_for(lambda: '"RETRIED"' in lab.log, "the line")
