A request that reached no endpoint is no repeat when it goes to another one

What callers saw: 503 while an endpoint refused connections and another one was free, since the budget of repeats had no room. Cause: each sending but the first was counted, also where no byte of an earlier one had left; endpoints see no repeat of it. The budget goes to what they see. test_request_that_reached_no_endpoint_is_no_repeat fails on the code before (502 or 503 of six asked with a budget of nothing).

--- a/greengageflow/daemon/forward_flight.py
+++ b/greengageflow/daemon/forward_flight.py
@@ -38,6 +38,7 @@
 
     Attributes:
         choice: Where it was sent last, or None.
+        may_have_arrived: An endpoint may have got it, whether it ran it or not.
         sent_anew_to: Endpoint that got it again since a kept connection had ended.
         run_began_at: Time of the first event of the endpoint that has it now, or None.
     """
@@ -55,6 +56,7 @@
     phase: Phase = Phase.QUEUED
     attempt: EndpointAttempt | None = None
     choice: Choice | None = None
+    may_have_arrived: bool = False
     sent_anew_to: str = ""
     runs: int = 0
     sendings: int = 0
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -220,6 +220,7 @@
     def on_head(self, flight: ForwardFlight) -> None:
         """Take what an endpoint says of itself beside its answer."""
         attempt = flight.attempt
+        flight.may_have_arrived = True
         if attempt.note.leaving:
             self.leaving.on_answer(attempt.endpoint)
 
@@ -337,6 +338,7 @@
 
     def on_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         """Go on elsewhere after an answer that is not whole, or give up."""
+        flight.may_have_arrived |= failure.sent
         if failure.stale and self._send_anew(flight, failure):
             return
         failure = _with_earlier(flight, failure)
@@ -405,6 +407,8 @@
         return self._quarantine_error(flight) is None
 
     def _take_repeat(self, flight: ForwardFlight) -> bool:
+        if not flight.may_have_arrived:
+            return True
         now = self._timers.now
         if self._book.take_repeat(now, flight.service):
             return True
@@ -419,6 +423,7 @@
         # An engine that was only slow goes on later. To give up on it with nowhere
         # else to go would cut a stream that its caller would have got whole. It is not
         # ruled out either: the other one may turn out to be dead.
+        flight.may_have_arrived = True
         avoid = flight.avoid | {flight.attempt.endpoint.id}
         choice = self._next_choice(flight, avoid)
         if choice is None:
--- a/tests/test_sent_anew.py
+++ b/tests/test_sent_anew.py
@@ -40,6 +40,16 @@
         assert len(runs) == len(set(runs))
 
 
+def test_request_that_reached_no_endpoint_is_no_repeat():
+    """Callers would be refused by a budget of which no endpoint has seen anything."""
+    with PlatformLab(PlatformShape(plain=2, bounds=NO_REPEATS)) as lab:
+        lab.fault("app-0", refuse=True)
+        assert [ask(lab, SAFE).status for _ in range(6)] == [200] * 6
+        lab.fault("app-0")
+        lab.fault("app-1", refuse=True)
+        assert [ask(lab, SAFE).status for _ in range(6)] == [200] * 6
+
+
 def test_request_that_is_sent_anew_has_only_the_time_that_is_left():
     """A header of the first sending would have the endpoint work past the deadline."""
     with lab_of(plain_options={"work_ms": 600}) as lab:
