Own interface: a router that starts has no burst of retries to spend at once

The first burst now comes over ten seconds, once; a share of first attempts is allowed as before. test_a_router_that_starts_again_and_again_has_no_burst_each_time: 200 retries in 20 s before (ten at each start), at most 20 now. test_retries_stay_a_share_of_first_attempts also asks for the least that it must allow.

--- a/greengageflow/core/limits.py
+++ b/greengageflow/core/limits.py
@@ -129,22 +129,40 @@
     Without it, every router retries at an endpoint in trouble at the same moment
     and the load on it is a multiple of what the callers ask for.
 
+    A router that starts has nothing saved up: the process before it may have spent
+    it a moment ago. The first burst comes evenly.
+
     Args:
         ratio: Retries allowed per first attempt.
         burst: Retries that may be saved up.
+        now: Time of the start.
+        fill_s: Seconds in which the first burst comes.
     """
 
-    def __init__(self, ratio: float = 0.1, *, burst: float = 10.0) -> None:
+    def __init__(
+        self,
+        ratio: float = 0.1,
+        *,
+        burst: float = 10.0,
+        now: float = 0.0,
+        fill_s: float = 10.0,
+    ) -> None:
         self.ratio = ratio
         self._burst = burst
-        self._tokens = burst
+        self._tokens = 0.0
+        self._began = now
+        self._fill_s = fill_s
+        self._filled = 0.0
 
     def on_attempt(self) -> None:
         """Count a first attempt."""
         self._tokens = min(self._burst, self._tokens + self.ratio)
 
-    def take(self) -> bool:
+    def take(self, now: float) -> bool:
         """Take a retry out of the budget; False when it is spent."""
+        filled = self._burst * min(1.0, (now - self._began) / self._fill_s)
+        self._tokens = min(self._burst, self._tokens + filled - self._filled)
+        self._filled = filled
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
--- a/greengageflow/daemon/dispatch.py
+++ b/greengageflow/daemon/dispatch.py
@@ -82,7 +82,7 @@
         self._admission = Admission(control.own)
         self._flights = Flights()
         self._prefixes = PrefixMap()
-        self._budget = RetryBudget(self._cfg.policy.retry_ratio)
+        self._budget = RetryBudget(self._cfg.policy.retry_ratio, now=monotonic())
 
     @property
     def flights(self) -> int:
@@ -285,6 +285,10 @@
 
     # What the endpoint did; see ``endpoint_run.RunListener``.
 
+    def may_send_again(self) -> bool:
+        """Take a retry out of the budget; False when it is spent."""
+        return self._budget.take(monotonic())
+
     def on_progress(self, flight: Flight, pieces: int) -> None:
         """Charge pieces as they stream."""
         self._control.entry.progress(flight.grant, pieces)
@@ -369,7 +373,7 @@
         if (held := self._quarantine_error(flight)) is not None:
             self._refuse(flight, held)
             return
-        if late or flight.attempts >= MOST_ATTEMPTS or not self._budget.take():
+        if late or flight.attempts >= MOST_ATTEMPTS or not self.may_send_again():
             self._refuse(flight, exc)
             return
         self._tracing.finish(flight.hop, error=exc.message)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -205,9 +205,17 @@
 
 
 def test_retries_stay_a_share_of_first_attempts():
-    budget = RetryBudget(0.1, burst=2.0)
+    budget = RetryBudget(0.1, burst=2.0, fill_s=1.0)
     retries = 0
-    for _ in range(1000):
+    for i in range(1000):
         budget.on_attempt()
-        retries += budget.take()
-    assert retries <= 102
+        retries += budget.take(i / 100)
+    assert 100 <= retries <= 102
+
+
+def test_a_router_that_starts_again_and_again_has_no_burst_each_time():
+    retries = 0
+    for start in range(20):
+        budget = RetryBudget(0.1, burst=10.0, now=start, fill_s=10.0)
+        retries += sum(budget.take(start + 0.999) for _ in range(10))
+    assert retries <= 20
