Own interface: what is sent again on a new connection counts as a retry

The same cause as on the users' platform: the pool of connections sent a request again by itself when a kept connection ended before the answer. The pool asks the dispatcher's budget first. A stream that is resumed at its engine is not counted: it goes on with the same run and reads nothing again.

--- a/greengageflow/net/engine_client.py
+++ b/greengageflow/net/engine_client.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any, Protocol
@@ -83,6 +83,7 @@
         idle_timeout_s: Longest time without a byte, in seconds.
         resume_tries: Most resumptions in a row that bring no new piece.
         not_after: Monotonic time after which it must not be sent, or None.
+        may_send_again: Asked before it is sent again on a new connection.
     """
 
     ip: str
@@ -96,6 +97,7 @@
     idle_timeout_s: float = 30.0
     resume_tries: int = 3
     not_after: float | None = None
+    may_send_again: Callable[[], bool] | None = None
 
     @property
     def stream(self) -> bool:
@@ -232,6 +234,7 @@
             request.connect_timeout_s,
             request.idle_timeout_s,
             retry_stale=not request.idempotency_key and not self.resumed,
+            may_send_again=request.may_send_again,
             not_after=None if self.resumed else request.not_after,
         )
 
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -84,6 +84,7 @@
         retry_stale: True when the request may be sent again on a new connection
             if a reused one was closed before a byte of the answer came. False
             also means that a new connection is used in the first place.
+        may_send_again: Asked before that; None allows it.
         not_after: Monotonic time after which the first byte must not leave, in
             seconds; None for no such limit.
         reuse_s: A connection that was idle for less than this carries the request
@@ -103,6 +104,7 @@
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
     retry_stale: bool = True
+    may_send_again: Callable[[], bool] | None = None
     not_after: float | None = None
     reuse_s: float = 0.0
     until_close: bool = False
@@ -113,6 +115,12 @@
         """IP number and port."""
         return self.ip, self.port
 
+    def take_stale_retry(self) -> bool:
+        """Whether it is sent again now that a reused connection was closed."""
+        if not self.retry_stale:
+            return False
+        return self.may_send_again is None or self.may_send_again()
+
 
 @dataclass(frozen=True, slots=True)
 class Response:
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -216,7 +216,7 @@
         stale = conn.reused and not conn.heard_any
         if not conn.connected:
             self._fail(exchange, FailureKind.CONNECT, message)
-        elif stale and exchange.request.retry_stale:
+        elif stale and exchange.request.take_stale_retry():
             # The other side closes idle connections as it likes; its close and
             # our request cross. Only a reused connection does so, hence once. Or it
             # has read the request and is lost: whoever gives up then may not say that
--- a/greengageflow/net/service_client.py
+++ b/greengageflow/net/service_client.py
@@ -51,6 +51,7 @@
         connect_timeout_s: Longest time for connecting, in seconds.
         idle_timeout_s: Longest time without a byte, in seconds.
         not_after: Monotonic time after which it must not be sent, or None.
+        may_send_again: Asked before it is sent again on a new connection.
     """
 
     ip: str
@@ -66,6 +67,7 @@
     connect_timeout_s: float = 2.0
     idle_timeout_s: float = 30.0
     not_after: float | None = None
+    may_send_again: Callable[[], bool] | None = None
 
     def to_http(self) -> HttpRequest:
         """Return the request as it is sent."""
@@ -79,6 +81,7 @@
             self.connect_timeout_s,
             self.idle_timeout_s,
             retry_stale=not self.protected,
+            may_send_again=self.may_send_again,
             not_after=self.not_after,
         )
 
--- a/tests/test_sent_anew.py
+++ b/tests/test_sent_anew.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from greengageflow.lab.lab import Lab, LabPlan, key_of
 from greengageflow.lab.platform_client import Torn
 from greengageflow.lab.platform_lab import (
     CHAT,
@@ -10,7 +11,7 @@
     PlatformShape,
     generation,
 )
-from tests.support import wait_for
+from tests.support import call, wait_for
 
 NO_REPEATS = {"budget_slack": 0, "budget_ratio": 0}
 
@@ -70,3 +71,30 @@
             lab.control(lab.replicas[replica], "POST", "/drop")
             assert ask(lab, path).status == 200
         wait_for(lambda: '"RETRIED"' in lab.log, "the line")
+
+
+BURST = 10
+"""Retries that a router of the own interface may save up."""
+
+
+def test_own_interface_repeats_no_more_than_its_budget_on_kept_connections():
+    """The pool would send each request once more without a word to the budget."""
+    plan = LabPlan(routers=1, engines=1, services=1, policy={"retry_ratio": 0})
+    with Lab(plan) as lab:
+        address, service = lab.routers["r1"].address, lab.services["s1"]
+        headers = {"Authorization": f"Bearer {key_of('acme')}"}
+
+        def visit():
+            try:
+                return call(address, "POST", "/services/rounds/visit", {}, headers)
+            except OSError:
+                return None
+
+        wait_for(lambda: visit().status == 200, "an answer")
+        for _ in range(4 * BURST):
+            service.fault(lose_answers=1)
+            visit()
+            visit()
+        effects = service.call("GET", "/effects").json["effects"]
+        ids = [row["request_id"] for row in effects]
+        assert len(ids) - len(set(ids)) <= BURST
