The soak checks the budget of repeats by what replicas count, and draws replicas that shed

The soak's routers had a budget of 1,000 repeats, so that none was ever refused, and no check counted what replicas got. The budget is 0.1 of the requests and 12 now, and from seed 4000 on all replicas of a service turn three requests in four away for ten seconds while routers are killed or frozen.

--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -39,6 +39,7 @@
         health: Status of the health check, whatever is true; 0: the true one.
         says_leaving: Say in each answer that it leaves, though the list does not.
         backoff_s: Turn each request away and ask for so many seconds of backoff.
+        shed: Turn away all but every that many-th request; 0 for none.
         times: Requests to hit; negative for all.
         path: Only requests whose path begins so.
         via: Only requests whose path has this in it.
@@ -57,6 +58,7 @@
     health: int = 0
     says_leaving: bool = False
     backoff_s: float = 0.0
+    shed: int = 0
     times: int = -1
     path: str = ""
     via: str = ""
--- a/greengageflow/lab/_soak_fleet.py
+++ b/greengageflow/lab/_soak_fleet.py
@@ -15,6 +15,11 @@
     route,
 )
 from greengageflow.lab.poison import records_of
+from greengageflow.lab.soak_checks import (
+    BUDGET_RATIO,
+    BUDGET_SLACK,
+    BUDGET_WINDOW_S,
+)
 from greengageflow.lab.soak_facts import Facts, Published, Refused, Trouble, place_of
 from greengageflow.lab.soak_plan import REPLICAS, ROUTERS
 
@@ -29,7 +34,13 @@
     engines=sum(name.startswith("scribe") for name in REPLICAS),
     plain_options=OPTIONS,
     engine_options=OPTIONS,
-    bounds={"revoke_ms": 5000, "grace_s": 8},
+    bounds={
+        "revoke_ms": 5000,
+        "grace_s": 8,
+        "budget_ratio": BUDGET_RATIO,
+        "budget_slack": BUDGET_SLACK,
+        "budget_window_s": BUDGET_WINDOW_S,
+    },
 )
 
 
--- a/greengageflow/lab/_soak_steps.py
+++ b/greengageflow/lab/_soak_steps.py
@@ -25,6 +25,8 @@
 POISON_FOR_S = 10.0
 POISON_KINDS = {"app": (Kind.SAFE, Kind.UNSAFE), "scribe": (Kind.CHAT, Kind.TALE)}
 BACKOFF_S = 2.0
+SHED = 4
+"""Replicas that shed take every that many-th request."""
 RULES = {
     Do.CUT: "cut",
     Do.ONE_WAY: "freeze",
@@ -72,7 +74,8 @@
 
     def _parts(self, step: Step) -> Iterator[float]:
         # A stop or a start may last longer than the plan could know.
-        targets = _places(step) if step.do is Do.POISON else {step.target}
+        whole = step.do in (Do.POISON, Do.SHED)
+        targets = _places(step) if whole else {step.target}
         while targets & self._busy:
             yield POLL_S
         self._busy |= targets
@@ -105,6 +108,8 @@
                 yield from self._say_leaving(step)
             case Do.BACKOFF:
                 yield from self._ask_backoff(step)
+            case Do.SHED:
+                yield from self._shed(step)
             case Do.DROP_IDLE:
                 yield from self._drop_idle(step)
             case Do.FLAP:
@@ -180,6 +185,15 @@
             yield step.for_s
             self._fleet.fault(name)
 
+    def _shed(self, step: Step) -> Iterator[float]:
+        names = [self._fleet.incarnation(place) for place in _places(step)]
+        with self._fleet.trouble():
+            for name in names:
+                self._fleet.fault(name, shed=SHED)
+            yield step.for_s
+            for name in names:
+                self._fleet.fault(name)
+
     def _drop_idle(self, step: Step) -> Iterator[float]:
         # No trouble is noted: callers must not see it.
         until, name = monotonic() + step.for_s, self._fleet.incarnation(step.target)
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -217,20 +217,26 @@
         job = Job.of(call.headers, self._stride)
         too_large = job and job.prompt + job.wanted > self._batch.cache.capacity
         full = len(self._busy) + len(self._waiting) >= self._places
-        full = full or self._backs_off(call)
+        full = full or self._backs_off(call) or self._sheds(call)
         return 503 if full or too_large else 0
 
     def _backs_off(self, call: Call) -> bool:
         return self._faults.backoff_s > 0 and self._faults.concern(call)
 
+    def _sheds(self, call: Call) -> bool:
+        shed = self._faults.shed
+        return shed > 0 and len(self._runs) % shed > 0 and self._faults.concern(call)
+
     def _refuse(self, call: Call, run: Run, status: int) -> None:
         run.end(str(status))
         wait_s = FULL_BACKOFF_S
         if self._backs_off(call):
             wait_s, self._faults = self._faults.backoff_s, self._faults.used()
-        run.backoff_s = wait_s if status == 503 else 0.0
+        # One that sheds takes the next request at once.
+        asks = status == 503 and not self._sheds(call)
+        run.backoff_s = wait_s if asks else 0.0
         headers = {NOT_EXECUTED: "1", REPLICA_ID: self._name}
-        headers |= {RETRY_AFTER: str(wait_s)} if status == 503 else {}
+        headers |= {RETRY_AFTER: str(wait_s)} if asks else {}
         headers |= self._leaving
         if run.id:
             headers[REQUEST_ID] = run.id
--- a/greengageflow/lab/soak_checks.py
+++ b/greengageflow/lab/soak_checks.py
@@ -4,6 +4,7 @@
 """
 
 import json
+from bisect import bisect_left
 from collections.abc import Iterator
 from dataclasses import dataclass
 from itertools import pairwise
@@ -36,10 +37,17 @@
 BEFORE_DEADLINE_S = 0.5
 BACKOFF_SLACK_S = 0.5
 MOST_IN_BACKOFF = 2
+BUDGET_RATIO = 0.1
+BUDGET_SLACK = 12.0
+BUDGET_WINDOW_S = 10.0
 MOST_LATER = 3
 """Replicas that a poison request may crash later than ``STABLE_S`` after the third."""
 NOT_RUN = (408, 421, 429, 503)
 REFUSED = (401, 403, 404)
+SERVICES = {
+    "app": (Kind.SAFE, Kind.UNSAFE, Kind.PROBE),
+    "scribe": (Kind.CHAT, Kind.TALE),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -313,6 +321,41 @@
                 yield Breach("backoff", first["id"], text)
 
 
+def check_budget(facts: Facts) -> Iterator[Breach]:
+    """Check that a service gets no more repeats in a window than its budget allows."""
+    for service, kinds in SERVICES.items():
+        asked = sorted(one.sent for one in facts.asked if one.kind in kinds)
+        repeats = sorted(_repeats(facts, service))
+        for at in repeats:
+            taken = _within(repeats, at)
+            starts = (at - part * BUDGET_WINDOW_S for part in (0.0, 0.5, 1.0))
+            requests = max(_within(asked, start) for start in starts)
+            if taken > BUDGET_RATIO * requests + BUDGET_SLACK:
+                text = (
+                    f"{service}: {taken} repeats of {requests} requests from {at:.2f}"
+                )
+                yield Breach("budget", "", text)
+                break
+
+
+def _repeats(facts: Facts, service: str) -> Iterator[float]:
+    """Yield when requests came to a service's replicas once more."""
+    ids = {one.id for one in facts.asked}
+    for id, rows in facts.rows_by_id().items():
+        if id not in ids or not place_of(rows[0]["replica"]).startswith(service):
+            continue
+        for row in sorted(rows, key=lambda row: row["arrived"])[1:]:
+            at, place = row["arrived"], place_of(row["replica"])
+            # One that stood still takes all at once that was sent to it meanwhile.
+            if calm(facts, {place, f"link:{place}"}, at, at):
+                yield at
+
+
+def _within(times: list[float], start: float) -> int:
+    """Return how many of sorted times lie in the window from ``start``."""
+    return bisect_left(times, start + BUDGET_WINDOW_S) - bisect_left(times, start)
+
+
 def check_all(facts: Facts) -> Iterator[Breach]:
     """Check everything that was seen."""
     for asked in facts.asked:
@@ -326,3 +369,4 @@
     yield from check_poison(facts)
     yield from check_said_leaving(facts)
     yield from check_backoff(facts)
+    yield from check_budget(facts)
--- a/greengageflow/lab/soak_plan.py
+++ b/greengageflow/lab/soak_plan.py
@@ -41,10 +41,11 @@
     POISON = "poison"
     SAY_LEAVING = "say_leaving"
     BACKOFF = "backoff"
+    SHED = "shed"
 
 
 AT_ONCE = (Do.RESET, Do.SILENCE, Do.CONFIGURE, Do.REVOKE)
-LEAVING = (Do.DRAIN, Do.VANISH, Do.SAY_LEAVING)
+LONGER_S = {Do.DRAIN: REST_S, Do.VANISH: REST_S, Do.SAY_LEAVING: REST_S, Do.SHED: 8.0}
 LINK_FAULTS = (Do.CUT, Do.ONE_WAY, Do.DELAY, Do.HALF_OPEN, Do.LOSE_ANSWER)
 # Weight, what is drawn from, and the targets, which are filled with drawn names.
 DRAWS = (
@@ -65,6 +66,8 @@
 )
 NEWEST_FROM = 3000
 NEWEST = ((24, (Do.POISON, Do.SAY_LEAVING, Do.BACKOFF), ("{p}",)),)
+SHED_FROM = 4000
+SHED = ((40, (Do.SHED,), ("{p}",)), (30, (Do.KILL, Do.FREEZE), ("{r}",)))
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +98,7 @@
     """Return the steps of a seed, in order; they begin within ``seconds``."""
     draws = DRAWS if seed < LATER_FROM else (*DRAWS, *LATER)
     draws = draws if seed < NEWEST_FROM else (*draws, *NEWEST)
+    draws = draws if seed < SHED_FROM else (*draws, *SHED)
     return tuple(_apart(_steps(Random(seed), draws, seconds)))
 
 
@@ -131,7 +135,7 @@
         at_s,
         do,
         target,
-        0.0 if do in AT_ONCE else length_s + REST_S * (do in LEAVING),
+        0.0 if do in AT_ONCE else length_s + LONGER_S.get(do, 0.0),
         way if do is Do.ONE_WAY else "",
         amount if do in (Do.DELAY, Do.LOSS, Do.FLAP) else 0.0,
         source if target.startswith("gossip") or do is Do.MUTE else "",
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -24,6 +24,8 @@
     LATER_FROM,
     NEWEST,
     NEWEST_FROM,
+    SHED_FROM,
+    Do,
     draw_plan,
 )
 from tests.soak_seeds import FAILED_SEEDS
@@ -143,6 +145,7 @@
 )
 BACKOFF = [row(GOOD, arrived=90.0 + n / 5, ended=90.0 + n / 5) for n in range(9)]
 BACKOFF[0]["backoff_s"] = 2.0
+REPEATS = [row(GOOD, arrived=91.0 + n / 4) for n in range(14)]
 BROKEN |= {
     "poison": (
         "poison",
@@ -153,6 +156,7 @@
         facts(GOOD, SAID_LEAVING),
     ),
     "backoff": ("backoff", facts(GOOD, rows=BACKOFF)),
+    "budget": ("budget", facts(GOOD, rows=REPEATS)),
 }
 BROKEN["runs on"][1].rows[0] |= {"ended": 106.0, "outcome": "done"}
 BROKEN["never ends"] = ("left", facts(GOOD_LEFT, rows=[row(GOOD_LEFT, ended=None)]))
@@ -230,6 +234,19 @@
     assert not before & newest and newest < after
 
 
+def test_repeats_spread_over_two_windows_break_nothing():
+    spread = [row(GOOD, arrived=81.0 + n) for n in range(20)]
+    assert not list(check_all(facts(GOOD, rows=spread)))
+
+
+def test_replicas_that_shed_leave_the_plans_of_earlier_seeds_alone():
+    before, after = (
+        {step.do for seed in seeds for step in draw_plan(seed, 60.0)}
+        for seeds in (range(SHED_FROM - 20, SHED_FROM), range(4000, 4020))
+    )
+    assert Do.SHED not in before and Do.SHED in after
+
+
 def test_tests_of_failed_seeds_exist():
     tests = "".join(path.read_text() for path in (ROOT / "tests").glob("test_*.py"))
     assert all(f"def {one.test}" in tests for one in FAILED_SEEDS if one.test)
