--- a/greengageflow/ops/story.py
+++ b/greengageflow/ops/story.py
@@ -67,6 +67,8 @@
     " the budget, {buffer} with a full buffer, {sink} not written",
     Event.STORE_ERA: "the store came back older, era {era} after {before}",
     Event.ENDPOINT_BACKOFF: "endpoint {endpoint} asks for {for_ms} ms of backoff",
+    Event.OUT_OF_BUDGET: "{service} gets no more repeats: {repeats} of {requests}"
+    " requests, {hosts} hosts",
     Event.QUARANTINED: "request {digest} is held back for {for_ms} ms, known from"
     " {source}",
     Event.QUARANTINE_CLEARED: "request {digest} was answered and is cleared of crashes",
