--- a/greengageflow/core/send_budget.py
+++ b/greengageflow/core/send_budget.py
@@ -3,18 +3,18 @@
 from collections import deque
 from dataclasses import dataclass
 
-SLACK_SPENT = 0.8
-"""Part of the slack that hosts spend.
+SLACK_USED = 0.8
+"""Part of the slack that hosts use.
 
-The rest covers what they saved up at requests before the window, see ``SAVED_S``.
+The rest covers tokens that requests before the window brought, see ``BURST_S``.
 """
-AT_ONCE = 0.5
-"""Part of a host's slack that may be spent at once; the rest comes evenly."""
-SAVED_S = 1.0
-"""Seconds for which what requests allow may be saved up.
+BURST_PART = 0.5
+"""Part of a host's slack that may be used in one burst; the rest comes evenly."""
+BURST_S = 1.0
+"""Seconds of requests whose tokens may be saved up.
 
 Callers may move to another host, and a process may end and start again: what was saved
-is spent beside what the same callers allow afterwards.
+is used beside what the same callers bring afterwards.
 """
 
 
@@ -38,8 +38,9 @@
 
     All hosts together may repeat ``ratio`` of the callers' requests and ``slack``
     more in a window. Each host keeps to its own requests and its part of the slack,
-    so that the sum holds without a word between hosts. A process that starts has
-    nothing to spend, since it does not know what the one before it has spent.
+    so that the sum holds without a word between hosts. Within that a token bucket
+    bounds bursts. It starts empty: a process does not know what the one before it
+    on this host has used.
 
     Args:
         ratio: Repeats for each request.
@@ -47,17 +48,17 @@
         window_s: Length of a window, in seconds.
 
     Attributes:
-        at: Time up to which the slack has come, or None before the first.
+        at: Time of the last refill, or None before the first.
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
         self._ratio = ratio
-        self._slack = SLACK_SPENT * slack
+        self._slack = SLACK_USED * slack
         self._window_s = window_s
         self._requests: deque[float] = deque()
         self._recent: deque[float] = deque()
         self._repeats: deque[float] = deque()
-        self._saved = 0.0
+        self._tokens = 0.0
         self._hosts = 1
         self.at: float | None = None
 
@@ -65,7 +66,7 @@
         """Count a request of a caller."""
         self._requests.append(now)
         self._recent.append(now)
-        self._saved += self._ratio
+        self._tokens += self._ratio
         self._forget(now)
 
     def take(self, now: float, hosts: int) -> bool:
@@ -73,9 +74,9 @@
         self._hosts = max(1, hosts)
         self._forget(now)
         most = self._ratio * len(self._requests) + self._slack / self._hosts
-        if self._saved < 1.0 or len(self._repeats) + 1 > most:
+        if self._tokens < 1.0 or len(self._repeats) + 1 > most:
             return False
-        self._saved -= 1.0
+        self._tokens -= 1.0
         self._repeats.append(now)
         return True
 
@@ -87,14 +88,17 @@
     def _forget(self, now: float) -> None:
         _drop(self._requests, now - self._window_s)
         _drop(self._repeats, now - self._window_s)
-        _drop(self._recent, now - SAVED_S)
+        _drop(self._recent, now - BURST_S)
+        self._refill(now)
+
+    def _refill(self, now: float) -> None:
         slack = self._slack / self._hosts
         passed_s = 0.0 if self.at is None else now - self.at
         self.at = now
-        come = (1.0 - AT_ONCE) * slack * passed_s / self._window_s
-        most = AT_ONCE * slack + self._ratio * len(self._recent)
-        # Hosts of a large fleet have less than one repeat to spend at a time.
-        self._saved = min(max(1.0, most), self._saved + come)
+        refill = (1.0 - BURST_PART) * slack * passed_s / self._window_s
+        burst = BURST_PART * slack + self._ratio * len(self._recent)
+        # In a large fleet a host's part is less than one repeat.
+        self._tokens = min(max(1.0, burst), self._tokens + refill)
 
 
 def _drop(times: deque[float], before: float) -> None:
--- a/greengageflow/daemon/forward_flight.py
+++ b/greengageflow/daemon/forward_flight.py
@@ -39,7 +39,7 @@
     Attributes:
         choice: Where it was sent last, or None.
         may_have_arrived: An endpoint may have got it, whether it ran it or not.
-        sent_anew_to: Endpoint that got it again since a kept connection had ended.
+        stale_retry_at: Endpoint that got it again since a kept connection had ended.
         run_began_at: Time of the first event of the endpoint that has it now, or None.
     """
 
@@ -57,7 +57,7 @@
     attempt: EndpointAttempt | None = None
     choice: Choice | None = None
     may_have_arrived: bool = False
-    sent_anew_to: str = ""
+    stale_retry_at: str = ""
     runs: int = 0
     sendings: int = 0
     may_have_run: bool = False
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -339,7 +339,7 @@
     def on_failure(self, flight: ForwardFlight, failure: Failure) -> None:
         """Go on elsewhere after an answer that is not whole, or give up."""
         flight.may_have_arrived |= failure.sent
-        if failure.stale and self._send_anew(flight, failure):
+        if failure.stale and self._retry_stale(flight, failure):
             return
         failure = _with_earlier(flight, failure)
         flight.avoid.add(flight.attempt.endpoint.id)
@@ -354,16 +354,16 @@
         else:
             self._answer_error(flight, RouterError(ErrorKind.ENDPOINT_CUT, text))
 
-    def _send_anew(self, flight: ForwardFlight, failure: Failure) -> bool:
+    def _retry_stale(self, flight: ForwardFlight, failure: Failure) -> bool:
         """Send a request to its endpoint on a new connection, if that is allowed."""
         endpoint = flight.attempt.endpoint
-        allowed = flight.repeatable and flight.sent_anew_to != endpoint.id
+        allowed = flight.repeatable and flight.stale_retry_at != endpoint.id
         if not allowed or not self._book.is_open(self._timers.now, endpoint):
             return False
         if not self._may_go_on(flight) or not self._take_repeat(flight):
             return False
         flight.may_have_run = True
-        flight.sent_anew_to = endpoint.id
+        flight.stale_retry_at = endpoint.id
         self.placement.left(flight.id, endpoint)
         self._move(flight, flight.choice, failure.message)
         return True
@@ -487,13 +487,13 @@
         connect_timeout_s=CONNECT_S,
         idle_timeout_s=max(LAST_MOMENT_S, flight.deadline - now),
         retry_stale=False,
-        reuse_s=0.0 if flight.sent_anew_to else reuse_s,
+        reuse_s=0.0 if flight.stale_retry_at else reuse_s,
     )
 
 
 def _with_earlier(flight: ForwardFlight, failure: Failure) -> Failure:
     """Return a failure that counts what the endpoint got on a kept connection."""
-    again = flight.sent_anew_to == flight.attempt.endpoint.id
+    again = flight.stale_retry_at == flight.attempt.endpoint.id
     return replace(failure, sent=failure.sent or again)
 
 
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -250,7 +250,7 @@
             dropped=lambda: self._log.dropped,
             era=lambda: self._store.era,
             quarantined=lambda: len(self._quarantine.held(self._timers.now)),
-            sent_anew=lambda: self._pool.sent_anew,
+            stale_retries=lambda: self._pool.stale_retries,
         )
         self._serve_pages(settings.ready, pages, "ready")
         if settings.metrics is not None:
--- a/greengageflow/daemon/gateway_pages.py
+++ b/greengageflow/daemon/gateway_pages.py
@@ -27,7 +27,7 @@
         dropped: Returns the log lines dropped by cause.
         era: Returns the store's era, 0 until it came back older.
         quarantined: Returns the requests that are held back for crashes.
-        sent_anew: Returns the requests sent again on a new connection.
+        stale_retries: Returns the requests sent again on a new connection.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         dropped: Callable[[], Mapping[str, int]],
         era: Callable[[], int],
         quarantined: Callable[[], int],
-        sent_anew: Callable[[], int],
+        stale_retries: Callable[[], int],
     ) -> None:
         self.unready = unready
         self._page = page
@@ -63,7 +63,7 @@
         page.read(PageMetric.CONFIG_VERSION, version)
         page.read(PageMetric.STORE_ERA, era)
         page.read(PageMetric.QUARANTINED, quarantined)
-        page.read(PageMetric.SENT_ANEW, sent_anew)
+        page.read(PageMetric.STALE_RETRIES, stale_retries)
         page.read(PageMetric.STORE_UNHEARD, unheard)
         page.read(PageMetric.STORE_CALLS, lambda: {"sent": store_calls()})
         page.read(
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -61,7 +61,7 @@
         idle_s: Seconds after which an idle connection is closed.
 
     Attributes:
-        sent_anew: Requests sent again on a new connection so far.
+        stale_retries: Requests sent again on a new connection so far.
     """
 
     channel = "http_pool"
@@ -84,7 +84,7 @@
             self._close, most=max_idle, most_of_all=max_idle_of_all, idle_s=idle_s
         )
         self._sweep: Subscription | None = None
-        self.sent_anew = 0
+        self.stale_retries = 0
 
     def open(self, request: HttpRequest, receiver: Receiver) -> Exchange:
         """Send ``request`` and hand the answer to ``receiver`` as it arrives.
@@ -222,7 +222,7 @@
             # has read the request and is lost: whoever gives up then may not say that
             # nothing was sent.
             exchange.sent_before = exchange.sent_before or conn.sent_any
-            self.sent_anew += 1
+            self.stale_retries += 1
             self._drop(exchange)
             self._connect(exchange)
         else:
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -64,7 +64,7 @@
     RETRIES = PageMetricType("retries", PageKind.COUNTER, "service")
     RESUMED = PageMetricType("streams_resumed", PageKind.COUNTER, "service")
     REPEATS_REFUSED = PageMetricType("repeats_refused", PageKind.COUNTER, "service")
-    SENT_ANEW = PageMetricType("sent_anew", PageKind.COUNTER)
+    STALE_RETRIES = PageMetricType("stale_retries", PageKind.COUNTER)
     CANCELLED = PageMetricType("cancelled", PageKind.COUNTER, "service")
     ENDPOINT_FAILURES = PageMetricType("endpoint_failures", PageKind.COUNTER, "service")
     BACKOFFS = PageMetricType("endpoint_backoffs", PageKind.COUNTER, "service")
