--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -1,13 +1,11 @@
 """Takes forwarded requests through admission and endpoints to their answers."""
 
 from collections.abc import Iterable
-from dataclasses import replace
-from math import inf
 
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
 from greengageflow.core.quarantine import Fingerprint, Quarantine
-from greengageflow.core.routes import Repeat, Routing
+from greengageflow.core.routes import Routing
 from greengageflow.core.service_book import ServiceBook
 from greengageflow.core.service_scheduler import (
     QUEUE_PART,
@@ -19,6 +17,14 @@
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_flight import ForwardFlight, Phase
 from greengageflow.daemon.forward_notes import ForwardNotes
+from greengageflow.daemon.forward_sending import (
+    LAST_MOMENT_S,
+    STALL_S,
+    bounded,
+    fresh,
+    stalls,
+    with_earlier,
+)
 from greengageflow.daemon.leaving_watch import LeavingWatch
 from greengageflow.daemon.placement import Placement
 from greengageflow.errors import ErrorKind, Ran, RouterError
@@ -26,17 +32,13 @@
 from greengageflow.net.endpoint_attempt import EndpointAttempt
 from greengageflow.net.event_frames import Frame
 from greengageflow.net.forward_calls import ForwardCall
-from greengageflow.net.http_messages import Failure, FailureKind, HttpRequest
+from greengageflow.net.http_messages import Failure, FailureKind
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
 from greengageflow.platform.answers import headers_for_caller, note_of
 from greengageflow.platform.requests import outgoing
 
 MOST_SENDINGS = 4
-LAST_MOMENT_S = 0.05
-CONNECT_S = 0.4
-REUSE_S = 1.0
-STALL_S = 1.5
 NEW_RUN_S = 1.0
 """Seconds from its first event in which a run may be what crashes its endpoint."""
 RAN_NOT = frozenset({408, 421, 429, 503})
@@ -207,7 +209,7 @@
         )
         flight.attempt = EndpointAttempt(
             self._pool,
-            _bounded(request, flight, now),
+            bounded(request, flight, now),
             choice.endpoint,
             lambda head: note_of(head, flight.req.id),
             stream=flight.route.stream,
@@ -240,7 +242,7 @@
         else:
             flight.longest_pause_s = max(flight.longest_pause_s, now - flight.moved_at)
         flight.moved_at = now
-        flight.reply.piece(b"".join(_fresh(flight, frames)))
+        flight.reply.piece(b"".join(fresh(flight, frames)))
         if flight.reply.blocked:
             attempt.pause()
             flight.reply.on_drain = attempt.resume
@@ -341,7 +343,7 @@
         flight.may_have_arrived |= failure.sent
         if failure.stale and self._retry_stale(flight, failure):
             return
-        failure = _with_earlier(flight, failure)
+        failure = with_earlier(flight, failure)
         flight.avoid.add(flight.attempt.endpoint.id)
         if failure.lost and self._is_new_run(flight):
             self.crashes.on_cut(flight.attempt.endpoint, flight.fingerprint)
@@ -450,7 +452,7 @@
     def on_tick(self) -> None:
         """Look for streams that stand still, and for what has become due."""
         now = self._timers.now
-        for flight in [f for f in self._flights.values() if _stalls(f, now)]:
+        for flight in [f for f in self._flights.values() if stalls(f, now)]:
             self._leave_stalled(flight)
         self.carry_out(self._book.pump(now))
 
@@ -480,47 +482,6 @@
         self.carry_out(self.placement.ended(now, flight.service, flight.id))
 
 
-def _bounded(request: HttpRequest, flight: ForwardFlight, now: float) -> HttpRequest:
-    reuse_s = inf if flight.repeatable else REUSE_S
-    return replace(
-        request,
-        connect_timeout_s=CONNECT_S,
-        idle_timeout_s=max(LAST_MOMENT_S, flight.deadline - now),
-        retry_stale=False,
-        reuse_s=0.0 if flight.stale_retry_at else reuse_s,
-    )
-
-
-def _with_earlier(flight: ForwardFlight, failure: Failure) -> Failure:
-    """Return a failure that counts what the endpoint got on a kept connection."""
-    again = flight.stale_retry_at == flight.attempt.endpoint.id
-    return replace(failure, sent=failure.sent or again)
-
-
-def _fresh(flight: ForwardFlight, frames: Iterable[Frame]) -> Iterable[bytes]:
-    """Yield events that the caller has not got, and note the last one's number."""
-    for frame in frames:
-        if frame.number is not None:
-            if flight.last_event is not None and frame.number <= flight.last_event:
-                continue
-            flight.last_event = frame.number
-        flight.pieces += 1
-        yield frame.raw
-
-
-def _stalls(flight: ForwardFlight, now: float) -> bool:
-    """Whether a stream that may go on elsewhere stands still.
-
-    An engine that went dark resets nothing: its streams would stand still up to their
-    deadline, and the caller would leave.
-    """
-    if flight.route.repeat is not Repeat.RESUME or flight.attempt is None:
-        return False
-    if flight.runs + 1 >= flight.route.attempts or flight.reply.blocked:
-        return False
-    return now - flight.moved_at > STALL_S
-
-
 class _FlightListener:
     """Hands what an attempt brings to the forwarder, unless it was replaced."""
 
