--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -51,7 +51,8 @@
 class Fleet:
     """Hosts whose callers come at a rate, and a service that fails much of the time."""
 
-    def __init__(self, seed, hosts, rate):
+    def __init__(self, seed, hosts, rate, pauses):
+        self.pauses = pauses
         self.random = Random(seed)
         self.hosts = [Host() for _ in range(hosts)]
         self.weights = [self.random.uniform(0.3, 2.0) for _ in self.hosts]
@@ -91,7 +92,8 @@
         if not host.is_up(now):
             return
         host.book.count(now, SERVICE)
-        fails = FAIL if self.failing else 0.0
+        failing = self.failing if self.pauses else now > 6.0
+        fails = FAIL if failing else 0.0
         for _ in range(MOST_REPEATS):
             if self.random.random() > fails:
                 return
@@ -166,12 +168,15 @@
 }
 
 
+@pytest.mark.parametrize("pauses", [False, True], ids=["lasting", "with pauses"])
 @pytest.mark.parametrize("hosts, rate", [(9, 40.0), (9, 120.0), (60, 250.0)])
 @pytest.mark.parametrize("trouble", TROUBLES)
-def test_no_window_of_the_fleet_has_more_repeats_than_allowed(trouble, hosts, rate):
+def test_no_window_of_the_fleet_has_more_repeats_than_allowed(
+    trouble, hosts, rate, pauses
+):
     """Endpoints in trouble get a multiple of what callers ask when hosts forget."""
     for seed in range(6):
-        fleet = Fleet(seed, hosts, rate)
+        fleet = Fleet(seed, hosts, rate, pauses)
         fleet.play(TROUBLES[trouble])
         assert fleet.worst() <= 0, seed
 
