--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,6 +14,8 @@
 LEAVING = "i-1"
 DRAIN_S, STABLE_S = 2.0, 3.0
 LINGER_S = 10.0
+WORK_S = 0.09
+CALLERS = 4
 
 
 def case(record, fleet):
@@ -24,6 +26,7 @@
         for name in ("i-0", "i-1", "i-2")
     }
     for name, replica in replicas.items():
+        replica.work_s = WORK_S
         store.put_server(name, replica.entry("bilhete-app", harness.ZONES[0]))
     store.put_config(harness.configuration(3, [KEY]))
     for name in HOSTS:
@@ -33,18 +36,19 @@
     time.sleep(5.0)
 
     done = threading.Event()
-    statuses = []
+    statuses = {}
 
     def call(host):
         client = harness.Client(fleet.callers(host), record)
         while not done.is_set():
-            statuses.append(client.ask(KEY)[1])
+            request, status, _ = client.ask(KEY)
+            statuses[request] = status
             time.sleep(0.03)
 
     threads = [
         threading.Thread(target=call, args=(host,), daemon=True)
         for host in HOSTS
-        for _ in range(2)
+        for _ in range(CALLERS)
     ]
     for thread in threads:
         thread.start()
@@ -57,10 +61,16 @@
     if harness.TROUBLE:
         store.forget(harness.SERVERS)
     time.sleep(LINGER_S)
+    end = time.monotonic() + 2.0
+    while not replicas[LEAVING].at_work and time.monotonic() < end:
+        time.sleep(0.001)
+    time.sleep(WORK_S / 3)
+    replicas[LEAVING].exit()
+    time.sleep(1.0)
     done.set()
     for thread in threads:
         thread.join(5.0)
-    if statuses.count(200) < 0.9 * len(statuses):
+    if list(statuses.values()).count(200) < 0.9 * len(statuses):
         raise RuntimeError("too few requests are served")
     if not all(map(fleet.running, HOSTS)):
         raise RuntimeError("a gateway has ended")
@@ -74,6 +84,10 @@
             text = f"{request} reached {LEAVING} {at - acknowledged_at:.3f} s after"
             record(f"BROKEN: {text} the acknowledgement (drain_ms {DRAIN_S} s)")
             broken += 1
+    for _, request in replicas[LEAVING].runs:
+        if statuses.get(request, 200) != 200:
+            record(f"LOST: {request} began at {LEAVING}, which exited: its client got")
+            record(f"      status {statuses[request]}, and must not send it again")
     return broken
 
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -230,11 +230,16 @@
     A subclass may override `respond`.
     """
 
+    work_s = 0.015
+    """Time that a request takes, in seconds."""
+
     def __init__(self, name, ip, record):
         self.name = name
         self.runs = []
+        self.at_work = 0
         self._record = record
         self._seals = count(1)
+        self._connections = set()
         self._listener = socket.create_server((ip, 0), backlog=128)
         self.address = "{}:{}".format(*self._listener.getsockname())
         threading.Thread(target=self._accept, daemon=True).start()
@@ -260,6 +265,7 @@
             except OSError:
                 return
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._connections.add(conn)
             threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
 
     def _serve(self, conn):
@@ -280,6 +286,14 @@
                 if rest is None:
                     return
 
+    def exit(self):
+        """End, with all connections."""
+        self._record(f"{self.name} exits")
+        for sock in (self._listener, *self._connections):
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
     def _on_request(self, conn, start, headers, rest):
         request = headers.get(REQUEST_ID.lower(), "")
         expected = headers.get(EXPECT_REPLICA.lower(), self.name)
@@ -294,7 +308,11 @@
         self.runs.append((time.monotonic(), request))
         tenant = headers.get(TENANT.lower(), "")
         self._record(f"{self.name} runs {request} ({start}, tenant {tenant})")
-        return self.respond(conn, request, headers, rest)
+        self.at_work += 1
+        try:
+            return self.respond(conn, request, headers, rest)
+        finally:
+            self.at_work -= 1
 
     def seal(self):
         """Return a new signature."""
@@ -303,7 +321,7 @@
     def respond(self, conn, request, headers, rest):
         """Answer a request; return the bytes read beyond it, None to close."""
         rest = read_body(conn, headers, rest)
-        time.sleep(0.015)
+        time.sleep(self.work_s)
         body = b"r" * 800
         lines = {REQUEST_ID: request, SEAL: self.seal(), "Content-Length": "800"}
         conn.sendall(head_of(200, lines) + body)
