--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,3 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
-export PYTHONPATH="$PWD/target/deps:$PWD"
-exec python3 review/2/case.py
+exec bash "$(dirname "$0")/../run_case.sh" 2
--- a/review/harness.py
+++ b/review/harness.py
@@ -616,17 +616,18 @@
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
     fleet = Fleet(record)
+    signal.signal(signal.SIGTERM, lambda *_args: sys.exit(COULD_NOT_RUN))
+    status, text = COULD_NOT_RUN, "ended early"
     try:
         broken = case(record, fleet)
-    except Exception as exc:  # noqa: BLE001
-        record(f"could not run: {exc!r}")
-        print(f"could not run: {exc!r}")
-        sys.stdout.flush()
+        status = RULE_BROKEN if broken else RULE_HELD
+        text = f"rule broken {broken} times" if broken else "rule held"
+    except Exception as exc:
+        text = f"could not run: {exc!r}"
+    finally:
         fleet.close(os.environ.get("KEEP_LOGS"))
-        os._exit(COULD_NOT_RUN)
-    fleet.close(os.environ.get("KEEP_LOGS"))
-    text = f"rule broken {broken} times" if broken else "rule held"
-    record(text)
-    print(text)
-    sys.stdout.flush()
-    os._exit(RULE_BROKEN if broken else RULE_HELD)
+        record(text)
+        print(text)
+        sys.stdout.flush()
+        # Threads of the stand-ins may still run.
+        os._exit(status)
