--- a/review/harness.py
+++ b/review/harness.py
@@ -250,7 +250,7 @@
             "service": service,
             "address": self.address,
             "zone": zone,
-            "version": 1,
+            "version": "v1",
             "slots": 6,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -587,8 +587,8 @@
         "limits": {
             "max_header_bytes": 16_384,
             "max_body_bytes": 4_194_304,
-            "header_timeout_ms": 10_000,
-            "idle_timeout_ms": 60_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15_000,
         },
     }
 
