--- a/review/harness.py
+++ b/review/harness.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import ctypes
 import http.client
 import json
 import os
@@ -32,6 +33,15 @@
 HOST = "ficu95.example"
 PREFIX = "/puxa403/"
 RULE_BROKEN, RULE_HELD, COULD_NOT_RUN = 1, 0, 2
+LIMIT_S = 110
+PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None)
+
+
+def _end_with_parent():
+    """Have the kernel end this process when the script ends, however that happens."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
 
 REQUEST_ID = "X-Greengageflow-Request-Id"
 DEADLINE_MS = "X-Greengageflow-Deadline-Ms"
@@ -404,6 +414,7 @@
             cwd=ROOT,
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
+            preexec_fn=_end_with_parent,
         )
         line = json.loads(self._proxy_process.stdout.readline())
         self._proxy = Proxy((line["host"], line["port"]))
@@ -463,6 +474,7 @@
                     stdin=subprocess.DEVNULL,
                     stdout=log,
                     stderr=subprocess.STDOUT,
+                    preexec_fn=_end_with_parent,
                 )
             self.record(f"started {name}: {' '.join(command)}")
         end = time.monotonic() + 20
@@ -616,7 +628,9 @@
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
     fleet = Fleet(record)
-    signal.signal(signal.SIGTERM, lambda *_args: sys.exit(COULD_NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, lambda *_args: sys.exit(COULD_NOT_RUN))
+    signal.alarm(LIMIT_S)
     status, text = COULD_NOT_RUN, "ended early"
     try:
         broken = case(record, fleet)
