Take an early answer without a length as complete once its request is sent

Cause: since any unsent byte at the end of such an answer made it a truncated one. But an orderly end says nothing about the other direction. Ruled out: accepting the answer at its end. A server that has gone ends in order too if it had nothing left to read, and then resets.

Change: the pool goes on sending. Once the rest is taken the answer is complete; if a write fails or the connection is reset it is truncated; idle timeout and caller's deadline bound the wait. The connection isn't polled for reading meanwhile, as its end stays readable.

--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -64,6 +64,10 @@
         address: IP address and port of the server.
         source_ip: Local IP address to bind to, or None.
 
+    Attributes:
+        ends_when_sent: True if the response has ended in order while request bytes
+            were unsent: it is complete once they are sent. Nothing is left to read.
+
     Raises:
         OSError: The connection attempt failed immediately.
     """
@@ -80,6 +84,7 @@
         self.reused = False
         self.sent_any = False
         self.received_any = False
+        self.ends_when_sent = False
         self._unsent = memoryview(b"")
         self._peer_closed = False
         self._broken = False
@@ -130,7 +135,8 @@
         Raises:
             BadHead: The request is not valid HTTP.
         """
-        self.sent_any = self.received_any = self._peer_closed = False
+        self.sent_any = self.received_any = False
+        self._peer_closed = self.ends_when_sent = False
         self._parser.expect(method)
         self._until_close = until_close
         self._accepts = accepts
@@ -220,7 +226,7 @@
         if body:
             yield BodyData(b"".join(body))
         if self._peer_closed:
-            yield self._end_by_close()
+            yield from self._end_by_close()
 
     def _on_skipped_end(self, end: ResponseEnd) -> None:
         if self._peer_closed or not end.keep_alive:
@@ -239,7 +245,7 @@
             end.keep_alive and is_last and not self._peer_closed and not self._unsent
         )
 
-    def _end_by_close(self) -> End:
+    def _end_by_close(self) -> Iterator[End]:
         # A body delimited by the end of the connection may have been truncated
         # anywhere, and the caller could not tell. It is accepted only on request.
         if not self._parser.until_close:
@@ -247,10 +253,14 @@
         if not self._until_close or self._skipping:
             raise ResponseTruncated("response has no length")
         # The system reports a reset once: after a failed write, reading finds an end
-        # that looks orderly. Unread request bytes make the server's system reset too.
-        if self._broken or self._unsent:
-            raise ResponseTruncated("closed before the request was sent")
-        return End(reusable=False)
+        # that looks orderly.
+        if self._broken:
+            raise ResponseTruncated("reset before the request was sent")
+        # A server may respond before it has read the request. If it has gone instead,
+        # its system resets the connection when the rest arrives.
+        self.ends_when_sent = bool(self._unsent)
+        if not self.ends_when_sent:
+            yield End(reusable=False)
 
     def close(self) -> None:
         """Close the socket."""
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -179,9 +179,10 @@
             return
         poller = self._find_poller()
         reading = poller.isReading(conn.sock)
-        if exchange.paused and reading:
+        wants_read = not (exchange.paused or conn.ends_when_sent)
+        if reading and not wants_read:
             poller.removeReader(conn.sock)
-        elif not exchange.paused and not reading:
+        elif wants_read and not reading:
             poller.addReader(self, conn.sock)
         writing = poller.isWriting(conn.sock)
         if conn.wants_write and not writing:
@@ -282,6 +283,9 @@
             # The receiver lost the data of this read; continuing would leave a gap.
             self._fail(exchange, FailureKind.BROKEN, f"receiver failed: {exc!r}")
             raise
+        else:
+            if exchange.conn.ends_when_sent:
+                self._update_poller(exchange)
 
     def _deliver(self, exchange: Exchange, part: Head | BodyData | End) -> None:
         match part:
@@ -314,7 +318,10 @@
             self._on_write_error(exchange, str(exc))
             return
         exchange.last_progress_at = monotonic()
-        self._update_poller(exchange)
+        if conn.ends_when_sent and not conn.wants_write:
+            self._finish(exchange, End(reusable=False))
+        else:
+            self._update_poller(exchange)
 
     def _on_write_error(self, exchange: Exchange, message: str) -> None:
         # A server may respond early (413) and close while the body is still being
