Confirm only what a read of the store has read to its end

On the path of CONFIG, found by the review by reading, and shown by the new tests: a read that got one page of several confirmed the configuration as the newest, so that a host that came back after a cut trusted keys which a later page takes away until its next read (up to 3 s for hosts that do not read all the time).

Change: the end of the log, which the store tells with each page, is looked at. A page that ends before it is followed by the next read at once and confirms nothing; one without records is a failure, so that the store isn't asked in a loop.

The stub of the tests told the first offset in place of the end, which nothing read; it follows the page now.

--- a/greengageflow/daemon/topic_follower.py
+++ b/greengageflow/daemon/topic_follower.py
@@ -91,6 +91,7 @@
         self._has_snapshot = False
         self._snapshot_records: list[KeyedRecord] = []
         self._snapshot_mark = 0
+        self._snapshot_began_at = float("-inf")
         self._next_read_at = float("-inf")
         self._backoff_s = MIN_BACKOFF_S
         self._backoff_skipped = False
@@ -210,6 +211,7 @@
         if not self._snapshot_records:
             # Pages are not atomic, so the records since the first are read again.
             self._snapshot_mark, self._snapshot_era = mark_of(era, batch.end), era
+            self._snapshot_began_at = self.last_call_at
         self._snapshot_records.extend(_with_marks(batch.records, era))
         if batch.after:
             self._call(newest_call(self._topic, batch.after), 0.0, self._on_newest)
@@ -220,7 +222,7 @@
             self._listener.on_era(era)
         records, self._snapshot_records = tuple(self._snapshot_records), []
         self._listener.on_snapshot(records)
-        self._on_success()
+        self._on_success(self._snapshot_began_at)
 
     def _on_read(self, response: Response) -> None:
         batch = parse_read(response, offset_of(self._read_from))
@@ -230,13 +232,16 @@
         records = self.accept(self._read_from, end, _with_marks(batch.records, era))
         if records:
             self._listener.on_records(records)
-        self._on_success()
+        if batch.is_complete:
+            self._on_success(self.last_call_at)
+        else:
+            self.read()
 
-    def _on_success(self) -> None:
+    def _on_success(self, confirmed_at: float) -> None:
         self._is_reading = False
         self._backoff_s = MIN_BACKOFF_S
         self._backoff_skipped = False
-        self._listener.on_confirmed(self.last_call_at)
+        self._listener.on_confirmed(confirmed_at)
 
 
 def _with_marks(records: Iterable[KeyedRecord], era: int) -> tuple[KeyedRecord, ...]:
--- a/greengageflow/platform/store.py
+++ b/greengageflow/platform/store.py
@@ -28,11 +28,18 @@
         records: Records in log order.
         end: Offset at which the next read starts.
         after: Key after which the next page starts, or empty after the last page.
+        log_end: End of the log, as of the read.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     after: str = ""
+    log_end: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the records reach to the end of the log."""
+        return self.end >= self.log_end
 
 
 def read_call(topic: str, offset: int, wait_s: float) -> tuple[str, str]:
@@ -96,6 +103,7 @@
     data = response.body
     if len(data) < _READ_HEADER.size:
         raise StoreAnswerError("response is too short")
+    log_end, _first = _READ_HEADER.unpack_from(data)
     position = _READ_HEADER.size
     records = []
     while position + _RECORD_LENGTH.size <= len(data):
@@ -107,7 +115,12 @@
             _parse_record(data[position : position + length], offset + len(records))
         )
         position += length
-    return Batch(tuple(records), offset + len(records))
+    end = offset + len(records)
+    if not records and log_end > end:
+        raise StoreAnswerError(
+            f"no records from {end} on, although it ends at {log_end}"
+        )
+    return Batch(tuple(records), end, log_end=log_end)
 
 
 def _parse_record(record: bytes, offset: int) -> KeyedRecord:
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -43,12 +43,14 @@
         self.era, self.hosts = 0, 0
         self.logs = {OPERATOR_TOPIC: [], SERVERS_TOPIC: []}
         self.firsts = {OPERATOR_TOPIC: 0, SERVERS_TOPIC: 0}
+        self.page_records, self.written_at = None, {}
 
     def put(self, topic, key, doc):
         value = json.dumps(doc).encode() if doc is not None else b""
         self.logs[topic].append((key, value))
 
     def config(self, version):
+        self.written_at[version] = self.now
         self.put(OPERATOR_TOPIC, CONFIG_KEY, {"version": version})
 
     def endpoint(self, name, listed=True):
@@ -86,7 +88,11 @@
                 for key, (value, at) in newest.items()
                 if value
             ]
-            doc = {"items": items, "end": len(log)}
+            keys = [item["key"] for item in items]
+            begin = keys.index(query["after"]) + 1 if "after" in query else 0
+            page = items[begin:][: self.page_records]
+            is_last = begin + len(page) == len(items)
+            doc = {"items": page, "truncated": not is_last, "end": len(log)}
             return Response(200, self.headers, json.dumps(doc).encode())
         begin = int(query["from"])
         if not first <= begin <= len(log):
@@ -96,9 +102,10 @@
             and self.now < called_at + int(query.get("wait_ms", 0)) / 1e3
         ):
             return None
-        rows = [bytes([len(key)]) + key.encode() + value for key, value in log[begin:]]
+        page = log[begin:][: self.page_records]
+        rows = [bytes([len(key)]) + key.encode() + value for key, value in page]
         body = b"".join(pack(">I", len(row)) + row for row in rows)
-        return Response(200, self.headers, pack(">QQ", first, len(log)) + body)
+        return Response(200, self.headers, pack(">QQ", len(log), first) + body)
 
     @property
     def headers(self):
@@ -212,6 +219,63 @@
     return hosts
 
 
+def check_confirmations(store, host):
+    """Check that a host confirms no configuration from after a newer one's writing."""
+    view = host.view
+    for version, at in store.written_at.items():
+        assert version <= view.version or view.config_confirmed_at <= at
+
+
+def test_a_page_that_ends_before_the_log_confirms_nothing(store):
+    """A host that got one page of several took its configuration for the newest, and
+    went on trusting keys that a later page takes away."""
+    host = Host(store, is_reader=True)
+    run(store, [host], 2)
+    store.page_records = 1
+    host.stuck = True
+    for version in range(2, 9):
+        store.config(version)
+        run(store, [host], 0.2)
+    host.stuck = False
+    for _ in range(40):
+        run(store, [host], STEP_S)
+        check_confirmations(store, host)
+    assert host.view.version == 8
+    assert store.now - host.view.config_confirmed_at < 2 * POLL_INTERVAL_S
+
+
+def test_a_snapshot_in_pages_is_confirmed_as_of_its_first_page(store):
+    """What is written while the pages are read may be missing from the earlier ones."""
+    for zone in ("z1", "z2", "z3"):
+        store.put(OPERATOR_TOPIC, f"evacuate/{zone}", {})
+    store.page_records = 1
+    host = Host(store, is_reader=True)
+    for version in range(2, 9):
+        host.step([])
+        store.now += STEP_S
+        store.config(version)
+        check_confirmations(store, host)
+    for _ in range(20):
+        run(store, [host], STEP_S)
+        check_confirmations(store, host)
+    assert host.view.version == 8
+
+
+def test_short_read_without_records_is_a_failure(store):
+    """A store that announces records and sends none must not be asked in a loop."""
+    host = Host(store, is_reader=True)
+    run(store, [host], 2)
+    store.page_records = 0
+    store.config(2)
+    calls = len(host.paths)
+    run(store, [host], 3)
+    assert host.view.version == 1 and len(host.paths) - calls < 30
+    check_confirmations(store, host)
+    store.page_records = None
+    run(store, [host], 2)
+    assert host.view.version == 2
+
+
 def test_only_the_reader_polls(store, hosts):
     before = [len(host.paths) for host in hosts]
     run(store, hosts, 20)
