Do not add evicted crash records again

Each crash leaves one for every request and every prompt part that was in flight, so that ten crashes of full engines are enough to fill the table. From then on each record that another host sent evicted the oldest one, after a search through all, and the evicted one came back with the next message from a host that still had it: 0.67 ms for each record received, up to 128 in a message, without end.

Change: 128 records are evicted together, and a record that is no newer than the evicted ones is not taken from others, unless it has two crashes that count. Expired records are looked for when the table is full and at each periodic message, not for each new record.

--- a/greengageflow/core/quarantine.py
+++ b/greengageflow/core/quarantine.py
@@ -14,6 +14,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from heapq import nsmallest
 
 from greengageflow.core.fingerprint import Fingerprint, is_part
 
@@ -45,6 +46,8 @@
 """Time until it is known whether an endpoint that cut requests crashed, in seconds."""
 MAX_ANSWERED_REQUESTS = 8192
 MAX_RECORDS = 1024
+EVICTED_RECORDS = 128
+"""Number of records that are evicted together, as finding the oldest ones is slow."""
 MAX_CRASHES_PER_RECORD = 8
 """Maximum number of crashes in a record, of which the latest ones are kept."""
 
@@ -138,6 +141,7 @@
         self._suspects: dict[str, set[Fingerprint]] = {}
         self._cut_at: dict[str, float] = {}
         self._answered_at: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._evicted_until = float("-inf")
 
     def __bool__(self) -> bool:
         """Return whether there is any crash record or suspect."""
@@ -280,7 +284,7 @@
         )
 
     def _merge(self, now: float, record: CrashRecord) -> bool:
-        if record.age_s >= self._hold_s:
+        if record.age_s >= self._hold_s or self._was_evicted(now, record):
             return False
         was_quarantined = self._is_quarantined(now, record.fingerprint)
         ages_s = record.ages_s or (record.age_s,) * len(record.crashed)
@@ -291,6 +295,19 @@
         self._add_crashes(now, record.fingerprint, crashed, record.cleared)
         return not was_quarantined and self._is_quarantined(now, record.fingerprint)
 
+    def _was_evicted(self, now: float, record: CrashRecord) -> bool:
+        """Return whether a record is one that was evicted as too old.
+
+        Otherwise hosts whose tables are full would evict records that others go on
+        sending, and add them again, without end. Repeated crashes are evidence that
+        must not be missed.
+        """
+        return (
+            record.fingerprint not in self._records
+            and now - record.age_s <= self._evicted_until
+            and len(set(record.crashed) - set(record.cleared)) < self._crashes
+        )
+
     def records(
         self, now: float, changed_s: float, limit: int
     ) -> Iterator[CrashRecord]:
@@ -328,7 +345,8 @@
     ) -> None:
         record = self._records.get(fingerprint)
         if record is None:
-            self._drop_expired(now)
+            if len(self._records) >= MAX_RECORDS:
+                self._make_room(now)
             last_crash_at = max(crashed.values(), default=now)
             record = self._records[fingerprint] = _CrashState(last_crash_at)
         if is_part(fingerprint):
@@ -342,12 +360,22 @@
         for fingerprint, record in list(self._records.items()):
             if now - record.last_crash_at >= self._hold_s:
                 del self._records[fingerprint]
-        while len(self._records) >= MAX_RECORDS:
-            evicted = min(
-                self._records,
-                key=lambda key: (
-                    self._is_quarantined(now, key),
-                    self._records[key].last_crash_at,
-                ),
-            )
-            del self._records[evicted]
+
+    def _make_room(self, now: float) -> None:
+        """Drop expired records and, if too many are left, the oldest ones."""
+        self._drop_expired(now)
+        if len(self._records) < MAX_RECORDS:
+            return
+        oldest = nsmallest(
+            EVICTED_RECORDS,
+            self._records,
+            key=lambda key: (
+                self._is_quarantined(now, key),
+                self._records[key].last_crash_at,
+            ),
+        )
+        for fingerprint in oldest:
+            if not self._is_quarantined(now, fingerprint):
+                evicted_at = self._records[fingerprint].last_crash_at
+                self._evicted_until = max(self._evicted_until, evicted_at)
+            del self._records[fingerprint]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,10 +7,15 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from greengageflow.core.fingerprint import FINGERPRINT_BYTES, RequestIdentity
+from greengageflow.core.fingerprint import (
+    FINGERPRINT_BYTES,
+    RequestIdentity,
+    fingerprint_of,
+)
 from greengageflow.core.forward_request import ForwardRequest, request_fingerprint
 from greengageflow.core.quarantine import (
     CLEARANCE_S,
+    EVICTED_RECORDS,
     MAX_RECORDS,
     QUARANTINE_S,
     CrashRecord,
@@ -124,6 +129,49 @@
     assert quarantine.remaining_s(5, b"poison")
 
 
+def record_of(number, now):
+    """Return a record of one crash at the time ``number`` / 100."""
+    fingerprint = fingerprint_of(b"%d" % number)
+    age_s = now - number / 100
+    return CrashRecord(fingerprint, (f"e{number}",), (), age_s)
+
+
+def test_evicted_records_do_not_come_back_from_other_hosts(monkeypatch):
+    """After many crashes each host had more records than fit. It evicted those that
+    others went on sending, added them again, and searched all records for each."""
+    searched = []
+    is_quarantined = Quarantine._is_quarantined
+
+    def count(self, now, fingerprint):
+        searched.append(fingerprint)
+        return is_quarantined(self, now, fingerprint)
+
+    monkeypatch.setattr(Quarantine, "_is_quarantined", count)
+    quarantine, now = Quarantine(), 50.0
+    records = [record_of(number, now) for number in range(2 * MAX_RECORDS)]
+    for _ in range(3):
+        quarantine.receive(now, records)
+    assert len(searched) <= 40 * len(records)
+    kept = list(quarantine.records(now, 600.0, 2 * MAX_RECORDS))
+    assert MAX_RECORDS - EVICTED_RECORDS <= len(kept) <= MAX_RECORDS
+    newest = {record.fingerprint for record in records[-len(kept) :]}
+    assert {record.fingerprint for record in kept} == newest
+    now += 20.0
+    quarantine.receive(now, [record_of(n, now) for n in range(2 * MAX_RECORDS)])
+    assert not list(quarantine.records(now, 10.0, 2 * MAX_RECORDS))
+
+
+def test_evidence_against_an_evicted_request_is_accepted():
+    """A request that crashed endpoints again since is no old record."""
+    quarantine, now = Quarantine(), 50.0
+    quarantine.receive(now, [record_of(n, now) for n in range(2 * MAX_RECORDS)])
+    poison = record_of(0, now)
+    assert not quarantine.receive(now, [poison])
+    assert not quarantine.record(now, poison.fingerprint)
+    again = replace(poison, crashed=("e0", "e9"))
+    assert quarantine.receive(now, [again]) == (poison.fingerprint,)
+
+
 class Fleet(RuleBasedStateMachine):
     """Hosts that see crashes and answers and exchange records in any order."""
 
