--- a/greengageflow/lab/bench_policy.py
+++ b/greengageflow/lab/bench_policy.py
@@ -14,7 +14,7 @@
     service_scheduler,
 )
 from greengageflow.lab._slopes_svg import draw
-from greengageflow.lab.policy_load import DEPLOYMENTS
+from greengageflow.lab.policy_deployments import DEPLOYMENTS
 from greengageflow.lab.policy_scores import score_day, worth_by_time
 from greengageflow.lab.policy_simulation import Simulation
 
--- a/greengageflow/lab/policy_engine.py
+++ b/greengageflow/lab/policy_engine.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 from greengageflow.core.forward_request import PromptPart
-from greengageflow.lab.policy_load import Deployment, SimulatedRequest
+from greengageflow.lab.policy_deployments import Deployment
+from greengageflow.lab.policy_load import SimulatedRequest
 
 PREFILL_CHUNK_TOKENS = 2048
 """Maximum number of prompt tokens processed in a step."""
--- a/greengageflow/lab/policy_scores.py
+++ b/greengageflow/lab/policy_scores.py
@@ -6,7 +6,7 @@
 from statistics import fmean
 
 from greengageflow.core.max_min import max_min_shares
-from greengageflow.lab.policy_load import Deployment
+from greengageflow.lab.policy_deployments import Deployment
 from greengageflow.lab.policy_simulation import RequestOutcome, SimulationResult
 
 SHARE_WINDOW_S = 4.0
--- a/greengageflow/lab/policy_simulation.py
+++ b/greengageflow/lab/policy_simulation.py
@@ -15,10 +15,10 @@
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import Decision, Job, StartJob
 from greengageflow.core.work_queue import QueuedRequest
+from greengageflow.lab.policy_deployments import Deployment
 from greengageflow.lab.policy_engine import EngineRun, PolicyEngine
 from greengageflow.lab.policy_load import (
     DAY_S,
-    Deployment,
     Fault,
     SimulatedRequest,
     draw_faults,
--- a/tests/test_prefill_model.py
+++ b/tests/test_prefill_model.py
@@ -8,7 +8,7 @@
 
 from greengageflow.core.endpoint_load import EndpointLoad
 from greengageflow.core.prefill_model import PrefillModel
-from greengageflow.lab.policy_load import LONG_PROMPTS
+from greengageflow.lab.policy_deployments import LONG_PROMPTS
 from greengageflow.lab.policy_simulation import Simulation
 
 
