Policy bench: sheets of engines with few slots and mixed speeds

The sheet slots has 12 slots and hints off by a log-normal factor (0.5); speeds is the same with engine speeds 0.7, 0.7 and 1.7. A deployment now states its skew of accounts, zone weights, ratio and spread of hints, speeds and step noise; no sheet uses step noise yet.

--- a/greengageflow/lab/bench.py
+++ b/greengageflow/lab/bench.py
@@ -190,7 +190,8 @@
     each mechanism that is left out.
 
     Args:
-        sheet: ``long`` or ``short`` prompts.
+        sheet: ``long`` or ``short`` prompts, ``slots`` (engines with few slots) or
+            ``speeds`` (the same, with engines of different speeds).
         seeds: Seeds, as ``FIRST-LAST``.
         without: Mechanisms to leave out, one at a time, or ``all``.
         out: SVG file for the worth per second.
--- a/greengageflow/lab/policy_deployments.py
+++ b/greengageflow/lab/policy_deployments.py
@@ -1,6 +1,6 @@
 """Simulated deployments: kinds of request, engines and their performance."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import log, sqrt
 from random import Random
 
@@ -75,6 +75,13 @@
         first_event_delay_s: Time from end of prefill to first event, in seconds.
         fetch_s_per_token: Link time per token fetched from another engine, in seconds.
         tokens_per_s: Capacity of all engines, divided by fair share over accounts.
+        account_skew: Zipf exponent of the popularity of accounts.
+        zone_weights: Weights of the zones for requests from outside the home zone.
+        hint_ratio: Median ratio of the length hint to the tokens of the answer.
+        hint_spread: Standard deviation of that ratio's logarithm.
+        speeds: Relative speeds of engines, used in turn; a step at speed 2 takes half
+            the time.
+        step_noise: Standard deviation of the logarithm of a step's duration.
     """
 
     kinds: tuple[RequestKind, ...]
@@ -90,6 +97,19 @@
     first_event_delay_s: float = 0.12
     fetch_s_per_token: float = 8e-7
     tokens_per_s: float = 130_000.0
+    account_skew: float = 1.4
+    zone_weights: tuple[float, ...] = (1.0, 0.6, 0.8)
+    hint_ratio: float = 1.3
+    hint_spread: float = 0.0
+    speeds: tuple[float, ...] = (1.0,)
+    step_noise: float = 0.0
+
+    def length_hint(self, random: Random, out: int) -> int:
+        """Return a random length hint, in tokens, for an answer of ``out`` tokens."""
+        ratio = self.hint_ratio
+        if self.hint_spread:
+            ratio *= random.lognormvariate(0.0, self.hint_spread)
+        return max(1, int(ratio * out))
 
 
 LONG_PROMPTS = Deployment(
@@ -186,4 +206,69 @@
     first_event_delay_s=0.03,
     tokens_per_s=220_000.0,
 )
-DEPLOYMENTS = {"long": LONG_PROMPTS, "short": SHORT_PROMPTS}
+FEW_SLOTS = Deployment(
+    (
+        RequestKind(
+            "itinerary",
+            22.6,
+            4.1,
+            1.2,
+            0.8,
+            12.0,
+            0.3,
+            186,
+            LengthDistribution(4_870, 0.7, 14_600),
+            LengthDistribution(6_610, 1.4, 54_600),
+            LengthDistribution(382, 0.44, 1_120),
+        ),
+        RequestKind(
+            "chat",
+            48.0,
+            2.2,
+            0.67,
+            0.3,
+            10.0,
+            0.3,
+            152,
+            LengthDistribution(79, 0.7, 238),
+            LengthDistribution(628, 1.0, 3_310),
+            LengthDistribution(291, 0.69, 954),
+        ),
+        RequestKind(
+            "tag",
+            42.0,
+            0.36,
+            0.11,
+            0.4,
+            2.5,
+            0.3,
+            153,
+            LengthDistribution(227, 0.7, 681),
+            LengthDistribution(1_800, 1.3, 6_870),
+            LengthDistribution(23, 1.4, 90),
+        ),
+    ),
+    engines=10,
+    zones=("a", "b", "c", "d"),
+    accounts=30,
+    slots=12,
+    memory_tokens=395_000,
+    prefill_tokens_per_s=61_200.0,
+    step_s=0.00337,
+    step_s_per_run=0.0000109,
+    tokens_per_event=10,
+    first_event_delay_s=0.006,
+    tokens_per_s=343_000.0,
+    account_skew=2.0,
+    zone_weights=(1.0, 0.6, 0.8, 0.7),
+    hint_ratio=1.0,
+    hint_spread=0.5,
+)
+"""Engines that run few requests at once, at a seventh of a deployment's size."""
+MIXED_SPEEDS = replace(FEW_SLOTS, speeds=(0.7, 0.7, 1.7))
+DEPLOYMENTS = {
+    "long": LONG_PROMPTS,
+    "short": SHORT_PROMPTS,
+    "slots": FEW_SLOTS,
+    "speeds": MIXED_SPEEDS,
+}
--- a/greengageflow/lab/policy_engine.py
+++ b/greengageflow/lab/policy_engine.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from random import Random
 
 from greengageflow.core.forward_request import PromptPart
 from greengageflow.lab.policy_deployments import Deployment
@@ -44,6 +45,7 @@
         name: Id of the engine.
         zone: Availability zone.
         deployment: Performance parameters.
+        speed: Relative speed.
         on_first: Called at the first event of a run.
         on_end: Called when a run has finished.
     """
@@ -53,6 +55,7 @@
         name: str,
         zone: str,
         deployment: Deployment,
+        speed: float,
         on_first: Callable[["PolicyEngine", EngineRun, float], None],
         on_end: Callable[["PolicyEngine", EngineRun, float], None],
     ) -> None:
@@ -63,7 +66,9 @@
         self.runs: list[EngineRun] = []
         self.queue: list[EngineRun] = []
         self.busy = False
+        self.speed = speed
         self._deployment = deployment
+        self._random = Random(name)
         self._on_first, self._on_end = on_first, on_end
         self._cache: OrderedDict[str, int] = OrderedDict()
         self._link_free_at = 0.0
@@ -73,6 +78,11 @@
         """Cached prompt parts, least recently used first."""
         return tuple(PromptPart(name, n) for name, n in self._cache.items())
 
+    @property
+    def _time_factor(self) -> float:
+        """Durations relative to those of an engine of speed 1 without a fault."""
+        return self.step_slowdown / self.speed
+
     def has_cached(self, part: str) -> bool:
         """Whether a prompt part is in the cache."""
         return part in self._cache
@@ -123,11 +133,13 @@
         duration_s = (
             self._deployment.step_s + self._deployment.step_s_per_run * decoding
         )
-        duration_s = self.step_slowdown * (
+        duration_s = self._time_factor * (
             duration_s
             + prefilled / self._deployment.prefill_tokens_per_s
             + pairs * ATTENTION_PAIR_S
         )
+        if self._deployment.step_noise:
+            duration_s *= self._random.lognormvariate(0.0, self._deployment.step_noise)
         self._advance(now + duration_s)
         return duration_s
 
@@ -138,7 +150,7 @@
                     shared = run.request.prompt.parts[0]
                     self._cache_part(shared.id, shared.tokens)
                     run.decode_start = (
-                        now + self.step_slowdown * self._deployment.first_event_delay_s
+                        now + self._time_factor * self._deployment.first_event_delay_s
                     )
             elif run.decode_start <= now:
                 self._generate_token(now, run)
--- a/greengageflow/lab/policy_load.py
+++ b/greengageflow/lab/policy_load.py
@@ -10,13 +10,10 @@
 
 DAY_S = 40.0
 """Time in which requests arrive, in seconds."""
-ACCOUNT_SKEW = 1.4
 SHARED_PART_SKEW = 0.3
-"""Zipf exponents of the popularity of accounts and of shared prompt parts."""
+"""Zipf exponent of the popularity of shared prompt parts."""
 HOME_ZONE_FRACTION = 0.4
 """Fraction of an account's requests that come from its home zone."""
-ZONE_WEIGHTS = (1.0, 0.6, 0.8)
-"""Weights of the zones for the other requests."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +103,9 @@
     accounts = [f"account{n}" for n in range(deployment.accounts)]
     home_zones = [random.choice(deployment.zones) for _ in accounts]
     shared_parts = {kind.name: _SharedParts(random, kind) for kind in deployment.kinds}
-    base_weights = [1 / (n + 1) ** ACCOUNT_SKEW for n in range(deployment.accounts)]
+    base_weights = [
+        1 / (n + 1) ** deployment.account_skew for n in range(deployment.accounts)
+    ]
     requests_per_s = sum(kind.requests_per_s for kind in deployment.kinds)
     now, number = 0.0, 0
     while now < DAY_S:
@@ -136,13 +135,15 @@
         zone = (
             home_zones[index]
             if from_home_zone
-            else random.choices(deployment.zones, ZONE_WEIGHTS)[0]
+            else random.choices(deployment.zones, deployment.zone_weights)[0]
         )
         part = shared_parts[kind.name].pick(random, hot_fraction)
         own = kind.own.draw(random)
         out = kind.out.draw(random)
         prompt = Prompt(
-            (part, PromptPart(f"own{number}", own)), part.tokens + own, int(1.3 * out)
+            (part, PromptPart(f"own{number}", own)),
+            part.tokens + own,
+            deployment.length_hint(random, out),
         )
         yield SimulatedRequest(
             f"q{number}",
--- a/greengageflow/lab/policy_simulation.py
+++ b/greengageflow/lab/policy_simulation.py
@@ -118,9 +118,9 @@
         self._engines: dict[str, PolicyEngine] = {}
         self._endpoint_list = EndpointList()
         for number in range(deployment.engines):
-            self._add_engine(
-                f"e{number}", deployment.zones[number % len(deployment.zones)]
-            )
+            zone = deployment.zones[number % len(deployment.zones)]
+            speed = deployment.speeds[number % len(deployment.speeds)]
+            self._add_engine(f"e{number}", zone, speed)
         self._dispatcher = self._new_dispatcher()
 
     def run(self) -> SimulationResult:
@@ -182,9 +182,9 @@
         self._dispatcher.set_owned_engines(frozenset(self._endpoint_list.ids()))
         self._apply(self._dispatcher.on_totals(self._now, FleetTotals(hosts=8)))
 
-    def _add_engine(self, name: str, zone: str) -> None:
+    def _add_engine(self, name: str, zone: str, speed: float) -> None:
         self._engines[name] = PolicyEngine(
-            name, zone, self._deployment, self._on_first, self._on_end
+            name, zone, self._deployment, speed, self._on_first, self._on_end
         )
         entry = ListedEndpoint(
             name, SERVICE, "127.0.0.1", 9, zone, self._deployment.slots
@@ -373,7 +373,8 @@
             case "crash":
                 self._crash(engine)
                 self._schedule(
-                    fault.until, lambda: self._add_engine(f"{name}+", engine.zone)
+                    fault.until,
+                    lambda: self._add_engine(f"{name}+", engine.zone, engine.speed),
                 )
             case "slow":
                 engine.step_slowdown = fault.severity
