Choose endpoints by likely durations where targets are short

Cause: endpoints were compared by the number of their requests. A replica that is 2.5 times slower got as many calls as the others, and its callers waited longest.

Change: a work model learns durations of requests by service, target, priority, hint and account, and the slowness of each endpoint; calls of plain services go where they are expected to end first, and an engine's slowness counts in its cost. It is on only where a stream has a target of at most 0.5 s; all else is decided as before.

--- a/greengageflow/core/arrival_gate.py
+++ b/greengageflow/core/arrival_gate.py
@@ -1,10 +1,9 @@
 """Admission control of an overloaded host: which requests are rejected unread."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from math import exp
 
-from greengageflow.core.routes import Route
+from greengageflow.core.routes import Routing
 
 ROUND_TARGET_FRACTION = 0.1
 """Overload round, as a fraction of the target, where targets are short.
@@ -46,21 +45,20 @@
     retry_after_s: float = 0.5
 
 
-def shed_limits(routes: Iterable[Route]) -> ShedLimits:
-    """Return the limits for a configuration's routes.
+def shed_limits(routing: Routing) -> ShedLimits:
+    """Return the limits for a configuration.
 
     Callers of a stream with a short target are late if they come back after the
-    default retry delay, and also if they are read by a host with rounds just below the
-    default limit. Where there is such a route, the host sheds earlier and sends callers
-    on at once: the balancer directs a retry to another host.
+    default retry delay, and also if a host reads them whose rounds are just below the
+    default limit. Where there is such a stream, the host sheds earlier and sends
+    callers on at once: the balancer directs a retry to another host.
     """
-    defaults = ShedLimits()
-    target_s = min((route.target_s for route in routes if route.stream), default=1.0)
-    if target_s > defaults.retry_after_s:
-        return defaults
+    if not routing.has_short_targets:
+        return ShedLimits()
+    target_s = routing.shortest_stream_target_s
     return ShedLimits(
-        read_all_s=min(defaults.read_all_s, READ_TARGET_FRACTION * target_s),
-        overload_s=min(defaults.overload_s, ROUND_TARGET_FRACTION * target_s),
+        read_all_s=READ_TARGET_FRACTION * target_s,
+        overload_s=ROUND_TARGET_FRACTION * target_s,
         retry_after_s=RETRY_TARGET_FRACTION * target_s,
     )
 
--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -9,6 +9,8 @@
 from greengageflow.core.endpoint_load import EndpointLoad
 from greengageflow.core.forward_request import Prompt
 from greengageflow.core.prompt_places import PromptPlaces, home_of
+from greengageflow.core.work_estimates import WorkKey
+from greengageflow.core.work_model import WorkModel
 
 FAILURE_PENALTY_S = 1.0
 CROSS_ZONE_PENALTY_S = 0.04
@@ -27,6 +29,8 @@
 PLAIN_REQUESTS_PER_SLOT = 3.0
 PLAIN_CROSS_ZONE_PENALTY = 0.3
 PLAIN_FAILURE_PENALTY = 8.0
+PLAIN_UNCERTAINTY = 0.5
+"""Part of a running request that counts although a slot is free."""
 HOME_BONUS_S = 0.05
 """Preference for a part's home endpoint, in seconds of wait.
 
@@ -40,6 +44,12 @@
 MAX_FILL_FRACTION = 0.92
 NEGLIGIBLE_WAIT_S = 0.05
 """Seconds of wait that count as zero: one or two steps of an engine."""
+DECODE_COST_FRACTION = 0.1
+"""Cost of the time for which a request uses a slot, relative to a wait.
+
+The caller sees its first event at the same time, but a slot of a slow engine is free
+again later.
+"""
 MAX_RELIABLE_READING_RATIO = 1.5
 """Maximum tokens to read, relative to a prompt's own tokens, for a rate sample.
 
@@ -59,6 +69,7 @@
         wait_s: Predicted time to the first event, in seconds.
         fetch_from: Engine from which missing shared parts are fetched, or None.
         reliable: The number of tokens to read is reliable.
+        key: Class by which the request's duration is predicted, or None if it is not.
     """
 
     endpoint: ListedEndpoint
@@ -66,6 +77,7 @@
     wait_s: float = 0.0
     fetch_from: ListedEndpoint | None = None
     reliable: bool = True
+    key: WorkKey | None = None
 
 
 def _always(_now: float, _endpoint: ListedEndpoint) -> bool:
@@ -82,6 +94,7 @@
         zone: Availability zone of this host.
         may_send: Returns whether an endpoint may get one more request now, which a
             cold one may not always.
+        work: Predicts durations of requests at endpoints.
     """
 
     def __init__(
@@ -91,12 +104,14 @@
         places: PromptPlaces,
         zone: str,
         may_send: Callable[[float, ListedEndpoint], bool] = _always,
+        work: WorkModel | None = None,
     ) -> None:
         self._loads = loads
         self._health = health
         self._places = places
         self._zone = zone
         self._may_send = may_send
+        self._work = work or WorkModel()
 
     def find_candidates(
         self,
@@ -130,7 +145,10 @@
             sources=by_id if sources is None else {e.id: e for e in sources} | by_id,
             with_free_slot=with_free_slot,
             engines=[
-                _CandidateEngine(e, load, load.queue_wait_s(now)) for e, load in loads
+                _CandidateEngine(
+                    e, load, load.queue_wait_s(now), self._work.slowness(now, e)
+                )
+                for e, load in loads
             ],
         )
 
@@ -147,6 +165,7 @@
         avoid: Container[str] = (),
         zone: str = "",
         allowed_zones: Container[str] | None = None,
+        key: WorkKey | None = None,
     ) -> Choice | None:
         """Return the best endpoint, or None if none has capacity in time.
 
@@ -165,6 +184,7 @@
             zone: Availability zone of the host that sends the request; empty for this
                 host's.
             allowed_zones: Zones whose endpoints may run the request, or None for all.
+            key: Class by which its duration is predicted, or None if it is not.
         """
         zone = zone or self._zone
         if allowed_zones is not None:
@@ -174,7 +194,7 @@
             found = [
                 e for e in active or candidates.with_free_slot if e.id not in avoid
             ]
-            return self._choose_plain(found, fill, zone)
+            return self._choose_plain(now, found, fill, zone, key)
         wait_limit_s = max(NEGLIGIBLE_WAIT_S, min(max_wait_s, first_event_within_s))
         eligible = [
             engine
@@ -188,6 +208,7 @@
         cached = self._find_cached(now, prompt, candidates)
         is_cached = 0 < prompt.shared_tokens == cached.longest_tokens
         home = None if is_cached else home_of(prompt.affinity, candidates.endpoints)
+        decode_cost_s = DECODE_COST_FRACTION * self._mean_duration_s(now, key)
         best: Choice | None = None
         best_s = inf
         for engine in eligible:
@@ -203,6 +224,7 @@
                 continue
             wait_s = engine.queue_wait_s + estimate.first_s
             cost_s = self._cost_s(engine, wait_s, zone) + estimate.duplicate_s
+            cost_s += decode_cost_s * engine.slowness
             if home is not None and engine.endpoint.id == home.id:
                 cost_s -= HOME_BONUS_S
             if cost_s < best_s:
@@ -213,9 +235,14 @@
                     wait_s,
                     estimate.source,
                     estimate.reliable,
+                    key,
                 )
         return best
 
+    def _mean_duration_s(self, now: float, key: WorkKey | None) -> float:
+        estimate = self._work.estimate(now, key) if key is not None else None
+        return estimate.mean if estimate is not None else 0.0
+
     def _find_cached(
         self, now: float, prompt: Prompt, candidates: "Candidates"
     ) -> "_CachedPrefixes":
@@ -238,11 +265,17 @@
         return cached
 
     def _choose_plain(
-        self, endpoints: Sequence[ListedEndpoint], fill: float, zone: str
+        self,
+        now: float,
+        endpoints: Sequence[ListedEndpoint],
+        fill: float,
+        zone: str,
+        key: WorkKey | None,
     ) -> Choice | None:
-        """Return the least loaded endpoint of a plain service."""
+        """Return the endpoint of a plain service with the least work left."""
         best: ListedEndpoint | None = None
         best_cost = float("inf")
+        mean_s = self._mean_duration_s(now, key)
         for endpoint in endpoints:
             load = self._loads(endpoint)
             # Beyond this an endpoint's own queue is full, and it rejects requests;
@@ -253,10 +286,26 @@
             failure_cost = PLAIN_FAILURE_PENALTY * self._health.failure_rate(
                 endpoint.id
             )
-            cost = load.running + cross_zone + failure_cost
+            work_left = self._work_left(now, endpoint, load, mean_s)
+            cost = work_left + cross_zone + failure_cost
             if cost < best_cost:
                 best, best_cost = endpoint, cost
-        return Choice(best) if best else None
+        return Choice(best, key=key) if best else None
+
+    def _work_left(
+        self, now: float, endpoint: ListedEndpoint, load: EndpointLoad, mean_s: float
+    ) -> float:
+        """Return the work until a new request has ended, in mean requests of a slot.
+
+        Without an estimate it is the number of running requests.
+        """
+        if not mean_s:
+            return load.running
+        # An endpoint with few free slots may get other hosts' requests meanwhile.
+        uncertainty = PLAIN_UNCERTAINTY * load.running
+        duration_s = self._work.slowness(now, endpoint) * mean_s
+        wait_s = self._work.slot_wait_s(now, endpoint, load, mean_s)
+        return (wait_s + duration_s) * load.slots / mean_s + uncertainty
 
     def _cost_s(self, engine: "_CandidateEngine", wait_s: float, zone: str) -> float:
         endpoint, load = engine.endpoint, engine.load
@@ -270,6 +319,7 @@
     endpoint: ListedEndpoint
     load: EndpointLoad
     queue_wait_s: float
+    slowness: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from greengageflow.core.prefill_model import MIN_TRUSTED_SAMPLES, PrefillModel
+from greengageflow.core.work_estimates import WorkKey
 
 FIRST_EVENT_GRACE_S = 0.1
 """Delay of a first event, in seconds, above which the engine counts as behind.
@@ -41,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class _ActiveRequest:
+class ActiveRequest:
     """An unfinished request at an endpoint.
 
     Args:
@@ -52,6 +53,9 @@
         cumulative_tokens: Total prompt tokens sent there so far, including its own.
         sent_to_idle: No other prompt was known to be unread at that time.
         reliable: The number of tokens to read is reliable.
+        key: Class by which its duration is predicted, or None if it is not.
+        began_at: Start of its duration: its first event, or the sending if it has no
+            prompt to read and a slot was free; None before, and if it is not known.
     """
 
     reading: float
@@ -61,6 +65,8 @@
     cumulative_tokens: float
     sent_to_idle: bool
     reliable: bool
+    key: WorkKey | None = None
+    began_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -97,8 +103,8 @@
         self._service_model = service_model or PrefillModel()
         self._service_unread = service_unread or UnreadTokens()
         self._model = PrefillModel()
-        self._runs: dict[str, _ActiveRequest] = {}
-        self._awaiting_first_event: dict[str, _ActiveRequest] = {}
+        self._runs: dict[str, ActiveRequest] = {}
+        self._awaiting_first_event: dict[str, ActiveRequest] = {}
         self._reading = 0.0
         self._memory = 0.0
         self._unread_estimate = 0.0
@@ -183,6 +189,7 @@
         memory: float,
         *,
         reliable: bool = True,
+        key: WorkKey | None = None,
     ) -> None:
         """Add a request that is sent to the endpoint.
 
@@ -192,12 +199,21 @@
             reading: Prompt tokens to read.
             memory: Memory that it needs at its end, in tokens.
             reliable: ``reading`` is reliable, so that the model may learn from it.
+            key: Class by which its duration is predicted, or None if it is not.
         """
         sent_to_idle = not self._awaiting_first_event and not self.others.reading
         estimate = self._update_unread_estimate(now) + reading
         self._sent_tokens += reading
-        run = _ActiveRequest(
-            reading, memory, now, estimate, self._sent_tokens, sent_to_idle, reliable
+        run = ActiveRequest(
+            reading,
+            memory,
+            now,
+            estimate,
+            self._sent_tokens,
+            sent_to_idle,
+            reliable,
+            key,
+            now if not reading and self.running < self.slots else None,
         )
         self._runs[request] = run
         if reading:
@@ -211,6 +227,7 @@
         run = self._awaiting_first_event.pop(request, None)
         if run is None:
             return
+        run.began_at = now
         self._learn(now, run)
         self._last_event_at = now
         # All prompts sent up to this one are read, and perhaps some sent later.
@@ -224,7 +241,7 @@
         self._reading += tokens
         self._service_unread.total += tokens
 
-    def _learn(self, now: float, run: _ActiveRequest) -> None:
+    def _learn(self, now: float, run: ActiveRequest) -> None:
         took_s = now - run.sent_at
         if not run.reliable or took_s <= 0:
             return
@@ -236,13 +253,23 @@
             for model in (self._model, self._service_model):
                 model.learn_busy(run.reading, now - self._last_event_at)
 
-    def remove_request(self, request: str) -> None:
-        """Remove a request that no longer runs at the endpoint."""
+    def remove_request(self, request: str) -> ActiveRequest | None:
+        """Remove a request that no longer runs at the endpoint, and return it."""
         run = self._runs.pop(request, None)
         if run is not None:
             self._awaiting_first_event.pop(request, None)
             self._add_reading(-run.reading)
             self._memory -= run.memory
+        return run
+
+    def ages(self, now: float) -> Iterator[tuple[WorkKey, float]]:
+        """Yield class and age in seconds of this host's requests that are predicted.
+
+        The age is 0 until the first event.
+        """
+        for run in self._runs.values():
+            if run.key is not None:
+                yield run.key, 0.0 if run.began_at is None else now - run.began_at
 
     def clear(self) -> None:
         """Remove all requests, since the endpoint is gone."""
--- a/greengageflow/core/remote_placements.py
+++ b/greengageflow/core/remote_placements.py
@@ -34,6 +34,7 @@
     received_at: float
     prompt: Prompt | None = None
     endpoint: ListedEndpoint | None = None
+    has_failed: bool = False
 
 
 class RemotePlacements:
@@ -147,15 +148,19 @@
         endpoint = placement.endpoint
         match event.kind:
             case PlacementEventKind.ENDED:
-                yield from self._end(now, key)
+                # The message doesn't tell a caller that left from a whole answer.
+                completed_at = None if placement.has_failed else now
+                yield from self._end(now, key, completed_at)
                 return
             case PlacementEventKind.FIRST_EVENT if endpoint is not None:
                 self._book.on_first_event(now, key, endpoint)
                 # Its prefill is done: the next prompt may be sent.
                 yield from self._book.pump(now)
             case PlacementEventKind.FAILED if endpoint is not None:
+                placement.has_failed = True
                 self._book.on_answer(endpoint, False)
             case PlacementEventKind.SILENT if endpoint is not None:
+                placement.has_failed = True
                 self._book.on_no_answer(now, endpoint)
 
     def on_snapshot(
@@ -205,13 +210,17 @@
             if now - self._last_seen_at.get(placement.host, now) > HOST_TIMEOUT_S:
                 yield from self._end(now, key)
 
-    def _end(self, now: float, key: str) -> Iterator[Decision]:
+    def _end(
+        self, now: float, key: str, completed_at: float | None = None
+    ) -> Iterator[Decision]:
         # A decision made earlier in the same call may have refused it already.
         placement = self._placements.pop(key, None)
         if placement is None:
             return
         if placement.endpoint is not None:
-            self._book.on_request_released(key, placement.endpoint)
+            self._book.on_request_released(
+                key, placement.endpoint, completed_at=completed_at
+            )
         yield from self._book.on_request_end(now, placement.service, key)
 
 
--- a/greengageflow/core/routes.py
+++ b/greengageflow/core/routes.py
@@ -4,8 +4,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from math import inf
 from random import Random
 
+SHORT_TARGET_S = 0.5
+"""Target of a stream up to which the configuration counts as having short targets.
+
+Such a request can't wait for a slot of an engine, nor for a retry after the usual
+delay.
+"""
+
 
 class RetryPolicy(Enum):
     """Retry policy of a route."""
@@ -149,6 +157,16 @@
     tokens_per_s: float = 0.0
     account_regions: dict[str, frozenset[str]] = field(default_factory=dict)
 
+    @property
+    def shortest_stream_target_s(self) -> float:
+        """Shortest target of a stream, in seconds; infinite without streams."""
+        return min((r.target_s for r in self.routes if r.stream), default=inf)
+
+    @property
+    def has_short_targets(self) -> bool:
+        """Whether a stream has a short target, so that likely costs decide."""
+        return self.shortest_stream_target_s <= SHORT_TARGET_S
+
     def allowed_regions(self, route: Route, account: str) -> frozenset[str] | None:
         """Return the regions whose endpoints may run a request, or None for all.
 
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -27,6 +27,7 @@
     StartJob,
 )
 from greengageflow.core.warmup import FleetShare, WarmupBounds, WarmupLimiter
+from greengageflow.core.work_model import WorkModel
 
 USAGE_DECAY_S = 2.0
 """Time constant of the decay of recent work, in seconds.
@@ -65,6 +66,7 @@
 
     Attributes:
         warmup: Limits the requests that cold endpoints get.
+        work: Predicts durations of requests at endpoints.
     """
 
     def __init__(
@@ -87,12 +89,14 @@
         self.warmup = WarmupLimiter(
             host, warmup or WarmupBounds(), self._share, self.service
         )
+        self.work = WorkModel()
         self._chooser = EndpointChooser(
             self._load,
             self._health,
             self._prefixes.places,
             zone,
             self.warmup.may_send,
+            self.work,
         )
         self._schedulers: dict[str, ServiceScheduler] = {}
         self._make_budget = budget
@@ -195,11 +199,15 @@
     def on_routing(self, routing: Routing) -> None:
         """Apply a new configuration."""
         self._routing = routing
+        self.work.enabled = routing.has_short_targets
+        for scheduler in self._schedulers.values():
+            scheduler.by_cost = self.work.enabled
 
     def forget_endpoint(self, endpoint: str) -> None:
         """Drop all state of an endpoint that is no longer listed."""
         self._health.forget(endpoint)
         self.warmup.forget(endpoint)
+        self.work.forget(endpoint)
         self._loads.forget(endpoint)
         self._prefixes.forget(endpoint)
 
@@ -376,7 +384,12 @@
         self.warmup.on_sent(now, endpoint)
         memory = prompt.tokens_in + prompt.tokens_out if prompt else 0
         self._load(endpoint).add_request(
-            now, request, choice.reading, memory, reliable=choice.reliable
+            now,
+            request,
+            choice.reading,
+            memory,
+            reliable=choice.reliable,
+            key=choice.key,
         )
         if prompt is not None:
             capacity = self.service(endpoint.service).memory_tokens
@@ -393,12 +406,29 @@
         self.warmup.on_answer(now, endpoint)
         self._health.on_answer(endpoint.id, True)
 
-    def on_request_released(self, request: str, endpoint: ListedEndpoint) -> None:
-        """Remove a request from an endpoint's load."""
+    def on_request_released(
+        self,
+        request: str,
+        endpoint: ListedEndpoint,
+        *,
+        completed_at: float | None = None,
+    ) -> None:
+        """Remove a request from an endpoint's load.
+
+        Args:
+            request: Its id.
+            endpoint: The endpoint.
+            completed_at: Time at which its whole answer had come; None if it was cut
+                off, rejected or cancelled.
+        """
         self._prefixes.on_released(request)
         load = self._loads.get(endpoint.id)
-        if load is not None:
-            load.remove_request(request)
+        run = load.remove_request(request) if load is not None else None
+        if run is None or run.key is None or run.began_at is None:
+            return
+        if completed_at is not None and self._endpoints.is_current(endpoint):
+            took_s = completed_at - run.began_at
+            self.work.observe(completed_at, run.key, endpoint, took_s)
 
     def on_backoff(self, now: float, endpoint: ListedEndpoint, seconds: float) -> bool:
         """Start a backoff that an endpoint asked for.
@@ -492,7 +522,9 @@
                 lambda: self._loads.unread_tokens(service),
                 lambda: self.backoff_s(self._now, service),
                 usage_decay_s=USAGE_DECAY_S,
+                service=service,
             )
+            found.by_cost = self.work.enabled
         found.transfers = self.service(service).transfers
         return found
 
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -11,6 +11,7 @@
 )
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import Prompt
+from greengageflow.core.work_estimates import WorkKey
 from greengageflow.core.work_queue import QueuedRequest, WorkQueue
 from greengageflow.errors import ErrorKind
 
@@ -57,6 +58,16 @@
     allowed_zones: frozenset[str] | None = None
     version: str = ""
 
+    @property
+    def kind(self) -> str:
+        """What distinguishes requests by their likely work.
+
+        It is the same at the host that receives the request and at its placer, which
+        doesn't know the route. A hint of the length is often off by a factor of two.
+        """
+        length = self.prompt.tokens_out.bit_length() if self.prompt else 0
+        return f"{self.target_s:g} {self.queued_request.priority} {length}"
+
 
 @dataclass(frozen=True, slots=True)
 class CapacityShare:
@@ -113,6 +124,10 @@
             one accepts work now, or if there are none.
         usage_decay_s: Time constant of the decay of recent work, in seconds.
         transfers: Engines can fetch prompt parts from each other.
+        service: Name of the service.
+
+    Attributes:
+        by_cost: Choices depend on the likely durations of requests.
     """
 
     def __init__(
@@ -126,9 +141,11 @@
         *,
         usage_decay_s: float,
         transfers: bool = False,
+        service: str = "",
     ) -> None:
         self.capacity_share = CapacityShare()
         self.transfers = transfers
+        self.by_cost = False
         self.running: set[str] = set()
         self._endpoints = endpoints
         self._sources = sources
@@ -137,6 +154,7 @@
         self._unread_tokens = unread_tokens
         self._backoff_s = backoff_s
         self._usage_decay_s = usage_decay_s
+        self._service = service
         self._queue = WorkQueue()
         self._jobs: dict[str, Job] = {}
         self._resumed_jobs: dict[str, Job] = {}
@@ -246,13 +264,10 @@
         within_share = len(self.running) < share.running
         within_share = within_share and self._unread_tokens() < share.reading
         for queued in self._queue.next_by_account(now, self._recent_usage):
-            limit = share.usage_limits.get(queued.account, inf)
-            beyond_share = (
-                not within_share or self._recent_usage(queued.account) > limit
-            )
             job = self._jobs[queued.id]
             if job.version:
                 continue
+            beyond_share = not within_share or self._is_beyond_share(queued.account)
             # Beyond the share of this host or its account, a request starts only on
             # engines with spare capacity. So no capacity idles, and requests within
             # their share do not have to wait for it.
@@ -270,11 +285,16 @@
                 - (now - queued.arrived),
                 transfers=self.transfers,
                 fill=SPARE_FILL_FRACTION if beyond_share else MAX_FILL_FRACTION,
+                key=self._work_key(job),
             )
             if choice is not None:
                 return StartJob(queued, choice)
         return None
 
+    def _is_beyond_share(self, account: str) -> bool:
+        limit = self.capacity_share.usage_limits.get(account, inf)
+        return self._recent_usage(account) > limit
+
     def _next_resumed(self, now: float) -> StartJob | None:
         """Return the next start of a stream that goes on, or None.
 
@@ -299,6 +319,11 @@
                 return StartJob(job.queued_request, choice)
         return None
 
+    def _work_key(self, job: Job) -> WorkKey | None:
+        if not self.by_cost:
+            return None
+        return WorkKey(self._service, job.kind, job.queued_request.account)
+
     def next_due(self) -> float | None:
         """Return the time at which ``pump`` must be called next, or None."""
         return self._queue.next_expiry()
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -325,7 +325,9 @@
         invalid = not note.is_forwardable and note.status < 400
         good = note.is_forwardable or 400 <= note.status < 500
         self.placement.on_response(ctx.id, endpoint, good)
-        self.placement.on_request_released(ctx.id, endpoint)
+        self.placement.on_request_released(
+            ctx.id, endpoint, completed=note.is_forwardable
+        )
         if note.is_forwardable:
             self.crashes.on_successful_answer(ctx.identity, ctx.run_began_at)
         if not invalid and note.status < 500:
@@ -395,7 +397,7 @@
     def on_end(self, ctx: ForwardContext) -> None:
         """Finish a stream that the endpoint ended regularly."""
         head = ctx.attempt.head
-        self.placement.on_request_released(ctx.id, ctx.attempt.endpoint)
+        self.placement.on_request_released(ctx.id, ctx.attempt.endpoint, completed=True)
         self.crashes.on_successful_answer(ctx.identity, ctx.run_began_at)
         if ctx.phase is not Phase.STREAMING:
             ctx.reply.begin(head.status, headers_for_caller(head))
--- a/greengageflow/daemon/load_shedder.py
+++ b/greengageflow/daemon/load_shedder.py
@@ -56,7 +56,7 @@
 
     def on_routing(self, routing: Routing) -> None:
         """Apply a new configuration."""
-        self._gate.limits = shed_limits(routing.routes)
+        self._gate.limits = shed_limits(routing)
 
     def should_shed(self, data: bytes) -> bool:
         """Return whether to shed a request whose first bytes are ``data``."""
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -272,9 +272,20 @@
             self._report_event(request, run, PlacementEventKind.SILENT)
         return self._dispatcher.on_no_answer(now, endpoint)
 
-    def on_request_released(self, request: str, endpoint: ListedEndpoint) -> None:
-        """Record that an endpoint no longer works on a request."""
-        self._dispatcher.on_request_released(request, endpoint)
+    def on_request_released(
+        self, request: str, endpoint: ListedEndpoint, *, completed: bool = False
+    ) -> None:
+        """Record that an endpoint no longer works on a request.
+
+        Args:
+            request: Its id.
+            endpoint: The endpoint.
+            completed: Its whole answer has come.
+        """
+        completed_at = self._timers.now if completed else None
+        self._dispatcher.on_request_released(
+            request, endpoint, completed_at=completed_at
+        )
         run = self._runs.get(request)
         if run is not None and run.active:
             run.active = False
--- a/greengageflow/lab/bench_policy.py
+++ b/greengageflow/lab/bench_policy.py
@@ -12,6 +12,7 @@
     prefill_model,
     service_dispatcher,
     service_scheduler,
+    work_model,
 )
 from greengageflow.lab._slopes_svg import draw
 from greengageflow.lab.policy_deployments import DEPLOYMENTS
@@ -67,6 +68,14 @@
     endpoint_choice.EndpointChooser.choose = patched
 
 
+def _no_estimates() -> None:
+    work_model.WorkModel.estimate = lambda *_args: None
+
+
+def _no_speeds() -> None:
+    work_model.WorkModel.slowness = lambda *_args: 1.0
+
+
 MECHANISMS: Mapping[str, Callable[[], None]] = {
     "fixed-time": _no_fixed_time,
     "zones": _set_constants(endpoint_choice, CROSS_ZONE_PENALTY_S=0.0),
@@ -81,6 +90,8 @@
         service_scheduler, SPARE_WAIT_TARGET_FRACTION=inf, SPARE_FILL_FRACTION=1.0
     ),
     "first-by": _set_constants(service_scheduler, FIRST_EVENT_TARGET_FRACTION=inf),
+    "estimates": _no_estimates,
+    "speeds": _no_speeds,
     "queue": _set_constants(service_scheduler, QUEUE_TARGET_FRACTION=0.1),
 }
 """Functions that disable a mechanism, by name."""
--- a/greengageflow/lab/policy_deployments.py
+++ b/greengageflow/lab/policy_deployments.py
@@ -4,6 +4,8 @@
 from math import log, sqrt
 from random import Random
 
+from greengageflow.core.routes import Backend, RetryPolicy, Route
+
 
 @dataclass(frozen=True, slots=True)
 class LengthDistribution:
@@ -56,6 +58,23 @@
     own: LengthDistribution
     out: LengthDistribution
 
+    def route(self, service: str) -> Route:
+        """Return the configured route of its requests, which ``service`` runs."""
+        return Route(
+            name=self.name,
+            host="policy",
+            prefix=f"/{self.name}/",
+            retry_policy=RetryPolicy.ONCE,
+            stream=True,
+            timeout_s=self.deadline_s,
+            target_s=self.target_s,
+            gap_s=self.gap_s,
+            attempts=1,
+            priority=0,
+            public=False,
+            backends=(Backend(service),),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
--- a/greengageflow/lab/policy_simulation.py
+++ b/greengageflow/lab/policy_simulation.py
@@ -171,6 +171,7 @@
         dispatcher.on_routing(
             Routing(
                 1,
+                routes=tuple(kind.route(SERVICE) for kind in self._deployment.kinds),
                 services={SERVICE: service},
                 tokens_per_s=self._deployment.tokens_per_s,
             )
@@ -253,7 +254,10 @@
             return
         attempt.row.end = end
         if attempt.endpoint is not None:
-            self._dispatcher.on_request_released(attempt.id, attempt.endpoint)
+            completed_at = self._now if end in ("in_time", "late") else None
+            self._dispatcher.on_request_released(
+                attempt.id, attempt.endpoint, completed_at=completed_at
+            )
         self._apply(self._dispatcher.on_request_end(self._now, SERVICE, attempt.id))
 
     def _abort(self, attempt: _Attempt, end: str) -> None:
@@ -344,6 +348,9 @@
         self._apply(self._dispatcher.pump(self._now))
 
     def _failure_probability(self, engine: PolicyEngine) -> float:
+        if engine.name not in self._engines:
+            # It crashed after it had sent the first event.
+            return 0.0
         index = list(self._engines).index(engine.name)
         active = (
             t for t in self._faults if t.kind == "grey" and t.is_active(self._now)
--- a/tests/test_arrival_gate.py
+++ b/tests/test_arrival_gate.py
@@ -179,12 +179,13 @@
 def test_limits_are_unchanged_where_all_streams_have_long_targets():
     """Plain calls are short, and a host that is nearly overloaded still serves them."""
     routes = [make_route(0.6), make_route(1.5), make_route(0.1, stream=False)]
-    assert shed_limits(routes) == ShedLimits() == shed_limits([])
+    assert shed_limits(Routing(1, routes=tuple(routes))) == ShedLimits()
+    assert shed_limits(Routing()) == ShedLimits()
 
 
 def test_callers_with_a_short_target_can_be_in_time_at_another_host():
     """Callers with a target of 0.3 s were told to come back after 0.5 s."""
-    limits = shed_limits([make_route(0.8), make_route(0.3)])
+    limits = shed_limits(Routing(1, routes=(make_route(0.8), make_route(0.3))))
     assert limits.retry_after_s + 5 * limits.overload_s < 0.6 * 0.3
     assert limits.read_all_s < limits.overload_s
 
@@ -200,7 +201,7 @@
     median = sorted(sum(waits.values(), []))[sum(map(len, waits.values())) // 2]
     assert 5 * median > 0.3
     gate = ArrivalGate()
-    gate.limits = shed_limits([make_route(0.3)])
+    gate.limits = shed_limits(Routing(1, routes=(make_route(0.3),)))
     waits, _, left = simulate(gate, rows)
     assert not left
     read = sorted(sum(waits.values(), []))
