Late requests yield to those that can be in time, where targets are short

Cause: callers that were refused come back after their target. They took the slots of fresh requests of their account, which were refused in turn and came back late.

--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -127,7 +127,8 @@
         service: Name of the service.
 
     Attributes:
-        by_cost: Choices depend on the likely durations of requests.
+        by_cost: Choices depend on the likely durations of requests, and late requests
+            yield to those that can be in time.
     """
 
     def __init__(
@@ -267,7 +268,11 @@
             job = self._jobs[queued.id]
             if job.version:
                 continue
-            beyond_share = not within_share or self._is_beyond_share(queued.account)
+            beyond_share = (
+                not within_share
+                or self._is_beyond_share(queued.account)
+                or self._yields_to_others(now, queued)
+            )
             # Beyond the share of this host or its account, a request starts only on
             # engines with spare capacity. So no capacity idles, and requests within
             # their share do not have to wait for it.
@@ -295,6 +300,14 @@
         limit = self.capacity_share.usage_limits.get(account, inf)
         return self._recent_usage(account) > limit
 
+    def _yields_to_others(self, now: float, queued: QueuedRequest) -> bool:
+        """Whether a request is late already, and yields to those that can be in time.
+
+        Callers that were refused come back after their target. Without this they take
+        the slots of fresh requests, which are refused in turn and come back late.
+        """
+        return self.by_cost and queued.target_at <= now
+
     def _next_resumed(self, now: float) -> StartJob | None:
         """Return the next start of a stream that goes on, or None.
 
--- a/tests/test_service_core.py
+++ b/tests/test_service_core.py
@@ -259,6 +259,20 @@
     assert service.scheduler.waiting == 1
 
 
+@pytest.mark.parametrize("by_cost", [False, True])
+def test_late_requests_yield_where_targets_are_short(service, by_cost):
+    """Callers that came back took the slots of requests that could be in time."""
+    service.scheduler.by_cost = by_cost
+    service.fill(2)
+    late = service.submit("late", target_at=-1.0)
+    assert bool(late) is not by_cost
+    service.fill(2)
+    assert [d.request for d in service.submit("fresh", "b")] == ["fresh"]
+    service.fill(0)
+    started = [d.request for d in service.scheduler.pump(0.1)]
+    assert started == (["late"] if by_cost else [])
+
+
 def test_expired_requests_are_refused(service):
     service.fill(4)
     service.scheduler.capacity_share = CapacityShare(usage_limits={"a": 10.0})
