Metrics: errors of predicted durations and first events, slow endpoints

Operators could not see whether predictions are right. Three new metrics on the page of the gateway; the new ratio of durations is recorded only where likely durations decide.

--- a/greengageflow/core/work_model.py
+++ b/greengageflow/core/work_model.py
@@ -5,7 +5,7 @@
 ``Routing.has_short_targets``.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import chain, islice, repeat
 
 from greengageflow.core.endpoint_list import ListedEndpoint
@@ -21,6 +21,13 @@
 MIN_REST_S = 0.01
 """Shortest expected rest of a request, in seconds, so that rates stay finite."""
 
+SLOW_ENDPOINT_RATIO = 1.5
+"""Slowness from which an endpoint is counted as slow for operators."""
+
+
+def _ignore(_service: str, _ratio: float) -> None:
+    """Stand in for the receiver of ratios."""
+
 
 class WorkModel:
     """Durations of requests, and slowness of endpoints relative to each other.
@@ -31,10 +38,13 @@
     Attributes:
         enabled: Whether requests are recorded and predicted.
         estimates: Distributions of durations, in seconds.
+        on_ratio: Called with the service and the ratio of actual to expected duration
+            of each finished request that was predicted.
     """
 
     def __init__(self) -> None:
         self.enabled = False
+        self.on_ratio: Callable[[str, float], None] = _ignore
         self.estimates = WorkEstimates()
         self._speeds: dict[str, EndpointSpeed] = {}
 
@@ -55,6 +65,8 @@
         if expected is not None:
             speed = self._speeds.setdefault(endpoint.id, EndpointSpeed(endpoint.born))
             speed.restart(endpoint.born)
+            slowness = speed.slowness_at(now)
+            self.on_ratio(key.service, seconds / (expected.median * slowness))
             speed.observe(now, seconds, expected.median)
         # At a slow endpoint a request takes longer for the same work.
         self.estimates.observe(now, key, seconds / self.slowness(now, endpoint))
@@ -71,6 +83,11 @@
         speed.restart(endpoint.born)
         return speed.slowness_at(now)
 
+    def slow_endpoints(self, now: float) -> int:
+        """Return the number of endpoints that are much slower than the others."""
+        speeds = self._speeds.values() if self.enabled else ()
+        return sum(s.slowness_at(now) >= SLOW_ENDPOINT_RATIO for s in speeds)
+
     def slot_wait_s(
         self, now: float, endpoint: ListedEndpoint, load: EndpointLoad, mean_s: float
     ) -> float:
--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -139,6 +139,9 @@
         self._page.observe(
             PageMetric.FIRST_EVENT_TIME, now - ctx.arrived_at, ctx.service
         )
+        if ctx.predicted_wait_s and ctx.attempt_count == 1:
+            ratio = (now - ctx.first_sent_at) / ctx.predicted_wait_s
+            self._page.observe(PageMetric.FIRST_EVENT_RATIO, ratio, ctx.service)
 
     def record_longest_pause(self, ctx: ForwardContext) -> None:
         """Record the longest time between two events of a stream that has ended."""
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -61,7 +61,7 @@
 from greengageflow.net.decision_log import FLUSH_INTERVAL_S, DecisionLog
 from greengageflow.net.gossip_link import GossipLink
 from greengageflow.net.http_pool import HttpPool
-from greengageflow.net.metrics_page import MetricsPage
+from greengageflow.net.metrics_page import MetricsPage, PageMetric
 from greengageflow.platform.interfaces import CallerInterface, ReadyInterface
 from greengageflow.settings_file import Address
 
@@ -116,6 +116,7 @@
             warmup=settings.bounds.warmup,
             zones=settings.regions,
         )
+        self._service_dispatcher.work.on_ratio = self._on_duration_ratio
         self._forward_notes = ForwardTelemetry(
             self._log, self._metrics, self._service_dispatcher
         )
@@ -295,6 +296,7 @@
             ),
             evacuated=lambda: len(self._evacuation_watch.zones),
             stale_retries=lambda: self._pool.stale_retries,
+            slow=lambda: self._service_dispatcher.work.slow_endpoints(self._timers.now),
         )
         self._serve_pages(settings.ready, pages, "ready")
         if settings.metrics is not None:
@@ -402,6 +404,9 @@
         self._shedder.on_routing(routing)
         self._callers.set_request_limits(routing.bounds)
 
+    def _on_duration_ratio(self, service: str, ratio: float) -> None:
+        self._metrics.observe(PageMetric.DURATION_RATIO, ratio, service)
+
     def _on_endpoint_leaving(self, endpoint: str, source: str) -> None:
         self._log.write(
             DecisionEvent.ENDPOINT_LEAVING, endpoint=endpoint, source=source
--- a/greengageflow/daemon/gateway_pages.py
+++ b/greengageflow/daemon/gateway_pages.py
@@ -34,6 +34,7 @@
         cold: Returns the number of endpoints in warm-up.
         evacuated: Returns the number of evacuated zones.
         stale_retries: Returns the number of requests sent again on a new connection.
+        slow: Returns the number of endpoints that are much slower than the others.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         cold: Callable[[], int],
         evacuated: Callable[[], int],
         stale_retries: Callable[[], int],
+        slow: Callable[[], int],
     ) -> None:
         self.readiness_error = readiness_error
         self._page = page
@@ -78,6 +80,7 @@
         page.register_reader(PageMetric.COLD_ENDPOINTS, cold)
         page.register_reader(PageMetric.EVACUATED_ZONES, evacuated)
         page.register_reader(PageMetric.STALE_RETRIES, stale_retries)
+        page.register_reader(PageMetric.SLOW_ENDPOINTS, slow)
         page.register_reader(PageMetric.STORE_UNHEARD, config_age_s)
         page.register_reader(PageMetric.STORE_CALLS, lambda: {"sent": store_calls()})
         page.register_reader(
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -31,6 +31,7 @@
 _OVERFLOW_LABEL_VALUE = "other"
 _REQUEST_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
 _PAUSE_BUCKETS_S = (0.02, 0.05, 0.12, 0.3, 1.0, 3.0)
+_RATIO_BUCKETS = (0.25, 0.5, 0.8, 1.25, 2.0, 4.0)
 _STORE_BUCKETS_S = (0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
 
 
@@ -50,7 +51,8 @@
         name: Name without the prefix; counters get the suffix ``_total``.
         kind: Type of the metric.
         label: Name of its only label, or empty.
-        buckets: Upper bounds of a histogram's buckets, in seconds.
+        buckets: Upper bounds of a histogram's buckets, in seconds unless its name says
+            otherwise.
     """
 
     name: str
@@ -88,6 +90,12 @@
     PAUSE_TIME = PageMetricSpec(
         "pause_seconds", PageKind.HISTOGRAM, "service", _PAUSE_BUCKETS_S
     )
+    DURATION_RATIO = PageMetricSpec(
+        "duration_ratio", PageKind.HISTOGRAM, "service", _RATIO_BUCKETS
+    )
+    FIRST_EVENT_RATIO = PageMetricSpec(
+        "first_event_ratio", PageKind.HISTOGRAM, "service", _RATIO_BUCKETS
+    )
     STORE_TIME = PageMetricSpec(
         "store_call_seconds", PageKind.HISTOGRAM, "call", _STORE_BUCKETS_S
     )
@@ -101,6 +109,7 @@
     QUARANTINED = PageMetricSpec("quarantined", PageKind.GAUGE)
     COLD_ENDPOINTS = PageMetricSpec("cold_endpoints", PageKind.GAUGE)
     EVACUATED_ZONES = PageMetricSpec("evacuated_zones", PageKind.GAUGE)
+    SLOW_ENDPOINTS = PageMetricSpec("slow_endpoints", PageKind.GAUGE)
     CONFIG_VERSION = PageMetricSpec("config_version", PageKind.GAUGE)
     STORE_ERA = PageMetricSpec("store_era", PageKind.GAUGE)
     STORE_UNHEARD = PageMetricSpec("store_unheard_seconds", PageKind.GAUGE)
--- a/tests/test_work_model.py
+++ b/tests/test_work_model.py
@@ -52,6 +52,17 @@
     assert model.estimate(now, KEY).median == pytest.approx(0.03, rel=0.25)
 
 
+def test_errors_of_the_estimates_are_reported():
+    """Operators see whether the estimates are right, apart from slow endpoints."""
+    model, ratios = learned(), []
+    model.on_ratio = lambda service, ratio: ratios.append((service, ratio))
+    for number in range(30):
+        model.observe(1.0 + 0.02 * number, KEY, endpoint("slow"), 0.09)
+    assert {service for service, _ in ratios} == {"plain"}
+    assert ratios[0][1] > 2.5 and ratios[-1][1] < 1.3
+    assert model.slow_endpoints(1.6) == 1
+
+
 def test_endpoint_that_starts_again_under_its_id_begins_anew():
     model = learned()
     for number in range(30):
