Late requests come last, but are not held back

Cause: on the two new deployments engines have free slots most of the time. Holding late requests to half of the slots refused them while slots were idle.

Change: accounts of which only late requests wait come last; nothing else.

--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -1,6 +1,6 @@
 """Selection of the next queued request of a service and its endpoint."""
 
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from math import inf, log
 
@@ -264,15 +264,11 @@
         share = self.capacity_share
         within_share = len(self.running) < share.running
         within_share = within_share and self._unread_tokens() < share.reading
-        for queued in self._queue.next_by_account(now, self._recent_usage):
+        for queued in self._in_order(now):
             job = self._jobs[queued.id]
             if job.version:
                 continue
-            beyond_share = (
-                not within_share
-                or self._is_beyond_share(queued.account)
-                or self._yields_to_others(now, queued)
-            )
+            beyond_share = not within_share or self._is_beyond_share(queued.account)
             # Beyond the share of this host or its account, a request starts only on
             # engines with spare capacity. So no capacity idles, and requests within
             # their share do not have to wait for it.
@@ -300,13 +296,17 @@
         limit = self.capacity_share.usage_limits.get(account, inf)
         return self._recent_usage(account) > limit
 
-    def _yields_to_others(self, now: float, queued: QueuedRequest) -> bool:
-        """Whether a request is late already, and yields to those that can be in time.
+    def _in_order(self, now: float) -> Iterable[QueuedRequest]:
+        """Return the next request of each account, in the order of service.
 
-        Callers that were refused come back after their target. Without this they take
-        the slots of fresh requests, which are refused in turn and come back late.
+        Callers that were refused come back after their target. Where targets are short,
+        accounts that have only such requests come last. Otherwise these would take the
+        slots of fresh requests, which would be refused and come back late in turn.
         """
-        return self.by_cost and queued.target_at <= now
+        queued_requests = self._queue.next_by_account(now, self._recent_usage)
+        if not self.by_cost:
+            return queued_requests
+        return sorted(queued_requests, key=lambda queued: queued.target_at <= now)
 
     def _next_resumed(self, now: float) -> StartJob | None:
         """Return the next start of a stream that goes on, or None.
