Compare load reports with registered requests after an ownership change

Cause: a new owner of an endpoint, or one whose quota grows when a partition heals, waits settle_s for GrantTaken and then takes every slot without a registration for free. A router that has restarted knows no unreachable routers, so that it does not read the endpoint's load report. Requests that are registered later run beside the new ones.

Change: from an ownership change or a growth of the quota, the owner compares the reports with the registered requests and keeps the slots of the excess, for as long as reports show one. Without an excess nothing changes.

--- a/greengageflow/core/_slots.py
+++ b/greengageflow/core/_slots.py
@@ -4,14 +4,13 @@
 from dataclasses import dataclass
 
 from greengageflow.core._charges import Charge
+from greengageflow.core._unregistered import REPORT_LAG_MAX_S, UnregisteredRequests
 from greengageflow.core.catalog import Endpoint
 from greengageflow.core.limits import SlotLimit
 from greengageflow.core.messages import GrantTaken, PeerId
 from greengageflow.core.placement import FleetView
 
 _RELEASED_LIMIT = 512
-_REPORT_LAG_MAX_S = 2.0
-"""Longest delay of an endpoint's load report, in seconds."""
 _REPORT_MAX_AGE_S = 3.0
 
 
@@ -68,6 +67,7 @@
         self._released: OrderedDict[str, None] = OrderedDict()
         self._reported_at = float("-inf")
         self._reported = 0
+        self._unregistered = UnregisteredRequests()
 
     @property
     def leaving(self) -> bool:
@@ -120,6 +120,7 @@
             if not self._pending_growth:
                 self._registered.clear()
                 self._peak_registered = 0
+                self._unregistered.on_new_owner(now)
             if uncertain_s:
                 self._uncertain_until = now + uncertain_s
         self.owned = True
@@ -140,6 +141,7 @@
         """Apply the quota increases that are due."""
         while self._pending_growth and self._pending_growth[0][0] <= now:
             _, self._quota = self._pending_growth.pop(0)
+            self._unregistered.on_growth(now)
 
     def free(self, now: float) -> int:
         """Return the number of slots that may be granted now."""
@@ -156,7 +158,10 @@
         # as were registered here at the same time are known not to be among them.
         if now < self._uncertain_until:
             usable = min(usable, self._peak_registered)
-        return max(0, usable - len(self.leases))
+        # Requests that are registered late still use their slots, also those of the
+        # other side of a partition, which are not part of this side's quota.
+        unused = self.endpoint.slots - self._unregistered.count(now)
+        return max(0, min(usable, unused) - len(self.leases))
 
     def _free_by_report(self, usable: int, reachable: int) -> int:
         """Return the free slots by load report, while routers are unreachable.
@@ -167,7 +172,7 @@
         count lags, so grants issued since are added to it. The other side of a
         partition stays within its own quota, so the sum fits the endpoint.
         """
-        cutoff = self._reported_at - _REPORT_LAG_MAX_S
+        cutoff = self._reported_at - REPORT_LAG_MAX_S
         recent = sum(
             lease.granted_at > cutoff
             for lease in self.leases.values()
@@ -180,15 +185,21 @@
         """Record the number of running requests that the endpoint reports."""
         self._reported_at = now
         self._reported = running
+        self._unregistered.on_report(now, running)
 
     def update_reachability(self, view: FleetView) -> None:
         """Update which entry routers are reachable."""
         for lease in self.leases.values():
             lease.unreachable = not view.is_live(lease.peer)
 
-    def add_lease(self, grant: str, lease: SlotLease) -> None:
-        """Count a slot as used."""
+    def grant(self, now: float, grant: str, lease: SlotLease) -> None:
+        """Count a slot that is granted now as used."""
+        self._unregistered.on_granted()
+        self._add_lease(now, grant, lease)
+
+    def _add_lease(self, now: float, grant: str, lease: SlotLease) -> None:
         self.leases[grant] = lease
+        self._unregistered.on_count(now, len(self.leases))
         self._count_registered(grant)
 
     def _count_registered(self, grant: str) -> None:
@@ -204,13 +215,14 @@
         ends_at = now + message.deadline_s
         if lease is None:
             lease = SlotLease(sender, message.account, ends_at, granted_at=now)
-            self.add_lease(message.grant, lease)
+            self._unregistered.on_late_registration()
+            self._add_lease(now, message.grant, lease)
             return
         lease.ends_at = ends_at if lease.retransmit_at else min(lease.ends_at, ends_at)
         lease.retransmit_at = None
         self._count_registered(message.grant)
 
-    def release(self, grant: str) -> SlotLease | None:
+    def release(self, now: float, grant: str) -> SlotLease | None:
         """Free a slot; return None when the grant does not use one (any more).
 
         A duplicate, or a copy that arrives after the slot expired, must not free a
@@ -220,13 +232,16 @@
         self._released[grant] = None
         if len(self._released) > _RELEASED_LIMIT:
             self._released.popitem(last=False)
-        return self.leases.pop(grant, None)
+        lease = self.leases.pop(grant, None)
+        self._unregistered.on_count(now, len(self.leases))
+        return lease
 
     def expire(self, now: float, view: FleetView) -> None:
         """Free slots whose requests have certainly ended."""
         for grant, lease in list(self.leases.items()):
             if lease.ends_at <= now or view.is_terminated(lease.peer):
                 del self.leases[grant]
+        self._unregistered.on_count(now, len(self.leases))
 
     @property
     def due_at(self) -> float:
--- a/greengageflow/core/owner.py
+++ b/greengageflow/core/owner.py
@@ -272,7 +272,7 @@
 
     def _on_returned(self, now: float, message: GrantReturned) -> Iterator[Send]:
         slots = self._slots.get(message.endpoint)
-        lease = slots.release(message.grant) if slots else None
+        lease = slots.release(now, message.grant) if slots else None
         if lease is None:
             return
         if message.seconds or message.failed:
@@ -378,7 +378,7 @@
         lease = SlotLease(
             entry.peer, account, ends_at, retransmit_at, charge, granted_at=now
         )
-        slots.add_lease(grant, lease)
+        slots.grant(now, grant, lease)
         return self._grant_message(grant, slots, lease)
 
     def _grant_message(
