Return grants that are older than a partition

Cause: an owner keeps an unanswered grant and sends it again, but also grants its slot to another router once the grant's router is unreachable and the endpoint reports the slot free. When the partition heals, the old grant arrives late or is sent again, and its router starts a request in a slot that is in use.

Change: a grant names the demand that it serves (a new trailing field, 0 from earlier releases). An entry router that sees an owner again returns the grants for demand from before.

--- a/greengageflow/core/_registrar.py
+++ b/greengageflow/core/_registrar.py
@@ -43,6 +43,11 @@
         self._owners: dict[str, list[str]] = {}
         self._seq = 0
 
+    @property
+    def last_seq(self) -> int:
+        """Sequence number of the last ``Demand`` that was sent."""
+        return self._seq
+
     def on_placement(
         self, view: FleetView, pool_endpoints: dict[str, list[str]]
     ) -> None:
--- a/greengageflow/core/_slots.py
+++ b/greengageflow/core/_slots.py
@@ -26,6 +26,7 @@
         charge: Charge to the account for the grant, if issued here.
         granted_at: Time at which the slot was granted or registered here.
         unreachable: True when the entry router is unreachable.
+        demand_seq: Sequence number of the demand that the grant serves.
     """
 
     peer: PeerId
@@ -35,6 +36,7 @@
     charge: Charge | None = None
     granted_at: float = float("-inf")
     unreachable: bool = False
+    demand_seq: int = 0
 
     @property
     def due_at(self) -> float:
--- a/greengageflow/core/entry.py
+++ b/greengageflow/core/entry.py
@@ -76,6 +76,7 @@
         self._backoff_until: dict[str, float] = {}
         self._returned: OrderedDict[str, GrantReturned] = OrderedDict()
         self._undelivered: dict[tuple[str, str], GrantReturned] = {}
+        self._outdated_demand: dict[str, int] = {}
         self._deadlines: list[tuple[float, str]] = []
         self._notify_heap: list[tuple[float, float, str]] = []
         self._paused = False
@@ -191,6 +192,10 @@
         # started now would be aborted when the endpoint's host shuts down.
         if self._is_leaving(grant.endpoint):
             return False
+        # The owner was unreachable since it sent the grant. Meanwhile it may have
+        # granted the slot again, as soon as the endpoint reported it free.
+        if 0 < grant.demand_seq <= self._outdated_demand.get(sender.host, 0):
+            return False
         return grant.endpoint in self._pool_endpoints.get(grant.pool, ())
 
     def _start(
@@ -388,6 +393,9 @@
 
     def on_view(self, now: float, view: FleetView) -> Iterator[Effect]:
         """Apply a changed view of the fleet."""
+        known = self._view.live.keys() if self._view else set()
+        for host in view.live.keys() - known:
+            self._outdated_demand[host] = self._registrar.last_seq
         self._view = view
         for grant, run in self._running.items():
             yield from self._notify_new_owner(now, grant, run)
--- a/greengageflow/core/messages.py
+++ b/greengageflow/core/messages.py
@@ -59,6 +59,7 @@
         expires_s: Seconds after which the owner retransmits the same grant unless
             ``GrantTaken`` or ``GrantReturned`` has answered it.
         boot: Boot number of the receiver; a later boot ignores the grant.
+        demand_seq: ``seq`` of the ``Demand`` that the grant serves; 0 if unknown.
     """
 
     grant: str
@@ -67,6 +68,7 @@
     endpoint: str
     expires_s: float = 2.0
     boot: int = 0
+    demand_seq: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/core/owner.py
+++ b/greengageflow/core/owner.py
@@ -376,7 +376,13 @@
         charge = self._charges.add(now, account, entry.cost * self._charge_scale[pool])
         retransmit_at = now + self._expires_s
         lease = SlotLease(
-            entry.peer, account, ends_at, retransmit_at, charge, granted_at=now
+            entry.peer,
+            account,
+            ends_at,
+            retransmit_at,
+            charge,
+            granted_at=now,
+            demand_seq=entry.seq,
         )
         slots.grant(now, grant, lease)
         return self._grant_message(grant, slots, lease)
@@ -392,6 +398,7 @@
             endpoint.name,
             self._expires_s,
             lease.peer.boot,
+            lease.demand_seq,
         )
         return Send(lease.peer.host, message)
 
--- a/tests/test_late_registration.py
+++ b/tests/test_late_registration.py
@@ -6,7 +6,7 @@
 import pytest
 from core_net import Net, config
 
-from greengageflow.core.messages import GrantTaken
+from greengageflow.core.messages import Grant, GrantTaken
 
 SLOTS = 4
 HOSTS = {f"r{number}": "za" for number in range(5)}
@@ -209,3 +209,42 @@
         net.finish(grant)
     net.run_for(3.0)
     assert net.load()["e1"] == SLOTS
+
+
+def cut_off(net, hosts):
+    """Make ``hosts`` unreachable for the others; messages across wait until it ends."""
+    net.sides = {host: int(host in hosts) for host in net.sides}
+    net.hold(lambda sender, to, message: net.sides[sender.host] != net.sides[to])
+    net.refresh_views()
+
+
+def reconnect(net):
+    net.sides = dict.fromkeys(net.sides, 0)
+    net.refresh_views()
+
+
+@pytest.mark.parametrize("delivered", ["late", "again"])
+def test_unanswered_grants_after_a_partition_heals(delivered):
+    """The owner has granted two slots to a router that becomes unreachable before the
+    grants arrive. The endpoint reports that the slots are free, so they are granted to
+    other routers. When the partition heals, the grants arrive late or are sent again.
+    The router started them: more than 4 requests ran in 4 slots."""
+    net = ReportingNet(report_lag_s=0.5)
+    owner = net.owner
+    other = net.nodes[owner].view.ranked("e1")[4]
+    net.hold(lambda _sender, to, message: isinstance(message, Grant) and to == other)
+    for _ in range(2):
+        net.submit(other, "a", deadline_s=60.0)
+    net.run_for(0.5)
+    assert net.held
+    cut_off(net, {other})
+    net.submit_everywhere(8)
+    net.run_for(6.0)
+    assert net.load()["e1"] == SLOTS
+    held, net.held = net.held, []
+    reconnect(net)
+    net.holds = lambda sender, to, message: False
+    if delivered == "late":
+        net.messages += [item for item in held if isinstance(item[2], Grant)]
+    net.run_for(4.0)
+    assert net.load()["e1"] == SLOTS
