Let a quota grow soon after a partition heals in steps

Cause: a quota that grows while some routers are still unreachable waits for one deadline. The next increase, when the last router is back, waited behind it.

Change: once all routers are live, planned increases wait settle_s at most.

Shown by test_slots_are_used_soon_after_a_partition_heals_in_steps: before, 2 of 4 slots in use 5 s after the partition healed; with the change 4.

--- a/greengageflow/core/_slots.py
+++ b/greengageflow/core/_slots.py
@@ -135,9 +135,16 @@
             self._pending_growth.append((now + settle_s, quota))
         self.apply_growth(now)
 
-    def end_uncertainty(self) -> None:
-        """End the uncertainty about unregistered requests: all routers are live."""
+    def end_uncertainty(self, now: float, settle_s: float) -> None:
+        """End the uncertainty about unregistered requests: all routers are live.
+
+        Quota increases planned while some were unreachable no longer wait for the
+        deadline of requests, which their routers now register within ``settle_s``.
+        """
         self._uncertain_until = float("-inf")
+        self._pending_growth = [
+            (min(at, now + settle_s), slots) for at, slots in self._pending_growth
+        ]
 
     def apply_growth(self, now: float) -> None:
         """Apply the quota increases that are due."""
--- a/greengageflow/core/owner.py
+++ b/greengageflow/core/owner.py
@@ -201,7 +201,7 @@
             uncertain_s = self._uncertain_s(endpoint.pool)
             slots.set_quota(now, quota, self._settle_s, uncertain_s, partitioned)
             if not self._unreachable:
-                slots.end_uncertainty()
+                slots.end_uncertainty(now, self._settle_s)
             self._owned.setdefault(endpoint.pool, []).append(slots)
         self._active = {
             name: slots
--- a/tests/test_late_registration.py
+++ b/tests/test_late_registration.py
@@ -248,3 +248,23 @@
         net.messages += [item for item in held if isinstance(item[2], Grant)]
     net.run_for(4.0)
     assert net.load()["e1"] == SLOTS
+
+
+def test_slots_are_used_soon_after_a_partition_heals_in_steps():
+    """The owner sees one host of the other side before the last one. It planned the
+    first increase of its quota for the longest deadline, and the second one waited
+    behind it: the endpoint used 2 of 4 slots until then."""
+    net = ReportingNet(report_lag_s=0.5)
+    ranked = net.nodes[net.owner].view.ranked("e1")
+    net.submit_everywhere(60)
+    net.run_for(1.0)
+    net.sides.update(dict.fromkeys(ranked[2:4], 1))
+    net.refresh_views()
+    net.run_for(5.0, run_s=1.0)
+    net.sides[ranked[2]] = 0
+    net.refresh_views()
+    net.run_for(0.25, run_s=1.0)
+    net.sides[ranked[3]] = 0
+    net.refresh_views()
+    net.run_for(5.0, run_s=1.0)
+    assert max(count for _, count in net.loads[-4:]) == SLOTS
