--- a/greengageflow/core/owner.py
+++ b/greengageflow/core/owner.py
@@ -201,7 +201,7 @@
             uncertain_s = self._uncertain_s(endpoint.pool)
             slots.set_quota(now, quota, self._settle_s, uncertain_s, partitioned)
             if not self._unreachable:
-                slots.end_uncertainty()
+                slots.end_uncertainty(now, self._settle_s)
             self._owned.setdefault(endpoint.pool, []).append(slots)
         self._active = {
             name: slots
@@ -272,7 +272,7 @@
 
     def _on_returned(self, now: float, message: GrantReturned) -> Iterator[Send]:
         slots = self._slots.get(message.endpoint)
-        lease = slots.release(message.grant) if slots else None
+        lease = slots.release(now, message.grant) if slots else None
         if lease is None:
             return
         if message.seconds or message.failed:
@@ -376,9 +376,15 @@
         charge = self._charges.add(now, account, entry.cost * self._charge_scale[pool])
         retransmit_at = now + self._expires_s
         lease = SlotLease(
-            entry.peer, account, ends_at, retransmit_at, charge, granted_at=now
+            entry.peer,
+            account,
+            ends_at,
+            retransmit_at,
+            charge,
+            granted_at=now,
+            demand_seq=entry.seq,
         )
-        slots.add_lease(grant, lease)
+        slots.grant(now, grant, lease)
         return self._grant_message(grant, slots, lease)
 
     def _grant_message(
@@ -392,6 +398,7 @@
             endpoint.name,
             self._expires_s,
             lease.peer.boot,
+            lease.demand_seq,
         )
         return Send(lease.peer.host, message)
 
