Timers: a cancelled timer releases its subscriber

Each request has a timer for its deadline. After the answer it stayed in the heap until the deadline with its callback, and so kept the request, its body and its context in memory for up to the route's time-out, where the garbage collector visited them. A timer that another one of the same iteration had cancelled was called nevertheless.

cancel() now drops the callback. Tests in tests/test_timers.py.

--- a/greengageflow/net/timers.py
+++ b/greengageflow/net/timers.py
@@ -17,6 +17,10 @@
 """
 
 
+def _do_nothing() -> None:
+    """Stand in for the subscriber of a cancelled timer."""
+
+
 class Subscription:
     """A timer; ``cancel`` stops it."""
 
@@ -31,6 +35,9 @@
     def cancel(self) -> None:
         """Stop calling the subscriber."""
         self.is_active = False
+        # The timer stays queued until its time. A request's deadline would otherwise
+        # keep the request with its body in memory for seconds after its end.
+        self.callback = _do_nothing
 
 
 class Timers(BaseComponent):
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,6 +1,7 @@
 """The timer service in simulated time."""
 
 from types import SimpleNamespace
+from weakref import ref
 
 import pytest
 
@@ -57,3 +58,31 @@
     loop.timers.after(0.0521, lambda: at.append(loop.now))
     loop.run(1)
     assert len(at) == 1 and at[0] >= 100.0521
+
+
+def test_a_cancelled_timer_keeps_nothing_alive(loop):
+    """Each request has a timer for its deadline, seconds after its end. Cancelled ones
+    kept the requests with their bodies in memory until then."""
+
+    class Request:
+        def on_deadline(self):
+            raise AssertionError("cancelled")
+
+    request = Request()
+    is_alive = ref(request)
+    sub = loop.timers.after(15.0, request.on_deadline)
+    del request
+    assert is_alive()
+    sub.cancel()
+    assert not is_alive()
+    loop.run(20)
+
+
+def test_a_timer_cancelled_by_one_of_the_same_time_is_not_called(loop):
+    """An answer given by one timer must not be followed by the timeout of the same
+    request that is due in the same iteration."""
+    calls = []
+    loop.timers.after(1.0, lambda: second.cancel())
+    second = loop.timers.after(1.0, lambda: calls.append("second"))
+    loop.run(2)
+    assert not calls
