Streams: send the first event with the head, the last with the end

Cause: a write to a caller's socket is the largest part of a request's processor time, and a streamed answer took one for its head, one for each event and one for its end.

Change: Reply.begin takes the first events. Events that are read together with the end of the endpoint's answer are sent with the end, which follows at once; others are forwarded as they arrive, as before.

--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -45,6 +45,7 @@
         stale_retry_endpoint: Endpoint at which the request was retried because a kept
             connection had ended, or empty.
         run_began_at: Time of the first event of the current attempt, or None.
+        last_events: Last events of a complete stream, which its end is sent with.
         run_is_sound: The current attempt has run for so long that it crashed nothing.
     """
 
@@ -76,6 +77,7 @@
     run_began_at: float | None = None
     run_is_sound: bool = False
     last_event: int | None = None
+    last_events: bytes = b""
     last_progress_at: float = 0.0
     longest_pause_s: float = 0.0
     timer: Subscription | None = None
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -291,16 +291,22 @@
         elif not ctx.run_is_sound and not self._is_suspect_run(ctx):
             ctx.run_is_sound = True
             self.crashes.on_sound_run(ctx.identity, ctx.run_began_at)
+        events = b"".join(new_events(ctx, frames))
+        pause_s, ctx.last_progress_at = now - ctx.last_progress_at, now
         if ctx.phase is not Phase.STREAMING:
             ctx.phase = Phase.STREAMING
             ctx.first_event_at = now
             self._on_begun(ctx)
             self._telemetry.on_first_event(now, ctx)
-            ctx.reply.begin(attempt.head.status, headers_for_caller(attempt.head))
+            head = attempt.head
+            ctx.reply.begin(head.status, headers_for_caller(head), events)
         else:
-            ctx.longest_pause_s = max(ctx.longest_pause_s, now - ctx.last_progress_at)
-        ctx.last_progress_at = now
-        ctx.reply.send_chunk(b"".join(new_events(ctx, frames)))
+            ctx.longest_pause_s = max(ctx.longest_pause_s, pause_s)
+            if attempt.at_last_events:
+                # ``on_end`` follows at once and sends these events with the end.
+                ctx.last_events = events
+                return
+            ctx.reply.send_chunk(events)
         if ctx.reply.blocked:
             attempt.pause()
             ctx.reply.on_drain = attempt.resume
@@ -403,7 +409,7 @@
         else:
             self._telemetry.record_longest_pause(ctx)
         self._telemetry.on_finished(self._timers.now, ctx, head.status)
-        ctx.reply.finish()
+        ctx.reply.finish(ctx.last_events)
         self._end(ctx)
 
     def on_failure(self, ctx: ForwardContext, failure: Failure) -> None:
--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -263,12 +263,13 @@
         is_last = limits.close_after_answer or limits.keep_alive_s <= 0
         return is_last or not (self._is_request_complete and self._head.keep_alive)
 
-    def send_head(self, status: int, headers: Iterable[Header]) -> None:
-        """Start a streamed answer."""
+    def send_head(self, status: int, headers: Iterable[Header], data: bytes) -> None:
+        """Start a streamed answer, with ``data`` as its first chunk unless empty."""
         lines = [date_header(), *headers, ("transfer-encoding", "chunked")]
         if self._limits().close_after_answer or not self._head.keep_alive:
             lines.append(CONNECTION_CLOSE)
-        self._link.send(response_head(status, lines))
+        first = chunk(data) if data else b""
+        self._link.send(response_head(status, lines) + first)
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a streamed answer."""
--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -22,6 +22,10 @@
         receiver: Receives the response as it arrives.
         on_pause_changed: Called after ``paused`` changed, to stop or restart reading.
         on_cancel: Called to close the connection.
+
+    Attributes:
+        at_last_data: During ``on_data``, whether the response is complete with this
+            data; ``on_end`` follows at once.
     """
 
     def __init__(
@@ -37,6 +41,7 @@
         self.conn: Connection | None = None
         self.paused = False
         self.active = True
+        self.at_last_data = False
         self.sent_on_earlier_connection = False
         self.last_progress_at = monotonic()
         self._on_pause_changed = on_pause_changed
--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -39,9 +39,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyData:
-    """Body bytes received by one read."""
+    """Body bytes received by one read.
+
+    Args:
+        data: The bytes.
+        is_last: True if the end of the response was received with them; ``End`` is
+            the next part.
+    """
 
     data: bytes
+    is_last: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,7 +228,7 @@
                     self._on_skipped_end(event)
                 case ResponseEnd():
                     if body:
-                        yield BodyData(b"".join(body))
+                        yield BodyData(b"".join(body), is_last=True)
                     yield self._end(event, is_last=self._is_last(events))
                     return
         if body:
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -45,6 +45,11 @@
         evaluate: Evaluates a response head with respect to this request.
         stream: True if a successful response is a stream of events.
         listener: Notified of the response.
+
+    Attributes:
+        events: Number of events received.
+        at_last_events: During ``on_events``, whether the stream is complete with these
+            events; ``on_end`` follows at once.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         self.head: Head | None = None
         self.response_info: ResponseInfo | None = None
         self.events = 0
+        self.at_last_events = False
         self._pool = pool
         self._evaluate = evaluate
         self._stream = stream
@@ -125,6 +131,8 @@
             return
         if frames:
             self.events += len(frames)
+            is_whole = not self._frames.has_unfinished_event
+            self.at_last_events = self._exchange.at_last_data and is_whole
             self._listener.on_events(self, frames)
 
     def _fail(self, message: str) -> None:
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -291,7 +291,8 @@
         match part:
             case Head():
                 exchange.receiver.on_head(part)
-            case BodyData(data):
+            case BodyData(data, is_last):
+                exchange.at_last_data = is_last
                 exchange.receiver.on_data(data)
             case End():
                 self._finish(exchange, part)
--- a/greengageflow/net/reply.py
+++ b/greengageflow/net/reply.py
@@ -33,8 +33,8 @@
     ) -> None:
         """Send a complete answer."""
 
-    def send_head(self, status: int, headers: Iterable[Header]) -> None:
-        """Start a streamed answer."""
+    def send_head(self, status: int, headers: Iterable[Header], data: bytes) -> None:
+        """Start a streamed answer, with ``data`` as its first chunk unless empty."""
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a streamed answer."""
@@ -174,11 +174,14 @@
         """Start a stream of server-sent events."""
         self.begin(200, (*STREAM_HEADERS, *headers))
 
-    def begin(self, status: int, headers: Iterable[Header]) -> None:
-        """Start an answer whose body is sent in chunks."""
+    def begin(self, status: int, headers: Iterable[Header], data: bytes = b"") -> None:
+        """Start an answer whose body is sent in chunks, of which ``data`` is the first.
+
+        Sent with the head, the first chunk costs no system call of its own.
+        """
         if self._sink is not None and not self._streaming:
             self._streaming = True
-            self._sink.send_head(status, headers)
+            self._sink.send_head(status, headers, data)
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a started answer; of an event stream, only whole events."""
