Streams: split data without CR by a literal pattern

Cause: the pattern with optional CRs has no literal prefix, and the regex engine tried it at each byte of an event (1.06 us for an event of 130 bytes, 0.25 us with the literal one).

Change: data without CR, as engines send it, is split at two LFs. The result is the same; test_frames_do_not_depend_on_chunk_boundaries and the test after it cover both patterns.

EventFrames.feed, best of 30 alternating runs: one event 2.06 us before, 1.45 us after; four events in one read 6.82 us before, 3.91 us after.

--- a/greengageflow/net/event_frames.py
+++ b/greengageflow/net/event_frames.py
@@ -6,6 +6,8 @@
 
 MAX_FRAME_BYTES = 1_048_576
 _END = re.compile(rb"\r?\n\r?\n")
+_LF_END = re.compile(rb"\n\n")
+"""Finds the same in data without CR, in a quarter of the time."""
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})\r?(?:\n|$)")
 
 
@@ -45,7 +47,7 @@
         """
         text = self._buffer + data
         start = 0
-        for end in _END.finditer(text):
+        for end in (_END if b"\r" in text else _LF_END).finditer(text):
             raw = text[start : end.end()]
             start = end.end()
             found = _EVENT_ID.search(raw)
