Requests: look headers up in a dictionary when none is repeated

Cause: parsing a caller's request searched all its headers for each of nine names, and built the set of headers that are not forwarded anew.

Change: without repeated headers the values are read from a dictionary; otherwise as before, so that a repeated header is still refused. tests/test_platform_requests.py checks both ways; it passes on the code before as well.

--- a/greengageflow/platform/requests.py
+++ b/greengageflow/platform/requests.py
@@ -1,5 +1,7 @@
 """Translation of the platform's requests, from callers and to endpoints."""
 
+from collections.abc import Callable
+
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import (
     ForwardRequest,
@@ -44,6 +46,7 @@
         TENANT,
     }
 )
+_NOT_FORWARDED = HOP_HEADERS | ROUTER_HEADERS
 _MAX_DEADLINE_MS = 86_400_000
 
 
@@ -53,26 +56,35 @@
     Raises:
         RouterError: It has no id, or repeats a header that must be unique.
     """
-    request_id = req.header(REQUEST_ID)
+    header = _header_reader(req)
+    request_id = header(REQUEST_ID)
     if not request_id:
         raise RouterError(ErrorKind.BAD_REQUEST, "request id header is missing")
     return ForwardRequest(
         id=request_id,
         method=req.method,
-        host=req.header("host"),
+        host=header("host"),
         target=req.target,
         headers=_forwarded_headers(req),
         body=req.body,
-        key=req.header(CREDENTIAL).strip(),
-        max_wait_s=_parse_timeout_s(req.header(DEADLINE_MS)),
-        prompt=_parse_prompt(req),
-        last_event=_parse_number(req.header(LAST_EVENT_ID)),
-        resumes=req.header(RESUMES).strip(),
+        key=header(CREDENTIAL).strip(),
+        max_wait_s=_parse_timeout_s(header(DEADLINE_MS)),
+        prompt=_parse_prompt(header),
+        last_event=_parse_number(header(LAST_EVENT_ID)),
+        resumes=header(RESUMES).strip(),
     )
 
 
+def _header_reader(req: CallerRequest) -> Callable[[str], str]:
+    """Return ``req.header``, or a faster equivalent if no header is repeated."""
+    values = dict(req.headers)
+    if len(values) < len(req.headers):
+        return req.header
+    return lambda name: values.get(name, "")
+
+
 def _forwarded_headers(req: CallerRequest) -> tuple[Header, ...]:
-    excluded = HOP_HEADERS | ROUTER_HEADERS | hop_by_hop(req.headers)
+    excluded = _NOT_FORWARDED | hop_by_hop(req.headers)
     return tuple((k, v) for k, v in req.headers if k not in excluded)
 
 
@@ -85,14 +97,14 @@
     return None if number is None else min(number, _MAX_DEADLINE_MS) / 1000
 
 
-def _parse_prompt(req: CallerRequest) -> Prompt | None:
-    tokens_in, _, tokens_out = req.header(TOKEN_COUNT).partition(",")
+def _parse_prompt(header: Callable[[str], str]) -> Prompt | None:
+    tokens_in, _, tokens_out = header(TOKEN_COUNT).partition(",")
     prompt_tokens = _parse_number(tokens_in.strip())
     if prompt_tokens is None:
         return None
-    parts = tuple(filter(None, map(_parse_part, req.header(PROMPT_PREFIX).split(","))))
+    parts = tuple(filter(None, map(_parse_part, header(PROMPT_PREFIX).split(","))))
     max_output_tokens = _parse_number(tokens_out.strip()) or 0
-    length_hint = _parse_number(req.header(LENGTH_HINT).strip())
+    length_hint = _parse_number(header(LENGTH_HINT).strip())
     return Prompt(
         parts,
         prompt_tokens,
