Callers: set accepted connections up without an event

Cause: each new connection took a circuits event and a getpeername call before it could be read.

Change: the server adds the connection as soon as it is accepted. A connection that its caller has reset is found at its first read; a new test in tests/test_caller_streams.py checks that no state is left of it (it passes on the code before as well).

--- a/greengageflow/net/caller_sockets.py
+++ b/greengageflow/net/caller_sockets.py
@@ -30,6 +30,7 @@
         channel: ``circuits`` channel; separates several servers in one process.
         on_accepted: Called with each new connection; returns True if it needs no
             further setup.
+        on_connected: Called with each connection that was set up.
         on_bytes: Called with an accepted socket that is readable.
     """
 
@@ -40,6 +41,7 @@
         channel: str,
         *,
         on_accepted: Callable[[socket], bool],
+        on_connected: Callable[[socket], object],
         on_bytes: Callable[[socket], None],
     ) -> None:
         super().__init__(
@@ -51,6 +53,7 @@
         self._clients = SocketSet()
         self._is_accept_paused = False
         self._on_accepted = on_accepted
+        self._on_connected = on_connected
         self._on_bytes = on_bytes
 
     @handler("_read", priority=1, override=True)
@@ -93,4 +96,12 @@
             with suppress(OSError):
                 sock.setblocking(False)
                 if not self._on_accepted(sock):
-                    self._on_accept_done(sock)
+                    self.set_up(sock)
+                    self._on_connected(sock)
+
+    def set_up(self, sock: socket) -> None:
+        """Poll an accepted connection.
+
+        An event for it would take longer than accepting it.
+        """
+        self._on_accept_done(sock, fire_connect_event=False)
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -121,6 +121,7 @@
             port,
             self.channel,
             on_accepted=self._read_on_accept,
+            on_connected=self._add_link,
             on_bytes=self._on_bytes,
         ).register(self)
         self._handler = handler
@@ -261,15 +262,8 @@
             link.idle for link in self._links.values()
         )
 
-    @handler("connect")
-    def _on_connect(self, sock: socket, *_peer: object) -> None:
-        if sock not in self._links and sock in self.sockets._clients:
-            self._add_link(sock)
-
     def _on_bytes(self, sock: socket) -> None:
         link = self._links.get(sock)
-        if link is None and sock in self.sockets._clients:
-            link = self._add_link(sock)
         if link is not None:
             self._read(link)
 
@@ -300,7 +294,7 @@
                 sock.send(host_busy_response(self._interface.retry_after, int(time())))
             sock.close()
             return True
-        self.sockets._on_accept_done(sock)
+        self.sockets.set_up(sock)
         link = self._add_link(sock)
         if link is not None and is_shed:
             link.conn.reject_unread()
--- a/tests/test_caller_streams.py
+++ b/tests/test_caller_streams.py
@@ -1,6 +1,6 @@
 import json
 from contextlib import closing
-from socket import SO_LINGER, SOL_SOCKET
+from socket import SO_LINGER, SOL_SOCKET, create_connection
 from struct import pack
 
 import pytest
@@ -124,3 +124,24 @@
     assert not reply.blocked
     server.loop.call(reply.end_stream)
     caller.until(b"[DONE]")
+
+
+def test_connections_reset_as_they_are_accepted_leave_no_state(server):
+    """A connection that is set up is polled and closed even if its caller had reset it
+    before it was accepted; it would hold a file descriptor for good."""
+    accepted = server.callers.accepted_connections
+
+    def reset_many():
+        # The loop is busy here, so that it accepts all of them after their reset.
+        for _ in range(20):
+            sock = create_connection(server.callers.address)
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+            sock.close()
+
+    server.loop.call(reset_many)
+    caller, reply = start_stream(server)
+    server.loop.call(reply.end_stream)
+    caller.until(b"0\r\n\r\n")
+    caller.sock.close()
+    assert_no_state_left(server)
+    assert server.callers.accepted_connections > accepted
