--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -26,6 +26,7 @@
 
 READ_SIZE = 65_536
 IP_BIND_ADDRESS_NO_PORT = 24
+NOTHING = memoryview(b"")
 
 
 class ResponseTruncated(Exception):
@@ -38,9 +39,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyData:
-    """Body bytes received by one read."""
+    """Body bytes received by one read.
+
+    Args:
+        data: The bytes.
+        is_last: True if the end of the response was received with them; ``End`` is
+            the next part.
+    """
 
     data: bytes
+    is_last: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +93,7 @@
         self.sent_any = False
         self.received_any = False
         self.ends_when_sent = False
-        self._unsent = memoryview(b"")
+        self._unsent = NOTHING
         self._peer_closed = False
         self._broken = False
         self._until_close = False
@@ -220,7 +228,7 @@
                     self._on_skipped_end(event)
                 case ResponseEnd():
                     if body:
-                        yield BodyData(b"".join(body))
+                        yield BodyData(b"".join(body), is_last=True)
                     yield self._end(event, is_last=self._is_last(events))
                     return
         if body:
@@ -241,6 +249,8 @@
             return False
 
     def _end(self, end: ResponseEnd, *, is_last: bool) -> End:
+        # An idle connection must not keep its last request in memory.
+        self._accepts, self._unsent = None, self._unsent or NOTHING
         return End(
             end.keep_alive and is_last and not self._peer_closed and not self._unsent
         )
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -45,6 +45,11 @@
         evaluate: Evaluates a response head with respect to this request.
         stream: True if a successful response is a stream of events.
         listener: Notified of the response.
+
+    Attributes:
+        events: Number of events received.
+        at_last_events: During ``on_events``, whether the stream is complete with these
+            events; ``on_end`` follows at once.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         self.head: Head | None = None
         self.response_info: ResponseInfo | None = None
         self.events = 0
+        self.at_last_events = False
         self._pool = pool
         self._evaluate = evaluate
         self._stream = stream
@@ -68,20 +74,24 @@
         self._frames: EventFrames | None = None
         self._body = bytearray()
         self._exchange: Exchange | None = None
-        self._request = replace(
-            request,
-            accepts=lambda head: evaluate(head).belongs_to_request,
-            until_close=True,
-        )
+        self._request = request
 
     def start(self) -> None:
         """Send the request."""
-        self._exchange = self._pool.open(self._request, self)
+        request = replace(self._request, accepts=self._accepts, until_close=True)
+        self._exchange = self._pool.open(request, self)
 
     def cancel(self) -> None:
         """Cancel the request by closing the connection."""
-        if self._exchange is not None:
-            self._exchange.cancel()
+        exchange = self._detach_exchange()
+        if exchange is not None:
+            exchange.cancel()
+
+    def _detach_exchange(self) -> Exchange | None:
+        # The exchange refers to this attempt. Without this, both would stay in memory
+        # with the request until a garbage collection.
+        exchange, self._exchange = self._exchange, None
+        return exchange
 
     def pause(self) -> None:
         """Stop reading until ``resume``."""
@@ -93,12 +103,16 @@
         if self._exchange is not None:
             self._exchange.resume()
 
+    def _accepts(self, head: Head) -> bool:
+        """Evaluate a head; return whether it belongs to this request."""
+        self.response_info = self._evaluate(head)
+        return self.response_info.belongs_to_request
+
     # Methods of ``http_pool.Receiver``.
 
     def on_head(self, head: Head) -> None:
         """Handle status and headers."""
         self.head = head
-        self.response_info = self._evaluate(head)
         if self._stream and self.response_info.is_forwardable:
             self._frames = EventFrames()
         self._listener.on_head(self)
@@ -117,6 +131,8 @@
             return
         if frames:
             self.events += len(frames)
+            is_whole = not self._frames.has_unfinished_event
+            self.at_last_events = self._exchange.at_last_data and is_whole
             self._listener.on_events(self, frames)
 
     def _fail(self, message: str) -> None:
@@ -125,6 +141,7 @@
 
     def on_end(self) -> None:
         """Handle the end of the response."""
+        self._detach_exchange()
         if self._frames is None:
             self._listener.on_answer(self, bytes(self._body))
         elif self._frames.has_unfinished_event:
@@ -137,4 +154,5 @@
 
     def on_failure(self, failure: Failure) -> None:
         """Handle a failure; the response is incomplete or missing."""
+        self._detach_exchange()
         self._listener.on_failure(self, failure)
