Explain placements from a copy of the dispatcher's state

Cause: nothing shows where a request would go now, and why. Asking the live dispatcher would change later decisions: `queue_wait_s` advances the estimate of unread tokens, and predictions renew cached distributions.

Change: `ServiceDispatcher.preview` returns a scheduler and a chooser that work on copies of loads and of the work model. `Choice` carries its cost, which is not compared.

--- a/greengageflow/core/account_histogram.py
+++ b/greengageflow/core/account_histogram.py
@@ -1,7 +1,9 @@
 """Histogram of the samples of many accounts, of which none outweighs the others."""
 
 from collections.abc import Iterable
+from copy import copy
 from dataclasses import dataclass, field
+from typing import Self
 
 from greengageflow.core.log_histogram import BUCKETS, LogHistogram
 
@@ -52,6 +54,12 @@
         self._max_fraction = max_fraction
         self._parts: dict[str, _AccountPart] = {}
 
+    def snapshot(self) -> Self:
+        """Return a copy, as for ``LogHistogram``."""
+        found = super().snapshot()
+        found._parts = {name: copy(part) for name, part in self._parts.items()}
+        return found
+
     def add_for(self, now: float, account: str, bucket: int) -> None:
         """Add a sample of an account to a bucket."""
         weight = self.add(now, bucket)
--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -70,6 +70,8 @@
         fetch_from: Engine from which missing shared parts are fetched, or None.
         reliable: The number of tokens to read is reliable.
         key: Class by which the request's duration is predicted, or None if it is not.
+        cost: Cost by which it was compared with the others, in seconds; for a plain
+            service in mean requests of a slot.
     """
 
     endpoint: ListedEndpoint
@@ -78,6 +80,7 @@
     fetch_from: ListedEndpoint | None = None
     reliable: bool = True
     key: WorkKey | None = None
+    cost: float = field(default=0.0, compare=False)
 
 
 def _always(_now: float, _endpoint: ListedEndpoint) -> bool:
@@ -236,9 +239,31 @@
                     estimate.source,
                     estimate.reliable,
                     key,
+                    cost_s,
                 )
         return best
 
+    def cached_tokens(
+        self, now: float, prompt: Prompt, candidates: "Candidates"
+    ) -> Mapping[str, int]:
+        """Return the length of the cached prefix of a prompt, by engine id."""
+        return self._find_cached(now, prompt, candidates).tokens
+
+    def slowness(self, now: float, endpoint: ListedEndpoint) -> float:
+        """Return an endpoint's slowness: 2 if it takes twice as long as the others."""
+        return self._work.slowness(now, endpoint)
+
+    def work_left(
+        self, now: float, endpoint: ListedEndpoint, key: WorkKey | None
+    ) -> float:
+        """Return the work until a new request has ended at a plain endpoint.
+
+        The unit is mean requests of a slot; without an estimate of their duration it is
+        the number of running requests.
+        """
+        mean_s = self._mean_duration_s(now, key)
+        return self._work_left(now, endpoint, self._loads(endpoint), mean_s)
+
     def _mean_duration_s(self, now: float, key: WorkKey | None) -> float:
         estimate = self._work.estimate(now, key) if key is not None else None
         return estimate.mean if estimate is not None else 0.0
@@ -290,7 +315,7 @@
             cost = work_left + cross_zone + failure_cost
             if cost < best_cost:
                 best, best_cost = endpoint, cost
-        return Choice(best, key=key) if best else None
+        return Choice(best, key=key, cost=best_cost) if best else None
 
     def _work_left(
         self, now: float, endpoint: ListedEndpoint, load: EndpointLoad, mean_s: float
--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -110,16 +110,28 @@
             )
         return found
 
+    def of_service(self, service: str) -> tuple[ListedEndpoint, ...]:
+        """Return all listed endpoints of a service, by id."""
+        listed = (e for e in self._listed.values() if e.service == service)
+        return tuple(sorted(listed, key=lambda endpoint: endpoint.id))
+
     def may_use(self, endpoint: str) -> bool:
         """Whether an endpoint accepts new work."""
         found = self._listed.get(endpoint)
         return (
             found is not None
-            and not found.leaving
-            and found.zone not in self._evacuated
-            and not self._is_marked_leaving(found)
+            and not self.is_leaving(found)
+            and not self.is_evacuated(found)
         )
 
+    def is_leaving(self, endpoint: ListedEndpoint) -> bool:
+        """Whether an endpoint is listed as leaving, or announced that it leaves."""
+        return endpoint.leaving or self._is_marked_leaving(endpoint)
+
+    def is_evacuated(self, endpoint: ListedEndpoint) -> bool:
+        """Whether the zone of an endpoint is evacuated."""
+        return endpoint.zone in self._evacuated
+
     def _is_marked_leaving(self, endpoint: ListedEndpoint) -> bool:
         return self._leaving_starts.get(endpoint.id, -1) >= endpoint.born
 
--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Iterator, Mapping
+from copy import copy
 from dataclasses import dataclass
 from functools import partial
 from typing import NamedTuple
@@ -303,6 +304,22 @@
         """Return the load of an endpoint, or None if it is unknown."""
         return self._loads.get(endpoint)
 
+    def peek(
+        self, endpoint: str, service: str, slots: int, memory_tokens: int
+    ) -> EndpointLoad:
+        """Return a copy of an endpoint's load, or of the one that it would get.
+
+        ``EndpointLoad.queue_wait_s`` updates the estimate that later calls continue
+        from; on the copy it changes nothing here. The copy shares the requests and the
+        reading models, so it must only be read, and before the next event.
+        """
+        load = self._loads.get(endpoint)
+        if load is not None:
+            return copy(load)
+        load = EndpointLoad(slots, memory_tokens, self._models.get(service))
+        load.others = self._others.get(endpoint, LoadShare())
+        return load
+
     def forget(self, endpoint: str) -> None:
         """Remove an endpoint that is no longer listed."""
         load = self._loads.pop(endpoint, None)
--- a/greengageflow/core/log_histogram.py
+++ b/greengageflow/core/log_histogram.py
@@ -6,9 +6,11 @@
 
 from bisect import bisect_left, bisect_right
 from collections.abc import Iterable
+from copy import copy
 from itertools import accumulate, pairwise
 from math import ceil, exp, log
 from operator import mul
+from typing import Self
 
 MIN_VALUE = 0.001
 MAX_VALUE = 100_000.0
@@ -133,6 +135,14 @@
         self._refreshed_at = float("-inf")
         self._distribution: Distribution | None = None
 
+    def snapshot(self) -> Self:
+        """Return a copy whose distribution can be read without changing this one.
+
+        Reading renews a cached distribution, on which later predictions depend. The
+        copy is valid until the next sample.
+        """
+        return copy(self)
+
     def add(self, now: float, bucket: int) -> float:
         """Add a sample to a bucket, and return the weight that it has."""
         weight = self._sample_weight(now)
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -17,6 +17,7 @@
 from greengageflow.core.fleet_size import FleetSize
 from greengageflow.core.fleet_sums import FleetTotals
 from greengageflow.core.forward_request import Prompt, PromptPart
+from greengageflow.core.placement_preview import PlacementPreview, RecordingChooser
 from greengageflow.core.prefix_tracker import PrefixTracker
 from greengageflow.core.routes import Routing, Service
 from greengageflow.core.service_scheduler import (
@@ -81,6 +82,7 @@
         zones: Iterable[str] = (),
     ) -> None:
         self._endpoints = endpoints
+        self._zone = zone
         self._routing = Routing()
         self._loads = EndpointLoads()
         self._health = EndpointHealth()
@@ -152,9 +154,9 @@
         capacity = self.service(endpoint.service).memory_tokens
         self._prefixes.on_cached_parts(now, endpoint, parts, capacity)
 
-    def _assigned_endpoints(self, service: str) -> Sequence[ListedEndpoint]:
+    def _assigned_endpoints(self, now: float, service: str) -> Sequence[ListedEndpoint]:
         """Return the endpoints to which this host sends new requests."""
-        usable = self.available_endpoints(self._now, service)
+        usable = self.available_endpoints(now, service)
         if self._owned_engines is None or not self.service(service).is_engine:
             return usable
         return [
@@ -239,7 +241,7 @@
             self.recent_usage(service, a) for a in own.keys() | others.keys()
         )
         parts = divide_capacity(own, others, self._fair_share_capacity(started_work))
-        loads = [self._load(e) for e in self._assigned_endpoints(service)]
+        loads = [self._load(e) for e in self._assigned_endpoints(now, service)]
         slots = sum(load.slots for load in loads)
         reading = sum(_prefill_lookahead(load) for load in loads)
         # Engines that a placer owns get requests from this host only.
@@ -503,19 +505,72 @@
 
     def _load(self, endpoint: ListedEndpoint) -> EndpointLoad:
         found = self._loads.get(endpoint.id)
-        if found is not None:
-            return found
+        return self._loads.add(*self._capacity(endpoint)) if found is None else found
+
+    def _capacity(self, endpoint: ListedEndpoint) -> tuple[str, str, int, int]:
         service = self.service(endpoint.service)
         slots = endpoint.slots or service.slots or DEFAULT_SLOTS
-        return self._loads.add(
-            endpoint.id, endpoint.service, slots, service.memory_tokens
+        return endpoint.id, endpoint.service, slots, service.memory_tokens
+
+    def preview(self, now: float, service: str) -> PlacementPreview:
+        """Return a copy of what decides on a service's requests at this host now.
+
+        It is valid until the next event. Neither the copy nor what is decided with it
+        changes any state of this object that later decisions depend on.
+        """
+        loads: dict[str, EndpointLoad] = {}
+
+        def load(endpoint: ListedEndpoint) -> EndpointLoad:
+            found = loads.get(endpoint.id)
+            if found is None:
+                found = self._loads.peek(*self._capacity(endpoint))
+                loads[endpoint.id] = found
+            return found
+
+        chooser = RecordingChooser(
+            load,
+            self._health,
+            self._prefixes.places,
+            self._zone,
+            self.warmup.may_send,
+            self.work.snapshot(),
+        )
+        assigned = self._assigned_endpoints(now, service)
+        available = self.available_endpoints(now, service)
+        scheduler = ServiceScheduler(
+            lambda: assigned,
+            lambda: available,
+            chooser,
+            lambda account: self.recent_usage(service, account),
+            lambda: self._loads.unread_tokens(service),
+            lambda: self.backoff_s(now, service),
+            usage_decay_s=USAGE_DECAY_S,
+            transfers=self.service(service).transfers,
+            service=service,
+        )
+        scheduler.by_cost = self.work.enabled
+        current = self._schedulers.get(service)
+        if current is not None:
+            scheduler.capacity_share = current.capacity_share
+            scheduler.running = set(current.running)
+        return PlacementPreview(
+            now=now,
+            listed=self._endpoints.of_service(service),
+            assigned=frozenset(e.id for e in assigned),
+            load=load,
+            chooser=chooser,
+            scheduler=scheduler,
+            current=current,
+            endpoints=self._endpoints,
+            health=self._health,
+            warmup=self.warmup,
         )
 
     def _scheduler(self, service: str) -> ServiceScheduler:
         found = self._schedulers.get(service)
         if found is None:
             found = self._schedulers[service] = ServiceScheduler(
-                lambda: self._assigned_endpoints(service),
+                lambda: self._assigned_endpoints(self._now, service),
                 lambda: self.available_endpoints(self._now, service),
                 self._chooser,
                 lambda account: self.recent_usage(service, account),
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -165,6 +165,10 @@
         """Number of queued requests."""
         return len(self._queue)
 
+    def would_be_next(self, now: float, queued: QueuedRequest) -> bool:
+        """Whether a new request would be the next one of its account."""
+        return self._queue.would_be_next(now, queued)
+
     def submit(self, now: float, job: Job) -> Iterator[Decision]:
         """Queue a request, and yield the decisions that are now possible."""
         endpoints = self._endpoints()
@@ -221,7 +225,7 @@
             self._forget(queued.id)
         for queued in expired:
             text = "no endpoint had room in time"
-            wait_s = self._retry_after_s(queued.account)
+            wait_s = self.retry_after_s(queued.account)
             yield RefuseJob(queued.id, ErrorKind.QUEUE_FULL, text, wait_s)
         while (start := self._next(now)) is not None:
             self._queue.remove(start.request)
@@ -240,7 +244,7 @@
                 text = "all endpoints of the service ask for backoff"
                 yield RefuseJob(queued.id, ErrorKind.NO_ENDPOINT, text, wait_s)
 
-    def _retry_after_s(self, account: str) -> float:
+    def retry_after_s(self, account: str) -> float:
         """Return the seconds until the account's usage decays to its share."""
         limit = self.capacity_share.usage_limits.get(account, 0.0)
         usage = self._recent_usage(account)
--- a/greengageflow/core/work_estimates.py
+++ b/greengageflow/core/work_estimates.py
@@ -5,6 +5,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Mapping
 from math import inf
 from typing import NamedTuple
 
@@ -146,6 +147,17 @@
         found = self._distribution(now, key)
         return None if found is None else found.ended_within(age_s, seconds)
 
+    def snapshot(self) -> "WorkEstimates":
+        """Return a copy for predictions that leave this object unchanged.
+
+        It is valid until the next observed value.
+        """
+        found = WorkEstimates()
+        found._newest = self._newest
+        found._account_classes = _Snapshots(self._account_classes)
+        found._wide_classes = _Snapshots(self._wide_classes)
+        return found
+
     def _distribution(self, now: float, key: WorkKey) -> Distribution | None:
         """Return the distribution of the narrowest class with enough samples."""
         narrow = self._account_classes.get(key)
@@ -184,3 +196,20 @@
         else:
             classes.move_to_end(key)
         return found
+
+
+class _Snapshots(OrderedDict):
+    """Histograms that are copied when they are first looked up.
+
+    Copying all classes at once would take milliseconds.
+    """
+
+    def __init__(self, source: Mapping[tuple[str, ...], LogHistogram]) -> None:
+        super().__init__()
+        self._source = source
+
+    def get(self, key: tuple[str, ...]) -> LogHistogram | None:
+        found = super().get(key)
+        if found is None and key in self._source:
+            found = self[key] = self._source[key].snapshot()
+        return found
--- a/greengageflow/core/work_model.py
+++ b/greengageflow/core/work_model.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+from copy import copy
 from itertools import chain, islice, repeat
 
 from greengageflow.core.endpoint_list import ListedEndpoint
@@ -101,6 +102,17 @@
             if rest is not None:
                 yield rest
 
+    def snapshot(self) -> "WorkModel":
+        """Return a copy for predictions that leave this model unchanged.
+
+        It is valid until the next finished request.
+        """
+        found = WorkModel()
+        found.enabled = self.enabled
+        found.estimates = self.estimates.snapshot()
+        found._speeds = {name: copy(speed) for name, speed in self._speeds.items()}
+        return found
+
     def forget(self, endpoint: str) -> None:
         """Drop the speed of an endpoint that is no longer listed."""
         self._speeds.pop(endpoint, None)
--- a/greengageflow/core/work_queue.py
+++ b/greengageflow/core/work_queue.py
@@ -88,6 +88,18 @@
         for account in sorted(self._by_account, key=recent_usage):
             yield self._by_account[account].first(now)
 
+    def would_be_next(self, now: float, queued: QueuedRequest) -> bool:
+        """Whether a request, if it were added, would be the next of its account."""
+        account_queue = self._by_account.get(queued.account)
+        if account_queue is None:
+            return True
+        first = account_queue.first(now)
+
+        def order(request: QueuedRequest) -> tuple[int, bool, float]:
+            return request.priority, request.target_at <= now, request.target_at
+
+        return order(queued) < order(first)
+
     def expired(self, now: float) -> Iterator[QueuedRequest]:
         """Remove and yield the requests whose ``expires_at`` has passed."""
         while (expiry := self.next_expiry()) is not None and expiry <= now:
