greengage-ctl where: ask a gateway where a request would go

Cause: operators could see where a request went, but not where one would go now.

Change: the metrics listener answers GET /placement with the explanation as a JSON object, for at most five questions a second; the listeners for callers and for the load balancer don't have the page. `greengage-ctl where` asks it and prints a table or JSON. A key is read from a file or standard input, sent in a header, and neither printed nor logged. If another host would place the request, the answer names it. Errors of routers now appear in the command's messages.

The queue entry of a request is built by a function that the page uses as well.

Tests: tests/test_placement_page.py, and tests/test_gateway_where.py with gateways on loopback, passed; tests/test_ctl.py, test_callers.py, test_gateway_explain.py, test_gateway_world.py and test_platform_path.py passed unchanged.

--- a/greengageflow/daemon/forward_admission.py
+++ b/greengageflow/daemon/forward_admission.py
@@ -5,7 +5,7 @@
 from random import Random
 from types import MappingProxyType
 
-from greengageflow.core.forward_request import request_identity
+from greengageflow.core.forward_request import Prompt, request_identity
 from greengageflow.core.routes import Route, RouteTable, Routing
 from greengageflow.core.service_scheduler import QUEUE_TARGET_FRACTION, Job
 from greengageflow.core.trust import KeyTrust
@@ -78,8 +78,8 @@
         if not self._routing.version:
             raise RouterError(ErrorKind.NOT_CONFIGURED, "no configuration yet")
         req = call.request
-        route = self._route(req.host, req.path)
-        account = self._account(route, req.key)
+        route = self.find_route(req.host, req.path)
+        account = self.find_account(route, req.key)
         now = self._timers.now
         wait_s = route.timeout_s
         if req.max_wait_s is not None:
@@ -96,23 +96,39 @@
             deadline=now + max(0.0, wait_s - ANSWER_MARGIN_S),
             identity=request_identity(req, account),
             last_event=req.last_event,
-            allowed_zones=self._allowed_zones(route, account),
+            allowed_zones=self.allowed_zones(route, account),
         )
 
-    def _allowed_zones(self, route: Route, account: str) -> frozenset[str] | None:
+    @property
+    def routing(self) -> Routing:
+        """The configuration."""
+        return self._routing
+
+    def allowed_zones(self, route: Route, account: str) -> frozenset[str] | None:
+        """Return the zones whose endpoints may run a request, or None for all."""
         regions = self._routing.allowed_regions(route, account)
         if regions is None:
             return None
         return frozenset(z for z, region in self._regions.items() if region in regions)
 
-    def _route(self, host: str, path: str) -> Route:
+    def find_route(self, host: str, path: str) -> Route:
+        """Return the route of a request.
+
+        Raises:
+            RouterError: There is none, or it can't be told now.
+        """
         route = self._table.find(host, path)
         if route is None:
             self._check_recent()
             raise RouterError(ErrorKind.NOT_FOUND, "no such route")
         return route
 
-    def _account(self, route: Route, key: str) -> str:
+    def find_account(self, route: Route, key: str) -> str:
+        """Return the account of a request, or an empty string if it needs none.
+
+        Raises:
+            RouterError: The key is unknown, or it can't be told now.
+        """
         if route.public or not self._routing.keyed:
             return self.account_of(key)
         if not self._trust.is_trusted(self._clock()):
@@ -144,17 +160,14 @@
         )
 
     def _queued_request(self, ctx: ForwardContext) -> QueuedRequest:
-        prompt = ctx.req.prompt
-        target_s = ctx.route.target_s
-        expires_at = ctx.arrived_at + QUEUE_TARGET_FRACTION * target_s
-        return QueuedRequest(
+        return queued_request(
             ctx.id,
+            ctx.route,
             ctx.account,
-            prompt.work if prompt else DEFAULT_WORK,
-            ctx.route.priority,
+            ctx.req.prompt,
             ctx.arrived_at,
-            ctx.arrived_at + target_s - self._retrying_s(ctx),
-            min(expires_at, ctx.deadline),
+            ctx.deadline,
+            self._retrying_s(ctx),
         )
 
     def _retrying_s(self, ctx: ForwardContext) -> float:
@@ -171,3 +184,34 @@
         )
         self._longest_wait_s[ctx.route.name] = total_wait_s
         return total_wait_s - remaining_wait_s
+
+
+def queued_request(
+    request: str,
+    route: Route,
+    account: str,
+    prompt: Prompt | None,
+    arrived_at: float,
+    deadline: float,
+    retrying_s: float = 0.0,
+) -> QueuedRequest:
+    """Return the queue entry of a request.
+
+    Args:
+        request: Its id.
+        route: Its route.
+        account: Client account, or empty.
+        prompt: Its prompt, or None.
+        arrived_at: Time of its arrival.
+        deadline: Time by which the final answer is due.
+        retrying_s: Seconds for which its caller has been retrying.
+    """
+    return QueuedRequest(
+        request,
+        account,
+        prompt.work if prompt else DEFAULT_WORK,
+        route.priority,
+        arrived_at,
+        arrived_at + route.target_s - retrying_s,
+        min(arrived_at + QUEUE_TARGET_FRACTION * route.target_s, deadline),
+    )
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -47,6 +47,7 @@
 from greengageflow.daemon.leaving_watch import LeavingWatch
 from greengageflow.daemon.load_shedder import LoadShedder
 from greengageflow.daemon.placement import Placement
+from greengageflow.daemon.placement_page import PlacementPage
 from greengageflow.daemon.program import Program
 from greengageflow.daemon.quarantine_store import QuarantineStore
 from greengageflow.daemon.router_registry import RouterRegistry
@@ -267,8 +268,17 @@
             waiting=lambda: self._placement.waiting,
             period_s=TICK_INTERVAL_S,
         )
+        placement_page = PlacementPage(
+            settings.host,
+            self._timers,
+            self._admission,
+            self._service_dispatcher,
+            self._placement,
+            totals_at=lambda: self._forward_notes.totals_at,
+        )
         pages = GatewayPages(
             self._metrics,
+            placement_page,
             readiness_error=self._readiness_error,
             waiting=lambda: self._placement.waiting,
             running=lambda: self._in_flight,
@@ -296,17 +306,25 @@
             evacuated=lambda: len(self._evacuation_watch.zones),
             stale_retries=lambda: self._pool.stale_retries,
         )
-        self._serve_pages(settings.ready, pages, "ready")
+        self._serve_pages(settings.ready, pages, "ready", ReadyInterface())
         if settings.metrics is not None:
-            self._serve_pages(settings.metrics, pages, "metrics")
+            self._serve_pages(
+                settings.metrics, pages, "metrics", ReadyInterface(placement=True)
+            )
 
-    def _serve_pages(self, address: Address, pages: GatewayPages, channel: str) -> None:
+    def _serve_pages(
+        self,
+        address: Address,
+        pages: GatewayPages,
+        channel: str,
+        interface: ReadyInterface,
+    ) -> None:
         CallerServer(
             address.ip,
             address.port,
             pages,
             self._timers,
-            interface=ReadyInterface(),
+            interface=interface,
             channel=channel,
         ).register(self)
 
--- a/greengageflow/daemon/gateway_pages.py
+++ b/greengageflow/daemon/gateway_pages.py
@@ -2,17 +2,19 @@
 
 from collections.abc import Callable, Mapping
 
+from greengageflow.daemon.placement_page import PlacementPage
 from greengageflow.errors import RouterError
 from greengageflow.net.callers import CallerServer
-from greengageflow.net.forward_calls import PageCall
+from greengageflow.net.forward_calls import PageCall, PlacementCall
 from greengageflow.net.metrics_page import CONTENT_TYPE, MetricsPage, PageMetric
 
 
 class GatewayPages:
-    """Caller server handler that serves readiness and metrics.
+    """Caller server handler that serves readiness, metrics and explanations.
 
     Args:
         page: The metrics.
+        placement: Answers where requests would go.
         readiness_error: Returns the reason for which the balancer should send no
             requests, or None.
         waiting: Returns the number of queued requests.
@@ -39,6 +41,7 @@
     def __init__(
         self,
         page: MetricsPage,
+        placement: PlacementPage,
         *,
         readiness_error: Callable[[], RouterError | None],
         waiting: Callable[[], int],
@@ -60,6 +63,7 @@
     ) -> None:
         self.readiness_error = readiness_error
         self._page = page
+        self._placement = placement
         page.register_reader(PageMetric.WAITING, waiting)
         page.register_reader(PageMetric.RUNNING, running)
         page.register_reader(PageMetric.CONNECTIONS, lambda: callers.connections)
@@ -87,10 +91,13 @@
         page.register_reader(PageMetric.CONTROL_TOO_LONG, control_too_long)
         page.register_reader(PageMetric.LOG_LINES_DROPPED, lambda: dict(dropped()))
 
-    def on_call(self, call: PageCall) -> None:
-        """Respond with the metrics page."""
+    def on_call(self, call: PageCall | PlacementCall) -> None:
+        """Respond with the metrics page, or with an explanation."""
+        if isinstance(call, PlacementCall):
+            self._placement.on_call(call)
+            return
         headers = (("Content-Type", CONTENT_TYPE),)
         call.reply.raw(200, headers, self._page.render())
 
-    def on_caller_disconnect(self, call: PageCall) -> None:
+    def on_caller_disconnect(self, call: PageCall | PlacementCall) -> None:
         """Do nothing: pages are served synchronously, so no state is kept."""
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -165,7 +165,7 @@
     def _place(
         self, now: float, service: str, job: Job, account: str
     ) -> Iterator[Decision]:
-        placer = self._placer_for(now, service, job)
+        placer = self.placer_for(now, service, job)
         if not placer:
             yield from self._dispatcher.submit(
                 now, service, job, account, count_for_budget=False
@@ -181,7 +181,12 @@
         self._send(placer, message)
         self._timers.after(ANSWER_TIMEOUT_S, lambda: self._on_answer_timeout(request))
 
-    def _placer_for(self, now: float, service: str, job: Job) -> str:
+    def owner_of(self, endpoint: str) -> str:
+        """Return the placer of an engine, or an empty string if there is none."""
+        return self._table.owner(endpoint)
+
+    def placer_for(self, now: float, service: str, job: Job) -> str:
+        """Return the host that would place a request; empty if this one would."""
         if job.prompt is None:
             return ""
         zones = job.allowed_zones
--- a/greengageflow/net/calls.py
+++ b/greengageflow/net/calls.py
@@ -158,7 +158,8 @@
 CallerCall = ChatCall | ServiceCall | StatusCall | HealthCall
 
 
-def _parse_bearer_key(value: str) -> str:
+def parse_bearer_key(value: str) -> str:
+    """Return the key in an ``Authorization`` header, or an empty string."""
     scheme, _, key = value.strip().partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
 
@@ -193,7 +194,7 @@
 
 def _parse_common_fields(request: CallerRequest) -> dict[str, Any]:
     return {
-        "account_key": _parse_bearer_key(request.header("authorization")),
+        "account_key": parse_bearer_key(request.header("authorization")),
         "cost_hint": _parse_positive_number(request, "x-cost-hint", MAX_HEADER_NUMBER),
         "idempotency_key": _parse_idempotency_key(request),
         "traceparent": _parse_traceparent(request),
@@ -299,7 +300,7 @@
             case "/healthz":
                 return HealthCall(reply=reply)
             case "/status":
-                key = _parse_bearer_key(request.header("authorization"))
+                key = parse_bearer_key(request.header("authorization"))
                 request_id = parse_qs(request.query).get("request", [""])[0]
                 return StatusCall(account_key=key, request=request_id, reply=reply)
             case "/v1/chat/completions":
--- a/greengageflow/net/forward_calls.py
+++ b/greengageflow/net/forward_calls.py
@@ -33,3 +33,18 @@
 
     path: str
     reply: "Reply" = field(compare=False, repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementCall:
+    """An operator's question where a request would go.
+
+    Args:
+        query: Query of the URL, which describes the request.
+        key: Account key, or empty.
+        reply: Sends the answer.
+    """
+
+    query: str
+    key: str = field(default="", repr=False)
+    reply: "Reply" = field(compare=False, repr=False)
--- a/greengageflow/ops/_platform_http.py
+++ b/greengageflow/ops/_platform_http.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from ipaddress import ip_address
+from types import MappingProxyType
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from greengageflow.core.fold import CONFIG_STREAM
 from greengageflow.core.log_records import LogRecord, OffsetTrimmed, Records
@@ -62,14 +63,21 @@
     return Address(ip, number)
 
 
-def _call(address: Address, method: str, path: str, body: Any = None) -> _Response:
+def _call(
+    address: Address,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: Mapping[str, str] = MappingProxyType({}),
+) -> _Response:
     conn = HTTPConnection(address.ip, address.port, timeout=_TIMEOUT_S)
     sent = False
     try:
         conn.connect()
         sent = True
         data = None if body is None else json.dumps(body)
-        conn.request(method, path, data, {"Content-Type": "application/json"})
+        all_headers = {"Content-Type": "application/json", **headers}
+        conn.request(method, path, data, all_headers)
         response = conn.getresponse()
         return _parse_response(response, address)
     except (OSError, HTTPException) as exc:
@@ -89,12 +97,20 @@
         return _Response(response.status, value)
     retry_after = response.getheader("Retry-After", "")
     raise CallError(
-        f"{address}: answered {response.status}",
+        f"{address}: answered {response.status}{_error_text(value)}",
         effect_unknown=response.status == 200,
         retry_after_s=float(retry_after) if retry_after.isdigit() else None,
     )
 
 
+def _error_text(value: Any) -> str:
+    """Return the message of a router's error answer, after a colon, or nothing."""
+    match value:
+        case {"error": {"message": str(message)}} if message.isprintable():
+            return f": {message}"
+    return ""
+
+
 class BlockingLog:
     """Blocking client of one stream of the platform's log.
 
@@ -166,3 +182,21 @@
     """
     query = f"?request={quote(request, safe='')}" if request else ""
     return _call(address, "GET", f"/status{query}").value
+
+
+def explain_placement(
+    address: Address, query: Mapping[str, str], key: str = ""
+) -> Mapping[str, Any]:
+    """Return a gateway's explanation where a request would go.
+
+    Args:
+        address: Address of its metrics listener.
+        query: Description of the request.
+        key: Account key, or empty. It is sent in a header, since URLs are logged.
+
+    Raises:
+        CallError: The gateway is unreachable, refuses, or its response is invalid.
+    """
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    path = f"/placement?{urlencode(query)}"
+    return _call(address, "GET", path, headers=headers).value
--- a/greengageflow/ops/ctl.py
+++ b/greengageflow/ops/ctl.py
@@ -12,7 +12,7 @@
 from fire.decorators import SetParseFn
 from fire.parser import DefaultParseValue
 
-from greengageflow.ops import _ctl_config, _ctl_fleet
+from greengageflow.ops import _ctl_config, _ctl_fleet, _ctl_where
 from greengageflow.ops._ctl_config import IN_FORCE_TIMEOUT_S, BadInputError
 from greengageflow.ops._ctl_files import read_config_file, read_text
 from greengageflow.ops._ctl_text import Report
@@ -319,6 +319,47 @@
 
         return _ParsedCommand(run, json)
 
+    @SetParseFn(DefaultParseValue, "json")
+    @SetParseFn(str)
+    def where(
+        self,
+        gateway: str,
+        *,
+        host: str = "",
+        path: str = "",
+        service: str = "",
+        account: str = "",
+        key_file: str = "",
+        tokens_in: str = "",
+        tokens_out: str = "",
+        parts: str = "",
+        zone: str = "",
+        version: str = "",
+        json: bool = False,
+    ) -> _ParsedCommand:
+        """Show where a request would go now, and why, without sending it.
+
+        The first argument is the address of a gateway's metrics listener. A key is read
+        from a file, or from standard input with --key_file=-. Parts are ID:TOKENS,...;
+        the version is that of a stream which the request takes up.
+
+        Example:
+            greengage-ctl where 10.0.0.1:9102 --host=app.example --path=/chat/x \\
+                --account=olive --tokens_in=900 --tokens_out=300 --parts=sys:600,own:300
+        """
+        query = {
+            "host": host,
+            "path": path,
+            "service": service,
+            "account": account,
+            "tokens_in": tokens_in,
+            "tokens_out": tokens_out,
+            "parts": parts,
+            "zone": zone,
+            "version": version,
+        }
+        return _ParsedCommand(lambda: _ctl_where.where(gateway, query, key_file), json)
+
     @SetParseFn(str, "id", "file")
     def trace(self, id: str, *, file: str, json: bool = False) -> _ParsedCommand:
         """Show the spans of a trace or a request as a tree.
--- a/greengageflow/platform/interfaces.py
+++ b/greengageflow/platform/interfaces.py
@@ -3,8 +3,8 @@
 from typing import TYPE_CHECKING
 
 from greengageflow.errors import ErrorKind, RouterError
-from greengageflow.net.calls import CallerRequest, HealthCall
-from greengageflow.net.forward_calls import ForwardCall, PageCall
+from greengageflow.net.calls import CallerRequest, HealthCall, parse_bearer_key
+from greengageflow.net.forward_calls import ForwardCall, PageCall, PlacementCall
 from greengageflow.platform.names import CREDENTIAL, READY_PATH
 from greengageflow.platform.requests import parse_request
 
@@ -12,6 +12,7 @@
     from greengageflow.net.reply import Reply
 
 METRICS_PATH = "/metrics"
+PLACEMENT_PATH = "/placement"
 _FORWARDED_METHODS = frozenset(
     {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 )
@@ -57,11 +58,20 @@
 
 
 class ReadyInterface:
-    """Interface for the load balancer's readiness check and for metrics scrapers."""
+    """Interface for the load balancer's readiness check and for metrics scrapers.
+
+    Args:
+        placement: Operators may also ask where a request would go.
+    """
+
+    def __init__(self, *, placement: bool = False) -> None:
+        self._paths = {READY_PATH, METRICS_PATH}
+        if placement:
+            self._paths.add(PLACEMENT_PATH)
 
     def allowed_methods(self, path: str) -> frozenset[str]:
         """Return the methods allowed for ``path``; none for an unknown path."""
-        return _READ_METHODS if path in (READY_PATH, METRICS_PATH) else frozenset()
+        return _READ_METHODS if path in self._paths else frozenset()
 
     def check_target(self, method: str, path: str) -> None:
         """Reject methods and paths that are not served.
@@ -74,10 +84,17 @@
 
     def parse_call(
         self, request: CallerRequest, reply: "Reply"
-    ) -> HealthCall | PageCall:
-        """Return the call in a request."""
+    ) -> HealthCall | PageCall | PlacementCall:
+        """Return the call in a request.
+
+        Raises:
+            RouterError: It repeats a header that must be unique.
+        """
         if request.path == READY_PATH:
             return HealthCall(reply=reply)
+        if request.path == PLACEMENT_PATH:
+            key = parse_bearer_key(request.header("authorization"))
+            return PlacementCall(query=request.query, key=key, reply=reply)
         return PageCall(path=request.path, reply=reply)
 
     def retry_after(self, seconds: float) -> str:
