Document greengage-ctl where

The example of the command's help uses the port of the template. A test covers addresses and key files that are not valid.

--- a/greengageflow/ops/ctl.py
+++ b/greengageflow/ops/ctl.py
@@ -344,7 +344,7 @@
         the version is that of a stream which the request takes up.
 
         Example:
-            greengage-ctl where 10.0.0.1:9102 --host=app.example --path=/chat/x \\
+            greengage-ctl where 10.0.0.1:9180 --host=app.example --path=/chat/x \\
                 --account=olive --tokens_in=900 --tokens_out=300 --parts=sys:600,own:300
         """
         query = {
--- a/tests/test_placement_page.py
+++ b/tests/test_placement_page.py
@@ -15,7 +15,8 @@
 from greengageflow.errors import RouterError
 from greengageflow.net.calls import CallerRequest
 from greengageflow.net.forward_calls import PlacementCall
-from greengageflow.ops._ctl_where import placement_text
+from greengageflow.ops._ctl_config import BadInputError
+from greengageflow.ops._ctl_where import placement_text, where
 from greengageflow.platform.interfaces import PLACEMENT_PATH, ReadyInterface
 
 KEY = "secret-key-of-olive"
@@ -214,3 +215,14 @@
     text = placement_text(page.ask({"service": "app", "account": "olive"})[1])
     assert "refused: no_endpoint, all endpoints" in text
     assert "Retry-After 3.00" in text and "backoff, for 3.0 s" in text
+
+
+@pytest.mark.parametrize("content", ["", "two keys", "key\nsecond", "schlüssel"])
+def test_command_refuses_a_bad_address_or_key_file(tmp_path, content):
+    """Guards against a header that carries more than the key, or an error on it."""
+    with pytest.raises(BadInputError, match="IP:PORT"):
+        where("nowhere", {})
+    path = tmp_path / "key"
+    path.write_text(content)
+    with pytest.raises(BadInputError, match="one key"):
+        where("127.0.0.1:9", {}, str(path))
