--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -3,8 +3,10 @@
 import gc
 import sys
 from collections.abc import Mapping
+from functools import cached_property
 from signal import SIGHUP, signal
 from time import CLOCK_BOOTTIME, clock_gettime, time
+from typing import TYPE_CHECKING
 
 from circuits import handler
 
@@ -60,12 +62,16 @@
 from greengageflow.net.connect_check import ConnectCheck
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import FLUSH_INTERVAL_S, DecisionLog
+from greengageflow.net.forward_calls import PlacementCall
 from greengageflow.net.gossip_link import GossipLink
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.metrics_page import MetricsPage, PageMetric
 from greengageflow.platform.interfaces import CallerInterface, ReadyInterface
 from greengageflow.settings_file import Address
 
+if TYPE_CHECKING:
+    from greengageflow.daemon.placement_page import PlacementPage
+
 TICK_INTERVAL_S = 0.05
 STOP_CHECK_INTERVAL_S = 0.05
 BALANCER_DRAIN_S = 2.6
@@ -277,6 +283,7 @@
         )
         pages = GatewayPages(
             self._metrics,
+            self._explain_placement,
             readiness_error=self._readiness_error,
             waiting=lambda: self._placement.waiting,
             running=lambda: self._in_flight,
@@ -305,17 +312,42 @@
             stale_retries=lambda: self._pool.stale_retries,
             slow=lambda: self._service_dispatcher.work.slow_endpoints(self._timers.now),
         )
-        self._serve_pages(settings.ready, pages, "ready")
+        self._serve_pages(settings.ready, pages, "ready", ReadyInterface())
         if settings.metrics is not None:
-            self._serve_pages(settings.metrics, pages, "metrics")
+            self._serve_pages(
+                settings.metrics, pages, "metrics", ReadyInterface(placement=True)
+            )
+
+    def _explain_placement(self, call: PlacementCall) -> None:
+        self._placement_page.on_call(call)
+
+    @cached_property
+    def _placement_page(self) -> "PlacementPage":
+        # Few hosts are ever asked, and a host that restarts serves sooner without it.
+        from greengageflow.daemon.placement_page import PlacementPage
+
+        return PlacementPage(
+            self._settings.host,
+            self._timers,
+            self._admission,
+            self._service_dispatcher,
+            self._placement,
+            totals_at=lambda: self._forward_notes.totals_at,
+        )
 
-    def _serve_pages(self, address: Address, pages: GatewayPages, channel: str) -> None:
+    def _serve_pages(
+        self,
+        address: Address,
+        pages: GatewayPages,
+        channel: str,
+        interface: ReadyInterface,
+    ) -> None:
         CallerServer(
             address.ip,
             address.port,
             pages,
             self._timers,
-            interface=ReadyInterface(),
+            interface=interface,
             channel=channel,
         ).register(self)
 
