Count recent grants to unreachable routers in the quota of a partition

Cause: a grant to a router that becomes unreachable left its side's quota at once, before a load report could show the request. During a partition, the owner then used its quota again while the other side used its own.

Change: such a grant counts in the quota for the 2 s in which a report may not show it.

Shown by test_recent_requests_of_unreachable_routers_count_in_the_quota, without a network: before, 6 requests ran in 4 slots; with the change 4.

--- a/greengageflow/core/_slots.py
+++ b/greengageflow/core/_slots.py
@@ -161,7 +161,7 @@
         unreachable = sum(lease.unreachable for lease in self.leases.values())
         uncertain = unreachable or now < self._uncertain_until
         if uncertain and now - self._reported_at <= _REPORT_MAX_AGE_S:
-            return self._free_by_report(usable, len(self.leases) - unreachable)
+            return self._free_by_report(usable)
         # An unreachable router may run requests that the previous owner granted.
         # Granting their slots again would overload the endpoint. Only as many slots
         # as were registered here at the same time are known not to be among them.
@@ -172,20 +172,24 @@
         unused = self.endpoint.slots - self._unregistered.count(now)
         return max(0, min(usable, unused) - len(self.leases))
 
-    def _free_by_report(self, usable: int, reachable: int) -> int:
+    def _free_by_report(self, usable: int) -> int:
         """Return the free slots by load report, while routers are unreachable.
 
         Without the report, the slots of unreachable routers would stay unused until
         the requests' deadline: a third of the endpoint for a minute after each lost
         host. The endpoint's own count shows earlier that the requests ended. The
         count lags, so grants issued since are added to it, including those of routers
-        that became unreachable since. The other side of a partition stays within its
-        own quota, so the sum fits the endpoint.
+        that became unreachable since, which also count in the quota. The other side of
+        a partition stays within its own quota, so the sum fits the endpoint.
         """
         cutoff = self._reported_at - REPORT_LAG_MAX_S
-        recent = sum(lease.granted_at > cutoff for lease in self.leases.values())
+        leases = self.leases.values()
+        recent = sum(lease.granted_at > cutoff for lease in leases)
+        used = sum(
+            lease.granted_at > cutoff or not lease.unreachable for lease in leases
+        )
         running = self._reported + recent
-        return max(0, min(usable - reachable, self.endpoint.slots - running))
+        return max(0, min(usable - used, self.endpoint.slots - running))
 
     def on_load_report(self, now: float, running: int) -> None:
         """Record the number of running requests that the endpoint reports."""
--- a/tests/test_late_registration.py
+++ b/tests/test_late_registration.py
@@ -268,3 +268,23 @@
     net.refresh_views()
     net.run_for(5.0, run_s=1.0)
     assert max(count for _, count in net.loads[-4:]) == SLOTS
+
+
+def test_recent_requests_of_unreachable_routers_count_in_the_quota():
+    """During a partition, a router becomes unreachable just after it has started all
+    requests that its side's quota allows. No load report shows them, nor those of the
+    other side. The owner used its quota again: 6 requests ran in 4 slots."""
+    net = ReportingNet(report_lag_s=1.5)
+    ranked = net.nodes[net.owner].view.ranked("e1")
+    net.sides.update(dict.fromkeys(ranked[2:4], 1))
+    net.refresh_views()
+    net.run_for(25.0)
+    for host in (ranked[4], ranked[2]):
+        for _ in range(2):
+            net.submit(host, "a", deadline_s=60.0)
+    net.drain()
+    assert net.load()["e1"] == SLOTS
+    net.sides[ranked[4]] = 2
+    net.refresh_views()
+    net.submit_everywhere(2)
+    net.run_for(6.0)
