--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -1,6 +1,6 @@
 """Selection of the next queued request of a service and its endpoint."""
 
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from math import inf, log
 
@@ -127,8 +127,7 @@
         service: Name of the service.
 
     Attributes:
-        by_cost: Choices depend on the likely durations of requests, and late requests
-            yield to those that can be in time.
+        by_cost: Choices depend on the likely durations of requests.
     """
 
     def __init__(
@@ -268,7 +267,7 @@
         share = self.capacity_share
         within_share = len(self.running) < share.running
         within_share = within_share and self._unread_tokens() < share.reading
-        for queued in self._in_order(now):
+        for queued in self._queue.next_by_account(now, self._recent_usage):
             job = self._jobs[queued.id]
             if job.version:
                 continue
@@ -300,18 +299,6 @@
         limit = self.capacity_share.usage_limits.get(account, inf)
         return self._recent_usage(account) > limit
 
-    def _in_order(self, now: float) -> Iterable[QueuedRequest]:
-        """Return the next request of each account, in the order of service.
-
-        Callers that were refused come back after their target. Where targets are short,
-        accounts that have only such requests come last. Otherwise these would take the
-        slots of fresh requests, which would be refused and come back late in turn.
-        """
-        queued_requests = self._queue.next_by_account(now, self._recent_usage)
-        if not self.by_cost:
-            return queued_requests
-        return sorted(queued_requests, key=lambda queued: queued.target_at <= now)
-
     def _next_resumed(self, now: float) -> StartJob | None:
         """Return the next start of a stream that goes on, or None.
 
