--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -141,11 +141,12 @@
         only after the model's fixed time. So the unread tokens are assumed to drain at
         the learned rate, and the estimate is raised when a first event is late.
         """
-        rate = self.model.rate
+        model = self.model
+        rate = model.rate
         estimate = self._update_unread_estimate(now)
         oldest = next(iter(self._awaiting_first_event.values()), None)
         if oldest is not None:
-            due_at = oldest.sent_at + self.model.first_event_s(oldest.unread_at_send)
+            due_at = oldest.sent_at + model.first_event_s(oldest.unread_at_send)
             late_s = now - due_at
             if late_s > FIRST_EVENT_GRACE_S:
                 estimate = min(self._reading, estimate + late_s * rate)
@@ -176,9 +177,10 @@
             memory: Memory that the request needs at its end, in tokens.
             fill: Fraction of the slots that may be used.
         """
-        if self.running >= max(1, int(self.slots * fill)):
+        running = self.running
+        if running >= max(1, int(self.slots * fill)):
             return False
-        if not self.memory_tokens or not self.running:
+        if not self.memory_tokens or not running:
             return True
         return self._memory + self.others.memory + memory <= self.memory_tokens
 
