Tests: an explained stream that runs once; one route of the stubs

Its route may be resumed, which a stalled stream is at another engine (by reading). The route that two test files built alike is in the stubs.

--- a/tests/engine_stubs.py
+++ b/tests/engine_stubs.py
@@ -7,6 +7,7 @@
 from greengageflow.core.forward_request import Prompt, PromptPart
 from greengageflow.core.prefill_model import PrefillModel
 from greengageflow.core.prompt_places import PromptPlaces
+from greengageflow.core.routes import RetryPolicy, Route
 
 
 def engine_load(rate=10_000.0, slots=4, memory=1000):
@@ -17,6 +18,24 @@
     return ListedEndpoint(name, "model", "127.0.0.1", 9, zone, 4, version="v1")
 
 
+def stream_route(target_s, *, stream=True):
+    """A route that decides whether a configuration has short targets."""
+    return Route(
+        name="chat",
+        host="x",
+        prefix="/",
+        retry_policy=RetryPolicy.ONCE,
+        stream=stream,
+        timeout_s=10.0,
+        target_s=target_s,
+        gap_s=0.3,
+        attempts=1,
+        priority=1,
+        public=False,
+        backends=(),
+    )
+
+
 PROMPT = Prompt((PromptPart("shared", 4000), PromptPart("own", 100)), 4100, 10)
 
 
