Forwarder: keep the call of a request until the request has ended

Callers that pipelined requests got 504 for some of them at their deadline, and the gateway logged an internal error (KeyError). The table of calls went by id(call), but the request did not refer to its call: once it was answered, the next pipelined request's call could get the same id, its entry was deleted with the earlier request's, and its own end failed.

--- a/greengageflow/daemon/forward_admission.py
+++ b/greengageflow/daemon/forward_admission.py
@@ -86,7 +86,7 @@
             wait_s = min(wait_s, req.max_wait_s)
         return ForwardContext(
             id=str(next(self._numbers)),
-            call_key=id(call),
+            call=call,
             req=req,
             reply=call.reply,
             route=route,
--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -8,6 +8,7 @@
 from greengageflow.core.forward_request import ForwardRequest
 from greengageflow.core.routes import RetryPolicy, Route
 from greengageflow.net.endpoint_attempt import EndpointAttempt
+from greengageflow.net.forward_calls import ForwardCall
 from greengageflow.net.reply import Reply
 from greengageflow.net.timers import Subscription
 
@@ -26,7 +27,7 @@
 
     Args:
         id: Id in this process.
-        call_key: Identity (``id()``) of the caller's call.
+        call: The call; as long as it is referenced, its ``id()`` is not reused.
         req: The request.
         reply: Receives the answer.
         route: Route that matched the request.
@@ -50,7 +51,7 @@
     """
 
     id: str
-    call_key: int
+    call: ForwardCall
     req: ForwardRequest
     reply: Reply
     route: Route
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -143,7 +143,7 @@
             call.reply.error(exc)
             return
         self._active[ctx.id] = ctx
-        self._by_call[ctx.call_key] = ctx
+        self._by_call[id(call)] = ctx
         timeout_s = ctx.deadline - ctx.arrived_at
         ctx.timer = self._timers.after(timeout_s, lambda: self._on_deadline(ctx))
         if ctx.resumes_stream:
@@ -560,7 +560,7 @@
     def _end(self, ctx: ForwardContext) -> None:
         if self._active.pop(ctx.id, None) is None:
             return
-        del self._by_call[ctx.call_key]
+        del self._by_call[id(ctx.call)]
         ctx.timer.cancel()
         # The attempt refers to the context. Without this, an ended request with its
         # body would stay in memory until a garbage collection.
