Configuration: an empty list of tenants admits no key

A configuration that contains `tenants` asks for a key; without the field, or with null, none is asked for, as before. The new test failed in one of its three cases before.

--- a/greengageflow/platform/records.py
+++ b/greengageflow/platform/records.py
@@ -63,7 +63,7 @@
         routes=tuple(map(_parse_route, doc.get("routes") or [])),
         services={s.name: s for s in map(_parse_service, doc.get("services") or [])},
         accounts=dict(_account_keys(tenants)),
-        keyed=bool(tenants),
+        keyed=doc.get("tenants") is not None,
         bounds=CallerLimits(
             header_bytes=int(limits.get("max_header_bytes", 16_384)),
             body_bytes=int(limits.get("max_body_bytes", 4_194_304)),
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -112,6 +112,15 @@
         parse_newest(Response(200, (), value))
 
 
+@pytest.mark.parametrize(
+    ("tenants", "keyed"),
+    [({}, False), ({"tenants": None}, False), ({"tenants": []}, True)],
+)
+def test_configuration_without_any_tenant_left_admits_no_key(tenants, keyed):
+    """With the last tenant removed, every key was admitted, also one taken away."""
+    assert parse_config(json.dumps({"version": 1, **tenants}).encode()).keyed is keyed
+
+
 def test_restarted_endpoint_is_removed_and_added_again():
     """A replica crashes and restarts under the same id. When it was taken for the same
     instance, it got prompts whose parts were no longer in its prefix cache, and it kept
