Answers: only a rejection with the request's id proves that it has not run

A late extra rejection that names no request arrived while the next protected request of the connection was running. Endpoints echo the id, so an error without it says nothing about the current request: it counts as an invalid answer, which is retried where the route may repeat, and answered 502 otherwise.

The stand-in replica gets such a second answer.

--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -329,8 +329,10 @@
         ctx.avoid.add(endpoint.id)
         ctx.may_have_run = True
         ctx.runs += 1
-        invalid = not note.is_forwardable and note.status < 400
-        good = note.is_forwardable or 400 <= note.status < 500
+        # An error that names no request may be another one's. Passed on, it could
+        # assure the caller that this one has not run.
+        invalid = not note.is_forwardable and (note.status < 400 or not note.identified)
+        good = not invalid and note.status < 500
         self.placement.on_response(ctx.id, endpoint, good)
         self.placement.on_request_released(
             ctx.id, endpoint, completed=note.is_forwardable
--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -14,6 +14,7 @@
 RESET = "reset"
 AT_ONCE = "at_once"
 LATE = "late"
+REJECTION = "rejection"
 
 WAITING = "waiting"
 RUNNING = "running"
@@ -29,8 +30,8 @@
         cut_after: Send this many events of a stream, cut the next one and close. Any
             number closes a plain response after half of its body.
         extra: Send a second response with a foreign request id, ``at_once`` or
-            ``late``.
-        extra_s: Delay of a ``late`` second response in seconds.
+            ``late``, or a late ``rejection`` without an id.
+        extra_s: Delay of a late second response in seconds.
         unframed: Send a response without a length. ``close`` ends it by closing the
             connection, ``reset`` resets it after half of the body.
         early: Respond as soon as the head has arrived, then read the body.
--- a/greengageflow/lab/_platform_plain.py
+++ b/greengageflow/lab/_platform_plain.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass
 
-from greengageflow.lab._platform_faults import AT_ONCE, LATE, RESET, ReplicaFaults
+from greengageflow.lab._platform_faults import (
+    AT_ONCE,
+    LATE,
+    REJECTION,
+    RESET,
+    ReplicaFaults,
+)
 from greengageflow.lab.platform_http import (
     Call,
     HttpFake,
@@ -11,7 +17,7 @@
     response_bytes,
 )
 from greengageflow.net.timers import Timers
-from greengageflow.platform.names import REQUEST_ID, RESPONSE_SEAL
+from greengageflow.platform.names import NOT_EXECUTED, REQUEST_ID, RESPONSE_SEAL
 
 FOREIGN_ID = "f0f0f0f0f0f0f0f0"
 RESET_DELAY_S = 0.1
@@ -65,10 +71,12 @@
 
 
 def send_extra(timers: Timers, conn: ServerConnection, faults: ReplicaFaults) -> None:
-    """Send a second response with a foreign request id if the faults ask for it."""
+    """Send an unsolicited second response if the faults ask for it."""
     headers = {REQUEST_ID: FOREIGN_ID, RESPONSE_SEAL: f"foreign.{FOREIGN_ID}"}
     data = response_bytes(200, {"id": FOREIGN_ID}, headers)
+    if faults.extra == REJECTION:
+        data = response_bytes(400, b"", {NOT_EXECUTED: "1"})
     if faults.extra == AT_ONCE:
         conn.send(data)
-    elif faults.extra == LATE:
+    elif faults.extra in (LATE, REJECTION):
         timers.after(faults.extra_s, lambda: conn.send(data))
--- a/greengageflow/net/endpoint_response.py
+++ b/greengageflow/net/endpoint_response.py
@@ -10,6 +10,7 @@
     Args:
         status: HTTP status code.
         belongs_to_request: The response belongs to the request that was sent.
+        identified: The response carries the id of this request.
         signed: The response carries a signature of the endpoint and the id of this
             request.
         not_run: The endpoint states that it did not run the request.
@@ -23,6 +24,7 @@
 
     status: int
     belongs_to_request: bool
+    identified: bool
     signed: bool
     not_run: bool
     endpoint_replaced: bool
--- a/greengageflow/platform/answers.py
+++ b/greengageflow/platform/answers.py
@@ -19,13 +19,17 @@
 def interpret_answer(head: Head, request_id: str) -> ResponseInfo:
     """Return what a response head says about the request ``request_id``."""
     echoed_id = head.header(REQUEST_ID)
-    misdirected = head.status == MISDIRECTED
-    not_run = misdirected or bool(head.header(NOT_EXECUTED))
+    # Endpoints echo the id. A late extra rejection without one may belong to an earlier
+    # request, so it is no proof that this one has not run.
+    is_identified = echoed_id == request_id
+    misdirected = is_identified and head.status == MISDIRECTED
+    not_run = misdirected or (is_identified and bool(head.header(NOT_EXECUTED)))
     is_overloaded = not_run and head.status == UNAVAILABLE
     return ResponseInfo(
         status=head.status,
         belongs_to_request=echoed_id in ("", request_id),
-        signed=bool(head.header(RESPONSE_SEAL)) and echoed_id == request_id,
+        identified=is_identified,
+        signed=is_identified and bool(head.header(RESPONSE_SEAL)),
         not_run=not_run,
         endpoint_replaced=misdirected and bool(head.header(REPLICA_ID)),
         closes_connection="close" in head.header("connection").lower(),
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -13,6 +13,7 @@
 from greengageflow.core.work_queue import QueuedRequest
 from greengageflow.net.http_messages import MAX_BACKOFF_S, Head, retry_after_s
 from greengageflow.platform.answers import interpret_answer
+from greengageflow.platform.names import REQUEST_ID
 
 SERVICES = {
     "plain": Service("plain", slots=4),
@@ -137,7 +138,20 @@
 )
 def test_only_a_rejection_starts_a_backoff(status, not_executed, seconds):
     """A 503 of an executed request is an answer for the caller, with its header."""
-    headers = [("retry-after", "3")]
+    headers = [("retry-after", "3"), (REQUEST_ID, "r")]
     if not_executed:
         headers.append(("x-greengageflow-not-executed", not_executed))
     assert interpret_answer(Head(status, tuple(headers)), "r").backoff_s == seconds
+
+
+@pytest.mark.parametrize("status", [400, 421, 429, 503])
+@pytest.mark.parametrize(("echoed_id", "not_run"), [("r", True), ("", False)])
+def test_only_a_rejection_with_the_request_id_proves_that_it_has_not_run(
+    status, echoed_id, not_run
+):
+    """A late extra rejection without an id made protected requests run twice."""
+    headers = [("x-greengageflow-not-executed", "1"), ("retry-after", "3")]
+    headers += [(REQUEST_ID, echoed_id)] if echoed_id else []
+    info = interpret_answer(Head(status, tuple(headers)), "r")
+    assert info.not_run is not_run
+    assert not_run or not (info.backoff_s or info.is_forwardable)
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -113,6 +113,23 @@
     assert all(client.silent() for client in clients)
 
 
+def test_late_rejection_without_an_id_does_not_repeat_the_request_after_it():
+    """It was taken for proof that the request on that connection had not run, which
+    then ran again at another endpoint, or was refused though it ran."""
+    shape = PlatformShape(plain=2, plain_options={"work_ms": 60})
+    with PlatformLab(shape) as lab:
+        for name in ("app-0", "app-1"):
+            lab.set_faults(name, extra="rejection", extra_s=0.02)
+        client = lab.client()
+        statuses = set()
+        for _ in range(20):
+            name, answer = send_and_receive(client, UNSAFE)
+            assert len(lab.started_runs(name)) <= 1
+            assert answer.status not in NOT_RUN_STATUSES
+            statuses.add(answer.status)
+        assert statuses <= {200, 502}
+
+
 def test_early_response_does_not_misplace_the_rest_of_the_body(lab):
     """A replica responds before it has read a long body and then reads on. The rest of
     that body must follow on the connection before any other request."""
