Wait for backoffs that end or grow while a request is rejected

Cause: after a rejection the forwarder first looked for an endpoint for a retry and then read the clock again for the backoff to wait for. If the first backoff ended in between, there was neither, and the request was answered with 429 queue_full. A request that waited for the end of a backoff got the same answer if the answer to another request prolonged that backoff meanwhile, although it still ended within the queueing time, and its Retry-After was the one of the first rejection.

Change: the backoff is read before an endpoint is chosen. At the end of a backoff the request waits again if it still has the time.

--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -356,26 +356,34 @@
             ctx.avoid.add(endpoint.id)
         if note.endpoint_replaced:
             self._endpoints.mark_leaving(endpoint.id, endpoint.born)
-        exc = self._rejection_error(ctx, note.status)
-        if not self._retry(ctx, exc.message) and not self._schedule_retry(ctx, exc):
-            self._answer_error(ctx, exc)
+        self._retry_or_wait(ctx, note.status)
 
-    def _schedule_retry(self, ctx: ForwardContext, exc: RouterError) -> bool:
-        """Schedule a retry for the end of a backoff if the request can wait for it."""
+    def _retry_or_wait(self, ctx: ForwardContext, status: int) -> None:
+        """Retry a rejected request now or after a backoff, or answer an error."""
+        # The backoff is read before an endpoint is chosen. If it ended between the
+        # choice and a later reading, there would be neither an endpoint nor a time to
+        # wait for.
         now = self._timers.now
         wait_s = self._dispatcher.backoff_s(now, ctx.service)
+        exc = self._rejection_error(ctx, status, wait_s)
+        if self._retry(ctx, exc.message):
+            return
+        if not wait_s or not self._may_wait_until(ctx, now + wait_s):
+            self._answer_error(ctx, exc)
+            return
+        self._timers.after(wait_s, lambda: self._after_backoff(ctx, status))
+
+    def _may_wait_until(self, ctx: ForwardContext, retry_at: float) -> bool:
         until = ctx.arrived_at + QUEUE_TARGET_FRACTION * ctx.route.target_s
         if ctx.phase is Phase.STREAMING:
             until = ctx.last_progress_at + STALL_TIMEOUT_S
-        late = now + wait_s > min(until, ctx.deadline)
-        if not wait_s or late or ctx.attempt_count >= MAX_ATTEMPTS:
-            return False
-        self._timers.after(wait_s, lambda: self._after_backoff(ctx, exc))
-        return True
+        in_time = retry_at <= min(until, ctx.deadline)
+        return in_time and ctx.attempt_count < MAX_ATTEMPTS
 
-    def _after_backoff(self, ctx: ForwardContext, exc: RouterError) -> None:
-        if self._is_open(ctx) and not self._retry(ctx, exc.message):
-            self._answer_error(ctx, exc)
+    def _after_backoff(self, ctx: ForwardContext, status: int) -> None:
+        # Answers to other requests may have prolonged the backoff.
+        if self._is_open(ctx):
+            self._retry_or_wait(ctx, status)
 
     def _on_backoff(self, endpoint: ListedEndpoint, seconds: float) -> None:
         now = self._timers.now
@@ -383,9 +391,10 @@
             self._telemetry.on_backoff(endpoint, seconds)
             self.carry_out(self._dispatcher.pump(now))
 
-    def _rejection_error(self, ctx: ForwardContext, status: int) -> RouterError:
+    def _rejection_error(
+        self, ctx: ForwardContext, status: int, wait_s: float
+    ) -> RouterError:
         text = f"{ctx.attempt.endpoint.id} rejected the request with status {status}"
-        wait_s = self._dispatcher.backoff_s(self._timers.now, ctx.service)
         return RouterError(ErrorKind.QUEUE_FULL, text, retry_after_s=wait_s or None)
 
     def _answer(self, ctx: ForwardContext, body: bytes) -> None:
