Count the settle time of a restarted owner from its first contact

Cause: a router that starts is alone in its view and takes itself for the owner of every endpoint, with all slots until the host list is read. The settle time, in which running requests are registered, began then. When it found the others shortly before the end of that time, it granted slots at once, while their former owner did not know of it yet.

Change: once an owner finds a router with a lower boot number for the first time, it begins anew. A router that was there before, and a fleet that starts with one router, don't wait longer.

--- a/greengageflow/core/owner.py
+++ b/greengageflow/core/owner.py
@@ -79,6 +79,7 @@
         self._work_calls: dict[str, WorkCallSchedule] = {}
         self._unreachable: set[str] = set()
         self._paused = False
+        self._has_met_older = False
         self._charges = PendingCharges()
         self._charge_scale: dict[str, float] = {}
         self._grant_seq = 0
@@ -140,6 +141,8 @@
     def on_view(self, now: float, view: FleetView) -> Iterator[Send]:
         """Apply a changed view of the fleet."""
         before = self._view.live.keys() if self._view else set()
+        if not self._has_met_older:
+            self._on_possible_owners(view)
         self._unreachable = (
             self._unreachable | before
         ) & view.roster - view.live.keys()
@@ -148,6 +151,20 @@
         self._update_ownership(now, partitioned=partitioned)
         yield from self._fill_all(now)
 
+    def _on_possible_owners(self, view: FleetView) -> None:
+        """Start as a new owner when routers are found that started before this one.
+
+        Until then, this router may have been alone in its view. The time in which
+        running requests register here must not count from then: the routers found may
+        still grant the endpoints' slots and can't know of this one yet.
+        """
+        older = any(member.boot < self._own.boot for member in view.live.values())
+        if not older:
+            return
+        self._has_met_older = True
+        for slots in self._slots.values():
+            slots.on_ownership_lost()
+
     def on_pause(self) -> None:
         """Stop granting after a process pause, until the view is confirmed."""
         self._paused = True
