Ask a second placer for a request that the first one rejects

A placer chooses among its own engines only, so a hot account or prompt fills one placer's engines while another's have free slots. If a placer rejects a request with queue_full before it expires, its host asks one other placer, once. Two candidates are drawn by a hash of the request; the one whose engines have more free slots is asked. Its answer is final; without one in 0.15 s the first rejection is returned.

The message marks such a request, so that it counts once in its account's demand. The mark is an empty id among the endpoints to avoid, which placers of the earlier release accept.

--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -170,6 +170,10 @@
         limit = self.slots if self.memory_tokens else requests_per_slot * self.slots
         return self.running < max(1, limit)
 
+    def free_slots(self, fill: float) -> int:
+        """Return the number of free slots if only a fraction ``fill`` may be used."""
+        return max(0, max(1, int(self.slots * fill)) - self.running)
+
     def fits(self, memory: float, fill: float) -> bool:
         """Whether there is a free slot and memory for ``memory`` more tokens.
 
--- a/greengageflow/core/place_messages.py
+++ b/greengageflow/core/place_messages.py
@@ -48,6 +48,8 @@
         zone: Availability zone of the host.
         allowed_zones: Zones whose endpoints may run it, or None for all.
         version: Software version whose endpoints may run it; empty for all.
+        redirected: Another placer has rejected it. It counts there in the demand of its
+            account.
     """
 
     host: str
@@ -67,6 +69,7 @@
     zone: str = ""
     allowed_zones: tuple[str, ...] | None = None
     version: str = ""
+    redirected: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengageflow/core/remote_placements.py
+++ b/greengageflow/core/remote_placements.py
@@ -92,7 +92,12 @@
             message.version,
         )
         yield from self._book.submit(
-            now, message.service, job, message.account, count_for_budget=False
+            now,
+            message.service,
+            job,
+            message.account,
+            count_for_budget=False,
+            count_demand=not message.redirected,
         )
 
     def is_waiting(self, message: PlacementRequest) -> bool:
@@ -243,6 +248,8 @@
     account: str,
     avoid: tuple[str, ...],
     zone: str,
+    *,
+    redirected: bool = False,
 ) -> PlacementRequest:
     """Return the message that asks a placer to place a request."""
     queued_request, prompt = job.queued_request, job.prompt
@@ -265,4 +272,5 @@
         zone=zone,
         allowed_zones=None if zones is None else tuple(sorted(zones)),
         version=job.version,
+        redirected=redirected,
     )
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -130,6 +130,10 @@
         """Return an endpoint by id, or None if it is not listed."""
         return self._endpoints.get(endpoint)
 
+    def free_slots(self, endpoint: ListedEndpoint) -> int:
+        """Return the slots of an engine that are free, by the latest load reports."""
+        return self._load(endpoint).free_slots(MAX_FILL_FRACTION)
+
     def is_engine(self, endpoint: ListedEndpoint | None) -> bool:
         """Whether an endpoint is a model engine."""
         return endpoint is not None and self.service(endpoint.service).is_engine
@@ -277,6 +281,7 @@
         account: str,
         *,
         count_for_budget: bool = True,
+        count_demand: bool = True,
     ) -> Iterator[Decision]:
         """Queue a request, and yield the decisions that are now possible.
 
@@ -287,11 +292,15 @@
             account: Client account.
             count_for_budget: The request came from a caller of this host and
                 counts towards the retry budget.
+            count_demand: It counts in the demand of its account; not if another host
+                that queued it before has counted it.
         """
         self._now = now
         if count_for_budget:
             self.count_request(now, service)
-        self._recent_demand.add(now, (service, account), job.queued_request.work)
+        if count_demand:
+            work = job.queued_request.work
+            self._recent_demand.add(now, (service, account), work)
         yield from self._record_starts(
             service, self._scheduler(service).submit(now, job)
         )
--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -9,6 +9,7 @@
     ForwardRequest,
     request_fingerprint,
 )
+from greengageflow.core.second_placer import Redirect, RedirectOutcome
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.daemon.forward_context import ForwardContext, Phase
 from greengageflow.errors import Ran, RouterError
@@ -97,6 +98,39 @@
             "config": self.config_version,
         }
 
+    def on_redirected(
+        self,
+        now: float,
+        ctx: ForwardContext | None,
+        redirect: Redirect,
+        outcome: RedirectOutcome,
+    ) -> None:
+        """Record what became of a request for which a second placer was asked.
+
+        Args:
+            now: The time.
+            ctx: The request, or None if it has ended.
+            redirect: Its rejection by the first placer, and the second one.
+            outcome: What became of it.
+        """
+        self._page.count(PageMetric.REDIRECTS, outcome.value)
+        if ctx is None:
+            return
+        self._log.write(
+            DecisionEvent.REDIRECTED,
+            request=ctx.req.id,
+            account=ctx.account,
+            first=redirect.first,
+            second=redirect.second.host,
+            free=redirect.second.free_slots,
+            others_free=redirect.second.others_free_slots,
+            left_ms=_ms(redirect.left_s),
+            retry_after_ms=_ms(redirect.refusal.retry_after_s),
+            outcome=outcome.value,
+            after_ms=_ms(now - redirect.redirected_at),
+            report_age_ms=_ms(redirect.redirected_at - self.totals_at),
+        )
+
     def on_retry(
         self, ctx: ForwardContext, before: str, choice: Choice, why: str
     ) -> None:
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -8,6 +8,7 @@
 from greengageflow.core.fingerprint import Fingerprint
 from greengageflow.core.quarantine import Quarantine
 from greengageflow.core.routes import RetryPolicy, Routing
+from greengageflow.core.second_placer import Redirect, RedirectOutcome
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import (
     QUEUE_TARGET_FRACTION,
@@ -235,9 +236,16 @@
                     else:
                         self._answer_error(ctx, exc)
                 case RefuseJob(kind=kind, message=message, retry_after_s=wait_s):
+                    if self.placement.redirect(decision):
+                        continue
                     exc = RouterError(kind, message, retry_after_s=wait_s)
                     self._answer_error(ctx, exc)
 
+    def on_redirected(self, redirect: Redirect, outcome: RedirectOutcome) -> None:
+        """Record what became of a request for which a second placer was asked."""
+        ctx = self._active.get(redirect.request)
+        self._telemetry.on_redirected(self._timers.now, ctx, redirect, outcome)
+
     def _start(self, ctx: ForwardContext, choice: Choice) -> None:
         now = self._timers.now
         ctx.phase = Phase.SENT
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -193,6 +193,7 @@
                 lambda engine: self._leaving_watch.on_answer(engine),
             ),
         )
+        self._placement.on_redirected = self._forwarder.on_redirected
         self._affinity = self._forwarder.affinity = VersionAffinity(
             hello, self._timers, self._exchange
         )
--- a/greengageflow/daemon/pending_placements.py
+++ b/greengageflow/daemon/pending_placements.py
@@ -6,6 +6,7 @@
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.place_messages import PlacementMessage
 from greengageflow.core.router_table import Hello
+from greengageflow.core.second_placer import Redirect
 from greengageflow.core.service_scheduler import Job
 
 
@@ -30,6 +31,7 @@
         account: Client account.
         requested_at: Time at which the placement was requested.
         queued: Whether the placer has it in its queue.
+        redirect: The rejection by another placer that was asked before, or None.
     """
 
     placer: str
@@ -38,6 +40,7 @@
     account: str
     requested_at: float
     queued: bool = False
+    redirect: Redirect | None = None
 
 
 @dataclass(slots=True)
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -1,13 +1,13 @@
 """Decides requests on this host or through the placer of their engine."""
 
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
 
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
 from greengageflow.core.forward_request import Prompt
 from greengageflow.core.place_messages import (
     PlacementAnswer,
-    PlacementEntry,
     PlacementEvent,
     PlacementEventKind,
     PlacementMessage,
@@ -16,9 +16,9 @@
     Verdict,
 )
 from greengageflow.core.placers import PlacerTable
-from greengageflow.core.prompt_places import home_of
 from greengageflow.core.remote_placements import RemotePlacements, placement_request
 from greengageflow.core.router_table import Hello
+from greengageflow.core.second_placer import Redirect, RedirectOutcome
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
 from greengageflow.daemon.cached_parts import PartsLoader
@@ -27,6 +27,11 @@
     PlacedRun,
     PlacementSender,
 )
+from greengageflow.daemon.placement_snapshots import (
+    SNAPSHOT_INTERVAL_S,
+    SnapshotSchedule,
+)
+from greengageflow.daemon.placer_selection import PlacerSelection
 from greengageflow.errors import ErrorKind
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
@@ -34,8 +39,6 @@
 
 ANSWER_TIMEOUT_S = 0.15
 PLACER_BACKOFF_S = 1.0
-SNAPSHOT_INTERVAL_S = 0.5
-SNAPSHOT_LINGER_S = 2.0
 NEW_PLACER_DELAY_S = 1.0
 DISCOVERY_HOLD_S = 0.3
 """Seconds after the start for which a host that knows no peer holds requests back.
@@ -60,6 +63,11 @@
     If a placer does not answer within ``ANSWER_TIMEOUT_S``, its requests are decided
     on this host, and no request is sent to it for ``PLACER_BACKOFF_S``.
 
+    If a placer rejects a request that could still be queued, one other placer is asked;
+    see ``second_placer``. Its answer is final. If it gives none in time, the first
+    rejection is returned: this host does not decide then, since the first placer knew
+    the load of its engines better.
+
     Args:
         own: This host.
         dispatcher: Decides the requests that are decided on this host.
@@ -69,6 +77,10 @@
         carry_out: Carries out decisions on requests of this host.
         log: Gets a line when a placer stops answering or this host's role changes.
         parts: Asks the engines that this host places for their cached prefixes.
+
+    Attributes:
+        on_redirected: Gets each request for which a second placer was asked, and what
+            became of it.
     """
 
     def __init__(
@@ -83,6 +95,8 @@
         parts: PartsLoader,
     ) -> None:
         self.stopping = False
+        self.on_redirected: Callable[[Redirect, RedirectOutcome], None]
+        self.on_redirected = lambda _redirect, _outcome: None
         self._host = own.host
         self._zone = own.zone
         self._boot = own.boot
@@ -97,8 +111,11 @@
         self._pending: dict[str, PendingPlacement] = {}
         self._runs: dict[str, PlacedRun] = {}
         self._table = PlacerTable(own.host, PLACER_BACKOFF_S)
+        self._selection = PlacerSelection(own, dispatcher, self._table)
+        self._snapshots = SnapshotSchedule(own.host, own.boot)
+        # Requests of this host's callers that it decides as their placer.
+        self._own_placements: dict[str, PendingPlacement] = {}
         self._owned: frozenset[str] | None = None
-        self._snapshots_until: dict[str, float] = {}
         self._placer_since = float("inf")
         self._started_at = float("-inf")
 
@@ -166,20 +183,60 @@
         self, now: float, service: str, job: Job, account: str
     ) -> Iterator[Decision]:
         placer = self.placer_for(now, service, job)
-        if not placer:
-            yield from self._dispatcher.submit(
-                now, service, job, account, count_for_budget=False
-            )
+        if placer:
+            self._ask(now, PendingPlacement(placer, service, job, account, now))
             return
-        request = job.queued_request.id
-        self._pending[request] = PendingPlacement(placer, service, job, account, now)
-        self._snapshots_until[placer] = now + SNAPSHOT_LINGER_S
-        avoid = self._dispatcher.unavailable_endpoints(now, service)
+        if self._selection.is_placer() and self._selection.may_redirect(job):
+            own = PendingPlacement(self._host, service, job, account, now)
+            self._own_placements[job.queued_request.id] = own
+        yield from self._dispatcher.submit(
+            now, service, job, account, count_for_budget=False
+        )
+
+    def _ask(self, now: float, pending: PendingPlacement) -> None:
+        """Ask a placer to place a request."""
+        request = pending.job.queued_request.id
+        self._pending[request] = pending
+        self._snapshots.extend(now, pending.placer)
         message = placement_request(
-            self._host, self._boot, now, service, job, account, avoid, self._zone
+            self._host,
+            self._boot,
+            now,
+            pending.service,
+            pending.job,
+            pending.account,
+            self._dispatcher.unavailable_endpoints(now, pending.service),
+            self._zone,
+            redirected=pending.redirect is not None,
         )
-        self._send(placer, message)
-        self._timers.after(ANSWER_TIMEOUT_S, lambda: self._on_answer_timeout(request))
+        self._send(pending.placer, message)
+        self._timers.after(
+            ANSWER_TIMEOUT_S, lambda: self._on_answer_timeout(request, pending)
+        )
+
+    def redirect(self, refusal: RefuseJob) -> bool:
+        """Ask a second placer for a request that this host rejects as its placer.
+
+        Returns:
+            Whether one was asked; the rejection must then not be returned.
+        """
+        own = self._own_placements.pop(refusal.request, None)
+        return own is not None and self._redirect(own, refusal)
+
+    def _redirect(self, pending: PendingPlacement, refusal: RefuseJob) -> bool:
+        now = self._timers.now
+        redirect = self._selection.second(now, pending, refusal)
+        if redirect is None:
+            return False
+        second = replace(
+            pending,
+            placer=redirect.second.host,
+            requested_at=now,
+            queued=False,
+            redirect=redirect,
+        )
+        self._ask(now, second)
+        return True
 
     def owner_of(self, endpoint: str) -> str:
         """Return the placer of an engine, or an empty string if there is none."""
@@ -187,21 +244,10 @@
 
     def placer_for(self, now: float, service: str, job: Job) -> str:
         """Return the host that would place a request; empty if this one would."""
-        if job.prompt is None:
-            return ""
-        zones = job.allowed_zones
-        endpoints = self._dispatcher.available_endpoints(now, service)
-        if zones is not None:
-            endpoints = [e for e in endpoints if e.zone in zones]
-        if job.version:
-            endpoints = [e for e in endpoints if e.version == job.version]
-        home = home_of(job.prompt.affinity, endpoints)
-        placer = self._table.owner(home.id) if home else ""
-        return placer if self._table.is_available(now, placer) else ""
-
-    def _on_answer_timeout(self, request: str) -> None:
-        pending = self._pending.get(request)
-        if pending is None:
+        return self._selection.first(now, service, job)
+
+    def _on_answer_timeout(self, request: str, pending: PendingPlacement) -> None:
+        if self._pending.get(request) is not pending:
             return
         if not pending.queued:
             self._on_placer_timeout(pending.placer)
@@ -210,7 +256,9 @@
             pending.job.queued_request.expires_at - self._timers.now + REFUSAL_GRACE_S
         )
         if late_s > 0:
-            self._timers.after(late_s, lambda: self._on_answer_timeout(request))
+            self._timers.after(
+                late_s, lambda: self._on_answer_timeout(request, pending)
+            )
         else:
             self._decide_locally(lambda other: other is pending)
 
@@ -229,19 +277,29 @@
             )
 
     def _decide_locally(self, matches: Callable[[PendingPlacement], bool]) -> None:
-        """Decide matching requests that await a placer's answer on this host."""
+        """Decide matching requests that await a placer's answer on this host.
+
+        Those that another placer has rejected are rejected.
+        """
         now = self._timers.now
         for request, pending in list(self._pending.items()):
-            if matches(pending) and self._pending.pop(request, None) is not None:
-                self._carry_out(
-                    self._dispatcher.submit(
-                        now,
-                        pending.service,
-                        pending.job,
-                        pending.account,
-                        count_for_budget=False,
-                    )
+            if not matches(pending) or self._pending.pop(request, None) is None:
+                continue
+            if pending.redirect is not None:
+                # The placer may have it in its queue, or start it later.
+                self._send_event(pending.placer, request, PlacementEventKind.ENDED)
+                self.on_redirected(pending.redirect, RedirectOutcome.UNANSWERED)
+                self._carry_out([pending.redirect.refusal])
+                continue
+            self._carry_out(
+                self._dispatcher.submit(
+                    now,
+                    pending.service,
+                    pending.job,
+                    pending.account,
+                    count_for_budget=False,
                 )
+            )
 
     def on_request_sent(
         self, now: float, request: str, choice: Choice, prompt: Prompt | None
@@ -303,6 +361,9 @@
         pending = self._pending.pop(request, None)
         if pending is not None:
             self._send_event(pending.placer, request, PlacementEventKind.ENDED)
+            if pending.redirect is not None:
+                self.on_redirected(pending.redirect, RedirectOutcome.ABANDONED)
+        self._own_placements.pop(request, None)
         run = self._runs.pop(request, None)
         if run is not None and run.active:
             self._report_event(request, run, PlacementEventKind.ENDED)
@@ -400,6 +461,10 @@
                     answer.message,
                     answer.retry_after_s,
                 )
+                if pending.redirect is not None:
+                    self.on_redirected(pending.redirect, RedirectOutcome.REFUSED)
+                elif self._redirect(pending, refusal):
+                    return
                 self._carry_out([refusal])
             case Verdict.START:
                 self._on_start(pending, answer)
@@ -416,6 +481,8 @@
             self._decide_locally(lambda other: other is pending)
             return
         del self._pending[answer.request]
+        if pending.redirect is not None:
+            self.on_redirected(pending.redirect, RedirectOutcome.STARTED)
         prompt = pending.job.prompt
         memory = prompt.tokens_in + prompt.tokens_out
         self._runs[answer.request] = PlacedRun(
@@ -475,30 +542,10 @@
     def _send_snapshots(self) -> None:
         """Send each placer a snapshot of what it queued or placed for this host."""
         now = self._timers.now
-        # A lost answer leaves a reservation at the placer that this host does not know
-        # of. Snapshots therefore continue for a while, even if they are empty.
-        snapshots: dict[str, list[PlacementEntry]] = {
-            host: [] for host, until in self._snapshots_until.items() if now < until
-        }
-        for request, pending in self._pending.items():
-            if pending.placer:
-                snapshots.setdefault(pending.placer, []).append(PlacementEntry(request))
-        for request, run in self._runs.items():
-            if run.active:
-                entry = PlacementEntry(
-                    request, run.endpoint.id, run.prefill_tokens, run.memory
-                )
-                snapshots.setdefault(self._table.owner(run.endpoint.id), []).append(
-                    entry
-                )
-        self._snapshots_until = {
-            host: now + SNAPSHOT_LINGER_S if entries else self._snapshots_until[host]
-            for host, entries in snapshots.items()
-        }
-        for host, entries in snapshots.items():
-            snapshot = PlacementSnapshot(
-                host=self._host, boot=self._boot, entries=tuple(entries)
-            )
+        snapshots = self._snapshots.due(
+            now, self._pending, self._runs, self._table.owner
+        )
+        for host, snapshot in snapshots.items():
             if host == self._host:
                 self._carry_out(self._remote_placements.on_snapshot(now, snapshot))
             else:
--- /dev/null
+++ b/greengageflow/daemon/placer_selection.py
@@ -0,0 +1,101 @@
+"""Selection of the placer that is asked for a request."""
+
+from collections.abc import Sequence
+
+from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.core.placers import PlacerTable
+from greengageflow.core.prompt_places import home_of
+from greengageflow.core.router_table import Hello
+from greengageflow.core.second_placer import (
+    Redirect,
+    choose_second_placer,
+    free_slots_by_placer,
+)
+from greengageflow.core.service_dispatcher import ServiceDispatcher
+from greengageflow.core.service_scheduler import Job, RefuseJob
+from greengageflow.daemon.pending_placements import PendingPlacement
+from greengageflow.errors import ErrorKind
+
+
+class PlacerSelection:
+    """Selects the placer of a request, and a second one if the first rejects it.
+
+    Args:
+        own: This host.
+        dispatcher: Knows the endpoints and their loads.
+        table: The placers.
+    """
+
+    def __init__(
+        self, own: Hello, dispatcher: ServiceDispatcher, table: PlacerTable
+    ) -> None:
+        self._host = own.host
+        self._boot = own.boot
+        self._dispatcher = dispatcher
+        self._table = table
+
+    def first(self, now: float, service: str, job: Job) -> str:
+        """Return the host that would place a request; empty if this one would."""
+        if job.prompt is None:
+            return ""
+        home = home_of(job.prompt.affinity, self._usable(now, service, job))
+        placer = self._table.owner(home.id) if home else ""
+        return placer if self._table.is_available(now, placer) else ""
+
+    def _usable(self, now: float, service: str, job: Job) -> Sequence[ListedEndpoint]:
+        zones = job.allowed_zones
+        endpoints = self._dispatcher.available_endpoints(now, service)
+        if zones is not None:
+            endpoints = [e for e in endpoints if e.zone in zones]
+        if job.version:
+            endpoints = [e for e in endpoints if e.version == job.version]
+        return endpoints
+
+    def may_redirect(self, job: Job) -> bool:
+        """Whether a second placer may be asked for a request."""
+        return self._dispatcher.work.enabled and job.prompt is not None
+
+    def is_placer(self) -> bool:
+        """Whether this host places requests of all hosts."""
+        return self._host in self._table.placers
+
+    def second(
+        self, now: float, pending: PendingPlacement, refusal: RefuseJob
+    ) -> Redirect | None:
+        """Return the second placer to ask for a rejected request, or None.
+
+        Args:
+            now: The time.
+            pending: The request, as the first placer was asked for it.
+            refusal: The first placer's rejection.
+        """
+        queued_request = pending.job.queued_request
+        left_s = queued_request.expires_at - now
+        may_redirect = pending.redirect is None and self.may_redirect(pending.job)
+        if not may_redirect or refusal.kind is not ErrorKind.QUEUE_FULL or left_s <= 0:
+            return None
+        avoid = {
+            *pending.job.avoid,
+            *self._dispatcher.unavailable_endpoints(now, pending.service),
+        }
+        slots = free_slots_by_placer(
+            (
+                endpoint
+                for endpoint in self._usable(now, pending.service, pending.job)
+                if endpoint.id not in avoid
+            ),
+            self._table.owner,
+            self._dispatcher.free_slots,
+        )
+        candidates = {
+            host: free
+            for host, free in slots.items()
+            if host != pending.placer and self._table.is_available(now, host)
+        }
+        # Each process numbers its requests from 1. Without the host, the requests of
+        # all hosts with the same number would have the same choice.
+        key = f"{self._host} {self._boot} {queued_request.id}"
+        second = choose_second_placer(key, candidates)
+        if second is None:
+            return None
+        return Redirect(pending.placer, second, refusal, now, left_s)
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -57,6 +57,12 @@
     )
     CUT = ("GG708", Level.FAILURE, "request endpoint why pieces ran total_ms")
     CALLER_LEFT = ("GG709", Level.NOTABLE, "request endpoint stage total_ms")
+    REDIRECTED = (
+        "GG700",
+        Level.NOTABLE,
+        "request account first second free others_free left_ms retry_after_ms outcome"
+        " after_ms report_age_ms",
+    )
 
     ENDPOINT_COLD = ("GG710", Level.STATE, "endpoint source cold_ms")
     ENDPOINT_SEEN = (
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -66,6 +66,7 @@
 
     REQUESTS = PageMetricSpec("requests", PageKind.COUNTER, "outcome")
     REFUSALS = PageMetricSpec("refusals", PageKind.COUNTER, "kind")
+    REDIRECTS = PageMetricSpec("redirects", PageKind.COUNTER, "outcome")
     RETRIES = PageMetricSpec("retries", PageKind.COUNTER, "service")
     RESUMED = PageMetricSpec("streams_resumed", PageKind.COUNTER, "service")
     REPEATS_REFUSED = PageMetricSpec("repeats_refused", PageKind.COUNTER, "service")
--- a/greengageflow/net/placement_codec.py
+++ b/greengageflow/net/placement_codec.py
@@ -24,6 +24,14 @@
 
 _MAX_AMOUNT = 2.0**53
 
+_REDIRECTED = ""
+"""Stands among the endpoints to avoid for ``PlacementRequest.redirected``.
+
+A placer of the earlier release rejects a request with a further value, but takes any
+endpoint id to avoid. No endpoint has the empty one. Such a placer handles the request
+as one that nobody has rejected, and counts its demand a second time.
+"""
+
 
 def placement_values(message: PlacementMessage) -> tuple[Any, ...]:
     """Return the values of a message, its type number first."""
@@ -45,7 +53,7 @@
                 message.parts,
                 message.tokens_in,
                 message.tokens_out,
-                message.avoid,
+                (*message.avoid, _REDIRECTED) if message.redirected else message.avoid,
                 message.zone,
                 # Earlier versions accept only messages without these values.
                 *_optional_values(zones, message.version),
@@ -99,6 +107,7 @@
     waited_s, slack_s, timeout_s, target_s, *rest = rest
     parts, tokens_in, tokens_out, avoid, zone, *rest = rest
     zones, version = (*rest, *(None, "")[len(rest) :])
+    names = tuple(str(name) for name in avoid)
     return PlacementRequest(
         host=str(host),
         boot=int(boot),
@@ -113,10 +122,11 @@
         parts=tuple((str(name), _count(tokens)) for name, tokens in parts),
         tokens_in=_count(tokens_in),
         tokens_out=_count(tokens_out),
-        avoid=tuple(str(name) for name in avoid),
+        avoid=tuple(name for name in names if name != _REDIRECTED),
         zone=str(zone),
         allowed_zones=None if zones is None else tuple(str(name) for name in zones),
         version=str(version),
+        redirected=_REDIRECTED in names,
     )
 
 
--- a/greengageflow/ops/decision_messages.py
+++ b/greengageflow/ops/decision_messages.py
@@ -25,6 +25,9 @@
     " {total_ms} ms",
     Event.CALLER_LEFT: "caller left after {total_ms} ms, request was {stage} at"
     " {endpoint}",
+    Event.REDIRECTED: "rejected by placer {first} with {left_ms} ms left, asked"
+    " {second} with {free} free slots (another one had {others_free}): {outcome} after"
+    " {after_ms} ms, reports {report_age_ms} ms old",
     Event.ENDPOINT_COLD: "endpoint {endpoint} is cold again for {cold_ms} ms, by"
     " {source}",
     Event.ENDPOINT_SEEN: "endpoint {endpoint} of {service} seen, by {source}",
