--- a/greengageflow/core/remote_placements.py
+++ b/greengageflow/core/remote_placements.py
@@ -17,6 +17,7 @@
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
 from greengageflow.core.work_queue import QueuedRequest
+from greengageflow.errors import ErrorKind
 
 SNAPSHOT_GRACE_S = 0.5
 """Seconds for which a new request may be missing from its host's snapshots."""
@@ -274,3 +275,9 @@
         version=job.version,
         redirected=redirected,
     )
+
+
+def refusal_in(answer: PlacementAnswer) -> RefuseJob:
+    """Return the decision in a placer's answer with the verdict ``REFUSE``."""
+    kind = ErrorKind(answer.kind)
+    return RefuseJob(answer.request, kind, answer.message, answer.retry_after_s)
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -548,7 +548,7 @@
             waiting=self._placement.waiting,
         )
         self._forwarder.stopping = self._exchange.stopping = True
-        self._placement.stopping = True
+        self._placement.stop_placing()
         self._affinity.on_stop()
         self._stop_started_at = self._timers.now
         self._callers.close_after_answers()
--- a/greengageflow/daemon/pending_placements.py
+++ b/greengageflow/daemon/pending_placements.py
@@ -1,6 +1,6 @@
 """State of this host's requests that are placed by other hosts."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from greengageflow.core.endpoint_list import ListedEndpoint
@@ -42,6 +42,16 @@
     queued: bool = False
     redirect: Redirect | None = None
 
+    def redirected(self, redirect: Redirect) -> "PendingPlacement":
+        """Return the same request as a second placer is asked for it."""
+        return replace(
+            self,
+            placer=redirect.second.host,
+            requested_at=redirect.redirected_at,
+            queued=False,
+            redirect=redirect,
+        )
+
 
 @dataclass(slots=True)
 class PlacedRun:
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -1,7 +1,6 @@
 """Decides requests on this host or through the placer of their engine."""
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import replace
 
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
@@ -16,7 +15,7 @@
     Verdict,
 )
 from greengageflow.core.placers import PlacerTable
-from greengageflow.core.remote_placements import RemotePlacements, placement_request
+from greengageflow.core.remote_placements import placement_request, refusal_in
 from greengageflow.core.router_table import Hello
 from greengageflow.core.second_placer import Redirect, RedirectOutcome
 from greengageflow.core.service_dispatcher import ServiceDispatcher
@@ -31,15 +30,14 @@
     SNAPSHOT_INTERVAL_S,
     SnapshotSchedule,
 )
+from greengageflow.daemon.placer_role import PlacerRole
 from greengageflow.daemon.placer_selection import PlacerSelection
-from greengageflow.errors import ErrorKind
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
 from greengageflow.net.timers import Timers
 
 ANSWER_TIMEOUT_S = 0.15
 PLACER_BACKOFF_S = 1.0
-NEW_PLACER_DELAY_S = 1.0
 DISCOVERY_HOLD_S = 0.3
 """Seconds after the start for which a host that knows no peer holds requests back.
 
@@ -48,12 +46,6 @@
 """
 STARTUP_S = 3.0
 DISCOVERY_POLL_S = 0.05
-CACHE_QUERY_DELAY_S = 0.3
-"""Seconds as placer after which engines are asked for their cached prefixes.
-
-A starting host considers itself the only one until it discovers its peers, which takes
-a round. Without the delay, nine starting hosts would all ask each engine.
-"""
 REFUSAL_GRACE_S = 0.1
 
 
@@ -94,7 +86,6 @@
         log: DecisionLog,
         parts: PartsLoader,
     ) -> None:
-        self.stopping = False
         self.on_redirected: Callable[[Redirect, RedirectOutcome], None]
         self.on_redirected = lambda _redirect, _outcome: None
         self._host = own.host
@@ -106,17 +97,24 @@
         self._sender = sender
         self._carry_out = carry_out
         self._log = log
-        self._parts = parts
-        self._remote_placements = RemotePlacements(own.host, dispatcher)
         self._pending: dict[str, PendingPlacement] = {}
         self._runs: dict[str, PlacedRun] = {}
         self._table = PlacerTable(own.host, PLACER_BACKOFF_S)
         self._selection = PlacerSelection(own, dispatcher, self._table)
         self._snapshots = SnapshotSchedule(own.host, own.boot)
+        self._role = PlacerRole(
+            own.host,
+            dispatcher,
+            endpoints,
+            self._table,
+            self._send,
+            carry_out,
+            log,
+            parts,
+        )
+        self._remote_placements = self._role.placements
         # Requests of this host's callers that it decides as their placer.
         self._own_placements: dict[str, PendingPlacement] = {}
-        self._owned: frozenset[str] | None = None
-        self._placer_since = float("inf")
         self._started_at = float("-inf")
 
     def start(self) -> None:
@@ -125,6 +123,10 @@
         self._timers.every(SNAPSHOT_INTERVAL_S, self._send_snapshots)
         self._poll_membership()
 
+    def stop_placing(self) -> None:
+        """Let other hosts decide their requests, since this host is stopping."""
+        self._role.stopping = True
+
     @property
     def _is_starting(self) -> bool:
         return self._timers.now - self._started_at < STARTUP_S
@@ -147,7 +149,7 @@
         A placer and a host that waits for one need them at once, a host that starts
         has to find its peers soon.
         """
-        return self._owned is None and not self._pending and not self._is_starting
+        return self._role.owned is None and not self._pending and not self._is_starting
 
     # Requests of this host.
 
@@ -186,7 +188,7 @@
         if placer:
             self._ask(now, PendingPlacement(placer, service, job, account, now))
             return
-        if self._selection.is_placer() and self._selection.may_redirect(job):
+        if self._role.is_placer and self._selection.may_redirect(job):
             own = PendingPlacement(self._host, service, job, account, now)
             self._own_placements[job.queued_request.id] = own
         yield from self._dispatcher.submit(
@@ -228,14 +230,7 @@
         redirect = self._selection.second(now, pending, refusal)
         if redirect is None:
             return False
-        second = replace(
-            pending,
-            placer=redirect.second.host,
-            requested_at=now,
-            queued=False,
-            redirect=redirect,
-        )
-        self._ask(now, second)
+        self._ask(now, pending.redirected(redirect))
         return True
 
     def owner_of(self, endpoint: str) -> str:
@@ -393,7 +388,7 @@
         now = self._timers.now
         match message:
             case PlacementRequest():
-                self._on_request(now, message)
+                self._role.on_request(now, message, self._is_starting)
             case PlacementAnswer():
                 self._on_answer(now, message)
             case PlacementEvent():
@@ -401,31 +396,6 @@
             case PlacementSnapshot():
                 self._carry_out(self._remote_placements.on_snapshot(now, message))
 
-    def _on_request(self, now: float, message: PlacementRequest) -> None:
-        # A host that started while partitioned from the store knows no endpoints, or
-        # not those of a version, and would refuse the requests; the asking hosts know
-        # endpoints and can decide.
-        usable = self._endpoints.usable(message.service)
-        has_version = any(message.version in ("", e.version) for e in usable)
-        if not self._is_placing(now) or not has_version:
-            self._send_answer(message, Verdict.PASS)
-            return
-        self._carry_out(self._remote_placements.on_request(now, message))
-        if self._remote_placements.is_waiting(message):
-            self._send_answer(message, Verdict.QUEUED)
-
-    def _is_placing(self, now: float) -> bool:
-        # If all hosts started together, there was no placer before and nothing runs.
-        fresh = self._is_starting and self._table.started_together
-        settled = fresh or now - self._placer_since >= NEW_PLACER_DELAY_S
-        return self._host in self._table.placers and settled and not self.stopping
-
-    def _send_answer(self, message: PlacementRequest, verdict: Verdict) -> None:
-        answer = PlacementAnswer(
-            host=self._host, boot=message.boot, request=message.request, verdict=verdict
-        )
-        self._send(message.host, answer)
-
     def _send(self, host: str, message: PlacementMessage) -> None:
         address = self._table.address(host)
         if address is not None:
@@ -455,12 +425,7 @@
                 self._decide_locally(lambda other: other is pending)
             case Verdict.REFUSE:
                 del self._pending[answer.request]
-                refusal = RefuseJob(
-                    answer.request,
-                    ErrorKind(answer.kind),
-                    answer.message,
-                    answer.retry_after_s,
-                )
+                refusal = refusal_in(answer)
                 if pending.redirect is not None:
                     self.on_redirected(pending.redirect, RedirectOutcome.REFUSED)
                 elif self._redirect(pending, refusal):
@@ -500,22 +465,14 @@
         routers = self._sender.routers()
         changed = self._table.update(routers)
         self._dispatcher.set_live_hosts(now, {row.host: row.zone for row in routers})
-        if self._host not in self._table.placers:
-            self._placer_since = float("inf")
-        elif self._placer_since == float("inf"):
-            self._placer_since = now
+        self._role.on_membership(now)
         if changed:
             placers = self._table.placers
             self._decide_locally(lambda pending: pending.placer not in ("", *placers))
             self._send_snapshots()
-        self._update_owned_engines()
+        self._role.update_owned_engines()
         self._place_held(now)
-        if now - self._placer_since >= CACHE_QUERY_DELAY_S:
-            listed = filter(None, map(self._endpoints.get, self._owned or ()))
-            engines = filter(self._dispatcher.is_engine, listed)
-            self._parts.load(
-                e for e in engines if self._dispatcher.is_available(now, e)
-            )
+        self._role.load_cached_parts(now)
         self._carry_out(self._remote_placements.drop_silent_hosts(now))
 
     def _place_held(self, now: float) -> None:
@@ -528,17 +485,6 @@
                     self._place(now, pending.service, pending.job, pending.account)
                 )
 
-    def _update_owned_engines(self) -> None:
-        owned = self._table.owned(self._endpoints.ids())
-        if owned != self._owned:
-            self._owned = owned
-            self._dispatcher.set_owned_engines(owned)
-            self._log.write(
-                DecisionEvent.PLACING,
-                placers=" ".join(self._table.placers),
-                endpoints=len(owned or ()),
-            )
-
     def _send_snapshots(self) -> None:
         """Send each placer a snapshot of what it queued or placed for this host."""
         now = self._timers.now
--- a/greengageflow/daemon/placer_selection.py
+++ b/greengageflow/daemon/placer_selection.py
@@ -55,10 +55,6 @@
         """Whether a second placer may be asked for a request."""
         return self._dispatcher.work.enabled and job.prompt is not None
 
-    def is_placer(self) -> bool:
-        """Whether this host places requests of all hosts."""
-        return self._host in self._table.placers
-
     def second(
         self, now: float, pending: PendingPlacement, refusal: RefuseJob
     ) -> Redirect | None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -33,10 +33,10 @@
     ANSWER_TIMEOUT_S,
     DISCOVERY_HOLD_S,
     DISCOVERY_POLL_S,
-    NEW_PLACER_DELAY_S,
     PLACER_BACKOFF_S,
     Placement,
 )
+from greengageflow.daemon.placer_role import NEW_PLACER_DELAY_S
 from greengageflow.net.report_codec import ReportError, decode, encode
 
 SLOTS = 4
