Sum the free slots of the two drawn placers only

The first test of the second rejection could not see a third attempt; it now has placers that could be asked.

--- a/greengageflow/core/second_placer.py
+++ b/greengageflow/core/second_placer.py
@@ -8,13 +8,12 @@
 to one of two placers drawn by a hash (Mitzenmacher, 2001).
 """
 
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 from heapq import nlargest
+from operator import itemgetter
 
-from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.rendezvous import uncached_rank
 from greengageflow.core.service_scheduler import RefuseJob
 
@@ -78,39 +77,21 @@
 
 
 def choose_second_placer(
-    key: str, free_slots: Mapping[str, int]
+    key: str, placers: Iterable[str], free_slots: Callable[[str], int]
 ) -> SecondPlacer | None:
     """Return the placer to ask, or None if those drawn have no capacity.
 
     Args:
         key: Identifies the request in the whole fleet.
-        free_slots: Free slots of each placer that may be asked.
+        placers: Placers that may be asked.
+        free_slots: Returns the free slots of a placer's engines.
     """
     drawn = nlargest(
-        DRAWN_PLACERS, free_slots, key=lambda host: uncached_rank(f"{key} {host}")
+        DRAWN_PLACERS, placers, key=lambda host: uncached_rank(f"{key} {host}")
     )
-    if not drawn:
+    slots = [(host, free_slots(host)) for host in drawn]
+    host, free = max(slots, key=itemgetter(1), default=("", 0))
+    if free < MIN_FREE_SLOTS:
         return None
-    host = max(drawn, key=lambda placer: free_slots[placer])
-    if free_slots[host] < MIN_FREE_SLOTS:
-        return None
-    others = [free_slots[other] for other in drawn if other != host]
-    return SecondPlacer(host, free_slots[host], *others)
-
-
-def free_slots_by_placer(
-    endpoints: Iterable[ListedEndpoint],
-    owner: Callable[[str], str],
-    free_slots: Callable[[ListedEndpoint], int],
-) -> dict[str, int]:
-    """Return the sum of the free slots of each placer's engines.
-
-    Args:
-        endpoints: Engines that the request may use.
-        owner: Returns the placer of an engine.
-        free_slots: Returns the free slots of an engine.
-    """
-    sums: dict[str, int] = defaultdict(int)
-    for endpoint in endpoints:
-        sums[owner(endpoint.id)] += free_slots(endpoint)
-    return sums
+    others = [count for other, count in slots if other != host]
+    return SecondPlacer(host, free, *others)
--- a/greengageflow/daemon/placer_selection.py
+++ b/greengageflow/daemon/placer_selection.py
@@ -1,16 +1,13 @@
 """Selection of the placer that is asked for a request."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.placers import PlacerTable
 from greengageflow.core.prompt_places import home_of
 from greengageflow.core.router_table import Hello
-from greengageflow.core.second_placer import (
-    Redirect,
-    choose_second_placer,
-    free_slots_by_placer,
-)
+from greengageflow.core.second_placer import Redirect, choose_second_placer
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import Job, RefuseJob
 from greengageflow.daemon.pending_placements import PendingPlacement
@@ -67,31 +64,37 @@
         """
         queued_request = pending.job.queued_request
         left_s = queued_request.expires_at - now
-        may_redirect = pending.redirect is None and self.may_redirect(pending.job)
-        if not may_redirect or refusal.kind is not ErrorKind.QUEUE_FULL or left_s <= 0:
+        is_final = refusal.kind is not ErrorKind.QUEUE_FULL or left_s <= 0
+        if is_final or not self.may_redirect(pending.job):
             return None
-        avoid = {
-            *pending.job.avoid,
-            *self._dispatcher.unavailable_endpoints(now, pending.service),
-        }
-        slots = free_slots_by_placer(
-            (
-                endpoint
-                for endpoint in self._usable(now, pending.service, pending.job)
-                if endpoint.id not in avoid
-            ),
-            self._table.owner,
-            self._dispatcher.free_slots,
-        )
-        candidates = {
-            host: free
-            for host, free in slots.items()
+        engines = self._engines_by_placer(now, pending)
+        candidates = (
+            host
+            for host in engines
             if host != pending.placer and self._table.is_available(now, host)
-        }
+        )
         # Each process numbers its requests from 1. Without the host, the requests of
         # all hosts with the same number would have the same choice.
         key = f"{self._host} {self._boot} {queued_request.id}"
-        second = choose_second_placer(key, candidates)
+        second = choose_second_placer(
+            key,
+            candidates,
+            lambda host: sum(map(self._dispatcher.free_slots, engines[host])),
+        )
         if second is None:
             return None
         return Redirect(pending.placer, second, refusal, now, left_s)
+
+    def _engines_by_placer(
+        self, now: float, pending: PendingPlacement
+    ) -> dict[str, list[ListedEndpoint]]:
+        """Return the engines that a request may use, by placer."""
+        avoid = {
+            *pending.job.avoid,
+            *self._dispatcher.unavailable_endpoints(now, pending.service),
+        }
+        found: defaultdict[str, list[ListedEndpoint]] = defaultdict(list)
+        for endpoint in self._usable(now, pending.service, pending.job):
+            if endpoint.id not in avoid:
+                found[self._table.owner(endpoint.id)].append(endpoint)
+        return found
--- a/tests/second_placer_fleet.py
+++ b/tests/second_placer_fleet.py
@@ -208,11 +208,11 @@
     fleet = RedirectFleet(**options)
     second = fleet.rest[0]
     fleet.fill_all_but(second)
-    free = {placer: 10 * (placer == second) for placer in fleet.rest}
+    free = {placer: 10 * (placer == second) for placer in fleet.rest}.get
     host = next(
         host
         for host in fleet.others
-        if choose_second_placer(f"{host.name} {host.hello.boot} 1", free)
+        if choose_second_placer(f"{host.name} {host.hello.boot} 1", fleet.rest, free)
     )
     return fleet, host, second
 
--- a/tests/test_second_placer.py
+++ b/tests/test_second_placer.py
@@ -72,16 +72,24 @@
 
 
 def test_second_rejection_reaches_the_caller_with_its_retry_after():
-    """The second placer filled up since its last report; no third one is asked."""
-    fleet, host, second = fleet_with_free()
-    fleet.fill(second)
+    """All placers with free slots filled up since their last report.
+
+    With a third attempt, and so on, a request would pass all placers of a full fleet.
+    """
+    fleet = RedirectFleet()
+    fleet.fill(fleet.first)
+    fleet.report()
+    for placer in fleet.rest:
+        fleet.fill(placer)
+    host = fleet.others[0]
     name = host.ask()
     fleet.run(0.05)
-    assert fleet.asked() == [fleet.first, second]
+    first, second = fleet.asked()
+    assert first == fleet.first and second in fleet.rest
     assert host.refused[name].kind is ErrorKind.QUEUE_FULL
     expected_s = fleet.hosts[second].retry_after_s
     assert host.refused[name].retry_after_s == expected_s
-    assert expected_s != fleet.hosts[fleet.first].retry_after_s
+    assert expected_s != fleet.hosts[first].retry_after_s
     assert fleet.outcomes == {"refused": 1}
 
 
@@ -309,17 +317,19 @@
 def test_choice_of_two_prefers_free_slots_and_spreads():
     """A choice of one would ask full placers, the best of all always the same one."""
     free = {"a": 9, "b": 6, "c": 3, "d": 1}
-    chosen = Counter(
-        second.host if (second := choose_second_placer(str(key), free)) else ""
-        for key in range(3000)
-    )
+
+    def chosen(key, *placers):
+        second = choose_second_placer(str(key), placers, free.get)
+        return second.host if second else ""
+
+    counts = Counter(chosen(key, *free) for key in range(3000))
     expected = {"a": 1 / 2, "b": 1 / 3, "c": 1 / 6}
-    assert chosen.keys() == expected.keys()
+    assert counts.keys() == expected.keys()
     for host, fraction in expected.items():
-        assert chosen[host] == pytest.approx(3000 * fraction, rel=0.15)
-    assert choose_second_placer("1", {"a": 5}) == SecondPlacer("a", 5)
-    assert choose_second_placer("1", {"a": 1, "d": 1}) is None
-    assert choose_second_placer("1", {}) is None
+        assert counts[host] == pytest.approx(3000 * fraction, rel=0.15)
+    assert choose_second_placer("1", ["a"], free.get) == SecondPlacer("a", 9)
+    assert choose_second_placer("1", ["d", "a"], free.get) == SecondPlacer("a", 9, 1)
+    assert not chosen("1", "d") and not chosen("1")
 
 
 def test_redirected_request_counts_once_in_demand_and_budget():
