--- a/greengageflow/core/remote_placements.py
+++ b/greengageflow/core/remote_placements.py
@@ -17,6 +17,7 @@
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
 from greengageflow.core.work_queue import QueuedRequest
+from greengageflow.errors import ErrorKind
 
 SNAPSHOT_GRACE_S = 0.5
 """Seconds for which a new request may be missing from its host's snapshots."""
@@ -92,7 +93,12 @@
             message.version,
         )
         yield from self._book.submit(
-            now, message.service, job, message.account, count_for_budget=False
+            now,
+            message.service,
+            job,
+            message.account,
+            count_for_budget=False,
+            count_demand=not message.redirected,
         )
 
     def is_waiting(self, message: PlacementRequest) -> bool:
@@ -243,6 +249,8 @@
     account: str,
     avoid: tuple[str, ...],
     zone: str,
+    *,
+    redirected: bool = False,
 ) -> PlacementRequest:
     """Return the message that asks a placer to place a request."""
     queued_request, prompt = job.queued_request, job.prompt
@@ -265,4 +273,11 @@
         zone=zone,
         allowed_zones=None if zones is None else tuple(sorted(zones)),
         version=job.version,
+        redirected=redirected,
     )
+
+
+def refusal_in(answer: PlacementAnswer) -> RefuseJob:
+    """Return the decision in a placer's answer with the verdict ``REFUSE``."""
+    kind = ErrorKind(answer.kind)
+    return RefuseJob(answer.request, kind, answer.message, answer.retry_after_s)
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -193,6 +193,7 @@
                 lambda engine: self._leaving_watch.on_answer(engine),
             ),
         )
+        self._placement.on_redirected = self._forwarder.on_redirected
         self._affinity = self._forwarder.affinity = VersionAffinity(
             hello, self._timers, self._exchange
         )
@@ -547,7 +548,7 @@
             waiting=self._placement.waiting,
         )
         self._forwarder.stopping = self._exchange.stopping = True
-        self._placement.stopping = True
+        self._placement.stop_placing()
         self._affinity.on_stop()
         self._stop_started_at = self._timers.now
         self._callers.close_after_answers()
--- a/greengageflow/daemon/pending_placements.py
+++ b/greengageflow/daemon/pending_placements.py
@@ -1,11 +1,12 @@
 """State of this host's requests that are placed by other hosts."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.place_messages import PlacementMessage
 from greengageflow.core.router_table import Hello
+from greengageflow.core.second_placer import Redirect
 from greengageflow.core.service_scheduler import Job
 
 
@@ -30,6 +31,7 @@
         account: Client account.
         requested_at: Time at which the placement was requested.
         queued: Whether the placer has it in its queue.
+        redirect: The rejection by another placer that was asked before, or None.
     """
 
     placer: str
@@ -38,6 +40,17 @@
     account: str
     requested_at: float
     queued: bool = False
+    redirect: Redirect | None = None
+
+    def redirected(self, redirect: Redirect) -> "PendingPlacement":
+        """Return the same request as a second placer is asked for it."""
+        return replace(
+            self,
+            placer=redirect.second.host,
+            requested_at=redirect.redirected_at,
+            queued=False,
+            redirect=redirect,
+        )
 
 
 @dataclass(slots=True)
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -7,7 +7,6 @@
 from greengageflow.core.forward_request import Prompt
 from greengageflow.core.place_messages import (
     PlacementAnswer,
-    PlacementEntry,
     PlacementEvent,
     PlacementEventKind,
     PlacementMessage,
@@ -16,9 +15,9 @@
     Verdict,
 )
 from greengageflow.core.placers import PlacerTable
-from greengageflow.core.prompt_places import home_of
-from greengageflow.core.remote_placements import RemotePlacements, placement_request
+from greengageflow.core.remote_placements import placement_request, refusal_in
 from greengageflow.core.router_table import Hello
+from greengageflow.core.second_placer import Redirect, RedirectOutcome
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
 from greengageflow.daemon.cached_parts import PartsLoader
@@ -27,16 +26,18 @@
     PlacedRun,
     PlacementSender,
 )
-from greengageflow.errors import ErrorKind
+from greengageflow.daemon.placement_snapshots import (
+    SNAPSHOT_INTERVAL_S,
+    SnapshotSchedule,
+)
+from greengageflow.daemon.placer_role import PlacerRole
+from greengageflow.daemon.placer_selection import PlacerSelection
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
 from greengageflow.net.timers import Timers
 
 ANSWER_TIMEOUT_S = 0.15
 PLACER_BACKOFF_S = 1.0
-SNAPSHOT_INTERVAL_S = 0.5
-SNAPSHOT_LINGER_S = 2.0
-NEW_PLACER_DELAY_S = 1.0
 DISCOVERY_HOLD_S = 0.3
 """Seconds after the start for which a host that knows no peer holds requests back.
 
@@ -45,12 +46,6 @@
 """
 STARTUP_S = 3.0
 DISCOVERY_POLL_S = 0.05
-CACHE_QUERY_DELAY_S = 0.3
-"""Seconds as placer after which engines are asked for their cached prefixes.
-
-A starting host considers itself the only one until it discovers its peers, which takes
-a round. Without the delay, nine starting hosts would all ask each engine.
-"""
 REFUSAL_GRACE_S = 0.1
 
 
@@ -60,6 +55,11 @@
     If a placer does not answer within ``ANSWER_TIMEOUT_S``, its requests are decided
     on this host, and no request is sent to it for ``PLACER_BACKOFF_S``.
 
+    If a placer rejects a request that could still be queued, one other placer is asked;
+    see ``second_placer``. Its answer is final. If it gives none in time, the first
+    rejection is returned: this host does not decide then, since the first placer knew
+    the load of its engines better.
+
     Args:
         own: This host.
         dispatcher: Decides the requests that are decided on this host.
@@ -69,6 +69,10 @@
         carry_out: Carries out decisions on requests of this host.
         log: Gets a line when a placer stops answering or this host's role changes.
         parts: Asks the engines that this host places for their cached prefixes.
+
+    Attributes:
+        on_redirected: Gets each request for which a second placer was asked, and what
+            became of it.
     """
 
     def __init__(
@@ -82,7 +86,8 @@
         log: DecisionLog,
         parts: PartsLoader,
     ) -> None:
-        self.stopping = False
+        self.on_redirected: Callable[[Redirect, RedirectOutcome], None]
+        self.on_redirected = lambda _redirect, _outcome: None
         self._host = own.host
         self._zone = own.zone
         self._boot = own.boot
@@ -92,14 +97,24 @@
         self._sender = sender
         self._carry_out = carry_out
         self._log = log
-        self._parts = parts
-        self._remote_placements = RemotePlacements(own.host, dispatcher)
         self._pending: dict[str, PendingPlacement] = {}
         self._runs: dict[str, PlacedRun] = {}
         self._table = PlacerTable(own.host, PLACER_BACKOFF_S)
-        self._owned: frozenset[str] | None = None
-        self._snapshots_until: dict[str, float] = {}
-        self._placer_since = float("inf")
+        self._selection = PlacerSelection(own, dispatcher, self._table)
+        self._snapshots = SnapshotSchedule(own.host, own.boot)
+        self._role = PlacerRole(
+            own.host,
+            dispatcher,
+            endpoints,
+            self._table,
+            self._send,
+            carry_out,
+            log,
+            parts,
+        )
+        self._remote_placements = self._role.placements
+        # Requests of this host's callers that it decides as their placer.
+        self._own_placements: dict[str, PendingPlacement] = {}
         self._started_at = float("-inf")
 
     def start(self) -> None:
@@ -108,6 +123,10 @@
         self._timers.every(SNAPSHOT_INTERVAL_S, self._send_snapshots)
         self._poll_membership()
 
+    def stop_placing(self) -> None:
+        """Let other hosts decide their requests, since this host is stopping."""
+        self._role.stopping = True
+
     @property
     def _is_starting(self) -> bool:
         return self._timers.now - self._started_at < STARTUP_S
@@ -130,7 +149,7 @@
         A placer and a host that waits for one need them at once, a host that starts
         has to find its peers soon.
         """
-        return self._owned is None and not self._pending and not self._is_starting
+        return self._role.owned is None and not self._pending and not self._is_starting
 
     # Requests of this host.
 
@@ -166,20 +185,53 @@
         self, now: float, service: str, job: Job, account: str
     ) -> Iterator[Decision]:
         placer = self.placer_for(now, service, job)
-        if not placer:
-            yield from self._dispatcher.submit(
-                now, service, job, account, count_for_budget=False
-            )
+        if placer:
+            self._ask(now, PendingPlacement(placer, service, job, account, now))
             return
-        request = job.queued_request.id
-        self._pending[request] = PendingPlacement(placer, service, job, account, now)
-        self._snapshots_until[placer] = now + SNAPSHOT_LINGER_S
-        avoid = self._dispatcher.unavailable_endpoints(now, service)
+        if self._role.is_placer and self._selection.may_redirect(job):
+            own = PendingPlacement(self._host, service, job, account, now)
+            self._own_placements[job.queued_request.id] = own
+        yield from self._dispatcher.submit(
+            now, service, job, account, count_for_budget=False
+        )
+
+    def _ask(self, now: float, pending: PendingPlacement) -> None:
+        """Ask a placer to place a request."""
+        request = pending.job.queued_request.id
+        self._pending[request] = pending
+        self._snapshots.extend(now, pending.placer)
         message = placement_request(
-            self._host, self._boot, now, service, job, account, avoid, self._zone
+            self._host,
+            self._boot,
+            now,
+            pending.service,
+            pending.job,
+            pending.account,
+            self._dispatcher.unavailable_endpoints(now, pending.service),
+            self._zone,
+            redirected=pending.redirect is not None,
+        )
+        self._send(pending.placer, message)
+        self._timers.after(
+            ANSWER_TIMEOUT_S, lambda: self._on_answer_timeout(request, pending)
         )
-        self._send(placer, message)
-        self._timers.after(ANSWER_TIMEOUT_S, lambda: self._on_answer_timeout(request))
+
+    def redirect(self, refusal: RefuseJob) -> bool:
+        """Ask a second placer for a request that this host rejects as its placer.
+
+        Returns:
+            Whether one was asked; the rejection must then not be returned.
+        """
+        own = self._own_placements.pop(refusal.request, None)
+        return own is not None and self._redirect(own, refusal)
+
+    def _redirect(self, pending: PendingPlacement, refusal: RefuseJob) -> bool:
+        now = self._timers.now
+        redirect = self._selection.second(now, pending, refusal)
+        if redirect is None:
+            return False
+        self._ask(now, pending.redirected(redirect))
+        return True
 
     def owner_of(self, endpoint: str) -> str:
         """Return the placer of an engine, or an empty string if there is none."""
@@ -187,21 +239,10 @@
 
     def placer_for(self, now: float, service: str, job: Job) -> str:
         """Return the host that would place a request; empty if this one would."""
-        if job.prompt is None:
-            return ""
-        zones = job.allowed_zones
-        endpoints = self._dispatcher.available_endpoints(now, service)
-        if zones is not None:
-            endpoints = [e for e in endpoints if e.zone in zones]
-        if job.version:
-            endpoints = [e for e in endpoints if e.version == job.version]
-        home = home_of(job.prompt.affinity, endpoints)
-        placer = self._table.owner(home.id) if home else ""
-        return placer if self._table.is_available(now, placer) else ""
-
-    def _on_answer_timeout(self, request: str) -> None:
-        pending = self._pending.get(request)
-        if pending is None:
+        return self._selection.first(now, service, job)
+
+    def _on_answer_timeout(self, request: str, pending: PendingPlacement) -> None:
+        if self._pending.get(request) is not pending:
             return
         if not pending.queued:
             self._on_placer_timeout(pending.placer)
@@ -210,7 +251,9 @@
             pending.job.queued_request.expires_at - self._timers.now + REFUSAL_GRACE_S
         )
         if late_s > 0:
-            self._timers.after(late_s, lambda: self._on_answer_timeout(request))
+            self._timers.after(
+                late_s, lambda: self._on_answer_timeout(request, pending)
+            )
         else:
             self._decide_locally(lambda other: other is pending)
 
@@ -229,19 +272,29 @@
             )
 
     def _decide_locally(self, matches: Callable[[PendingPlacement], bool]) -> None:
-        """Decide matching requests that await a placer's answer on this host."""
+        """Decide matching requests that await a placer's answer on this host.
+
+        Those that another placer has rejected are rejected.
+        """
         now = self._timers.now
         for request, pending in list(self._pending.items()):
-            if matches(pending) and self._pending.pop(request, None) is not None:
-                self._carry_out(
-                    self._dispatcher.submit(
-                        now,
-                        pending.service,
-                        pending.job,
-                        pending.account,
-                        count_for_budget=False,
-                    )
+            if not matches(pending) or self._pending.pop(request, None) is None:
+                continue
+            if pending.redirect is not None:
+                # The placer may have it in its queue, or start it later.
+                self._send_event(pending.placer, request, PlacementEventKind.ENDED)
+                self.on_redirected(pending.redirect, RedirectOutcome.UNANSWERED)
+                self._carry_out([pending.redirect.refusal])
+                continue
+            self._carry_out(
+                self._dispatcher.submit(
+                    now,
+                    pending.service,
+                    pending.job,
+                    pending.account,
+                    count_for_budget=False,
                 )
+            )
 
     def on_request_sent(
         self, now: float, request: str, choice: Choice, prompt: Prompt | None
@@ -303,6 +356,9 @@
         pending = self._pending.pop(request, None)
         if pending is not None:
             self._send_event(pending.placer, request, PlacementEventKind.ENDED)
+            if pending.redirect is not None:
+                self.on_redirected(pending.redirect, RedirectOutcome.ABANDONED)
+        self._own_placements.pop(request, None)
         run = self._runs.pop(request, None)
         if run is not None and run.active:
             self._report_event(request, run, PlacementEventKind.ENDED)
@@ -332,7 +388,7 @@
         now = self._timers.now
         match message:
             case PlacementRequest():
-                self._on_request(now, message)
+                self._role.on_request(now, message, self._is_starting)
             case PlacementAnswer():
                 self._on_answer(now, message)
             case PlacementEvent():
@@ -340,31 +396,6 @@
             case PlacementSnapshot():
                 self._carry_out(self._remote_placements.on_snapshot(now, message))
 
-    def _on_request(self, now: float, message: PlacementRequest) -> None:
-        # A host that started while partitioned from the store knows no endpoints, or
-        # not those of a version, and would refuse the requests; the asking hosts know
-        # endpoints and can decide.
-        usable = self._endpoints.usable(message.service)
-        has_version = any(message.version in ("", e.version) for e in usable)
-        if not self._is_placing(now) or not has_version:
-            self._send_answer(message, Verdict.PASS)
-            return
-        self._carry_out(self._remote_placements.on_request(now, message))
-        if self._remote_placements.is_waiting(message):
-            self._send_answer(message, Verdict.QUEUED)
-
-    def _is_placing(self, now: float) -> bool:
-        # If all hosts started together, there was no placer before and nothing runs.
-        fresh = self._is_starting and self._table.started_together
-        settled = fresh or now - self._placer_since >= NEW_PLACER_DELAY_S
-        return self._host in self._table.placers and settled and not self.stopping
-
-    def _send_answer(self, message: PlacementRequest, verdict: Verdict) -> None:
-        answer = PlacementAnswer(
-            host=self._host, boot=message.boot, request=message.request, verdict=verdict
-        )
-        self._send(message.host, answer)
-
     def _send(self, host: str, message: PlacementMessage) -> None:
         address = self._table.address(host)
         if address is not None:
@@ -394,12 +425,11 @@
                 self._decide_locally(lambda other: other is pending)
             case Verdict.REFUSE:
                 del self._pending[answer.request]
-                refusal = RefuseJob(
-                    answer.request,
-                    ErrorKind(answer.kind),
-                    answer.message,
-                    answer.retry_after_s,
-                )
+                refusal = refusal_in(answer)
+                if pending.redirect is not None:
+                    self.on_redirected(pending.redirect, RedirectOutcome.REFUSED)
+                elif self._redirect(pending, refusal):
+                    return
                 self._carry_out([refusal])
             case Verdict.START:
                 self._on_start(pending, answer)
@@ -416,6 +446,8 @@
             self._decide_locally(lambda other: other is pending)
             return
         del self._pending[answer.request]
+        if pending.redirect is not None:
+            self.on_redirected(pending.redirect, RedirectOutcome.STARTED)
         prompt = pending.job.prompt
         memory = prompt.tokens_in + prompt.tokens_out
         self._runs[answer.request] = PlacedRun(
@@ -433,22 +465,14 @@
         routers = self._sender.routers()
         changed = self._table.update(routers)
         self._dispatcher.set_live_hosts(now, {row.host: row.zone for row in routers})
-        if self._host not in self._table.placers:
-            self._placer_since = float("inf")
-        elif self._placer_since == float("inf"):
-            self._placer_since = now
+        self._role.on_membership(now)
         if changed:
             placers = self._table.placers
             self._decide_locally(lambda pending: pending.placer not in ("", *placers))
             self._send_snapshots()
-        self._update_owned_engines()
+        self._role.update_owned_engines()
         self._place_held(now)
-        if now - self._placer_since >= CACHE_QUERY_DELAY_S:
-            listed = filter(None, map(self._endpoints.get, self._owned or ()))
-            engines = filter(self._dispatcher.is_engine, listed)
-            self._parts.load(
-                e for e in engines if self._dispatcher.is_available(now, e)
-            )
+        self._role.load_cached_parts(now)
         self._carry_out(self._remote_placements.drop_silent_hosts(now))
 
     def _place_held(self, now: float) -> None:
@@ -461,44 +485,13 @@
                     self._place(now, pending.service, pending.job, pending.account)
                 )
 
-    def _update_owned_engines(self) -> None:
-        owned = self._table.owned(self._endpoints.ids())
-        if owned != self._owned:
-            self._owned = owned
-            self._dispatcher.set_owned_engines(owned)
-            self._log.write(
-                DecisionEvent.PLACING,
-                placers=" ".join(self._table.placers),
-                endpoints=len(owned or ()),
-            )
-
     def _send_snapshots(self) -> None:
         """Send each placer a snapshot of what it queued or placed for this host."""
         now = self._timers.now
-        # A lost answer leaves a reservation at the placer that this host does not know
-        # of. Snapshots therefore continue for a while, even if they are empty.
-        snapshots: dict[str, list[PlacementEntry]] = {
-            host: [] for host, until in self._snapshots_until.items() if now < until
-        }
-        for request, pending in self._pending.items():
-            if pending.placer:
-                snapshots.setdefault(pending.placer, []).append(PlacementEntry(request))
-        for request, run in self._runs.items():
-            if run.active:
-                entry = PlacementEntry(
-                    request, run.endpoint.id, run.prefill_tokens, run.memory
-                )
-                snapshots.setdefault(self._table.owner(run.endpoint.id), []).append(
-                    entry
-                )
-        self._snapshots_until = {
-            host: now + SNAPSHOT_LINGER_S if entries else self._snapshots_until[host]
-            for host, entries in snapshots.items()
-        }
-        for host, entries in snapshots.items():
-            snapshot = PlacementSnapshot(
-                host=self._host, boot=self._boot, entries=tuple(entries)
-            )
+        snapshots = self._snapshots.due(
+            now, self._pending, self._runs, self._table.owner
+        )
+        for host, snapshot in snapshots.items():
             if host == self._host:
                 self._carry_out(self._remote_placements.on_snapshot(now, snapshot))
             else:
