--- a/greengageflow/core/endpoint_load.py
+++ b/greengageflow/core/endpoint_load.py
@@ -128,6 +128,11 @@
         """Number of running requests of all hosts."""
         return len(self._runs) + self.others.running
 
+    @property
+    def free_memory(self) -> float:
+        """Memory that no running request needs, in tokens."""
+        return self.memory_tokens - self._memory - self.others.memory
+
     @property
     def model(self) -> PrefillModel:
         """The endpoint's own reading model, or the service's while samples are few."""
@@ -152,6 +157,14 @@
                 estimate = min(self._reading, estimate + late_s * rate)
         return (estimate + self.others.reading) / rate
 
+    def unread_wait_s(self, now: float) -> float:
+        """Return ``queue_wait_s`` without the part for a late first event.
+
+        That part disappears at once when the event comes.
+        """
+        unread = self._update_unread_estimate(now) + self.others.reading
+        return unread / self.model.rate
+
     def _update_unread_estimate(self, now: float) -> float:
         """Return the estimate of this host's unread prompt tokens at ``now``."""
         read = max(0.0, now - self._estimated_at) * self.model.rate
--- a/greengageflow/core/placement_explanation.py
+++ b/greengageflow/core/placement_explanation.py
@@ -176,6 +176,14 @@
             return Outcome.REFUSE, "", Refusal(kind, message, retry_after_s)
         case StartJob(choice=choice) if is_next:
             return Outcome.START, choice.endpoint.id, None
+    # It may have to wait behind others of its account although it could start itself.
+    found = preview.scheduler.refuse_hopeless(preview.now, job) if decision else None
+    if found is not None:
+        return (
+            Outcome.REFUSE,
+            "",
+            Refusal(found.kind, found.message, found.retry_after_s),
+        )
     queued = job.queued_request
     refusal = Refusal(
         ErrorKind.QUEUE_FULL,
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -27,6 +27,7 @@
     ServiceScheduler,
     StartJob,
 )
+from greengageflow.core.slot_forecast import ForecastOutcome, SlotForecast
 from greengageflow.core.warmup import FleetShare, WarmupBounds, WarmupLimiter
 from greengageflow.core.work_model import WorkModel
 
@@ -51,6 +52,10 @@
 """Service name and client account."""
 
 
+def _ignore(_service: str, _outcome: ForecastOutcome) -> None:
+    """Stand in for the receiver of forecasts' outcomes."""
+
+
 class ServiceDispatcher:
     """Queues, endpoint loads and retry budgets of all services.
 
@@ -68,6 +73,8 @@
     Attributes:
         warmup: Limits the requests that cold endpoints get.
         work: Predicts durations of requests at endpoints.
+        on_forecast: Called with the service and what became of a request for which
+            there was a forecast of its start.
     """
 
     def __init__(
@@ -92,6 +99,7 @@
             host, warmup or WarmupBounds(), self._share, self.service
         )
         self.work = WorkModel()
+        self.on_forecast: Callable[[str, ForecastOutcome], None] = _ignore
         self._chooser = EndpointChooser(
             self._load,
             self._health,
@@ -527,13 +535,14 @@
                 loads[endpoint.id] = found
             return found
 
+        work = self.work.snapshot()
         chooser = RecordingChooser(
             load,
             self._health,
             self._prefixes.places,
             self._zone,
             self.warmup.may_send,
-            self.work.snapshot(),
+            work,
         )
         assigned = self._assigned_endpoints(now, service)
         available = self.available_endpoints(now, service)
@@ -550,6 +559,10 @@
         )
         scheduler.by_cost = self.work.enabled
         current = self._schedulers.get(service)
+        forecast = current.forecast if current is not None else None
+        forecast = forecast or self._make_forecast(service)
+        scheduler.forecast = forecast.snapshot(load, work)
+        scheduler.queue_of = current
         if current is not None:
             scheduler.capacity_share = current.capacity_share
             scheduler.running = set(current.running)
@@ -578,11 +591,23 @@
                 lambda: self.backoff_s(self._now, service),
                 usage_decay_s=USAGE_DECAY_S,
                 service=service,
+                forecast=self._make_forecast(service),
             )
             found.by_cost = self.work.enabled
         found.transfers = self.service(service).transfers
         return found
 
+    def _make_forecast(self, service: str) -> SlotForecast:
+        made = SlotForecast(
+            lambda: self._endpoints.usable(service),
+            self._load,
+            self._health,
+            self.warmup.may_send,
+            self.work,
+        )
+        made.on_outcome = lambda outcome: self.on_forecast(service, outcome)
+        return made
+
 
 def _prefill_lookahead(load: EndpointLoad) -> float:
     """Return the prompt tokens that may be queued at an engine for prefill."""
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from math import inf, log
+from functools import partial
+from math import exp, inf, log
 
 from greengageflow.core.endpoint_choice import (
     MAX_FILL_FRACTION,
@@ -11,6 +12,12 @@
 )
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import Prompt
+from greengageflow.core.slot_forecast import (
+    MIN_START_PROBABILITY,
+    ForecastOutcome,
+    SlotForecast,
+    StartQuery,
+)
 from greengageflow.core.work_estimates import WorkKey
 from greengageflow.core.work_queue import QueuedRequest, WorkQueue
 from greengageflow.errors import ErrorKind
@@ -99,12 +106,22 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseJob:
-    """Decision to refuse a request that was not sent."""
+    """Decision to refuse a request that was not sent.
+
+    Args:
+        request: Its id.
+        kind: Kind of the error.
+        message: Description.
+        retry_after_s: Delay that its caller should be told, in seconds.
+        start_probability: Probability of a start for which it was refused at once;
+            None for other refusals.
+    """
 
     request: str
     kind: ErrorKind
     message: str
     retry_after_s: float
+    start_probability: float | None = None
 
 
 Decision = StartJob | RefuseJob
@@ -125,9 +142,13 @@
         usage_decay_s: Time constant of the decay of recent work, in seconds.
         transfers: Engines can fetch prompt parts from each other.
         service: Name of the service.
+        forecast: Forecasts whether queued requests can start in time; None if there
+            are no forecasts.
 
     Attributes:
         by_cost: Choices depend on the likely durations of requests.
+        queue_of: Scheduler whose queued requests the forecast considers, for a copy
+            that has none of its own; None for this one.
     """
 
     def __init__(
@@ -142,7 +163,10 @@
         usage_decay_s: float,
         transfers: bool = False,
         service: str = "",
+        forecast: SlotForecast | None = None,
     ) -> None:
+        self.queue_of: ServiceScheduler | None = None
+        self.forecast = forecast
         self.capacity_share = CapacityShare()
         self.transfers = transfers
         self.by_cost = False
@@ -194,6 +218,9 @@
             queued = replace(queued, priority=LAST_PRIORITY)
         self._queue.put(queued)
         yield from self.pump(now)
+        if queued.id in self._jobs and (refusal := self.refuse_hopeless(now, job)):
+            self.cancel(queued.id)
+            yield refusal
 
     def _of_version(self, version: str) -> list[ListedEndpoint]:
         # A host may choose only some of the endpoints itself, and none of these may
@@ -205,9 +232,11 @@
         if self._queue.remove(request):
             self._forget(request)
 
-    def _forget(self, request: str) -> None:
+    def _forget(self, request: str, outcome: ForecastOutcome | None = None) -> None:
         del self._jobs[request]
         self._resumed_jobs.pop(request, None)
+        if self.forecast is not None:
+            self.forecast.on_left_queue(request, outcome)
 
     def release(self, now: float, request: str) -> Iterator[Decision]:
         """Release a request's slot, and yield the decisions that are now possible."""
@@ -221,14 +250,14 @@
         # be left behind of requests that are no longer queued.
         expired = list(self._queue.expired(now))
         for queued in expired:
-            self._forget(queued.id)
+            self._forget(queued.id, ForecastOutcome.EXPIRED)
         for queued in expired:
             text = "no endpoint had room in time"
             wait_s = self.retry_after_s(queued.account)
             yield RefuseJob(queued.id, ErrorKind.QUEUE_FULL, text, wait_s)
         while (start := self._next(now)) is not None:
             self._queue.remove(start.request)
-            self._forget(start.request)
+            self._forget(start.request, ForecastOutcome.STARTED)
             self.running.add(start.request)
             yield start
 
@@ -243,6 +272,88 @@
                 text = "all endpoints of the service ask for backoff"
                 yield RefuseJob(queued.id, ErrorKind.NO_ENDPOINT, text, wait_s)
 
+    def refuse_hopeless(self, now: float, job: Job) -> RefuseJob | None:
+        """Return the refusal of a request that will hardly start before it expires.
+
+        Args:
+            now: The time.
+            job: A request that can't start now.
+
+        Returns:
+            None if it should wait, also if there is no forecast.
+        """
+        if self.forecast is None or not self.by_cost or job.version:
+            return None
+        queued = job.queued_request
+        query = self._start_query(now, job)
+        queue = self.queue_of or self
+        probability = self.forecast.start_probability(
+            now,
+            queued,
+            query,
+            self._endpoints,
+            queue.waiting,
+            partial(queue.expiries_ahead, now, job, query),
+        )
+        if probability is None or probability >= MIN_START_PROBABILITY:
+            return None
+        text = "no endpoint is expected to have room in time"
+        wait_s = self.retry_after_s(queued.account)
+        return RefuseJob(queued.id, ErrorKind.QUEUE_FULL, text, wait_s, probability)
+
+    def _start_query(self, now: float, job: Job) -> StartQuery:
+        queued = job.queued_request
+        # The usage decays until the request expires. A host that is over its share is
+        # within it again as soon as some of its requests end.
+        decay = exp((now - queued.expires_at) / self._usage_decay_s)
+        beyond_share = self._is_beyond_share(queued.account, decay)
+        return StartQuery(
+            WorkKey(self._service, job.kind, ""),
+            job.prompt is not None,
+            SPARE_FILL_FRACTION if beyond_share else MAX_FILL_FRACTION,
+            job.target_s
+            * (
+                SPARE_WAIT_TARGET_FRACTION
+                if beyond_share
+                else FIRST_EVENT_TARGET_FRACTION
+            ),
+            not beyond_share,
+            job.avoid,
+            job.allowed_zones,
+        )
+
+    def expiries_ahead(
+        self, now: float, job: Job, query: StartQuery, free_memory: float
+    ) -> Iterator[float]:
+        """Yield the expiries of requests that start before another one.
+
+        Args:
+            now: The time.
+            job: The other request.
+            query: What it may use.
+            free_memory: Free memory of the fullest engine that it may use, in tokens.
+        """
+
+        def competes(queued: QueuedRequest) -> bool:
+            other = self._jobs[queued.id]
+            zones = other.allowed_zones
+            return (
+                not other.version
+                and other.avoid <= query.avoid
+                and (zones is None or bool(query.zones) and zones >= query.zones)
+                and other.target_s >= job.target_s
+                and (not other.prompt or other.prompt.tokens_in <= free_memory)
+                and (
+                    query.fill == SPARE_FILL_FRACTION
+                    or not self._is_beyond_share(queued.account)
+                )
+            )
+
+        for queued in self._queue.ahead_of(
+            now, job.queued_request, self._recent_usage, competes
+        ):
+            yield queued.expires_at
+
     def retry_after_s(self, account: str) -> float:
         """Return the seconds until the account's usage decays to its share."""
         limit = self.capacity_share.usage_limits.get(account, 0.0)
@@ -295,9 +406,9 @@
                 return StartJob(queued, choice)
         return None
 
-    def _is_beyond_share(self, account: str) -> bool:
+    def _is_beyond_share(self, account: str, decayed: float = 1.0) -> bool:
         limit = self.capacity_share.usage_limits.get(account, inf)
-        return self._recent_usage(account) > limit
+        return decayed * self._recent_usage(account) > limit
 
     def _next_resumed(self, now: float) -> StartJob | None:
         """Return the next start of a stream that goes on, or None.
--- a/greengageflow/core/work_queue.py
+++ b/greengageflow/core/work_queue.py
@@ -100,6 +100,47 @@
 
         return order(queued) < order(first)
 
+    def ahead_of(
+        self,
+        now: float,
+        queued: QueuedRequest,
+        recent_usage: Callable[[str], float],
+        competes: Callable[[QueuedRequest], bool],
+    ) -> Iterator[QueuedRequest]:
+        """Yield requests that come before another one as long as they don't expire.
+
+        Those of its account come first, which it can't overtake. Of other accounts only
+        those are included that come first even if none of its account is served.
+
+        Args:
+            now: The time.
+            queued: The other request, which may be in the queue.
+            recent_usage: Returns an account's recent work; the lowest comes first.
+            competes: Whether a request of another account can use all that the other
+                one can. If not, it may hold up those behind it.
+        """
+        usage = recent_usage(queued.account)
+        order = queued.priority, queued.target_at <= now, queued.target_at
+        for account, account_queue in self._by_account.items():
+            if account == queued.account:
+                for other in account_queue:
+                    is_late = other.target_at <= now
+                    # It would be overtaken from its target on.
+                    is_ahead = other.expires_at <= other.target_at or is_late
+                    if (
+                        is_ahead
+                        and (other.priority, is_late, other.target_at) <= order
+                        and other.id != queued.id
+                    ):
+                        yield other
+                continue
+            work = recent_usage(account)
+            for other in account_queue:
+                if work >= usage or not competes(other):
+                    break
+                yield other
+                work += other.work
+
     def expired(self, now: float) -> Iterator[QueuedRequest]:
         """Remove and yield the requests whose ``expires_at`` has passed."""
         while (expiry := self.next_expiry()) is not None and expiry <= now:
@@ -125,6 +166,11 @@
     def __len__(self) -> int:
         return sum(map(len, self._by_priority.values()))
 
+    def __iter__(self) -> Iterator[QueuedRequest]:
+        for priority in sorted(self._by_priority):
+            for _, _, queued in self._by_priority[priority]:
+                yield queued
+
     def put(self, queued: QueuedRequest, sequence: int) -> None:
         entries = self._by_priority.setdefault(queued.priority, [])
         insort(entries, (queued.target_at, sequence, queued))
