--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -293,7 +293,7 @@
             query,
             self._endpoints,
             queue.waiting,
-            partial(queue.expiries_ahead, now, job, query),
+            partial(queue.requests_ahead, now, job, query),
         )
         if probability is None or probability >= MIN_START_PROBABILITY:
             return None
@@ -303,12 +303,9 @@
 
     def _start_query(self, now: float, job: Job) -> StartQuery:
         queued = job.queued_request
-        # The usage decays until the request expires. A host that is over its share is
-        # within it again as soon as some of its requests end.
-        decay = exp((now - queued.expires_at) / self._usage_decay_s)
-        beyond_share = self._is_beyond_share(queued.account, decay)
+        beyond_share = self._stays_beyond_share(now, queued)
         return StartQuery(
-            WorkKey(self._service, job.kind, ""),
+            self._service,
             job.prompt is not None,
             SPARE_FILL_FRACTION if beyond_share else MAX_FILL_FRACTION,
             job.target_s
@@ -322,10 +319,10 @@
             job.allowed_zones,
         )
 
-    def expiries_ahead(
+    def requests_ahead(
         self, now: float, job: Job, query: StartQuery, free_memory: float
-    ) -> Iterator[float]:
-        """Yield the expiries of requests that start before another one.
+    ) -> Iterator[tuple[float, str]]:
+        """Yield expiry and kind of the requests that start before another one.
 
         Args:
             now: The time.
@@ -352,7 +349,7 @@
         for queued in self._queue.ahead_of(
             now, job.queued_request, self._recent_usage, competes
         ):
-            yield queued.expires_at
+            yield queued.expires_at, self._jobs[queued.id].kind
 
     def retry_after_s(self, account: str) -> float:
         """Return the seconds until the account's usage decays to its share."""
@@ -406,9 +403,24 @@
                 return StartJob(queued, choice)
         return None
 
-    def _is_beyond_share(self, account: str, decayed: float = 1.0) -> bool:
+    def _is_beyond_share(self, account: str) -> bool:
         limit = self.capacity_share.usage_limits.get(account, inf)
-        return decayed * self._recent_usage(account) > limit
+        return self._recent_usage(account) > limit
+
+    def _stays_beyond_share(self, now: float, queued: QueuedRequest) -> bool:
+        """Whether an account is beyond its share until its request expires.
+
+        A host that is over its share is within it again as soon as some of its requests
+        end, so it is not counted.
+        """
+        if not self._is_beyond_share(queued.account):
+            return False
+        # The account's usage decays, and so do the other accounts' demands that limit
+        # it. Below the highest limit it is its own demand that limits it, which may
+        # have grown since.
+        limit = max(self.capacity_share.usage_limits.values())
+        decay = exp((now - queued.expires_at) / self._usage_decay_s)
+        return decay * self._recent_usage(queued.account) > limit / decay
 
     def _next_resumed(self, now: float) -> StartJob | None:
         """Return the next start of a stream that goes on, or None.
--- a/greengageflow/core/slot_forecast.py
+++ b/greengageflow/core/slot_forecast.py
@@ -8,7 +8,9 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import cache, partial
 from math import ceil, exp, inf, lgamma, log
+from typing import NamedTuple
 
 from greengageflow.core.endpoint_choice import (
     NEGLIGIBLE_WAIT_S,
@@ -17,6 +19,7 @@
 from greengageflow.core.endpoint_health import EndpointHealth
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.endpoint_load import EndpointLoad
+from greengageflow.core.log_histogram import Distribution
 from greengageflow.core.prefill_model import MIN_TRUSTED_SAMPLES
 from greengageflow.core.work_estimates import WorkKey
 from greengageflow.core.work_model import WorkModel
@@ -53,7 +56,7 @@
     """What a queued request may use.
 
     Args:
-        key: Its class, of no particular account.
+        service: Name of the service.
         reads_prompt: It runs on model engines, which read its prompt.
         fill: Fraction of an endpoint's capacity that it may fill.
         max_wait_s: Wait at an engine at which it may start, in seconds.
@@ -62,7 +65,7 @@
         zones: Availability zones whose endpoints may run it, or None for all.
     """
 
-    key: WorkKey
+    service: str
     reads_prompt: bool
     fill: float
     max_wait_s: float = inf
@@ -71,55 +74,62 @@
     zones: frozenset[str] | None = None
 
 
+class RequestAhead(NamedTuple):
+    """A request that starts before another one unless it expires.
+
+    Args:
+        expires_at: Time at which it expires.
+        reuse: Probability that it would have ended again by the horizon.
+    """
+
+    expires_at: float
+    reuse: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Outlook:
     """How slots become free until a horizon.
 
     Args:
-        at: Time of the forecast.
         opening: Probability that a slot opens for the request.
         per_s: Maximum expected rate at which requests end, per second.
-        reuse: Probability that a request which starts now has ended by the horizon.
+        reuse_s: Longest time for which a request can run that starts before the
+            horizon, in seconds; 0 if the rate includes those.
         free_memory: Free memory of the fullest engine, in tokens.
     """
 
-    at: float
     opening: float
     per_s: float = inf
-    reuse: float = 0.0
+    reuse_s: float = 0.0
     free_memory: float = inf
 
     def start_probability(
-        self, now: float, until: float, expiries_ahead: Iterable[float]
+        self, now: float, until: float, ahead: Iterable[RequestAhead]
     ) -> float:
         """Return an upper bound of the probability of a start in ``now`` to ``until``.
 
         Args:
             now: The time.
             until: Time at which the request expires.
-            expiries_ahead: Times at which the requests ahead of it expire.
+            ahead: Requests that come before it.
         """
-        if self.opening < MIN_START_PROBABILITY or self.per_s == inf:
-            return self.opening
         # The slots that open go to the first request that has not expired. The request
         # gets one if, from some moment on, more slots open than requests are ahead of
         # it at that moment; it suffices to look at the moments at which one expires.
-        later = sorted((min(until, e) for e in expiries_ahead if e > now), reverse=True)
-        probability = 0.0
-        for needed, since in enumerate((*later, now), 1):
+        moments = sorted((a for a in ahead if a.expires_at > now), reverse=True)
+        probability = reused = 0.0
+        for needed, (since, reuse) in enumerate((*moments, RequestAhead(now)), 1):
             if since < until:
-                mean = self.per_s * (until - since) + (needed - 1) * self.reuse
+                mean = self.per_s * (until - since) + reused
                 probability += at_least(needed, mean)
                 if probability >= MIN_START_PROBABILITY:
                     break
+            reused += reuse
         return min(probability, self.opening)
 
-    def decides_without_queue(self, now: float, until: float, queued: int) -> bool:
-        """Whether ``queued`` requests ahead would be too few to change the decision."""
-        if self.opening < MIN_START_PROBABILITY or self.per_s == inf:
-            return True
-        mean = self.per_s * (until - now) + queued * self.reuse
-        return at_least(queued + 1, mean) >= MIN_START_PROBABILITY
+    def is_open(self, now: float, until: float, queued: int) -> bool:
+        """Whether a request should wait even if ``queued`` requests are ahead of it."""
+        return at_least(queued + 1, self.per_s * (until - now)) >= MIN_START_PROBABILITY
 
 
 class SlotForecast:
@@ -176,7 +186,7 @@
         query: StartQuery,
         endpoints: Callable[[], Sequence[ListedEndpoint]],
         waiting: int,
-        expiries_ahead: Callable[[float], Iterable[float]],
+        ahead: Callable[[float], Iterable[tuple[float, str]]],
     ) -> float | None:
         """Return an upper bound of the probability that a request starts in time.
 
@@ -186,8 +196,8 @@
             query: What it may use.
             endpoints: Returns the endpoints that this host may choose.
             waiting: Number of queued requests.
-            expiries_ahead: Returns when the requests ahead of it expire, given the free
-                memory of the fullest engine.
+            ahead: Returns the expiry and the kind of each request ahead of it, given
+                the free memory of the fullest engine.
 
         Returns:
             None if there is no forecast, so that the request has to wait.
@@ -197,9 +207,14 @@
         if outlook is None:
             return None
         probability = outlook.opening
-        if not outlook.decides_without_queue(now, until, waiting):
-            ahead = expiries_ahead(outlook.free_memory)
-            probability = outlook.start_probability(now, until, ahead)
+        can_open = probability >= MIN_START_PROBABILITY
+        if can_open and not outlook.is_open(now, until, waiting):
+            reuse = cache(partial(self._reuse, now, query.service, outlook.reuse_s))
+            rivals = (
+                RequestAhead(expires_at, reuse(kind))
+                for expires_at, kind in ahead(outlook.free_memory)
+            )
+            probability = outlook.start_probability(now, until, rivals)
         if probability >= MIN_START_PROBABILITY:
             self._let_wait.add(queued.id)
         else:
@@ -251,7 +266,8 @@
         query: StartQuery,
         endpoints: Sequence[ListedEndpoint],
     ) -> Outlook | None:
-        estimate = self._work.estimate(now, query.key)
+        # What runs there is of all kinds.
+        estimate = self._work.estimate(now, WorkKey(query.service, "", ""))
         own = [e for e in endpoints if _may_run(e, query)]
         if estimate is None or not own or self._may_come_back(now, horizon_s, query):
             return None
@@ -260,9 +276,10 @@
             for e in own
         ):
             return None
+        distributions = cache(partial(self._work.estimates.distribution, now))
         closed = 1.0
         per_s = 0.0
-        free_memory = inf
+        free_memory = first_event_s = inf
         for endpoint in own:
             load = self._loads(endpoint)
             if _reads_too_long(now, horizon_s, query, load):
@@ -270,14 +287,17 @@
             excess = load.running - _capacity(query, load)
             if excess < 0:
                 # It can start as soon as its prompt, memory or account allow.
-                return Outlook(now, 1.0)
+                return Outlook(1.0)
             slowness = self._work.slowness(now, endpoint)
             mean_s = slowness * estimate.mean
             if query.reads_prompt:
                 free_memory = min(free_memory, load.free_memory)
-                ends = list(self._endings(now, load, horizon_s, slowness, mean_s))
-                early = sum(first for first, _ in ends)
-                late = sum(whole for _, whole in ends) - early
+                first_event_s = min(first_event_s, load.model.fixed_s)
+                ends = list(
+                    self._endings(now, load, distributions, horizon_s, slowness, mean_s)
+                )
+                early = sum([half for half, _ in ends])
+                late = sum([whole for _, whole in ends]) - early
                 per_s += max(early, late) / (horizon_s / 2)
                 closed *= _at_most(excess, [whole for _, whole in ends])
             else:
@@ -285,11 +305,15 @@
                 per_s += rate
                 age_s = REPORT_AGE_S if load.others.running else 0.0
                 closed *= 1.0 - at_least(excess + 1, rate * (horizon_s + age_s))
-        reuse = 0.0
-        if query.reads_prompt:
-            estimates = self._work.estimates
-            reuse = estimates.ended_within(now, query.key, 0.0, horizon_s) or 0.0
-        return Outlook(now, 1.0 - closed, per_s, reuse, free_memory)
+        reuse_s = max(0.0, horizon_s - first_event_s) if query.reads_prompt else 0.0
+        return Outlook(1.0 - closed, per_s, reuse_s, free_memory)
+
+    def _reuse(self, now: float, service: str, reuse_s: float, kind: str) -> float:
+        """Return the probability that a request which starts ends within ``reuse_s``."""
+        if not reuse_s:
+            return 0.0
+        key = WorkKey(service, kind, "")
+        return self._work.estimates.ended_within(now, key, 0.0, reuse_s) or 0.0
 
     def _may_come_back(self, now: float, horizon_s: float, query: StartQuery) -> bool:
         """Whether an endpoint ends its backoff before the horizon."""
@@ -303,6 +327,7 @@
         self,
         now: float,
         load: EndpointLoad,
+        distributions: Callable[[WorkKey], Distribution | None],
         horizon_s: float,
         slowness: float,
         mean_s: float,
@@ -311,20 +336,21 @@
 
         The first is that of the first half of the horizon, the second of all of it.
         """
-        ended_within = self._work.estimates.ended_within
         whole_s = horizon_s / slowness
+        half_s = whole_s / 2
         unknown = load.running
         for key, age_s in load.ages(now):
-            age_s /= slowness
-            whole = ended_within(now, key, age_s, whole_s)
-            if whole is not None:
+            distribution = distributions(key)
+            if distribution is not None:
                 unknown -= 1
-                yield ended_within(now, key, age_s, whole_s / 2) or 0.0, whole
+                age_s /= slowness
+                ended_within = distribution.ended_within
+                yield ended_within(age_s, half_s), ended_within(age_s, whole_s)
         if unknown > 0:
             age_s = REPORT_AGE_S if load.others.running else 0.0
-            first = min(1.0, (horizon_s / 2 + age_s) / mean_s)
+            half = min(1.0, (horizon_s / 2 + age_s) / mean_s)
             whole = min(1.0, (horizon_s + age_s) / mean_s)
-            yield from ((first, whole) for _ in range(unknown))
+            yield from ((half, whole) for _ in range(unknown))
 
 
 def at_least(count: int, mean: float) -> float:
--- a/greengageflow/core/work_estimates.py
+++ b/greengageflow/core/work_estimates.py
@@ -147,6 +147,20 @@
         found = self._distribution(now, key)
         return None if found is None else found.ended_within(age_s, seconds)
 
+    def distribution(self, now: float, key: WorkKey) -> Distribution | None:
+        """Return the distribution by which a class is predicted.
+
+        It answers many questions on one class faster than the methods above.
+
+        Args:
+            now: The time.
+            key: The class.
+
+        Returns:
+            None if no class has enough samples.
+        """
+        return self._distribution(now, key)
+
     def snapshot(self) -> "WorkEstimates":
         """Return a copy for predictions that leave this object unchanged.
 
