--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -12,12 +12,8 @@
 )
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import Prompt
-from greengageflow.core.slot_forecast import (
-    MIN_START_PROBABILITY,
-    ForecastOutcome,
-    SlotForecast,
-    StartQuery,
-)
+from greengageflow.core.slot_forecast import ForecastOutcome, SlotForecast, StartQuery
+from greengageflow.core.slot_outlook import MIN_START_PROBABILITY
 from greengageflow.core.work_estimates import WorkKey
 from greengageflow.core.work_queue import QueuedRequest, WorkQueue
 from greengageflow.errors import ErrorKind
@@ -292,7 +288,7 @@
             queued,
             query,
             self._endpoints,
-            queue.waiting,
+            queue.waiting - (queued.id in queue._jobs),
             partial(queue.requests_ahead, now, job, query),
         )
         if probability is None or probability >= MIN_START_PROBABILITY:
--- a/greengageflow/core/slot_forecast.py
+++ b/greengageflow/core/slot_forecast.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import cache, partial
-from math import ceil, exp, inf, lgamma, log
+from itertools import repeat
+from math import ceil, inf
 from typing import NamedTuple
 
 from greengageflow.core.endpoint_choice import (
@@ -21,12 +22,18 @@
 from greengageflow.core.endpoint_load import EndpointLoad
 from greengageflow.core.log_histogram import Distribution
 from greengageflow.core.prefill_model import MIN_TRUSTED_SAMPLES
+from greengageflow.core.recent_results import RecentResults
+from greengageflow.core.slot_outlook import (
+    MIN_START_PROBABILITY,
+    Outlook,
+    RequestAhead,
+    at_least,
+    at_most,
+)
 from greengageflow.core.work_estimates import WorkKey
 from greengageflow.core.work_model import WorkModel
 from greengageflow.core.work_queue import QueuedRequest
 
-MIN_START_PROBABILITY = 0.05
-"""Probability of a start below which a request is rejected at once."""
 REUSE_S = 0.025
 """Age, in seconds, up to which a forecast is used for further requests.
 
@@ -35,8 +42,8 @@
 """
 HORIZON_STEP_S = 0.005
 """Step, in seconds, to which waiting times are rounded up to share a forecast."""
-MAX_FORECASTS = 64
-"""Maximum number of forecasts that are kept, one for each kind of query."""
+END_RATE_MARGIN = 1.25
+"""Factor by which requests may end faster than learned, for those behind others."""
 READ_RATE_MARGIN = 1.5
 """Factor by which an engine may read faster than learned."""
 REPORT_AGE_S = 0.25
@@ -74,64 +81,6 @@
     zones: frozenset[str] | None = None
 
 
-class RequestAhead(NamedTuple):
-    """A request that starts before another one unless it expires.
-
-    Args:
-        expires_at: Time at which it expires.
-        reuse: Probability that it would have ended again by the horizon.
-    """
-
-    expires_at: float
-    reuse: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Outlook:
-    """How slots become free until a horizon.
-
-    Args:
-        opening: Probability that a slot opens for the request.
-        per_s: Maximum expected rate at which requests end, per second.
-        reuse_s: Longest time for which a request can run that starts before the
-            horizon, in seconds; 0 if the rate includes those.
-        free_memory: Free memory of the fullest engine, in tokens.
-    """
-
-    opening: float
-    per_s: float = inf
-    reuse_s: float = 0.0
-    free_memory: float = inf
-
-    def start_probability(
-        self, now: float, until: float, ahead: Iterable[RequestAhead]
-    ) -> float:
-        """Return an upper bound of the probability of a start in ``now`` to ``until``.
-
-        Args:
-            now: The time.
-            until: Time at which the request expires.
-            ahead: Requests that come before it.
-        """
-        # The slots that open go to the first request that has not expired. The request
-        # gets one if, from some moment on, more slots open than requests are ahead of
-        # it at that moment; it suffices to look at the moments at which one expires.
-        moments = sorted((a for a in ahead if a.expires_at > now), reverse=True)
-        probability = reused = 0.0
-        for needed, (since, reuse) in enumerate((*moments, RequestAhead(now)), 1):
-            if since < until:
-                mean = self.per_s * (until - since) + reused
-                probability += at_least(needed, mean)
-                if probability >= MIN_START_PROBABILITY:
-                    break
-            reused += reuse
-        return min(probability, self.opening)
-
-    def is_open(self, now: float, until: float, queued: int) -> bool:
-        """Whether a request should wait even if ``queued`` requests are ahead of it."""
-        return at_least(queued + 1, self.per_s * (until - now)) >= MIN_START_PROBABILITY
-
-
 class SlotForecast:
     """Forecasts starts of one service's requests at this host.
 
@@ -161,8 +110,8 @@
         self._health = health
         self._may_send = may_send
         self._work = work
-        self._outlooks: dict[tuple[StartQuery, int], Outlook | None] = {}
-        self._made_at: dict[tuple[StartQuery, int], float] = {}
+        self._outlooks: RecentResults[Outlook | None] = RecentResults(REUSE_S)
+        self._queue_waits: RecentResults[None] = RecentResults(REUSE_S)
         self._let_wait: set[str] = set()
 
     def snapshot(
@@ -175,8 +124,8 @@
             work: Copy of the work model.
         """
         found = SlotForecast(self._usable, loads, self._health, self._may_send, work)
-        found._outlooks = dict(self._outlooks)
-        found._made_at = dict(self._made_at)
+        found._outlooks = self._outlooks.copy()
+        found._queue_waits = self._queue_waits.copy()
         return found
 
     def start_probability(
@@ -195,7 +144,7 @@
             queued: The request, which can't start now.
             query: What it may use.
             endpoints: Returns the endpoints that this host may choose.
-            waiting: Number of queued requests.
+            waiting: Number of other queued requests.
             ahead: Returns the expiry and the kind of each request ahead of it, given
                 the free memory of the fullest engine.
 
@@ -203,18 +152,31 @@
             None if there is no forecast, so that the request has to wait.
         """
         until = queued.expires_at
-        outlook = self._outlook(now, until, query, endpoints)
+        steps = ceil((until - now) / HORIZON_STEP_S)
+        rough = self._outlook(now, steps, query, endpoints, rough=True)
+        if rough is None:
+            return None
+        if rough.is_open(now, until, waiting):
+            self._let_wait.add(queued.id)
+            return rough.opening
+        outlook = self._outlook(now, steps, query, endpoints, rough=False)
         if outlook is None:
             return None
         probability = outlook.opening
         can_open = probability >= MIN_START_PROBABILITY
-        if can_open and not outlook.is_open(now, until, waiting):
+        is_late = queued.target_at <= now
+        line = query, queued.account, queued.priority, is_late
+        may_be_behind = can_open and not outlook.is_open(now, until, waiting)
+        # Scanning the queue for each arrival would cost the most while it is long.
+        if may_be_behind and not self._queue_waits.is_fresh(now, line):
             reuse = cache(partial(self._reuse, now, query.service, outlook.reuse_s))
             rivals = (
                 RequestAhead(expires_at, reuse(kind))
                 for expires_at, kind in ahead(outlook.free_memory)
             )
             probability = outlook.start_probability(now, until, rivals)
+            if probability >= MIN_START_PROBABILITY:
+                self._queue_waits.put(now, line, None)
         if probability >= MIN_START_PROBABILITY:
             self._let_wait.add(queued.id)
         else:
@@ -231,85 +193,102 @@
     def _outlook(
         self,
         now: float,
-        until: float,
+        steps: int,
         query: StartQuery,
         endpoints: Callable[[], Sequence[ListedEndpoint]],
+        *,
+        rough: bool,
     ) -> Outlook | None:
         """Return how slots become free for a request, as of at most ``REUSE_S`` ago.
 
         Args:
             now: The time.
-            until: Time at which the request expires.
+            steps: Steps until the request expires.
             query: What it may use.
             endpoints: Returns the endpoints that this host may choose.
+            rough: The mean duration stands for those of all running requests.
 
         Returns:
             None if there is no forecast, so that the request has to wait.
         """
-        steps = ceil((until - now) / HORIZON_STEP_S)
-        kind = query, steps
-        made_at = self._made_at.get(kind)
-        if made_at is None or not 0.0 <= now - made_at < REUSE_S:
-            if len(self._made_at) >= MAX_FORECASTS:
-                self._made_at.clear()
-                self._outlooks.clear()
-            self._made_at[kind] = now
+        kind = query, steps, rough
+        if not self._outlooks.is_fresh(now, kind):
             # Requests that come while it is used expire later than this one.
             horizon_s = HORIZON_STEP_S * steps + REUSE_S
-            self._outlooks[kind] = self._look_ahead(now, horizon_s, query, endpoints())
-        return self._outlooks[kind]
+            full = self._full_endpoints(now, horizon_s, query, endpoints())
+            # What runs there is of all kinds.
+            key = WorkKey(query.service, "", "")
+            estimate = self._work.estimate(now, key)
+            outlook = None
+            if full is not None and estimate is not None:
+                look_ahead = self._look_ahead if query.reads_prompt else _plain_outlook
+                outlook = (
+                    _rough_outlook(full, estimate.mean)
+                    if rough
+                    else look_ahead(now, horizon_s, full, estimate.mean)
+                )
+            self._outlooks.put(now, kind, outlook)
+        return self._outlooks.get(kind)
 
-    def _look_ahead(
+    def _full_endpoints(
         self,
         now: float,
         horizon_s: float,
         query: StartQuery,
         endpoints: Sequence[ListedEndpoint],
-    ) -> Outlook | None:
-        # What runs there is of all kinds.
-        estimate = self._work.estimate(now, WorkKey(query.service, "", ""))
+    ) -> "list[_FullEndpoint] | None":
+        """Return the endpoints that may get room for a request until the horizon.
+
+        Returns:
+            None if one has room, so that something else holds the request up, or if one
+            may come back that accepts no requests now.
+        """
         own = [e for e in endpoints if _may_run(e, query)]
-        if estimate is None or not own or self._may_come_back(now, horizon_s, query):
-            return None
-        if any(
-            self._health.is_suspended(now, e.id) or not self._may_send(now, e)
-            for e in own
-        ):
+        if not own or self._may_come_back(now, horizon_s, query):
             return None
-        distributions = cache(partial(self._work.estimates.distribution, now))
-        closed = 1.0
-        per_s = 0.0
-        free_memory = first_event_s = inf
+        found = []
         for endpoint in own:
+            suspended = self._health.is_suspended(now, endpoint.id)
+            if suspended or not self._may_send(now, endpoint):
+                return None
             load = self._loads(endpoint)
             if _reads_too_long(now, horizon_s, query, load):
                 continue
             excess = load.running - _capacity(query, load)
             if excess < 0:
-                # It can start as soon as its prompt, memory or account allow.
-                return Outlook(1.0)
+                return None
             slowness = self._work.slowness(now, endpoint)
-            mean_s = slowness * estimate.mean
-            if query.reads_prompt:
-                free_memory = min(free_memory, load.free_memory)
-                first_event_s = min(first_event_s, load.model.fixed_s)
-                ends = list(
-                    self._endings(now, load, distributions, horizon_s, slowness, mean_s)
-                )
-                early = sum([half for half, _ in ends])
-                late = sum([whole for _, whole in ends]) - early
-                per_s += max(early, late) / (horizon_s / 2)
-                closed *= _at_most(excess, [whole for _, whole in ends])
-            else:
-                rate = load.slots / mean_s
-                per_s += rate
-                age_s = REPORT_AGE_S if load.others.running else 0.0
-                closed *= 1.0 - at_least(excess + 1, rate * (horizon_s + age_s))
-        reuse_s = max(0.0, horizon_s - first_event_s) if query.reads_prompt else 0.0
-        return Outlook(1.0 - closed, per_s, reuse_s, free_memory)
+            found.append(_FullEndpoint(load, excess, slowness))
+        return found
+
+    def _look_ahead(
+        self,
+        now: float,
+        horizon_s: float,
+        engines: "Sequence[_FullEndpoint]",
+        mean_s: float,
+    ) -> Outlook:
+        """Return how slots of engines become free, by what runs there."""
+        distributions = cache(partial(self._work.estimates.distribution, now))
+        closed = 1.0
+        endings = 0.0
+        free_memory = first_event_s = inf
+        for engine in engines:
+            load = engine.load
+            ended = list(_endings(now, engine, distributions, horizon_s, mean_s))
+            endings += sum(ended)
+            closed *= at_most(engine.excess, ended)
+            free_memory = min(free_memory, load.free_memory)
+            first_event_s = min(first_event_s, load.model.fixed_s)
+        return Outlook(
+            1.0 - closed,
+            END_RATE_MARGIN * endings / horizon_s,
+            max(0.0, horizon_s - first_event_s),
+            free_memory,
+        )
 
     def _reuse(self, now: float, service: str, reuse_s: float, kind: str) -> float:
-        """Return the probability that a request which starts ends within ``reuse_s``."""
+        """Return the probability that a request which starts has ended in time."""
         if not reuse_s:
             return 0.0
         key = WorkKey(service, kind, "")
@@ -323,61 +302,61 @@
             for e in self._usable()
         )
 
-    def _endings(
-        self,
-        now: float,
-        load: EndpointLoad,
-        distributions: Callable[[WorkKey], Distribution | None],
-        horizon_s: float,
-        slowness: float,
-        mean_s: float,
-    ) -> Iterator[tuple[float, float]]:
-        """Yield for each running request the probabilities that it ends.
 
-        The first is that of the first half of the horizon, the second of all of it.
-        """
-        whole_s = horizon_s / slowness
-        half_s = whole_s / 2
-        unknown = load.running
-        for key, age_s in load.ages(now):
-            distribution = distributions(key)
-            if distribution is not None:
-                unknown -= 1
-                age_s /= slowness
-                ended_within = distribution.ended_within
-                yield ended_within(age_s, half_s), ended_within(age_s, whole_s)
-        if unknown > 0:
-            age_s = REPORT_AGE_S if load.others.running else 0.0
-            half = min(1.0, (horizon_s / 2 + age_s) / mean_s)
-            whole = min(1.0, (horizon_s + age_s) / mean_s)
-            yield from ((half, whole) for _ in range(unknown))
-
-
-def at_least(count: int, mean: float) -> float:
-    """Return an upper bound of the probability of ``count`` or more events.
-
-    Exact for one event of a Poisson distribution. Sums of independent events with
-    different probabilities vary less than it.
+class _FullEndpoint(NamedTuple):
+    """An endpoint without room for a request.
+
+    Args:
+        load: Its load.
+        excess: Running requests that must end before the one that makes room.
+        slowness: 2 if it takes twice as long as the others.
     """
-    if count <= 0 or mean >= count:
-        return 1.0
-    if mean <= 0.0:
-        return 0.0
-    if count == 1:
-        return 1.0 - exp(-mean)
-    # The terms of the tail fall at least as fast as a geometric series.
-    first = exp(count * log(mean) - mean - lgamma(count + 1))
-    return min(1.0, first / (1.0 - mean / (count + 1)))
-
-
-def _at_most(count: int, probabilities: Iterable[float]) -> float:
-    """Return the probability that at most ``count`` independent events happen."""
-    exactly = [1.0] + [0.0] * count
-    for p in probabilities:
-        for n in range(count, 0, -1):
-            exactly[n] += p * (exactly[n - 1] - exactly[n])
-        exactly[0] *= 1.0 - p
-    return sum(exactly)
+
+    load: EndpointLoad
+    excess: int
+    slowness: float
+
+
+def _rough_outlook(full: Sequence[_FullEndpoint], mean_s: float) -> Outlook:
+    """Return how slots become free if all running requests are of the same kind."""
+    per_s = sum(e.load.running / (e.slowness * mean_s) for e in full if not e.excess)
+    return Outlook(1.0, per_s)
+
+
+def _plain_outlook(
+    _now: float, horizon_s: float, full: Sequence[_FullEndpoint], mean_s: float
+) -> Outlook:
+    """Return how the queues of a plain service's endpoints get room."""
+    closed = 1.0
+    per_s = 0.0
+    for endpoint in full:
+        load = endpoint.load
+        rate = load.slots / (endpoint.slowness * mean_s)
+        age_s = REPORT_AGE_S if load.others.running else 0.0
+        closed *= 1.0 - at_least(endpoint.excess + 1, rate * (horizon_s + age_s))
+        per_s += END_RATE_MARGIN * rate
+    return Outlook(1.0 - closed, per_s)
+
+
+def _endings(
+    now: float,
+    engine: _FullEndpoint,
+    distributions: Callable[[WorkKey], Distribution | None],
+    horizon_s: float,
+    mean_s: float,
+) -> Iterator[float]:
+    """Yield for each running request the probability that it ends by the horizon."""
+    load, _, slowness = engine
+    unknown = load.running
+    for key, age_s in load.ages(now):
+        distribution = distributions(key)
+        if distribution is not None:
+            unknown -= 1
+            yield distribution.ended_within(age_s / slowness, horizon_s / slowness)
+    if unknown > 0:
+        age_s = REPORT_AGE_S if load.others.running else 0.0
+        ended = min(1.0, (horizon_s + age_s) / (slowness * mean_s))
+        yield from repeat(ended, unknown)
 
 
 def _may_run(endpoint: ListedEndpoint, query: StartQuery) -> bool:
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -22,6 +22,7 @@
 from greengageflow.core.router_table import Hello
 from greengageflow.core.routes import Routing
 from greengageflow.core.service_dispatcher import ServiceDispatcher
+from greengageflow.core.slot_forecast import ForecastOutcome
 from greengageflow.core.store_duty import StoreRole, read_interval_s
 from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.core.trust import KeyTrust
@@ -130,6 +131,7 @@
             zones=settings.regions,
         )
         self._service_dispatcher.work.on_ratio = self._on_duration_ratio
+        self._service_dispatcher.on_forecast = self._on_forecast
         self._forward_notes = ForwardTelemetry(
             self._log, self._metrics, self._service_dispatcher
         )
@@ -446,6 +448,13 @@
     def _on_duration_ratio(self, service: str, ratio: float) -> None:
         self._metrics.observe(PageMetric.DURATION_RATIO, ratio, service)
 
+    def _on_forecast(self, service: str, outcome: ForecastOutcome) -> None:
+        match outcome:
+            case ForecastOutcome.REJECTED:
+                self._metrics.count(PageMetric.FORECAST_REJECTIONS, service)
+            case _:
+                self._metrics.count(PageMetric.FORECAST_WAITS, outcome.value)
+
     def _on_endpoint_leaving(self, endpoint: str, source: str) -> None:
         self._log.write(
             DecisionEvent.ENDPOINT_LEAVING, endpoint=endpoint, source=source
--- a/greengageflow/lab/bench_policy.py
+++ b/greengageflow/lab/bench_policy.py
@@ -76,6 +76,10 @@
     work_model.WorkModel.slowness = lambda *_args: 1.0
 
 
+def _no_forecast() -> None:
+    service_scheduler.ServiceScheduler.refuse_hopeless = lambda *_args: None
+
+
 MECHANISMS: Mapping[str, Callable[[], None]] = {
     "fixed-time": _no_fixed_time,
     "zones": _set_constants(endpoint_choice, CROSS_ZONE_PENALTY_S=0.0),
@@ -92,6 +96,7 @@
     "first-by": _set_constants(service_scheduler, FIRST_EVENT_TARGET_FRACTION=inf),
     "estimates": _no_estimates,
     "speeds": _no_speeds,
+    "forecast": _no_forecast,
     "queue": _set_constants(service_scheduler, QUEUE_TARGET_FRACTION=0.1),
 }
 """Functions that disable a mechanism, by name."""
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -79,6 +79,10 @@
     STORE_CALLS = PageMetricSpec("store_calls", PageKind.COUNTER, "result")
     CONNECTIONS_TAKEN = PageMetricSpec("connections_taken", PageKind.COUNTER)
     ABANDONED = PageMetricSpec("abandoned", PageKind.COUNTER)
+    FORECAST_REJECTIONS = PageMetricSpec(
+        "forecast_rejections", PageKind.COUNTER, "service"
+    )
+    FORECAST_WAITS = PageMetricSpec("forecast_waits", PageKind.COUNTER, "outcome")
     LOG_LINES_DROPPED = PageMetricSpec("log_lines_dropped", PageKind.COUNTER, "cause")
 
     WAITING_TIME = PageMetricSpec(
