--- a/greengageflow/core/slot_forecast.py
+++ b/greengageflow/core/slot_forecast.py
@@ -40,6 +40,8 @@
 Its cost grows with the running requests; made for each arrival it would grow with their
 product.
 """
+QUEUE_GROWTH = 1.1
+"""Growth of the queue up to which a request waits because one before it had to."""
 HORIZON_STEP_S = 0.005
 """Step, in seconds, to which waiting times are rounded up to share a forecast."""
 END_RATE_MARGIN = 1.25
@@ -111,7 +113,7 @@
         self._may_send = may_send
         self._work = work
         self._outlooks: RecentResults[Outlook | None] = RecentResults(REUSE_S)
-        self._queue_waits: RecentResults[None] = RecentResults(REUSE_S)
+        self._queue_waits: RecentResults[int] = RecentResults(REUSE_S)
         self._let_wait: set[str] = set()
 
     def snapshot(
@@ -168,7 +170,13 @@
         line = query, queued.account, queued.priority, is_late
         may_be_behind = can_open and not outlook.is_open(now, until, waiting)
         # Scanning the queue for each arrival would cost the most while it is long.
-        if may_be_behind and not self._queue_waits.is_fresh(now, line):
+        if (
+            may_be_behind
+            and self._queue_waits.is_fresh(now, line)
+            and waiting <= QUEUE_GROWTH * self._queue_waits.get(line)
+        ):
+            may_be_behind = False
+        if may_be_behind:
             reuse = cache(partial(self._reuse, now, query.service, outlook.reuse_s))
             rivals = (
                 RequestAhead(expires_at, reuse(kind))
@@ -176,7 +184,7 @@
             )
             probability = outlook.start_probability(now, until, rivals)
             if probability >= MIN_START_PROBABILITY:
-                self._queue_waits.put(now, line, None)
+                self._queue_waits.put(now, line, waiting)
         if probability >= MIN_START_PROBABILITY:
             self._let_wait.add(queued.id)
         else:
