--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -601,7 +601,8 @@
         made = SlotForecast(
             lambda: self._endpoints.usable(service),
             self._load,
-            self._health,
+            self._health.is_suspended,
+            self._health.backoffs,
             self.warmup.may_send,
             self.work,
         )
--- a/greengageflow/core/slot_forecast.py
+++ b/greengageflow/core/slot_forecast.py
@@ -5,7 +5,7 @@
 left out unless they are certain to come first.
 """
 
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import cache, partial
@@ -17,7 +17,6 @@
     NEGLIGIBLE_WAIT_S,
     PLAIN_REQUESTS_PER_SLOT,
 )
-from greengageflow.core.endpoint_health import EndpointHealth
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.endpoint_load import EndpointLoad
 from greengageflow.core.log_histogram import Distribution
@@ -89,7 +88,8 @@
     Args:
         usable: Returns all endpoints that may be used, also those in backoff.
         loads: Returns the load of an endpoint.
-        health: Recent failures of the endpoints.
+        is_suspended: Returns whether an endpoint is suspended.
+        backoffs: Returns the remaining backoffs in seconds, by endpoint.
         may_send: Returns whether an endpoint may get one more request now, which a
             cold one may not always.
         work: Predicts durations of requests at endpoints.
@@ -102,14 +102,16 @@
         self,
         usable: Callable[[], Sequence[ListedEndpoint]],
         loads: Callable[[ListedEndpoint], EndpointLoad],
-        health: EndpointHealth,
+        is_suspended: Callable[[float, str], bool],
+        backoffs: Callable[[float], Mapping[str, float]],
         may_send: Callable[[float, ListedEndpoint], bool],
         work: WorkModel,
     ) -> None:
         self.on_outcome: Callable[[ForecastOutcome], None] = _ignore
         self._usable = usable
         self._loads = loads
-        self._health = health
+        self._is_suspended = is_suspended
+        self._backoffs = backoffs
         self._may_send = may_send
         self._work = work
         self._outlooks: RecentResults[Outlook | None] = RecentResults(REUSE_S)
@@ -125,7 +127,14 @@
             loads: Returns a copy of an endpoint's load.
             work: Copy of the work model.
         """
-        found = SlotForecast(self._usable, loads, self._health, self._may_send, work)
+        found = SlotForecast(
+            self._usable,
+            loads,
+            self._is_suspended,
+            self._backoffs,
+            self._may_send,
+            work,
+        )
         found._outlooks = self._outlooks.copy()
         found._queue_waits = self._queue_waits.copy()
         return found
@@ -256,8 +265,8 @@
             return None
         found = []
         for endpoint in own:
-            suspended = self._health.is_suspended(now, endpoint.id)
-            if suspended or not self._may_send(now, endpoint):
+            is_suspended = self._is_suspended(now, endpoint.id)
+            if is_suspended or not self._may_send(now, endpoint):
                 return None
             load = self._loads(endpoint)
             if _reads_too_long(now, horizon_s, query, load):
@@ -304,7 +313,7 @@
 
     def _may_come_back(self, now: float, horizon_s: float, query: StartQuery) -> bool:
         """Whether an endpoint ends its backoff before the horizon."""
-        backoffs = self._health.backoffs(now)
+        backoffs = self._backoffs(now)
         return bool(backoffs) and any(
             backoffs.get(e.id, inf) < horizon_s and _may_run(e, query)
             for e in self._usable()
