--- a/greengageflow/core/slot_forecast.py
+++ b/greengageflow/core/slot_forecast.py
@@ -5,13 +5,11 @@
 left out unless they are certain to come first.
 """
 
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import cache, partial
-from itertools import repeat
 from math import ceil, inf
-from typing import NamedTuple
 
 from greengageflow.core.endpoint_choice import (
     NEGLIGIBLE_WAIT_S,
@@ -19,14 +17,19 @@
 )
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.endpoint_load import EndpointLoad
-from greengageflow.core.log_histogram import Distribution
+from greengageflow.core.full_endpoints import (
+    END_RATE_MARGIN,
+    FullEndpoint,
+    endings_at,
+    plain_outlook,
+    rough_outlook,
+)
 from greengageflow.core.prefill_model import MIN_TRUSTED_SAMPLES
 from greengageflow.core.recent_results import RecentResults
 from greengageflow.core.slot_outlook import (
     MIN_START_PROBABILITY,
     Outlook,
     RequestAhead,
-    at_least,
     at_most,
 )
 from greengageflow.core.work_estimates import WorkKey
@@ -43,12 +46,8 @@
 """Growth of the queue up to which a request waits because one before it had to."""
 HORIZON_STEP_S = 0.005
 """Step, in seconds, to which waiting times are rounded up to share a forecast."""
-END_RATE_MARGIN = 1.25
-"""Factor by which requests may end faster than learned, for those behind others."""
 READ_RATE_MARGIN = 1.5
 """Factor by which an engine may read faster than learned."""
-REPORT_AGE_S = 0.25
-"""Maximum age of other hosts' reports of their running requests, in seconds."""
 
 
 class ForecastOutcome(StrEnum):
@@ -238,9 +237,9 @@
             estimate = self._work.estimate(now, key)
             outlook = None
             if full is not None and estimate is not None:
-                look_ahead = self._look_ahead if query.reads_prompt else _plain_outlook
+                look_ahead = self._look_ahead if query.reads_prompt else plain_outlook
                 outlook = (
-                    _rough_outlook(full, estimate.mean)
+                    rough_outlook(full, estimate.mean)
                     if rough
                     else look_ahead(now, horizon_s, full, estimate.mean)
                 )
@@ -253,7 +252,7 @@
         horizon_s: float,
         query: StartQuery,
         endpoints: Sequence[ListedEndpoint],
-    ) -> "list[_FullEndpoint] | None":
+    ) -> list[FullEndpoint] | None:
         """Return the endpoints that may get room for a request until the horizon.
 
         Returns:
@@ -275,14 +274,14 @@
             if excess < 0:
                 return None
             slowness = self._work.slowness(now, endpoint)
-            found.append(_FullEndpoint(load, excess, slowness))
+            found.append(FullEndpoint(load, excess, slowness))
         return found
 
     def _look_ahead(
         self,
         now: float,
         horizon_s: float,
-        engines: "Sequence[_FullEndpoint]",
+        engines: Sequence[FullEndpoint],
         mean_s: float,
     ) -> Outlook:
         """Return how slots of engines become free, by what runs there."""
@@ -292,7 +291,7 @@
         free_memory = first_event_s = inf
         for engine in engines:
             load = engine.load
-            ended = list(_endings(now, engine, distributions, horizon_s, mean_s))
+            ended = list(endings_at(now, engine, distributions, horizon_s, mean_s))
             endings += sum(ended)
             closed *= at_most(engine.excess, ended)
             free_memory = min(free_memory, load.free_memory)
@@ -320,62 +319,6 @@
         )
 
 
-class _FullEndpoint(NamedTuple):
-    """An endpoint without room for a request.
-
-    Args:
-        load: Its load.
-        excess: Running requests that must end before the one that makes room.
-        slowness: 2 if it takes twice as long as the others.
-    """
-
-    load: EndpointLoad
-    excess: int
-    slowness: float
-
-
-def _rough_outlook(full: Sequence[_FullEndpoint], mean_s: float) -> Outlook:
-    """Return how slots become free if all running requests are of the same kind."""
-    per_s = sum(e.load.running / (e.slowness * mean_s) for e in full if not e.excess)
-    return Outlook(1.0, per_s)
-
-
-def _plain_outlook(
-    _now: float, horizon_s: float, full: Sequence[_FullEndpoint], mean_s: float
-) -> Outlook:
-    """Return how the queues of a plain service's endpoints get room."""
-    closed = 1.0
-    per_s = 0.0
-    for endpoint in full:
-        load = endpoint.load
-        rate = load.slots / (endpoint.slowness * mean_s)
-        age_s = REPORT_AGE_S if load.others.running else 0.0
-        closed *= 1.0 - at_least(endpoint.excess + 1, rate * (horizon_s + age_s))
-        per_s += END_RATE_MARGIN * rate
-    return Outlook(1.0 - closed, per_s)
-
-
-def _endings(
-    now: float,
-    engine: _FullEndpoint,
-    distributions: Callable[[WorkKey], Distribution | None],
-    horizon_s: float,
-    mean_s: float,
-) -> Iterator[float]:
-    """Yield for each running request the probability that it ends by the horizon."""
-    load, _, slowness = engine
-    unknown = load.running
-    for key, age_s in load.ages(now):
-        distribution = distributions(key)
-        if distribution is not None:
-            unknown -= 1
-            yield distribution.ended_within(age_s / slowness, horizon_s / slowness)
-    if unknown > 0:
-        age_s = REPORT_AGE_S if load.others.running else 0.0
-        ended = min(1.0, (horizon_s + age_s) / (slowness * mean_s))
-        yield from repeat(ended, unknown)
-
-
 def _may_run(endpoint: ListedEndpoint, query: StartQuery) -> bool:
     in_zone = query.zones is None or endpoint.zone in query.zones
     return in_zone and endpoint.id not in query.avoid
