Schedule the retries of rejected requests by account

Requests that were rejected in a burst were all told the same delay, 1 to 5 s by their account's usage, and retried together. With short targets, each account now has a schedule: its retries follow each other at the rate at which its requests were started lately, from the earliest time that was told before, and spread evenly before the cap of 5 s beyond it. An account moves only its own retries; at most 256 accounts are kept per service. Explanations read the next retry time without taking it. Without short targets the delays are as before.

--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -11,6 +11,7 @@
 )
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import Prompt
+from greengageflow.core.return_schedule import ReturnSchedule
 from greengageflow.core.work_estimates import WorkKey
 from greengageflow.core.work_queue import QueuedRequest, WorkQueue
 from greengageflow.errors import ErrorKind
@@ -127,7 +128,9 @@
         service: Name of the service.
 
     Attributes:
-        by_cost: Choices depend on the likely durations of requests.
+        by_cost: Choices depend on the likely durations of requests, and retries of
+            rejected requests are spread over time.
+        return_schedule: Retry times of rejected requests, used if ``by_cost`` is true.
     """
 
     def __init__(
@@ -146,6 +149,7 @@
         self.capacity_share = CapacityShare()
         self.transfers = transfers
         self.by_cost = False
+        self.return_schedule = ReturnSchedule(MAX_RETRY_AFTER_S)
         self.running: set[str] = set()
         self._endpoints = endpoints
         self._sources = sources
@@ -158,6 +162,7 @@
         self._queue = WorkQueue()
         self._jobs: dict[str, Job] = {}
         self._resumed_jobs: dict[str, Job] = {}
+        self._now = 0.0
 
     @property
     def waiting(self) -> int:
@@ -170,6 +175,7 @@
 
     def submit(self, now: float, job: Job) -> Iterator[Decision]:
         """Queue a request, and yield the decisions that are now possible."""
+        self._now = now
         endpoints = self._endpoints()
         if not endpoints and not self._backoff_s():
             text = "no endpoint of the service is known"
@@ -216,6 +222,7 @@
 
     def pump(self, now: float) -> Iterator[Decision]:
         """Yield all starts and refusals that are due."""
+        self._now = now
         yield from self._refuse_during_backoff(now)
         # The caller may call again while it carries a decision out, so that nothing may
         # be left behind of requests that are no longer queued.
@@ -224,12 +231,14 @@
             self._forget(queued.id)
         for queued in expired:
             text = "no endpoint had room in time"
-            wait_s = self.retry_after_s(queued.account)
+            wait_s = self.retry_after_s(queued.account, now)
             yield RefuseJob(queued.id, ErrorKind.QUEUE_FULL, text, wait_s)
         while (start := self._next(now)) is not None:
             self._queue.remove(start.request)
             self._forget(start.request)
             self.running.add(start.request)
+            if self.by_cost:
+                self.return_schedule.on_start(now, start.queued_request.account)
             yield start
 
     def _refuse_during_backoff(self, now: float) -> Iterator[RefuseJob]:
@@ -243,7 +252,30 @@
                 text = "all endpoints of the service ask for backoff"
                 yield RefuseJob(queued.id, ErrorKind.NO_ENDPOINT, text, wait_s)
 
-    def retry_after_s(self, account: str) -> float:
+    def retry_after_s(self, account: str, now: float | None = None) -> float:
+        """Return the seconds after which a rejected request should be retried.
+
+        Each call is for one rejected request. If ``by_cost`` is true, it takes the next
+        retry time of the account, which moves the account's later ones.
+
+        Args:
+            account: Client account.
+            now: The time; None for that of the last call of ``submit`` or ``pump``.
+        """
+        earliest_s = self._earliest_retry_s(account)
+        if not self.by_cost:
+            return earliest_s
+        now = self._now if now is None else now
+        return self.return_schedule.take(now, account, earliest_s)
+
+    def next_retry_after_s(self, now: float, account: str) -> float:
+        """Return what ``retry_after_s`` would return, without a change of state."""
+        earliest_s = self._earliest_retry_s(account)
+        if not self.by_cost:
+            return earliest_s
+        return self.return_schedule.peek(now, account, earliest_s)
+
+    def _earliest_retry_s(self, account: str) -> float:
         """Return the seconds until the account's usage decays to its share."""
         limit = self.capacity_share.usage_limits.get(account, 0.0)
         usage = self._recent_usage(account)
--- a/greengageflow/lab/bench_policy.py
+++ b/greengageflow/lab/bench_policy.py
@@ -10,6 +10,7 @@
 from greengageflow.core import (
     endpoint_choice,
     prefill_model,
+    return_schedule,
     service_dispatcher,
     service_scheduler,
     work_model,
@@ -76,6 +77,13 @@
     work_model.WorkModel.slowness = lambda *_args: 1.0
 
 
+def _no_retry_schedule() -> None:
+    def patched(*args: float) -> float:
+        return args[-1]
+
+    return_schedule.ReturnSchedule.take = patched
+
+
 MECHANISMS: Mapping[str, Callable[[], None]] = {
     "fixed-time": _no_fixed_time,
     "zones": _set_constants(endpoint_choice, CROSS_ZONE_PENALTY_S=0.0),
@@ -93,6 +101,7 @@
     "estimates": _no_estimates,
     "speeds": _no_speeds,
     "queue": _set_constants(service_scheduler, QUEUE_TARGET_FRACTION=0.1),
+    "retry-schedule": _no_retry_schedule,
 }
 """Functions that disable a mechanism, by name."""
 
