Log the terms that decide where a request goes

Where decisions are made by likely cost, the SENT line holds the predicted wait, slowness, likely duration, cached tokens, cost and the cost of the next best endpoint. If another host placed the request, that host writes them in a routine PLACED line (GG700), and SENT holds the number by which to find it. Lines of other deployments stay as they are. The log formats finite floats itself, since its encoder takes longer.

To make up for it, loads and slowness are looked up once per candidate, and what is created for each candidate is a named tuple. An account's schedule of retries is changed in place, since starts are recorded with each request.

--- a/greengageflow/core/endpoint_choice.py
+++ b/greengageflow/core/endpoint_choice.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Container, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import inf
+from typing import NamedTuple
 
+from greengageflow.core.decision_terms import DecisionTerms
 from greengageflow.core.endpoint_health import EndpointHealth
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.endpoint_load import EndpointLoad
@@ -72,6 +74,7 @@
         key: Class by which the request's duration is predicted, or None if it is not.
         cost: Cost by which it was compared with the others, in seconds; for a plain
             service in mean requests of a slot.
+        terms: Terms of the decision, if it depends on likely durations, or None.
     """
 
     endpoint: ListedEndpoint
@@ -81,6 +84,7 @@
     reliable: bool = True
     key: WorkKey | None = None
     cost: float = field(default=0.0, compare=False)
+    terms: DecisionTerms | None = field(default=None, compare=False)
 
 
 def _always(_now: float, _endpoint: ListedEndpoint) -> bool:
@@ -133,25 +137,25 @@
             sources: Endpoints from which prompt parts may be fetched; the same by
                 default.
         """
-        with_free_slot = [
-            e
+        with_load = [
+            (e, load)
             for e in endpoints
-            if self._loads(e).has_slot(PLAIN_REQUESTS_PER_SLOT)
+            if (load := self._loads(e)).has_slot(PLAIN_REQUESTS_PER_SLOT)
             and self._may_send(now, e)
         ]
-        active = [e for e in with_free_slot if not self._health.is_suspended(now, e.id)]
-        loads = [(endpoint, self._loads(endpoint)) for endpoint in active]
+        is_suspended = self._health.is_suspended
         by_id = {e.id: e for e in endpoints}
         return Candidates(
             endpoints=endpoints,
             placed=by_id.keys(),
             sources=by_id if sources is None else {e.id: e for e in sources} | by_id,
-            with_free_slot=with_free_slot,
+            with_free_slot=[e for e, _ in with_load],
             engines=[
                 _CandidateEngine(
                     e, load, load.queue_wait_s(now), self._work.slowness(now, e)
                 )
-                for e, load in loads
+                for e, load in with_load
+                if not is_suspended(now, e.id)
             ],
         )
 
@@ -193,11 +197,12 @@
         if allowed_zones is not None:
             candidates = candidates.within(allowed_zones)
         if prompt is None:
-            active = [engine.endpoint for engine in candidates.engines]
-            found = [
-                e for e in active or candidates.with_free_slot if e.id not in avoid
+            found = candidates.engines or [
+                _CandidateEngine(e, self._loads(e), 0.0, self._work.slowness(now, e))
+                for e in candidates.with_free_slot
             ]
-            return self._choose_plain(now, found, fill, zone, key)
+            allowed = [c for c in found if c.endpoint.id not in avoid]
+            return self._choose_plain(now, allowed, fill, zone, key)
         wait_limit_s = max(NEGLIGIBLE_WAIT_S, min(max_wait_s, first_event_within_s))
         eligible = [
             engine
@@ -211,37 +216,46 @@
         cached = self._find_cached(now, prompt, candidates)
         is_cached = 0 < prompt.shared_tokens == cached.longest_tokens
         home = None if is_cached else home_of(prompt.affinity, candidates.endpoints)
-        decode_cost_s = DECODE_COST_FRACTION * self._mean_duration_s(now, key)
-        best: Choice | None = None
-        best_s = inf
+        mean_s = self._mean_duration_s(now, key)
+        decode_cost_s = DECODE_COST_FRACTION * mean_s
+        best: _CandidateEngine | None = None
+        best_estimate: _CostEstimate | None = None
+        best_s = next_s = inf
+        longest_s = max(NEGLIGIBLE_WAIT_S, max_wait_s)
         for engine in eligible:
             estimate = _estimate_cost(engine, cached, prompt, transfers)
-            latest_s = max(NEGLIGIBLE_WAIT_S, first_event_within_s - estimate.first_s)
-            if engine.queue_wait_s > latest_s:
+            queue_wait_s = engine.queue_wait_s
+            latest_s = first_event_within_s - estimate.first_s
+            if queue_wait_s > latest_s and queue_wait_s > NEGLIGIBLE_WAIT_S:
                 continue
             # Reading or copying parts that another engine keeps delays later requests
             # as much as waiting does, so it counts towards the maximum wait.
-            if engine.queue_wait_s + estimate.duplicate_s > max(
-                NEGLIGIBLE_WAIT_S, max_wait_s
-            ):
+            if queue_wait_s + estimate.duplicate_s > longest_s:
                 continue
-            wait_s = engine.queue_wait_s + estimate.first_s
+            wait_s = queue_wait_s + estimate.first_s
             cost_s = self._cost_s(engine, wait_s, zone) + estimate.duplicate_s
             cost_s += decode_cost_s * engine.slowness
             if home is not None and engine.endpoint.id == home.id:
                 cost_s -= HOME_BONUS_S
             if cost_s < best_s:
-                best_s = cost_s
-                best = Choice(
-                    engine.endpoint,
-                    estimate.reading,
-                    wait_s,
-                    estimate.source,
-                    estimate.reliable,
-                    key,
-                    cost_s,
-                )
-        return best
+                next_s, best_s = best_s, cost_s
+                best, best_estimate = engine, estimate
+            elif cost_s < next_s:
+                next_s = cost_s
+        if best is None or best_estimate is None:
+            return None
+        cached_tokens = cached.tokens.get(best.endpoint.id, 0)
+        terms = _terms(key, best, best.queue_wait_s, mean_s, cached_tokens, next_s)
+        return Choice(
+            best.endpoint,
+            best_estimate.reading,
+            best.queue_wait_s + best_estimate.first_s,
+            best_estimate.source,
+            best_estimate.reliable,
+            key,
+            best_s,
+            terms,
+        )
 
     def cached_tokens(
         self, now: float, prompt: Prompt, candidates: "Candidates"
@@ -262,7 +276,9 @@
         the number of running requests.
         """
         mean_s = self._mean_duration_s(now, key)
-        return self._work_left(now, endpoint, self._loads(endpoint), mean_s)
+        load, slowness = self._loads(endpoint), self._work.slowness(now, endpoint)
+        wait_s = self._work.slot_wait_s(now, endpoint, load, mean_s) if mean_s else 0.0
+        return _work_left(load, slowness, wait_s, mean_s)
 
     def _mean_duration_s(self, now: float, key: WorkKey | None) -> float:
         estimate = self._work.estimate(now, key) if key is not None else None
@@ -292,17 +308,18 @@
     def _choose_plain(
         self,
         now: float,
-        endpoints: Sequence[ListedEndpoint],
+        candidates: "Sequence[_CandidateEngine]",
         fill: float,
         zone: str,
         key: WorkKey | None,
     ) -> Choice | None:
         """Return the endpoint of a plain service with the least work left."""
-        best: ListedEndpoint | None = None
-        best_cost = float("inf")
+        best: _CandidateEngine | None = None
+        best_cost = next_cost = inf
+        best_wait_s = 0.0
         mean_s = self._mean_duration_s(now, key)
-        for endpoint in endpoints:
-            load = self._loads(endpoint)
+        for candidate in candidates:
+            endpoint, load = candidate.endpoint, candidate.load
             # Beyond this an endpoint's own queue is full, and it rejects requests;
             # retries of these would use up the retry budget.
             if load.running >= PLAIN_REQUESTS_PER_SLOT * fill * load.slots:
@@ -311,26 +328,20 @@
             failure_cost = PLAIN_FAILURE_PENALTY * self._health.failure_rate(
                 endpoint.id
             )
-            work_left = self._work_left(now, endpoint, load, mean_s)
+            wait_s = 0.0
+            if mean_s:
+                wait_s = self._work.slot_wait_s(now, endpoint, load, mean_s)
+            work_left = _work_left(load, candidate.slowness, wait_s, mean_s)
             cost = work_left + cross_zone + failure_cost
             if cost < best_cost:
-                best, best_cost = endpoint, cost
-        return Choice(best, key=key, cost=best_cost) if best else None
-
-    def _work_left(
-        self, now: float, endpoint: ListedEndpoint, load: EndpointLoad, mean_s: float
-    ) -> float:
-        """Return the work until a new request has ended, in mean requests of a slot.
-
-        Without an estimate it is the number of running requests.
-        """
-        if not mean_s:
-            return load.running
-        # An endpoint with few free slots may get other hosts' requests meanwhile.
-        uncertainty = PLAIN_UNCERTAINTY * load.running
-        duration_s = self._work.slowness(now, endpoint) * mean_s
-        wait_s = self._work.slot_wait_s(now, endpoint, load, mean_s)
-        return (wait_s + duration_s) * load.slots / mean_s + uncertainty
+                next_cost, best_cost = best_cost, cost
+                best, best_wait_s = candidate, wait_s
+            elif cost < next_cost:
+                next_cost = cost
+        if best is None:
+            return None
+        terms = _terms(key, best, best_wait_s, mean_s, 0, next_cost)
+        return Choice(best.endpoint, key=key, cost=best_cost, terms=terms)
 
     def _cost_s(self, engine: "_CandidateEngine", wait_s: float, zone: str) -> float:
         endpoint, load = engine.endpoint, engine.load
@@ -339,8 +350,9 @@
         return cost_s + (CROSS_ZONE_PENALTY_S if endpoint.zone != zone else 0.0)
 
 
-@dataclass(frozen=True, slots=True)
-class _CandidateEngine:
+class _CandidateEngine(NamedTuple):
+    """An endpoint with its load; a named tuple, since each decision creates many."""
+
     endpoint: ListedEndpoint
     load: EndpointLoad
     queue_wait_s: float
@@ -376,10 +388,11 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class _CostEstimate:
+class _CostEstimate(NamedTuple):
     """Predicted cost of a request at one engine.
 
+    A named tuple, since each decision creates one for each engine.
+
     Args:
         reading: Tokens to read.
         first_s: Seconds from the begin of reading to the first event.
@@ -416,6 +429,40 @@
     source_tokens: int = 0
 
 
+def _terms(
+    key: WorkKey | None,
+    best: _CandidateEngine,
+    wait_s: float,
+    mean_s: float,
+    cached_tokens: int,
+    next_cost: float,
+) -> DecisionTerms | None:
+    """Return the terms of a decision, or None if likely durations are not used."""
+    if key is None:
+        return None
+    return DecisionTerms(
+        wait_s,
+        best.slowness,
+        mean_s * best.slowness,
+        cached_tokens,
+        next_cost if next_cost < inf else None,
+    )
+
+
+def _work_left(
+    load: EndpointLoad, slowness: float, wait_s: float, mean_s: float
+) -> float:
+    """Return the work until a new request has ended, in mean requests of a slot.
+
+    Without an estimate of the mean duration it is the number of running requests.
+    """
+    if not mean_s:
+        return load.running
+    # An endpoint with few free slots may get other hosts' requests meanwhile.
+    uncertainty = PLAIN_UNCERTAINTY * load.running
+    return (wait_s + slowness * mean_s) * load.slots / mean_s + uncertainty
+
+
 def _estimate_cost(
     engine: _CandidateEngine, cached: _CachedPrefixes, prompt: Prompt, transfers: bool
 ) -> _CostEstimate:
--- a/greengageflow/core/return_schedule.py
+++ b/greengageflow/core/return_schedule.py
@@ -5,8 +5,9 @@
 """
 
 from collections import OrderedDict
+from copy import copy
+from dataclasses import dataclass
 from math import exp, inf
-from typing import NamedTuple
 
 MAX_ACCOUNTS = 256
 """Maximum number of accounts with a schedule."""
@@ -27,7 +28,8 @@
 """Golden ratio; the fractions of its multiples are spread evenly for any count."""
 
 
-class _Account(NamedTuple):
+@dataclass(slots=True)
+class _Account:
     """Schedule of one account.
 
     Args:
@@ -63,9 +65,9 @@
 
     def on_start(self, now: float, account: str) -> None:
         """Record that a request of an account was started."""
-        found = self._accounts.get(account, _Account())
-        starts = found.starts_at(now) + 1.0
-        self._put(now, account, found._replace(starts=starts, counted_at=now))
+        found = self._used(now, account)
+        found.starts = found.starts_at(now) + 1.0
+        found.counted_at = now
 
     def take(self, now: float, account: str, earliest_s: float) -> float:
         """Return the delay of a rejected request's retry, and reserve its time.
@@ -75,44 +77,49 @@
             account: Client account.
             earliest_s: Earliest retry of the account from now, in seconds.
         """
-        delay_s, changed = self._next(now, account, earliest_s)
-        self._put(now, account, changed)
-        return delay_s
+        found = self._used(now, account)
+        retry_at = max(now + earliest_s, found.next_at)
+        if retry_at <= now + self._max_delay_s:
+            rate = max(MIN_RETURN_RATE, found.starts_at(now) / RATE_DECAY_S)
+            found.next_at = retry_at + 1.0 / rate
+            return retry_at - now
+        # The next retry time stays as it is. If each of these requests moved it, the
+        # retries of a burst would determine the delays long after its end.
+        found.beyond += 1
+        return self._delay_beyond(found.beyond, earliest_s)
 
     def peek(self, now: float, account: str, earliest_s: float) -> float:
         """Return the delay that ``take`` would return, without a change of state."""
-        return self._next(now, account, earliest_s)[0]
+        found = self._accounts.get(account, _Account())
+        retry_at = max(now + earliest_s, found.next_at)
+        if retry_at <= now + self._max_delay_s:
+            return retry_at - now
+        return self._delay_beyond(found.beyond + 1, earliest_s)
 
     def snapshot(self) -> "ReturnSchedule":
         """Return a copy that can be changed without an effect on this object."""
         found = ReturnSchedule(self._max_delay_s)
-        found._accounts = self._accounts.copy()
+        copies = ((name, copy(account)) for name, account in self._accounts.items())
+        found._accounts = OrderedDict(copies)
         return found
 
-    def _next(
-        self, now: float, account: str, earliest_s: float
-    ) -> tuple[float, _Account]:
-        """Return the delay of the next retry, and the account's schedule after it."""
-        found = self._accounts.get(account, _Account())
-        retry_at = max(now + earliest_s, found.next_at)
-        latest_at = now + self._max_delay_s
-        if retry_at <= latest_at:
-            rate = max(MIN_RETURN_RATE, found.starts_at(now) / RATE_DECAY_S)
-            return retry_at - now, found._replace(next_at=retry_at + 1.0 / rate)
-        # The next retry time stays as it is. If each of these requests moved it, the
-        # retries of a burst would determine the delays long after its end.
-        beyond = found.beyond + 1
+    def _delay_beyond(self, number: int, earliest_s: float) -> float:
+        """Return the delay of an account's retry for which its schedule has no time."""
         first_s = min(earliest_s, self._max_delay_s - MIN_SPREAD_S)
-        fraction = SPREAD_STEP * beyond % 1.0
-        delay_s = first_s + fraction * (self._max_delay_s - first_s)
-        return delay_s, found._replace(beyond=beyond)
+        fraction = SPREAD_STEP * number % 1.0
+        return first_s + fraction * (self._max_delay_s - first_s)
 
-    def _put(self, now: float, account: str, changed: _Account) -> None:
+    def _used(self, now: float, account: str) -> _Account:
+        """Return the schedule of an account, which becomes the most recently used."""
         accounts = self._accounts
-        if account not in accounts and len(accounts) >= MAX_ACCOUNTS:
+        found = accounts.get(account)
+        if found is not None:
+            accounts.move_to_end(account)
+            return found
+        if len(accounts) >= MAX_ACCOUNTS:
             del accounts[self._evicted(now)]
-        accounts[account] = changed
-        accounts.move_to_end(account)
+        found = accounts[account] = _Account()
+        return found
 
     def _evicted(self, now: float) -> str:
         """Return the account to evict: without retries to come, or least recent."""
--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -10,6 +10,7 @@
     request_fingerprint,
 )
 from greengageflow.core.service_dispatcher import ServiceDispatcher
+from greengageflow.daemon.decision_fields import decision_fields
 from greengageflow.daemon.forward_context import ForwardContext, Phase
 from greengageflow.errors import Ran, RouterError
 from greengageflow.net.decision_events import DecisionEvent
@@ -87,8 +88,15 @@
             placer=placer,
             **self._decision_inputs(now, ctx),
             **({"resumes": ctx.req.resumes} if ctx.req.resumes else {}),
+            # The placer's line has the terms of its decision and this host's number.
+            **({"number": ctx.id} if placer and self._by_cost else {}),
+            **decision_fields(choice),
         )
 
+    @property
+    def _by_cost(self) -> bool:
+        return self._dispatcher.work.enabled
+
     def _decision_inputs(self, now: float, ctx: ForwardContext) -> dict[str, int]:
         return {
             "queued": self._dispatcher.queue_length(ctx.service),
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -22,6 +22,7 @@
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import Decision, Job, RefuseJob, StartJob
 from greengageflow.daemon.cached_parts import PartsLoader
+from greengageflow.daemon.decision_fields import log_placed
 from greengageflow.daemon.pending_placements import (
     PendingPlacement,
     PlacedRun,
@@ -374,6 +375,7 @@
         """Send another host the decision on its request."""
         reply = self._remote_placements.on_decision(self._timers.now, decision)
         if reply is not None:
+            log_placed(self._log, decision)
             self._send(*reply)
 
     def _on_answer(self, now: float, answer: PlacementAnswer) -> None:
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -26,11 +26,17 @@
         fields: Names of the fields in its lines.
     """
 
+    PLACED = (
+        "GG700",
+        Level.ROUTINE,
+        "request endpoint wait_ms slowness duration_ms cached cost next_cost",
+    )
     SENT = (
         "GG701",
         Level.ROUTINE,
         "request digest account route endpoint fetch_from prompt reading waited_ms"
-        " predicted_ms placer queued level report_age_ms config resumes",
+        " predicted_ms placer queued level report_age_ms config resumes number wait_ms"
+        " slowness duration_ms cached cost next_cost",
     )
     REFUSED = (
         "GG702",
--- a/greengageflow/net/decision_log.py
+++ b/greengageflow/net/decision_log.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from json import JSONEncoder, dumps
 from json.encoder import encode_basestring_ascii as quoted
+from math import isfinite
 from os import fstat, urandom, write
 from select import PIPE_BUF, POLLOUT, poll
 from stat import S_ISREG
@@ -241,6 +242,8 @@
             parts.append(f',"{name}":{value}')
         elif type(value) is str:
             parts.append(f',"{name}":{quoted(value)}')
+        elif type(value) is float and isfinite(value):
+            parts.append(f',"{name}":{value!r}')
         else:
             parts.append(f',"{name}":{_encode(value)}')
     parts.append("}\n")
--- a/greengageflow/ops/decision_messages.py
+++ b/greengageflow/ops/decision_messages.py
@@ -6,6 +6,9 @@
 from greengageflow.ops.decision_lines import DecisionLine
 
 MESSAGE_TEMPLATES = {
+    Event.PLACED: "placed at {endpoint} for another host: begins in {wait_ms} ms,"
+    " likely duration {duration_ms} ms, slowness {slowness}, {cached} prompt tokens"
+    " cached, cost {cost}, of the next best {next_cost}",
     Event.SENT: "sent to {endpoint}: {reading} of {prompt} prompt tokens to read,"
     " predicted wait {predicted_ms} ms, {queued} queued there, account {account} at"
     " level {level}, reports {report_age_ms} ms old, configuration {config}",
