Events: a number of its own for PLACED; the forecast's terms in the text of a rejection

The rejection by forecast says its probability and the time that the request had, which the REFUSED line and the caller get as its text, also from a placer of another host.

--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -302,7 +302,11 @@
         )
         if probability is None or probability >= MIN_START_PROBABILITY:
             return None
-        text = "no endpoint is expected to have room in time"
+        left_ms = round(1000 * (queued.expires_at - now))
+        text = (
+            f"no endpoint is expected to have room within {left_ms} ms"
+            f" (probability {probability:.2f})"
+        )
         wait_s = self.retry_after_s(queued.account, now)
         return RefuseJob(queued.id, ErrorKind.QUEUE_FULL, text, wait_s, probability)
 
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -26,11 +26,6 @@
         fields: Names of the fields in its lines.
     """
 
-    PLACED = (
-        "GG700",
-        Level.ROUTINE,
-        "request endpoint wait_ms slowness duration_ms cached cost next_cost",
-    )
     SENT = (
         "GG701",
         Level.ROUTINE,
@@ -91,6 +86,11 @@
     KEYS_TRUSTED = ("GG723", Level.STATE, "config after_ms")
     ZONES_EVACUATED = ("GG724", Level.STATE, "zones released")
 
+    PLACED = (
+        "GG730",
+        Level.ROUTINE,
+        "request endpoint wait_ms slowness duration_ms cached cost next_cost",
+    )
     STORE_LOST = ("GG731", Level.STATE, "why unheard_ms")
     STORE_REGAINED = ("GG732", Level.STATE, "after_ms")
     PEERS_LOST = ("GG733", Level.STATE, "live known")
