--- a/greengageflow/core/placement_explanation.py
+++ b/greengageflow/core/placement_explanation.py
@@ -188,7 +188,7 @@
     refusal = Refusal(
         ErrorKind.QUEUE_FULL,
         "no endpoint had room in time",
-        preview.scheduler.next_retry_after_s(preview.now, queued.account),
+        preview.scheduler.retry_after_s(queued.account),
         queued.expires_at - preview.now,
     )
     return Outcome.QUEUE, "", refusal
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -575,7 +575,6 @@
         if current is not None:
             scheduler.capacity_share = current.capacity_share
             scheduler.running = set(current.running)
-            scheduler.return_schedule = current.return_schedule.snapshot()
         return PlacementPreview(
             now=now,
             listed=self._endpoints.of_service(service),
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -12,7 +12,6 @@
 )
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.forward_request import Prompt
-from greengageflow.core.return_schedule import ReturnSchedule
 from greengageflow.core.slot_forecast import ForecastOutcome, SlotForecast, StartQuery
 from greengageflow.core.slot_outlook import MIN_START_PROBABILITY
 from greengageflow.core.work_estimates import WorkKey
@@ -143,9 +142,7 @@
             are no forecasts.
 
     Attributes:
-        by_cost: Choices depend on the likely durations of requests, and retries of
-            rejected requests are spread over time.
-        return_schedule: Retry times of rejected requests, used if ``by_cost`` is true.
+        by_cost: Choices depend on the likely durations of requests.
         queue_of: Scheduler whose queued requests the forecast considers, for a copy
             that has none of its own; None for this one.
     """
@@ -169,7 +166,6 @@
         self.capacity_share = CapacityShare()
         self.transfers = transfers
         self.by_cost = False
-        self.return_schedule = ReturnSchedule(MAX_RETRY_AFTER_S)
         self.running: set[str] = set()
         self._endpoints = endpoints
         self._sources = sources
@@ -182,7 +178,6 @@
         self._queue = WorkQueue()
         self._jobs: dict[str, Job] = {}
         self._resumed_jobs: dict[str, Job] = {}
-        self._now = 0.0
 
     @property
     def waiting(self) -> int:
@@ -195,7 +190,6 @@
 
     def submit(self, now: float, job: Job) -> Iterator[Decision]:
         """Queue a request, and yield the decisions that are now possible."""
-        self._now = now
         endpoints = self._endpoints()
         if not endpoints and not self._backoff_s():
             text = "no endpoint of the service is known"
@@ -247,7 +241,6 @@
 
     def pump(self, now: float) -> Iterator[Decision]:
         """Yield all starts and refusals that are due."""
-        self._now = now
         yield from self._refuse_during_backoff(now)
         # The caller may call again while it carries a decision out, so that nothing may
         # be left behind of requests that are no longer queued.
@@ -256,14 +249,12 @@
             self._forget(queued.id, ForecastOutcome.EXPIRED)
         for queued in expired:
             text = "no endpoint had room in time"
-            wait_s = self.retry_after_s(queued.account, now)
+            wait_s = self.retry_after_s(queued.account)
             yield RefuseJob(queued.id, ErrorKind.QUEUE_FULL, text, wait_s)
         while (start := self._next(now)) is not None:
             self._queue.remove(start.request)
             self._forget(start.request, ForecastOutcome.STARTED)
             self.running.add(start.request)
-            if self.by_cost:
-                self.return_schedule.on_start(now, start.queued_request.account)
             yield start
 
     def _refuse_during_backoff(self, now: float) -> Iterator[RefuseJob]:
@@ -307,7 +298,7 @@
             f"no endpoint is expected to have room within {left_ms} ms"
             f" (probability {probability:.2f})"
         )
-        wait_s = self.retry_after_s(queued.account, now)
+        wait_s = self.retry_after_s(queued.account)
         return RefuseJob(queued.id, ErrorKind.QUEUE_FULL, text, wait_s, probability)
 
     def _start_query(self, now: float, job: Job) -> StartQuery:
@@ -360,30 +351,7 @@
         ):
             yield queued.expires_at, self._jobs[queued.id].kind
 
-    def retry_after_s(self, account: str, now: float | None = None) -> float:
-        """Return the seconds after which a rejected request should be retried.
-
-        Each call is for one rejected request. If ``by_cost`` is true, it takes the next
-        retry time of the account, which moves the account's later ones.
-
-        Args:
-            account: Client account.
-            now: The time; None for that of the last call of ``submit`` or ``pump``.
-        """
-        earliest_s = self._earliest_retry_s(account)
-        if not self.by_cost:
-            return earliest_s
-        now = self._now if now is None else now
-        return self.return_schedule.take(now, account, earliest_s)
-
-    def next_retry_after_s(self, now: float, account: str) -> float:
-        """Return what ``retry_after_s`` would return, without a change of state."""
-        earliest_s = self._earliest_retry_s(account)
-        if not self.by_cost:
-            return earliest_s
-        return self.return_schedule.peek(now, account, earliest_s)
-
-    def _earliest_retry_s(self, account: str) -> float:
+    def retry_after_s(self, account: str) -> float:
         """Return the seconds until the account's usage decays to its share."""
         limit = self.capacity_share.usage_limits.get(account, 0.0)
         usage = self._recent_usage(account)
--- a/greengageflow/lab/bench_policy.py
+++ b/greengageflow/lab/bench_policy.py
@@ -10,7 +10,6 @@
 from greengageflow.core import (
     endpoint_choice,
     prefill_model,
-    return_schedule,
     service_dispatcher,
     service_scheduler,
     work_model,
@@ -81,13 +80,6 @@
     service_scheduler.ServiceScheduler.refuse_hopeless = lambda *_args: None
 
 
-def _no_retry_schedule() -> None:
-    def patched(*args: float) -> float:
-        return args[-1]
-
-    return_schedule.ReturnSchedule.take = patched
-
-
 MECHANISMS: Mapping[str, Callable[[], None]] = {
     "fixed-time": _no_fixed_time,
     "zones": _set_constants(endpoint_choice, CROSS_ZONE_PENALTY_S=0.0),
@@ -106,7 +98,6 @@
     "speeds": _no_speeds,
     "forecast": _no_forecast,
     "queue": _set_constants(service_scheduler, QUEUE_TARGET_FRACTION=0.1),
-    "retry-schedule": _no_retry_schedule,
 }
 """Functions that disable a mechanism, by name."""
 
