--- a/greengageflow/core/placement_explanation.py
+++ b/greengageflow/core/placement_explanation.py
@@ -55,7 +55,7 @@
     Args:
         kind: Kind of the error.
         message: Description.
-        retry_after_s: Delay that the caller would be told, in seconds.
+        retry_after_s: ``Retry-After`` of the caller, in seconds.
         after_s: Seconds in the queue before it; 0 for a refusal at once.
     """
 
--- a/greengageflow/core/remote_placements.py
+++ b/greengageflow/core/remote_placements.py
@@ -154,7 +154,7 @@
         endpoint = placement.endpoint
         match event.kind:
             case PlacementEventKind.ENDED:
-                # The message doesn't tell a caller that left from a whole answer.
+                # The message is the same for a caller that left as for a whole answer.
                 completed_at = None if placement.has_failed else now
                 yield from self._end(now, key, completed_at)
                 return
--- a/greengageflow/core/service_scheduler.py
+++ b/greengageflow/core/service_scheduler.py
@@ -108,7 +108,7 @@
         request: Its id.
         kind: Kind of the error.
         message: Description.
-        retry_after_s: Delay that its caller should be told, in seconds.
+        retry_after_s: ``Retry-After`` of its caller, in seconds.
         start_probability: Probability of a start for which it was refused at once;
             None for other refusals.
     """
--- a/greengageflow/daemon/forward_admission.py
+++ b/greengageflow/daemon/forward_admission.py
@@ -115,7 +115,7 @@
         """Return the route of a request.
 
         Raises:
-            RouterError: There is none, or it can't be told now.
+            RouterError: There is none, or none can be found now.
         """
         route = self._table.find(host, path)
         if route is None:
@@ -127,7 +127,7 @@
         """Return the account of a request, or an empty string if it needs none.
 
         Raises:
-            RouterError: The key is unknown, or it can't be told now.
+            RouterError: The key is unknown, or cannot be checked now.
         """
         if route.public or not self._routing.keyed:
             return self.account_of(key)
