Log what accounts with many rejections got at a host, once a second

The lines of a busy host could not tell why an account got little: SENT lines are left out first, TURNED_AWAY names no account, and no line has the limit beside the level. ACCOUNT_REFUSED (GG749) has both, with what was sent, rejected and rejected unread; at most four lines a second and host, from ten rejections on.

--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -187,6 +187,12 @@
         key = (service, account)
         return self._recent_work.get(self._now, key) + self._totals.served.get(key, 0.0)
 
+    def usage_limit(self, service: str, account: str) -> float:
+        """Return the recent work above which an account yields to others."""
+        found = self._schedulers.get(service)
+        limits = found.capacity_share.usage_limits if found else {}
+        return limits.get(account, inf)
+
     def queue_length(self, service: str) -> int:
         """Return the number of queued requests of a service."""
         found = self._schedulers.get(service)
--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -13,6 +13,7 @@
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.daemon.decision_fields import decision_fields
 from greengageflow.daemon.forward_context import ForwardContext, Phase
+from greengageflow.daemon.refused_accounts import RefusedAccounts
 from greengageflow.errors import Ran, RouterError
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
@@ -40,6 +41,7 @@
         log: Decision log.
         page: Metrics page.
         dispatcher: Source of the queue lengths, usage and budget figures in log lines.
+        accounts: Counts requests by account, or None.
 
     Attributes:
         config_version: Version of the configuration in use.
@@ -47,13 +49,18 @@
     """
 
     def __init__(
-        self, log: DecisionLog, page: MetricsPage, dispatcher: ServiceDispatcher
+        self,
+        log: DecisionLog,
+        page: MetricsPage,
+        dispatcher: ServiceDispatcher,
+        accounts: RefusedAccounts | None = None,
     ) -> None:
         self.config_version = 0
         self.totals_at = 0.0
         self._log = log
         self._page = page
         self._dispatcher = dispatcher
+        self._accounts = accounts
         self._out_of_budget_at: dict[str, float] = {}
 
     def on_not_admitted(self, req: ForwardRequest, exc: RouterError) -> None:
@@ -74,6 +81,8 @@
     ) -> None:
         """Record that a request is first sent, as decided by the host ``placer``."""
         self._page.observe(PageMetric.WAITING_TIME, now - ctx.arrived_at, ctx.service)
+        if self._accounts is not None and ctx.req.prompt is not None:
+            self._accounts.on_sent(ctx.account, ctx.req.prompt.work)
         self._log.write(
             DecisionEvent.SENT,
             request=ctx.req.id,
@@ -219,6 +228,8 @@
             self._on_failed(now, ctx, exc)
             return
         self._count_refusal(exc)
+        if self._accounts is not None:
+            self._accounts.on_rejected(ctx.account, ctx.service)
         self._log.write(
             DecisionEvent.REFUSED,
             request=ctx.req.id,
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -53,6 +53,7 @@
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.program import Program
 from greengageflow.daemon.quarantine_store import QuarantineStore
+from greengageflow.daemon.refused_accounts import RefusedAccounts
 from greengageflow.daemon.router_registry import RouterRegistry
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.daemon.version_affinity import VersionAffinity
@@ -132,8 +133,11 @@
         )
         self._service_dispatcher.work.on_ratio = self._on_duration_ratio
         self._service_dispatcher.on_forecast = self._on_forecast
+        self._refused_accounts = RefusedAccounts(
+            self._timers, self._log, self._service_dispatcher
+        )
         self._forward_notes = ForwardTelemetry(
-            self._log, self._metrics, self._service_dispatcher
+            self._log, self._metrics, self._service_dispatcher, self._refused_accounts
         )
         self._admission = ForwardAdmission(
             self._timers, self._key_trust, clock, settings.regions
@@ -266,6 +270,7 @@
             self._metrics,
             lambda data: self._admission.account_of(interface.key(data)),
         )
+        self._shedder.on_shed = self._refused_accounts.on_unread
         self._callers = CallerServer(
             settings.callers.ip,
             settings.callers.port,
@@ -407,7 +412,7 @@
     def on_totals(self, totals: FleetTotals) -> None:
         """Handle the totals of all other routers."""
         now = self._timers.now
-        self._forward_notes.totals_at = now
+        self._forward_notes.totals_at = self._refused_accounts.totals_at = now
         self._placement.on_round()
         self._forwarder.carry_out(self._service_dispatcher.on_totals(now, totals))
 
--- a/greengageflow/daemon/load_shedder.py
+++ b/greengageflow/daemon/load_shedder.py
@@ -25,6 +25,9 @@
         account_of: Returns the client account of a request, from its first bytes. All
             unknown keys count as one account; if each were an account of its own, a
             caller could get priority by making up keys.
+
+    Attributes:
+        on_shed: Called with the account of each request that is shed.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         self._log = log
         self._page = page
         self._account_of = account_of
+        self.on_shed: Callable[[str], None] = lambda _account: None
         self._gate = ArrivalGate()
         self._shed_accounts: set[str] = set()
         self._shed_requests = 0
@@ -71,6 +75,7 @@
             self._timers.after(LOG_INTERVAL_S, self._log_shed_requests)
         self._shed_requests += 1
         self._shed_accounts.add(account)
+        self.on_shed(account)
         return True
 
     def _log_shed_requests(self) -> None:
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -110,6 +110,11 @@
     HOST_CAUGHT_UP = ("GG746", Level.STATE, "after_ms connections")
     TURNED_AWAY = ("GG747", Level.STATE, "requests accounts round_ms")
     CONNECTIONS_FULL = ("GG748", Level.STATE, "connections gave_way")
+    ACCOUNT_REFUSED = (
+        "GG749",
+        Level.STATE,
+        "account sent work rejected unread level limit report_age_ms",
+    )
 
     LINES_DROPPED = ("GG751", Level.STATE, "sampled budget buffer sink")
 
--- a/greengageflow/ops/decision_messages.py
+++ b/greengageflow/ops/decision_messages.py
@@ -75,6 +75,9 @@
     " in one second, loop rounds of {round_ms} ms",
     Event.CONNECTIONS_FULL: "connection limit reached with {connections} callers'"
     " connections, {gave_way} idle ones closed",
+    Event.ACCOUNT_REFUSED: "in one second {sent} requests of {account} sent with"
+    " {work} tokens, {rejected} rejected and {unread} rejected unread; it had"
+    " {level} tokens of {limit}",
     Event.LINES_DROPPED: "log lines dropped: {sampled} by sampling, {budget} over"
     " the budget, {buffer} with a full buffer, {sink} not written",
     Event.STORE_ERA: "the store was restored to an older state, era {era} after"
