Read answers that have come before a placer counts as silent

Cause: the event loop calls due timers before it reads sockets. With a round longer than the 0.15 s that a host waits for a placer, each answer looked late: the host decided for itself, and dropped the START that was already in its socket.

Change: before a host gives a placer up, or a queued request, it reads the messages that have arrived.

--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -168,6 +168,10 @@
             self._link.batching = False
         self._link.send(to, encode(message))
 
+    def receive_pending(self) -> None:
+        """Receive the messages that have arrived."""
+        self._link.receive_pending()
+
     def send_crashes(
         self, records: tuple[CrashRecord, ...], max_peers: int | None
     ) -> None:
--- a/greengageflow/daemon/pending_placements.py
+++ b/greengageflow/daemon/pending_placements.py
@@ -19,6 +19,9 @@
     def send_to(self, to: tuple[str, int], message: PlacementMessage) -> None:
         """Send a message without a delivery guarantee."""
 
+    def receive_pending(self) -> None:
+        """Receive the messages that have arrived."""
+
 
 @dataclass(slots=True)
 class PendingPlacement:
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -243,6 +243,11 @@
         return self._selection.first(now, service, job)
 
     def _on_answer_timeout(self, request: str, pending: PendingPlacement) -> None:
+        if self._pending.get(request) is not pending:
+            return
+        # Timers are called before sockets are read. At a host whose event loop is late,
+        # the answer may have come in time.
+        self._sender.receive_pending()
         if self._pending.get(request) is not pending:
             return
         if not pending.queued:
--- a/greengageflow/net/gossip_link.py
+++ b/greengageflow/net/gossip_link.py
@@ -16,6 +16,7 @@
 from greengageflow.net._fragments import MAX_DATAGRAM_BYTES, Reassembler, split
 
 MAX_DATAGRAMS_PER_READ = 64
+MAX_DATAGRAMS_AT_ONCE = 1024
 
 
 class GossipLink(BaseComponent):
@@ -48,7 +49,7 @@
 
     @property
     def batching(self) -> bool:
-        """Whether messages are received only when ``receive_pending`` is called.
+        """Whether messages are received only when ``receive_batch`` is called.
 
         Most wake-ups of an idle router were for single messages that may wait.
         """
@@ -64,10 +65,14 @@
         else:
             self._poller.addReader(self, self._sock)
 
-    def receive_pending(self) -> None:
-        """Receive the messages that have arrived, if they are received in batches."""
+    def receive_batch(self) -> None:
+        """Receive messages that have arrived, if they are received in batches."""
         if self._batching:
-            self.on_readable(self._sock)
+            self._receive(MAX_DATAGRAMS_PER_READ)
+
+    def receive_pending(self) -> None:
+        """Receive the messages that have arrived without waiting for the poller."""
+        self._receive(MAX_DATAGRAMS_AT_ONCE)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -95,11 +100,13 @@
     @handler("_read")
     def on_readable(self, sock: socket) -> None:
         """Receive pending datagrams; called by the poller or through its event."""
-        if sock is not self._sock:
-            return
-        for _ in range(MAX_DATAGRAMS_PER_READ):
+        if sock is self._sock:
+            self._receive(MAX_DATAGRAMS_PER_READ)
+
+    def _receive(self, max_datagrams: int) -> None:
+        for _ in range(max_datagrams):
             try:
-                data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES)
+                data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError:
                 return
             self.bytes_in += len(data)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -147,6 +147,9 @@
         arrive = lambda: target.placement.receive(decode(data))  # noqa: E731
         self.fleet.at(self.now + 0.002, arrive)
 
+    def receive_pending(self):
+        """Messages are handled when they arrive."""
+
     def carry_out(self, decisions):
         for decision in decisions:
             if not decision.request.isdigit():
