Take back the charge for a start that its host did not use

Cause: a placer charges an account as it starts a request. Class: work is booked when it is planned, and nothing corrects it when it isn't done.

Change: a host withdraws a request that it decides otherwise, whose caller leaves, or for which a START comes too late; the placer then frees the slot at once and takes the charge back, less what has decayed.

test_account_is_not_charged_for_a_start_that_was_lost and the two cases of test_account_is_not_charged_for_a_start_that_came_too_late failed before.

--- a/greengageflow/core/place_messages.py
+++ b/greengageflow/core/place_messages.py
@@ -24,6 +24,8 @@
     """The endpoint answered with an error of its own."""
     SILENT = 4
     """The endpoint did not answer."""
+    WITHDRAWN = 5
+    """Its host has not sent it to the endpoint that the placer chose, and will not."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengageflow/core/remote_placements.py
+++ b/greengageflow/core/remote_placements.py
@@ -33,8 +33,11 @@
     request: str
     service: str
     received_at: float
+    account: str = ""
     prompt: Prompt | None = None
     endpoint: ListedEndpoint | None = None
+    started_at: float = 0.0
+    has_begun: bool = False
     has_failed: bool = False
 
 
@@ -71,7 +74,13 @@
         self._last_seen_at[message.host] = now
         prompt = _prompt(message)
         placement = _RemotePlacement(
-            message.host, message.boot, message.request, message.service, now, prompt
+            message.host,
+            message.boot,
+            message.request,
+            message.service,
+            now,
+            message.account,
+            prompt,
         )
         self._placements[key] = placement
         queued_request = QueuedRequest(
@@ -118,6 +127,7 @@
         match decision:
             case StartJob(choice=choice):
                 placement.endpoint = choice.endpoint
+                placement.started_at = now
                 self._book.on_request_sent(
                     now, decision.request, choice, placement.prompt
                 )
@@ -158,7 +168,11 @@
                 completed_at = None if placement.has_failed else now
                 yield from self._end(now, key, completed_at)
                 return
+            case PlacementEventKind.WITHDRAWN:
+                yield from self._withdraw(now, key)
+                return
             case PlacementEventKind.FIRST_EVENT if endpoint is not None:
+                placement.has_begun = True
                 self._book.on_first_event(now, key, endpoint)
                 # Its prefill is done: the next prompt may be sent.
                 yield from self._book.pump(now)
@@ -190,7 +204,7 @@
                 or placement.boot != snapshot.boot
             )
             if placement.host == snapshot.host and key not in entries and settled:
-                yield from self._end(now, key)
+                yield from self._withdraw(now, key)
         for key, entry in entries.items():
             self._adopt(now, key, snapshot, entry)
 
@@ -216,6 +230,26 @@
             if now - self._last_seen_at.get(placement.host, now) > HOST_TIMEOUT_S:
                 yield from self._end(now, key)
 
+    def _withdraw(self, now: float, key: str) -> Iterator[Decision]:
+        """End a request that its host does not have, or has not sent.
+
+        The account of an unread prompt is not charged for it. Otherwise a host that is
+        too late to use its starts would use up the shares of its callers' accounts.
+        """
+        placement = self._placements.get(key)
+        if placement is None:
+            return
+        is_started = placement.endpoint is not None and placement.prompt is not None
+        if is_started and not (placement.has_begun or placement.has_failed):
+            self._book.cancel_charge(
+                now,
+                placement.service,
+                placement.account,
+                placement.prompt.work,
+                placement.started_at,
+            )
+        yield from self._end(now, key)
+
     def _end(
         self, now: float, key: str, completed_at: float | None = None
     ) -> Iterator[Decision]:
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -1,7 +1,7 @@
 """Scheduling, placement and retry decisions of one host, for all its services."""
 
 from collections.abc import Callable, Container, Iterable, Iterator, Mapping, Sequence
-from math import inf
+from math import exp, inf
 
 from greengageflow.core.decayed import DecayedSums
 from greengageflow.core.endpoint_choice import (
@@ -350,6 +350,21 @@
                 )
             yield decision
 
+    def cancel_charge(
+        self, now: float, service: str, account: str, work: float, started_at: float
+    ) -> None:
+        """Take back the charge for a request that was started here and never sent.
+
+        Args:
+            now: The time.
+            service: Service that would have run it.
+            account: Client account.
+            work: Its work.
+            started_at: Time at which it was charged.
+        """
+        left = work * exp((started_at - now) / USAGE_DECAY_S)
+        self._recent_work.add(now, (service, account), -left)
+
     def choose_retry_endpoint(
         self,
         now: float,
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -286,9 +286,10 @@
         for request, pending in list(self._pending.items()):
             if not matches(pending) or self._pending.pop(request, None) is None:
                 continue
-            if pending.redirect is not None:
+            if pending.placer:
                 # The placer may have it in its queue, or start it later.
-                self._send_event(pending.placer, request, PlacementEventKind.ENDED)
+                self._withdraw(pending.placer, request)
+            if pending.redirect is not None:
                 self.on_redirected(pending.redirect, RedirectOutcome.UNANSWERED)
                 self._carry_out([pending.redirect.refusal])
                 continue
@@ -361,7 +362,7 @@
         """Record that a request was answered or its caller disconnected."""
         pending = self._pending.pop(request, None)
         if pending is not None:
-            self._send_event(pending.placer, request, PlacementEventKind.ENDED)
+            self._withdraw(pending.placer, request)
             if pending.redirect is not None:
                 self.on_redirected(pending.redirect, RedirectOutcome.ABANDONED)
         self._own_placements.pop(request, None)
@@ -378,6 +379,9 @@
         for host in {run.placer, self._table.owner(run.endpoint.id)}:
             self._send_event(host, request, kind)
 
+    def _withdraw(self, placer: str, request: str) -> None:
+        self._send_event(placer, request, PlacementEventKind.WITHDRAWN)
+
     def _send_event(self, host: str, request: str, kind: PlacementEventKind) -> None:
         event = PlacementEvent(
             host=self._host, boot=self._boot, request=request, kind=kind
@@ -422,7 +426,8 @@
         # of another service.
         is_stale = answer.boot != self._boot
         if is_stale or pending is None or pending.placer != answer.host:
-            # The next snapshot frees what the placer reserved for a decided request.
+            if answer.verdict is Verdict.START and not is_stale:
+                self._on_unused_start(answer)
             return
         match answer.verdict:
             case Verdict.QUEUED:
@@ -441,6 +446,12 @@
             case Verdict.START:
                 self._on_start(pending, answer)
 
+    def _on_unused_start(self, answer: PlacementAnswer) -> None:
+        """Free what a placer reserved for a request that was decided meanwhile."""
+        run = self._runs.get(answer.request)
+        if run is None or run.placer != answer.host:
+            self._withdraw(answer.host, answer.request)
+
     def _on_start(self, pending: PendingPlacement, answer: PlacementAnswer) -> None:
         endpoint = self._endpoints.get(answer.endpoint)
         now = self._timers.now
@@ -449,7 +460,6 @@
             or not self._dispatcher.is_available(now, endpoint)
             or pending.job.version not in ("", endpoint.version)
         ):
-            self._send_event(pending.placer, answer.request, PlacementEventKind.ENDED)
             self._decide_locally(lambda other: other is pending)
             return
         del self._pending[answer.request]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -302,6 +302,73 @@
     assert sum(fleet.running(h.name) for h in fleet.others) == 0
 
 
+def usage(fleet):
+    return fleet.hosts[fleet.placer].book.recent_usage("model", "a")
+
+
+def test_account_is_not_charged_for_a_start_that_was_lost():
+    """Hosts too busy to read their answers used up the shares of their accounts."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    fleet.is_dropped = lambda message: (
+        isinstance(message, PlacementAnswer) and message.verdict is Verdict.START
+    )
+    host.ask()
+    fleet.run(0.01)
+    assert usage(fleet) > 0
+    fleet.run(1.6)
+    assert usage(fleet) == pytest.approx(0.0, abs=1e-6)
+
+
+@pytest.mark.parametrize("decided_by", ["host", "caller"])
+def test_account_is_not_charged_for_a_start_that_came_too_late(decided_by):
+    """The host had decided, or its caller had left, when the placer started it."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    receive, late = host.placement.receive, []
+    host.placement.receive = late.append
+    name = host.ask()
+    fleet.run(0.003)
+    charged = usage(fleet)
+    if decided_by == "caller":
+        host.end(name)
+    else:
+        fleet.is_dropped = lambda message: isinstance(message, PlacementEvent)
+        fleet.run(ANSWER_TIMEOUT_S)
+        fleet.is_dropped = lambda message: False
+        receive(late[0])
+    fleet.run(0.01)
+    assert charged > 0 and fleet.running(fleet.placer) == 0
+    assert usage(fleet) == pytest.approx(0.0, abs=1e-6)
+
+
+def test_account_is_charged_for_what_ran():
+    """The end of a request is lost, and the next snapshot lacks it."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    name = host.ask()
+    fleet.run(0.01)
+    engine = host.endpoints.get("e0")
+    host.placement.on_first_event(fleet.now, name, engine)
+    fleet.run(0.01)
+    fleet.is_dropped = lambda message: isinstance(message, PlacementEvent)
+    host.end(name)
+    fleet.run(1.6)
+    assert fleet.running(fleet.placer) == 0 and usage(fleet) > 0
+
+
+def test_repeated_start_of_a_running_request_ends_nothing():
+    fleet = Fleet()
+    host = fleet.others[0]
+    receive, answers = host.placement.receive, []
+    host.placement.receive = lambda answer: (answers.append(answer), receive(answer))
+    host.ask()
+    fleet.run(0.01)
+    receive(answers[-1])
+    fleet.run(0.01)
+    assert fleet.running(fleet.placer) == 1 and usage(fleet) > 0
+
+
 def test_request_of_a_disconnected_caller_leaves_the_placers_queue():
     fleet = Fleet()
     host = fleet.others[0]
