Placers: count the starts of other placers that are not reported yet

Cause: each placer spends an account's headroom (1.5 times its share) on what it knows, its own starts and those of the others as of 0.1 to 0.25 s ago. With four placers an account that begins to ask was started up to four times its headroom and went without until that had decayed; in steady state all placers moved from one account to the next together. Class: one budget for all, spent by several from reports that are late.

Change: a placer adds an estimate of the others' unreported starts to an account's usage: its own starts of the last 0.25 s times the ratio of demand there and here, at most that of the endpoints. An account whose prompts all go to one placer has no demand elsewhere and so no estimate. With one placer, and on hosts that place nothing, all is as before.

--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -28,6 +28,7 @@
     StartJob,
 )
 from greengageflow.core.slot_forecast import ForecastOutcome, SlotForecast
+from greengageflow.core.unreported_work import UnreportedWork
 from greengageflow.core.warmup import FleetShare, WarmupBounds, WarmupLimiter
 from greengageflow.core.work_model import WorkModel
 
@@ -114,6 +115,7 @@
         self._started_at: float | None = None
         self._recent_work: DecayedSums[AccountKey] = DecayedSums(USAGE_DECAY_S)
         self._recent_demand: DecayedSums[AccountKey] = DecayedSums(USAGE_DECAY_S)
+        self._unreported: dict[str, UnreportedWork] = {}
         self._totals = FleetTotals()
         self._fleet_size = FleetSize(min_hosts)
         self._now = 0.0
@@ -185,7 +187,12 @@
     def recent_usage(self, service: str, account: str) -> float:
         """Return the decayed sum of work that an account got in the whole fleet."""
         key = (service, account)
-        return self._recent_work.get(self._now, key) + self._totals.served.get(key, 0.0)
+        usage = self._recent_work.get(self._now, key)
+        usage += self._totals.served.get(key, 0.0)
+        unreported = self._unreported.get(service)
+        if unreported is not None:
+            usage += unreported.of_others(self._now, account)
+        return usage
 
     def usage_limit(self, service: str, account: str) -> float:
         """Return the recent work above which an account yields to others."""
@@ -250,8 +257,28 @@
         for name, scheduler in self._schedulers.items():
             if self.service(name).is_engine:
                 scheduler.capacity_share = self._capacity_share(now, name)
+        self._update_unreported(now)
         yield from self.pump(now)
 
+    def _update_unreported(self, now: float) -> None:
+        if self._owned_engines is None:
+            self._unreported.clear()
+            return
+        for name, unreported in self._unreported.items():
+            usable = self.available_endpoints(now, name)
+            owned = sum(e.id in self._owned_engines for e in usable)
+            unreported.on_totals(
+                now,
+                _work_by_account(name, dict(self._recent_demand.items(now, 1.0))),
+                _work_by_account(name, self._totals.offered),
+                (len(usable) - owned) / owned if owned else 0.0,
+            )
+
+    def _unreported_work(self, service: str) -> UnreportedWork | None:
+        if self._owned_engines is None or not self.service(service).is_engine:
+            return None
+        return self._unreported.setdefault(service, UnreportedWork())
+
     def _capacity_share(self, now: float, service: str) -> CapacityShare:
         own = _work_by_account(service, dict(self._recent_demand.items(now, 1.0)))
         others = _work_by_account(service, self._totals.offered)
@@ -315,6 +342,9 @@
         if count_demand:
             work = job.queued_request.work
             self._recent_demand.add(now, (service, account), work)
+            unreported = self._unreported_work(service)
+            if unreported is not None:
+                unreported.on_asked(now, account, work)
         yield from self._record_starts(
             service, self._scheduler(service).submit(now, job)
         )
@@ -345,11 +375,17 @@
         for decision in decisions:
             if isinstance(decision, StartJob):
                 queued_request = decision.queued_request
-                self._recent_work.add(
-                    self._now, (service, queued_request.account), queued_request.work
+                self._charge(
+                    self._now, service, queued_request.account, queued_request.work
                 )
             yield decision
 
+    def _charge(self, now: float, service: str, account: str, work: float) -> None:
+        self._recent_work.add(now, (service, account), work)
+        unreported = self._unreported_work(service)
+        if unreported is not None:
+            unreported.on_started(now, account, work)
+
     def cancel_charge(
         self, now: float, service: str, account: str, work: float, started_at: float
     ) -> None:
