End exchanges whose bytes belong to no body and have no end

What callers could see: a request waited until its deadline while its endpoint sent empty lines before a head, interim responses, chunk extensions or sizes, trailers, or the body of a response to another request, without end; the host read all of it, and kept each trailer. Calls without a deadline of their own never ended.

Cause: a head was limited to 64 KiB and bodies by their receivers; nothing counted what is neither.

Change: a connection counts what it reads beside bodies, 8 bytes of it free for each byte of a body; over 1 MiB the response is broken. A request is then retried or answered at once.

--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -27,6 +27,14 @@
 READ_SIZE = 65_536
 IP_BIND_ADDRESS_NO_PORT = 24
 NOTHING = memoryview(b"")
+MAX_OVERHEAD_BYTES = 1_048_576
+"""Maximum size of what a response has beside its body, in bytes.
+
+That is empty lines, interim responses, chunk headers, trailers and responses to other
+requests. A faulty server may send any of these without end.
+"""
+OVERHEAD_PER_BODY_BYTE = 8
+"""Overhead that each byte of a body is allowed in addition, for tiny chunks."""
 
 
 class ResponseTruncated(Exception):
@@ -99,6 +107,7 @@
         self._until_close = False
         self._accepts: Callable[[Head], bool] | None = None
         self._skipping = False
+        self._overhead_bytes = 0
         self._parser = ResponseParser()
 
     def _start_connecting(self, source_ip: str | None) -> None:
@@ -149,6 +158,7 @@
         self._until_close = until_close
         self._accepts = accepts
         self._skipping = False
+        self._overhead_bytes = 0
         names = {name.lower() for name, _ in headers}
         extra: list[tuple[str, str]] = []
         if "host" not in names:
@@ -212,6 +222,7 @@
 
     def _parse(self, data: bytes) -> Iterator[ResponsePart]:
         body: list[bytes] = []
+        self._overhead_bytes += len(data)
         events = self._parser.feed(data)
         for event in events:
             match event:
@@ -222,6 +233,7 @@
                 case Body():
                     if not self._skipping:
                         body.append(event.data)
+                        self._on_body_bytes(len(event.data))
                 case ResponseEnd() if self._skipping:
                     # An endpoint may send a late response to an earlier request in
                     # place of the expected one. Skip it and wait for the next.
@@ -233,9 +245,15 @@
                     return
         if body:
             yield BodyData(b"".join(body))
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            raise InvalidResponse("too many bytes that belong to no body")
         if self._peer_closed:
             yield from self._end_by_close()
 
+    def _on_body_bytes(self, count: int) -> None:
+        allowed = (1 + OVERHEAD_PER_BODY_BYTE) * count
+        self._overhead_bytes = max(0, self._overhead_bytes - allowed)
+
     def _on_skipped_end(self, end: ResponseEnd) -> None:
         if self._peer_closed or not end.keep_alive:
             raise ResponseTruncated("closed after the response to another request")
--- /dev/null
+++ b/tests/test_endless_bytes.py
@@ -0,0 +1,122 @@
+"""Endpoints that send bytes without end until the connection is closed."""
+
+from contextlib import closing, suppress
+from threading import Event
+
+import pytest
+from http_fakes import FakePeer, Loop, wait_for
+
+from greengageflow.net.http_pool import FailureKind, HttpRequest
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+MAX_SENT_BYTES = 64 * 1_048_576
+LIMIT_BYTES = 4 * 1_048_576
+"""Bytes of a body that the caller takes."""
+
+ENDLESS = {
+    "empty lines": (b"", b"\r\n" * 32_768),
+    "zero bytes": (b"", bytes(65_536)),
+    "status line": (b"HTTP/1.1 200 O", b"K" * 65_536),
+    "header name": (OK, b"x" * 65_536),
+    "header value": (OK + b"X-Name: ", b"x" * 65_536),
+    "headers": (OK, b"X-Name: value\r\n" * 4_096),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2_048),
+    "chunk size": (CHUNKED, b"0" * 65_536),
+    "chunk extension": (CHUNKED + b"5;x=", b"x" * 65_536),
+    "trailers": (CHUNKED + b"0\r\n", b"X-Name: value\r\n" * 4_096),
+    "body without a length": (OK + b"\r\n", b"x" * 65_536),
+    "chunks": (CHUNKED, (b"1000\r\n" + b"x" * 4_096 + b"\r\n") * 16),
+    "tiny chunks": (CHUNKED, b"1\r\nx\r\n" * 8_192),
+}
+
+
+class Endless:
+    """A peer that sends a beginning and then the same bytes again and again."""
+
+    def __init__(self, begin, again):
+        self.sent, self.ended = 0, Event()
+        self.port = FakePeer(lambda conn, _number: self._run(conn, begin, again)).port
+
+    def _run(self, conn, begin, again):
+        conn.request()
+        with suppress(OSError):
+            conn.send(begin)
+            while self.sent < MAX_SENT_BYTES:
+                conn.send(again)
+                self.sent += len(again)
+        self.ended.set()
+
+
+class Recorder:
+    """Receiver of an exchange that takes no more than ``LIMIT_BYTES``."""
+
+    def __init__(self):
+        self.received, self.result, self.exchange = 0, None, None
+
+    def on_head(self, _head):
+        pass
+
+    def on_data(self, data):
+        self.received += len(data)
+        if self.received > LIMIT_BYTES:
+            self.result = "cancelled"
+            self.exchange.cancel()
+
+    def on_end(self):
+        self.result = "complete"
+
+    def on_failure(self, failure):
+        self.result = failure
+
+
+@pytest.fixture(name="loop")
+def loop_fixture():
+    with closing(Loop()) as loop:
+        loop.thread.start()
+        yield loop
+
+
+def send(loop, port, **options):
+    receiver = Recorder()
+    request = HttpRequest(
+        method="POST", path="/x", body=b"hello", ip="127.0.0.1", port=port, **options
+    )
+
+    def start():
+        receiver.exchange = loop.pool.open(request, receiver)
+
+    loop.call(start)
+    return receiver
+
+
+@pytest.mark.parametrize("case", sorted(ENDLESS))
+@pytest.mark.parametrize("until_close", [False, True])
+def test_endless_bytes_end_the_exchange(loop, case, until_close):
+    """Bytes that were no part of a body were read until the deadline."""
+    peer = Endless(*ENDLESS[case])
+    receiver = send(loop, peer.port, until_close=until_close)
+    result = wait_for(lambda: receiver.result)
+    assert result == "cancelled" or result.kind is FailureKind.BROKEN
+    assert peer.ended.wait(10) and peer.sent < 8 * LIMIT_BYTES
+    assert not loop.call(lambda: len(loop.pool._active))
+
+
+def test_endless_response_to_another_request_ends_the_exchange(loop):
+    peer = Endless(CHUNKED, (b"1000\r\n" + b"x" * 4_096 + b"\r\n") * 16)
+    receiver = send(loop, peer.port, accepts=lambda _head: False)
+    assert wait_for(lambda: receiver.result).kind is FailureKind.BROKEN
+    assert peer.ended.wait(10) and peer.sent < 8 * LIMIT_BYTES
+
+
+def test_long_stream_in_small_chunks_is_read_to_its_end(loop):
+    def script(conn, _number):
+        conn.request()
+        conn.send(CHUNKED)
+        for _ in range(1_000):
+            conn.send(b"2\r\n\n\n\r\n" * 200)
+        conn.send(b"0\r\n\r\n")
+
+    receiver = send(loop, FakePeer(script).port)
+    assert wait_for(lambda: receiver.result) == "complete"
+    assert receiver.received == 400_000
