Bound the buffered bytes of all endpoints' responses together

What callers could see: a host runs out of memory and loses all its requests when several endpoints send bodies without end at once; hosts have 160 to 552 MB, and each response was buffered up to 8 MiB.

Change: beyond its first 64 KiB a response reserves what it buffers, 32 MiB for all responses of a host; what has no room is broken, like a response that is too large alone. Small responses need none. test_endless_bodies_together_do_not_fill_memory: 100 bodies held up to 250 MiB before.

--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -33,7 +33,8 @@
 from greengageflow.daemon.placement import Placement
 from greengageflow.daemon.version_affinity import VersionAffinity
 from greengageflow.errors import ErrorKind, Ran, RouterError
-from greengageflow.net.endpoint_attempt import EndpointAttempt
+from greengageflow.net._caller_parts import BodyBudget
+from greengageflow.net.endpoint_attempt import MAX_RESERVED_BYTES, EndpointAttempt
 from greengageflow.net.endpoint_response import ResponseInfo
 from greengageflow.net.event_frames import Frame
 from greengageflow.net.forward_calls import ForwardCall
@@ -99,6 +100,7 @@
         self.stopping = False
         self.refusing = False
         self._pool = pool
+        self._response_budget = BodyBudget(MAX_RESERVED_BYTES)
         self._timers = timers
         self._endpoints = endpoints
         self._dispatcher = dispatcher
@@ -276,6 +278,7 @@
             partial(interpret_answer, request_id=ctx.req.id),
             stream=ctx.route.stream,
             listener=_AttemptListener(self, ctx),
+            budget=self._response_budget,
         )
         ctx.attempt.start()
 
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -5,12 +5,18 @@
 from typing import Protocol
 
 from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.errors import RouterError
+from greengageflow.net._caller_parts import BodyBudget
 from greengageflow.net.endpoint_response import ResponseInfo
 from greengageflow.net.event_frames import EventFrames, Frame, FrameTooLarge
 from greengageflow.net.http_messages import Failure, FailureKind, Head, HttpRequest
 from greengageflow.net.http_pool import Exchange, HttpPool
 
 MAX_RESPONSE_BYTES = 8 * 1_048_576
+UNRESERVED_RESPONSE_BYTES = 65_536
+"""Bytes of each response that need no reservation, so that small ones never fail."""
+MAX_RESERVED_BYTES = 4 * MAX_RESPONSE_BYTES
+"""Bytes beyond these of all responses together that a host buffers."""
 
 
 class AttemptListener(Protocol):
@@ -45,6 +51,8 @@
         evaluate: Evaluates a response head with respect to this request.
         stream: True if a successful response is a stream of events.
         listener: Notified of the response.
+        budget: Limits the buffered bytes of all responses that are not streamed; None
+            for a budget of its own.
 
     Attributes:
         events: Number of events received.
@@ -61,6 +69,7 @@
         *,
         stream: bool,
         listener: AttemptListener,
+        budget: BodyBudget | None = None,
     ) -> None:
         self.endpoint = endpoint
         self.head: Head | None = None
@@ -71,6 +80,8 @@
         self._evaluate = evaluate
         self._stream = stream
         self._listener = listener
+        self._budget = budget or BodyBudget(MAX_RESERVED_BYTES)
+        self._reserved_bytes = 0
         self._frames: EventFrames | None = None
         self._body = bytearray()
         self._exchange: Exchange | None = None
@@ -91,6 +102,8 @@
         # The exchange refers to this attempt. Without this, both would stay in memory
         # with the request until a garbage collection.
         exchange, self._exchange = self._exchange, None
+        self._budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
         return exchange
 
     def pause(self) -> None:
@@ -123,6 +136,8 @@
             self._body += data
             if len(self._body) > MAX_RESPONSE_BYTES:
                 self._fail("response too large")
+            elif not self._reserve():
+                self._fail("too many large responses at once")
             return
         try:
             frames = list(self._frames.feed(data))
@@ -135,6 +150,17 @@
             self.at_last_events = self._exchange.at_last_data and is_whole
             self._listener.on_events(self, frames)
 
+    def _reserve(self) -> bool:
+        more = len(self._body) - UNRESERVED_RESPONSE_BYTES - self._reserved_bytes
+        if more <= 0:
+            return True
+        try:
+            self._budget.reserve(more)
+        except RouterError:
+            return False
+        self._reserved_bytes += more
+        return True
+
     def _fail(self, message: str) -> None:
         self.cancel()
         self._listener.on_failure(self, Failure(FailureKind.BROKEN, True, message))
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -2,10 +2,18 @@
 
 from contextlib import closing, suppress
 from threading import Event
+from types import SimpleNamespace
 
 import pytest
 from http_fakes import FakePeer, Loop, wait_for
 
+from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.net._caller_parts import BodyBudget
+from greengageflow.net.endpoint_attempt import (
+    MAX_RESERVED_BYTES,
+    UNRESERVED_RESPONSE_BYTES,
+    EndpointAttempt,
+)
 from greengageflow.net.http_pool import FailureKind, HttpRequest
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -120,3 +128,53 @@
     receiver = send(loop, FakePeer(script).port)
     assert wait_for(lambda: receiver.result) == "complete"
     assert receiver.received == 400_000
+
+
+class Attempts:
+    """Attempts that share a budget, without a network."""
+
+    def __init__(self, count):
+        self.failed, self.answered = [], []
+        self.budget = BodyBudget(MAX_RESERVED_BYTES)
+        pool = SimpleNamespace(
+            open=lambda *_: SimpleNamespace(cancel=lambda: None, at_last_data=False)
+        )
+        self.all = [
+            EndpointAttempt(
+                pool,
+                HttpRequest("GET", "127.0.0.1", 9, "/x"),
+                ListedEndpoint("e", "app", "127.0.0.1", 9, "z"),
+                None,
+                stream=False,
+                listener=self,
+                budget=self.budget,
+            )
+            for _ in range(count)
+        ]
+        for attempt in self.all:
+            attempt.start()
+
+    def on_failure(self, attempt, _failure):
+        self.failed.append(attempt)
+
+    def on_answer(self, attempt, _body):
+        self.answered.append(attempt)
+
+
+def test_endless_bodies_together_do_not_fill_memory():
+    """Each of them was buffered up to its own limit of 8 MiB."""
+    attempts = Attempts(100)
+    for _ in range(40):
+        for attempt in attempts.all:
+            if attempt not in attempts.failed:
+                attempt.on_data(bytes(65_536))
+    buffered = sum(len(a._body) for a in attempts.all if a not in attempts.failed)
+    assert buffered <= MAX_RESERVED_BYTES + 100 * UNRESERVED_RESPONSE_BYTES
+    assert attempts.failed
+    small = Attempts(1).all[0]
+    small._budget = attempts.budget
+    small.on_data(b"small")
+    assert small not in attempts.failed
+    for attempt in attempts.all:
+        attempt.cancel()
+    assert attempts.budget.used == 0
