--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -59,17 +59,17 @@
 
 
 class Recorder:
-    """Receiver of an exchange that takes no more than ``LIMIT_BYTES``."""
+    """Receiver of an exchange that takes no more than a limit."""
 
-    def __init__(self):
-        self.received, self.result, self.exchange = 0, None, None
+    def __init__(self, limit):
+        self.limit, self.received, self.result, self.exchange = limit, 0, None, None
 
     def on_head(self, _head):
         pass
 
     def on_data(self, data):
         self.received += len(data)
-        if self.received > LIMIT_BYTES:
+        if self.received > self.limit:
             self.result = "cancelled"
             self.exchange.cancel()
 
@@ -87,8 +87,8 @@
         yield loop
 
 
-def send(loop, port, **options):
-    receiver = Recorder()
+def send(loop, port, limit=LIMIT_BYTES, **options):
+    receiver = Recorder(limit)
     request = HttpRequest(
         method="POST", path="/x", body=b"hello", ip="127.0.0.1", port=port, **options
     )
@@ -127,7 +127,7 @@
             conn.send(b"2\r\n\n\n\r\n" * 200)
         conn.send(b"0\r\n\r\n")
 
-    receiver = send(loop, FakePeer(script).port)
+    receiver = send(loop, FakePeer(script).port, limit=400_000)
     assert wait_for(lambda: receiver.result) == "complete"
     assert receiver.received == 400_000
 
