--- a/greengageflow/core/remote_placements.py
+++ b/greengageflow/core/remote_placements.py
@@ -233,8 +233,8 @@
     def _withdraw(self, now: float, key: str) -> Iterator[Decision]:
         """End a request that its host does not have, or has not sent.
 
-        The account of an unread prompt is not charged for it. Otherwise a host that is
-        too late to use its starts would use up the shares of its callers' accounts.
+        Its account is not charged unless an engine has begun to answer. Otherwise a
+        host that is too late to use its starts would use up its callers' shares.
         """
         placement = self._placements.get(key)
         if placement is None:
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -50,7 +50,7 @@
 """
 
 MIN_VISIBLE_FRACTION = 0.5
-"""Fraction of the fleet that a host must hear to know the endpoints' load."""
+"""Fraction of the fleet whose reports tell enough about the endpoints' load."""
 
 AccountKey = tuple[str, str]
 """Service name and client account."""
@@ -288,7 +288,7 @@
         started_work = sum(
             self.recent_usage(service, a) for a in own.keys() | others.keys()
         )
-        # The hosts that are not heard go on using their parts.
+        # Hosts whose reports are missing go on using their parts.
         visible = self._visible_fraction
         capacity = visible * self._fair_share_capacity(started_work)
         parts = divide_capacity(own, others, capacity)
--- a/greengageflow/core/unreported_work.py
+++ b/greengageflow/core/unreported_work.py
@@ -19,9 +19,8 @@
 class UnreportedWork:
     """Recent starts of this placer by account, and what they say of the others'.
 
-    While an account's demand is known, the others are taken to have started as much for
-    each of its requests as this one. Until then they are taken to have started as much
-    on each of their endpoints.
+    The others are assumed to start as much as this placer, in proportion to an
+    account's demand there, or to their endpoints while its demand is not known.
     """
 
     def __init__(self) -> None:
