Review case 5: bodies of requests under way are not bounded in memory

What was done: a script sends 48 generations with bodies of 4,000,000 bytes, within the limits of the configuration, at 40 a second to one gateway, and kills it above 300 MB as the platform does (rule LOST). Stand-ins end quietly; the engine's configuration is in harness2.py.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import re
 import signal
@@ -254,7 +255,7 @@
                 request = Request(self, first, headers, body)
                 if not await self._answer(request, reader, writer):
                     return
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
         finally:
             self._writers.discard(writer)
@@ -569,6 +570,19 @@
 
 
 APP = {"name": "rounds-app", "health_path": "/health", "max_conns": 110}
+ENGINE = {
+    "name": "scribe",
+    "health_path": "/health",
+    "max_conns": 310,
+    "engine": {
+        "slots": 48,
+        "kv_capacity": 602723,
+        "kv_token_bytes": 18432,
+        "link_mbps": 370000.0,
+        "stride": 5,
+        "models": [{"name": "m"}],
+    },
+}
 
 
 def play(case: Callable, folder: Path) -> None:
@@ -578,6 +592,8 @@
         case: Coroutine function that gets the bench and returns whether the rule broke.
         folder: Folder of the case.
     """
+    # A client or replica that writes to a connection that was cut is no news.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
 
     async def run() -> bool:
         fleet = Fleet(folder)
