--- a/review/harness2.py
+++ b/review/harness2.py
@@ -451,8 +451,10 @@
         if answer.status != 200:
             raise CannotRun(f"store: {method} {path}: {answer}")
 
-    async def publish(self, routes: list[dict], services: list[dict]) -> None:
-        """Write a configuration as the operator."""
+    async def publish(
+        self, routes: list[dict], services: list[dict], tenants: list[dict] = ()
+    ) -> None:
+        """Write a configuration as the operator, with more tenants if given."""
         self.version += 1
         config = {
             "version": self.version,
@@ -465,7 +467,10 @@
                 "idle_timeout_ms": 15000,
                 "tokens_per_s": 220000,
             },
-            "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
+            "tenants": [
+                {"name": TENANT, "api_keys": [KEY], "priority": 1},
+                *tenants,
+            ],
         }
         await self.store_control("PUT", "/config", config)
         self.record(f"configuration {self.version} acknowledged")
