Review case 5: slower, so that the machine's link is half empty

What was done: 17 requests a second in place of 40, so that the rule's words on choked links cannot excuse the machine.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -24,8 +24,11 @@
 
 FOLDER = Path(__file__).resolve().parent
 CLIENTS = 48
-GAP_S = 0.025
-"""Pause between two requests: 40 a second. A zone of the site gets 115."""
+GAP_S = 0.06
+"""Pause between two requests: 17 a second, 67 MB/s, half of a machine's link.
+
+A zone of the site gets 115 requests a second.
+"""
 LONG, USUAL = 4_000_000, 12_000
 """Bytes of a body: below ``max_body_bytes`` (4,194,304); the site's mean."""
 MEMORY_MB = 300
