--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,169 +1,112 @@
-"""Clients send bodies as long as the limits allow, at the usual rate of requests."""
+"""Replicas shed load with ``Retry-After``, and repeat some of these rejections late."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
-from secrets import token_hex
+from random import Random
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from harness2 import (
     APP,
-    ENGINE,
     ID,
+    NOT_RUN,
     ZONES,
     Fleet,
+    Replica,
     Request,
-    head,
     play,
-    read_body,
-    read_head,
     route,
+    send,
     trouble,
 )
 
 FOLDER = Path(__file__).resolve().parent
-CLIENTS = 48
-GAP_S = 0.06
-"""Pause between two requests: 17 a second, 67 MB/s, half of a machine's link.
-
-A zone of the site gets 115 requests a second.
-"""
-LONG, USUAL = 4_000_000, 12_000
-"""Bytes of a body: below ``max_body_bytes`` (4,194,304); the site's mean."""
-MEMORY_MB = 300
-"""``memory_mb`` of a machine."""
-FIRST_EVENT_S, EVENT_GAP_S, EVENTS = 0.7, 0.1, 60
-
-
-async def generate(request: Request, _reader, writer) -> bool:
-    """Answer as a sound engine: first event within the aim, then one each 0.1 s."""
-    await asyncio.sleep(FIRST_EVENT_S)
-    headers = request.replica.sealed(request)
-    headers |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
-    writer.write(head("HTTP/1.1 200 OK", headers))
-    for number in range(EVENTS):
-        event = f"id: {number}\ndata: {request.id}-{number}\n\n".encode()
-        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-        await writer.drain()
-        await asyncio.sleep(EVENT_GAP_S)
-    writer.write(b"0\r\n\r\n")
-    return True
-
-
-def anonymous_mb(pid: int) -> float:
-    """Return a process's own memory, without the files that it has mapped."""
-    try:
-        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    except OSError:
-        return 0.0
-    kb = next((line.split()[1] for line in lines if line.startswith("RssAnon")), "0")
-    return int(kb) / 1024
-
-
-async def limit_memory(fleet: Fleet, name: str) -> None:
-    """Kill a gateway that exceeds its memory, as the platform does."""
-    popen, most = fleet.gateways[name], 0.0
-    while popen.poll() is None:
-        used = anonymous_mb(popen.pid)
-        if used > most + 25:
-            most = used
-            fleet.record(f"memory of {name}: {used:.0f} MB")
-        if used > MEMORY_MB:
-            fleet.record(f"{name} exceeds {MEMORY_MB} MB ({used:.0f}): killed")
-            popen.kill()
-            popen.wait()
-            return
-        await asyncio.sleep(0.02)
-
-
-async def client(fleet: Fleet, name: str, number: int, size: int) -> str:
-    """Send two requests on one connection; return how the second one ended."""
-    reader, writer = await asyncio.open_connection(*fleet.front(name))
-    try:
-        warm_up = fleet.request_headers(token_hex(8), 1500)
-        writer.write(head(f"GET /cufi504/{number} HTTP/1.1", warm_up))
-        _, headers = await asyncio.wait_for(read_head(reader), 5)
-        await read_body(reader, headers, answer=True)
-        await asyncio.sleep(1.0 + GAP_S * number)
-        end = "429"
-        for _ in range(3):
-            end = await send_long(fleet, name, number, size, reader, writer)
-            if end != "429":
-                break
-            await asyncio.sleep(1.0)
-        return end
-    except (OSError, asyncio.IncompleteReadError, TimeoutError) as exc:
-        fleet.record(f"client {number}: {exc!r} before the request")
-        return "not sent"
-    finally:
-        writer.close()
-
-
-async def send_long(fleet: Fleet, name: str, number: int, size: int, reader, writer):
-    """Send one generation; return its status, or ``no answer`` or ``cut``."""
-    request = token_hex(8)
-    prefix = f"5c1e07a2:800,91bd3f06:410,{number:x}abc:250"
-    headers = fleet.request_headers(request, 15_000) | {
-        "X-Greengageflow-Model": "m",
-        "X-Greengageflow-Token-Count": "1460,300",
-        "X-Greengageflow-Prompt-Prefix": prefix,
-        "Content-Length": str(size),
-    }
-    fleet.record(f"sent {request} to {name}: POST /pufi791/{number}, {size} bytes")
-    end = "no answer"
-    try:
-        writer.write(head(f"POST /pufi791/{number} HTTP/1.1", headers) + b"x" * size)
-        first, got = await asyncio.wait_for(read_head(reader), 15)
-        end = "cut"
-        await asyncio.wait_for(read_body(reader, got, answer=True), 15)
-        end = first.split(" ")[1]
-    except (OSError, asyncio.IncompleteReadError, TimeoutError) as exc:
-        ran = len(fleet.runs(request))
-        fleet.record(f"{end} {request}: {exc!r}; runs at replicas: {ran}")
-        return end if ran else f"{end}, not passed on"
-    fleet.record(f"got  {request}: {end} {got.get(ID.lower(), '')}")
-    return end
+LENGTH_S, REQUESTS_PER_S = 85.0, 27.0
+SHED_S = 0.12
+"""Part of each second in which the replicas shed, as if full: 0.12 of requests."""
+RETRY_AFTER_S = 0.1
+REPEATED = 0.17
+"""Share of the rejections with a second copy at the faulty replica."""
+
+
+class Shedding:
+    """Makes a replica shed in the same part of each second as the others.
+
+    Args:
+        replica: The replica.
+        faulty: It sends some of its rejections twice, the second time late: where the
+            next answer on the connection is expected.
+        random: Draws which.
+    """
+
+    def __init__(self, replica: Replica, random: Random, *, faulty: bool) -> None:
+        self.rejected = self.repeated = 0
+        self._replica, self._random, self._faulty = replica, random, faulty
+        self._late: dict[object, dict[str, str]] = {}
+        replica.gate = self.gate
+
+    def gate(self, request: Request, writer) -> bool:
+        """Send the second copy that is due; return whether the request is rejected."""
+        record = self._replica.fleet.record
+        late = self._late.pop(writer, None)
+        if late is not None:
+            self.repeated += 1
+            record(f"     {self._replica.id}: second copy of the 503 to {late[ID]}")
+            send(writer, 503, late)
+        if time.monotonic() % 1.0 >= SHED_S:
+            return False
+        self.rejected += 1
+        headers = {ID: request.id, NOT_RUN: "1", "Retry-After": f"{RETRY_AFTER_S}"}
+        send(writer, 503, headers)
+        record(f"     {self._replica.id} sheds {request.id}")
+        if self._faulty and self._random.random() < REPEATED:
+            self._late[writer] = headers
+        return True
 
 
 async def case(fleet: Fleet) -> bool:
-    """Return whether more than three requests were passed on and never answered."""
-    routes = [
-        route("round-checkin", "/cufi504/", "rounds-app", "idempotent"),
-        route(
-            "visit-report",
-            "/pufi791/",
-            "scribe",
-            "stream",
-            timeout_ms=15_000,
-            target_latency_ms=800,
-            priority=1,
-            sticky=True,
-            resumable=False,
-            gap_target_ms=400,
-            max_attempts=1,
-        ),
-    ]
-    await fleet.publish(routes, [APP, ENGINE])
-    for zone in ZONES:
-        await fleet.add_replica("rounds-app", zone)
-        for _ in range(3):
-            engine = await fleet.add_replica("scribe", zone)
-            engine.slots, engine.behave = 48, generate
-    names = [fleet.add_gateway(zone, 1) for zone in ZONES]
+    """Return whether a request ran twice, or ran and was answered as if it had not."""
+    handover = route("key-handover", "/puxa403/", "rounds-app", "non_idempotent")
+    await fleet.publish([handover], [APP])
+    random = Random(60)
+    shedding = []
+    for number, zone in enumerate(ZONES):
+        replica = await fleet.add_replica("rounds-app", zone)
+        faulty = trouble() and number == 0
+        shedding.append(Shedding(replica, random, faulty=faulty))
+    gateways = [fleet.add_gateway(zone, 1) for zone in ZONES]
     await fleet.wait_ready()
     await asyncio.sleep(4.0)
-    name, size = names[0], LONG if trouble() else USUAL
-    platform = asyncio.create_task(limit_memory(fleet, name))
-    clients = (client(fleet, name, number, size) for number in range(CLIENTS))
-    ends = await asyncio.gather(*clients)
-    platform.cancel()
-    killed = fleet.gateways[name].poll() is not None
-    counts = {end: ends.count(end) for end in sorted(set(ends))}
-    text = f"{name} {'was killed' if killed else 'lived'}; {CLIENTS} requests: {counts}"
+    tasks = []
+    ends_at = time.monotonic() + LENGTH_S
+    while time.monotonic() < ends_at:
+        gateway = gateways[len(tasks) % len(gateways)]
+        asked = fleet.ask(gateway, "POST", f"/puxa403/{len(tasks)}", b'{"villa": 7}')
+        tasks.append(asyncio.create_task(asked))
+        await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
+    twice = promised = 0
+    for request, answer in await asyncio.gather(*tasks):
+        runs = len(fleet.runs(request))
+        if runs > 1:
+            twice += 1
+            fleet.record(f"TWICE {request}: ran {runs} times, the client got {answer}")
+        if runs and answer.status in (408, 421, 429, 503):
+            promised += 1
+            fleet.record(f"REFUSED {request}: ran, and the client got {answer}")
+    for one in shedding:
+        answers = one.rejected + len(one._replica.runs)
+        fleet.record(
+            f"{one._replica.id}: {answers} answers, {one.rejected} rejections, "
+            f"{one.repeated} of them sent twice"
+        )
+    text = (
+        f"{len(tasks)} requests: {twice} ran twice, {promised} ran and got 429 or 503"
+    )
     fleet.record(text)
     print(text)
-    return killed and counts.get("no answer", 0) > 3
+    return twice + promised > 0
 
 
 play(case, FOLDER)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,58 +1,94 @@
-"""The operator adds tenants whose names are not in a Western European alphabet."""
+"""An engine crashes while it streams events whose ids are 64-bit numbers."""
 
 import asyncio
+import re
 import sys
-from collections import defaultdict
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness2 import APP, ZONES, Fleet, play, route, trouble
+from harness2 import ENGINE, ZONES, Fleet, Request, head, play, route, trouble
 
 FOLDER = Path(__file__).resolve().parent
-GREEK, LATIN = ("Αθηνά", "Ερμής", "Δίρκη"), ("Athina", "Ermis", "Dirki")
-ROUNDS = 6
+FIRST_ID = time.time_ns()
+"""Id of the first event; the engines count on from here."""
+EVENTS, EVENT_GAP_S = 30, 0.05
+STREAMS = 9
+
+
+async def generate(request: Request, _reader, writer) -> bool:
+    """Answer as a sound engine; go on behind ``Last-Event-Id`` if there is one."""
+    last = request.headers.get("last-event-id")
+    request.replica.fleet.record(f"     {request.id}: Last-Event-Id is {last}")
+    start = 0 if last is None else int(last) - FIRST_ID + 1
+    await asyncio.sleep(0.1)
+    headers = request.replica.sealed(request)
+    headers |= {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+    writer.write(head("HTTP/1.1 200 OK", headers))
+    for number in range(start, EVENTS):
+        event = f"id: {FIRST_ID + number}\ndata: piece-{number}\n\n".encode()
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(EVENT_GAP_S)
+    writer.write(b"0\r\n\r\n")
+    return True
 
 
 async def case(fleet: Fleet) -> bool:
-    """Return whether requests of several tenants ran as those of a single one."""
-    routes = [
-        route("key-handover", "/puxa403/", "rounds-app", "non_idempotent"),
-        route("round-checkin", "/cufi504/", "rounds-app", "idempotent"),
-    ]
-    await fleet.publish(routes, [APP])
+    """Return whether a stream has a piece twice, or ends without one."""
+    stream = route(
+        "alert-triage",
+        "/lohu930/",
+        "scribe",
+        "stream",
+        timeout_ms=15_000,
+        target_latency_ms=800,
+        priority=1,
+        sticky=True,
+        resumable=True,
+        gap_target_ms=400,
+    )
+    await fleet.publish([stream], [ENGINE])
     for zone in ZONES:
-        await fleet.add_replica("rounds-app", zone)
-    gateways = [fleet.add_gateway(zone, 1) for zone in ZONES]
+        for _ in range(2):
+            engine = await fleet.add_replica("scribe", zone)
+            engine.slots, engine.behave = 48, generate
+    names = [fleet.add_gateway(zone, 1) for zone in ZONES]
     await fleet.wait_ready()
-    await asyncio.sleep(2.0)
-    tenants = GREEK if trouble() else LATIN
-    keys = {f"k7b2ex5wa5xwyhks8nb{number}": t for number, t in enumerate(tenants)}
-    added = [{"name": t, "api_keys": [k], "priority": 1} for k, t in keys.items()]
-    await fleet.publish(routes, [APP], added)
-    await asyncio.sleep(3.0)
-    seen: dict[str, set[str]] = defaultdict(set)
-    runs = 0
-    for number in range(ROUNDS):
-        for key, tenant in keys.items():
-            for method, prefix in (("POST", "/puxa403/"), ("GET", "/cufi504/")):
-                request, _ = await fleet.ask(
-                    gateways[number % len(gateways)],
-                    method,
-                    f"{prefix}{number}",
-                    b'{"villa": 7}' if method == "POST" else b"",
-                    more={"X-Greengageflow-Credential": key},
-                )
-                for run in fleet.runs(request):
-                    runs += 1
-                    name = run.headers.get("x-greengageflow-tenant", "")
-                    seen[name].add(tenant)
-                    fleet.record(f"     {request}: of {tenant}, ran as of {name!r}")
-    mixed = {name: who for name, who in seen.items() if len(who) > 1}
-    for name, who in mixed.items():
-        fleet.record(f"MIXED UP: {sorted(who)} all ran as tenant {name!r}")
-    print(f"{runs} runs of {len(tenants)} tenants, as {len(seen)} at the replicas")
-    return bool(mixed)
+    await asyncio.sleep(4.0)
+    tasks = []
+    for number in range(STREAMS):
+        more = {
+            "X-Greengageflow-Model": "m",
+            "X-Greengageflow-Token-Count": "1460,80",
+            "X-Greengageflow-Prompt-Prefix": f"5c1e07a2:800,{number:x}bd3f:410,e4:250",
+        }
+        asked = fleet.ask(
+            names[number % len(names)],
+            "POST",
+            f"/lohu930/{number}",
+            b"x" * 600,
+            deadline_ms=15_000,
+            more=more,
+        )
+        tasks.append(asyncio.create_task(asked))
+    await asyncio.sleep(0.8)
+    if trouble():
+        engine = max(fleet.replicas, key=lambda replica: len(replica.runs))
+        fleet.record(f"{engine.id} crashes with {len(engine.runs)} streams")
+        await engine.crash()
+    wrong = resumed = 0
+    for request, answer in await asyncio.gather(*tasks):
+        got = [int(n) for n in re.findall(rb"data: piece-(\d+)\n", answer.body)]
+        resumed += len(fleet.runs(request)) > 1
+        if answer.status == 200 and not answer.cut and got != list(range(EVENTS)):
+            wrong += 1
+            fleet.record(f"WRONG {request}: complete, with the pieces {got}")
+    text = f"{STREAMS} streams, {resumed} resumed after the crash, {wrong} wrong"
+    fleet.record(text)
+    print(text)
+    return wrong > 0
 
 
 play(case, FOLDER)
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -198,6 +198,8 @@
         number: Number of its address in the subnet.
         behave: Called with the request, the reader and the writer once the request
             has been taken on and logged; it answers. Returns False to close.
+        gate: Called with the request and the writer before; returns True if it has
+            rejected the request, which is not run then.
     """
 
     def __init__(self, fleet: "Fleet", service: str, zone: str, number: int) -> None:
@@ -208,6 +210,7 @@
         self.work_s = 0.06
         self.runs: list[Request] = []
         self.behave: Callable | None = None
+        self.gate: Callable | None = None
         self.beats = True
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -270,6 +273,8 @@
             status = 421 if request.id else 400
             send(writer, status, {NOT_RUN: "1", ID: request.id})
             return True
+        if self.gate is not None and self.gate(request, writer):
+            return True
         self.runs.append(request)
         self.fleet.record(
             f"run  {request.id} at {self.id} ({self.service}): {request.method} "
