--- a/review/harness2.py
+++ b/review/harness2.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import logging
 import os
@@ -316,6 +317,15 @@
         return text + (f", cut: {self.cut}" if self.cut else "")
 
 
+_LIBC = ctypes.CDLL(None)
+_PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent() -> None:
+    """Have the kernel kill this process when the script ends, however it does."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Fleet:
     """Store, gateways and replicas.
 
@@ -367,6 +377,7 @@
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE if name == "store" else log,
             stderr=log,
+            preexec_fn=_end_with_parent,
         )
 
     def start_store(self) -> None:
@@ -606,6 +617,9 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
 
     async def run() -> bool:
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         fleet = Fleet(folder)
         try:
             fleet.start_store()
@@ -615,7 +629,13 @@
 
     try:
         broken = asyncio.run(asyncio.wait_for(run(), 110))
-    except (CannotRun, OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
+    except (
+        CannotRun,
+        OSError,
+        TimeoutError,
+        asyncio.IncompleteReadError,
+        asyncio.CancelledError,
+    ) as exc:
         print(f"could not run: {exc!r}")
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
