Do not send a request on a connection that carried its id before

What callers saw: a protected request was answered 429, which promises that it has not run, while an endpoint ran it; or it ran twice.

Cause: after a rejection with Retry-After the request goes to the same endpoint again, mostly on the same kept connection. Answers are matched by the request id that they echo. An endpoint that repeats a rejection late sends it where the answer to the second sending is due, and under the same id; it was taken for that answer. By the first rejection nothing was wrong: the id went twice over one connection, so that it no longer names one sending.

Change: a connection remembers the latest ids that it carried, and since when it remembers all of them. The pool does not reuse a connection that may have carried the id of the request. Others are reused as before, so a new connection is made only if no other kept one is left. This covers each later sending whatever permits it (rejections of any status, 421 by an endpoint that took over the address, resumed streams) and callers that repeat an id. Orders and resumptions on the product's own interface already take new connections; tests pin that down now.

--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -28,6 +28,7 @@
         idle_timeout_s=max(MIN_ATTEMPT_S, ctx.deadline - now),
         retry_stale=False,
         reuse_s=0.0 if ctx.stale_retry_endpoint else reuse_s,
+        first_sent_at=ctx.first_sent_at,
     )
 
 
--- a/greengageflow/daemon/order_follower.py
+++ b/greengageflow/daemon/order_follower.py
@@ -226,18 +226,26 @@
         if endpoint is None:
             finish("not_sent", "the endpoint is not configured")
             return
-        req = HttpRequest(
-            "POST",
-            endpoint.host,
-            endpoint.port,
-            "/orders",
-            JSON_HEADERS,
-            _request_body(send),
-            idle_timeout_s=self._timeout_s,
-            retry_stale=False,
-            not_after=send.not_after,
-        )
-        self._pool.fetch(req, on_response)
+        self._pool.fetch(order_request(send, endpoint, self._timeout_s), on_response)
+
+
+def order_request(send: SendOrder, endpoint: Endpoint, timeout_s: float) -> HttpRequest:
+    """Return the request for an order, which uses a new connection.
+
+    Responses to orders carry no id. On a kept connection, a late copy of an earlier
+    response would be taken for the result of this order.
+    """
+    return HttpRequest(
+        "POST",
+        endpoint.host,
+        endpoint.port,
+        "/orders",
+        JSON_HEADERS,
+        _request_body(send),
+        idle_timeout_s=timeout_s,
+        retry_stale=False,
+        not_after=send.not_after,
+    )
 
 
 def _request_body(send: SendOrder) -> bytes:
--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -43,6 +43,8 @@
         says_leaving: Announce in each response that the replica is leaving, although
             its entry in the store doesn't say so.
         backoff_s: Refuse requests and ask for a backoff of this many seconds.
+        repeat: Send each refusal a second time when the next request arrives on its
+            connection.
         shed: Refuse all but every ``shed``-th request; 0 for none.
         times: Number of requests to affect; negative for all.
         path: Affect only requests whose path starts with this.
@@ -62,6 +64,7 @@
     health: int = 0
     says_leaving: bool = False
     backoff_s: float = 0.0
+    repeat: bool = False
     shed: int = 0
     times: int = -1
     path: str = ""
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -150,6 +150,7 @@
         self._active: list[Work] = []
         self._seal_numbers, self._response_numbers = count(), count(1)
         self._accepted_connections = 0
+        self._late_refusals: dict[ServerConnection, bytes] = {}
         self._state = READY
         self._update_report()
         self.timers.every(0.2, self._update_report)
@@ -217,11 +218,14 @@
 
     def on_disconnect(self, conn: ServerConnection) -> None:
         """Cancel the request of a closed connection."""
+        self._late_refusals.pop(conn, None)
         if work := self._work_by_connection.get(conn):
             self.end(work, "cancelled")
 
     def _request(self, call: Call) -> None:
         self._runs.append(run := Run(call))
+        if late := self._late_refusals.pop(call.conn, None):
+            call.conn.send(late)
         if status := self._refusal_status(call):
             self._refuse(call, run, status)
             return
@@ -264,6 +268,7 @@
 
     def _refuse(self, call: Call, run: Run, status: int) -> None:
         run.end(str(status))
+        repeats = self._faults.repeat
         wait_s = FULL_BACKOFF_S
         if self._backs_off(call):
             wait_s, self._faults = self._faults.backoff_s, self._faults.after_use()
@@ -276,7 +281,10 @@
         headers |= self._leaving_header
         if run.id:
             headers[REQUEST_ID] = run.id
-        self.finish(call, response_bytes(status, b"", headers))
+        data = response_bytes(status, b"", headers)
+        if repeats:
+            self._late_refusals[call.conn] = data
+        self.finish(call, data)
 
     def _start_next(self) -> None:
         while self._waiting and len(self._active) < self._slots:
--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -23,6 +23,7 @@
     ResponseParser,
 )
 from greengageflow.net._http_write import request_head
+from greengageflow.net._sent_requests import SentRequests
 
 READ_SIZE = 65_536
 IP_BIND_ADDRESS_NO_PORT = 24
@@ -83,6 +84,7 @@
     Attributes:
         ends_when_sent: True if the response has ended in order while request bytes
             were unsent: it is complete once they are sent. Nothing is left to read.
+        sent_requests: Requests that the connection has carried.
 
     Raises:
         OSError: The connection attempt failed immediately.
@@ -101,6 +103,7 @@
         self.sent_any = False
         self.received_any = False
         self.ends_when_sent = False
+        self.sent_requests = SentRequests()
         self._unsent = NOTHING
         self._peer_closed = False
         self._broken = False
--- a/greengageflow/net/_idle_conns.py
+++ b/greengageflow/net/_idle_conns.py
@@ -6,6 +6,7 @@
 from time import monotonic
 
 from greengageflow.net._http_conn import Connection
+from greengageflow.net.http_messages import HttpRequest
 
 
 class IdleConns:
@@ -36,13 +37,22 @@
     def __len__(self) -> int:
         return len(self._idle_since)
 
-    def take(self, address: tuple[str, int], max_idle_s: float) -> Connection | None:
-        """Return a connection idle for less than ``max_idle_s`` seconds, or None."""
-        conns = self._by_address.get(address)
-        while conns:
-            if monotonic() - self._idle_since[conns[-1].sock][1] >= max_idle_s:
+    def take(self, request: HttpRequest, max_idle_s: float) -> Connection | None:
+        """Return a connection for a request, or None.
+
+        Args:
+            request: Request to send. Connections that may have carried it are kept.
+            max_idle_s: Return only a connection idle for less than this, in seconds.
+        """
+        conns = self._by_address.get(request.address, ())
+        for conn in reversed(tuple(conns)):
+            if monotonic() - self._idle_since[conn.sock][1] >= max_idle_s:
                 return None
-            conn = conns.pop()
+            if conn.sent_requests.may_include(
+                request.request_id, request.first_sent_at
+            ):
+                continue
+            conns.remove(conn)
             del self._idle_since[conn.sock]
             if not conn.is_stale():
                 conn.reused = True
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -100,6 +100,10 @@
             server closes the connection in order.
         accepts: Returns whether a response head belongs to this request; other
             responses are read to their end and discarded. None accepts all.
+        request_id: Id by which ``accepts`` recognizes the response. A connection that
+            may have carried it before is not reused. Empty if there is none.
+        first_sent_at: Monotonic time at which a request with this id was first sent,
+            in seconds; infinite if none was.
     """
 
     method: str
@@ -116,6 +120,8 @@
     reuse_s: float = 0.0
     until_close: bool = False
     accepts: Callable[[Head], bool] | None = None
+    request_id: str = ""
+    first_sent_at: float = inf
 
     @property
     def address(self) -> tuple[str, int]:
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -103,7 +103,7 @@
             on_cancel=self._drop,
         )
         max_idle_s = float("inf") if request.retry_stale else request.reuse_s
-        conn = self._idle.take(request.address, max_idle_s)
+        conn = self._idle.take(request, max_idle_s)
         if conn is None:
             self._connect(exchange)
         else:
@@ -164,7 +164,8 @@
             self._close(conn)
             raise
         exchange.conn = conn
-        exchange.last_progress_at = monotonic()
+        exchange.last_progress_at = now = monotonic()
+        conn.sent_requests.add(request.request_id, now)
         self._active[conn.sock] = exchange
         if conn.connected:
             # An error persists and is reported at the write event requested below.
--- a/greengageflow/platform/requests.py
+++ b/greengageflow/platform/requests.py
@@ -156,6 +156,7 @@
         req.target,
         (*req.headers, *extra),
         req.body,
+        request_id=req.id,
     )
 
 
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -227,6 +227,23 @@
     assert (listener.text, call.resumed) == ("t0t1", 2)
 
 
+def test_late_copy_of_a_rejection_does_not_answer_the_next_resumption(loop):
+    """Resumptions carry the same id, so each needs a connection of its own."""
+    busy = b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n"
+    rest = CHUNKED + chunk(event(1, last=True) + DONE) + b"0\r\n\r\n"
+
+    def script(conn, number):
+        conn.request()
+        conn.send((CHUNKED + chunk(event(0)), busy, rest)[number])
+        if number == 1:
+            conn.request()
+            conn.send(busy)
+
+    _, listener, peer = run(loop, script, resumes=True, resume_tries=2)
+    assert isinstance(listener.ends[0], Completed)
+    assert len(peer.sources) == 3
+
+
 def test_slow_caller_does_not_hold_the_engine_connection(loop):
     """A complete response must free its connection even if the caller is slow.
 
