Cut a stream whose position is unknown instead of beginning it again

What callers saw: after an engine had crashed, a stream with its events from the beginning once more behind those that they had, ended as complete. A caller that resumed a stream itself, with a long Last-Event-Id, got it from its beginning.

Cause: ids of 1 to 18 digits were read (15 of a caller's). Any other id, and a missing one, left the last known id as it was, mostly none, and without an id an engine begins with the first event. "Not known" and "nothing yet" were one value.

An event without a usable id, or with one that does not exceed the ids before it, makes the position unknown until the next usable one; such a stream is passed on unchanged and not resumed. In a resumed run each event needs an increasing id, and the run must reach the position; otherwise it has failed. A caller's Last-Event-Id that is no such number is refused on stream routes and passed on unchanged on others.

--- a/greengageflow/core/forward_request.py
+++ b/greengageflow/core/forward_request.py
@@ -71,7 +71,8 @@
         key: Account key, or empty.
         max_wait_s: Seconds for which the caller waits, or None if not given.
         prompt: Prompt of a model request, or None.
-        last_event: Number of the last event that the caller received, or None.
+        last_event: Id of the last event that the caller received, or None.
+        last_event_text: The same as sent by the caller, also if it is not a number.
         resumes: Id of the request that began the stream that this one resumes, or
             empty.
     """
@@ -86,6 +87,7 @@
     max_wait_s: float | None = None
     prompt: Prompt | None = None
     last_event: int | None = None
+    last_event_text: str = ""
     resumes: str = ""
 
     @property
--- a/greengageflow/daemon/forward_admission.py
+++ b/greengageflow/daemon/forward_admission.py
@@ -80,6 +80,9 @@
         req = call.request
         route = self.find_route(req.host, req.path)
         account = self.find_account(route, req.key)
+        if route.stream and req.last_event_text and req.last_event is None:
+            text = "the id of the last event is not a number, or too long"
+            raise RouterError(ErrorKind.BAD_REQUEST, text)
         now = self._timers.now
         wait_s = route.timeout_s
         if req.max_wait_s is not None:
--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -47,6 +47,9 @@
             connection had ended, or empty.
         run_began_at: Time of the first event of the current attempt, or None.
         last_events: Last events of a complete stream, which its end is sent with.
+        last_event: Id of the last event that the caller received, or None.
+        is_position_known: False if the caller received an event without a numeric id
+            after ``last_event``, so that the stream can't be resumed.
         run_is_sound: The current attempt has run for so long that it crashed nothing.
     """
 
@@ -78,6 +81,7 @@
     run_began_at: float | None = None
     run_is_sound: bool = False
     last_event: int | None = None
+    is_position_known: bool = True
     last_events: bytes = b""
     last_progress_at: float = 0.0
     longest_pause_s: float = 0.0
--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -39,12 +39,15 @@
 
 
 def new_events(ctx: ForwardContext, frames: Iterable[Frame]) -> Iterable[bytes]:
-    """Yield the events that the caller has not received; update the last number."""
+    """Yield the events that the caller has not received; update the position."""
     for frame in frames:
         if frame.event_id is not None:
             if ctx.last_event is not None and frame.event_id <= ctx.last_event:
                 continue
             ctx.last_event = frame.event_id
+            ctx.is_position_known = True
+        elif frame.is_event:
+            ctx.is_position_known = False
         ctx.pieces += 1
         yield frame.raw
 
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -277,6 +277,7 @@
             choice.endpoint,
             partial(interpret_answer, request_id=ctx.req.id),
             stream=ctx.route.stream,
+            resumes_after=ctx.last_event if ctx.phase is Phase.STREAMING else None,
             listener=_AttemptListener(self, ctx),
             budget=self._response_budget,
         )
@@ -454,6 +455,8 @@
             self.crashes.on_cut(ctx.attempt.endpoint, ctx.identity)
         self._on_attempt_failed(ctx, failure)
         text = f"{ctx.attempt.endpoint.id}: {failure.message}"
+        if not ctx.is_position_known:
+            text += "; the last event has no id to resume after"
         if not failure.sent or (ctx.repeatable and ctx.has_runs_left):
             ran = Ran.UNKNOWN if ctx.may_have_run else Ran.NO
             kind = ErrorKind.ENDPOINT_CUT if failure.sent else ErrorKind.NO_ENDPOINT
@@ -515,7 +518,7 @@
 
     def _may_retry(self, ctx: ForwardContext) -> bool:
         late = self._timers.now >= ctx.deadline - MIN_ATTEMPT_S
-        if ctx.attempt_count >= MAX_ATTEMPTS or late:
+        if ctx.attempt_count >= MAX_ATTEMPTS or late or not ctx.is_position_known:
             return False
         return self._quarantine_error(ctx) is None
 
--- a/greengageflow/lab/_platform_batch.py
+++ b/greengageflow/lab/_platform_batch.py
@@ -14,6 +14,9 @@
     TOKEN_COUNT,
 )
 
+ID_PREFIX = "event-id-prefix"
+"""Header by which a test sets ``Job.id_prefix``."""
+NO_IDS = "none"
 STAGE_FIELD = {"stage": "prefill_decode"}
 REPORT_DEFAULTS = (
     STAGE_FIELD
@@ -31,6 +34,7 @@
         parts: Name and number of tokens of each part of the prompt, in order.
         prompt: Number of prompt tokens.
         wanted: Tokens to generate, including those generated before a resumption.
+        id_prefix: Text before the number in each event id; ``NO_IDS`` for no ids.
         generated: Tokens generated so far; a resumed stream starts above 0.
         to_prefill: Tokens to prefill before the next one is generated.
     """
@@ -39,6 +43,7 @@
     parts: tuple[tuple[str, int], ...]
     prompt: int
     wanted: int
+    id_prefix: str = ""
     generated: int = 0
     to_prefill: int = 0
 
@@ -55,10 +60,18 @@
         entries = filter(None, headers.get(PROMPT_PREFIX, "").split(","))
         pairs = (entry.split(":") for entry in entries)
         parts = tuple((name, int(tokens)) for name, tokens in pairs)
-        generated = int(headers.get(LAST_EVENT_ID, 0)) * stride
-        return cls(
-            headers.get(MODEL, ""), parts, prompt, wanted, min(generated, wanted)
-        )
+        id_prefix = headers.get(ID_PREFIX, "")
+        last_event = headers.get(LAST_EVENT_ID, "0").removeprefix(id_prefix)
+        generated = min(int(last_event) * stride, wanted)
+        model = headers.get(MODEL, "")
+        return cls(model, parts, prompt, wanted, id_prefix, generated)
+
+    def id_line(self, number: int) -> str:
+        """Return the line with the id of an event; empty without ids."""
+        if self.id_prefix == NO_IDS:
+            return ""
+        text = f"{self.id_prefix}{number:06d}" if self.id_prefix else str(number)
+        return f"id: {text}\n"
 
     @property
     def shared_parts(self) -> frozenset[str]:
--- a/greengageflow/lab/_platform_generations.py
+++ b/greengageflow/lab/_platform_generations.py
@@ -121,7 +121,7 @@
         number = -(-job.generated // self._stride)
         fields = {"run": work.run.id, "tokens": job.generated}
         text = json.dumps(fields | {"release": self._release})
-        event = f"id: {number}\ndata: {text}\n\n".encode()
+        event = f"{job.id_line(number)}data: {text}\n\n".encode()
         if not work.head_sent:
             self._replica.before_first_event(work)
             work.head_sent = True
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -8,7 +8,7 @@
 from greengageflow.errors import RouterError
 from greengageflow.net._caller_parts import BodyBudget
 from greengageflow.net.endpoint_response import ResponseInfo
-from greengageflow.net.event_frames import EventFrames, Frame, FrameTooLarge
+from greengageflow.net.event_frames import EventFrames, Frame, InvalidEvents
 from greengageflow.net.http_messages import Failure, FailureKind, Head, HttpRequest
 from greengageflow.net.http_pool import Exchange, HttpPool
 
@@ -50,6 +50,7 @@
         endpoint: Endpoint to send it to.
         evaluate: Evaluates a response head with respect to this request.
         stream: True if a successful response is a stream of events.
+        resumes_after: Id of the event after which that stream is to go on, or None.
         listener: Notified of the response.
         budget: Limits the buffered bytes of all responses that are not streamed; None
             for a budget of its own.
@@ -68,6 +69,7 @@
         evaluate: Callable[[Head], ResponseInfo],
         *,
         stream: bool,
+        resumes_after: int | None = None,
         listener: AttemptListener,
         budget: BodyBudget | None = None,
     ) -> None:
@@ -79,6 +81,7 @@
         self._pool = pool
         self._evaluate = evaluate
         self._stream = stream
+        self._resumes_after = resumes_after
         self._listener = listener
         self._budget = budget or BodyBudget(MAX_RESERVED_BYTES)
         self._reserved_bytes = 0
@@ -127,7 +130,7 @@
         """Handle status and headers."""
         self.head = head
         if self._stream and self.response_info.is_forwardable:
-            self._frames = EventFrames()
+            self._frames = EventFrames(self._resumes_after)
         self._listener.on_head(self)
 
     def on_data(self, data: bytes) -> None:
@@ -141,7 +144,7 @@
             return
         try:
             frames = list(self._frames.feed(data))
-        except FrameTooLarge as exc:
+        except InvalidEvents as exc:
             self._fail(str(exc))
             return
         if frames:
@@ -171,13 +174,15 @@
         if self._frames is None:
             self._listener.on_answer(self, bytes(self._body))
         elif self._frames.has_unfinished_event:
-            failure = Failure(
-                FailureKind.CUT, True, "stream ended in the middle of an event"
-            )
-            self._listener.on_failure(self, failure)
+            self._on_cut("stream ended in the middle of an event")
+        elif self._frames.ends_too_early:
+            self._on_cut("stream ended before the event to go on after")
         else:
             self._listener.on_end(self)
 
+    def _on_cut(self, message: str) -> None:
+        self._listener.on_failure(self, Failure(FailureKind.CUT, True, message))
+
     def on_failure(self, failure: Failure) -> None:
         """Handle a failure; the response is incomplete or missing."""
         self._detach_exchange()
--- a/greengageflow/platform/requests.py
+++ b/greengageflow/platform/requests.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.core.event_ids import parse_event_id
 from greengageflow.core.forward_request import (
     ForwardRequest,
     Header,
@@ -57,6 +58,7 @@
         RouterError: It has no id, or repeats a header that must be unique.
     """
     header = _header_reader(req)
+    last_event_text = header(LAST_EVENT_ID).strip()
     request_id = header(REQUEST_ID)
     if not request_id:
         raise RouterError(ErrorKind.BAD_REQUEST, "request id header is missing")
@@ -70,7 +72,8 @@
         key=header(CREDENTIAL).strip(),
         max_wait_s=_parse_timeout_s(header(DEADLINE_MS)),
         prompt=_parse_prompt(header),
-        last_event=_parse_number(header(LAST_EVENT_ID)),
+        last_event=parse_event_id(last_event_text),
+        last_event_text=last_event_text,
         resumes=header(RESUMES).strip(),
     )
 
@@ -136,7 +139,8 @@
         endpoint: Endpoint to send it to.
         account: Client account of the key, or empty.
         remaining_s: Seconds until the deadline.
-        last_event: Number of the last event received so far, or None.
+        last_event: Id of the last event received so far; None to pass on what the
+            caller sent.
         fetch_from: Engine to fetch cached prompt parts from, or None.
     """
     extra: list[Header] = [
@@ -145,8 +149,9 @@
     ]
     if account:
         extra.append((TENANT, account))
-    if last_event is not None:
-        extra.append((LAST_EVENT_ID, str(last_event)))
+    last_event_text = req.last_event_text if last_event is None else str(last_event)
+    if last_event_text:
+        extra.append((LAST_EVENT_ID, last_event_text))
     if fetch_from is not None:
         extra.append((KV_FETCH, f"{fetch_from.ip}:{fetch_from.port}"))
     return HttpRequest(
--- a/tests/test_service_core.py
+++ b/tests/test_service_core.py
@@ -29,7 +29,7 @@
 from greengageflow.core.trust import KeyTrust
 from greengageflow.core.work_queue import QueuedRequest, WorkQueue
 from greengageflow.errors import ErrorKind
-from greengageflow.net.event_frames import MAX_FRAME_BYTES, EventFrames, FrameTooLarge
+from greengageflow.net.event_frames import MAX_FRAME_BYTES, EventFrames, InvalidEvents
 
 WINDOW_S = 10.0
 
@@ -360,7 +360,7 @@
         12,
         None,
     ] and frames.has_unfinished_event
-    with pytest.raises(FrameTooLarge):
+    with pytest.raises(InvalidEvents):
         list(frames.feed(b"x" * MAX_FRAME_BYTES))
 
 
