End a stream as cut at a piece number that cannot be converted

What callers saw: nothing more than a cut stream, but the router logged a fault of its own (GG105), as the exception left the receiver of the engine's answer.

Cause: `int()` raises OverflowError for an infinite number, which JSON texts may hold, and the decoder RecursionError for deep nesting. Only ValueError and the like were expected. Found by reading, in search of ids that are no small numbers.

Change: both count as an invalid piece, or an answer that is not JSON.

Tests: two of the five cases of test_piece_with_an_unusable_number_ends_the_stream_as_cut failed before (infinite, nested).

--- a/greengageflow/net/_pieces.py
+++ b/greengageflow/net/_pieces.py
@@ -101,7 +101,14 @@
             if not isinstance(content, str):
                 raise TypeError("content is not a string")
             reason = choice.get("finish_reason")
-        except (ValueError, TypeError, LookupError, AttributeError) as exc:
+        except (
+            ValueError,
+            TypeError,
+            LookupError,
+            AttributeError,
+            OverflowError,
+            RecursionError,
+        ) as exc:
             raise InvalidStream("invalid piece in the stream") from exc
         # Engines batch many requests. A piece of another request would show the
         # caller someone else's text; a late duplicate would repeat its own text.
--- a/greengageflow/net/engine_client.py
+++ b/greengageflow/net/engine_client.py
@@ -292,7 +292,7 @@
     def _parse_response(self, body: bytes) -> EngineEnd:
         try:
             document = json.loads(body)
-        except ValueError:
+        except (ValueError, RecursionError):
             return Cut("response is not valid JSON")
         match document:
             case {"id": self.request.request_id, "choices": [_, *_]}:
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -270,6 +270,21 @@
     wait_for(lambda: (len(loop.pool._active), len(loop.pool._idle)) == (0, 1))
 
 
+def invalid_piece(seq):
+    return b'data: {"id": "r1", "seq": %b, "choices": [{"delta": {}}]}\n\n' % seq
+
+
+@pytest.mark.parametrize(
+    "seq",
+    [b"1e999", b"NaN", b"7" * 5000, b'"%b"' % (b"7" * 5000), b"[" * 5000 + b"]" * 5000],
+    ids=["infinite", "nan", "long", "long-text", "nested"],
+)
+def test_piece_with_an_unusable_number_ends_the_stream_as_cut(loop, seq):
+    """Such numbers raise other exceptions than ``ValueError``."""
+    _, listener, _ = run(loop, stream_script(CHUNKED + chunk(invalid_piece(seq))))
+    assert isinstance(listener.ends[0], Cut)
+
+
 def test_rejection_after_a_lost_answer_is_marked(loop):
     """The engine may have run the request that was sent on the kept connection."""
 
