Read the body of a request that offers another protocol

What callers saw: a POST with `Connection: Upgrade` and `Upgrade: h2c` reached its endpoint with an empty body, ran there, and was answered with the endpoint's sealed 200.

Cause: httptools ends a request with such an offer at the end of its head and hands the rest back as another protocol. The reader took that for the end of the request. The offer is the client's; as long as no 101 is sent, the request has the body that its head announces.

Change: the offer is declined. A new parser is given the same length or coding and reads the body. Nothing behind the body is taken for a request, and the connection ends with the answer, as before. CONNECT is unchanged.

--- a/greengageflow/net/_http_parse.py
+++ b/greengageflow/net/_http_parse.py
@@ -190,8 +190,8 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._on_upgrade()
+        except HttpParserUpgrade as exc:
+            self._on_upgrade(data[exc.args[0] :])
         except HttpParserError as exc:
             # The parser wraps exceptions that were raised in a callback.
             cause = exc.__context__
@@ -204,13 +204,14 @@
         ):
             self._fail(BadMessage("head too large", too_large=True))
 
-    def _on_upgrade(self) -> None:
-        """Handle a switch to another protocol in the data that follows."""
+    def _on_upgrade(self, rest: bytes) -> None:
+        """Handle the data after a head that offers another protocol."""
         raise NotImplementedError
 
     def _fail(self, exc: BadMessage) -> None:
-        self._stopped = True
-        self._events.append(exc)
+        if not self._stopped:
+            self._stopped = True
+            self._events.append(exc)
 
     def _next(self) -> "Event":
         event = self._events.popleft()
@@ -246,6 +247,8 @@
     def __init__(self, max_head_bytes: int) -> None:
         super().__init__(HttpRequestParser, max_head_bytes)
         self._target = b""
+        self._declines_upgrade = False
+        self._reads_declined_body = False
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; ``next`` returns the results."""
@@ -269,29 +272,52 @@
         """Whether ``next`` has a part of a body or the end of a request."""
         return bool(self._events)
 
-    def _on_upgrade(self) -> None:
-        # Upgrades are not supported, and the bytes that follow are not HTTP/1.1.
-        self._stopped = True
+    def _on_upgrade(self, rest: bytes) -> None:
+        if not self._declines_upgrade:
+            # The bytes after CONNECT are not HTTP/1.1.
+            self._stopped = True
+            return
+        # The parser takes an offer of another protocol for the end of the request. A
+        # new one, which is given the same framing, reads the body.
+        self._reads_declined_body = True
+        self._parser = HttpRequestParser(self)
+        self._parse(self._body_framing() + rest)
+
+    def _body_framing(self) -> bytes:
+        names = ("content-length", "transfer-encoding")
+        lines = [f"{k}: {v}" for k in names for v in self._headers.values(k)]
+        head = "\r\n".join(["POST / HTTP/1.1", "host: x", *lines, "", ""])
+        return head.encode("latin-1")
 
     # Called by the parser.
 
     def on_message_begin(self) -> None:
+        if self._declines_upgrade:
+            return
         super().on_message_begin()
         self._target = b""
 
     def on_url(self, url: bytes) -> None:
-        self._target += url
+        if not self._declines_upgrade:
+            self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._declines_upgrade:
+            super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
+        if self._declines_upgrade:
+            return
         self._on_head_complete()
         headers, version = self._headers, self._parser.get_http_version()
         headers.check_transfer_coding()
         hosts = headers.values("host")
         if len(hosts) > 1 or (not hosts and version == "1.1"):
             raise BadMessage("request must have exactly one host header")
+        method = self._parser.get_method().decode("latin-1")
         self._events.append(
             RequestHead(
-                self._parser.get_method().decode("latin-1"),
+                method,
                 self._target.decode("latin-1"),
                 headers.lines(),
                 version,
@@ -299,11 +325,18 @@
                 self._parser.should_keep_alive() and not self._parser.should_upgrade(),
             )
         )
+        self._declines_upgrade = self._parser.should_upgrade() and method != "CONNECT"
 
     def on_body(self, data: bytes) -> None:
-        self._events.append(Body(data))
+        if not self._stopped:
+            self._events.append(Body(data))
 
     def on_message_complete(self) -> None:
+        is_head_only = self._declines_upgrade and not self._reads_declined_body
+        if self._stopped or is_head_only:
+            return
+        # What follows an offer may be in the other protocol.
+        self._stopped = self._declines_upgrade
         super().on_message_complete()
         self._events.append(RequestEnd())
 
@@ -333,7 +366,7 @@
         while self._events:
             yield self._next()
 
-    def _on_upgrade(self) -> None:
+    def _on_upgrade(self, _rest: bytes) -> None:
         self._fail(BadMessage("unexpected protocol upgrade"))
 
     # Called by the parser.
--- a/tests/test_http_parse.py
+++ b/tests/test_http_parse.py
@@ -284,6 +284,46 @@
     assert headers == (("host", "h"), ("transfer-encoding", "chunked")) and not body
 
 
+OFFER = (
+    b"Host: h\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    b"HTTP2-Settings: AAMAAABkAAQBAAAAAAIAAAAA\r\n"
+)
+NEXT = b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("framing", "body"),
+    [
+        (b"Content-Length: 5\r\n\r\nhello", b"hello"),
+        (
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Key: 1\r\n\r\n",
+            b"abc",
+        ),
+        (b"Content-Length: 0\r\n\r\n", b""),
+        (b"\r\n", b""),
+    ],
+)
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+@pytest.mark.parametrize("rest", [b"", NEXT, b"\x00\x00junk\r\n\r\n"])
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_request_that_offers_another_protocol_keeps_its_body(
+    framing, body, version, rest, size
+):
+    """The offer was taken for the end of the request, which ran without its body."""
+    data = b"POST /a HTTP/" + version + b"\r\n" + OFFER + framing + rest
+    parts = split_into_reads(data, [size] * (len(data) // size))
+    parser = RequestParser(MAX_HEAD_BYTES)
+    events = []
+    for part in parts:
+        parser.feed(part)
+        while (event := parser.next()) is not None:
+            events.append(event)
+    head, *bodies, end = events
+    assert (head.target, head.keep_alive, end) == ("/a", False, RequestEnd())
+    assert b"".join(event.data for event in bodies) == body
+    assert "x-key" not in dict(head.headers)
+
+
 @pytest.mark.parametrize("count", [1, 3])
 def test_consecutive_requests_are_all_parsed(count):
     with_length = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
