Bound the memory of request bodies until their answers end

What callers saw: large requests to one host made its process exceed its memory. The platform killed it, and requests that endpoints were running ended without an answer.

Cause: the limit for all bodies together counted a body only while it arrived. From then on nothing bounded them, and each was held twice: the connection to the endpoint kept its copy of head and body, as an empty rest of a memoryview refers to the whole.

Change: a body counts until its request is answered or its connection ends. Bodies above 64 KB are sent without a copy, and what has been sent is released.

--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -278,6 +278,7 @@
             self._timers,
             interface=interface,
             max_connections=settings.files.callers,
+            body_budget=settings.body_budget,
             gate=self._shedder,
             on_full=lambda *counts: self._host_watch.on_full(*counts),
         ).register(self)
--- a/greengageflow/daemon/gateway_settings.py
+++ b/greengageflow/daemon/gateway_settings.py
@@ -19,6 +19,7 @@
 from greengageflow.core.file_budget import FileBudget
 from greengageflow.core.value_checks import integer, ip_number, name, number
 from greengageflow.core.warmup import WarmupBounds
+from greengageflow.net.callers import DEFAULT_BODY_BUDGET
 from greengageflow.settings_file import (
     Address,
     QuarantineSettings,
@@ -27,6 +28,8 @@
 )
 
 SETTINGS_VARIABLE = "GREENGAGEFLOW_NODE_FILE"
+BODY_MEMORY_FRACTION = 0.25
+"""Fraction of the process's memory that request bodies may take."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +114,7 @@
         bounds: Limits that the operators set for the fleet.
         quarantine: When requests that crash endpoints are quarantined.
         max_files: Maximum number of file descriptors; None for the process's limit.
+        max_memory_mb: Memory at which the process is killed, in MB; None if unlimited.
         zones: All availability zones.
     """
 
@@ -126,6 +130,7 @@
     bounds: FleetBounds = field(default_factory=FleetBounds)
     quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
     max_files: int | None = None
+    max_memory_mb: int | None = None
     zones: tuple[ZoneSettings, ...] = ()
 
     @property
@@ -133,6 +138,13 @@
         """Region of each availability zone."""
         return {zone.name: zone.region for zone in self.zones}
 
+    @property
+    def body_budget(self) -> int:
+        """Maximum bytes of all request bodies together."""
+        if self.max_memory_mb is None:
+            return DEFAULT_BODY_BUDGET
+        return int(BODY_MEMORY_FRACTION * self.max_memory_mb * 1_048_576)
+
     @property
     def files(self) -> FileBudget:
         """File descriptors of the process, divided among their uses."""
@@ -188,6 +200,7 @@
         bounds=optional(bounds, defaults),
         quarantine=optional(quarantine_settings(), QuarantineSettings()),
         max_files=optional(integer(64, 1_048_576)),
+        max_memory_mb=optional(integer(16, 1_048_576)),
         zones=optional(sequence(zone, unique="name"), ()),
     )
 
--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -76,6 +76,7 @@
         self._is_request_complete = False
         self._pipelined: list[bytes] = []
         self._body = bytearray()
+        self._reserved_bytes = 0
         self._call: CallerCall | None = None
         self._reply: Reply | None = None
         self._pipelined_bytes = 0
@@ -198,20 +199,26 @@
 
     def _on_body(self, data: bytes) -> None:
         self._budget.reserve(len(data))
+        self._reserved_bytes += len(data)
         self._body += data
         limits = self._limits()
         if len(self._body) > limits.body_bytes:
             self._reject_body(limits)
 
-    def _release_body(self) -> bytes:
-        self._budget.release(len(self._body))
+    def _take_body(self) -> bytes:
         body, self._body = bytes(self._body), bytearray()
         return body
 
+    def _release_body(self) -> None:
+        """Forget the body of a request that has been answered or abandoned."""
+        self._budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+        self._body = bytearray()
+
     def _on_request(self) -> None:
         head = self._head
         self._is_request_complete = True
-        body, is_http_1_0 = self._release_body(), head.version == "1.0"
+        body, is_http_1_0 = self._take_body(), head.version == "1.0"
         request = CallerRequest(
             head.method, head.target, head.headers, body, is_http_1_0
         )
@@ -298,6 +305,7 @@
 
     def _on_answered(self, is_last: bool) -> None:
         self._call = self._reply = None
+        self._release_body()
         self._was_blocked = False
         if is_last:
             self._close()
@@ -311,6 +319,7 @@
 
     def _close(self) -> None:
         self._call = self._reply = None
+        self._release_body()
         self._set_phase(Phase.CLOSING)
         self._link.set_reading(True)
         self._link.finish()
--- a/greengageflow/net/_caller_parts.py
+++ b/greengageflow/net/_caller_parts.py
@@ -41,7 +41,7 @@
 
 
 class BodyBudget:
-    """Limits the total size of partly received bodies on all connections.
+    """Limits the total size of bodies that are held at the same time.
 
     Args:
         limit: Maximum bytes at once.
--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -28,6 +28,8 @@
 READ_SIZE = 65_536
 IP_BIND_ADDRESS_NO_PORT = 24
 NOTHING = memoryview(b"")
+MAX_COPIED_BODY_BYTES = 65_536
+"""Maximum size of a request body that is copied to be sent together with its head."""
 MAX_OVERHEAD_BYTES = 1_048_576
 """Maximum size of what a response has beside its body, in bytes.
 
@@ -104,7 +106,7 @@
         self.received_any = False
         self.ends_when_sent = False
         self.sent_requests = SentRequests()
-        self._unsent = NOTHING
+        self._unsent = self._unsent_body = NOTHING
         self._peer_closed = False
         self._broken = False
         self._until_close = False
@@ -169,7 +171,10 @@
         if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             extra.append(("content-length", str(len(body))))
         head = request_head(method, target, (*extra, *headers))
-        self._unsent = memoryview(head + body)
+        if len(body) > MAX_COPIED_BODY_BYTES:
+            self._unsent, self._unsent_body = memoryview(head), memoryview(body)
+        else:
+            self._unsent, self._unsent_body = memoryview(head + body), NOTHING
 
     def flush(self) -> None:
         """Send as many request bytes as the socket accepts.
@@ -187,6 +192,9 @@
                 raise
             self.sent_any = self.sent_any or count > 0
             self._unsent = self._unsent[count:]
+            if not self._unsent:
+                # Even an empty part would keep the whole request in memory.
+                self._unsent, self._unsent_body = self._unsent_body, NOTHING
 
     def is_stale(self) -> bool:
         """Return True if an idle connection was closed or has received data."""
@@ -271,7 +279,7 @@
 
     def _end(self, end: ResponseEnd, *, is_last: bool) -> End:
         # An idle connection must not keep its last request in memory.
-        self._accepts, self._unsent = None, self._unsent or NOTHING
+        self._accepts = None
         return End(
             end.keep_alive and is_last and not self._peer_closed and not self._unsent
         )
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -61,6 +61,9 @@
 """Offset of the accept queue's length in Linux's ``tcp_info`` of a listener."""
 
 
+DEFAULT_BODY_BUDGET = 67_108_864
+
+
 class RequestHandler(Protocol):
     """Handles the requests of callers."""
 
@@ -85,8 +88,8 @@
         limits: Limits of each connection.
         max_connections: Maximum number of open connections. At the limit idle ones are
             closed; if there are none, the new one is.
-        body_budget: Maximum bytes of partly received request bodies on all
-            connections together.
+        body_budget: Maximum bytes of the request bodies on all connections together,
+            from their arrival to the end of their answers.
         interface: Parses callers' requests into calls.
         gate: Decides which requests are rejected unread because the host is busy.
         on_full: Called at the connection limit with the number of open connections
@@ -108,7 +111,7 @@
         *,
         limits: Limits | None = None,
         max_connections: int = 4096,
-        body_budget: int = 67_108_864,
+        body_budget: int = DEFAULT_BODY_BUDGET,
         interface: CallInterface = NATIVE_INTERFACE,
         gate: RequestGate | None = None,
         on_full: Callable[[int, int], None] = lambda _open, _idle: None,
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -123,6 +123,19 @@
     )
 
 
+def test_a_body_counts_until_its_request_is_answered(server):
+    """Requests under way hold their bodies, so these must count as well."""
+    server.callers._budget._limit = 1500
+    caller = server.caller()
+    caller.send(chat(messages=[{"role": "user", "content": "y" * 800}]))
+    wait_for(lambda: server.handler.calls)
+    assert server.callers._budget.used > 800
+    answer = server.request(post("/services/a/b", b"y" * 800))
+    assert answer.startswith(b"HTTP/1.1 429 ")
+    caller.sock.close()
+    wait_for(lambda: server.callers._budget.used == 0)
+
+
 def test_connections_beyond_the_limit_are_closed_until_others_end():
     with closing(Server()) as server:
         server.callers._max_connections = 1
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -4,10 +4,12 @@
 import os
 import re
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import closing, suppress
 from pathlib import Path
 from subprocess import STDOUT, Popen
 from tempfile import TemporaryFile
+from time import sleep
 
 import pytest
 
@@ -34,6 +36,12 @@
 MAX_GROWTH_KB = 20_000
 
 
+def memory_kb(lab, field="VmRSS"):
+    """Return the memory of the gateway in kB; ``VmHWM`` is its highest so far."""
+    text = Path(f"/proc/{lab.routers['r0'].pid}/status").read_text()
+    return int(re.search(rf"{field}:\s+(\d+)", text)[1])
+
+
 class NoCollectorLab(PlatformLab):
     """A lab whose gateway frees only what nothing refers to."""
 
@@ -57,12 +65,6 @@
         self.routers[name] = Process(popen, {}, logs)
         return self.routers[name]
 
-    @property
-    def memory_kb(self):
-        """Resident memory of the gateway in kB."""
-        text = Path(f"/proc/{self.routers['r0'].pid}/status").read_text()
-        return int(re.search(r"VmRSS:\s+(\d+)", text)[1])
-
 
 def ask(lab, path):
     headers = generation(4, ("p", 50)) if path == CHAT else {}
@@ -92,8 +94,41 @@
         lab.set_faults("scribe-0" if path == CHAT else "app-0", **faults)
         for _ in range(5):
             ask(lab, path)
-        before_kb = lab.memory_kb
+        before_kb = memory_kb(lab)
         for _ in range(REQUESTS):
             ask(lab, path)
-        growth_kb = lab.memory_kb - before_kb
+        growth_kb = memory_kb(lab) - before_kb
         assert growth_kb < MAX_GROWTH_KB
+
+
+LONG_BODY_BYTES = 4_000_000
+CALLERS = 12
+
+
+class SmallMemoryLab(PlatformLab):
+    """A lab whose gateway may use 64 MB, a quarter of it for bodies."""
+
+    def launch_router(self, name):
+        self.settings[name]["max_memory_mb"] = 64
+        return super().launch_router(name)
+
+
+@pytest.mark.parametrize("path", [SAFE, UNSAFE])
+def test_bodies_of_requests_under_way_are_bounded(path):
+    """They were bounded only until they had arrived, and held twice. The platform kills
+    a process above its memory, and all its requests would end without an answer."""
+
+    def send(number):
+        with closing(lab.client()) as client:
+            sleep(0.1 * number)
+            return client.ask(path, b"x" * LONG_BODY_BYTES, key=KEY).status
+
+    shape = PlatformShape(plain=1, plain_options={"slots": CALLERS, "work_ms": 3000})
+    with SmallMemoryLab(shape) as lab, ThreadPoolExecutor(CALLERS) as threads:
+        before_kb = memory_kb(lab, "VmHWM")
+        statuses = list(threads.map(send, range(CALLERS)))
+        growth_kb = memory_kb(lab, "VmHWM") - before_kb
+        assert set(statuses) == {200, 429}
+        assert 3 <= statuses.count(200) <= 4
+        assert growth_kb < 26_000
+        assert send(0) == 200
