Keep the kind of an error in a stream that has started

Its status has been sent by then and claims nothing, and the event says that the request has run. The kind stays `deadline` there. Found by reading the diff; the new test fails without the change.

--- a/greengageflow/daemon/dispatch.py
+++ b/greengageflow/daemon/dispatch.py
@@ -424,7 +424,8 @@
             exc = RouterError(
                 exc.kind, exc.message, ran=ctx.ran, retry_after_s=exc.retry_after_s
             )
-        if exc.ran is not Ran.NO and exc.claims_not_run:
+        has_status = not ctx.call.reply.streaming
+        if exc.ran is not Ran.NO and exc.claims_not_run and has_status:
             exc = _without_claim(exc)
         self._telemetry.on_refused(exc, ctx)
         headers = [("X-Request-Id", ctx.wire_id)]
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -59,9 +59,8 @@
 _TCP_INFO_BYTES = 104
 _TCP_INFO_QUEUE_OFFSET = 24
 """Offset of the accept queue's length in Linux's ``tcp_info`` of a listener."""
-
-
 DEFAULT_BODY_BUDGET = 67_108_864
+"""Maximum size of the request bodies on all connections together, in bytes."""
 
 
 class RequestHandler(Protocol):
--- a/tests/test_native_refusals.py
+++ b/tests/test_native_refusals.py
@@ -12,7 +12,7 @@
 from greengageflow.net.engine_client import Cut, EngineCall, Refused
 
 
-def outcome(end, *, was_sent_before=False, is_late=False):
+def outcome(end, *, was_sent_before=False, is_late=False, streaming=False):
     """Return the error that the caller of a request's last attempt gets."""
     quarantine = Mock()
     quarantine.remaining_s.return_value = 0.0
@@ -21,7 +21,7 @@
         Mock(), Mock(), **parts, quarantine=quarantine, on_leaving=Mock()
     )
     dispatcher.crashes = Mock()
-    call = Mock(spec=ChatCall, body={}, reply=Mock(streaming=False))
+    call = Mock(spec=ChatCall, body={}, reply=Mock(streaming=streaming))
     deadline = monotonic() + (-1.0 if is_late else 10.0)
     account, pool = Mock(), Mock()
     account.name, pool.name = "acme", "scribe"
@@ -56,6 +56,12 @@
     assert (exc.kind, exc.ran) == (ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
 
 
+def test_deadline_of_a_started_stream_keeps_its_kind():
+    """Its status has been sent; the kind goes into the error event."""
+    exc = outcome(None, is_late=True, streaming=True)
+    assert exc.kind is ErrorKind.DEADLINE and exc.ran is not Ran.NO
+
+
 def test_rejection_after_a_cut_attempt_promises_nothing():
     exc = outcome(Cut("cut"))
     assert exc.ran is Ran.UNKNOWN and not exc.claims_not_run
