Lab: engines that start again in place, and streams without a length

Stand-in engines can state their start time, be listed later than they serve, end a stream with the connection, and end their process between two events. The platform's reports say which start of an endpoint answers.

--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -29,6 +29,8 @@
             a response.
         cut_after: Send this many events of a stream, cut the next one and close. Any
             number closes a plain response after half of its body.
+        exit_after: End the process after this many events of a stream, between two
+            events.
         extra: Send a second response with a foreign request id, ``at_once`` or
             ``late``, or a late ``rejection`` without an id.
         extra_s: Delay of a late second response in seconds.
@@ -55,6 +57,7 @@
 
     lose: str = ""
     cut_after: int | None = None
+    exit_after: int | None = None
     extra: str = ""
     extra_s: float = 0.5
     unframed: str = ""
--- a/greengageflow/lab/_platform_generations.py
+++ b/greengageflow/lab/_platform_generations.py
@@ -16,6 +16,8 @@
 from greengageflow.net.timers import Timers
 from greengageflow.platform.names import KV_FETCH, KV_LIST
 
+CHUNKED, CLOSE = "chunked", "close"
+
 
 class Replica(Protocol):
     """Interface of the replica that generations use."""
@@ -26,6 +28,9 @@
     def before_first_event(self, work: Work) -> None:
         """Do what is due when a response begins."""
 
+    def after_event(self, work: Work) -> None:
+        """Do what is due after an event that is not the last one."""
+
     def end(self, work: Work, outcome: str) -> None:
         """End a request with an outcome."""
 
@@ -47,6 +52,7 @@
         stride: Tokens per stream event.
         fetch_s: Transfer time of one token from another replica, in seconds.
         release: Software version, named in each event.
+        framing: ``chunked``, or ``close`` if the end of the connection ends a stream.
     """
 
     def __init__(
@@ -59,6 +65,7 @@
         stride: int,
         fetch_s: float,
         release: str,
+        framing: str,
     ) -> None:
         self._timers = timers
         self._pool = pool
@@ -67,6 +74,7 @@
         self._stride = stride
         self._fetch_s = fetch_s
         self._release = release
+        self._framing = framing
         self._works: dict[Job, Work] = {}
         self._stepping = False
 
@@ -125,21 +133,37 @@
         if not work.head_sent:
             self._replica.before_first_event(work)
             work.head_sent = True
-            kind = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
-            conn.send(head_bytes(200, {**kind, **self._replica.headers(work)}))
+            conn.send(head_bytes(200, self._headers(work)))
         if work.events == work.faults.cut_after:
             self.cut_stream(work)
             return
         work.events += 1
-        conn.send(b"%x\r\n%s\r\n" % (len(event), event))
-        if job.generated >= job.wanted:
-            self._replica.end(work, "done")
-            self._replica.finish(work.call, b"0\r\n\r\n")
-            self._replica.after_response(conn, work.faults)
+        conn.send(self._framed(event))
+        if job.generated < job.wanted:
+            self._replica.after_event(work)
+            return
+        self._replica.end(work, "done")
+        if self._framing == CLOSE:
+            conn.close()
+            return
+        self._replica.finish(work.call, b"0\r\n\r\n")
+        self._replica.after_response(conn, work.faults)
+
+    def _headers(self, work: Work) -> dict[str, str]:
+        headers = {"Content-Type": "text/event-stream", **self._replica.headers(work)}
+        if self._framing == CLOSE:
+            return headers | {"Connection": "close"}
+        return headers | {"Transfer-Encoding": "chunked"}
+
+    def _framed(self, event: bytes) -> bytes:
+        if self._framing == CLOSE:
+            return event
+        return b"%x\r\n%s\r\n" % (len(event), event)
 
     def cut_stream(self, work: Work) -> None:
         """Cut a stream in the middle of an event and close its connection."""
-        work.call.conn.send(b"40\r\nid: %d\nda" % (work.events + 1))
+        size = b"" if self._framing == CLOSE else b"40\r\n"
+        work.call.conn.send(size + b"id: %d\nda" % (work.events + 1))
         self._replica.end(work, "cut")
         work.call.conn.close()
 
--- a/greengageflow/lab/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -258,6 +258,15 @@
         self.replicas[name] = await_ready(self._launch(name, options))
         return self.replicas[name]
 
+    def restart_replica(self, name: str, **options: Any) -> Process:
+        """Kill a replica if it runs, and start it in place with the given flags."""
+        process = self.replicas[name]
+        process.popen.kill()
+        process.popen.wait()
+        self._exited.append(process)
+        _, port = process.address
+        return self.add_replica(name, port=port, **options)
+
     @property
     def crashed_replicas(self) -> list[str]:
         """Names of the replicas that crashed on a poison request."""
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -14,7 +14,7 @@
     Run,
     Work,
 )
-from greengageflow.lab._platform_generations import Generations
+from greengageflow.lab._platform_generations import CHUNKED, Generations
 from greengageflow.lab._platform_plain import PlainAnswer, send_extra
 from greengageflow.lab._store_entry import StoreEntry
 from greengageflow.lab.platform_http import (
@@ -45,6 +45,7 @@
 
 LONG_BODY_BYTES = 65_536
 FULL_BACKOFF_S = 0.1
+EXIT_DELAY_S = 0.002
 
 
 class PlatformReplica(HttpFake):
@@ -89,6 +90,11 @@
             text; empty to disable.
         poison_part: The process crashes when it is about to send the first event of a
             request with a shared prompt part whose name begins so; empty to disable.
+        born: Unix time of its start in milliseconds, stated in its entry and reports;
+            0 to state none.
+        register_after_ms: Milliseconds from the start to the first entry in the store.
+        framing: How streams are delimited: ``chunked``, or ``close`` for the end of the
+            connection.
     """
 
     def __init__(
@@ -120,6 +126,9 @@
         max_conns: int = 1000,
         poison: str = "",
         poison_part: str = "",
+        born: int = 0,
+        register_after_ms: int = 0,
+        framing: str = CHUNKED,
     ) -> None:
         super().__init__(host, port, control_port)
         self._name, self._service, self._zone = str(name), service, zone
@@ -132,6 +141,7 @@
         self._health_path, self._max_conns = health_path, max_conns
         self._poison = poison.encode()
         self._poison_part = poison_part
+        self._born = {"born": born} if born else {}
         self._batch = Batch(step_ms / 1000, growth, chunk, kv_capacity)
         pool = HttpPool(self.timers).register(self)
         self._generations = Generations(
@@ -142,6 +152,7 @@
             stride=stride,
             fetch_s=fetch_us / 1e6,
             release=release,
+            framing=framing,
         )
         self._faults = ReplicaFaults()
         self._runs: list[Run] = []
@@ -158,17 +169,22 @@
         self._entry = None
         if store:
             self._entry = StoreEntry(pool, store, self._name, heartbeat_ms)
-            self.timers.after(0, self._send_heartbeat)
-            self.timers.every(heartbeat_ms / 1000, self._send_heartbeat)
+            register_after_s = register_after_ms / 1000
+            self.timers.after(register_after_s, self._start_heartbeats)
+            self._heartbeat_s = heartbeat_ms / 1000
 
     # Requests.
 
+    def _start_heartbeats(self) -> None:
+        self._send_heartbeat()
+        self.timers.every(self._heartbeat_s, self._send_heartbeat)
+
     def _send_heartbeat(self) -> None:
         host, port = self.data_listener.address
         address = self._advertise or f"{host}:{port}"
         fields = {"service": self._service, "address": address}
         fields |= {"zone": self._zone, "slots": self._slots, "state": self._state}
-        fields["version"] = self._release
+        fields |= {"version": self._release} | self._born
         cold_s = max(0.0, self._cold_until - self.timers.now)
         fields[COLD_MS] = round(1000 * cold_s)
         if self._model:
@@ -208,7 +224,7 @@
             self.finish(call, response_bytes(200, self._report))
         elif call.path == KV_LIST:
             cached = [["", part, n, model] for model, part, n in self._batch.cache.rows]
-            body = {"epoch": self._name, "next": 0, "held": cached}
+            body = {"epoch": self._name, "next": 0, "held": cached} | self._born
             self.finish(call, response_bytes(200, body))
         elif call.path == self._health_path:
             status = self._faults.health or (200 if self._state == READY else 503)
@@ -312,6 +328,12 @@
         if prefix and any(name.startswith(prefix) for name in work.job.shared_parts):
             self._crash()
 
+    def after_event(self, work: Work) -> None:
+        """End the process if the ``exit_after`` fault is set."""
+        if work.events == work.faults.exit_after:
+            # The delay lets the event leave the process first.
+            self.timers.after(EXIT_DELAY_S, self._crash)
+
     def _crash(self) -> None:
         for run in self._runs:
             run.end("crashed")
@@ -377,6 +399,7 @@
         jobs = ((work, work.job) for work in self._active if work.job)
         self._report = {
             **REPORT_DEFAULTS,
+            **self._born,
             "models": self._models,
             "waiting": len(self._waiting),
             "running": len(self._active),
--- /dev/null
+++ b/greengageflow/platform/reports.py
@@ -0,0 +1,41 @@
+"""Load reports of the platform's endpoints, and which start of them answers."""
+
+from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.core.incarnation import IncarnationEvidence
+from greengageflow.net.http_messages import HttpRequest, Response
+from greengageflow.platform.answers import MISDIRECTED
+from greengageflow.platform.names import EXPECT_REPLICA, REPLICA_ID, REPORT_PATH
+
+
+def report_request(endpoint: ListedEndpoint) -> HttpRequest:
+    """Return the request for an endpoint's report; it needs no slot there."""
+    headers = ((EXPECT_REPLICA, endpoint.id),)
+    return HttpRequest("GET", endpoint.ip, endpoint.port, REPORT_PATH, headers)
+
+
+def incarnation_evidence(
+    response: Response, endpoint: ListedEndpoint
+) -> IncarnationEvidence:
+    """Return whether a report comes from the listed start of an endpoint."""
+    name = response.header(REPLICA_ID)
+    if response.status == MISDIRECTED or name not in ("", endpoint.id):
+        return IncarnationEvidence.OTHER
+    if not endpoint.born:
+        # Each start has an id of its own then.
+        return IncarnationEvidence.SAME if name else IncarnationEvidence.UNSTATED
+    born = _born(response)
+    if born is None:
+        return IncarnationEvidence.UNSTATED
+    is_same = born == endpoint.born
+    return IncarnationEvidence.SAME if is_same else IncarnationEvidence.OTHER
+
+
+def _born(response: Response) -> int | None:
+    """Return the start time that a report states, in Unix milliseconds, or None."""
+    try:
+        match response.json():
+            case {"born": int(born)} if not isinstance(born, bool):
+                return born
+    except (ValueError, RecursionError):
+        pass
+    return None
