Prompt parts sent to an engine before it started again don't count after it

Engines that start again in place were chosen for cached prompt parts that they no longer had, and read the prompts from the start. What a host itself had recorded was dropped when the list named the new start, but it reported its placements of the last 0.3 s to the others once more, and others' reports that were under way were recorded for the new start. Reports name the engine by its id only.

A host now drops its recent placements at an engine with the rest, and for a second after that takes no reports of placements there. Relays pass reports on in less than that.

--- a/greengageflow/core/prefix_tracker.py
+++ b/greengageflow/core/prefix_tracker.py
@@ -10,6 +10,8 @@
 
 PLACEMENT_REPORT_WINDOW_S = 0.3
 MIN_REPORTED_PREFIX_TOKENS = 300
+MAX_REPORT_DELAY_S = 1.0
+"""Time until a placement has reached all hosts by way of the relays, in seconds."""
 
 
 class PrefixTracker:
@@ -24,6 +26,7 @@
         self._recent_placements: deque[tuple[float, str, str]] = deque()
         self._shared_parts: dict[str, tuple[str, ...]] = {}
         self._mirrors: dict[str, CacheMirror] = {}
+        self._forgotten_at: dict[str, float] = {}
 
     def on_cached_parts(
         self,
@@ -75,8 +78,16 @@
 
     def on_placements(self, now: float, placed: Iterable[tuple[str, str]]) -> None:
         """Record where another host sent prompt parts."""
+        # Reports that are under way when an engine's cache is lost are about the time
+        # before. They name the engine, but not its start.
+        self._forgotten_at = {
+            endpoint: at
+            for endpoint, at in self._forgotten_at.items()
+            if now - at <= MAX_REPORT_DELAY_S
+        }
         for part, endpoint in placed:
-            self.places.on_sent(now, part, endpoint)
+            if endpoint not in self._forgotten_at:
+                self.places.on_sent(now, part, endpoint)
 
     def recent_placements(self, now: float) -> tuple[tuple[str, str], ...]:
         """Return recent placements as pairs of prompt part and endpoint id."""
@@ -89,10 +100,14 @@
             dict.fromkeys((part, name) for _, part, name in self._recent_placements)
         )
 
-    def forget(self, endpoint: str) -> None:
-        """Remove all parts of an engine."""
+    def forget(self, now: float, endpoint: str) -> None:
+        """Remove all parts of an engine that is gone or has lost its cache."""
         self._mirrors.pop(endpoint, None)
         self.places.forget_endpoint(endpoint)
+        self._recent_placements = deque(
+            row for row in self._recent_placements if row[2] != endpoint
+        )
+        self._forgotten_at[endpoint] = now
 
 
 def _cached_after(request: str, prompt: Prompt) -> Iterator[PromptPart]:
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -239,7 +239,7 @@
         self.warmup.forget(endpoint)
         self.work.forget(endpoint)
         self._loads.forget(endpoint)
-        self._prefixes.forget(endpoint)
+        self._prefixes.forget(self._now, endpoint)
 
     def on_loads(self, loads: Mapping[str, LoadShare]) -> None:
         """Replace the load that all other hosts put on endpoints."""
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -134,6 +134,25 @@
     assert not listed.may_use(OLD.id)
 
 
+def test_placements_of_an_earlier_process_are_not_reported_after_its_restart(fleet):
+    fleet.book.on_request_sent(1.0, "r", Choice(OLD), PROMPT)
+    assert fleet.book.recent_placements(1.0) == (("shared", "e"),)
+    fleet.put(NEW)
+    assert fleet.book.recent_placements(1.1) == ()
+
+
+def test_peers_late_placements_at_an_earlier_process_are_not_cached_at_the_new_one(
+    fleet,
+):
+    """Reports name the engine only, and those under way tell of its earlier start."""
+    list(fleet.book.pump(1.0))
+    fleet.put(NEW)
+    fleet.book.on_placements(1.4, [("shared", "e")])
+    assert fleet.choice(2.0).reading >= 4000
+    fleet.book.on_placements(3.0, [("shared", "e")])
+    assert fleet.choice(4.0).reading < 4000
+
+
 def test_leaving_notices_are_bounded():
     listed = EndpointList()
     for number in range(MAX_TOMBSTONES + 9):
