A start of an endpoint can be known to have ended before the list shows it

An engine that starts again in place answers under its id and at its address before its new entry is listed. Until then everything known of the start before applied to it: requests, cached prompt parts, backoff, suspension, speed. Evidence of a later start could only be recorded as a leaving notice, which stops new work but drops nothing, and lets late messages of the ended start still count, as that start was the listed one.

EndpointList.mark_ended records that a start has ended. The entry stays in the list, so that the host's copy remains exact for its peers, but it is not used, and is_current is false for it, which keeps late answers out. The change "ended" goes the way of "gone": all state is dropped at once. LeavingWatch.on_start_ended is what a component calls that has proof.

Nothing calls them yet.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 MAX_TOMBSTONES = 4096
-"""Maximum number of entries in each record of leaving or dropped endpoints."""
+"""Maximum number of entries in each record of leaving, ended or dropped endpoints."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,21 +52,44 @@
 
     Args:
         id: Endpoint id.
-        what: ``new``, ``cold``, ``leaving`` or ``gone``.
+        what: ``new``, ``cold``, ``leaving``, ``ended`` or ``gone``.
     """
 
     id: str
     what: str
 
 
+class _StartMarks:
+    """The latest marked start of each endpoint; the oldest marks are forgotten."""
+
+    def __init__(self) -> None:
+        self._born: dict[str, int] = {}
+
+    def add(self, endpoint: str, born: int) -> None:
+        """Mark a start and all earlier ones."""
+        self._born.pop(endpoint, None)
+        self._born[endpoint] = born
+        if len(self._born) > MAX_TOMBSTONES:
+            del self._born[next(iter(self._born))]
+
+    def discard(self, endpoint: str) -> None:
+        """Remove the mark of an endpoint."""
+        self._born.pop(endpoint, None)
+
+    def covers(self, endpoint: str, born: int) -> bool:
+        """Whether a start is marked."""
+        return self._born.get(endpoint, -1) >= born
+
+
 class EndpointList:
     """The listed endpoints, by id."""
 
     def __init__(self) -> None:
-        # Start times of leaving endpoints by id. They are kept apart from the entries,
-        # since an entry may expire and come back while its endpoint drains.
-        self._leaving_starts: dict[str, int] = {}
-        self._dropped_starts: dict[str, int] = {}
+        # The marks are kept apart from the entries, since an entry may expire and come
+        # back while its endpoint drains.
+        self._leaving = _StartMarks()
+        self._ended = _StartMarks()
+        self._dropped = _StartMarks()
         self._listed: dict[str, ListedEndpoint] = {}
         self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._evacuated: frozenset[str] = frozenset()
@@ -121,24 +144,30 @@
         return (
             found is not None
             and not self.is_leaving(found)
+            and not self.has_ended(found)
             and not self.is_evacuated(found)
         )
 
     def is_leaving(self, endpoint: ListedEndpoint) -> bool:
         """Whether an endpoint is listed as leaving, or announced that it leaves."""
-        return endpoint.leaving or self._is_marked_leaving(endpoint)
+        return endpoint.leaving or self._leaving.covers(endpoint.id, endpoint.born)
 
     def is_evacuated(self, endpoint: ListedEndpoint) -> bool:
         """Whether the zone of an endpoint is evacuated."""
         return endpoint.zone in self._evacuated
 
-    def _is_marked_leaving(self, endpoint: ListedEndpoint) -> bool:
-        return self._leaving_starts.get(endpoint.id, -1) >= endpoint.born
+    def has_ended(self, endpoint: ListedEndpoint) -> bool:
+        """Whether this start of an endpoint is known to have ended.
+
+        An endpoint that was only removed from the list may still finish its requests.
+        """
+        return self._ended.covers(endpoint.id, endpoint.born)
 
     def is_current(self, endpoint: ListedEndpoint) -> bool:
-        """Whether an endpoint is listed, without a later start."""
+        """Whether an endpoint is listed, and this start of it has not ended."""
         listed = self._listed.get(endpoint.id)
-        return listed is not None and listed.born <= endpoint.born
+        is_latest = listed is not None and listed.born <= endpoint.born
+        return is_latest and not self.has_ended(endpoint)
 
     def mark_leaving(self, endpoint: str, born: int) -> bool:
         """Record that an endpoint announced that it is leaving.
@@ -154,21 +183,41 @@
         Returns:
             True if it was not known before.
         """
-        if self._leaving_starts.get(endpoint, -1) >= born:
+        if self._leaving.covers(endpoint, born):
             return False
         listed = self._listed.get(endpoint)
         if listed is not None and listed.born > born:
             return False
-        self._leaving_starts.pop(endpoint, None)
-        self._leaving_starts[endpoint] = born
-        if len(self._leaving_starts) > MAX_TOMBSTONES:
-            del self._leaving_starts[next(iter(self._leaving_starts))]
+        self._leaving.add(endpoint, born)
         self._usable.clear()
         return True
 
+    def mark_ended(self, endpoint: str, born: int) -> tuple[ListChange, ...]:
+        """Record that a start of an endpoint has ended, before the list shows it.
+
+        An answer of a later start proves it, or one of another endpoint at its address.
+        The entry stays until the list replaces it, but is not used any more. The record
+        is permanent for this start of the endpoint and all earlier ones.
+
+        Args:
+            endpoint: Endpoint id.
+            born: Its start time; 0 if not given.
+
+        Returns:
+            The change, if the listed start has ended and that was not known before.
+        """
+        if self._ended.covers(endpoint, born):
+            return ()
+        self._ended.add(endpoint, born)
+        listed = self._listed.get(endpoint)
+        if listed is None or listed.born > born:
+            return ()
+        self._usable.clear()
+        return (ListChange(endpoint, "ended"),)
+
     def was_dropped(self, endpoint: ListedEndpoint) -> bool:
         """Whether this start of an endpoint was listed and has been dropped."""
-        return self._dropped_starts.get(endpoint.id, -1) >= endpoint.born
+        return self._dropped.covers(endpoint.id, endpoint.born)
 
     def put(self, endpoint: ListedEndpoint) -> Iterator[ListChange]:
         """Add or update an entry, and yield the changes."""
@@ -181,12 +230,14 @@
         if is_restarted:
             # The endpoint restarted and lost its requests and cache. Reporting it as
             # gone and new clears all state of the earlier start.
+            if endpoint.born > before.born:
+                self._ended.add(before.id, before.born)
             yield from self.drop(endpoint.id)
             before = None
         # Leaving is permanent, since entries may arrive in any order.
         if before is not None and before.leaving:
             return
-        self._dropped_starts.pop(endpoint.id, None)
+        self._dropped.discard(endpoint.id)
         if endpoint != before:
             self._listed[endpoint.id] = endpoint
             self._usable.clear()
@@ -202,8 +253,6 @@
         """Remove an endpoint, and yield the change."""
         found = self._listed.pop(endpoint, None)
         if found is not None:
-            self._dropped_starts[endpoint] = found.born
-            if len(self._dropped_starts) > MAX_TOMBSTONES:
-                del self._dropped_starts[next(iter(self._dropped_starts))]
+            self._dropped.add(endpoint, found.born)
             self._usable.clear()
             yield ListChange(endpoint, "gone")
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -234,7 +234,7 @@
             scheduler.by_cost = self.work.enabled
 
     def forget_endpoint(self, endpoint: str) -> None:
-        """Drop all state of an endpoint that is no longer listed."""
+        """Drop all state of an endpoint that is no longer listed, or has ended."""
         self._health.forget(endpoint)
         self.warmup.forget(endpoint)
         self.work.forget(endpoint)
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -213,7 +213,11 @@
             lambda fingerprint: self._quarantine_store.update(fingerprint),
         )
         self._leaving_watch = self._forwarder.leaving = LeavingWatch(
-            self._endpoints, self._timers, self._exchange, self._on_endpoint_leaving
+            self._endpoints,
+            self._timers,
+            self._exchange,
+            self._on_endpoint_leaving,
+            self._on_change,
         )
         self._quarantine_store = QuarantineStore(
             self._pool,
@@ -476,9 +480,11 @@
             "new": DecisionEvent.ENDPOINT_SEEN,
             "cold": DecisionEvent.ENDPOINT_COLD,
             "leaving": DecisionEvent.ENDPOINT_LEAVING,
+            "ended": DecisionEvent.ENDPOINT_GONE,
             "gone": DecisionEvent.ENDPOINT_GONE,
         }[change.what]
-        fields = {"endpoint": change.id, "source": "list"}
+        source = "answer" if change.what == "ended" else "list"
+        fields = {"endpoint": change.id, "source": source}
         listed = self._endpoints.get(change.id)
         if change.what == "new" and listed is not None:
             fields |= {
@@ -492,7 +498,7 @@
                 self._timers.now, listed.id, listed.cold_s
             )
         self._log.write(event, **fields)
-        if change.what == "gone":
+        if change.what in ("ended", "gone"):
             self._service_dispatcher.forget_endpoint(change.id)
 
     def _on_evacuation(self, zones: frozenset[str], released: frozenset[str]) -> None:
--- a/greengageflow/daemon/leaving_watch.py
+++ b/greengageflow/daemon/leaving_watch.py
@@ -1,9 +1,9 @@
-"""Handles endpoints' notices that they are leaving, and forwards them to peers."""
+"""Handles signs that endpoints are leaving or have ended, and notifies peers."""
 
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
+from greengageflow.core.endpoint_list import EndpointList, ListChange, ListedEndpoint
 from greengageflow.core.leaving_report import LeavingEndpoint, LeavingReport
 from greengageflow.net.timers import Timers
 
@@ -28,7 +28,7 @@
 
 
 class LeavingWatch:
-    """Stops new work for endpoints that announce in an answer that they are leaving.
+    """Stops new work for endpoints that announce that they leave, or have ended.
 
     Args:
         endpoints: Listed endpoints.
@@ -36,6 +36,7 @@
         sender: Sends notices to other hosts.
         on_leaving: Called with the id of a leaving endpoint and the notice's source,
             ``answer`` or ``peer``.
+        on_ended: Called with the change when a listed start has ended.
     """
 
     def __init__(
@@ -44,11 +45,13 @@
         timers: Timers,
         sender: LeavingSender,
         on_leaving: Callable[[str, str], None],
+        on_ended: Callable[[ListChange], None] = lambda _change: None,
     ) -> None:
         self._endpoints = endpoints
         self._timers = timers
         self._sender = sender
         self._on_leaving = on_leaving
+        self._on_ended = on_ended
         self._notices: dict[LeavingEndpoint, float] = {}
 
     def start(self) -> None:
@@ -59,11 +62,26 @@
         """Handle an answer in which an endpoint announced that it is leaving."""
         notice = LeavingEndpoint(endpoint.id, endpoint.born)
         if self._apply(notice, "answer"):
-            report = LeavingReport((notice,))
-            self._sender.send_leaving(report, None)
-            self._timers.after(
-                RESEND_DELAY_S, lambda: self._sender.send_leaving(report, None)
-            )
+            self._send_all(notice)
+
+    def on_start_ended(self, endpoint: ListedEndpoint) -> None:
+        """Handle proof that a start of an endpoint has ended.
+
+        Other hosts get the notice of a leaving endpoint: it stops new work there too,
+        and they drop what they know once the list names the next start.
+        """
+        for change in self._endpoints.mark_ended(endpoint.id, endpoint.born):
+            notice = LeavingEndpoint(endpoint.id, endpoint.born)
+            self._notices[notice] = self._timers.now
+            self._on_ended(change)
+            self._send_all(notice)
+
+    def _send_all(self, notice: LeavingEndpoint) -> None:
+        report = LeavingReport((notice,))
+        self._sender.send_leaving(report, None)
+        self._timers.after(
+            RESEND_DELAY_S, lambda: self._sender.send_leaving(report, None)
+        )
 
     def receive(self, notices: Iterable[LeavingEndpoint]) -> None:
         """Apply notices from other hosts."""
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -8,6 +8,7 @@
 from greengageflow.core.endpoint_list import (
     MAX_TOMBSTONES,
     EndpointList,
+    ListChange,
     ListedEndpoint,
 )
 from greengageflow.core.fleet_retry_budget import FleetRetryBudget
@@ -43,8 +44,11 @@
         self.put(OTHER)
 
     def put(self, endpoint):
-        for change in list(self.listed.put(endpoint)):
-            if change.what == "gone":
+        self.apply(self.listed.put(endpoint))
+
+    def apply(self, changes):
+        for change in list(changes):
+            if change.what in ("ended", "gone"):
                 self.book.forget_endpoint(change.id)
 
     def choice(self, now, prompt=PROMPT):
@@ -134,6 +138,43 @@
     assert not listed.may_use(OLD.id)
 
 
+@pytest.mark.parametrize("what", ["parts", "failures", "backoff", "load"])
+def test_evidence_of_a_later_process_clears_all_state_before_it_is_listed(fleet, what):
+    """A restarted engine is listed a second after it has begun to answer."""
+    list(fleet.listed.drop("f"))
+    match what:
+        case "parts":
+            fleet.book.on_cached_parts(1.0, OLD, PROMPT.parts[:1])
+        case "failures":
+            fleet.book.on_no_answer(1.0, OLD)
+            fleet.book.on_no_answer(1.0, OLD)
+        case "backoff":
+            fleet.book.on_backoff(1.0, OLD, 60.0)
+        case "load":
+            for number in range(4):
+                fleet.book.on_request_sent(1.0, f"q{number}", Choice(OLD), PROMPT)
+    fleet.apply(fleet.listed.mark_ended(OLD.id, OLD.born))
+    assert not fleet.listed.usable("m")
+    assert not fleet.listed.is_current(OLD)
+    assert not fleet.book.own_loads()
+    assert not fleet.book.consecutive_failures(OLD)
+    fleet.book.on_cached_parts(1.1, OLD, PROMPT.parts[:1])
+    assert not fleet.book.on_backoff(1.1, OLD, 60.0)
+    fleet.put(replace(OLD, cold_s=1.0))
+    assert not fleet.listed.usable("m"), "a late entry of the ended start"
+    fleet.put(NEW)
+    assert fleet.choice(1.2).reading >= 4000
+
+
+def test_ended_start_does_not_end_the_listed_later_one():
+    listed = EndpointList()
+    list(listed.put(NEW))
+    assert listed.mark_ended(OLD.id, OLD.born) == ()
+    assert listed.usable("m") == (NEW,)
+    assert listed.mark_ended(NEW.id, NEW.born) == (ListChange("e", "ended"),)
+    assert listed.mark_ended(NEW.id, NEW.born) == (), "already recorded"
+
+
 def test_placements_of_an_earlier_process_are_not_reported_after_its_restart(fleet):
     fleet.book.on_request_sent(1.0, "r", Choice(OLD), PROMPT)
     assert fleet.book.recent_placements(1.0) == (("shared", "e"),)
