Cached prompt parts that an engine reports belong to one start of it

A placer queries each engine once for its cached prompt parts and remembered that by the engine's id. An engine that had started again in place was never asked again, and an answer was taken for the listed start's whoever gave it: requests went to engines for prompts that these had to read.

The query is remembered by the start. An answer that states another start is not used, and one that states a later start than the listed one proves that this one has ended, so that all else that was known of it goes as well. An earlier start time proves nothing about the listed start; the query is repeated as after an error. Answers for a start that has ended meanwhile are dropped.

--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -143,6 +143,10 @@
         """Return an endpoint by id, or None if it is not listed."""
         return self._endpoints.get(endpoint)
 
+    def has_ended(self, endpoint: ListedEndpoint) -> bool:
+        """Whether this start of an endpoint is known to have ended."""
+        return self._endpoints.has_ended(endpoint)
+
     def free_slots(self, endpoint: ListedEndpoint) -> int:
         """Return the slots of an engine that are free, by the latest load reports."""
         return self._load(endpoint).free_slots(MAX_FILL_FRACTION)
--- a/greengageflow/daemon/cached_parts.py
+++ b/greengageflow/daemon/cached_parts.py
@@ -4,6 +4,8 @@
 from typing import Protocol
 
 from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.core.forward_request import PromptPart
+from greengageflow.core.incarnation import IncarnationEvidence
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.net.decision_events import DecisionEvent
 from greengageflow.net.decision_log import DecisionLog
@@ -16,6 +18,7 @@
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
 from greengageflow.platform.records import RecordError, parse_cached_parts
+from greengageflow.platform.reports import incarnation_evidence, shows_later_start
 from greengageflow.platform.requests import cached_parts_request
 
 CALL_TIMEOUT_S = 1.0
@@ -36,6 +39,9 @@
 class CachedPartsLoader:
     """Queries each engine's prefix cache once, when this host begins to place for it.
 
+    An engine that has started again is queried again. If it answers before its new
+    entry is listed, its answer proves that the listed start has ended.
+
     A new placer doesn't know which prompt parts are cached where. It would send
     requests to any engine, which then runs prefill for their shared parts again. One
     query per engine prevents this; later changes follow from the requests that this
@@ -47,6 +53,7 @@
         dispatcher: Gets the cached parts.
         log: Gets an event for each engine.
         on_leaving: Called with an engine that reports in its answer that it leaves.
+        on_ended: Called with an engine whose listed start has ended.
     """
 
     def __init__(
@@ -56,19 +63,21 @@
         dispatcher: ServiceDispatcher,
         log: DecisionLog,
         on_leaving: Callable[[ListedEndpoint], None],
+        on_ended: Callable[[ListedEndpoint], None],
     ) -> None:
         self._pool = pool
         self._timers = timers
         self._dispatcher = dispatcher
         self._log = log
         self._on_leaving = on_leaving
+        self._on_ended = on_ended
         self._queried: set[str] = set()
 
     def load(self, engines: Iterable[ListedEndpoint]) -> None:
         """Query the engines that have not been queried yet."""
         for engine in engines:
-            if engine.id not in self._queried:
-                self._queried.add(engine.id)
+            if engine.start not in self._queried:
+                self._queried.add(engine.start)
                 self._query(engine, 1)
 
     def _query(self, engine: ListedEndpoint, attempt: int) -> None:
@@ -82,12 +91,16 @@
     def _on_result(
         self, engine: ListedEndpoint, attempt: int, result: Response | Failure
     ) -> None:
-        if isinstance(result, Response) and announces_shutdown(result):
-            self._on_leaving(engine)
+        if self._dispatcher.has_ended(engine):
+            return
+        if isinstance(result, Response):
+            if shows_later_start(result, engine):
+                self._on_ended(engine)
+                return
+            if announces_shutdown(result):
+                self._on_leaving(engine)
         try:
-            if isinstance(result, Failure):
-                raise RecordError(result.message)
-            parts = parse_cached_parts(result)
+            parts = _parts_of(engine, result)
         except RecordError as exc:
             if attempt < MAX_ATTEMPTS:
                 self._timers.after(
@@ -104,6 +117,16 @@
         )
 
 
+def _parts_of(
+    engine: ListedEndpoint, result: Response | Failure
+) -> tuple[PromptPart, ...]:
+    if isinstance(result, Failure):
+        raise RecordError(result.message)
+    if incarnation_evidence(result, engine) is IncarnationEvidence.OTHER:
+        raise RecordError("the answer is from another start or engine")
+    return parse_cached_parts(result)
+
+
 def _with_timeouts(request: HttpRequest) -> HttpRequest:
     return HttpRequest(
         request.method,
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -197,6 +197,7 @@
                 self._service_dispatcher,
                 self._log,
                 lambda engine: self._leaving_watch.on_answer(engine),
+                lambda engine: self._leaving_watch.on_start_ended(engine),
             ),
         )
         self._placement.on_redirected = self._forwarder.on_redirected
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -30,6 +30,15 @@
     return IncarnationEvidence.SAME if is_same else IncarnationEvidence.OTHER
 
 
+def shows_later_start(response: Response, endpoint: ListedEndpoint) -> bool:
+    """Whether a response states that the listed start of an endpoint has ended.
+
+    An earlier start time proves nothing: two processes may take turns at the address.
+    """
+    born = _born(response)
+    return bool(endpoint.born) and born is not None and born > endpoint.born
+
+
 def _born(response: Response) -> int | None:
     """Return the start time that a report states, in Unix milliseconds, or None."""
     try:
--- a/tests/engine_stubs.py
+++ b/tests/engine_stubs.py
@@ -14,8 +14,10 @@
     return EndpointLoad(slots, memory, PrefillModel(rate, fixed_s=0.0))
 
 
-def endpoint(name, zone="z"):
-    return ListedEndpoint(name, "model", "127.0.0.1", 9, zone, 4, version="v1")
+def endpoint(name, zone="z", born=0):
+    return ListedEndpoint(
+        name, "model", "127.0.0.1", 9, zone, 4, born=born, version="v1"
+    )
 
 
 def stream_route(target_s, *, stream=True):
--- a/tests/test_cached_parts.py
+++ b/tests/test_cached_parts.py
@@ -15,6 +15,7 @@
 from greengageflow.net.http_messages import Failure, FailureKind, Response
 
 KEPT = {"epoch": "1", "next": 0, "held": [["", "shared", 4000, "m"]]}
+OLD, NEW = endpoint("e0", born=5), endpoint("e0", born=9)
 REFUSED = Failure(FailureKind.CONNECT, False, "refused")
 
 
@@ -28,18 +29,23 @@
 
     def __init__(self, *answers):
         self.answers, self.requests, self.events = list(answers), [], []
-        self.leaving_engines = []
+        self.leaving_engines, self.ended_engines = [], []
         self.engines = [endpoint("e0"), endpoint("e1"), endpoint("e2")]
-        listed = EndpointList()
+        self.listed = EndpointList()
         for engine in self.engines:
-            list(listed.put(engine))
+            list(self.listed.put(engine))
         self.dispatcher = ServiceDispatcher(
-            listed, "z", lambda: FleetRetryBudget(1, 9, 10.0)
+            self.listed, "z", lambda: FleetRetryBudget(1, 9, 10.0)
         )
         service = Service("model", 4, memory_tokens=100_000)
         self.dispatcher.on_routing(Routing(version=1, services={"model": service}))
         self.parts = CachedPartsLoader(
-            self, self, self.dispatcher, self, self.leaving_engines.append
+            self,
+            self,
+            self.dispatcher,
+            self,
+            self.leaving_engines.append,
+            self.ended_engines.append,
         )
 
     def fetch(self, request, on_done, _limit):
@@ -94,3 +100,45 @@
     harness = LoaderHarness(Response(200, (), body), leaving)
     harness.parts.load(harness.engines[:2])
     assert harness.leaving_engines == [harness.engines[1]]
+
+
+def cached_parts(born):
+    return Response(200, (), json.dumps(KEPT | {"born": born}).encode())
+
+
+def test_engine_is_queried_again_after_a_restart():
+    """The cached parts of the earlier start were expected at the new one."""
+    harness = LoaderHarness(cached_parts(5), cached_parts(9))
+    for engine in (OLD, NEW):
+        list(harness.listed.put(engine))
+        harness.parts.load([engine])
+        harness.parts.load([engine])
+    assert len(harness.requests) == 2
+    assert harness.place().reading == 100
+
+
+def test_cached_parts_of_an_unlisted_later_start_are_not_those_of_the_listed_one():
+    """The engine has started again and its new entry is not listed yet."""
+    harness = LoaderHarness(cached_parts(9))
+    list(harness.listed.put(OLD))
+    harness.parts.load([OLD])
+    assert harness.place().reading == 4100
+    assert harness.ended_engines == [OLD]
+    assert len(harness.requests) == 1 and not harness.events
+
+
+def test_cached_parts_of_an_earlier_start_are_not_those_of_the_listed_one():
+    harness = LoaderHarness(cached_parts(5))
+    list(harness.listed.put(NEW))
+    harness.parts.load([NEW])
+    assert harness.place().reading == 4100
+    assert harness.events == [("PARTS_UNKNOWN", "e0")] and not harness.ended_engines
+
+
+def test_late_answer_of_an_ended_start_is_ignored():
+    harness = LoaderHarness(cached_parts(5))
+    list(harness.listed.put(OLD))
+    fetch = harness.fetch
+    harness.fetch = lambda *call: (list(harness.listed.put(NEW)), fetch(*call))
+    harness.parts.load([OLD])
+    assert harness.place().reading == 4100 and not harness.events
