A crash ends what depended on the endpoint's process

An engine that had crashed was still expected to have its prompt parts cached, to be as slow as before and to want the backoff that it had asked for, until the list named its next start. It answers about a second before that. A crash that CrashWatch had confirmed only served the quarantine of requests.

CrashWatch now reports the start that crashed, also one that another host found: the crash records carry the starts and their ages. Cached parts, speed and backoff of that start are dropped. Its failures and its requests stay: the requests end one by one, and an endpoint that flaps may come back as the same start, so that it is neither removed nor limited by the crash alone. Records of crashes older than 2 s are not passed on. A cut connection without a crash changes nothing.

--- a/greengageflow/core/endpoint_health.py
+++ b/greengageflow/core/endpoint_health.py
@@ -50,6 +50,10 @@
         self._backoffs[endpoint] = max(until, now + seconds)
         return until <= now
 
+    def end_backoff(self, endpoint: str) -> None:
+        """End the backoff that an endpoint asked for."""
+        self._backoffs.pop(endpoint, None)
+
     def backoffs(self, now: float) -> Mapping[str, float]:
         """Return the remaining backoffs in seconds, by endpoint."""
         if not self._backoffs:
--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -169,6 +169,10 @@
         is_latest = listed is not None and listed.born <= endpoint.born
         return is_latest and not self.has_ended(endpoint)
 
+    def find_start(self, start: str) -> ListedEndpoint | None:
+        """Return the endpoint whose listed start has this identifier, or None."""
+        return next((e for e in self._listed.values() if e.start == start), None)
+
     def mark_leaving(self, endpoint: str, born: int) -> bool:
         """Record that an endpoint announced that it is leaving.
 
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -245,6 +245,18 @@
         self._loads.forget(endpoint)
         self._prefixes.forget(self._now, endpoint)
 
+    def on_crash(self, now: float, endpoint: ListedEndpoint) -> None:
+        """Drop what depends on the process of an endpoint, which has crashed.
+
+        The endpoint may come back as the same start, or as one that is not listed yet.
+        Its failures are kept, and so are its requests, which end one by one.
+        """
+        if not self._endpoints.is_current(endpoint):
+            return
+        self._health.end_backoff(endpoint.id)
+        self.work.forget(endpoint.id)
+        self._prefixes.forget(now, endpoint.id)
+
     def on_loads(self, loads: Mapping[str, LoadShare]) -> None:
         """Replace the load that all other hosts put on endpoints."""
         self._loads.set_others(loads)
--- a/greengageflow/daemon/crash_watch.py
+++ b/greengageflow/daemon/crash_watch.py
@@ -31,6 +31,11 @@
 Older changes have been sent before; the periodic messages repeat them.
 """
 MAX_SENT_RECORDS = 128
+MAX_REPORTED_CRASH_AGE_S = 2.0
+"""Age up to which another host's crash is passed to ``on_crashed``, in seconds.
+
+An older one tells nothing of an endpoint that may run again since.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +103,8 @@
         on_quarantined: Called with newly quarantined requests.
         on_quarantine_change: Called with each request that this host itself found to be
             quarantined, or to be quarantined no more.
+        on_crashed: Called with the id of the start of an endpoint that has crashed, as
+            seen by this host or another one.
     """
 
     def __init__(
@@ -109,6 +116,7 @@
         recorder: CrashRecorder,
         on_quarantined: Callable[[frozenset[Fingerprint]], None],
         on_quarantine_change: Callable[[Fingerprint], None] = lambda _fingerprint: None,
+        on_crashed: Callable[[str], None] = lambda _start: None,
     ) -> None:
         self._quarantine = quarantine
         self._timers = timers
@@ -117,7 +125,9 @@
         self._recorder = recorder
         self._on_quarantined = on_quarantined
         self._on_quarantine_change = on_quarantine_change
+        self._on_crashed = on_crashed
         self._checking: set[str] = set()
+        self._crashed_at: dict[str, float] = {}
 
     def start(self) -> None:
         """Begin to send the records to random hosts periodically."""
@@ -155,6 +165,8 @@
         before = set(self._quarantine.quarantined(now))
         suspects = self._quarantine.on_crash(now, endpoint.start)
         self._recorder.record_crash(endpoint, suspects)
+        self._crashed_at[endpoint.start] = now
+        self._on_crashed(endpoint.start)
         fingerprints = set(self._quarantine.quarantined(now)) - before
         self._report_quarantined(fingerprints, "crash")
         self._send_all()
@@ -193,9 +205,25 @@
 
     def receive(self, records: Iterable[CrashRecord]) -> None:
         """Merge the records of another host."""
-        fingerprints = self._quarantine.receive(self._timers.now, records)
+        received = tuple(records)
+        self._report_crashes(received)
+        fingerprints = self._quarantine.receive(self._timers.now, received)
         self._report_quarantined(fingerprints, "peer")
 
+    def _report_crashes(self, records: tuple[CrashRecord, ...]) -> None:
+        now = self._timers.now
+        # The records are repeated; each of them has several crashes.
+        self._crashed_at = {
+            start: at
+            for start, at in self._crashed_at.items()
+            if now - at <= 2 * MAX_REPORTED_CRASH_AGE_S
+        }
+        for record in records:
+            for start, age_s in zip(record.crashed, record.ages_s, strict=False):
+                if age_s <= MAX_REPORTED_CRASH_AGE_S and start not in self._crashed_at:
+                    self._crashed_at[start] = now - age_s
+                    self._on_crashed(start)
+
     def _report_quarantined(
         self, fingerprints: Iterable[Fingerprint], source: str
     ) -> None:
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -212,6 +212,7 @@
             GatewayCrashRecorder(self._log, self._metrics),
             self._forwarder.on_quarantined,
             lambda fingerprint: self._quarantine_store.update(fingerprint),
+            self._on_endpoint_crashed,
         )
         self._leaving_watch = self._forwarder.leaving = LeavingWatch(
             self._endpoints,
@@ -472,6 +473,11 @@
             DecisionEvent.ENDPOINT_LEAVING, endpoint=endpoint, source=source
         )
 
+    def _on_endpoint_crashed(self, start: str) -> None:
+        endpoint = self._endpoints.find_start(start)
+        if endpoint is not None:
+            self._service_dispatcher.on_crash(self._timers.now, endpoint)
+
     def _on_era(self, _era: int) -> None:
         self._registry.rewrite()
         self._quarantine_store.rewrite()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -244,8 +244,15 @@
         self.reach, self.checked = list(reach), []
         self.lines, self.sent, self.held_back = [], [], []
         self.quarantine = Quarantine()
+        self.crashed_starts = []
         self.watch = CrashWatch(
-            self.quarantine, self, self, self, self, self.held_back.append
+            self.quarantine,
+            self,
+            self,
+            self,
+            self,
+            self.held_back.append,
+            on_crashed=self.crashed_starts.append,
         )
 
     def after(self, _delay_s, call):
@@ -325,6 +332,24 @@
     assert first.lines[-1] == ("held", b"poison", "peer")
 
 
+def test_crash_is_reported_once_to_the_parts_that_depend_on_it_on_each_host():
+    """Other hosts went on expecting the prompt parts that the engine had cached."""
+    first, second = WatchHarness(ConnectResult.REFUSED), WatchHarness()
+    first.watch.on_cut(endpoint("e1", born=5), RequestIdentity(b"one", (b"two",)))
+    for _ in range(3):
+        second.watch.receive(first.sent[-1][0])
+    first.watch.receive(first.sent[-1][0])
+    assert first.crashed_starts == second.crashed_starts == ["e1 5"]
+
+
+def test_old_crash_of_another_host_is_not_reported():
+    """The endpoint may have come back as the same start since."""
+    harness = WatchHarness()
+    record = CrashRecord(b"one", ("e1 5", "e2"), (), 0.0, (9.0, 0.0))
+    harness.watch.receive([record])
+    assert harness.crashed_starts == ["e2"]
+
+
 class WatchingRouter:
     """Crash watch of one router, for which every checked endpoint has crashed."""
 
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -166,6 +166,25 @@
     assert fleet.choice(1.2).reading >= 4000
 
 
+def test_crash_clears_what_the_process_had_cached_and_asked_for(fleet):
+    """The engine may be back before the list names its new start, or as the same."""
+    list(fleet.listed.drop("f"))
+    fleet.book.on_cached_parts(1.0, OLD, PROMPT.parts[:1])
+    fleet.book.on_backoff(1.0, OLD, 60.0)
+    fleet.book.on_no_answer(1.0, OLD)
+    fleet.book.on_crash(1.1, OLD)
+    assert fleet.listed.usable("m") == (OLD,), "it is not banned"
+    assert fleet.book.consecutive_failures(OLD) == 1
+    assert fleet.choice(1.2).reading >= 4000
+
+
+def test_late_crash_of_an_earlier_process_clears_nothing_of_the_restarted_one(fleet):
+    fleet.put(NEW)
+    fleet.book.on_cached_parts(1.0, NEW, PROMPT.parts[:1])
+    fleet.book.on_crash(1.1, OLD)
+    assert fleet.choice(1.2).reading < 4000
+
+
 def test_ended_start_does_not_end_the_listed_later_one():
     listed = EndpointList()
     list(listed.put(NEW))
