--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -143,6 +143,10 @@
         """Return an endpoint by id, or None if it is not listed."""
         return self._endpoints.get(endpoint)
 
+    def has_ended(self, endpoint: ListedEndpoint) -> bool:
+        """Whether this start of an endpoint is known to have ended."""
+        return self._endpoints.has_ended(endpoint)
+
     def free_slots(self, endpoint: ListedEndpoint) -> int:
         """Return the slots of an engine that are free, by the latest load reports."""
         return self._load(endpoint).free_slots(MAX_FILL_FRACTION)
@@ -234,12 +238,24 @@
             scheduler.by_cost = self.work.enabled
 
     def forget_endpoint(self, endpoint: str) -> None:
-        """Drop all state of an endpoint that is no longer listed."""
+        """Drop all state of an endpoint that is no longer listed, or has ended."""
         self._health.forget(endpoint)
         self.warmup.forget(endpoint)
         self.work.forget(endpoint)
         self._loads.forget(endpoint)
-        self._prefixes.forget(endpoint)
+        self._prefixes.forget(self._now, endpoint)
+
+    def on_crash(self, now: float, endpoint: ListedEndpoint) -> None:
+        """Drop what depends on the process of an endpoint, which has crashed.
+
+        The endpoint may come back as the same start, or as one that is not listed yet.
+        Its failures are kept, and so are its requests, which end one by one.
+        """
+        if not self._endpoints.is_current(endpoint):
+            return
+        self._health.end_backoff(endpoint.id)
+        self.work.forget(endpoint.id)
+        self._prefixes.forget(now, endpoint.id)
 
     def on_loads(self, loads: Mapping[str, LoadShare]) -> None:
         """Replace the load that all other hosts put on endpoints."""
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -197,6 +197,7 @@
                 self._service_dispatcher,
                 self._log,
                 lambda engine: self._leaving_watch.on_answer(engine),
+                lambda engine: self._leaving_watch.on_start_ended(engine),
             ),
         )
         self._placement.on_redirected = self._forwarder.on_redirected
@@ -211,9 +212,14 @@
             GatewayCrashRecorder(self._log, self._metrics),
             self._forwarder.on_quarantined,
             lambda fingerprint: self._quarantine_store.update(fingerprint),
+            self._on_endpoint_crashed,
         )
         self._leaving_watch = self._forwarder.leaving = LeavingWatch(
-            self._endpoints, self._timers, self._exchange, self._on_endpoint_leaving
+            self._endpoints,
+            self._timers,
+            self._exchange,
+            self._on_endpoint_leaving,
+            self._on_change,
         )
         self._quarantine_store = QuarantineStore(
             self._pool,
@@ -467,6 +473,11 @@
             DecisionEvent.ENDPOINT_LEAVING, endpoint=endpoint, source=source
         )
 
+    def _on_endpoint_crashed(self, start: str) -> None:
+        endpoint = self._endpoints.find_start(start)
+        if endpoint is not None:
+            self._service_dispatcher.on_crash(self._timers.now, endpoint)
+
     def _on_era(self, _era: int) -> None:
         self._registry.rewrite()
         self._quarantine_store.rewrite()
@@ -476,9 +487,11 @@
             "new": DecisionEvent.ENDPOINT_SEEN,
             "cold": DecisionEvent.ENDPOINT_COLD,
             "leaving": DecisionEvent.ENDPOINT_LEAVING,
+            "ended": DecisionEvent.ENDPOINT_GONE,
             "gone": DecisionEvent.ENDPOINT_GONE,
         }[change.what]
-        fields = {"endpoint": change.id, "source": "list"}
+        source = "answer" if change.what == "ended" else "list"
+        fields = {"endpoint": change.id, "source": source}
         listed = self._endpoints.get(change.id)
         if change.what == "new" and listed is not None:
             fields |= {
@@ -492,7 +505,7 @@
                 self._timers.now, listed.id, listed.cold_s
             )
         self._log.write(event, **fields)
-        if change.what == "gone":
+        if change.what in ("ended", "gone"):
             self._service_dispatcher.forget_endpoint(change.id)
 
     def _on_evacuation(self, zones: frozenset[str], released: frozenset[str]) -> None:
