Requests at an ended start don't count at placers for the next one

A placer went on counting a request of another host that ran at a start of an engine which had ended, until that host noticed: on its share of running requests and on its account.

A placer's answer may also name an engine that has ended, or is leaving, as the source of prompt parts; the host that sends the request leaves it out.

Failed before: test_request_at_an_ended_start_leaves_the_snapshots_of_its_host (1 request counted instead of 0), test_parts_are_not_fetched_from_an_engine_that_has_ended (the ended engine was named).

--- a/greengageflow/core/place_messages.py
+++ b/greengageflow/core/place_messages.py
@@ -131,12 +131,14 @@
         endpoint: Where it runs; empty while it waits at the placer.
         reading: Prompt tokens to prefill; 0 after the first event.
         memory: Tokens of engine memory that it occupies at its end.
+        born: Start time of the endpoint, in Unix milliseconds; 0 if not given.
     """
 
     request: str
     endpoint: str = ""
     reading: float = 0.0
     memory: float = 0.0
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/greengageflow/core/remote_placements.py
+++ b/greengageflow/core/remote_placements.py
@@ -208,12 +208,24 @@
         for key, entry in entries.items():
             self._adopt(now, key, snapshot, entry)
 
+    def drop_ended(self, now: float) -> Iterator[Decision]:
+        """Drop the requests that ran at a start of an endpoint that has ended.
+
+        Their hosts may notice much later that no answer comes.
+        """
+        for key, placement in list(self._placements.items()):
+            endpoint = placement.endpoint
+            if endpoint is not None and self._book.has_ended(endpoint):
+                yield from self._withdraw(now, key)
+
     def _adopt(
         self, now: float, key: str, snapshot: PlacementSnapshot, entry: PlacementEntry
     ) -> None:
         endpoint = self._book.get_endpoint(entry.endpoint)
         if key in self._placements or endpoint is None:
             return
+        if self._book.has_ended(endpoint) or 0 < entry.born < endpoint.born:
+            return
         self._placements[key] = _RemotePlacement(
             snapshot.host,
             snapshot.boot,
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -507,6 +507,10 @@
         self._log.write(event, **fields)
         if change.what in ("ended", "gone"):
             self._service_dispatcher.forget_endpoint(change.id)
+        if change.what in ("ended", "new"):
+            # Not after "gone" already: a request that starts instead may go to the new
+            # start, for which no warm-up has been recorded by then.
+            self._placement.drop_ended()
 
     def _on_evacuation(self, zones: frozenset[str], released: frozenset[str]) -> None:
         self._log.write(
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -471,11 +471,17 @@
             pending.placer, endpoint, answer.reading, memory
         )
         source = self._endpoints.get(answer.fetch_from)
+        if source is not None and not self._endpoints.may_use(source.id):
+            source = None
         choice = Choice(endpoint, answer.reading, answer.wait_s, source)
         self._carry_out([StartJob(pending.job.queued_request, choice)])
 
     # The fleet.
 
+    def drop_ended(self) -> None:
+        """Free what requests used at a start of an endpoint that has ended."""
+        self._carry_out(self._remote_placements.drop_ended(self._timers.now))
+
     def on_round(self) -> None:
         """Update the membership and the placers; called a few times per second."""
         now = self._timers.now
@@ -505,9 +511,12 @@
     def _send_snapshots(self) -> None:
         """Send each placer a snapshot of what it queued or placed for this host."""
         now = self._timers.now
-        snapshots = self._snapshots.due(
-            now, self._pending, self._runs, self._table.owner
-        )
+        runs = {
+            request: run
+            for request, run in self._runs.items()
+            if not self._endpoints.has_ended(run.endpoint)
+        }
+        snapshots = self._snapshots.due(now, self._pending, runs, self._table.owner)
         for host, snapshot in snapshots.items():
             if host == self._host:
                 self._carry_out(self._remote_placements.on_snapshot(now, snapshot))
--- a/greengageflow/daemon/placement_snapshots.py
+++ b/greengageflow/daemon/placement_snapshots.py
@@ -52,10 +52,15 @@
                 snapshots.setdefault(placement.placer, []).append(entry)
         for request, run in runs.items():
             if run.active:
+                endpoint = run.endpoint
                 entry = PlacementEntry(
-                    request, run.endpoint.id, run.prefill_tokens, run.memory
+                    request,
+                    endpoint.id,
+                    run.prefill_tokens,
+                    run.memory,
+                    endpoint.born,
                 )
-                snapshots.setdefault(owner(run.endpoint.id), []).append(entry)
+                snapshots.setdefault(owner(endpoint.id), []).append(entry)
         self._until = {
             host: now + SNAPSHOT_LINGER_S if entries else self._until[host]
             for host, entries in snapshots.items()
--- a/greengageflow/net/placement_codec.py
+++ b/greengageflow/net/placement_codec.py
@@ -32,6 +32,13 @@
 as one that nobody has rejected, and counts its demand a second time.
 """
 
+_NO_REQUEST = ""
+"""Stands in a snapshot for the request in a row with the start of an endpoint.
+
+The earlier release takes rows of this length only. It ignores those with an endpoint
+that is not listed, as the name of a start is not.
+"""
+
 
 def placement_values(message: PlacementMessage) -> tuple[Any, ...]:
     """Return the values of a message, its type number first."""
@@ -87,7 +94,15 @@
                 (entry.request, entry.endpoint, int(entry.reading), int(entry.memory))
                 for entry in message.entries
             )
-            return (PLACEMENT_SNAPSHOT, message.host, message.boot, entries)
+            starts = tuple(
+                (_NO_REQUEST, f"{endpoint} {born}", 0, 0)
+                for endpoint, born in _starts(message.entries).items()
+            )
+            return (PLACEMENT_SNAPSHOT, message.host, message.boot, entries + starts)
+
+
+def _starts(entries: tuple[PlacementEntry, ...]) -> dict[str, int]:
+    return {entry.endpoint: entry.born for entry in entries if entry.born}
 
 
 def _optional_values(zones: tuple[str, ...] | None, version: str) -> tuple[Any, ...]:
@@ -180,11 +195,20 @@
         TypeError: A value has the wrong type.
     """
     host, boot, entries = values
-    rows = (
-        PlacementEntry(str(request), str(endpoint), _amount(reading), _amount(memory))
-        for request, endpoint, reading, memory in entries
+    starts: dict[str, int] = {}
+    rows = []
+    for request, endpoint, reading, memory in entries:
+        if request == _NO_REQUEST:
+            name, _, born = str(endpoint).rpartition(" ")
+            starts[name] = _count(born)
+        else:
+            amounts = _amount(reading), _amount(memory)
+            rows.append((str(request), str(endpoint), *amounts))
+    return PlacementSnapshot(
+        host=str(host),
+        boot=int(boot),
+        entries=tuple(PlacementEntry(*row, starts.get(row[1], 0)) for row in rows),
     )
-    return PlacementSnapshot(host=str(host), boot=int(boot), entries=tuple(rows))
 
 
 def _finite(value: Any) -> float:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,6 +1,7 @@
 """Placement by placers, on an in-memory network and in simulated time."""
 
 from contextlib import suppress
+from dataclasses import replace
 from heapq import heappop, heappush
 from itertools import count
 from operator import attrgetter
@@ -282,6 +283,39 @@
     assert sum(fleet.running(h.name) for h in fleet.others) == 2
 
 
+def test_request_at_an_ended_start_leaves_the_snapshots_of_its_host():
+    """Its placer counted it for the engine's next start while no answer came."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    started = replace(host.endpoints.get("e0"), born=5)
+    for other in fleet.hosts.values():
+        list(other.endpoints.put(started))
+    name = host.ask()
+    fleet.run(1.1)
+    assert name in host.started and fleet.running(fleet.placer) == 1
+    list(host.endpoints.put(replace(started, born=9)))
+    fleet.run(1.1)
+    assert fleet.running(fleet.placer) == 0
+
+
+def test_parts_are_not_fetched_from_an_engine_that_has_ended():
+    """The placer's list is older than that of the host that sends the request."""
+    fleet = Fleet()
+    host = fleet.others[0]
+    receive, answers, sent = host.placement.receive, [], []
+    host.placement.receive = answers.append
+    host.placement.on_request_sent = lambda *request: sent.append(request)
+    source = replace(host.endpoints.get("e0"), id="e1", born=5)
+    list(host.endpoints.put(source))
+    for is_ended in (False, True):
+        if is_ended:
+            host.endpoints.mark_ended("e1", 5)
+        host.ask()
+        fleet.run(0.01)
+        receive(replace(answers[-1], fetch_from="e1"))
+    assert [choice.fetch_from for _, _, choice, _ in sent] == [source, None]
+
+
 @pytest.mark.parametrize("lost", [PlacementEvent, PlacementAnswer])
 def test_lost_messages_leak_no_slot(lost):
     """The event that a request ended, or the answer that starts it, is lost.
--- a/tests/test_report_codec.py
+++ b/tests/test_report_codec.py
@@ -19,7 +19,11 @@
 from greengageflow.core.keyed_record import KeyedRecord
 from greengageflow.core.leaving_report import LeavingEndpoint, LeavingReport
 from greengageflow.core.peer_report import LoadNotice, PeerReport
-from greengageflow.core.place_messages import PlacementRequest
+from greengageflow.core.place_messages import (
+    PlacementEntry,
+    PlacementRequest,
+    PlacementSnapshot,
+)
 from greengageflow.core.quarantine import (
     CrashRecord,
     CrashReport,
@@ -181,6 +185,27 @@
     allowed_zones=st.none() | st.lists(NAMES, max_size=2).map(tuple),
     version=NAMES,
 )
+
+AMOUNTS = st.integers(0, 9).map(float)
+
+
+@st.composite
+def placement_snapshots(draw):
+    """Snapshots, in which an endpoint has one start time."""
+    born = draw(st.dictionaries(NAMES, COUNTS, max_size=3))
+    requests = draw(st.sets(NAMES.filter(bool), max_size=3)) if born else set()
+    endpoints = st.sampled_from(sorted(born))
+    entries = [
+        PlacementEntry(request, endpoint, draw(AMOUNTS), draw(AMOUNTS), born[endpoint])
+        for request in requests
+        for endpoint in [draw(endpoints)]
+    ]
+    return PlacementSnapshot(
+        host=draw(NAMES), boot=draw(COUNTS), entries=tuple(entries)
+    )
+
+
+PLACEMENT_SNAPSHOTS = placement_snapshots()
 MESSAGES = (
     HELLOS
     | NOTICES
@@ -195,6 +220,7 @@
     | VERSION_QUERIES
     | CLOCK_TICKS
     | PLACEMENT_REQUESTS
+    | PLACEMENT_SNAPSHOTS
 )
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | NAMES,
@@ -217,6 +243,20 @@
     assert decode(encode(message)) == message
 
 
+@given(PLACEMENT_SNAPSHOTS)
+def test_snapshots_keep_the_form_that_earlier_releases_accept(snapshot):
+    """They drop a snapshot with a row of another length, and count no request of it."""
+    _, host, boot, rows = unpackb(encode(snapshot))
+    assert (host, boot) == (snapshot.host, snapshot.boot)
+    for request, endpoint, reading, memory in rows:
+        assert isinstance(request, str) and isinstance(endpoint, str)
+        assert reading >= 0 and memory >= 0
+    assert [row for row in rows if row[0]] == [
+        [entry.request, entry.endpoint, int(entry.reading), int(entry.memory)]
+        for entry in snapshot.entries
+    ]
+
+
 @given(MESSAGES, STAMPS)
 def test_stamped_messages_round_trip(message, stamp):
     """Releases that don't know stamps must drop a stamped message, not misread it."""
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -14,15 +14,18 @@
 from greengageflow.core.fleet_retry_budget import FleetRetryBudget
 from greengageflow.core.forward_request import Prompt, PromptPart
 from greengageflow.core.place_messages import (
+    PlacementEntry,
     PlacementEvent,
     PlacementEventKind,
     PlacementRequest,
+    PlacementSnapshot,
 )
 from greengageflow.core.remote_placements import RemotePlacements
 from greengageflow.core.routes import Routing, Service
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.service_scheduler import Job, StartJob
 from greengageflow.core.work_queue import QueuedRequest
+from greengageflow.net.report_codec import decode, encode
 
 SERVICE = Service("m", slots=4, memory_tokens=100_000, transfers=True)
 PROMPT = Prompt((PromptPart("shared", 4000), PromptPart("own", 100)), 4100, 10)
@@ -221,8 +224,8 @@
     assert not listed.mark_leaving(f"e{MAX_TOMBSTONES}", 0)
 
 
-def test_remote_failures_of_an_earlier_process_do_not_apply_to_the_restarted_one(fleet):
-    """A host reports failures of requests that it sent before the engine crashed."""
+def place_four(fleet):
+    """Place four requests of another host at the first engine."""
     placements = RemotePlacements("placer", fleet.book)
     list(fleet.listed.drop("f"))
     for number in range(4):
@@ -245,6 +248,34 @@
         )
         for decision in list(placements.on_request(0.0, ask)):
             placements.on_decision(0.0, decision)
+    return placements
+
+
+def test_requests_of_other_hosts_at_an_ended_start_free_their_slots_and_shares(fleet):
+    """No event comes of them until their hosts notice that the engine is gone."""
+    placements = place_four(fleet)
+    assert fleet.book.recent_usage("m", "a") > 0
+    fleet.apply(fleet.listed.mark_ended(OLD.id, OLD.born))
+    list(placements.drop_ended(0.0))
+    assert len(placements) == placements.waiting == 1
+    assert not fleet.book.own_loads()
+    assert fleet.book.recent_usage("m", "a") == pytest.approx(0.0, abs=1e-6)
+
+
+@pytest.mark.parametrize(("born", "running"), [(0, 1), (5, 0), (9, 1)])
+def test_placer_adopts_no_request_of_an_earlier_start(fleet, born, running):
+    """A host whose list is behind sent the request before the engine restarted."""
+    placements = RemotePlacements("placer", fleet.book)
+    fleet.put(NEW)
+    entry = PlacementEntry("q", "e", 100.0, 200.0, born)
+    snapshot = decode(encode(PlacementSnapshot(host="h", boot=1, entries=(entry,))))
+    list(placements.on_snapshot(1.0, snapshot))
+    assert len(placements) == len(fleet.book.own_loads()) == running
+
+
+def test_remote_failures_of_an_earlier_process_do_not_apply_to_the_restarted_one(fleet):
+    """A host reports failures of requests that it sent before the engine crashed."""
+    placements = place_four(fleet)
     fleet.put(NEW)
     for number in range(4):
         note = PlacementEvent(
