Requests just before a restart is listed count in the new start's warm-up

An engine that starts again in place gets requests for about a second before its new entry says that it is cold. The list change dropped the count of these requests, so that each host could send its whole share again in the same second. Cold endpoints crash under too many requests.

The count of the last second outlives the entry; rounds of the membership drop it once it is old.

--- a/greengageflow/core/warmup.py
+++ b/greengageflow/core/warmup.py
@@ -129,6 +129,9 @@
         if now - self._last_round_at > MAX_ROUND_GAP_S:
             self._held_until = now + WINDOW_S
         self._last_round_at = now
+        for endpoint, sent in list(self._sent.items()):
+            if sent[-1] <= now - WINDOW_S:
+                del self._sent[endpoint]
 
     def on_cold(self, now: float, endpoint: str, seconds: float) -> None:
         """Record that an endpoint stays cold for the given time."""
@@ -151,10 +154,13 @@
             self.on_cold(now, endpoint.id, cold_s)
 
     def forget(self, endpoint: str) -> None:
-        """Remove an endpoint that is no longer listed."""
+        """Remove an endpoint that is no longer listed, or has ended.
+
+        The requests of the last second still count: some may have reached its next
+        start, which answers before it is listed.
+        """
         self._cold_until.pop(endpoint, None)
         self._suspects.discard(endpoint)
-        self._sent.pop(endpoint, None)
 
     def is_limited(self, now: float, endpoint: ListedEndpoint) -> bool:
         """Whether an endpoint is cold, or may be, and its service limits requests."""
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -181,6 +181,22 @@
     assert fleet.choice(1.2).reading >= 4000
 
 
+def test_requests_before_a_restart_is_listed_count_in_the_warm_up(fleet):
+    """They may have reached the new process, which crashes under too many."""
+    service = replace(SERVICE, warmup_per_s=8.0, cold_start_s=5.0)
+    fleet.book.on_routing(Routing(services={"m": service}))
+    fleet.book.set_owned_engines(frozenset(["e"]))
+    for now in (0.0, 0.9, 1.8):
+        fleet.book.set_live_hosts(now, {"": "z"})
+    for number in range(4):
+        fleet.book.on_request_sent(1.8, f"q{number}", Choice(OLD), PROMPT)
+    fleet.put(NEW)
+    fleet.book.warmup.on_cold(2.0, "e", 5.0)
+    fleet.book.set_live_hosts(2.7, {"": "z"})
+    assert not fleet.book.warmup.may_send(2.7, NEW)
+    assert fleet.book.warmup.may_send(2.9, NEW)
+
+
 def test_late_crash_of_an_earlier_process_clears_nothing_of_the_restarted_one(fleet):
     fleet.put(NEW)
     fleet.book.on_cached_parts(1.0, NEW, PROMPT.parts[:1])
