Log lines of streams state which start of the endpoint is meant

A stream that held events of two software releases could not be explained from the log: an endpoint that starts again in place keeps its id, and SENT, RESUMED, FINISHED and CUT named nothing else. They now state the listed start time (`born`), which is what the release of a stream is taken from.

--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -90,6 +90,7 @@
             account=ctx.account,
             route=ctx.route.name,
             endpoint=choice.endpoint.id,
+            born=choice.endpoint.born,
             fetch_from=choice.fetch_from.id if choice.fetch_from else "",
             prompt=ctx.req.prompt.tokens_in if ctx.req.prompt else 0,
             reading=round(choice.reading),
@@ -158,7 +159,11 @@
         self._page.count(metric, ctx.service)
         stream_fields = {}
         if streaming:
-            stream_fields = {"pieces": ctx.pieces, "release": choice.endpoint.version}
+            stream_fields = {
+                "pieces": ctx.pieces,
+                "born": choice.endpoint.born,
+                "release": choice.endpoint.version,
+            }
         self._log.write(
             event,
             request=ctx.req.id,
@@ -207,6 +212,7 @@
         fields: dict[str, int | str] = {
             "request": ctx.req.id,
             "endpoint": ctx.attempt.endpoint.id,
+            "born": ctx.attempt.endpoint.born,
             "status": status,
             "first_ms": _ms(first_event_s),
             "total_ms": _ms(now - ctx.arrived_at),
@@ -267,6 +273,7 @@
             DecisionEvent.CUT,
             request=ctx.req.id,
             endpoint=ctx.attempt.endpoint.id,
+            born=ctx.attempt.endpoint.born,
             why=why,
             pieces=ctx.pieces,
             ran=Ran.YES.value,
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -29,9 +29,9 @@
     SENT = (
         "GG701",
         Level.ROUTINE,
-        "request digest account route endpoint fetch_from prompt reading waited_ms"
-        " predicted_ms placer queued level report_age_ms config resumes number wait_ms"
-        " slowness duration_ms cached cost next_cost",
+        "request digest account route endpoint born fetch_from prompt reading"
+        " waited_ms predicted_ms placer queued level report_age_ms config resumes"
+        " number wait_ms slowness duration_ms cached cost next_cost",
     )
     REFUSED = (
         "GG702",
@@ -43,20 +43,25 @@
     RESUMED = (
         "GG704",
         Level.NOTABLE,
-        "request before endpoint release why pieces config",
+        "request before endpoint born release why pieces config",
+    )
+    FINISHED = (
+        "GG705",
+        Level.ROUTINE,
+        "request endpoint born status first_ms total_ms",
     )
-    FINISHED = ("GG705", Level.ROUTINE, "request endpoint status first_ms total_ms")
     FINISHED_LATE = (
         "GG706",
         Level.NOTABLE,
-        "request endpoint status waited_ms predicted_ms first_ms total_ms objective_ms",
+        "request endpoint born status waited_ms predicted_ms first_ms total_ms"
+        " objective_ms",
     )
     FAILED = (
         "GG707",
         Level.FAILURE,
         "request endpoint status why ran total_ms parts",
     )
-    CUT = ("GG708", Level.FAILURE, "request endpoint why pieces ran total_ms")
+    CUT = ("GG708", Level.FAILURE, "request endpoint born why pieces ran total_ms")
     CALLER_LEFT = ("GG709", Level.NOTABLE, "request endpoint stage total_ms")
     REDIRECTED = (
         "GG700",
