--- a/greengageflow/core/incarnation.py
+++ b/greengageflow/core/incarnation.py
@@ -9,6 +9,11 @@
     SAME = auto()
     """It is the listed start of the endpoint."""
     OTHER = auto()
-    """It is a later start of the endpoint, or another endpoint at its address."""
+    """It is a later start of the endpoint, or another endpoint at its address.
+
+    The listed start has ended.
+    """
+    EARLIER = auto()
+    """It is an earlier start of the endpoint, which may have ended or not."""
     UNSTATED = auto()
     """The answer does not say."""
--- a/greengageflow/daemon/cached_parts.py
+++ b/greengageflow/daemon/cached_parts.py
@@ -122,7 +122,8 @@
 ) -> tuple[PromptPart, ...]:
     if isinstance(result, Failure):
         raise RecordError(result.message)
-    if incarnation_evidence(result, engine) is IncarnationEvidence.OTHER:
+    evidence = incarnation_evidence(result, engine)
+    if evidence in (IncarnationEvidence.OTHER, IncarnationEvidence.EARLIER):
         raise RecordError("the answer is from another start or engine")
     return parse_cached_parts(result)
 
