Test: a new placer takes no unlisted start for the listed one

Real processes: an idle engine starts again in place, its new entry is not written, and the only router restarts. It learned the cached parts of the new start as those of the listed one and used the engine as it. Now the answer ends the listed start, the next request is refused without a run, and the engine is used once a start of it is listed.

--- a/tests/test_restart_in_place.py
+++ b/tests/test_restart_in_place.py
@@ -48,3 +48,22 @@
             list(stream)
         wait_for(lambda: events(lab, DecisionEvent.ENDPOINT_CRASHED), "crash seen")
         assert ask(lab, b"4") == 2010
+
+
+def test_a_new_placer_takes_no_unlisted_start_for_the_listed_one():
+    """The parts that the engine reports are those of its next start."""
+    with PlatformLab(SHAPE) as lab:
+        options = {"service": "scribe", "model": "m", **OPTIONS}
+        lab.restart_replica(ENGINE, born=9, register_after_ms=60_000, **options)
+        lab.routers["r0"].kill()
+        lab.launch_router("r0")
+        lab.wait_ready("r0")
+        wait_for(lambda: events(lab, DecisionEvent.ENDPOINT_GONE), "start has ended")
+        [line] = events(lab, DecisionEvent.ENDPOINT_GONE)
+        assert line["source"] == "answer"
+        assert lab.ask(CHAT, body=b"1", headers=PROMPT).status == 503
+        assert not lab.runs()
+        lab.restart_replica(ENGINE, born=12, **options)
+        wait_for(
+            lambda: lab.ask(CHAT, body=b"2", headers=PROMPT).status == 200, "is used"
+        )
