Marks of lost prompt caches are dropped without reports of peers too

A host without peers kept one mark for each endpoint that had ever gone, as they were dropped only when reports came. Found by reading; no test shows it.

--- a/greengageflow/core/prefix_tracker.py
+++ b/greengageflow/core/prefix_tracker.py
@@ -80,11 +80,7 @@
         """Record where another host sent prompt parts."""
         # Reports that are under way when an engine's cache is lost are about the time
         # before. They name the engine, but not its start.
-        self._forgotten_at = {
-            endpoint: at
-            for endpoint, at in self._forgotten_at.items()
-            if now - at <= MAX_REPORT_DELAY_S
-        }
+        self._drop_forgotten(now)
         for part, endpoint in placed:
             if endpoint not in self._forgotten_at:
                 self.places.on_sent(now, part, endpoint)
@@ -107,8 +103,16 @@
         self._recent_placements = deque(
             row for row in self._recent_placements if row[2] != endpoint
         )
+        self._drop_forgotten(now)
         self._forgotten_at[endpoint] = now
 
+    def _drop_forgotten(self, now: float) -> None:
+        self._forgotten_at = {
+            endpoint: at
+            for endpoint, at in self._forgotten_at.items()
+            if now - at <= MAX_REPORT_DELAY_S
+        }
+
 
 def _cached_after(request: str, prompt: Prompt) -> Iterator[PromptPart]:
     """Yield the parts that a request leaves in an engine's memory.
