A stream taken up under its own request id goes on

A caller that took up its stream with the id of the last event, under the request id that had begun it and without naming that request, got 503 version_unavailable, from the host that had begun the stream as well as from others. The stream's version was looked up only under the id of the request that the caller names.

It is looked up under the request's own id if the caller names none. The new test failed before at the same host and at another one: (503, []) instead of 200 and the rest of the events.

--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -99,6 +99,11 @@
         is_resumable = self.route.retry_policy is RetryPolicy.RESUME
         return is_resumable and self.req.last_event is not None
 
+    @property
+    def stream_request(self) -> str:
+        """Id of the request that began the stream which this one takes up."""
+        return self.req.resumes or self.req.id
+
     @property
     def has_runs_left(self) -> bool:
         """Whether the route allows one more run."""
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -153,7 +153,7 @@
         ctx.timer = self._timers.after(timeout_s, lambda: self._on_deadline(ctx))
         if ctx.resumes_stream:
             self.affinity.find(
-                ctx.req.resumes, lambda stream: self._on_version(ctx, stream)
+                ctx.stream_request, lambda stream: self._on_version(ctx, stream)
             )
         else:
             self._submit(ctx)
--- a/tests/test_restarted_in_place.py
+++ b/tests/test_restarted_in_place.py
@@ -84,8 +84,9 @@
 def resume(lab, router, headers):
     """Resume after the second event; return the status and the releases."""
     client = lab.client(router)
+    name = headers.pop("name", None)
     headers = {**PROMPT, LAST_EVENT_ID: 2, **headers}
-    client.send(CHAT, request_body(), key=KEY, headers=headers)
+    client.send(CHAT, request_body(), key=KEY, headers=headers, name=name)
     status = client.head().status
     found = releases_until_end(client) if status == 200 else []
     client.close()
@@ -131,6 +132,17 @@
         assert engines == 2 or (status, len(found)) == (200, EVENTS - 2)
 
 
+@pytest.mark.parametrize("router", ["r0", "r1"])
+def test_a_stream_taken_up_under_the_same_request_id_goes_on(router):
+    """It was refused even by the host that had begun the stream."""
+    with lab_of(4, ("v1", "v2")) as lab:
+        client, request, engine = begin(lab)
+        client.close(reset=True)
+        release = "v1" if engine in ("scribe-0", "scribe-2") else "v2"
+        status, found = resume(lab, router, {"name": request})
+        assert (status, found) == (200, [release] * (EVENTS - 2))
+
+
 def test_a_stream_of_an_engine_that_does_not_state_its_start_is_not_joined():
     """Whether such an engine has started again can't be told."""
     with lab_of(3, report_born=False) as lab:
