A request that waited for a verified connection is freed at once

The check of a connection, its receiver and the waiting request referred to each other, so an ended request stayed in memory with its body until a garbage collection. Seen with a test without the collector: it failed for a request that was answered, one that was not sent and one that was cancelled ("condition not met"), and passes now.

The receiver finds the check through the waiting request, which drops it when the check ends or is cancelled.

--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -106,10 +106,11 @@
             opens it.
     """
 
+    exchange: Exchange | None = None
+
     def __init__(
         self, on_done: Callable[[Response | Failure], None], limit: int
     ) -> None:
-        self.exchange: Exchange | None = None
         self._on_done = on_done
         self._limit = limit
         self._head = Head(0, ())
--- a/greengageflow/net/_verifier.py
+++ b/greengageflow/net/_verifier.py
@@ -27,6 +27,25 @@
 }
 
 
+class _CheckReceiver(Collector):
+    """Collects the response to a check.
+
+    It finds the check through the exchange that waits for it. Once the check has ended
+    nothing refers to it, and both are freed without a garbage collection.
+    """
+
+    def __init__(
+        self, waiting: Exchange, on_done: Callable[[Response | Failure], None]
+    ) -> None:
+        self._waiting = waiting
+        super().__init__(on_done, MAX_RESPONSE_BYTES)
+
+    @property
+    def exchange(self) -> Exchange | None:
+        """The check, until it has ended."""
+        return self._waiting.check
+
+
 class Connect(Protocol):
     """Opens a new connection for an exchange."""
 
@@ -67,14 +86,11 @@
     def verify(self, exchange: Exchange, conn: Connection) -> None:
         """Send the request of an exchange on a new connection once it is verified."""
         request = exchange.request
-        collector = Collector(partial(self._on_done, exchange), MAX_RESPONSE_BYTES)
-        check = collector.exchange = exchange.check = self._make_exchange(
-            replace(
-                request.verification.request,
-                connect_timeout_s=request.connect_timeout_s,
-            ),
-            collector,
+        check_request = replace(
+            request.verification.request, connect_timeout_s=request.connect_timeout_s
         )
+        receiver = _CheckReceiver(exchange, partial(self._on_done, exchange))
+        check = exchange.check = self._make_exchange(check_request, receiver)
         check.is_check = True
         self._start(check, conn)
 
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -215,8 +215,9 @@
     # Completion and failure of exchanges.
 
     def _drop(self, exchange: Exchange) -> None:
-        if exchange.check is not None:
-            exchange.check.cancel()
+        check, exchange.check = exchange.check, None
+        if check is not None:
+            check.cancel()
         conn = exchange.conn
         if conn is not None and self._active.pop(conn.sock, None) is not None:
             self._close(conn)
--- a/tests/test_connection_verification.py
+++ b/tests/test_connection_verification.py
@@ -1,5 +1,7 @@
 """Connections of ``HttpPool`` that are verified before a request is sent on them."""
 
+import gc
+import weakref
 from contextlib import closing
 from functools import partial
 from threading import Event
@@ -213,3 +215,71 @@
     failure, _ = fetch(loop, peer, not_after=0.0)
     assert (failure.kind, failure.sent) == (FailureKind.TIMEOUT, False)
     assert "/main" not in paths(peer)
+
+
+class Receiver:
+    def __init__(self, ended):
+        self._ended = ended
+
+    def on_head(self, head):
+        pass
+
+    def on_data(self, data):
+        pass
+
+    def on_end(self):
+        self._ended.set()
+
+    def on_failure(self, _failure):
+        self._ended.set()
+
+
+@pytest.fixture
+def no_collector():
+    gc.disable()
+    yield
+    gc.enable()
+
+
+@pytest.mark.parametrize("text", [b"same", b"other", None])
+def test_ended_request_is_freed_without_a_garbage_collection(loop, text, no_collector):
+    """The request and its body would stay in memory; None cancels it."""
+    checked, ended = Event(), Event()
+
+    def script(conn, _number):
+        conn.request()
+        checked.set()
+        if text is None:
+            conn.wait_closed()
+        else:
+            conn.answer(text)
+            answer(conn, text)
+
+    def open_exchange():
+        receiver = Receiver(ended)
+        exchange = loop.pool.open(request, receiver)
+        return exchange, weakref.ref(receiver)
+
+    address = ("127.0.0.1", FakePeer(script).port)
+    check = HttpRequest("GET", *address, "/check")
+    verification = Verification(check, evaluate, "a", required=True)
+    request = HttpRequest("POST", *address, "/main", verification=verification)
+    exchange, reference = loop.call(open_exchange)
+    if text is None:
+        assert checked.wait(5)
+        loop.call(exchange.cancel)
+    else:
+        assert ended.wait(5)
+    del exchange
+    wait_for(lambda: reference() is None)
+
+
+def test_endless_answer_to_a_check_is_a_failure(loop):
+    def script(conn, _number):
+        conn.request()
+        conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n")
+        while True:
+            conn.send(b"a" * 65_536)
+
+    failure, _ = fetch(loop, FakePeer(script))
+    assert (failure.kind, failure.sent) == (FailureKind.BROKEN, False)
