Use an endpoint whose later start is not listed yet, without a version

An endpoint that answers as a later start than the listed one got no work until its entry was read. In an outage of the store that would take all endpoints out of service that had started again, though they serve. The answer states the start time, so the list now holds the later start, with no version: all that was known of the start before is dropped, no stream goes on there, and streams that begin there have an unknown version.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -40,6 +40,14 @@
         """Identifies this start of the endpoint."""
         return f"{self.id} {self.born}" if self.born else self.id
 
+    @property
+    def is_unlisted(self) -> bool:
+        """Whether this start answered before it was listed, so its version is unknown.
+
+        Entries without a start time may lack a version.
+        """
+        return self.born > 0 and not self.version
+
     @property
     def address(self) -> tuple[str, int]:
         """IP address and port."""
@@ -52,7 +60,7 @@
 
     Args:
         id: Endpoint id.
-        what: ``new``, ``cold``, ``leaving``, ``ended`` or ``gone``.
+        what: ``new``, ``cold``, ``leaving`` or ``gone``.
     """
 
     id: str
@@ -144,7 +152,6 @@
         return (
             found is not None
             and not self.is_leaving(found)
-            and not self.has_ended(found)
             and not self.is_evacuated(found)
         )
 
@@ -196,28 +203,14 @@
         self._usable.clear()
         return True
 
-    def mark_ended(self, endpoint: str, born: int) -> tuple[ListChange, ...]:
-        """Record that a start of an endpoint has ended, before the list shows it.
+    def put_unlisted(self, endpoint: ListedEndpoint) -> Iterator[ListChange]:
+        """Replace an entry by a later start that answers before it is listed.
 
-        An answer of a later start proves it, or one of another endpoint at its address.
-        The entry stays until the list replaces it, but is not used any more. The record
-        is permanent for this start of the endpoint and all earlier ones.
-
-        Args:
-            endpoint: Endpoint id.
-            born: Its start time; 0 if not given.
-
-        Returns:
-            The change, if the listed start has ended and that was not known before.
+        Requests that depend on the version don't go there until it is listed.
         """
-        if self._ended.covers(endpoint, born):
-            return ()
-        self._ended.add(endpoint, born)
-        listed = self._listed.get(endpoint)
-        if listed is None or listed.born > born:
-            return ()
-        self._usable.clear()
-        return (ListChange(endpoint, "ended"),)
+        listed = self._listed.get(endpoint.id)
+        if listed is not None and listed.born < endpoint.born:
+            yield from self.put(endpoint)
 
     def was_dropped(self, endpoint: ListedEndpoint) -> bool:
         """Whether this start of an endpoint was listed and has been dropped."""
@@ -229,7 +222,8 @@
         if before is not None and endpoint.born < before.born:
             return
         is_restarted = before is not None and (
-            endpoint.born > before.born > 0 or endpoint.version != before.version
+            endpoint.born > before.born > 0
+            or (endpoint.version != before.version and not before.is_unlisted)
         )
         if is_restarted:
             # The endpoint restarted and lost its requests and cache. Reporting it as
--- a/greengageflow/core/incarnation.py
+++ b/greengageflow/core/incarnation.py
@@ -8,11 +8,10 @@
 
     SAME = auto()
     """It is the listed start of the endpoint."""
+    LATER = auto()
+    """It is a later start of the endpoint, so the listed one has ended."""
     OTHER = auto()
-    """It is a later start of the endpoint, or another endpoint at its address.
-
-    The listed start has ended.
-    """
+    """It is another endpoint, which has the address now."""
     EARLIER = auto()
     """It is an earlier start of the endpoint, which may have ended or not."""
     UNSTATED = auto()
--- a/greengageflow/core/placement_explanation.py
+++ b/greengageflow/core/placement_explanation.py
@@ -26,7 +26,6 @@
 class Exclusion(StrEnum):
     """Reasons for which an endpoint does not get a request now."""
 
-    ENDED = "ended"
     LEAVING = "leaving"
     EVACUATED = "evacuated zone"
     BACKOFF = "backoff"
@@ -270,7 +269,6 @@
         # A resumed stream may go to all endpoints of its version.
         is_assigned = bool(job.version) or endpoint.id in preview.assigned
         checks = (
-            (preview.endpoints.has_ended(endpoint), Exclusion.ENDED),
             (preview.endpoints.is_leaving(endpoint), Exclusion.LEAVING),
             (preview.endpoints.is_evacuated(endpoint), Exclusion.EVACUATED),
             (endpoint.id in self._backoffs, Exclusion.BACKOFF),
--- a/greengageflow/daemon/cached_parts.py
+++ b/greengageflow/daemon/cached_parts.py
@@ -18,7 +18,7 @@
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
 from greengageflow.platform.records import RecordError, parse_cached_parts
-from greengageflow.platform.reports import incarnation_evidence, shows_later_start
+from greengageflow.platform.reports import incarnation_evidence, later_start
 from greengageflow.platform.requests import cached_parts_request
 
 CALL_TIMEOUT_S = 1.0
@@ -53,7 +53,7 @@
         dispatcher: Gets the cached parts.
         log: Gets an event for each engine.
         on_leaving: Called with an engine that reports in its answer that it leaves.
-        on_ended: Called with an engine whose listed start has ended.
+        on_later_start: Called with a start of an engine that is not listed yet.
     """
 
     def __init__(
@@ -63,14 +63,14 @@
         dispatcher: ServiceDispatcher,
         log: DecisionLog,
         on_leaving: Callable[[ListedEndpoint], None],
-        on_ended: Callable[[ListedEndpoint], None],
+        on_later_start: Callable[[ListedEndpoint], None],
     ) -> None:
         self._pool = pool
         self._timers = timers
         self._dispatcher = dispatcher
         self._log = log
         self._on_leaving = on_leaving
-        self._on_ended = on_ended
+        self._on_later_start = on_later_start
         self._queried: set[str] = set()
 
     def load(self, engines: Iterable[ListedEndpoint]) -> None:
@@ -94,8 +94,9 @@
         if self._dispatcher.has_ended(engine):
             return
         if isinstance(result, Response):
-            if shows_later_start(result, engine):
-                self._on_ended(engine)
+            later = later_start(result, engine)
+            if later is not None:
+                self._on_later_start(later)
                 return
             if announces_shutdown(result):
                 self._on_leaving(engine)
--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -46,6 +46,7 @@
             before its first event.
         stale_retry_endpoint: Endpoint at which the request was retried because a kept
             connection had ended, or empty.
+        restarted: Endpoints at whose address another start answered this request.
         run_began_at: Time of the first event of the current attempt, or None.
         last_events: Last events of a complete stream, which its end is sent with.
         last_event: Id of the last event that the caller received, or None.
@@ -75,6 +76,7 @@
     attempt_count: int = 0
     may_have_run: bool = False
     avoid: set[str] = field(default_factory=set)
+    restarted: set[str] = field(default_factory=set)
     pieces: int = 0
     predicted_wait_s: float = 0.0
     first_sent_at: float = 0.0
--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -1,9 +1,10 @@
 """Time-outs, connection reuse and event deduplication of forwarded requests."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from math import inf
 
+from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.routes import RetryPolicy
 from greengageflow.daemon.forward_context import ForwardContext, Phase
 from greengageflow.net.event_frames import Frame
@@ -23,12 +24,17 @@
 """Time without an event after which a stream counts as stalled, in seconds."""
 
 
-def with_limits(request: HttpRequest, ctx: ForwardContext, now: float) -> HttpRequest:
+OnLaterStart = Callable[[ListedEndpoint], None]
+
+
+def with_limits(
+    request: HttpRequest, ctx: ForwardContext, now: float, on_later_start: OnLaterStart
+) -> HttpRequest:
     """Return a request with the time-outs and connection reuse allowed for it."""
     reuse_s = inf if ctx.repeatable else REUSE_MAX_IDLE_S
     return replace(
         request,
-        verification=_verification(ctx),
+        verification=_verification(ctx, on_later_start),
         connect_timeout_s=CONNECT_TIMEOUT_S,
         idle_timeout_s=max(MIN_ATTEMPT_S, ctx.deadline - now),
         retry_stale=False,
@@ -37,7 +43,9 @@
     )
 
 
-def _verification(ctx: ForwardContext) -> Verification | None:
+def _verification(
+    ctx: ForwardContext, on_later_start: OnLaterStart
+) -> Verification | None:
     """Return what verifies the endpoint's start, for a stream that may be resumed.
 
     Its version is known by the start that began it, and it goes on only at a start that
@@ -49,6 +57,7 @@
         ctx.choice.endpoint,
         required=ctx.phase is Phase.STREAMING or ctx.resumes_stream,
         timeout_s=VERIFICATION_TIMEOUT_S,
+        on_later_start=on_later_start,
     )
 
 
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -27,6 +27,7 @@
 from greengageflow.daemon.forward_sending import (
     MIN_ATTEMPT_S,
     STALL_TIMEOUT_S,
+    OnLaterStart,
     is_stalled,
     new_events,
     with_limits,
@@ -81,12 +82,15 @@
             before the first call.
         affinity: Knows which software version began a stream; must be set before the
             first call.
+        on_later_start: Called with a start of an endpoint that answers before it is
+            listed; must be set before the first call.
     """
 
     placement: Placement
     crashes: CrashWatch
     leaving: LeavingWatch
     affinity: VersionAffinity
+    on_later_start: OnLaterStart
 
     def __init__(
         self,
@@ -275,7 +279,7 @@
         )
         ctx.attempt = EndpointAttempt(
             self._pool,
-            with_limits(request, ctx, now),
+            with_limits(request, ctx, now, self.on_later_start),
             choice.endpoint,
             partial(interpret_answer, request_id=ctx.req.id),
             stream=ctx.route.stream,
@@ -328,8 +332,9 @@
     def _on_begun(self, ctx: ForwardContext) -> None:
         if ctx.version or ctx.route.retry_policy is not RetryPolicy.RESUME:
             return
-        is_proven = ctx.attempt.is_start_proven
-        ctx.version = ctx.attempt.endpoint.version if is_proven else UNPROVEN_VERSION
+        attempt = ctx.attempt
+        is_proven = attempt.is_start_proven and not attempt.endpoint.is_unlisted
+        ctx.version = attempt.endpoint.version if is_proven else UNPROVEN_VERSION
         if ctx.version:
             stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
             self.affinity.on_begun(stream)
@@ -473,10 +478,12 @@
     def _on_start_not_verified(self, ctx: ForwardContext, failure: Failure) -> None:
         """Choose another endpoint for a request that was not sent, at no cost to it."""
         endpoint = ctx.attempt.endpoint
-        if failure.kind is FailureKind.OTHER_START:
-            self.leaving.on_start_ended(endpoint)
-        else:
+        if failure.kind is not FailureKind.OTHER_START or endpoint.id in ctx.restarted:
             ctx.avoid.add(endpoint.id)
+        elif self._endpoints.is_current(endpoint):
+            # No later start of it answered, but another endpoint.
+            self._endpoints.mark_leaving(endpoint.id, endpoint.born)
+        ctx.restarted.add(endpoint.id)
         self.placement.on_request_released(ctx.id, endpoint)
         if with_stale_retry(ctx, failure).sent:
             # The start before may have run it.
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -3,6 +3,7 @@
 import gc
 import sys
 from collections.abc import Mapping
+from dataclasses import replace
 from functools import cached_property
 from signal import SIGHUP, signal
 from time import CLOCK_BOOTTIME, clock_gettime, time
@@ -10,7 +11,7 @@
 
 from circuits import handler
 
-from greengageflow.core.endpoint_list import EndpointList, ListChange
+from greengageflow.core.endpoint_list import EndpointList, ListChange, ListedEndpoint
 from greengageflow.core.endpoint_load import LoadShare
 from greengageflow.core.evacuation import EvacuationReport
 from greengageflow.core.fleet_retry_budget import FleetRetryBudget
@@ -197,10 +198,11 @@
                 self._service_dispatcher,
                 self._log,
                 lambda engine: self._leaving_watch.on_answer(engine),
-                lambda engine: self._leaving_watch.on_start_ended(engine),
+                self._on_later_start,
             ),
         )
         self._placement.on_redirected = self._forwarder.on_redirected
+        self._forwarder.on_later_start = self._on_later_start
         self._affinity = self._forwarder.affinity = VersionAffinity(
             hello, self._timers, self._exchange
         )
@@ -219,7 +221,6 @@
             self._timers,
             self._exchange,
             self._on_endpoint_leaving,
-            self._on_change,
         )
         self._quarantine_store = QuarantineStore(
             self._pool,
@@ -483,15 +484,21 @@
         self._registry.rewrite()
         self._quarantine_store.rewrite()
 
-    def _on_change(self, change: ListChange) -> None:
+    def _on_later_start(self, endpoint: ListedEndpoint) -> None:
+        """Use a start of an endpoint that answers before it is listed."""
+        # It may be cold; its entry will tell.
+        cold_s = self._service_dispatcher.service(endpoint.service).cold_start_s
+        found = replace(endpoint, cold_s=cold_s)
+        for change in list(self._endpoints.put_unlisted(found)):
+            self._on_change(change, "answer")
+
+    def _on_change(self, change: ListChange, source: str = "list") -> None:
         event = {
             "new": DecisionEvent.ENDPOINT_SEEN,
             "cold": DecisionEvent.ENDPOINT_COLD,
             "leaving": DecisionEvent.ENDPOINT_LEAVING,
-            "ended": DecisionEvent.ENDPOINT_GONE,
             "gone": DecisionEvent.ENDPOINT_GONE,
         }[change.what]
-        source = "answer" if change.what == "ended" else "list"
         fields = {"endpoint": change.id, "source": source}
         listed = self._endpoints.get(change.id)
         if change.what == "new" and listed is not None:
@@ -506,9 +513,9 @@
                 self._timers.now, listed.id, listed.cold_s
             )
         self._log.write(event, **fields)
-        if change.what in ("ended", "gone"):
+        if change.what == "gone":
             self._service_dispatcher.forget_endpoint(change.id)
-        if change.what in ("ended", "new"):
+        if change.what == "new":
             # Not after "gone" already: a request that starts instead may go to the new
             # start, for which no warm-up has been recorded by then.
             self._placement.drop_ended()
--- a/greengageflow/daemon/leaving_watch.py
+++ b/greengageflow/daemon/leaving_watch.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from greengageflow.core.endpoint_list import EndpointList, ListChange, ListedEndpoint
+from greengageflow.core.endpoint_list import EndpointList, ListedEndpoint
 from greengageflow.core.leaving_report import LeavingEndpoint, LeavingReport
 from greengageflow.net.timers import Timers
 
@@ -28,7 +28,7 @@
 
 
 class LeavingWatch:
-    """Stops new work for endpoints that announce that they leave, or have ended.
+    """Stops new work for endpoints that announce in an answer that they are leaving.
 
     Args:
         endpoints: Listed endpoints.
@@ -36,7 +36,6 @@
         sender: Sends notices to other hosts.
         on_leaving: Called with the id of a leaving endpoint and the notice's source,
             ``answer`` or ``peer``.
-        on_ended: Called with the change when a listed start has ended.
     """
 
     def __init__(
@@ -45,13 +44,11 @@
         timers: Timers,
         sender: LeavingSender,
         on_leaving: Callable[[str, str], None],
-        on_ended: Callable[[ListChange], None] = lambda _change: None,
     ) -> None:
         self._endpoints = endpoints
         self._timers = timers
         self._sender = sender
         self._on_leaving = on_leaving
-        self._on_ended = on_ended
         self._notices: dict[LeavingEndpoint, float] = {}
 
     def start(self) -> None:
@@ -64,18 +61,6 @@
         if self._apply(notice, "answer"):
             self._send_all(notice)
 
-    def on_start_ended(self, endpoint: ListedEndpoint) -> None:
-        """Handle proof that a start of an endpoint has ended.
-
-        Other hosts get the notice of a leaving endpoint: it stops new work there too,
-        and they drop what they know once the list names the next start.
-        """
-        for change in self._endpoints.mark_ended(endpoint.id, endpoint.born):
-            notice = LeavingEndpoint(endpoint.id, endpoint.born)
-            self._notices[notice] = self._timers.now
-            self._on_ended(change)
-            self._send_all(notice)
-
     def _send_all(self, notice: LeavingEndpoint) -> None:
         report = LeavingReport((notice,))
         self._sender.send_leaving(report, None)
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -470,12 +470,17 @@
         self._runs[answer.request] = PlacedRun(
             pending.placer, endpoint, answer.reading, memory
         )
-        source = self._endpoints.get(answer.fetch_from)
-        if source is not None and not self._endpoints.may_use(source.id):
-            source = None
+        source = self._fetch_source(answer.fetch_from)
         choice = Choice(endpoint, answer.reading, answer.wait_s, source)
         self._carry_out([StartJob(pending.job.queued_request, choice)])
 
+    def _fetch_source(self, endpoint: str) -> ListedEndpoint | None:
+        source = self._endpoints.get(endpoint)
+        if source is None or not self._endpoints.may_use(endpoint):
+            return None
+        # The placer means the start before, whose cache is lost.
+        return None if source.is_unlisted else source
+
     # The fleet.
 
     def drop_ended(self) -> None:
--- a/greengageflow/net/_verifier.py
+++ b/greengageflow/net/_verifier.py
@@ -117,8 +117,9 @@
             evidence = IncarnationEvidence.UNSTATED
         verdict = Verdict(verification.start, evidence)
         if not verification.allows(verdict):
-            is_other = evidence is IncarnationEvidence.OTHER
-            kind = FailureKind.OTHER_START if is_other else FailureKind.UNVERIFIED
+            kind = FailureKind.UNVERIFIED
+            if evidence in (IncarnationEvidence.LATER, IncarnationEvidence.OTHER):
+                kind = FailureKind.OTHER_START
             self._discard(conn)
             self._fail(exchange, kind, _REJECTION_TEXTS[kind])
         elif exchange.past_send_deadline:
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -125,7 +125,7 @@
         match verdict.evidence:
             case IncarnationEvidence.SAME:
                 return True
-            case IncarnationEvidence.UNSTATED:
+            case IncarnationEvidence.UNSTATED | IncarnationEvidence.EARLIER:
                 return not self.required
         return False
 
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -1,7 +1,7 @@
 """Load reports of the platform's endpoints, and which start of them answers."""
 
+from collections.abc import Callable
 from dataclasses import replace
-from functools import partial
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.incarnation import IncarnationEvidence
@@ -9,6 +9,9 @@
 from greengageflow.platform.answers import MISDIRECTED
 from greengageflow.platform.names import EXPECT_REPLICA, REPLICA_ID, REPORT_PATH
 
+MAX_BORN_MS = 2**53
+"""Latest start time that is believed, in Unix milliseconds."""
+
 
 def report_request(endpoint: ListedEndpoint) -> HttpRequest:
     """Return the request for an endpoint's report; it needs no slot there."""
@@ -17,7 +20,11 @@
 
 
 def start_verification(
-    endpoint: ListedEndpoint, *, required: bool, timeout_s: float
+    endpoint: ListedEndpoint,
+    *,
+    required: bool,
+    timeout_s: float,
+    on_later_start: Callable[[ListedEndpoint], None],
 ) -> Verification | None:
     """Return what verifies that a connection leads to the listed start of an endpoint.
 
@@ -28,11 +35,18 @@
         endpoint: The endpoint.
         required: True if an endpoint that does not state its start gets no request.
         timeout_s: Maximum time without progress, in seconds.
+        on_later_start: Called with a later start of the endpoint that answers.
     """
     if not endpoint.born:
         return None
+
+    def evaluate(response: Response) -> IncarnationEvidence:
+        later = later_start(response, endpoint)
+        if later is not None:
+            on_later_start(later)
+        return incarnation_evidence(response, endpoint)
+
     request = replace(report_request(endpoint), idle_timeout_s=timeout_s)
-    evaluate = partial(incarnation_evidence, endpoint=endpoint)
     return Verification(request, evaluate, endpoint.start, required)
 
 
@@ -52,23 +66,25 @@
     if born < endpoint.born:
         return IncarnationEvidence.EARLIER
     is_same = born == endpoint.born
-    return IncarnationEvidence.SAME if is_same else IncarnationEvidence.OTHER
+    return IncarnationEvidence.SAME if is_same else IncarnationEvidence.LATER
 
 
-def shows_later_start(response: Response, endpoint: ListedEndpoint) -> bool:
-    """Whether a response states that the listed start of an endpoint has ended.
+def later_start(response: Response, endpoint: ListedEndpoint) -> ListedEndpoint | None:
+    """Return the later start of an endpoint that a response comes from, or None.
 
     An earlier start time proves nothing: two processes may take turns at the address.
+    The version of the later start is unknown, and it may be cold.
     """
-    born = _born(response)
-    return bool(endpoint.born) and born is not None and born > endpoint.born
+    if incarnation_evidence(response, endpoint) is not IncarnationEvidence.LATER:
+        return None
+    return replace(endpoint, born=_born(response), version="", leaving=False)
 
 
 def _born(response: Response) -> int | None:
     """Return the start time that a report states, in Unix milliseconds, or None."""
     try:
         match response.json():
-            case {"born": int(born)} if not isinstance(born, bool):
+            case {"born": int(born)} if type(born) is int and born <= MAX_BORN_MS:
                 return born
     except (ValueError, RecursionError):
         pass
