Log and count what ended the answer of an endpoint

Callers get streams that lack events and look complete. The log could not tell such a stream from a whole one: FINISHED said nothing about what showed that it was whole.

The parser now keeps what delimits a body (length, chunks, no body by the status or the method, or the end of the connection), the end of a response carries it, and FINISHED and FINISHED_LATE write it as `end`. The metric `unproven_ends` counts by service the answers that ended only with their connection. No answer is handled differently.

--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -208,6 +208,7 @@
             "request": ctx.req.id,
             "endpoint": ctx.attempt.endpoint.id,
             "status": status,
+            "end": ctx.attempt.framing.value,
             "first_ms": _ms(first_event_s),
             "total_ms": _ms(now - ctx.arrived_at),
         }
@@ -222,6 +223,10 @@
             **fields,
         )
 
+    def on_unproven_end(self, ctx: ForwardContext) -> None:
+        """Count an answer whose framing does not show that it is complete."""
+        self._page.count(PageMetric.UNPROVEN_ENDS, ctx.service)
+
     def on_refused(self, now: float, ctx: ForwardContext, exc: RouterError) -> None:
         """Record a request that is answered with an error."""
         if ctx.attempt_count and exc.ran is not Ran.NO:
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -331,6 +331,8 @@
 
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle a complete answer that is not streamed: pass it on or retry."""
+        if not ctx.attempt.is_end_proven:
+            self._telemetry.on_unproven_end(ctx)
         note = ctx.attempt.response_info
         endpoint = ctx.attempt.endpoint
         if note.not_run:
@@ -431,6 +433,8 @@
 
     def on_end(self, ctx: ForwardContext) -> None:
         """Finish a stream that the endpoint ended regularly."""
+        if not ctx.attempt.is_end_proven:
+            self._telemetry.on_unproven_end(ctx)
         head = ctx.attempt.head
         self.placement.on_request_released(ctx.id, ctx.attempt.endpoint, completed=True)
         self.crashes.on_successful_answer(ctx.identity, ctx.run_began_at)
--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 from greengageflow.net._http_conn import Connection
-from greengageflow.net._http_parse import Head
+from greengageflow.net._http_parse import Framing, Head
 from greengageflow.net.http_messages import (
     Failure,
     FailureKind,
@@ -26,6 +26,7 @@
     Attributes:
         at_last_data: During ``on_data``, whether the response is complete with this
             data; ``on_end`` follows at once.
+        framing: What delimited the body of a response that has ended, else None.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.paused = False
         self.active = True
         self.at_last_data = False
+        self.framing: Framing | None = None
         self.sent_on_earlier_connection = False
         self.last_progress_at = monotonic()
         self._on_pause_changed = on_pause_changed
--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -18,6 +18,7 @@
 from greengageflow.net._http_parse import (
     BadMessage,
     Body,
+    Framing,
     Head,
     ResponseEnd,
     ResponseParser,
@@ -64,13 +65,16 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
-    """End of a complete response.
+    """End of a response.
 
     Args:
         reusable: True if the connection can carry another request.
+        framing: What delimited the body. Only ``CLOSE`` does not prove that the
+            response is complete.
     """
 
     reusable: bool
+    framing: Framing
 
 
 ResponsePart = Head | BodyData | End
@@ -280,9 +284,9 @@
     def _end(self, end: ResponseEnd, *, is_last: bool) -> End:
         # An idle connection must not keep its last request in memory.
         self._accepts = None
-        return End(
-            end.keep_alive and is_last and not self._peer_closed and not self._unsent
-        )
+        reusable = end.keep_alive and is_last
+        reusable = reusable and not self._peer_closed and not self._unsent
+        return End(reusable, self._parser.framing)
 
     def _end_by_close(self) -> Iterator[End]:
         # A body delimited by the end of the connection may have been truncated
@@ -299,7 +303,11 @@
         # its system resets the connection when the rest arrives.
         self.ends_when_sent = bool(self._unsent)
         if not self.ends_when_sent:
-            yield End(reusable=False)
+            yield self.end_by_close()
+
+    def end_by_close(self) -> End:
+        """Return the end of a response that the server ended with the connection."""
+        return End(reusable=False, framing=self._parser.framing)
 
     def close(self) -> None:
         """Close the socket."""
--- a/greengageflow/net/_http_parse.py
+++ b/greengageflow/net/_http_parse.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import StrEnum
 
 from httptools import (
     HttpParserError,
@@ -108,6 +109,17 @@
         return next((value for key, value in self.headers if key == name), default)
 
 
+class Framing(StrEnum):
+    """What delimits the body of a response."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    NO_BODY = "no_body"
+    """The status or the request's method allows no body."""
+    CLOSE = "close"
+    """The end of the connection, which also ends a truncated body."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseEnd:
     """End of a complete response.
@@ -346,6 +358,8 @@
 
     def __init__(self) -> None:
         super().__init__(HttpResponseParser, MAX_RESPONSE_HEAD_BYTES)
+        self.framing = Framing.NO_BODY
+        """What delimits the body of the current response."""
         self.until_close = False
         """Whether the current response is delimited by the end of the connection."""
         self._interim = False
@@ -387,6 +401,7 @@
             "transfer-encoding"
         )
         self.until_close = not framing and status not in (204, 304)
+        self.framing = self._framing(status)
         self._events.append(Head(status, headers.lines()))
         if self._no_body and framing and framing != ["0"]:
             # This responds to HEAD and has no body. The parser does not know the
@@ -395,6 +410,13 @@
             self._stopped = True
             self._events.append(ResponseEnd(keep_alive=False))
 
+    def _framing(self, status: int) -> Framing:
+        if self._no_body or status in (204, 304):
+            return Framing.NO_BODY
+        if self._headers.values("transfer-encoding"):
+            return Framing.CHUNKS
+        return Framing.CLOSE if self.until_close else Framing.LENGTH
+
     def on_body(self, data: bytes) -> None:
         if not (self._interim or self._stopped):
             self._events.append(Body(data))
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -45,11 +45,12 @@
         Level.NOTABLE,
         "request before endpoint release why pieces config",
     )
-    FINISHED = ("GG705", Level.ROUTINE, "request endpoint status first_ms total_ms")
+    FINISHED = ("GG705", Level.ROUTINE, "request endpoint status end first_ms total_ms")
     FINISHED_LATE = (
         "GG706",
         Level.NOTABLE,
-        "request endpoint status waited_ms predicted_ms first_ms total_ms objective_ms",
+        "request endpoint status end waited_ms predicted_ms first_ms total_ms"
+        " objective_ms",
     )
     FAILED = (
         "GG707",
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -7,6 +7,7 @@
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.errors import RouterError
 from greengageflow.net._caller_parts import BodyBudget
+from greengageflow.net._http_parse import Framing
 from greengageflow.net.endpoint_response import ResponseInfo
 from greengageflow.net.event_frames import EventFrames, Frame, InvalidEvents
 from greengageflow.net.http_messages import Failure, FailureKind, Head, HttpRequest
@@ -59,6 +60,7 @@
         events: Number of events received.
         at_last_events: During ``on_events``, whether the stream is complete with these
             events; ``on_end`` follows at once.
+        framing: What delimited the body of a response that has ended, else None.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.response_info: ResponseInfo | None = None
         self.events = 0
         self.at_last_events = False
+        self.framing: Framing | None = None
         self._pool = pool
         self._evaluate = evaluate
         self._stream = stream
@@ -90,6 +93,11 @@
         self._exchange: Exchange | None = None
         self._request = request
 
+    @property
+    def is_end_proven(self) -> bool:
+        """Whether the framing of the response shows that it is complete."""
+        return self.framing is not Framing.CLOSE
+
     def start(self) -> None:
         """Send the request."""
         request = replace(self._request, accepts=self._accepts, until_close=True)
@@ -170,6 +178,7 @@
 
     def on_end(self) -> None:
         """Handle the end of the response."""
+        self.framing = self._exchange.framing
         self._detach_exchange()
         if self._frames is None:
             self._listener.on_answer(self, bytes(self._body))
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -247,6 +247,7 @@
         conn = exchange.conn
         del self._active[conn.sock]
         exchange.active = False
+        exchange.framing = end.framing
         if exchange.paused:
             self._find_poller().addReader(self, conn.sock)
         if end.reusable:
@@ -321,7 +322,7 @@
             return
         exchange.last_progress_at = monotonic()
         if conn.ends_when_sent and not conn.wants_write:
-            self._finish(exchange, End(reusable=False))
+            self._finish(exchange, conn.end_by_close())
         else:
             self._update_poller(exchange)
 
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -73,6 +73,7 @@
     STALE_RETRIES = PageMetricSpec("stale_retries", PageKind.COUNTER)
     CANCELLED = PageMetricSpec("cancelled", PageKind.COUNTER, "service")
     ENDPOINT_FAILURES = PageMetricSpec("endpoint_failures", PageKind.COUNTER, "service")
+    UNPROVEN_ENDS = PageMetricSpec("unproven_ends", PageKind.COUNTER, "service")
     BACKOFFS = PageMetricSpec("endpoint_backoffs", PageKind.COUNTER, "service")
     ENDPOINT_CRASHES = PageMetricSpec("endpoint_crashes", PageKind.COUNTER, "service")
     CONTROL_BYTES = PageMetricSpec("control_bytes", PageKind.COUNTER, "direction")
--- a/tests/test_http_parse.py
+++ b/tests/test_http_parse.py
@@ -14,6 +14,7 @@
     MAX_RESPONSE_HEAD_BYTES,
     BadMessage,
     Body,
+    Framing,
     Head,
     RequestEnd,
     RequestHead,
@@ -378,3 +379,23 @@
         Head(200, (("content-length", "3"),)),
         ResponseEnd(keep_alive=False),
     ]
+
+
+@pytest.mark.parametrize(
+    ("method", "head", "framing"),
+    [
+        ("GET", b"200 OK\r\ncontent-length: 0", Framing.LENGTH),
+        ("GET", b"200 OK\r\ntransfer-encoding: chunked", Framing.CHUNKS),
+        ("GET", b"200 OK\r\nconnection: close", Framing.CLOSE),
+        ("GET", b"500 No\r\nserver: s", Framing.CLOSE),
+        ("GET", b"204 Empty\r\nserver: s", Framing.NO_BODY),
+        ("HEAD", b"200 OK\r\ncontent-length: 3", Framing.NO_BODY),
+    ],
+)
+def test_framing_of_a_response(method, head, framing):
+    """Only the end of the connection does not prove that a body is complete."""
+    parser = ResponseParser()
+    parser.expect(method)
+    list(parser.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + head + b"\r\n\r\n"))
+    assert parser.framing is framing
+    assert parser.until_close == (framing is Framing.CLOSE)
