Lab: endpoints that end an answer early and in order

A plain replica can end its process in the middle of a body without a length, with any status (`unframed="exit"`). An engine can close a stream between two events and live on (`close_after`), and faults can be limited to first or to resumed runs (`runs`). A stream that is resumed after its last event now ends at once; the engine sent one event too many.

--- a/greengageflow/lab/_platform_batch.py
+++ b/greengageflow/lab/_platform_batch.py
@@ -37,6 +37,7 @@
         id_prefix: Text before the number in each event id; ``NO_IDS`` for no ids.
         generated: Tokens generated so far; a resumed stream starts above 0.
         to_prefill: Tokens to prefill before the next one is generated.
+        resumed_at: Tokens that the caller had when the generation started.
     """
 
     model: str
@@ -46,6 +47,7 @@
     id_prefix: str = ""
     generated: int = 0
     to_prefill: int = 0
+    resumed_at: int = 0
 
     @classmethod
     def from_headers(cls, headers: Mapping[str, str], stride: int) -> "Job | None":
@@ -64,7 +66,15 @@
         last_event = headers.get(LAST_EVENT_ID, "0").removeprefix(id_prefix)
         generated = min(int(last_event) * stride, wanted)
         model = headers.get(MODEL, "")
-        return cls(model, parts, prompt, wanted, id_prefix, generated)
+        return cls(
+            model,
+            parts,
+            prompt,
+            wanted,
+            id_prefix,
+            generated,
+            resumed_at=generated,
+        )
 
     def id_line(self, number: int) -> str:
         """Return the line with the id of an event; empty without ids."""
@@ -175,7 +185,7 @@
             self.jobs.remove(job)
 
     def step(self) -> Iterator[Job]:
-        """Run one step; yield the generations that produced a token."""
+        """Run one step; yield the generations that produced a token or are complete."""
         budget = self._chunk
         for job in list(self.jobs):
             prefilled = min(budget, job.to_prefill)
@@ -184,5 +194,5 @@
             if job.to_prefill == 0 and job in self.jobs:
                 if prefilled or not job.generated:
                     self.cache.store(job.model, job.parts, self.reserved)
-                job.generated += 1
+                job.generated = min(job.generated + 1, job.wanted)
                 yield job
--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -12,10 +12,14 @@
 
 CLOSE = "close"
 RESET = "reset"
+EXIT = "exit"
 AT_ONCE = "at_once"
 LATE = "late"
 REJECTION = "rejection"
 
+FIRST = "first"
+RESUMED = "resumed"
+
 WAITING = "waiting"
 RUNNING = "running"
 
@@ -31,11 +35,14 @@
             number closes a plain response after half of its body.
         exit_after: End the process after this many events of a stream, between two
             events.
+        close_after: Close the connection in order after this many events of a stream
+            and go on serving other requests.
         extra: Send a second response with a foreign request id, ``at_once`` or
             ``late``, or a late ``rejection`` without an id.
         extra_s: Delay of a late second response in seconds.
         unframed: Send a response without a length. ``close`` ends it by closing the
-            connection, ``reset`` resets it after half of the body.
+            connection, ``reset`` resets it after half of the body, and ``exit`` ends
+            the process there. ``fail`` sets its status.
         early: Respond as soon as the head has arrived, then read the body.
         hang: Start the request and never respond.
         fail: Respond with this status after executing the request, without a statement
@@ -53,11 +60,14 @@
         times: Number of requests to affect; negative for all.
         path: Affect only requests whose path starts with this.
         via: Affect only requests whose path contains this.
+        runs: Affect only the ``first`` run of a stream or only ``resumed`` ones; empty
+            for both.
     """
 
     lose: str = ""
     cut_after: int | None = None
     exit_after: int | None = None
+    close_after: int | None = None
     extra: str = ""
     extra_s: float = 0.5
     unframed: str = ""
@@ -75,11 +85,13 @@
     times: int = -1
     path: str = ""
     via: str = ""
+    runs: str = ""
 
     def applies_to(self, call: Call) -> bool:
         """Whether the faults apply to a request."""
         path_matches = call.path.startswith(self.path) and self.via in call.path
-        return self.times != 0 and path_matches
+        run = RESUMED if LAST_EVENT_ID in call.headers else FIRST
+        return self.times != 0 and path_matches and self.runs in ("", run)
 
     def after_use(self) -> "ReplicaFaults":
         """Return the faults that are left after one request was affected."""
--- a/greengageflow/lab/_platform_generations.py
+++ b/greengageflow/lab/_platform_generations.py
@@ -137,8 +137,13 @@
         if work.events == work.faults.cut_after:
             self.cut_stream(work)
             return
-        work.events += 1
-        conn.send(self._framed(event))
+        if job.generated > job.resumed_at:
+            work.events += 1
+            conn.send(self._framed(event))
+        if work.events == work.faults.close_after:
+            self._replica.end(work, "cut")
+            conn.close()
+            return
         if job.generated < job.wanted:
             self._replica.after_event(work)
             return
--- a/greengageflow/lab/_platform_plain.py
+++ b/greengageflow/lab/_platform_plain.py
@@ -4,6 +4,7 @@
 
 from greengageflow.lab._platform_faults import (
     AT_ONCE,
+    EXIT,
     LATE,
     REJECTION,
     RESET,
@@ -21,6 +22,16 @@
 
 FOREIGN_ID = "f0f0f0f0f0f0f0f0"
 RESET_DELAY_S = 0.1
+EXIT_DELAY_S = 0.002
+"""Time for bytes to leave the process before it ends, in seconds."""
+
+
+class Replica(HttpFake):
+    """Replica whose process can end."""
+
+    def crash(self) -> None:
+        """End the process at once."""
+        raise NotImplementedError
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +42,7 @@
     headers: dict[str, str]
 
     def send(
-        self, fake: HttpFake, call: Call, faults: ReplicaFaults, number: int
+        self, fake: Replica, call: Call, faults: ReplicaFaults, number: int
     ) -> bool:
         """Send the response, subject to faults; return whether it is complete.
 
@@ -51,7 +62,7 @@
             conn.send(response_bytes(200, data, self.headers)[: -len(data) // 2])
             conn.close()
         elif faults.unframed:
-            self._unframed(fake, conn, faults.unframed == RESET)
+            self._unframed(fake, conn, faults)
         else:
             status = 500 if faults.grey and number % faults.grey == 0 else 200
             status = faults.fail or status
@@ -59,13 +70,20 @@
             return True
         return False
 
-    def _unframed(self, fake: HttpFake, conn: ServerConnection, cut: bool) -> None:
-        conn.send(head_bytes(200, {**self.headers, "Connection": "close"}))
-        if cut:
-            conn.send(self.data[: len(self.data) // 2])
+    def _unframed(
+        self, fake: Replica, conn: ServerConnection, faults: ReplicaFaults
+    ) -> None:
+        headers = {**self.headers, "Connection": "close"}
+        conn.send(head_bytes(faults.fail or 200, headers))
+        half = self.data[: len(self.data) // 2]
+        if faults.unframed == RESET:
+            conn.send(half)
             # The delay lets the client read the first half before the reset
             # discards it.
             fake.timers.after(RESET_DELAY_S, conn.reset)
+        elif faults.unframed == EXIT:
+            conn.send(half)
+            fake.timers.after(EXIT_DELAY_S, fake.crash)
         else:
             conn.send(self.data)
             conn.close()
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -15,11 +15,15 @@
     Work,
 )
 from greengageflow.lab._platform_generations import CHUNKED, Generations
-from greengageflow.lab._platform_plain import PlainAnswer, send_extra
+from greengageflow.lab._platform_plain import (
+    EXIT_DELAY_S,
+    PlainAnswer,
+    Replica,
+    send_extra,
+)
 from greengageflow.lab._store_entry import StoreEntry
 from greengageflow.lab.platform_http import (
     Call,
-    HttpFake,
     ServerConnection,
     response_bytes,
 )
@@ -45,10 +49,9 @@
 
 LONG_BODY_BYTES = 65_536
 FULL_BACKOFF_S = 0.1
-EXIT_DELAY_S = 0.002
 
 
-class PlatformReplica(HttpFake):
+class PlatformReplica(Replica):
     """A replica; requests with a token count are generations.
 
     Control calls:
@@ -320,21 +323,22 @@
 
     def _crash_if_poison(self, work: Work) -> None:
         if self._poison and self._poison in work.call.body:
-            self._crash()
+            self.crash()
 
     def before_first_event(self, work: Work) -> None:
         """Crash if the request has the poison part."""
         prefix = self._poison_part
         if prefix and any(name.startswith(prefix) for name in work.job.shared_parts):
-            self._crash()
+            self.crash()
 
     def after_event(self, work: Work) -> None:
         """End the process if the ``exit_after`` fault is set."""
         if work.events == work.faults.exit_after:
             # The delay lets the event leave the process first.
-            self.timers.after(EXIT_DELAY_S, self._crash)
+            self.timers.after(EXIT_DELAY_S, self.crash)
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
+        """End the process at once, with the records of its requests."""
         for run in self._runs:
             run.end("crashed")
         crash([run.row for run in self._runs])
