An end of the connection no longer counts as the end of an answer

Callers got streams that lacked their last events and looked complete, and halves of plain answers with a Content-Length. The endpoint's process had ended in the middle of an answer without a length or chunks. The system closes the connections of an ended process in order, so the router took it for the end of the answer.

The attempt now tells an end that its framing proves from one that only the end of the connection suggests. After such an end the router asks the endpoint for its report on a new connection. A process that ended can't answer, so any answer of the same start shows that the endpoint ended its answer by itself. Without one the answer is truncated, as if reset: resumed or repeated where allowed, 502 or a broken connection else, and the crash watch learns of it. The same holds for error bodies. Answers that state that the request was not run need no check.

An endpoint that lives may still have closed too early. Where a stream may be resumed, another endpoint of its version is asked to go on after the last event. Events that come are passed on, and the first endpoint counts as failed; an end without events completes the stream. If the other one rejects, fails as the last one or sends nothing for 1.5 s, the first endpoint's end stands, since nothing speaks against it. Such asks use at most half of the retry budget, so failures keep the rest, and count against the route's runs.

Left: where a stream may not be resumed, and for plain answers, an endpoint that lives and closes too early can't be told from one that has finished.

--- a/greengageflow/core/fleet_retry_budget.py
+++ b/greengageflow/core/fleet_retry_budget.py
@@ -13,6 +13,8 @@
 
 The rest is refilled at a constant rate.
 """
+SPARE_FRACTION = 0.5
+"""Fraction of the budget that retries may use which no failure asks for."""
 BURST_S = 1.0
 """Seconds of requests whose tokens may accumulate in the bucket.
 
@@ -84,6 +86,20 @@
         self._retries.append(now)
         return True
 
+    def take_spare(self, now: float, hosts: int) -> bool:
+        """Take a retry that no failure asks for; return False if none is to spare.
+
+        Half of the budget is left to failures, both of the bucket and of the window.
+        """
+        self._hosts = max(1, hosts)
+        self._expire(now)
+        limit = self._ratio * len(self._requests) + self._slack / self._hosts
+        left = self._tokens - 1.0
+        is_spare = left >= (1.0 - SPARE_FRACTION) * self._burst
+        if not is_spare or len(self._retries) + 1 > SPARE_FRACTION * limit:
+            return False
+        return self.take(now, hosts)
+
     def usage(self, now: float, hosts: int) -> BudgetUsage:
         """Return the counts of the window that ends now."""
         self._expire(now)
@@ -100,9 +116,15 @@
         elapsed_s = 0.0 if self.refilled_at is None else now - self.refilled_at
         self.refilled_at = now
         refill = (1.0 - BURST_FRACTION) * slack * elapsed_s / self._window_s
+        self._tokens = min(self._burst, self._tokens + refill)
+
+    @property
+    def _burst(self) -> float:
+        """Maximum number of tokens in the bucket."""
+        slack = self._slack / self._hosts
         burst = BURST_FRACTION * slack + self._ratio * len(self._recent_requests)
         # In a large fleet a host's part of the slack is less than one retry.
-        self._tokens = min(max(1.0, burst), self._tokens + refill)
+        return max(1.0, burst)
 
 
 def _drop_before(times: deque[float], before: float) -> None:
--- a/greengageflow/core/service_dispatcher.py
+++ b/greengageflow/core/service_dispatcher.py
@@ -458,6 +458,10 @@
         """Take a retry from a service's budget; return False if it is exhausted."""
         return self._budget(service).take(now, self._fleet_size.hosts)
 
+    def take_spare_retry(self, now: float, service: str) -> bool:
+        """Take a retry that failures can spare; return False if there is none."""
+        return self._budget(service).take_spare(now, self._fleet_size.hosts)
+
     def budget_usage(self, now: float, service: str) -> BudgetUsage:
         """Return the state of a service's retry budget."""
         return self._budget(service).usage(now, self._fleet_size.hosts)
--- /dev/null
+++ b/greengageflow/daemon/end_check.py
@@ -0,0 +1,74 @@
+"""Checks whether an endpoint whose answer ended with its connection still lives.
+
+Such an end does not show that the answer is complete: the connections of a process that
+ends are closed in the same way. A process that answers afterwards has ended its answer
+by itself.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.core.incarnation import IncarnationEvidence
+from greengageflow.net.http_messages import Failure, Response
+from greengageflow.net.http_pool import Exchange, HttpPool
+from greengageflow.platform.reports import incarnation_evidence, report_request
+
+CONNECT_TIMEOUT_S = 0.4
+"""Connect time-out of a check, in seconds."""
+ANSWER_TIMEOUT_S = 1.0
+"""Time without progress after which a check fails, in seconds."""
+
+
+def is_alive(answer: Response | Failure, endpoint: ListedEndpoint) -> bool:
+    """Return whether the answer to a check comes from the listed start of an endpoint.
+
+    Any status counts, as the endpoint may not know the path.
+    """
+    if isinstance(answer, Failure):
+        return False
+    return incarnation_evidence(answer, endpoint) is not IncarnationEvidence.OTHER
+
+
+class EndCheck:
+    """Asks an endpoint once whether it lives.
+
+    Args:
+        endpoint: Endpoint whose answer ended.
+        on_done: Called once with the outcome, unless the check is cancelled.
+    """
+
+    def __init__(
+        self, endpoint: ListedEndpoint, on_done: Callable[[bool], None]
+    ) -> None:
+        self._endpoint = endpoint
+        self._on_done: Callable[[bool], None] | None = on_done
+        self._exchange: Exchange | None = None
+
+    def start(self, pool: HttpPool) -> None:
+        """Send the question."""
+        # A kept connection may carry an answer that was sent before the process ended.
+        request = replace(
+            report_request(self._endpoint),
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            idle_timeout_s=ANSWER_TIMEOUT_S,
+            retry_stale=False,
+            until_close=True,
+        )
+        self._exchange = pool.fetch(request, self._on_answer)
+
+    def cancel(self) -> None:
+        """End the check without an outcome."""
+        if self._exchange is not None:
+            self._exchange.cancel()
+        self._release()
+
+    def _on_answer(self, answer: Response | Failure) -> None:
+        on_done = self._on_done
+        self._release()
+        on_done(is_alive(answer, self._endpoint))
+
+    def _release(self) -> None:
+        # The exchange and its receiver refer to each other. Without this, the request
+        # would stay in memory with them until a garbage collection.
+        self._exchange = self._on_done = None
--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -7,6 +7,7 @@
 from greengageflow.core.fingerprint import RequestIdentity
 from greengageflow.core.forward_request import ForwardRequest
 from greengageflow.core.routes import RetryPolicy, Route
+from greengageflow.daemon.end_check import EndCheck
 from greengageflow.net.endpoint_attempt import EndpointAttempt
 from greengageflow.net.forward_calls import ForwardCall
 from greengageflow.net.reply import Reply
@@ -21,6 +22,19 @@
     STREAMING = auto()
 
 
+@dataclass(frozen=True, slots=True)
+class LivingEnd:
+    """Unproven end of a stream whose endpoint still lives.
+
+    Args:
+        attempt: Attempt that ended so.
+        run_began_at: Time of its first event, or None.
+    """
+
+    attempt: EndpointAttempt
+    run_began_at: float | None
+
+
 @dataclass(slots=True, eq=False)
 class ForwardContext:
     """State of one forwarded request in flight.
@@ -50,6 +64,9 @@
         last_event: Id of the last event that the caller received, or None.
         is_position_known: False if the caller received an event without a numeric id
             after ``last_event``, so that the stream can't be resumed.
+        end_check: Check of the endpoint whose answer has just ended, or None.
+        living_end: End of the stream at an endpoint that lives, while another one is
+            asked for events after it, or None.
         run_is_sound: The current attempt has run for so long that it crashed nothing.
     """
 
@@ -86,6 +103,8 @@
     last_progress_at: float = 0.0
     longest_pause_s: float = 0.0
     timer: Subscription | None = None
+    end_check: EndCheck | None = None
+    living_end: LivingEnd | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -98,6 +117,11 @@
         is_resumable = self.route.retry_policy is RetryPolicy.RESUME
         return is_resumable and self.req.last_event is not None
 
+    @property
+    def position(self) -> tuple[int | None, bool]:
+        """Id of the last event that the caller received, and whether it is known."""
+        return self.last_event, self.is_position_known
+
     @property
     def has_runs_left(self) -> bool:
         """Whether the route allows one more run."""
--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -17,6 +17,11 @@
 """Maximum idle time of a connection reused for a run-once request, in seconds."""
 STALL_TIMEOUT_S = 1.5
 """Time without an event after which a stream counts as stalled, in seconds."""
+CONFIRMATION_TIMEOUT_S = 1.5
+"""Time that another endpoint has to send events after a stream's end, in seconds.
+
+Callers give a stream up that pauses for longer than about two seconds.
+"""
 
 
 def with_limits(request: HttpRequest, ctx: ForwardContext, now: float) -> HttpRequest:
@@ -52,6 +57,13 @@
         yield frame.raw
 
 
+def is_confirmation_overdue(ctx: ForwardContext, now: float) -> bool:
+    """Whether an endpoint asked for events after a stream's end has not answered."""
+    if ctx.living_end is None or ctx.end_check is not None:
+        return False
+    return now - ctx.last_progress_at > CONFIRMATION_TIMEOUT_S
+
+
 def is_stalled(ctx: ForwardContext, now: float) -> bool:
     """Whether a stream that may be resumed elsewhere is stalled.
 
@@ -60,6 +72,8 @@
     """
     if ctx.route.retry_policy is not RetryPolicy.RESUME or ctx.attempt is None:
         return False
+    if ctx.end_check is not None or ctx.living_end is not None:
+        return False
     if ctx.runs + 1 >= ctx.route.attempts or ctx.reply.blocked:
         return False
     return now - ctx.last_progress_at > STALL_TIMEOUT_S
--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -223,9 +223,16 @@
             **fields,
         )
 
-    def on_unproven_end(self, ctx: ForwardContext) -> None:
-        """Count an answer whose framing does not show that it is complete."""
+    def on_end_checked(self, ctx: ForwardContext, alive: bool) -> None:
+        """Count an answer that ended with its connection.
+
+        Args:
+            ctx: The request.
+            alive: Whether its endpoint was found to live.
+        """
         self._page.count(PageMetric.UNPROVEN_ENDS, ctx.service)
+        if not alive:
+            self._page.count(PageMetric.TRUNCATED_ENDS, ctx.service)
 
     def on_refused(self, now: float, ctx: ForwardContext, exc: RouterError) -> None:
         """Record a request that is answered with an error."""
@@ -297,14 +304,14 @@
         )
 
     def on_endpoint_failure(
-        self, ctx: ForwardContext, why: str, suspended: bool
+        self, endpoint: ListedEndpoint, why: str, suspended: bool
     ) -> None:
         """Record that an endpoint failed to answer; logged only if suspended."""
-        self._page.count(PageMetric.ENDPOINT_FAILURES, ctx.service)
+        self._page.count(PageMetric.ENDPOINT_FAILURES, endpoint.service)
         if suspended:
             self._log.write(
                 DecisionEvent.ENDPOINT_SUSPECT,
-                endpoint=ctx.attempt.endpoint.id,
+                endpoint=endpoint.id,
                 why=why,
-                failures=self._dispatcher.consecutive_failures(ctx.attempt.endpoint),
+                failures=self._dispatcher.consecutive_failures(endpoint),
             )
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -1,6 +1,6 @@
 """Request forwarding: admission, sending to endpoints, retries and answers."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from greengageflow.core.endpoint_choice import Choice
@@ -18,11 +18,13 @@
 )
 from greengageflow.core.version_affinity import StreamVersion, VersionHistory
 from greengageflow.daemon.crash_watch import CrashWatch
+from greengageflow.daemon.end_check import EndCheck
 from greengageflow.daemon.forward_admission import ForwardAdmission
-from greengageflow.daemon.forward_context import ForwardContext, Phase
+from greengageflow.daemon.forward_context import ForwardContext, LivingEnd, Phase
 from greengageflow.daemon.forward_sending import (
     MIN_ATTEMPT_S,
     STALL_TIMEOUT_S,
+    is_confirmation_overdue,
     is_stalled,
     new_events,
     with_limits,
@@ -301,7 +303,10 @@
         elif not ctx.run_is_sound and not self._is_suspect_run(ctx):
             ctx.run_is_sound = True
             self.crashes.on_sound_run(ctx.identity, ctx.run_began_at)
+        position = ctx.position
         events = b"".join(new_events(ctx, frames))
+        if ctx.living_end is not None and ctx.position != position:
+            self._on_early_end(ctx)
         pause_s, ctx.last_progress_at = now - ctx.last_progress_at, now
         if ctx.phase is not Phase.STREAMING:
             ctx.phase = Phase.STREAMING
@@ -330,9 +335,14 @@
             self.affinity.on_begun(stream)
 
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
+        """Handle the end of an answer that is not streamed."""
+        if ctx.attempt.is_end_proven or ctx.attempt.response_info.not_run:
+            self._on_whole_answer(ctx, body)
+        else:
+            self._check_end(ctx, lambda: self._on_whole_answer(ctx, body))
+
+    def _on_whole_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle a complete answer that is not streamed: pass it on or retry."""
-        if not ctx.attempt.is_end_proven:
-            self._telemetry.on_unproven_end(ctx)
         note = ctx.attempt.response_info
         endpoint = ctx.attempt.endpoint
         if note.not_run:
@@ -381,6 +391,9 @@
 
     def _retry_or_wait(self, ctx: ForwardContext, status: int) -> None:
         """Retry a rejected request now or after a backoff, or answer an error."""
+        if ctx.living_end is not None:
+            self._finish_at_living_end(ctx)
+            return
         # The backoff is read before an endpoint is chosen. If it ended between the
         # choice and a later reading, there would be neither an endpoint nor a time to
         # wait for.
@@ -419,6 +432,9 @@
         return RouterError(ErrorKind.QUEUE_FULL, text, retry_after_s=wait_s or None)
 
     def _answer(self, ctx: ForwardContext, body: bytes) -> None:
+        if ctx.living_end is not None:
+            self._finish_at_living_end(ctx)
+            return
         head = ctx.attempt.head
         now = self._timers.now
         if ctx.phase is Phase.STREAMING:
@@ -432,12 +448,68 @@
         self._end(ctx)
 
     def on_end(self, ctx: ForwardContext) -> None:
-        """Finish a stream that the endpoint ended regularly."""
-        if not ctx.attempt.is_end_proven:
-            self._telemetry.on_unproven_end(ctx)
+        """Handle the end of a stream between two events."""
+        if ctx.attempt.is_end_proven:
+            self._finish_stream(ctx)
+        else:
+            self._check_end(ctx, lambda: self._on_living_end(ctx))
+
+    def _check_end(self, ctx: ForwardContext, on_alive: Callable[[], None]) -> None:
+        """Treat an answer as truncated unless its endpoint is found to live."""
+
+        def on_done(alive: bool) -> None:
+            ctx.end_check = None
+            self._telemetry.on_end_checked(ctx, alive)
+            if alive:
+                on_alive()
+                return
+            text = "the endpoint ended with its answer, which has no length"
+            self.on_failure(ctx, Failure(FailureKind.CUT, True, text))
+
+        ctx.end_check = EndCheck(ctx.attempt.endpoint, on_done)
+        ctx.end_check.start(self._pool)
+
+    def _on_living_end(self, ctx: ForwardContext) -> None:
+        """Finish a stream at an unproven end, unless another endpoint can be asked."""
+        if ctx.living_end is not None or not self._confirm_end(ctx):
+            self._finish_stream(ctx)
+
+    def _confirm_end(self, ctx: ForwardContext) -> bool:
+        """Ask another endpoint for events after a stream's end, if allowed."""
+        is_resumable = ctx.route.retry_policy is RetryPolicy.RESUME
+        if not is_resumable or ctx.runs + 1 >= ctx.route.attempts:
+            return False
+        endpoint = ctx.attempt.endpoint
+        ctx.living_end = LivingEnd(ctx.attempt, ctx.run_began_at)
+        choice = self._next_choice(ctx, ctx.avoid | {endpoint.id})
+        if choice is None:
+            ctx.living_end = None
+            return False
+        ctx.avoid.add(endpoint.id)
+        ctx.runs += 1
+        self.placement.on_request_released(ctx.id, endpoint, completed=True)
+        self._resend(ctx, choice, "the end of the stream is not proven")
+        return True
+
+    def _on_early_end(self, ctx: ForwardContext) -> None:
+        """Count an endpoint as failed that ended a stream before its last event."""
+        endpoint, ctx.living_end = ctx.living_end.attempt.endpoint, None
+        suspended = self.placement.on_no_response(self._timers.now, ctx.id, endpoint)
+        text = "the stream ended before its last event"
+        self._telemetry.on_endpoint_failure(endpoint, text, suspended)
+
+    def _finish_at_living_end(self, ctx: ForwardContext) -> None:
+        """Finish a stream where an endpoint that lives ended it."""
+        self._stop_attempt(ctx)
+        end, ctx.living_end = ctx.living_end, None
+        ctx.attempt, ctx.run_began_at = end.attempt, end.run_began_at
+        self._finish_stream(ctx)
+
+    def _finish_stream(self, ctx: ForwardContext) -> None:
         head = ctx.attempt.head
         self.placement.on_request_released(ctx.id, ctx.attempt.endpoint, completed=True)
-        self.crashes.on_successful_answer(ctx.identity, ctx.run_began_at)
+        began_at = ctx.living_end.run_began_at if ctx.living_end else ctx.run_began_at
+        self.crashes.on_successful_answer(ctx.identity, began_at)
         if ctx.phase is not Phase.STREAMING:
             ctx.reply.begin(head.status, headers_for_caller(head))
         else:
@@ -492,7 +564,7 @@
         endpoint = ctx.attempt.endpoint
         suspended = self.placement.on_no_response(self._timers.now, ctx.id, endpoint)
         self.placement.on_request_released(ctx.id, endpoint)
-        self._telemetry.on_endpoint_failure(ctx, failure.message, suspended)
+        self._telemetry.on_endpoint_failure(endpoint, failure.message, suspended)
         if failure.sent:
             ctx.may_have_run = True
             ctx.runs += 1
@@ -528,6 +600,8 @@
         if not ctx.may_have_arrived:
             return True
         now = self._timers.now
+        if ctx.living_end is not None:
+            return self._dispatcher.take_spare_retry(now, ctx.service)
         if self._dispatcher.take_retry(now, ctx.service):
             return True
         self._telemetry.on_budget_exhausted(now, ctx.service)
@@ -572,14 +646,23 @@
         now = self._timers.now
         for ctx in [c for c in self._active.values() if is_stalled(c, now)]:
             self._resume_elsewhere(ctx)
+        for ctx in list(self._active.values()):
+            if is_confirmation_overdue(ctx, now):
+                self._finish_at_living_end(ctx)
         self.carry_out(self._dispatcher.pump(now))
 
     def _stop_attempt(self, ctx: ForwardContext) -> None:
+        if ctx.end_check is not None:
+            ctx.end_check.cancel()
+            ctx.end_check = None
         if ctx.attempt is not None:
             ctx.attempt.cancel()
             self.placement.on_request_released(ctx.id, ctx.attempt.endpoint)
 
     def _answer_error(self, ctx: ForwardContext, exc: RouterError) -> None:
+        if ctx.living_end is not None:
+            self._finish_at_living_end(ctx)
+            return
         if ctx.may_have_run and exc.claims_not_run:
             exc = RouterError(ErrorKind.ENDPOINT_FAILED, exc.message)
         now = self._timers.now
@@ -598,7 +681,7 @@
         ctx.timer.cancel()
         # The attempt refers to the context. Without this, an ended request with its
         # body would stay in memory until a garbage collection.
-        ctx.attempt = None
+        ctx.attempt = ctx.living_end = None
         now = self._timers.now
         self.carry_out(self.placement.on_request_end(now, ctx.service, ctx.id))
 
--- a/greengageflow/net/metrics_page.py
+++ b/greengageflow/net/metrics_page.py
@@ -74,6 +74,7 @@
     CANCELLED = PageMetricSpec("cancelled", PageKind.COUNTER, "service")
     ENDPOINT_FAILURES = PageMetricSpec("endpoint_failures", PageKind.COUNTER, "service")
     UNPROVEN_ENDS = PageMetricSpec("unproven_ends", PageKind.COUNTER, "service")
+    TRUNCATED_ENDS = PageMetricSpec("truncated_ends", PageKind.COUNTER, "service")
     BACKOFFS = PageMetricSpec("endpoint_backoffs", PageKind.COUNTER, "service")
     ENDPOINT_CRASHES = PageMetricSpec("endpoint_crashes", PageKind.COUNTER, "service")
     CONTROL_BYTES = PageMetricSpec("control_bytes", PageKind.COUNTER, "direction")
--- /dev/null
+++ b/tests/test_unproven_ends.py
@@ -0,0 +1,242 @@
+"""Answers that end with their connection, which does not show that they are whole."""
+
+import json
+from contextlib import contextmanager
+from functools import partial
+from itertools import count
+
+import pytest
+
+from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.core.fleet_retry_budget import FleetRetryBudget
+from greengageflow.daemon.end_check import is_alive
+from greengageflow.lab.platform_client import IncompleteResponse
+from greengageflow.lab.platform_lab import (
+    CHAT,
+    KEY,
+    NON_RESUMABLE_CHAT,
+    SAFE,
+    UNSAFE,
+    PlatformLab,
+    PlatformShape,
+    generation,
+)
+from greengageflow.net.http_messages import Failure, FailureKind, Response
+from greengageflow.platform.names import REPLICA_ID
+from tests.support import wait_for
+
+EVENTS = 12
+WHOLE = list(range(1, EVENTS + 1))
+ENGINE = {"step_ms": 10, "growth": 0, "stride": 1, "framing": "close"}
+ATTEMPTS = 20
+
+
+@contextmanager
+def engines(number, window_s=1, **bounds):
+    # A budget that starts has nothing to spare for half of its window.
+    bounds = {"budget_window_s": window_s, **bounds}
+    shape = PlatformShape(plain=0, engines=number, engine_options=ENGINE, bounds=bounds)
+    with PlatformLab(shape) as lab:
+        yield lab
+
+
+@pytest.fixture
+def services():
+    with PlatformLab(PlatformShape(plain=2)) as lab:
+        yield lab
+
+
+def send(lab, path, number=0):
+    client = lab.client()
+    prompt = generation(EVENTS, ("shared", 50), (f"own-{number}", 10))
+    # Requests that differ, since one whose engines crash is quarantined.
+    return client, client.send(path, b"%d" % number, key=KEY, headers=prompt)
+
+
+def stream(lab, path, number=0):
+    """Return the event ids of a stream, and whether it looks complete."""
+    client, _ = send(lab, path, number)
+    received = []
+    try:
+        assert client.head().status == 200
+        for event in client.events():
+            received.append(event.id)
+    except IncompleteResponse:
+        return received, False
+    return received, True
+
+
+def set_faults(lab, **faults):
+    for name in lab.replicas:
+        lab.set_faults(name, **faults)
+
+
+@pytest.mark.parametrize("path", [CHAT, NON_RESUMABLE_CHAT])
+def test_a_stream_whose_engine_exits_between_events_does_not_look_complete(path):
+    """Five of twelve events were passed on as a complete stream."""
+    with engines(3) as lab:
+        set_faults(lab, exit_after=5, runs="first")
+        resumed = path == CHAT
+        assert stream(lab, path) == ((WHOLE, True) if resumed else (WHOLE[:5], False))
+        wait_for(lambda: len(lab.crashed_replicas) == 1, "an engine has exited")
+
+
+@pytest.mark.parametrize("path", [CHAT, NON_RESUMABLE_CHAT])
+@pytest.mark.parametrize("number", [1, 3])
+def test_whole_streams_are_complete(path, number):
+    """A router that trusts no such end would cut streams that are whole."""
+    with engines(number, budget_slack=4) as lab:
+        streams = [stream(lab, path, n) for n in range(ATTEMPTS)]
+        assert streams == [(WHOLE, True)] * ATTEMPTS
+
+
+def test_the_last_engine_exits_between_events():
+    """No endpoint was left to ask, and the stream looked complete."""
+    with engines(1) as lab:
+        lab.set_faults("scribe-0", exit_after=5)
+        assert stream(lab, CHAT) == (WHOLE[:5], False)
+
+
+@contextmanager
+def two_engines():
+    with engines(1) as lab:
+        options = {**ENGINE, "framing": "chunked", "service": "scribe", "model": "m"}
+        lab.add_replica("scribe-1", **options)
+        wait_for(lambda: "scribe-1" in lab.router_logs, "the engine is listed")
+        yield lab
+
+
+def asked_streams(lab):
+    """Yield clients and ids of streams until another engine is asked after an end."""
+    for number in count():
+        assert number < 5 * ATTEMPTS
+        client, request = send(lab, CHAT, number)
+        yield client, request
+        if runs_after_end(lab, request):
+            return
+
+
+@pytest.mark.parametrize("asked", ["close", "chunked"])
+def test_a_stream_that_a_living_engine_ends_early_goes_on_elsewhere(asked):
+    """An engine closed its connection between two events; it looked like the end."""
+    with engines(2) if asked == "close" else two_engines() as lab:
+        set_faults(lab, close_after=5, runs="first")
+        for client, _ in asked_streams(lab):
+            client.head()
+            received = [event.id for event in client.events()]
+        assert received == WHOLE
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {},
+        {"fail": 500},
+        {"backoff_s": 5},
+        {"shed": 1000},
+        {"hang": True},
+        {"cut_after": 0},
+    ],
+    ids=lambda fault: "-".join(fault) or "none",
+)
+def test_a_whole_stream_is_complete_whatever_the_asked_engine_does(fault):
+    """Another engine that does not answer says nothing against the first one."""
+    with engines(2) as lab:
+        set_faults(lab, **fault, runs="resumed")
+        for client, _ in asked_streams(lab):
+            assert client.head().status == 200
+            assert [event.id for event in client.events()] == WHOLE
+
+
+def test_the_asked_engine_stops_when_the_caller_leaves():
+    """An engine went on with a stream that nobody waited for."""
+    with engines(2) as lab:
+        set_faults(lab, hang=True, runs="resumed")
+        for client, request in asked_streams(lab):
+            client.head()
+            events = client.events()
+            assert [next(events).id for _ in WHOLE] == WHOLE
+            wait_for(lambda r=request: followed(lab, r), "the stream is checked")
+            client.close()
+        cancelled = partial(runs_after_end, lab, request, cancelled=True)
+        wait_for(cancelled, "the run after the end is cancelled")
+        assert not logged(lab, request, "FINISHED")
+
+
+def runs_after_end(lab, request, **fields):
+    rows = [row for row in lab.runs(request) if row["last_event_id"]]
+    return [row for row in rows if fields.items() <= row.items()]
+
+
+def logged(lab, request, event):
+    lines = lab.router_logs.splitlines()
+    return any(request in line and event in line for line in lines)
+
+
+def followed(lab, request):
+    """Whether a stream has ended at the router, or another engine is asked about it."""
+    return logged(lab, request, "FINISHED") or runs_after_end(lab, request)
+
+
+def answers(lab, path, number):
+    """Return the answers to requests sent at once; None if one looks incomplete."""
+    clients = [lab.client() for _ in range(number)]
+    for position, client in enumerate(clients):
+        client.send(path, b"%d" % position, key=KEY)
+    for client in clients:
+        try:
+            yield client.answer()
+        except IncompleteResponse:
+            yield None
+
+
+@pytest.mark.parametrize("status", [0, 404, 500])
+@pytest.mark.parametrize("path", [SAFE, UNSAFE])
+def test_an_answer_whose_process_exits_is_not_passed_on(services, path, status):
+    """Half of a body without a length was passed on with a Content-Length."""
+    services.set_faults("app-0", unframed="exit", fail=status)
+    received = list(answers(services, path, number=6))
+    wait_for(lambda: services.crashed_replicas == ["app-0"], "it has exited")
+    good = [answer for answer in received if answer and answer.status == 200]
+    for answer in good:
+        assert json.loads(answer.body)["id"] == answer.id
+    failed = [answer for answer in received if answer not in good]
+    assert bool(failed) == (path == UNSAFE)
+    assert all(answer is None or answer.status == 502 for answer in failed)
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_a_whole_answer_without_a_length_is_passed_on(services, status):
+    """The same check must not turn whole answers and errors into failures."""
+    set_faults(services, unframed="close", fail=status)
+    for _ in range(ATTEMPTS):
+        answer = services.ask(UNSAFE)
+        assert answer.status == status and json.loads(answer.body)["id"] == answer.id
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        (Response(200, (), b'{"born": 7}'), True),
+        (Response(200, (), b'{"born": 8}'), False),
+        (Response(200, ((REPLICA_ID, "f"),), b""), False),
+        (Response(421, (), b""), False),
+        (Response(200, (), b"no JSON"), True),
+        (Response(404, (), b""), True),
+        (Failure(FailureKind.CONNECT, False, "refused"), False),
+        (Failure(FailureKind.TIMEOUT, True, "no answer"), False),
+    ],
+)
+def test_only_an_answer_of_the_same_start_shows_that_it_lives(answer, expected):
+    """A later start at the same address says nothing about an answer before."""
+    endpoint = ListedEndpoint("e", "s", "127.0.0.1", 1, "z", born=7)
+    assert is_alive(answer, endpoint) is expected
+
+
+def test_checks_leave_half_of_the_retry_budget_to_failures():
+    """Streams that ended well used up the retries of those that failed."""
+    budget = FleetRetryBudget(ratio=0.1, slack=20, window_s=10)
+    budget.refilled_at = 0.0
+    spare = sum(budget.take_spare(20.0, 1) for _ in range(100))
+    failures = sum(budget.take(20.0, 1) for _ in range(100))
+    assert (spare, failures) == (4, 4)
