--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -22,6 +22,11 @@
 seconds."""
 STALL_TIMEOUT_S = 1.5
 """Time without an event after which a stream counts as stalled, in seconds."""
+CONFIRMATION_TIMEOUT_S = 1.5
+"""Time that another endpoint has to send events after a stream's end, in seconds.
+
+Callers give a stream up that pauses for longer than about two seconds.
+"""
 
 
 OnLaterStart = Callable[[ListedEndpoint], None]
@@ -81,6 +86,13 @@
         yield frame.raw
 
 
+def is_confirmation_overdue(ctx: ForwardContext, now: float) -> bool:
+    """Whether an endpoint asked for events after a stream's end has not answered."""
+    if ctx.living_end is None or ctx.end_check is not None:
+        return False
+    return now - ctx.last_progress_at > CONFIRMATION_TIMEOUT_S
+
+
 def is_stalled(ctx: ForwardContext, now: float) -> bool:
     """Whether a stream that may be resumed elsewhere is stalled.
 
@@ -89,6 +101,8 @@
     """
     if ctx.route.retry_policy is not RetryPolicy.RESUME or ctx.attempt is None:
         return False
+    if ctx.end_check is not None or ctx.living_end is not None:
+        return False
     if ctx.runs + 1 >= ctx.route.attempts or ctx.reply.blocked:
         return False
     return now - ctx.last_progress_at > STALL_TIMEOUT_S
--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -219,6 +219,7 @@
             "endpoint": ctx.attempt.endpoint.id,
             **_start_fields(ctx),
             "status": status,
+            "end": ctx.attempt.framing.value,
             "first_ms": _ms(first_event_s),
             "total_ms": _ms(now - ctx.arrived_at),
         }
@@ -233,6 +234,17 @@
             **fields,
         )
 
+    def on_end_checked(self, ctx: ForwardContext, alive: bool) -> None:
+        """Count an answer that ended with its connection.
+
+        Args:
+            ctx: The request.
+            alive: Whether its endpoint was found to live.
+        """
+        self._page.count(PageMetric.UNPROVEN_ENDS, ctx.service)
+        if not alive:
+            self._page.count(PageMetric.TRUNCATED_ENDS, ctx.service)
+
     def on_refused(self, now: float, ctx: ForwardContext, exc: RouterError) -> None:
         """Record a request that is answered with an error."""
         if ctx.attempt_count and exc.ran is not Ran.NO:
@@ -304,14 +316,14 @@
         )
 
     def on_endpoint_failure(
-        self, ctx: ForwardContext, why: str, suspended: bool
+        self, endpoint: ListedEndpoint, why: str, suspended: bool
     ) -> None:
         """Record that an endpoint failed to answer; logged only if suspended."""
-        self._page.count(PageMetric.ENDPOINT_FAILURES, ctx.service)
+        self._page.count(PageMetric.ENDPOINT_FAILURES, endpoint.service)
         if suspended:
             self._log.write(
                 DecisionEvent.ENDPOINT_SUSPECT,
-                endpoint=ctx.attempt.endpoint.id,
+                endpoint=endpoint.id,
                 why=why,
-                failures=self._dispatcher.consecutive_failures(ctx.attempt.endpoint),
+                failures=self._dispatcher.consecutive_failures(endpoint),
             )
--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 from greengageflow.net._http_conn import Connection
-from greengageflow.net._http_parse import Head
+from greengageflow.net._http_parse import Framing, Head
 from greengageflow.net.http_messages import (
     Failure,
     FailureKind,
@@ -29,6 +29,7 @@
         check: The exchange that verifies the connection for this one, or None.
         is_check: True if this exchange verifies its connection for another one.
         freed_conn: For a check, its connection once it can carry another request.
+        framing: What delimited the body of a response that has ended, else None.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.paused = False
         self.active = True
         self.at_last_data = False
+        self.framing: Framing | None = None
         self.sent_on_earlier_connection = False
         self.check: Exchange | None = None
         self.is_check = False
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -7,6 +7,7 @@
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.errors import RouterError
 from greengageflow.net._caller_parts import BodyBudget
+from greengageflow.net._http_parse import Framing
 from greengageflow.net.endpoint_response import ResponseInfo
 from greengageflow.net.event_frames import EventFrames, Frame, InvalidEvents
 from greengageflow.net.http_messages import Failure, FailureKind, Head, HttpRequest
@@ -61,6 +62,7 @@
             events; ``on_end`` follows at once.
         verified_start: Start of the endpoint that the response is proven to come from,
             or empty.
+        framing: What delimited the body of a response that has ended, else None.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.events = 0
         self.at_last_events = False
         self.verified_start = ""
+        self.framing: Framing | None = None
         self._pool = pool
         self._evaluate = evaluate
         self._stream = stream
@@ -93,6 +96,11 @@
         self._exchange: Exchange | None = None
         self._request = request
 
+    @property
+    def is_end_proven(self) -> bool:
+        """Whether the framing of the response shows that it is complete."""
+        return self.framing is not Framing.CLOSE
+
     def start(self) -> None:
         """Send the request."""
         request = replace(self._request, accepts=self._accepts, until_close=True)
@@ -183,6 +191,7 @@
 
     def on_end(self) -> None:
         """Handle the end of the response."""
+        self.framing = self._exchange.framing
         self._detach_exchange()
         if self._frames is None:
             self._listener.on_answer(self, bytes(self._body))
