--- a/tests/test_restarted_in_place.py
+++ b/tests/test_restarted_in_place.py
@@ -118,6 +118,21 @@
             assert set(releases_until_end(client)) <= {release}
 
 
+def test_an_engine_that_has_started_again_gets_work_once_it_is_listed():
+    """What is recorded of the start before must not hold for the next one."""
+
+    def status():
+        body = request_body()
+        return lab.ask(CHAT, "r1", body=body, headers=PROMPT).status
+
+    with lab_of(1) as lab:
+        restart(lab, "scribe-0")
+        assert [status() for _ in range(3)] == [503] * 3
+        assert not lab.runs()
+        restart(lab, "scribe-0", born=3000, register_after_ms=0)
+        wait_for(lambda: status() == 200, "served again")
+
+
 @pytest.mark.parametrize("engines", [2, 3])
 def test_a_stream_taken_up_does_not_go_on_at_a_start_that_is_not_listed(engines):
     """The engine that the caller's resumption was sent to had started again."""
--- a/tests/test_version_affinity.py
+++ b/tests/test_version_affinity.py
@@ -14,6 +14,7 @@
     KEEPERS,
     MAX_STREAMS,
     RETENTION_S,
+    UNPROVEN_VERSION,
     StreamVersion,
     StreamVersionTable,
     VersionHistory,
@@ -142,6 +143,14 @@
         return found[0] and found[0].version
 
 
+def test_other_hosts_learn_that_the_version_of_a_stream_is_not_proven():
+    """They would take the only version that they have seen listed."""
+    net = Net()
+    net.nodes["h0"].on_begun(StreamVersion("r", "model", UNPROVEN_VERSION))
+    net.run(0.1)
+    assert {net.find(host, "r") for host in net.nodes} == {UNPROVEN_VERSION}
+
+
 def test_any_host_finds_the_version_after_the_first_host_died():
     net = Net()
     for number in range(100):
