Store records: reject entries whose values nothing else can hold

An entry of another writer that parses, but whose `slots` has hundreds of digits, or whose key is not UTF-8 or holds a line end, was taken for an endpoint. Callers got 500 for any request of the service, or 504 at their deadline, as long as it was listed.

The parser checked types and signs but no upper bounds, and not the key. The values failed later: `slots` of 400 digits as "int too large to convert to float" in the choice of an endpoint, a key with a lone surrogate as UnicodeEncodeError in the timer that follows the placers, a key with a line end or NUL as BadHead when the request was about to be sent with it. No router ended, and they followed the list.

Whole numbers now have a maximum (`born` that of the messages between routers), texts are printable and at most 255 characters, and keys are printable ASCII, as a header holds them. Such a record names no endpoint, and replaces an earlier one of its key. The text of an error is cut: an entry of 1 MB would have been a line of 1 MB.

--- a/greengageflow/lab/_platform_log.py
+++ b/greengageflow/lab/_platform_log.py
@@ -130,7 +130,9 @@
         """Append one record; in a keyed topic, update the newest value of its key."""
         if self.keyed:
             size = 1 + record[0]
-            key, value = record[1:size].decode(), record[size:]
+            # Keys that are not UTF-8 reach the readers as lone surrogates.
+            key = record[1:size].decode(errors="surrogateescape")
+            value = record[size:]
             self.newest.pop(key, None)
             if value:
                 self.newest[key] = (value, self.end)
--- a/greengageflow/lab/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -8,10 +8,12 @@
 import signal
 import sys
 from collections.abc import Mapping
-from contextlib import suppress
+from contextlib import closing, suppress
 from dataclasses import dataclass, field
 from functools import partial
+from http.client import HTTPConnection
 from pathlib import Path
+from struct import pack
 from subprocess import DEVNULL, STDOUT, Popen
 from tempfile import TemporaryDirectory, TemporaryFile
 from time import monotonic
@@ -20,6 +22,7 @@
 from greengageflow.events import Event
 from greengageflow.lab._processes import (
     ROOT,
+    TIMEOUT_S,
     Process,
     await_ready,
     call,
@@ -368,6 +371,17 @@
         """End the evacuation of a zone as the operator."""
         self.control(self.store, "DELETE", f"/evacuate/{zone}")
 
+    def append_raw(self, topic: str, *records: tuple[bytes, bytes]) -> None:
+        """Append records of any key and value to a keyed topic as another writer."""
+        data = b"".join(
+            pack(">IB", 1 + len(key) + len(value), len(key)) + key + value
+            for key, value in records
+        )
+        conn = HTTPConnection(*self.control_address(self.store), timeout=TIMEOUT_S)
+        with closing(conn):
+            conn.request("POST", f"/records?topic={topic}", data)
+            assert conn.getresponse().status == 200
+
     def set_store_faults(self, **faults: Any) -> None:
         """Set the store's faults; without arguments, clear them."""
         self.control(self.store, "POST", "/fault", faults)
--- a/greengageflow/lab/platform_store.py
+++ b/greengageflow/lab/platform_store.py
@@ -84,6 +84,7 @@
             back.
         ``PUT /servers/ID``, ``DELETE /servers/ID``: write or remove a replica's
             entry; ``ttl_ms`` in the query is the time to live of the entry.
+        ``POST /records?topic=T``: append framed records of any content.
         ``POST /fault``: set the faults (``StoreFaults``).
         ``POST /compact``: drop all records of ``topic`` and ``part``.
         ``GET /newest?topic=T``: newest value of each key.
@@ -239,6 +240,11 @@
             case "DELETE", ["servers", name]:
                 self._schedule_expiry(name, None)
                 return self._put(SERVERS_TOPIC, name, b"")
+            case "POST", ["records"]:
+                partition = self._partition(call.query["topic"], 0)
+                answer = partition.append({}, bytes(call.body))
+                self._wake_long_polls(partition)
+                return response_bytes(200, answer)
             case "POST", ["fault"]:
                 fields = call.json
                 ips = tuple(fields.pop("ips", ()))
--- a/greengageflow/platform/records.py
+++ b/greengageflow/platform/records.py
@@ -27,6 +27,10 @@
 
 _REPEAT_BY_KIND = {IDEMPOTENT: RetryPolicy.ANY}
 _MAX_COLD_MS = 3_600_000
+_MAX_SLOTS = 1_048_576
+_MAX_BORN_MS = 2**53
+_MAX_TEXT_LENGTH = 255
+_MAX_ERROR_LENGTH = 200
 
 _PARSE_ERRORS = (
     ValueError,
@@ -146,6 +150,7 @@
     """
     try:
         doc = json.loads(value)
+        _check_id(key)
         ip, port = _parse_address(_non_empty_text(doc, "address"))
         state = _non_empty_text(doc, "state")
         if state not in (READY, DRAINING):
@@ -156,37 +161,43 @@
             ip=ip,
             port=port,
             zone=_non_empty_text(doc, "zone"),
-            slots=_non_negative_int(doc, "slots"),
+            slots=_bounded_int(doc, "slots", _MAX_SLOTS),
             leaving=state == DRAINING,
-            born=_non_negative_int(doc, "born") if "born" in doc else 0,
+            born=_bounded_int(doc, "born", _MAX_BORN_MS) if "born" in doc else 0,
             cold_s=_cold_s(doc),
             version=_non_empty_text(doc, "version"),
         )
     except _PARSE_ERRORS as exc:
-        raise RecordError(f"endpoint {key}: {exc!r}") from exc
+        text = f"{exc!r:.{_MAX_ERROR_LENGTH}}"
+        raise RecordError(f"endpoint {key}: {text}") from exc
+
+
+def _check_id(key: str) -> None:
+    # Requests name their endpoint in a header.
+    if not (key.isascii() and key.isprintable() and key.strip()):
+        raise ValueError("invalid id")
 
 
 def _non_empty_text(doc: dict[str, Any], name: str) -> str:
     value = doc[name]
-    if not isinstance(value, str) or not value:
+    if not isinstance(value, str) or not 0 < len(value) <= _MAX_TEXT_LENGTH:
         raise ValueError(f"invalid {name} {value!r}")
+    # Lone surrogates, which JSON can express, fit in no message to other routers.
+    if not value.isprintable():
+        raise ValueError(f"unprintable {name} {value!r}")
     return value
 
 
-def _non_negative_int(doc: dict[str, Any], name: str) -> int:
+def _bounded_int(doc: dict[str, Any], name: str, maximum: int) -> int:
     value = doc[name]
-    if type(value) is not int or value < 0:
-        raise ValueError(f"invalid {name} {value!r}")
+    # Arithmetic and messages to other routers fail on integers without a bound.
+    if type(value) is not int or not 0 <= value <= maximum:
+        raise ValueError(f"invalid {name}")
     return value
 
 
 def _cold_s(doc: dict[str, Any]) -> float:
-    if COLD_MS not in doc:
-        return 0.0
-    remaining_ms = _non_negative_int(doc, COLD_MS)
-    if remaining_ms > _MAX_COLD_MS:
-        raise ValueError(f"invalid {COLD_MS} {remaining_ms!r}")
-    return remaining_ms / 1000
+    return _bounded_int(doc, COLD_MS, _MAX_COLD_MS) / 1000 if COLD_MS in doc else 0.0
 
 
 def _parse_address(text: str) -> tuple[str, int]:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -73,6 +73,12 @@
         ("version", ""),
         ("born", "soon"),
         ("born", 1.5),
+        ("slots", 10**400),
+        ("slots", 10**9),
+        ("born", 10**18),
+        ("zone", "\ud800"),
+        ("zone", "x" * 256),
+        ("version", "v\0"),
     ],
 )
 def test_entry_with_an_invalid_field_is_rejected(name, value):
@@ -80,6 +86,12 @@
         parse_entry(**{name: value})
 
 
+@pytest.mark.parametrize("key", ["", " ", "a\0b", "a\r\nb: c", "\udcff", "\ufffd"])
+def test_entry_whose_key_fits_in_no_header_is_rejected(key):
+    with pytest.raises(RecordError):
+        parse_endpoint(key, json.dumps(VALID_ENTRY).encode())
+
+
 @given(st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
 def test_arbitrary_entry_is_rejected(value):
     with pytest.raises(RecordError):
