Outbound calls: free a response that was collected as soon as it has ended

A gateway whose engines, or whose store, answer its own calls without end could grow beyond the memory of a small host, where the platform would end it.

The receiver of a collected response and its exchange refer to each other, so each ended call kept its body (1 MB for the cached prompt parts of an engine, 16 MB for a page of the store) until a garbage collection, which is rare. The receiver now drops both when it reports the result.

--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -113,13 +113,20 @@
         if len(self._body) > self._limit and self.exchange is not None:
             self.exchange.cancel()
             message = f"response larger than {self._limit} bytes"
-            self._on_done(Failure(FailureKind.BROKEN, True, message))
+            self._finish(Failure(FailureKind.BROKEN, True, message))
 
     def on_end(self) -> None:
         """Pass on the complete response."""
         head = self._head
-        self._on_done(Response(head.status, head.headers, bytes(self._body)))
+        self._finish(Response(head.status, head.headers, bytes(self._body)))
 
     def on_failure(self, failure: Failure) -> None:
         """Pass on the failure."""
-        self._on_done(failure)
+        self._finish(failure)
+
+    def _finish(self, result: Response | Failure) -> None:
+        # The exchange refers to this receiver. Without this, both would stay in memory
+        # with the body until a garbage collection.
+        self.exchange = None
+        self._body = bytearray()
+        self._on_done(result)
