--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -46,11 +46,12 @@
         yield lab
 
 
-def send(lab, path, number=0):
+def send(lab, path, number=0, **options):
     client = lab.client()
     prompt = generation(EVENTS, ("shared", 50), (f"own-{number}", 10))
     # Requests that differ, since one whose engines crash is quarantined.
-    return client, client.send(path, b"%d" % number, key=KEY, headers=prompt)
+    options = {"key": KEY, "headers": prompt, **options}
+    return client, client.send(path, b"%d" % number, **options)
 
 
 def stream(lab, path, number=0):
@@ -95,6 +96,7 @@
     with engines(1) as lab:
         lab.set_faults("scribe-0", exit_after=5)
         assert stream(lab, CHAT) == (WHOLE[:5], False)
+        wait_for(lambda: "ENDPOINT_CRASHED" in lab.router_logs, "the crash is noticed")
 
 
 @contextmanager
@@ -106,11 +108,11 @@
         yield lab
 
 
-def asked_streams(lab):
+def asked_streams(lab, **options):
     """Yield clients and ids of streams until another engine is asked after an end."""
     for number in count():
         assert number < 5 * ATTEMPTS
-        client, request = send(lab, CHAT, number)
+        client, request = send(lab, CHAT, number, **options)
         yield client, request
         if runs_after_end(lab, request):
             return
@@ -148,6 +150,15 @@
             assert [event.id for event in client.events()] == WHOLE
 
 
+def test_the_deadline_does_not_cut_a_whole_stream():
+    """The deadline passed while another engine was asked, and the stream was cut."""
+    with engines(2) as lab:
+        set_faults(lab, hang=True, runs="resumed")
+        for client, _ in asked_streams(lab, deadline_ms=1000):
+            client.head()
+            assert [event.id for event in client.events()] == WHOLE
+
+
 def test_the_asked_engine_stops_when_the_caller_leaves():
     """An engine went on with a stream that nobody waited for."""
     with engines(2) as lab:
