Kept connections are verified before reuse instead of being left unused

Where an engine runs streams that may be resumed and others, a connection that had carried one of the latter was never used for the former, so more new connections were opened.

Such a connection now carries the verification's request first. A late answer to an earlier request could come in place of the report; it echoes that request's id, by which it is skipped. A kept connection that the server closes during the verification is replaced, since nothing was sent on it. The test that said that such connections are not used is replaced by three that say how they are verified.

--- a/greengageflow/net/_idle_conns.py
+++ b/greengageflow/net/_idle_conns.py
@@ -6,7 +6,7 @@
 from time import monotonic
 
 from greengageflow.net._http_conn import Connection
-from greengageflow.net.http_messages import HttpRequest
+from greengageflow.net.http_messages import HttpRequest, Verdict
 
 
 class IdleConns:
@@ -40,16 +40,34 @@
     def take(self, request: HttpRequest, max_idle_s: float) -> Connection | None:
         """Return a connection for a request, or None.
 
+        If the request has a verification, it is a connection that this allows, or else
+        one that has not been verified yet.
+
         Args:
-            request: Request to send. Connections that may have carried it are kept, and
-                those that its verification does not allow.
+            request: Request to send. Connections that may have carried it are kept.
             max_idle_s: Return only a connection idle for less than this, in seconds.
         """
+        verification = request.verification
+        if verification is None:
+            return self._take(request, max_idle_s, lambda _verdict: True)
+        return self._take(request, max_idle_s, verification.allows) or self._take(
+            request, max_idle_s, lambda verdict: verdict is None
+        )
+
+    def _take(
+        self,
+        request: HttpRequest,
+        max_idle_s: float,
+        accepts: Callable[[Verdict | None], bool],
+    ) -> Connection | None:
         conns = self._by_address.get(request.address, ())
         for conn in reversed(tuple(conns)):
             if monotonic() - self._idle_since[conn.sock][1] >= max_idle_s:
                 return None
-            if not _may_carry(conn, request):
+            may_repeat_id = conn.sent_requests.may_include(
+                request.request_id, request.first_sent_at
+            )
+            if may_repeat_id or not accepts(conn.verdict):
                 continue
             conns.remove(conn)
             del self._idle_since[conn.sock]
@@ -92,9 +110,3 @@
         """Close all connections."""
         for sock in list(self._idle_since):
             self.drop(sock)
-
-
-def _may_carry(conn: Connection, request: HttpRequest) -> bool:
-    if conn.sent_requests.may_include(request.request_id, request.first_sent_at):
-        return False
-    return request.verification is None or request.verification.allows(conn.verdict)
--- a/greengageflow/net/_verifier.py
+++ b/greengageflow/net/_verifier.py
@@ -84,7 +84,7 @@
         self._report = report
 
     def verify(self, exchange: Exchange, conn: Connection) -> None:
-        """Send the request of an exchange on a new connection once it is verified."""
+        """Send the request of an exchange on a connection once that is verified."""
         request = exchange.request
         check_request = replace(
             request.verification.request, connect_timeout_s=request.connect_timeout_s
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -64,7 +64,7 @@
     Attributes:
         stale_retries: Number of requests that were retried on a new connection
             because a reused one had been closed.
-        verifier: Verifies new connections for requests that need it.
+        verifier: Verifies connections for requests that need it.
     """
 
     channel = "http_pool"
@@ -111,7 +111,7 @@
         if conn is None:
             self._connect(exchange)
         else:
-            self._start(exchange, conn)
+            self._start_verified(exchange, conn)
         return exchange
 
     def _exchange(self, request: HttpRequest, receiver: Receiver) -> Exchange:
@@ -159,11 +159,18 @@
             self._timers.after(0, lambda: self._report(exchange, failure))
             return
         self._find_poller().addReader(self, conn.sock)
-        if verify and exchange.request.verification is not None:
-            self.verifier.verify(exchange, conn)
+        if verify:
+            self._start_verified(exchange, conn)
         else:
             self._start(exchange, conn)
 
+    def _start_verified(self, exchange: Exchange, conn: Connection) -> None:
+        verification = exchange.request.verification
+        if verification is None or verification.allows(conn.verdict):
+            self._start(exchange, conn)
+        else:
+            self.verifier.verify(exchange, conn)
+
     def _start(self, exchange: Exchange, conn: Connection) -> None:
         request = exchange.request
         try:
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -7,13 +7,26 @@
 from greengageflow.core.incarnation import IncarnationEvidence
 from greengageflow.net.http_messages import HttpRequest, Response, Verification
 from greengageflow.platform.answers import MISDIRECTED
-from greengageflow.platform.names import EXPECT_REPLICA, REPLICA_ID, REPORT_PATH
+from greengageflow.platform.names import (
+    EXPECT_REPLICA,
+    REPLICA_ID,
+    REPORT_PATH,
+    REQUEST_ID,
+)
 
 
 def report_request(endpoint: ListedEndpoint) -> HttpRequest:
     """Return the request for an endpoint's report; it needs no slot there."""
     headers = ((EXPECT_REPLICA, endpoint.id),)
-    return HttpRequest("GET", endpoint.ip, endpoint.port, REPORT_PATH, headers)
+    return HttpRequest(
+        "GET",
+        endpoint.ip,
+        endpoint.port,
+        REPORT_PATH,
+        headers,
+        # A late answer to an earlier request on the connection has that request's id.
+        accepts=lambda head: not head.header(REQUEST_ID),
+    )
 
 
 def start_verification(
--- a/tests/test_connection_verification.py
+++ b/tests/test_connection_verification.py
@@ -88,14 +88,39 @@
     assert len(peer.sources) == 2
 
 
-def test_unverified_kept_connection_is_not_used(loop):
+def test_unverified_kept_connection_is_verified_before_it_is_used(loop):
     """Any process may have been at its other end when it was opened."""
     peer = peer_of(b"same")
     assert fetch_unverified(loop, peer).body == b"done"
-    assert fetch(loop, peer)[1] == "a"
-    assert len(peer.sources) == 2
+    for _ in range(2):
+        assert fetch(loop, peer, required=True)[1] == "a"
+    assert paths(peer) == ["/plain", "/check", "/main", "/main"]
+    assert len(peer.sources) == 1
+
+
+def test_nothing_is_sent_on_a_kept_connection_of_another_start(loop):
+    peer = peer_of(b"other")
     assert fetch_unverified(loop, peer).body == b"done"
-    assert len(peer.sources) == 2
+    failure, _ = fetch(loop, peer)
+    assert (failure.kind, failure.sent) == (FailureKind.OTHER_START, False)
+    assert paths(peer) == ["/plain", "/check"]
+
+
+def test_kept_connection_that_ends_during_its_verification_is_replaced(loop):
+    """A server may close a kept connection just then; nothing was sent on it."""
+
+    def script(conn, number):
+        if number:
+            answer(conn, b"same")
+        conn.request()
+        conn.answer(b"done")
+        conn.request()
+
+    peer = FakePeer(script)
+    assert fetch_unverified(loop, peer).body == b"done"
+    response, verified = fetch(loop, peer, required=True)
+    assert (response.body, verified) == (b"done", "a")
+    assert paths(peer) == ["/plain", "/check", "/check", "/main"]
 
 
 @pytest.mark.parametrize("required", [False, True])
--- /dev/null
+++ b/tests/test_endpoint_reports.py
@@ -0,0 +1,56 @@
+"""What an endpoint's report proves about the process that sends it."""
+
+import json
+
+import pytest
+
+from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.core.incarnation import IncarnationEvidence
+from greengageflow.net.http_messages import Head, Response
+from greengageflow.platform.names import REPLICA_ID, REQUEST_ID
+from greengageflow.platform.reports import start_verification
+
+LISTED = ListedEndpoint("e", "m", "127.0.0.1", 9, "z", born=5)
+
+
+def verification(endpoint=LISTED):
+    return start_verification(endpoint, required=True, timeout_s=1.0)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "body", "evidence"),
+    [
+        (200, (), {"born": 5}, IncarnationEvidence.SAME),
+        (200, ((REPLICA_ID, "e"),), {"born": 5}, IncarnationEvidence.SAME),
+        (200, (), {"born": 6}, IncarnationEvidence.OTHER),
+        (200, (), {"born": 4}, IncarnationEvidence.OTHER),
+        (200, ((REPLICA_ID, "f"),), {"born": 5}, IncarnationEvidence.OTHER),
+        (421, (), {}, IncarnationEvidence.OTHER),
+        (200, (), {}, IncarnationEvidence.UNSTATED),
+        (200, (), {"born": True}, IncarnationEvidence.UNSTATED),
+        (200, (), {"born": "5"}, IncarnationEvidence.UNSTATED),
+        (200, (), [5], IncarnationEvidence.UNSTATED),
+        (503, (), {}, IncarnationEvidence.UNSTATED),
+    ],
+)
+def test_report_proves_a_start_only_by_its_start_time(status, headers, body, evidence):
+    response = Response(status, headers, json.dumps(body).encode())
+    assert verification().evaluate(response) is evidence
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff", b"[" * 100_000, b'{"born": 5'])
+def test_unreadable_report_proves_nothing(body):
+    found = verification().evaluate(Response(200, (), body))
+    assert found is IncarnationEvidence.UNSTATED
+
+
+def test_late_answer_to_another_request_is_not_taken_for_the_report():
+    accepts = verification().request.accepts
+    assert accepts(Head(200, ()))
+    assert not accepts(Head(200, ((REQUEST_ID, "earlier"),)))
+
+
+def test_nothing_is_verified_where_no_start_time_is_listed():
+    """Each start has an id of its own there, which requests name."""
+    endpoint = ListedEndpoint("e", "m", "127.0.0.1", 9, "z")
+    assert verification(endpoint) is None
