Tests: each engine that a stream may go on at starts again in turn

With three engines the router always chose the last one, and only the first one had started again, so no run went from a start that was not verified to another engine. Each of them starts again now; the added cases failed on the code before ([3-1] of the cut stream and of the one taken up) and pass.

--- a/tests/test_restarted_in_place.py
+++ b/tests/test_restarted_in_place.py
@@ -28,6 +28,8 @@
 PROMPT = generation(EVENTS, ("shared", 50), ("own", 10))
 CALLERS = 18
 RESTARTS = 10
+ONE_RESTARTED = [(2, 0), (3, 0), (3, 1)]
+"""Number of engines, and which one of those without the stream starts again."""
 
 
 def lab_of(engines, releases=("v1",), **options):
@@ -93,13 +95,15 @@
     return status, found
 
 
-@pytest.mark.parametrize("engines", [2, 3])
-def test_a_cut_stream_does_not_go_on_at_a_start_that_is_not_listed_yet(engines):
+@pytest.mark.parametrize(("engines", "restarted"), ONE_RESTARTED)
+def test_a_cut_stream_does_not_go_on_at_a_start_that_is_not_listed_yet(
+    engines, restarted
+):
     """The list named the release of the start before, and two were joined."""
     with lab_of(engines) as lab:
         client, _, engine = begin(lab)
-        other = next(name for name in lab.replicas if name != engine)
-        restart(lab, other)
+        others = [name for name in lab.replicas if name != engine]
+        restart(lab, others[restarted])
         lab.cut_streams(engine)
         rest = releases_until_end(client)
         assert set(rest) <= {"v1"}
@@ -133,14 +137,16 @@
         wait_for(lambda: status() == 200, "served again")
 
 
-@pytest.mark.parametrize("engines", [2, 3])
-def test_a_stream_taken_up_does_not_go_on_at_a_start_that_is_not_listed(engines):
+@pytest.mark.parametrize(("engines", "restarted"), ONE_RESTARTED)
+def test_a_stream_taken_up_does_not_go_on_at_a_start_that_is_not_listed(
+    engines, restarted
+):
     """The engine that the caller's resumption was sent to had started again."""
     with lab_of(engines) as lab:
         client, request, engine = begin(lab)
         client.close(reset=True)
         others = [name for name in lab.replicas if name != engine]
-        restart(lab, others[0])
+        restart(lab, others[restarted])
         lab.replicas[engine].popen.kill()
         status, found = resume(lab, "r1", {RESUMES: request})
         assert set(found) <= {"v1"}
