Outbound calls: only the exchange of an ended call lets go of its receiver

A receiver that finds its exchange elsewhere, as one that checks a connection does, need not have an attribute that can be set. The exchange drops its receiver once the result is reported; the pool does not call it after that.

--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -37,7 +37,7 @@
         on_cancel: Callable[["Exchange"], None],
     ) -> None:
         self.request = request
-        self.receiver = receiver
+        self.receiver: Receiver | None = receiver
         self.conn: Connection | None = None
         self.paused = False
         self.active = True
@@ -125,8 +125,9 @@
         self._finish(failure)
 
     def _finish(self, result: Response | Failure) -> None:
-        # The exchange refers to this receiver. Without this, both would stay in memory
-        # with the body until a garbage collection.
-        self.exchange = None
+        # The exchange and this receiver refer to each other. Without this, both would
+        # stay in memory with the body until a garbage collection.
+        if self.exchange is not None:
+            self.exchange.receiver = None
         self._body = bytearray()
         self._on_done(result)
