--- a/greengageflow/net/_verifier.py
+++ b/greengageflow/net/_verifier.py
@@ -45,11 +45,6 @@
         """The check, until it has ended."""
         return self._waiting.check
 
-    @exchange.setter
-    def exchange(self, _exchange: Exchange | None) -> None:
-        # A collector that ends drops its exchange; here the waiting one does.
-        pass
-
 
 class Connect(Protocol):
     """Opens a new connection for an exchange."""
