--- a/greengageflow/lab/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -261,11 +261,16 @@
         self.replicas[name] = await_ready(self._launch(name, options))
         return self.replicas[name]
 
-    def restart_replica(self, name: str, **options: Any) -> Process:
-        """Kill a replica if it runs, and start it in place with the given flags."""
+    def kill_replica(self, name: str) -> None:
+        """Kill a replica; return once its process has ended."""
         process = self.replicas[name]
         process.popen.kill()
         process.popen.wait()
+
+    def restart_replica(self, name: str, **options: Any) -> Process:
+        """Kill a replica if it runs, and start it in place with the given flags."""
+        self.kill_replica(name)
+        process = self.replicas[name]
         self._exited.append(process)
         _, port = process.address
         return self.add_replica(name, port=port, **options)
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -77,9 +77,9 @@
 def test_a_stream_is_cut_rather_than_joined_to_another_version(lab):
     """The last engine of a version ended, and its streams went on at another one."""
     client, request, engine = begin(lab)
-    for name, process in lab.replicas.items():
+    for name in lab.replicas:
         if release_of(name) == release_of(engine):
-            process.popen.kill()
+            lab.kill_replica(name)
     with pytest.raises((IncompleteResponse, AssertionError)):
         list(client.events())
     assert not lab.started_runs(request)
@@ -91,7 +91,7 @@
     begun = [begin(lab, prompt=prompt(f"shared-{number}")) for number in range(8)]
     for release in RELEASES:
         first = next(e for _, _, e in begun if release_of(e) == release)
-        lab.replicas[first].popen.kill()
+        lab.kill_replica(first)
     if router_dies:
         lab.routers["r0"].popen.kill()
     for number, (client, request, engine) in enumerate(begun):
