Prompt parts that an engine reports have sizes with an upper bound

A size of hundreds of digits was taken from an engine's list of cached parts, which no float can hold: the choice of an endpoint would have failed with OverflowError, as for odd entries of the list.

test_prompt_parts_of_odd_sizes_are_rejected: two of four cases failed before.

--- a/greengageflow/platform/records.py
+++ b/greengageflow/platform/records.py
@@ -30,6 +30,7 @@
 _MAX_SLOTS = 1_048_576
 _MAX_BORN_MS = 2**53
 _MAX_TEXT_LENGTH = 255
+_MAX_PART_TOKENS = 2**40
 _MAX_ERROR_LENGTH = 200
 
 _PARSE_ERRORS = (
@@ -220,12 +221,14 @@
         entries = json.loads(response.body)["held"]
         return tuple(map(_parse_cached_part, entries))
     except _PARSE_ERRORS as exc:
-        raise RecordError(f"cached prompt parts: {exc!r}") from exc
+        text = f"{exc!r:.{_MAX_ERROR_LENGTH}}"
+        raise RecordError(f"cached prompt parts: {text}") from exc
 
 
 def _parse_cached_part(entry: list[Any]) -> PromptPart:
     # An entry has an empty string, the part's id, its tokens and the model.
     _, name, tokens, _ = entry
-    if not isinstance(name, str) or not isinstance(tokens, int) or tokens < 0:
-        raise ValueError(f"invalid prompt part {entry!r}")
+    is_name = isinstance(name, str) and len(name) <= _MAX_TEXT_LENGTH
+    if not is_name or type(tokens) is not int or not 0 <= tokens <= _MAX_PART_TOKENS:
+        raise ValueError("invalid prompt part")
     return PromptPart(name, tokens)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -107,6 +107,14 @@
     assert all(isinstance(part.id, str) and part.tokens >= 0 for part in parts)
 
 
+@pytest.mark.parametrize("tokens", ["1" + 400 * "0", "true", "-1", "2.0"])
+def test_prompt_parts_of_odd_sizes_are_rejected(tokens):
+    """A choice among endpoints fails on integers that no float can hold."""
+    body = b'{"held": [["", "p", %s, "m"]]}' % tokens.encode()
+    with pytest.raises(RecordError):
+        parse_cached_parts(Response(200, (), body))
+
+
 MALFORMED = [b"[" * 100_000, b'{"a":' * 100_000, b'{"version": 1e999}', b"\xff", b"1"]
 
 
