Soak: streams without a length, from seed 12000 on

The engines of one place end their streams with the connection, and replicas state when they started, so that the check of such ends and the verification of connections run under drawn faults.

--- a/greengageflow/lab/_soak_fleet.py
+++ b/greengageflow/lab/_soak_fleet.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from time import monotonic
+from time import monotonic, time
 from typing import Any
 
+from greengageflow.lab._platform_generations import CLOSE
 from greengageflow.lab._processes import Process, start
 from greengageflow.lab._proxy_client import Proxy
 from greengageflow.lab.platform_lab import (
@@ -34,6 +35,7 @@
 UNUSED_ADDRESS = ("127.0.0.1", 9)
 # Addresses are replaced as text in datagrams, so both need the same number of digits.
 FIRST_ROUTER_OCTET, FIRST_RELAY_OCTET = 10, 50
+UNFRAMED_PLACE = "scribe-1"
 POISON, POISON_PART = "poison", "bad"
 OPTIONS = {"slots": 6, "queue": 4, "poison": POISON}
 ENGINE_OPTIONS = {**OPTIONS, "poison_part": POISON_PART}
@@ -65,11 +67,14 @@
 
     Args:
         mixed_versions: Replicas have two software versions.
+        unframed: Streams of half of the engines end with their connection, and
+            replicas state when they started.
     """
 
-    def __init__(self, *, mixed_versions: bool = False) -> None:
+    def __init__(self, *, mixed_versions: bool = False, unframed: bool = False) -> None:
         super().__init__(SHAPE)
         self.mixed_versions = mixed_versions
+        self._unframed = unframed
         self.facts = Facts()
         self.front_addresses: dict[str, tuple[str, int]] = {}
         self.start_counts: dict[str, int] = {}
@@ -107,6 +112,10 @@
             # Places begin with different versions, and each start may change it.
             digits = sum(map(int, filter(str.isdigit, name)))
             place["release"] = f"v{1 + digits % 2}"
+        if self._unframed:
+            place["born"] = round(1000 * time())
+        if self._unframed and place_of(name) == UNFRAMED_PLACE:
+            place["framing"] = CLOSE
         process = super()._launch(name, {**options, **place})
         self.logs.append((name, process))
         return process
--- a/greengageflow/lab/soak.py
+++ b/greengageflow/lab/soak.py
@@ -20,7 +20,12 @@
 from greengageflow.lab._soak_steps import StepRunner
 from greengageflow.lab.soak_checks import RECOVERY_S, Breach, check_all
 from greengageflow.lab.soak_facts import Facts
-from greengageflow.lab.soak_plan import VERSIONS_FROM_SEED, Step, draw_plan
+from greengageflow.lab.soak_plan import (
+    UNFRAMED_FROM_SEED,
+    VERSIONS_FROM_SEED,
+    Step,
+    draw_plan,
+)
 
 CALLER_COUNT = 8
 TICK_S = 0.02
@@ -64,7 +69,10 @@
 
     New steps start for ``seconds``; the recovery checks at the end take extra time.
     """
-    fleet = SoakFleet(mixed_versions=seed >= VERSIONS_FROM_SEED)
+    fleet = SoakFleet(
+        mixed_versions=seed >= VERSIONS_FROM_SEED,
+        unframed=seed >= UNFRAMED_FROM_SEED,
+    )
     plan, stop = draw_plan(seed, seconds), Flag()
     Thread(
         target=_record_scheduling_delays, args=(fleet.facts, stop), daemon=True
--- a/greengageflow/lab/soak_plan.py
+++ b/greengageflow/lab/soak_plan.py
@@ -81,6 +81,8 @@
 EVACUATE_DRAWS = ((40, (Do.EVACUATE,), ("zone:{p}",)),)
 VERSIONS_FROM_SEED = 8000
 """First seed of the runs with poison prompt parts and replicas of several versions."""
+UNFRAMED_FROM_SEED = 12_000
+"""First seed of the runs in which streams may have no length."""
 VERSIONS_DRAWS = (
     (12, (Do.POISON_PART,), ("scribe-0",)),
     (24, (Do.CRASH, Do.ABORT), ("scribe-0", "scribe-1")),
