--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -99,6 +99,8 @@
         self._ended = _StartMarks()
         self._dropped = _StartMarks()
         self._listed: dict[str, ListedEndpoint] = {}
+        # Listed starts that unlisted ones have replaced.
+        self._replaced: dict[str, ListedEndpoint] = {}
         self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._evacuated: frozenset[str] = frozenset()
 
@@ -211,6 +213,18 @@
         listed = self._listed.get(endpoint.id)
         if listed is not None and listed.born < endpoint.born:
             yield from self.put(endpoint)
+            self._replaced[endpoint.id] = listed
+
+    def restore(self, endpoint: str, born: int) -> Iterator[ListChange]:
+        """Restore the listed start that an unlisted one has replaced.
+
+        The endpoint states the listed start time again, so the evidence was false.
+        """
+        replaced = self._replaced.get(endpoint)
+        if replaced is not None and replaced.born == born:
+            yield from self.drop(endpoint)
+            self._ended.discard(endpoint)
+            yield from self.put(replaced)
 
     def was_dropped(self, endpoint: ListedEndpoint) -> bool:
         """Whether this start of an endpoint was listed and has been dropped."""
@@ -236,6 +250,8 @@
         if before is not None and before.leaving:
             return
         self._dropped.discard(endpoint.id)
+        if endpoint.version:
+            self._replaced.pop(endpoint.id, None)
         if endpoint != before:
             self._listed[endpoint.id] = endpoint
             self._usable.clear()
@@ -250,6 +266,7 @@
     def drop(self, endpoint: str) -> Iterator[ListChange]:
         """Remove an endpoint, and yield the change."""
         found = self._listed.pop(endpoint, None)
+        self._replaced.pop(endpoint, None)
         if found is not None:
             self._dropped.add(endpoint, found.born)
             self._usable.clear()
--- a/greengageflow/daemon/cached_parts.py
+++ b/greengageflow/daemon/cached_parts.py
@@ -1,6 +1,7 @@
 """Queries model engines for the prompt parts in their prefix cache."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Protocol
 
 from greengageflow.core.endpoint_list import ListedEndpoint
@@ -18,7 +19,7 @@
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
 from greengageflow.platform.records import RecordError, parse_cached_parts
-from greengageflow.platform.reports import incarnation_evidence, later_start
+from greengageflow.platform.reports import incarnation_evidence, other_start
 from greengageflow.platform.requests import cached_parts_request
 
 CALL_TIMEOUT_S = 1.0
@@ -53,7 +54,7 @@
         dispatcher: Gets the cached parts.
         log: Gets an event for each engine.
         on_leaving: Called with an engine that reports in its answer that it leaves.
-        on_later_start: Called with a start of an engine that is not listed yet.
+        on_other_start: Called with a start of an engine that is not listed yet.
     """
 
     def __init__(
@@ -63,14 +64,14 @@
         dispatcher: ServiceDispatcher,
         log: DecisionLog,
         on_leaving: Callable[[ListedEndpoint], None],
-        on_later_start: Callable[[ListedEndpoint], None],
+        on_other_start: Callable[[ListedEndpoint], None],
     ) -> None:
         self._pool = pool
         self._timers = timers
         self._dispatcher = dispatcher
         self._log = log
         self._on_leaving = on_leaving
-        self._on_later_start = on_later_start
+        self._on_other_start = on_other_start
         self._queried: set[str] = set()
 
     def load(self, engines: Iterable[ListedEndpoint]) -> None:
@@ -94,9 +95,9 @@
         if self._dispatcher.has_ended(engine):
             return
         if isinstance(result, Response):
-            later = later_start(result, engine)
-            if later is not None:
-                self._on_later_start(later)
+            other = other_start(result, engine)
+            if other is not None and other.born > engine.born:
+                self._on_other_start(other)
                 return
             if announces_shutdown(result):
                 self._on_leaving(engine)
@@ -130,11 +131,6 @@
 
 
 def _with_timeouts(request: HttpRequest) -> HttpRequest:
-    return HttpRequest(
-        request.method,
-        request.ip,
-        request.port,
-        request.path,
-        connect_timeout_s=CALL_TIMEOUT_S,
-        idle_timeout_s=CALL_TIMEOUT_S,
+    return replace(
+        request, connect_timeout_s=CALL_TIMEOUT_S, idle_timeout_s=CALL_TIMEOUT_S
     )
--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -20,15 +20,25 @@
 """Time without progress after which a check fails, in seconds."""
 
 
-def is_alive(answer: Response | Failure, endpoint: ListedEndpoint) -> bool:
+def is_alive(
+    answer: Response | Failure, endpoint: ListedEndpoint, *, states_start: bool = False
+) -> bool:
     """Return whether the answer to a check comes from the listed start of an endpoint.
 
     Any status counts, as the endpoint may not know the path.
+
+    Args:
+        answer: The answer.
+        endpoint: The endpoint.
+        states_start: Whether this start has stated its start time before, so that an
+            answer without it proves nothing.
     """
     if isinstance(answer, Failure):
         return False
     evidence = incarnation_evidence(answer, endpoint)
-    return evidence in (IncarnationEvidence.SAME, IncarnationEvidence.UNSTATED)
+    if evidence is IncarnationEvidence.UNSTATED:
+        return not states_start
+    return evidence is IncarnationEvidence.SAME
 
 
 class EndCheck:
@@ -37,12 +47,18 @@
     Args:
         endpoint: Endpoint whose answer ended.
         on_done: Called once with the outcome, unless the check is cancelled.
+        states_start: See ``is_alive``.
     """
 
     def __init__(
-        self, endpoint: ListedEndpoint, on_done: Callable[[bool], None]
+        self,
+        endpoint: ListedEndpoint,
+        on_done: Callable[[bool], None],
+        *,
+        states_start: bool,
     ) -> None:
         self._endpoint = endpoint
+        self._states_start = states_start
         self._on_done: Callable[[bool], None] | None = on_done
         self._exchange: Exchange | None = None
 
@@ -67,7 +83,8 @@
     def _on_answer(self, answer: Response | Failure) -> None:
         on_done = self._on_done
         self._release()
-        on_done(is_alive(answer, self._endpoint))
+        alive = is_alive(answer, self._endpoint, states_start=self._states_start)
+        on_done(alive)
 
     def _release(self) -> None:
         # The exchange and its receiver refer to each other. Without this, the request
--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -29,17 +29,17 @@
 """
 
 
-OnLaterStart = Callable[[ListedEndpoint], None]
+OnOtherStart = Callable[[ListedEndpoint], None]
 
 
 def with_limits(
-    request: HttpRequest, ctx: ForwardContext, now: float, on_later_start: OnLaterStart
+    request: HttpRequest, ctx: ForwardContext, now: float, on_other_start: OnOtherStart
 ) -> HttpRequest:
     """Return a request with the time-outs and connection reuse allowed for it."""
     reuse_s = inf if ctx.repeatable else REUSE_MAX_IDLE_S
     return replace(
         request,
-        verification=_verification(ctx, on_later_start),
+        verification=_verification(ctx, on_other_start),
         connect_timeout_s=CONNECT_TIMEOUT_S,
         idle_timeout_s=max(MIN_ATTEMPT_S, ctx.deadline - now),
         retry_stale=False,
@@ -49,7 +49,7 @@
 
 
 def _verification(
-    ctx: ForwardContext, on_later_start: OnLaterStart
+    ctx: ForwardContext, on_other_start: OnOtherStart
 ) -> Verification | None:
     """Return what verifies the endpoint's start, for a stream that may be resumed.
 
@@ -62,7 +62,7 @@
         ctx.choice.endpoint,
         required=ctx.phase is Phase.STREAMING or ctx.resumes_stream,
         timeout_s=VERIFICATION_TIMEOUT_S,
-        on_later_start=on_later_start,
+        on_other_start=on_other_start,
     )
 
 
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -28,7 +28,7 @@
 from greengageflow.daemon.forward_sending import (
     MIN_ATTEMPT_S,
     STALL_TIMEOUT_S,
-    OnLaterStart,
+    OnOtherStart,
     is_confirmation_overdue,
     is_stalled,
     new_events,
@@ -84,7 +84,7 @@
             before the first call.
         affinity: Knows which software version began a stream; must be set before the
             first call.
-        on_later_start: Called with a start of an endpoint that answers before it is
+        on_other_start: Called with a start of an endpoint that answers before it is
             listed; must be set before the first call.
     """
 
@@ -92,7 +92,7 @@
     crashes: CrashWatch
     leaving: LeavingWatch
     affinity: VersionAffinity
-    on_later_start: OnLaterStart
+    on_other_start: OnOtherStart
 
     def __init__(
         self,
@@ -281,7 +281,7 @@
         )
         ctx.attempt = EndpointAttempt(
             self._pool,
-            with_limits(request, ctx, now, self.on_later_start),
+            with_limits(request, ctx, now, self.on_other_start),
             choice.endpoint,
             partial(interpret_answer, request_id=ctx.req.id),
             stream=ctx.route.stream,
@@ -476,7 +476,10 @@
             text = "the endpoint ended with its answer, which has no length"
             self.on_failure(ctx, Failure(FailureKind.CUT, True, text))
 
-        ctx.end_check = EndCheck(ctx.attempt.endpoint, on_done)
+        states_start = bool(ctx.attempt.verified_start)
+        ctx.end_check = EndCheck(
+            ctx.attempt.endpoint, on_done, states_start=states_start
+        )
         ctx.end_check.start(self._pool)
 
     def _on_living_end(self, ctx: ForwardContext) -> None:
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -198,11 +198,11 @@
                 self._service_dispatcher,
                 self._log,
                 lambda engine: self._leaving_watch.on_answer(engine),
-                self._on_later_start,
+                self._on_other_start,
             ),
         )
         self._placement.on_redirected = self._forwarder.on_redirected
-        self._forwarder.on_later_start = self._on_later_start
+        self._forwarder.on_other_start = self._on_other_start
         self._affinity = self._forwarder.affinity = VersionAffinity(
             hello, self._timers, self._exchange
         )
@@ -484,12 +484,16 @@
         self._registry.rewrite()
         self._quarantine_store.rewrite()
 
-    def _on_later_start(self, endpoint: ListedEndpoint) -> None:
-        """Use a start of an endpoint that answers before it is listed."""
+    def _on_other_start(self, endpoint: ListedEndpoint) -> None:
+        """Use a start of an endpoint that answers though another one is listed."""
         # It may be cold; its entry will tell.
         cold_s = self._service_dispatcher.service(endpoint.service).cold_start_s
         found = replace(endpoint, cold_s=cold_s)
-        for change in list(self._endpoints.put_unlisted(found)):
+        changes = [
+            *self._endpoints.restore(endpoint.id, endpoint.born),
+            *self._endpoints.put_unlisted(found),
+        ]
+        for change in changes:
             self._on_change(change, "answer")
 
     def _on_change(self, change: ListChange, source: str = "list") -> None:
--- a/greengageflow/net/_exchange.py
+++ b/greengageflow/net/_exchange.py
@@ -27,6 +27,8 @@
         at_last_data: During ``on_data``, whether the response is complete with this
             data; ``on_end`` follows at once.
         check: The exchange that verifies the connection for this one, or None.
+        was_check_closed: Whether the server closed the connection of a check that it
+            had passed.
         is_check: True if this exchange verifies its connection for another one.
         freed_conn: For a check, its connection once it can carry another request.
         framing: What delimited the body of a response that has ended, else None.
@@ -49,6 +51,7 @@
         self.framing: Framing | None = None
         self.sent_on_earlier_connection = False
         self.check: Exchange | None = None
+        self.was_check_closed = False
         self.is_check = False
         self.freed_conn: Connection | None = None
         self.last_progress_at = monotonic()
--- a/greengageflow/net/_verifier.py
+++ b/greengageflow/net/_verifier.py
@@ -114,6 +114,10 @@
         verification = exchange.request.verification
         if conn is None and evidence is IncarnationEvidence.SAME:
             # The server closed this connection; the next one may lead elsewhere.
+            if not exchange.was_check_closed:
+                exchange.was_check_closed = True
+                self._connect(exchange, verify=True)
+                return
             evidence = IncarnationEvidence.UNSTATED
         verdict = Verdict(verification.start, evidence)
         if not verification.allows(verdict):
@@ -127,14 +131,14 @@
             text = "send deadline passed during the verification"
             self._fail(exchange, FailureKind.TIMEOUT, text)
         elif conn is None:
-            self._connect(exchange, verify=False)
+            self._send(exchange, partial(self._connect, exchange, verify=False))
         else:
             conn.verdict = verdict
-            self._send(exchange, conn)
+            self._send(exchange, partial(self._start, exchange, conn))
 
-    def _send(self, exchange: Exchange, conn: Connection) -> None:
+    def _send(self, exchange: Exchange, send: Callable[[], None]) -> None:
         try:
-            self._start(exchange, conn)
+            send()
         except BadHead as exc:
             self._fail(exchange, FailureKind.BROKEN, str(exc))
 
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from http import HTTPStatus
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.incarnation import IncarnationEvidence
@@ -37,7 +38,7 @@
     *,
     required: bool,
     timeout_s: float,
-    on_later_start: Callable[[ListedEndpoint], None],
+    on_other_start: Callable[[ListedEndpoint], None],
 ) -> Verification | None:
     """Return what verifies that a connection leads to the listed start of an endpoint.
 
@@ -48,15 +49,15 @@
         endpoint: The endpoint.
         required: True if an endpoint that does not state its start gets no request.
         timeout_s: Maximum time without progress, in seconds.
-        on_later_start: Called with a later start of the endpoint that answers.
+        on_other_start: Called with another start of the endpoint that answers.
     """
     if not endpoint.born:
         return None
 
     def evaluate(response: Response) -> IncarnationEvidence:
-        later = later_start(response, endpoint)
-        if later is not None:
-            on_later_start(later)
+        other = other_start(response, endpoint)
+        if other is not None:
+            on_other_start(other)
         return incarnation_evidence(response, endpoint)
 
     request = replace(report_request(endpoint), idle_timeout_s=timeout_s)
@@ -82,13 +83,14 @@
     return IncarnationEvidence.SAME if is_same else IncarnationEvidence.LATER
 
 
-def later_start(response: Response, endpoint: ListedEndpoint) -> ListedEndpoint | None:
-    """Return the later start of an endpoint that a response comes from, or None.
+def other_start(response: Response, endpoint: ListedEndpoint) -> ListedEndpoint | None:
+    """Return the other start of an endpoint that a response comes from, or None.
 
-    An earlier start time proves nothing: two processes may take turns at the address.
-    The version of the later start is unknown, and it may be cold.
+    The version of that start is unknown, and it may be cold.
     """
-    if incarnation_evidence(response, endpoint) is not IncarnationEvidence.LATER:
+    evidence = incarnation_evidence(response, endpoint)
+    others = (IncarnationEvidence.LATER, IncarnationEvidence.EARLIER)
+    if evidence not in others or response.status != HTTPStatus.OK:
         return None
     return replace(endpoint, born=_born(response), version="", leaving=False)
 
--- a/greengageflow/platform/requests.py
+++ b/greengageflow/platform/requests.py
@@ -167,4 +167,5 @@
 
 def cached_parts_request(engine: ListedEndpoint) -> HttpRequest:
     """Return the request for an engine's list of cached prompt parts."""
-    return HttpRequest("GET", engine.ip, engine.port, KV_LIST)
+    headers = ((EXPECT_REPLICA, engine.id),)
+    return HttpRequest("GET", engine.ip, engine.port, KV_LIST, headers)
--- a/tests/test_connection_verification.py
+++ b/tests/test_connection_verification.py
@@ -142,6 +142,17 @@
     assert paths(peer)[3:] == ["/check"]
 
 
+def test_check_is_repeated_if_the_server_closes_its_connection(loop):
+    """Some responses end their connection, also those of sound endpoints."""
+
+    def script(conn, number):
+        answer(conn, b"same", "Connection: close\r\n" if number == 0 else "")
+
+    peer = FakePeer(script)
+    assert fetch(loop, peer, required=True)[1] == "a"
+    assert paths(peer) == ["/check", "/check", "/main"]
+
+
 def test_verified_connection_that_the_server_closes_proves_nothing(loop):
     """Another process may accept the next connection."""
     peer = peer_of(b"same", CLOSE)
@@ -149,7 +160,7 @@
     assert (response.body, verified) == (b"done", "")
     failure, _ = fetch(loop, peer, required=True)
     assert (failure.kind, failure.sent) == (FailureKind.UNVERIFIED, False)
-    assert paths(peer) == ["/check", "/main", "/check"]
+    assert paths(peer) == ["/check", "/check", "/main", "/check", "/check"]
 
 
 @pytest.mark.parametrize("partial_answer", [b"", b"HTTP/1.1 200 OK\r\nContent-Le"])
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -220,6 +220,18 @@
     assert not list(listed.put_unlisted(replace(later, id="unknown")))
 
 
+def test_false_evidence_of_a_later_start_is_taken_back(fleet):
+    """A garbled report left a sound engine without a version for good."""
+    old = replace(OLD, version="v1")
+    fleet.put(old)
+    fleet.apply(fleet.listed.put_unlisted(UNLISTED))
+    fleet.apply(fleet.listed.restore(OLD.id, OLD.born - 1))
+    assert UNLISTED in fleet.listed.usable("m")
+    fleet.apply(fleet.listed.restore(OLD.id, OLD.born))
+    assert old in fleet.listed.usable("m") and fleet.listed.is_current(old)
+    assert not list(fleet.listed.restore(OLD.id, OLD.born))
+
+
 def test_an_unlisted_start_runs_no_stream_of_the_listed_version(fleet):
     """The start before had the version that the list still names."""
     old = replace(OLD, version="v1")
--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -242,6 +242,9 @@
     """A later start at the same address says nothing about an answer before."""
     endpoint = ListedEndpoint("e", "s", "127.0.0.1", 1, "z", born=7)
     assert is_alive(answer, endpoint) is expected
+    # An endpoint that has stated its start has to state it again.
+    proves = getattr(answer, "body", b"") == b'{"born": 7}'
+    assert is_alive(answer, endpoint, states_start=True) is proves
 
 
 def test_checks_leave_half_of_the_retry_budget_to_failures():
