--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -23,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LivingEnd:
+class UnconfirmedEnd:
     """Unproven end of a stream whose endpoint still lives.
 
     Args:
@@ -67,8 +67,8 @@
         is_position_known: False if the caller received an event without a numeric id
             after ``last_event``, so that the stream can't be resumed.
         end_check: Check of the endpoint whose answer has just ended, or None.
-        living_end: End of the stream at an endpoint that lives, while another one is
-            asked for events after it, or None.
+        unconfirmed_end: End of the stream at an endpoint that lives, while another one
+            is asked for events after it, or None.
         run_is_sound: The current attempt has run for so long that it crashed nothing.
     """
 
@@ -107,7 +107,7 @@
     longest_pause_s: float = 0.0
     timer: Subscription | None = None
     end_check: EndCheck | None = None
-    living_end: LivingEnd | None = None
+    unconfirmed_end: UnconfirmedEnd | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -88,7 +88,7 @@
 
 def is_confirmation_overdue(ctx: ForwardContext, now: float) -> bool:
     """Whether an endpoint asked for events after a stream's end has not answered."""
-    if ctx.living_end is None or ctx.end_check is not None:
+    if ctx.unconfirmed_end is None or ctx.end_check is not None:
         return False
     return now - ctx.last_progress_at > CONFIRMATION_TIMEOUT_S
 
@@ -101,7 +101,7 @@
     """
     if ctx.route.retry_policy is not RetryPolicy.RESUME or ctx.attempt is None:
         return False
-    if ctx.end_check is not None or ctx.living_end is not None:
+    if ctx.end_check is not None or ctx.unconfirmed_end is not None:
         return False
     if ctx.runs + 1 >= ctx.route.attempts or ctx.reply.blocked:
         return False
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -24,7 +24,7 @@
 from greengageflow.daemon.crash_watch import CrashWatch
 from greengageflow.daemon.end_check import EndCheck
 from greengageflow.daemon.forward_admission import ForwardAdmission
-from greengageflow.daemon.forward_context import ForwardContext, LivingEnd, Phase
+from greengageflow.daemon.forward_context import ForwardContext, Phase, UnconfirmedEnd
 from greengageflow.daemon.forward_sending import (
     MIN_ATTEMPT_S,
     STALL_TIMEOUT_S,
@@ -313,7 +313,7 @@
             self.crashes.on_sound_run(ctx.identity, ctx.run_began_at)
         position = ctx.position
         events = b"".join(new_events(ctx, frames))
-        if ctx.living_end is not None and ctx.position != position:
+        if ctx.unconfirmed_end is not None and ctx.position != position:
             self._on_early_end(ctx)
         pause_s, ctx.last_progress_at = now - ctx.last_progress_at, now
         if ctx.phase is not Phase.STREAMING:
@@ -401,8 +401,8 @@
 
     def _retry_or_wait(self, ctx: ForwardContext, status: int) -> None:
         """Retry a rejected request now or after a backoff, or answer an error."""
-        if ctx.living_end is not None:
-            self._finish_at_living_end(ctx)
+        if ctx.unconfirmed_end is not None:
+            self._finish_at_unconfirmed_end(ctx)
             return
         # The backoff is read before an endpoint is chosen. If it ended between the
         # choice and a later reading, there would be neither an endpoint nor a time to
@@ -442,8 +442,8 @@
         return RouterError(ErrorKind.QUEUE_FULL, text, retry_after_s=wait_s or None)
 
     def _answer(self, ctx: ForwardContext, body: bytes) -> None:
-        if ctx.living_end is not None:
-            self._finish_at_living_end(ctx)
+        if ctx.unconfirmed_end is not None:
+            self._finish_at_unconfirmed_end(ctx)
             return
         head = ctx.attempt.head
         now = self._timers.now
@@ -462,7 +462,7 @@
         if ctx.attempt.is_end_proven:
             self._finish_stream(ctx)
         else:
-            self._check_end(ctx, lambda: self._on_living_end(ctx))
+            self._check_end(ctx, lambda: self._on_unconfirmed_end(ctx))
 
     def _check_end(self, ctx: ForwardContext, on_alive: Callable[[], None]) -> None:
         """Treat an answer as truncated unless its endpoint is found to live."""
@@ -482,9 +482,9 @@
         )
         ctx.end_check.start(self._pool)
 
-    def _on_living_end(self, ctx: ForwardContext) -> None:
+    def _on_unconfirmed_end(self, ctx: ForwardContext) -> None:
         """Finish a stream at an unproven end, unless another endpoint can be asked."""
-        if ctx.living_end is not None or not self._confirm_end(ctx):
+        if ctx.unconfirmed_end is not None or not self._confirm_end(ctx):
             self._finish_stream(ctx)
 
     def _confirm_end(self, ctx: ForwardContext) -> bool:
@@ -493,10 +493,10 @@
         if not is_resumable or ctx.runs + 1 >= ctx.route.attempts:
             return False
         endpoint = ctx.attempt.endpoint
-        ctx.living_end = LivingEnd(ctx.attempt, ctx.run_began_at)
+        ctx.unconfirmed_end = UnconfirmedEnd(ctx.attempt, ctx.run_began_at)
         choice = self._next_choice(ctx, ctx.avoid | {endpoint.id})
         if choice is None:
-            ctx.living_end = None
+            ctx.unconfirmed_end = None
             return False
         ctx.avoid.add(endpoint.id)
         ctx.runs += 1
@@ -506,22 +506,26 @@
 
     def _on_early_end(self, ctx: ForwardContext) -> None:
         """Count an endpoint as failed that ended a stream before its last event."""
-        endpoint, ctx.living_end = ctx.living_end.attempt.endpoint, None
+        endpoint, ctx.unconfirmed_end = ctx.unconfirmed_end.attempt.endpoint, None
         suspended = self.placement.on_no_response(self._timers.now, ctx.id, endpoint)
         text = "the stream ended before its last event"
         self._telemetry.on_endpoint_failure(endpoint, text, suspended)
 
-    def _finish_at_living_end(self, ctx: ForwardContext) -> None:
+    def _finish_at_unconfirmed_end(self, ctx: ForwardContext) -> None:
         """Finish a stream where an endpoint that lives ended it."""
         self._stop_attempt(ctx)
-        end, ctx.living_end = ctx.living_end, None
+        end, ctx.unconfirmed_end = ctx.unconfirmed_end, None
         ctx.attempt, ctx.run_began_at = end.attempt, end.run_began_at
         self._finish_stream(ctx)
 
     def _finish_stream(self, ctx: ForwardContext) -> None:
         head = ctx.attempt.head
         self.placement.on_request_released(ctx.id, ctx.attempt.endpoint, completed=True)
-        began_at = ctx.living_end.run_began_at if ctx.living_end else ctx.run_began_at
+        began_at = (
+            ctx.unconfirmed_end.run_began_at
+            if ctx.unconfirmed_end
+            else ctx.run_began_at
+        )
         self.crashes.on_successful_answer(ctx.identity, began_at)
         if ctx.phase is not Phase.STREAMING:
             ctx.reply.begin(head.status, headers_for_caller(head))
@@ -647,7 +651,7 @@
         if not ctx.may_have_arrived:
             return True
         now = self._timers.now
-        if ctx.living_end is not None:
+        if ctx.unconfirmed_end is not None:
             return self._dispatcher.take_spare_retry(now, ctx.service)
         if self._dispatcher.take_retry(now, ctx.service):
             return True
@@ -695,7 +699,7 @@
             self._resume_elsewhere(ctx)
         for ctx in list(self._active.values()):
             if is_confirmation_overdue(ctx, now):
-                self._finish_at_living_end(ctx)
+                self._finish_at_unconfirmed_end(ctx)
         self.carry_out(self._dispatcher.pump(now))
 
     def _stop_attempt(self, ctx: ForwardContext) -> None:
@@ -707,8 +711,8 @@
             self.placement.on_request_released(ctx.id, ctx.attempt.endpoint)
 
     def _answer_error(self, ctx: ForwardContext, exc: RouterError) -> None:
-        if ctx.living_end is not None:
-            self._finish_at_living_end(ctx)
+        if ctx.unconfirmed_end is not None:
+            self._finish_at_unconfirmed_end(ctx)
             return
         if ctx.may_have_run and exc.claims_not_run:
             exc = RouterError(ErrorKind.ENDPOINT_FAILED, exc.message)
@@ -728,7 +732,7 @@
         ctx.timer.cancel()
         # The attempt refers to the context. Without this, an ended request with its
         # body would stay in memory until a garbage collection.
-        ctx.attempt = ctx.living_end = None
+        ctx.attempt = ctx.unconfirmed_end = None
         now = self._timers.now
         self.carry_out(self.placement.on_request_end(now, ctx.service, ctx.id))
 
--- a/greengageflow/daemon/placement.py
+++ b/greengageflow/daemon/placement.py
@@ -478,7 +478,7 @@
         source = self._endpoints.get(endpoint)
         if source is None or not self._endpoints.may_use(endpoint):
             return None
-        # The placer means the start before, whose cache is lost.
+        # The placer chose an earlier start of it, whose cache is lost.
         return None if source.is_unlisted else source
 
     # The fleet.
