Reports with another status than 200 state no start

An error answer with a later start time would have counted as another endpoint at the address, which takes the listed one out of service.

They have it now, and the cases of other start times also check what is reported.

--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -88,15 +88,16 @@
 
     The version of that start is unknown, and it may be cold.
     """
-    evidence = incarnation_evidence(response, endpoint)
     others = (IncarnationEvidence.LATER, IncarnationEvidence.EARLIER)
-    if evidence not in others or response.status != HTTPStatus.OK:
+    if incarnation_evidence(response, endpoint) not in others:
         return None
     return replace(endpoint, born=_born(response), version="", leaving=False)
 
 
 def _born(response: Response) -> int | None:
     """Return the start time that a report states, in Unix milliseconds, or None."""
+    if response.status != HTTPStatus.OK:
+        return None
     try:
         match response.json():
             case {"born": int(born)} if type(born) is int and born <= MAX_BORN_MS:
--- a/tests/test_endpoint_reports.py
+++ b/tests/test_endpoint_reports.py
@@ -13,8 +13,10 @@
 LISTED = ListedEndpoint("e", "m", "127.0.0.1", 9, "z", born=5)
 
 
-def verification(endpoint=LISTED):
-    return start_verification(endpoint, required=True, timeout_s=1.0)
+def verification(endpoint=LISTED, on_other_start=lambda _endpoint: None):
+    return start_verification(
+        endpoint, required=True, timeout_s=1.0, on_other_start=on_other_start
+    )
 
 
 @pytest.mark.parametrize(
@@ -22,20 +24,27 @@
     [
         (200, (), {"born": 5}, IncarnationEvidence.SAME),
         (200, ((REPLICA_ID, "e"),), {"born": 5}, IncarnationEvidence.SAME),
-        (200, (), {"born": 6}, IncarnationEvidence.OTHER),
-        (200, (), {"born": 4}, IncarnationEvidence.OTHER),
+        (200, (), {"born": 6}, IncarnationEvidence.LATER),
+        (200, (), {"born": 4}, IncarnationEvidence.EARLIER),
         (200, ((REPLICA_ID, "f"),), {"born": 5}, IncarnationEvidence.OTHER),
         (421, (), {}, IncarnationEvidence.OTHER),
         (200, (), {}, IncarnationEvidence.UNSTATED),
         (200, (), {"born": True}, IncarnationEvidence.UNSTATED),
         (200, (), {"born": "5"}, IncarnationEvidence.UNSTATED),
         (200, (), [5], IncarnationEvidence.UNSTATED),
+        (200, (), {"born": 2**60}, IncarnationEvidence.UNSTATED),
         (503, (), {}, IncarnationEvidence.UNSTATED),
+        (500, (), {"born": 6}, IncarnationEvidence.UNSTATED),
     ],
 )
 def test_report_proves_a_start_only_by_its_start_time(status, headers, body, evidence):
     response = Response(status, headers, json.dumps(body).encode())
-    assert verification().evaluate(response) is evidence
+    others = []
+    assert verification(on_other_start=others.append).evaluate(response) is evidence
+    is_other = evidence in (IncarnationEvidence.LATER, IncarnationEvidence.EARLIER)
+    assert [(other.born, other.version) for other in others] == (
+        [(body["born"], "")] if is_other else []
+    )
 
 
 @pytest.mark.parametrize("body", [b"", b"\xff", b"[" * 100_000, b'{"born": 5'])
--- a/tests/test_short_backoff.py
+++ b/tests/test_short_backoff.py
@@ -78,6 +78,7 @@
             Mock(),
         )
         self.forwarder.crashes = self.forwarder.leaving = Mock()
+        self.forwarder.on_other_start = Mock()
         route = Route(
             name="safe",
             host="x",
