--- a/greengageflow/daemon/crash_watch.py
+++ b/greengageflow/daemon/crash_watch.py
@@ -34,7 +34,7 @@
 MAX_REPORTED_CRASH_AGE_S = 2.0
 """Age up to which another host's crash is passed to ``on_crashed``, in seconds.
 
-An older one tells nothing of an endpoint that may run again since.
+An older one is no evidence: the endpoint may run again since.
 """
 
 
--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -1,4 +1,4 @@
-"""Checks whether an endpoint whose answer ended with its connection still lives.
+"""Checks whether an endpoint is alive whose answer ended with its connection.
 
 Such an end does not show that the answer is complete: the connections of a process that
 ends are closed in the same way. A process that answers afterwards has ended its answer
@@ -42,7 +42,7 @@
 
 
 class EndCheck:
-    """Asks an endpoint once whether it lives.
+    """Asks an endpoint once whether it is alive.
 
     Args:
         endpoint: Endpoint whose answer ended.
--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnconfirmedEnd:
-    """Unproven end of a stream whose endpoint still lives.
+    """Unproven end of a stream whose endpoint is alive.
 
     Args:
         attempt: Attempt that ended so.
@@ -67,7 +67,7 @@
         is_position_known: False if the caller received an event without a numeric id
             after ``last_event``, so that the stream can't be resumed.
         end_check: Check of the endpoint whose answer has just ended, or None.
-        unconfirmed_end: End of the stream at an endpoint that lives, while another one
+        unconfirmed_end: End of the stream at a live endpoint, while another one
             is asked for events after it, or None.
         run_is_sound: The current attempt has run for so long that it crashed nothing.
     """
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -512,7 +512,7 @@
         self._telemetry.on_endpoint_failure(endpoint, text, suspended)
 
     def _finish_at_unconfirmed_end(self, ctx: ForwardContext) -> None:
-        """Finish a stream where an endpoint that lives ended it."""
+        """Finish a stream where a live endpoint ended it."""
         self._stop_attempt(ctx)
         end, ctx.unconfirmed_end = ctx.unconfirmed_end, None
         ctx.attempt, ctx.run_began_at = end.attempt, end.run_began_at
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -486,7 +486,7 @@
 
     def _on_other_start(self, endpoint: ListedEndpoint) -> None:
         """Use a start of an endpoint that answers though another one is listed."""
-        # It may be cold; its entry will tell.
+        # It may be cold until its entry states otherwise.
         cold_s = self._service_dispatcher.service(endpoint.service).cold_start_s
         found = replace(endpoint, cold_s=cold_s)
         changes = [
