FINISHED lines name what shows that an answer is complete

An answer whose end nothing proves looked like any other in the log: `end` says how the endpoint delimited it, not why that was accepted. `proof` is `framing`, `confirmed` by another endpoint without further events, or `none`.

--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -1,7 +1,7 @@
 """State of a forwarded request from its arrival to its answer."""
 
 from dataclasses import dataclass, field
-from enum import Enum, auto
+from enum import Enum, StrEnum, auto
 
 from greengageflow.core.endpoint_choice import Choice
 from greengageflow.core.fingerprint import RequestIdentity
@@ -22,6 +22,17 @@
     STREAMING = auto()
 
 
+class EndProof(StrEnum):
+    """What shows that an answer is complete."""
+
+    FRAMING = "framing"
+    """Its length, or its last chunk."""
+    CONFIRMED = "confirmed"
+    """Another endpoint that was asked for more events had none."""
+    NONE = "none"
+    """Nothing: it ended with its connection, and its endpoint is alive."""
+
+
 @dataclass(frozen=True, slots=True)
 class UnconfirmedEnd:
     """Unproven end of a stream whose endpoint is alive.
@@ -69,6 +80,7 @@
         end_check: Check of the endpoint whose answer has just ended, or None.
         unconfirmed_end: End of the stream at a live endpoint, while another one
             is asked for events after it, or None.
+        end_proof: What shows that the answer is complete, once it has ended.
         run_is_sound: The current attempt has run for so long that it crashed nothing.
     """
 
@@ -108,6 +120,7 @@
     timer: Subscription | None = None
     end_check: EndCheck | None = None
     unconfirmed_end: UnconfirmedEnd | None = None
+    end_proof: EndProof = EndProof.FRAMING
 
     @property
     def repeatable(self) -> bool:
--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -220,6 +220,7 @@
             **_start_fields(ctx),
             "status": status,
             "end": ctx.attempt.framing.value,
+            "proof": ctx.end_proof.value,
             "first_ms": _ms(first_event_s),
             "total_ms": _ms(now - ctx.arrived_at),
         }
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -24,7 +24,12 @@
 from greengageflow.daemon.crash_watch import CrashWatch
 from greengageflow.daemon.end_check import EndCheck
 from greengageflow.daemon.forward_admission import ForwardAdmission
-from greengageflow.daemon.forward_context import ForwardContext, Phase, UnconfirmedEnd
+from greengageflow.daemon.forward_context import (
+    EndProof,
+    ForwardContext,
+    Phase,
+    UnconfirmedEnd,
+)
 from greengageflow.daemon.forward_sending import (
     MIN_ATTEMPT_S,
     STALL_TIMEOUT_S,
@@ -270,6 +275,7 @@
         ctx.choice = choice
         ctx.last_progress_at = now
         ctx.run_began_at, ctx.run_is_sound = None, False
+        ctx.end_proof = EndProof.FRAMING
         self.placement.on_request_sent(now, ctx.id, choice, ctx.req.prompt)
         request = endpoint_request(
             ctx.req,
@@ -469,6 +475,7 @@
 
         def on_done(alive: bool) -> None:
             ctx.end_check = None
+            ctx.end_proof = EndProof.NONE
             self._telemetry.on_end_checked(ctx, alive)
             if alive:
                 on_alive()
@@ -516,10 +523,13 @@
         self._stop_attempt(ctx)
         end, ctx.unconfirmed_end = ctx.unconfirmed_end, None
         ctx.attempt, ctx.run_began_at = end.attempt, end.run_began_at
+        ctx.end_proof = EndProof.NONE
         self._finish_stream(ctx)
 
     def _finish_stream(self, ctx: ForwardContext) -> None:
         head = ctx.attempt.head
+        if ctx.unconfirmed_end is not None:
+            ctx.end_proof = EndProof.CONFIRMED
         self.placement.on_request_released(ctx.id, ctx.attempt.endpoint, completed=True)
         began_at = (
             ctx.unconfirmed_end.run_began_at
--- a/greengageflow/net/decision_events.py
+++ b/greengageflow/net/decision_events.py
@@ -48,13 +48,13 @@
     FINISHED = (
         "GG705",
         Level.ROUTINE,
-        "request endpoint born verified status end first_ms total_ms",
+        "request endpoint born verified status end proof first_ms total_ms",
     )
     FINISHED_LATE = (
         "GG706",
         Level.NOTABLE,
-        "request endpoint born verified status end waited_ms predicted_ms first_ms"
-        " total_ms objective_ms",
+        "request endpoint born verified status end proof waited_ms predicted_ms"
+        " first_ms total_ms objective_ms",
     )
     FAILED = (
         "GG707",
--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -174,6 +174,36 @@
         assert not logged(lab, request, "FINISHED")
 
 
+def proof_of(lab, request):
+    """Return what showed the end of an answer, as logged once it is finished."""
+    wait_for(lambda: logged(lab, request, "FINISHED"), "the answer is finished")
+    rows = map(json.loads, lab.router_logs.splitlines())
+    return next(
+        r["proof"] for r in rows if r.get("request") == request and "proof" in r
+    )
+
+
+@pytest.mark.parametrize(
+    ("framing", "path", "proofs"),
+    [
+        ("chunked", CHAT, {"framing"}),
+        ("close", NON_RESUMABLE_CHAT, {"none"}),
+        ("close", CHAT, {"none", "confirmed"}),
+    ],
+)
+def test_the_log_names_what_showed_the_end_of_a_stream(framing, path, proofs):
+    """Lines did not tell an end that nothing proves from one that was confirmed."""
+    options = {**ENGINE, "framing": framing}
+    found = set()
+    with PlatformLab(PlatformShape(plain=0, engines=2, engine_options=options)) as lab:
+        for number in range(ATTEMPTS):
+            client, request = send(lab, path, number)
+            client.head()
+            assert [event.id for event in client.events()] == WHOLE
+            found.add(proof_of(lab, request))
+    assert found and found <= proofs
+
+
 def runs_after_end(lab, request, **fields):
     rows = [row for row in lab.runs(request) if row["last_event_id"]]
     return [row for row in rows if fields.items() <= row.items()]
