A streamed answer to HEAD, or with status 204 or 304, sends no chunks

Callers saw: after a HEAD request on a stream route, the next answer on the kept connection began with "0" CR LF CR LF. The same after a stream that an endpoint answers with 204.

Change: whether the current answer has a body is decided in one place, when its head is sent; without one nothing follows the head, and 204 and 304 state no transfer coding.

--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -81,6 +81,7 @@
         self._reply: Reply | None = None
         self._pipelined_bytes = 0
         self._was_blocked = False
+        self._streams_body = False
         self._advancing = False
 
     def _set_phase(self, phase: Phase) -> None:
@@ -259,9 +260,8 @@
     ) -> None:
         """Send a complete answer."""
         lines = [date_header(), *headers]
-        is_head = self._head is not None and self._head.method == "HEAD"
-        has_body = status not in BODILESS_STATUSES and not is_head
-        if status not in BODILESS_STATUSES and (body or not is_head):
+        has_body = self._has_body(status)
+        if has_body or (body and status not in BODILESS_STATUSES):
             lines.append(("content-length", str(len(body))))
         is_last = close or self._closes_after_answer
         if is_last:
@@ -269,6 +269,11 @@
         self._link.send(response_head(status, lines) + (body if has_body else b""))
         self._on_answered(is_last)
 
+    def _has_body(self, status: int) -> bool:
+        """Return whether an answer to the current request has a body."""
+        is_head = self._head is not None and self._head.method == "HEAD"
+        return status not in BODILESS_STATUSES and not is_head
+
     @property
     def _closes_after_answer(self) -> bool:
         limits = self._limits()
@@ -277,22 +282,27 @@
 
     def send_head(self, status: int, headers: Iterable[Header], data: bytes) -> None:
         """Start a streamed answer, with ``data`` as its first chunk unless empty."""
-        lines = [date_header(), *headers, ("transfer-encoding", "chunked")]
+        lines = [date_header(), *headers]
+        if status not in BODILESS_STATUSES:
+            lines.append(("transfer-encoding", "chunked"))
         if self._limits().close_after_answer or not self._head.keep_alive:
             lines.append(CONNECTION_CLOSE)
-        first = chunk(data) if data else b""
-        self._link.send(response_head(status, lines) + first)
+        self._streams_body = self._has_body(status)
+        self._link.send(response_head(status, lines) + self._chunk(data))
+
+    def _chunk(self, data: bytes) -> bytes:
+        # Always chunked: HTTP/1.0 requests for streams are rejected.
+        return chunk(data) if data and self._streams_body else b""
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a streamed answer."""
-        # Always chunked: HTTP/1.0 requests for streams are rejected.
-        if data:
-            self._link.send(chunk(data))
+        if framed := self._chunk(data):
+            self._link.send(framed)
 
     def send_end(self, data: bytes) -> None:
         """Send the last chunk and end the streamed answer."""
-        last = chunk(data) if data else b""
-        self._link.send(last + LAST_CHUNK)
+        if self._streams_body:
+            self._link.send(self._chunk(data) + LAST_CHUNK)
         self._on_answered(
             self._limits().close_after_answer or not self._head.keep_alive
         )
--- a/tests/test_answer_writes.py
+++ b/tests/test_answer_writes.py
@@ -33,6 +33,7 @@
 
     def __init__(self):
         self.writes = []
+        self.is_finished = False
 
     def send(self, data):
         self.writes.append(data)
@@ -41,7 +42,7 @@
         pass
 
     def finish(self):
-        pass
+        self.is_finished = True
 
 
 class StreamingHandler:
@@ -59,15 +60,27 @@
     retry_after = staticmethod(str)
 
 
+class StartedCall:
+    """A caller's connection whose request waits for its answer."""
+
+    def __init__(self, request=b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"):
+        self.link, self._handler, limits = RecordingLink(), StreamingHandler(), Limits()
+        self.conn = CallerConnection(
+            self.link, self._handler, lambda: limits, BodyBudget(1000), RawInterface()
+        )
+        self.conn.receive(request)
+        assert isinstance(self.reply, Reply)
+
+    @property
+    def reply(self):
+        """Reply to the newest request."""
+        return self._handler.reply
+
+
 def started_call():
     """Return the writes of a caller's connection and the reply to its request."""
-    link, handler, limits = RecordingLink(), StreamingHandler(), Limits()
-    conn = CallerConnection(
-        link, handler, lambda: limits, BodyBudget(1000), RawInterface()
-    )
-    conn.receive(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
-    assert isinstance(handler.reply, Reply)
-    return link.writes, handler.reply
+    call = StartedCall()
+    return call.link.writes, call.reply
 
 
 def test_the_first_event_is_written_with_the_head():
--- /dev/null
+++ b/tests/test_head_requests.py
@@ -0,0 +1,179 @@
+"""Answers that have no body: nothing may stand between them and the next answer."""
+
+import re
+from contextlib import closing
+from secrets import token_hex
+
+import h11
+import pytest
+from http_fakes import FakePeer
+from test_answer_writes import EVENT, StartedCall
+from test_odd_entries import entry
+
+from greengageflow.errors import ErrorKind, RouterError
+from greengageflow.lab.platform_lab import (
+    CHAT,
+    HOST,
+    KEY,
+    NON_RESUMABLE_CHAT,
+    SAFE,
+    UNSAFE,
+    PlatformLab,
+    PlatformShape,
+)
+from greengageflow.platform.names import (
+    CREDENTIAL,
+    KV_LIST,
+    REPORT_PATH,
+    REQUEST_ID,
+    RESPONSE_SEAL,
+    SERVERS_TOPIC,
+)
+from tests.support import wait_for
+
+ROUTES = (CHAT, NON_RESUMABLE_CHAT, SAFE, UNSAFE)
+SEAL = f"{RESPONSE_SEAL}: s\r\n"
+REQUEST_ID_LINE = re.compile(rb"%b: (\w+)" % REQUEST_ID.encode(), re.IGNORECASE)
+BORN = 1_700_000_000_000
+HEAD_REQUEST = b"HEAD / HTTP/1.1\r\nhost: a\r\n\r\n"
+GET_REQUEST = HEAD_REQUEST.replace(b"HEAD", b"GET")
+HEADS = {
+    "chunked": "transfer-encoding: chunked\r\n",
+    "length": "content-length: 39\r\n",
+    "empty": "content-length: 0\r\n",
+}
+
+
+RESTS = ["head", "event", "chunks"]
+
+
+def responses(methods, data):
+    """Return status and body of the responses to requests on one connection."""
+    client = h11.Connection(h11.CLIENT)
+    client.receive_data(data)
+    found = []
+    for method in methods:
+        if found:
+            client.start_next_cycle()
+        headers = [("host", "x"), ("content-length", "0")]
+        client.send(h11.Request(method=method, target="/", headers=headers))
+        client.send(h11.EndOfMessage())
+        status = client.next_event().status_code
+        body = b""
+        while not isinstance(event := client.next_event(), h11.EndOfMessage):
+            body += event.data
+        found.append((status, body))
+    assert not client.trailing_data[0], "bytes that belong to no answer"
+    return found
+
+
+def end_stream(reply):
+    reply.send_chunk(EVENT % 1)
+    reply.finish(EVENT % 2)
+
+
+def finish(reply):
+    reply.finish()
+
+
+@pytest.mark.parametrize("end", [end_stream, finish])
+@pytest.mark.parametrize("first", [b"", EVENT % 0], ids=["head", "event"])
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", 200), ("HEAD", 204), ("GET", 204), ("GET", 304)]
+)
+def test_a_streamed_answer_without_a_body_sends_only_its_head(
+    method, status, first, end
+):
+    """Its last chunk stood before the next answer on the connection."""
+    call = StartedCall(HEAD_REQUEST if method == "HEAD" else GET_REQUEST)
+    call.reply.begin(status, (), first)
+    end(call.reply)
+    call.conn.receive(GET_REQUEST)
+    call.reply.raw(200, (), b"next")
+    received = responses([method, "GET"], b"".join(call.link.writes))
+    assert received == [(status, b""), (200, b"next")]
+
+
+def test_a_broken_off_answer_to_head_sends_only_its_head():
+    """The bytes of an error event followed the head."""
+    call = StartedCall(HEAD_REQUEST)
+    call.reply.begin(200, ())
+    call.reply.error(RouterError(ErrorKind.ENDPOINT_CUT, "cut"))
+    assert call.link.is_finished
+    assert responses(["HEAD"], b"".join(call.link.writes)) == [(200, b"")]
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_an_answer_without_a_body_states_no_framing(status):
+    """A recipient may look for the chunks that the head announces."""
+    call = StartedCall(GET_REQUEST)
+    call.reply.begin(status, ())
+    call.reply.finish()
+    assert b"transfer-encoding" not in b"".join(call.link.writes).lower()
+
+
+class Engine:
+    """Answers HEAD with ``head`` and what follows it, other requests with an event."""
+
+    def __init__(self):
+        self.head = self.rest = b""
+        self.peer = FakePeer(self._run)
+        self.address = f"127.0.0.1:{self.peer.port}"
+
+    def _run(self, conn, _number):
+        while True:
+            request = conn.request()
+            method, path, _ = request.split(b" ", 2)
+            names = REQUEST_ID_LINE.search(request)
+            marks = f"{REQUEST_ID}: {names and names[1].decode()}\r\n{SEAL}"
+            if path.decode() in (REPORT_PATH, KV_LIST):
+                conn.answer(b'{"held": [], "born": %d}' % BORN)
+            elif method == b"HEAD":
+                head = f"HTTP/1.1 200 -\r\n{marks}{self.head}\r\n"
+                conn.send(head.encode() + self.rest)
+                if "close" in self.head:
+                    return
+            else:
+                conn.answer(EVENT % 1, extra=marks)
+
+
+@pytest.fixture(name="engine", scope="module")
+def engine_fixture():
+    engine = Engine()
+    with closing(engine.peer):
+        yield engine
+
+
+@pytest.fixture(name="lab", scope="module")
+def lab_fixture(engine):
+    with PlatformLab(PlatformShape(plain=0)) as lab:
+        for service in ("app", "scribe"):
+            row = service.encode(), entry(engine.address, service=service)
+            lab.append_raw(SERVERS_TOPIC, row)
+        for path in ROUTES:
+            wait_for(lambda path=path: lab.ask(path).status == 200, "it is served")
+        yield lab
+
+
+def exchange(lab, path):
+    """Return the answers to HEAD and to GET on one connection."""
+    with closing(lab.client().sock) as sock:
+        received = b""
+        for method, option in (("HEAD", ""), ("GET", "connection: close\r\n")):
+            name = f"{REQUEST_ID}: {token_hex(8)}\r\n{CREDENTIAL}: {KEY}\r\n{option}"
+            head = f"{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n{name}\r\n"
+            sock.sendall(head.encode())
+            while method == "HEAD" and b"\r\n\r\n" not in received:
+                received += sock.recv(65_536)
+        while data := sock.recv(65_536):
+            received += data
+    return responses(["HEAD", "GET"], received)
+
+
+@pytest.mark.parametrize("rest", [b"", EVENT % 1], ids=RESTS[:2])
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+@pytest.mark.parametrize("path", ROUTES)
+def test_the_answer_after_a_head_request_is_whole(lab, engine, path, head, rest):
+    """The next answer on the connection began with the last chunk."""
+    engine.head, engine.rest = head, rest
+    assert exchange(lab, path) == [(200, b""), (200, EVENT % 1)]
