The response to HEAD ends with its head, also where that states no framing

Callers saw: 504 after their whole deadline for HEAD requests whose endpoint states neither a length nor a transfer coding and keeps the connection, which HTTP allows. On a stream route, events that an endpoint sends behind such a head were passed on.

Cause: `ResponseParser` ended a response to HEAD at its head only if the head states a framing; else it read a body up to the end of the connection.

Change: a head without framing ends such a response; the connection is not used again.

--- a/greengageflow/net/_http_parse.py
+++ b/greengageflow/net/_http_parse.py
@@ -403,9 +403,10 @@
         self.until_close = not framing and status not in (204, 304)
         self.framing = self._framing(status)
         self._events.append(Head(status, headers.lines()))
-        if self._no_body and framing and framing != ["0"]:
+        has_body_framing = self.until_close or framing not in ([], ["0"])
+        if self._no_body and has_body_framing:
             # This responds to HEAD and has no body. The parser does not know the
-            # method and would read the next response as the body.
+            # method and would read what follows as the body.
             self.in_message = self.until_close = False
             self._stopped = True
             self._events.append(ResponseEnd(keep_alive=False))
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -2,12 +2,13 @@
 
 import re
 from contextlib import closing
+from itertools import islice
 from secrets import token_hex
 
 import h11
 import pytest
 from http_fakes import FakePeer
-from test_answer_writes import EVENT, StartedCall
+from test_answer_writes import END, EVENT, StartedCall, chunk
 from test_odd_entries import entry
 
 from greengageflow.errors import ErrorKind, RouterError
@@ -21,6 +22,7 @@
     PlatformLab,
     PlatformShape,
 )
+from greengageflow.net._http_parse import Framing, Head, ResponseEnd, ResponseParser
 from greengageflow.platform.names import (
     CREDENTIAL,
     KV_LIST,
@@ -41,6 +43,8 @@
     "chunked": "transfer-encoding: chunked\r\n",
     "length": "content-length: 39\r\n",
     "empty": "content-length: 0\r\n",
+    "none": "",
+    "close": "connection: close\r\n",
 }
 
 
@@ -112,6 +116,20 @@
     assert b"transfer-encoding" not in b"".join(call.link.writes).lower()
 
 
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+@pytest.mark.parametrize(
+    "rest", [b"", EVENT % 1, chunk(EVENT % 1) + END], ids=["head", "event", "chunks"]
+)
+def test_the_head_ends_the_response_to_head(head, rest):
+    """Without a length, what followed the head was read as its body."""
+    parser = ResponseParser()
+    parser.expect("HEAD")
+    data = f"HTTP/1.1 200 OK\r\n{head}\r\n".encode()
+    received = [type(event) for event in islice(parser.feed(data + rest), 2)]
+    assert received == [Head, ResponseEnd]
+    assert parser.framing is Framing.NO_BODY and not parser.until_close
+
+
 class Engine:
     """Answers HEAD with ``head`` and what follows it, other requests with an event."""
 
