An overloaded host sends no body with a rejected HEAD request

Callers saw: bytes after the 503 `host_busy` that ends the answer to their HEAD request.

Cause: requests of an overloaded host are rejected unread, and the prepared answer had a body for every method.

Evidence: pytest tests/test_head_requests.py -k shed on: 2 of 2 failed.

Change: a request whose first bytes are the method HEAD gets the head only. 2 of 2 pass.

--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from enum import Enum, auto
-from time import monotonic, time
+from time import monotonic
 
 from greengageflow.errors import ErrorKind, RouterError
 from greengageflow.net._caller_parts import (
@@ -110,16 +110,17 @@
             self._set_phase(Phase.READING)
         self._advance()
 
-    def reject_unread(self, retry_after_s: float) -> None:
+    def reject_unread(self, data: bytes, retry_after_s: float) -> None:
         """Reject a request unread and close the connection.
 
         Args:
+            data: First bytes of the request.
             retry_after_s: Retry delay of its caller, in seconds.
         """
         self._set_phase(Phase.ANSWERING)
         # Parsing the request would cost most of what handling it does.
         formatter = self._interface.retry_after
-        self._link.send(host_busy_response(formatter, retry_after_s, int(time())))
+        self._link.send(host_busy_response(data, formatter, retry_after_s))
         self._close()
 
     def _advance(self) -> None:
--- a/greengageflow/net/callers.py
+++ b/greengageflow/net/callers.py
@@ -11,7 +11,7 @@
 from math import nan
 from socket import IPPROTO_TCP, TCP_INFO, socket
 from struct import unpack_from
-from time import monotonic, time
+from time import monotonic
 from typing import Protocol
 
 from circuits import BaseComponent, handler
@@ -293,20 +293,20 @@
         if is_shed and is_single_request(data):
             self.accepted_connections += 1
             with suppress(OSError):
-                sock.send(self._host_busy_response())
+                sock.send(self._host_busy_response(data))
             sock.close()
             return True
         self.sockets.set_up(sock)
         link = self._add_link(sock)
         if link is not None and is_shed:
-            link.conn.reject_unread(self._gate.retry_after_s)
+            link.conn.reject_unread(data, self._gate.retry_after_s)
         elif link is not None:
             link.conn.receive(data)
         return True
 
-    def _host_busy_response(self) -> bytes:
+    def _host_busy_response(self, data: bytes) -> bytes:
         return host_busy_response(
-            self._interface.retry_after, self._gate.retry_after_s, int(time())
+            data, self._interface.retry_after, self._gate.retry_after_s
         )
 
     def _read(self, link: CallerLink) -> None:
@@ -317,7 +317,7 @@
             return
         if not has_ended:
             if link.conn.phase is Phase.IDLE and self._gate.should_shed(data):
-                link.conn.reject_unread(self._gate.retry_after_s)
+                link.conn.reject_unread(data, self._gate.retry_after_s)
                 return
             link.conn.receive(data)
             return
--- a/greengageflow/net/reply.py
+++ b/greengageflow/net/reply.py
@@ -5,6 +5,7 @@
 from functools import lru_cache
 from http import HTTPStatus
 from math import ceil
+from time import time
 from typing import Any, Protocol
 
 from greengageflow.errors import ErrorKind, RouterError
@@ -62,18 +63,25 @@
     return headers
 
 
-@lru_cache(maxsize=2)
 def host_busy_response(
-    retry_after: Callable[[float], str], retry_after_s: float, _second: int
+    data: bytes, retry_after: Callable[[float], str], retry_after_s: float
 ) -> bytes:
     """Return the complete answer that rejects a request and ends its connection.
 
     Args:
+        data: First bytes of the request.
         retry_after: Formats the retry delay.
         retry_after_s: Retry delay, in seconds.
-        _second: Time in whole seconds; the cache builds one answer per second, with
-            the current date.
     """
+    head, body = _host_busy_parts(retry_after, retry_after_s, int(time()))
+    return head if data.startswith(b"HEAD ") else head + body
+
+
+@lru_cache(maxsize=2)
+def _host_busy_parts(
+    retry_after: Callable[[float], str], retry_after_s: float, _second: int
+) -> tuple[bytes, bytes]:
+    # ``_second`` has the cache build one answer per second, with the current date.
     text = "this host is busy"
     exc = RouterError(ErrorKind.HOST_BUSY, text, retry_after_s=retry_after_s)
     body = json.dumps(exc.body).encode()
@@ -86,7 +94,7 @@
     )
     phrase = HTTPStatus(exc.status).phrase
     lines = [f"HTTP/1.1 {exc.status} {phrase}", *(f"{k}: {v}" for k, v in headers)]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    return "\r\n".join([*lines, "", ""]).encode(), body
 
 
 class Reply:
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -7,8 +7,10 @@
 
 import h11
 import pytest
+from caller_server import GET, Server
 from http_fakes import FakePeer
 from test_answer_writes import END, EVENT, StartedCall, chunk
+from test_caller_limits import RejectPosts
 from test_odd_entries import entry
 
 from greengageflow.errors import ErrorKind, RouterError
@@ -116,6 +118,22 @@
     assert b"transfer-encoding" not in b"".join(call.link.writes).lower()
 
 
+@pytest.mark.parametrize("may_shed", [False, True])
+def test_a_shed_head_request_gets_no_body(may_shed):
+    """The rejection's body followed the head that ends the answer."""
+    with closing(Server()) as server:
+        server.callers._gate = RejectAll(may_shed)
+        answer = server.request(GET.replace(b"GET", b"HEAD") + b"\r\n")
+        assert answer.startswith(b"HTTP/1.1 503 ") and answer.endswith(b"\r\n\r\n")
+
+
+class RejectAll(RejectPosts):
+    """A gate that rejects every request."""
+
+    def should_shed(self, data):
+        return True
+
+
 @pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
 @pytest.mark.parametrize(
     "rest", [b"", EVENT % 1, chunk(EVENT % 1) + END], ids=["head", "event", "chunks"]
