An invalid request after a HEAD request gets the whole error

Callers saw: after a HEAD request on a kept connection, the 400, 431 or 408 to the next request states a Content-Length and has no body.

Cause: the head of the answered request stayed the current one, and the error was framed for it.

Evidence: pytest tests/test_head_requests.py -k invalid on: failed.

Change: a connection forgets the head of a request with its answer.

--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -315,7 +315,8 @@
         self._close()
 
     def _on_answered(self, is_last: bool) -> None:
-        self._call = self._reply = None
+        self._call = self._reply = self._head = None
+        self._is_request_complete = False
         self._release_body()
         self._was_blocked = False
         if is_last:
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -118,6 +118,15 @@
     assert b"transfer-encoding" not in b"".join(call.link.writes).lower()
 
 
+def test_an_invalid_request_after_a_head_request_gets_its_whole_answer():
+    """The error was framed as the answer to the HEAD request before."""
+    call = StartedCall(HEAD_REQUEST)
+    call.reply.raw(200, (), b"")
+    call.conn.receive(b"GET / HTTP/1.1\r\nno colon\r\n\r\n")
+    (_, _), (status, body) = responses(["HEAD", "GET"], b"".join(call.link.writes))
+    assert status == 400 and body
+
+
 @pytest.mark.parametrize("may_shed", [False, True])
 def test_a_shed_head_request_gets_no_body(may_shed):
     """The rejection's body followed the head that ends the answer."""
