--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from enum import Enum, auto
-from time import monotonic, time
+from time import monotonic
 
 from greengageflow.errors import ErrorKind, RouterError
 from greengageflow.net._caller_parts import (
@@ -81,6 +81,7 @@
         self._reply: Reply | None = None
         self._pipelined_bytes = 0
         self._was_blocked = False
+        self._streams_body = False
         self._advancing = False
 
     def _set_phase(self, phase: Phase) -> None:
@@ -109,16 +110,17 @@
             self._set_phase(Phase.READING)
         self._advance()
 
-    def reject_unread(self, retry_after_s: float) -> None:
+    def reject_unread(self, data: bytes, retry_after_s: float) -> None:
         """Reject a request unread and close the connection.
 
         Args:
+            data: First bytes of the request.
             retry_after_s: Retry delay of its caller, in seconds.
         """
         self._set_phase(Phase.ANSWERING)
         # Parsing the request would cost most of what handling it does.
         formatter = self._interface.retry_after
-        self._link.send(host_busy_response(formatter, retry_after_s, int(time())))
+        self._link.send(host_busy_response(data, formatter, retry_after_s))
         self._close()
 
     def _advance(self) -> None:
@@ -259,9 +261,8 @@
     ) -> None:
         """Send a complete answer."""
         lines = [date_header(), *headers]
-        is_head = self._head is not None and self._head.method == "HEAD"
-        has_body = status not in BODILESS_STATUSES and not is_head
-        if status not in BODILESS_STATUSES and (body or not is_head):
+        has_body = self._has_body(status)
+        if has_body or (body and status not in BODILESS_STATUSES):
             lines.append(("content-length", str(len(body))))
         is_last = close or self._closes_after_answer
         if is_last:
@@ -269,6 +270,11 @@
         self._link.send(response_head(status, lines) + (body if has_body else b""))
         self._on_answered(is_last)
 
+    def _has_body(self, status: int) -> bool:
+        """Return whether an answer to the current request has a body."""
+        is_head = self._head is not None and self._head.method == "HEAD"
+        return status not in BODILESS_STATUSES and not is_head
+
     @property
     def _closes_after_answer(self) -> bool:
         limits = self._limits()
@@ -277,22 +283,27 @@
 
     def send_head(self, status: int, headers: Iterable[Header], data: bytes) -> None:
         """Start a streamed answer, with ``data`` as its first chunk unless empty."""
-        lines = [date_header(), *headers, ("transfer-encoding", "chunked")]
+        lines = [date_header(), *headers]
+        if status not in BODILESS_STATUSES:
+            lines.append(("transfer-encoding", "chunked"))
         if self._limits().close_after_answer or not self._head.keep_alive:
             lines.append(CONNECTION_CLOSE)
-        first = chunk(data) if data else b""
-        self._link.send(response_head(status, lines) + first)
+        self._streams_body = self._has_body(status)
+        self._link.send(response_head(status, lines) + self._chunk(data))
+
+    def _chunk(self, data: bytes) -> bytes:
+        # Always chunked: HTTP/1.0 requests for streams are rejected.
+        return chunk(data) if data and self._streams_body else b""
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of a streamed answer."""
-        # Always chunked: HTTP/1.0 requests for streams are rejected.
-        if data:
-            self._link.send(chunk(data))
+        if framed := self._chunk(data):
+            self._link.send(framed)
 
     def send_end(self, data: bytes) -> None:
         """Send the last chunk and end the streamed answer."""
-        last = chunk(data) if data else b""
-        self._link.send(last + LAST_CHUNK)
+        if self._streams_body:
+            self._link.send(self._chunk(data) + LAST_CHUNK)
         self._on_answered(
             self._limits().close_after_answer or not self._head.keep_alive
         )
@@ -304,7 +315,8 @@
         self._close()
 
     def _on_answered(self, is_last: bool) -> None:
-        self._call = self._reply = None
+        self._call = self._reply = self._head = None
+        self._is_request_complete = False
         self._release_body()
         self._was_blocked = False
         if is_last:
