Entries that name the start of an endpoint reach all hosts

What callers would see (inferred, not played): streams that are cut or taken up after an engine has started again in place are refused or cut at hosts that do not read the store, since the engine has no version, or no start time, there until its entry changes once more or the host reads the list itself.

Cause: a reader sends other hosts the records that changed its list. An entry that gives a version to a start which had answered before it was listed, or a start time to an entry that lacked it, updated the reader's list without a change, so it was not sent.

Evidence: 'pytest tests/test_store_view.py' failed before in the two new tests: (0, 'v1') and [5, 0, 0] in place of (5, 'v1') and [5, 5, 5].

Changed: EndpointList.put yields a change 'start' for these, which is logged as ENDPOINT_SEEN with the release.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -60,7 +60,8 @@
 
     Args:
         id: Endpoint id.
-        what: ``new``, ``cold``, ``leaving`` or ``gone``.
+        what: ``new``, ``cold``, ``leaving``, ``gone``, or ``start`` if an entry now
+            names the start of the endpoint, or the version of that start.
     """
 
     id: str
@@ -257,7 +258,9 @@
             self._usable.clear()
         if before is None:
             yield ListChange(endpoint.id, "new")
-        elif endpoint.cold_s > before.cold_s:
+        elif (endpoint.start, endpoint.version) != (before.start, before.version):
+            yield ListChange(endpoint.id, "start")
+        if before is not None and endpoint.cold_s > before.cold_s:
             # While it warms up, each entry has less time left than the one before.
             yield ListChange(endpoint.id, "cold")
         if endpoint.leaving:
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -499,13 +499,14 @@
     def _on_change(self, change: ListChange, source: str = "list") -> None:
         event = {
             "new": DecisionEvent.ENDPOINT_SEEN,
+            "start": DecisionEvent.ENDPOINT_SEEN,
             "cold": DecisionEvent.ENDPOINT_COLD,
             "leaving": DecisionEvent.ENDPOINT_LEAVING,
             "gone": DecisionEvent.ENDPOINT_GONE,
         }[change.what]
         fields = {"endpoint": change.id, "source": source}
         listed = self._endpoints.get(change.id)
-        if change.what == "new" and listed is not None:
+        if change.what in ("new", "start") and listed is not None:
             fields |= {
                 "service": listed.service,
                 "zone": listed.zone,
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -2,6 +2,7 @@
 
 import json
 from base64 import b64encode
+from dataclasses import replace
 from random import Random
 from struct import pack
 from types import SimpleNamespace
@@ -53,10 +54,11 @@
         self.written_at[version] = self.now
         self.put(OPERATOR_TOPIC, CONFIG_KEY, {"version": version})
 
-    def endpoint(self, name, listed=True):
+    def endpoint(self, name, listed=True, **fields):
         doc = {"address": "127.0.0.1:9", "service": "model", "zone": "z", "slots": 4}
         doc["version"] = "v1"
         doc["state"] = "ready"
+        doc |= fields
         self.put(SERVERS_TOPIC, name, doc if listed else None)
 
     def copy(self):
@@ -319,6 +321,27 @@
     assert [len(h.paths) - n for h, n in zip(zone, before, strict=True)][1:] == [0, 0]
 
 
+def test_an_entry_that_names_the_version_of_a_start_reaches_members(store, zone):
+    """The reader, which had met the start, took its entry for an unchanged one."""
+    reader, *members = zone
+    store.endpoint("e1", born=1)
+    run(store, zone, 2.0)
+    unlisted = replace(reader.endpoints.get("e1"), born=5, version="")
+    list(reader.endpoints.put_unlisted(unlisted))
+    store.endpoint("e1", born=5)
+    run(store, zone, 2.0)
+    for host in zone:
+        endpoint = host.endpoints.get("e1")
+        assert (endpoint.born, endpoint.version) == (5, "v1")
+
+
+def test_a_start_time_that_an_entry_lacked_reaches_members(store, zone):
+    run(store, zone, 2.0)
+    store.endpoint("e1", born=5)
+    run(store, zone, 2.0)
+    assert [host.endpoints.get("e1").born for host in zone] == [5] * len(zone)
+
+
 def test_host_that_missed_an_update_reads_the_change(store, zone):
     """A lost update must delay a removal only briefly."""
     reader, *_ = zone
