An entry without a start time names no start where endpoints state them

Callers saw: streams with events of two versions, where the entry of an engine lacked its start time while its reports, its list of cached parts or other entries state one, and it started again in place at another version.

Cause: such an entry counted as 'each start has an id of its own'. Connections were not checked there, and the version that the entry names was taken for that of the process that answered.

Changed: EndpointList remembers that a start time was stated, by any entry or answer. From then on the version of an entry without one is unknown, also for requests that are under way, so no stream goes on there and those that begin there go on nowhere. Connections for resumable streams are checked there; a start that answers supersedes the entry, without loss of state, until an entry names its version. Where none is stated, no report is asked for and streams go on as before (tested).

The price: streams that begin at such an entry are not resumed; the callers of these series give them up.

test_nothing_is_verified_where_no_start_time_is_listed asserted the old rule by the entry alone. Its successor tests the same by what endpoints have stated, with and without, for all retry policies.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -1,7 +1,7 @@
 """The listed endpoints, and which of them accept new work."""
 
 from collections.abc import Container, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MAX_TOMBSTONES = 4096
 """Maximum number of entries in each record of leaving, ended or dropped endpoints."""
@@ -44,7 +44,7 @@
     def is_unlisted(self) -> bool:
         """Whether this start answered before it was listed, so its version is unknown.
 
-        Entries without a start time may lack a version.
+        An entry without a start time names no start.
         """
         return self.born > 0 and not self.version
 
@@ -91,9 +91,17 @@
 
 
 class EndpointList:
-    """The listed endpoints, by id."""
+    """The listed endpoints, by id.
+
+    Once any endpoint has stated a start time, ids may be shared by several starts, so
+    an entry without a start time names none: its version is unknown.
+
+    Attributes:
+        states_starts: Whether any endpoint has stated a start time.
+    """
 
     def __init__(self) -> None:
+        self.states_starts = False
         # The marks are kept apart from the entries, since an entry may expire and come
         # back while its endpoint drains.
         self._leaving = _StartMarks()
@@ -102,6 +110,8 @@
         self._listed: dict[str, ListedEndpoint] = {}
         # Listed starts that unlisted ones have replaced.
         self._replaced: dict[str, ListedEndpoint] = {}
+        # Versions that entries without a start time name.
+        self._unproven_versions: dict[str, str] = {}
         self._usable: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._evacuated: frozenset[str] = frozenset()
 
@@ -183,6 +193,30 @@
         """Return the endpoint whose listed start has this identifier, or None."""
         return next((e for e in self._listed.values() if e.start == start), None)
 
+    def version_of(self, endpoint: ListedEndpoint) -> str:
+        """Return the listed version of this start, or an empty string if unknown."""
+        if not endpoint.born and self.states_starts:
+            return ""
+        listed = self._listed.get(endpoint.id)
+        if listed is not None and listed.start == endpoint.start:
+            return listed.version
+        return endpoint.version
+
+    def on_start_stated(self) -> None:
+        """Record that endpoints state start times."""
+        if self.states_starts:
+            return
+        self.states_starts = True
+        for endpoint in list(self._listed.values()):
+            self._listed[endpoint.id] = self._without_unproven_version(endpoint)
+        self._usable.clear()
+
+    def _without_unproven_version(self, endpoint: ListedEndpoint) -> ListedEndpoint:
+        if endpoint.born or not self.states_starts:
+            return endpoint
+        self._unproven_versions[endpoint.id] = endpoint.version
+        return replace(endpoint, version="")
+
     def mark_leaving(self, endpoint: str, born: int) -> bool:
         """Record that an endpoint announced that it is leaving.
 
@@ -211,18 +245,30 @@
 
         Requests that depend on the version don't go there until it is listed.
         """
+        self.on_start_stated()
         listed = self._listed.get(endpoint.id)
-        if listed is not None and listed.born < endpoint.born:
+        if listed is None or listed.born >= endpoint.born:
+            return
+        if listed.born:
             yield from self.put(endpoint)
-            self._replaced[endpoint.id] = listed
+        else:
+            # The entry may have been written by this start, so no state is cleared.
+            self._listed[listed.id] = replace(listed, born=endpoint.born)
+            self._usable.clear()
+            listed = replace(listed, version=self._unproven_versions[listed.id])
+            yield ListChange(listed.id, "start")
+        self._replaced[endpoint.id] = listed
 
     def restore(self, endpoint: str, born: int) -> Iterator[ListChange]:
         """Restore the listed start that an unlisted one has replaced.
 
-        The endpoint states the listed start time again, so the evidence was false.
+        The endpoint states the listed start time again, so the evidence was false. The
+        same holds for any earlier start time, if the entry has none.
         """
         replaced = self._replaced.get(endpoint)
-        if replaced is not None and replaced.born == born:
+        if replaced is None or self._listed[endpoint].born <= born:
+            return
+        if replaced.born in (0, born):
             yield from self.drop(endpoint)
             self._ended.discard(endpoint)
             yield from self.put(replaced)
@@ -233,14 +279,12 @@
 
     def put(self, endpoint: ListedEndpoint) -> Iterator[ListChange]:
         """Add or update an entry, and yield the changes."""
+        if endpoint.born:
+            self.on_start_stated()
         before = self._listed.get(endpoint.id)
         if before is not None and endpoint.born < before.born:
             return
-        is_restarted = before is not None and (
-            endpoint.born > before.born > 0
-            or (endpoint.version != before.version and not before.is_unlisted)
-        )
-        if is_restarted:
+        if before is not None and self._is_restart(before, endpoint):
             # The endpoint restarted and lost its requests and cache. Reporting it as
             # gone and new clears all state of the earlier start.
             if endpoint.born > before.born:
@@ -253,6 +297,7 @@
         self._dropped.discard(endpoint.id)
         if endpoint.version:
             self._replaced.pop(endpoint.id, None)
+        endpoint = self._without_unproven_version(endpoint)
         if endpoint != before:
             self._listed[endpoint.id] = endpoint
             self._usable.clear()
@@ -266,10 +311,18 @@
         if endpoint.leaving:
             yield ListChange(endpoint.id, "leaving")
 
+    def _is_restart(self, before: ListedEndpoint, endpoint: ListedEndpoint) -> bool:
+        """Return whether an entry is of another start than the entry before."""
+        if endpoint.born > before.born > 0:
+            return True
+        version = before.version or self._unproven_versions.get(before.id, "")
+        return not before.is_unlisted and endpoint.version != version
+
     def drop(self, endpoint: str) -> Iterator[ListChange]:
         """Remove an endpoint, and yield the change."""
         found = self._listed.pop(endpoint, None)
         self._replaced.pop(endpoint, None)
+        self._unproven_versions.pop(endpoint, None)
         if found is not None:
             self._dropped.add(endpoint, found.born)
             self._usable.clear()
--- a/greengageflow/core/incarnation.py
+++ b/greengageflow/core/incarnation.py
@@ -9,7 +9,10 @@
     SAME = auto()
     """It is the listed start of the endpoint."""
     LATER = auto()
-    """It is a later start of the endpoint, so the listed one has ended."""
+    """It is a later start than the listed one, which has ended.
+
+    So is any start of an endpoint whose entry states no start time.
+    """
     OTHER = auto()
     """It is another endpoint, which has the address now."""
     EARLIER = auto()
--- a/greengageflow/daemon/cached_parts.py
+++ b/greengageflow/daemon/cached_parts.py
@@ -98,7 +98,10 @@
             other = other_start(result, engine)
             if other is not None and other.born > engine.born:
                 self._on_other_start(other)
-                return
+                if engine.born:
+                    return
+                engine = other
+                self._queried.add(engine.start)
             if announces_shutdown(result):
                 self._on_leaving(engine)
         try:
--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -12,7 +12,11 @@
 from greengageflow.core.incarnation import IncarnationEvidence
 from greengageflow.net.http_messages import Failure, Response
 from greengageflow.net.http_pool import Exchange, HttpPool
-from greengageflow.platform.reports import incarnation_evidence, report_request
+from greengageflow.platform.reports import (
+    incarnation_evidence,
+    other_start,
+    report_request,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 """Connect time-out of a check, in seconds."""
@@ -47,6 +51,7 @@
     Args:
         endpoint: Endpoint whose answer ended.
         on_done: Called once with the outcome, unless the check is cancelled.
+        on_other_start: Called with another start of the endpoint that answers.
         states_start: See ``is_alive``.
     """
 
@@ -54,10 +59,12 @@
         self,
         endpoint: ListedEndpoint,
         on_done: Callable[[bool], None],
+        on_other_start: Callable[[ListedEndpoint], None],
         *,
         states_start: bool,
     ) -> None:
         self._endpoint = endpoint
+        self._on_other_start = on_other_start
         self._states_start = states_start
         self._on_done: Callable[[bool], None] | None = on_done
         self._exchange: Exchange | None = None
@@ -83,6 +90,10 @@
     def _on_answer(self, answer: Response | Failure) -> None:
         on_done = self._on_done
         self._release()
+        if isinstance(answer, Response):
+            other = other_start(answer, self._endpoint)
+            if other is not None:
+                self._on_other_start(other)
         alive = is_alive(answer, self._endpoint, states_start=self._states_start)
         on_done(alive)
 
--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -33,13 +33,16 @@
 
 
 def with_limits(
-    request: HttpRequest, ctx: ForwardContext, now: float, on_other_start: OnOtherStart
+    request: HttpRequest,
+    ctx: ForwardContext,
+    now: float,
+    verification: Verification | None,
 ) -> HttpRequest:
     """Return a request with the time-outs and connection reuse allowed for it."""
     reuse_s = inf if ctx.repeatable else REUSE_MAX_IDLE_S
     return replace(
         request,
-        verification=_verification(ctx, on_other_start),
+        verification=verification,
         connect_timeout_s=CONNECT_TIMEOUT_S,
         idle_timeout_s=max(MIN_ATTEMPT_S, ctx.deadline - now),
         retry_stale=False,
@@ -48,15 +51,16 @@
     )
 
 
-def _verification(
-    ctx: ForwardContext, on_other_start: OnOtherStart
+def start_check(
+    ctx: ForwardContext, on_other_start: OnOtherStart, *, states_starts: bool
 ) -> Verification | None:
     """Return what verifies the endpoint's start, for a stream that may be resumed.
 
     Its version is known by the start that began it, and it goes on only at a start that
-    is verified.
+    is verified. Where no endpoint states a start time, each start has an id of its own,
+    which the request names.
     """
-    if ctx.route.retry_policy is not RetryPolicy.RESUME:
+    if not states_starts or ctx.route.retry_policy is not RetryPolicy.RESUME:
         return None
     return start_verification(
         ctx.choice.endpoint,
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -37,6 +37,7 @@
     is_confirmation_overdue,
     is_stalled,
     new_events,
+    start_check,
     with_limits,
     with_stale_retry,
 )
@@ -285,9 +286,13 @@
             last_event=ctx.last_event,
             fetch_from=choice.fetch_from,
         )
+        states_starts = self._endpoints.states_starts
+        verification = start_check(
+            ctx, self.on_other_start, states_starts=states_starts
+        )
         ctx.attempt = EndpointAttempt(
             self._pool,
-            with_limits(request, ctx, now, self.on_other_start),
+            with_limits(request, ctx, now, verification),
             choice.endpoint,
             partial(interpret_answer, request_id=ctx.req.id),
             stream=ctx.route.stream,
@@ -344,11 +349,10 @@
         if ctx.version or ctx.route.retry_policy is not RetryPolicy.RESUME:
             return
         attempt = ctx.attempt
-        is_proven = attempt.is_start_proven and not attempt.endpoint.is_unlisted
-        ctx.version = attempt.endpoint.version if is_proven else UNPROVEN_VERSION
-        if ctx.version:
-            stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
-            self.affinity.on_begun(stream)
+        version = self._endpoints.version_of(attempt.endpoint)
+        ctx.version = attempt.is_start_proven and version or UNPROVEN_VERSION
+        stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
+        self.affinity.on_begun(stream)
 
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle the end of an answer that is not streamed."""
@@ -485,7 +489,10 @@
 
         states_start = bool(ctx.attempt.verified_start)
         ctx.end_check = EndCheck(
-            ctx.attempt.endpoint, on_done, states_start=states_start
+            ctx.attempt.endpoint,
+            on_done,
+            self.on_other_start,
+            states_start=states_start,
         )
         ctx.end_check.start(self._pool)
 
--- a/greengageflow/lab/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -426,6 +426,14 @@
         ]
         return [row for row in rows if name in (None, row["id"])]
 
+    def report_requests(self) -> int:
+        """Return how many requests for their report live replicas have got."""
+        return sum(
+            self.control(process, "GET", "/reports")
+            for process in self.replicas.values()
+            if process.popen.poll() is None
+        )
+
     @property
     def router_logs(self) -> str:
         """Log output of the current process of each router."""
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -61,6 +61,7 @@
         ``POST /tear``: cut all streams in the middle of an event.
         ``POST /drop``: reset each idle connection when more data arrives on it.
         ``GET /conns``: number of connections accepted so far.
+        ``GET /reports``: number of requests for the report so far.
 
     Args:
         host: IP number to listen on.
@@ -93,9 +94,10 @@
             text; empty to disable.
         poison_part: The process crashes when it is about to send the first event of a
             request with a shared prompt part whose name begins so; empty to disable.
-        born: Unix time of its start in milliseconds, stated in its entry and reports;
-            0 to state none.
-        report_born: Whether its reports state ``born`` too.
+        born: Unix time of its start in milliseconds; 0 to state none.
+        list_born: Whether its entry states ``born``.
+        report_born: Whether its reports state ``born``.
+        parts_born: Whether its lists of cached parts state ``born``.
         register_after_ms: Milliseconds from the start to the first entry in the store.
         framing: How streams are delimited: ``chunked``, or ``close`` for the end of the
             connection.
@@ -131,7 +133,9 @@
         poison: str = "",
         poison_part: str = "",
         born: int = 0,
+        list_born: bool = True,
         report_born: bool = True,
+        parts_born: bool = True,
         register_after_ms: int = 0,
         framing: str = CHUNKED,
     ) -> None:
@@ -146,8 +150,10 @@
         self._health_path, self._max_conns = health_path, max_conns
         self._poison = poison.encode()
         self._poison_part = poison_part
-        self._born = {"born": born} if born else {}
-        self._reported_born = self._born if report_born else {}
+        stated = {"born": born} if born else {}
+        self._listed_born = stated if list_born else {}
+        self._reported_born = stated if report_born else {}
+        self._parts_born = stated if parts_born else {}
         self._batch = Batch(step_ms / 1000, growth, chunk, kv_capacity)
         pool = HttpPool(self.timers).register(self)
         self._generations = Generations(
@@ -167,6 +173,7 @@
         self._active: list[Work] = []
         self._seal_numbers, self._response_numbers = count(), count(1)
         self._accepted_connections = 0
+        self._report_requests = 0
         self._late_refusals: dict[ServerConnection, bytes] = {}
         self._state = READY
         self._update_report()
@@ -190,7 +197,7 @@
         address = self._advertise or f"{host}:{port}"
         fields = {"service": self._service, "address": address}
         fields |= {"zone": self._zone, "slots": self._slots, "state": self._state}
-        fields |= {"version": self._release} | self._born
+        fields |= {"version": self._release} | self._listed_born
         cold_s = max(0.0, self._cold_until - self.timers.now)
         fields[COLD_MS] = round(1000 * cold_s)
         if self._model:
@@ -227,10 +234,11 @@
         if call.conn in self._work_by_connection:
             return
         if call.path == REPORT_PATH:
+            self._report_requests += 1
             self.finish(call, response_bytes(200, self._report))
         elif call.path == KV_LIST:
             cached = [["", part, n, model] for model, part, n in self._batch.cache.rows]
-            body = {"epoch": self._name, "next": 0, "held": cached} | self._born
+            body = {"epoch": self._name, "next": 0, "held": cached} | self._parts_born
             self.finish(call, response_bytes(200, body))
         elif call.path == self._health_path:
             status = self._faults.health or (200 if self._state == READY else 503)
@@ -423,6 +431,8 @@
                 return response_bytes(200, [run.row for run in self._runs])
             case "GET", "/conns":
                 return response_bytes(200, self._accepted_connections)
+            case "GET", "/reports":
+                return response_bytes(200, self._report_requests)
             case "POST", "/fault":
                 self._set_faults(ReplicaFaults(**call.json))
             case "POST", "/tear":
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -39,11 +39,10 @@
     required: bool,
     timeout_s: float,
     on_other_start: Callable[[ListedEndpoint], None],
-) -> Verification | None:
+) -> Verification:
     """Return what verifies that a connection leads to the listed start of an endpoint.
 
-    It is None if the list states no start time: each start has an id of its own then,
-    and the request itself names that id.
+    An entry without a start time names no start, so nothing proves it.
 
     Args:
         endpoint: The endpoint.
@@ -51,8 +50,6 @@
         timeout_s: Maximum time without progress, in seconds.
         on_other_start: Called with another start of the endpoint that answers.
     """
-    if not endpoint.born:
-        return None
 
     def evaluate(response: Response) -> IncarnationEvidence:
         other = other_start(response, endpoint)
@@ -71,12 +68,11 @@
     name = response.header(REPLICA_ID)
     if response.status == MISDIRECTED or name not in ("", endpoint.id):
         return IncarnationEvidence.OTHER
-    if not endpoint.born:
-        # Each start has an id of its own then.
-        return IncarnationEvidence.SAME if name else IncarnationEvidence.UNSTATED
     born = _born(response)
     if born is None:
-        return IncarnationEvidence.UNSTATED
+        # Without any start time, each start has an id of its own.
+        is_named = name and not endpoint.born
+        return IncarnationEvidence.SAME if is_named else IncarnationEvidence.UNSTATED
     if born < endpoint.born:
         return IncarnationEvidence.EARLIER
     is_same = born == endpoint.born
@@ -100,7 +96,7 @@
         return None
     try:
         match response.json():
-            case {"born": int(born)} if type(born) is int and born <= MAX_BORN_MS:
+            case {"born": int(born)} if type(born) is int and 0 < born <= MAX_BORN_MS:
                 return born
     except (ValueError, RecursionError):
         pass
--- a/tests/test_cached_parts.py
+++ b/tests/test_cached_parts.py
@@ -107,6 +107,18 @@
     return Response(200, (), json.dumps(KEPT | {"born": born}).encode())
 
 
+def test_parts_of_an_engine_whose_entry_has_no_start_time_are_kept():
+    """Its answer names its start, so that it would be asked a second time."""
+    harness = LoaderHarness(cached_parts(5))
+    harness.parts._on_other_start = lambda other: list(
+        harness.listed.put_unlisted(other)
+    )
+    harness.parts.load(harness.engines[:1])
+    harness.parts.load([harness.listed.get("e0")])
+    assert len(harness.requests) == 1
+    assert (harness.place().endpoint.id, harness.place().reading) == ("e0", 100)
+
+
 def test_engine_is_queried_again_after_a_restart():
     """The cached parts of the earlier start were expected at the new one."""
     harness = LoaderHarness(cached_parts(5), cached_parts(9))
--- a/tests/test_endpoint_reports.py
+++ b/tests/test_endpoint_reports.py
@@ -1,16 +1,22 @@
 """What an endpoint's report proves about the process that sends it."""
 
 import json
+from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.incarnation import IncarnationEvidence
+from greengageflow.core.routes import RetryPolicy
+from greengageflow.daemon.forward_context import Phase
+from greengageflow.daemon.forward_sending import start_check
 from greengageflow.net.http_messages import Head, Response
 from greengageflow.platform.names import REPLICA_ID, REQUEST_ID
 from greengageflow.platform.reports import start_verification
 
 LISTED = ListedEndpoint("e", "m", "127.0.0.1", 9, "z", born=5)
+UNDATED = replace(LISTED, born=0, version="v1")
 
 
 def verification(endpoint=LISTED, on_other_start=lambda _endpoint: None):
@@ -59,7 +65,38 @@
     assert not accepts(Head(200, ((REQUEST_ID, "earlier"),)))
 
 
-def test_nothing_is_verified_where_no_start_time_is_listed():
+@pytest.mark.parametrize("policy", RetryPolicy)
+@pytest.mark.parametrize("states_starts", [False, True])
+def test_nothing_is_verified_where_no_start_time_is_stated(policy, states_starts):
     """Each start has an id of its own there, which requests name."""
-    endpoint = ListedEndpoint("e", "m", "127.0.0.1", 9, "z")
-    assert verification(endpoint) is None
+    ctx = SimpleNamespace(
+        route=SimpleNamespace(retry_policy=policy),
+        choice=SimpleNamespace(endpoint=UNDATED),
+        phase=Phase.SENT,
+        resumes_stream=False,
+    )
+    found = start_check(ctx, lambda _endpoint: None, states_starts=states_starts)
+    assert (found is not None) is (states_starts and policy is RetryPolicy.RESUME)
+
+
+@pytest.mark.parametrize(
+    ("headers", "body", "evidence"),
+    [
+        ((), {}, IncarnationEvidence.UNSTATED),
+        (((REPLICA_ID, "e"),), {}, IncarnationEvidence.SAME),
+        (((REPLICA_ID, "f"),), {}, IncarnationEvidence.OTHER),
+        (((REPLICA_ID, "e"),), {"born": 6}, IncarnationEvidence.LATER),
+        ((), {"born": 0}, IncarnationEvidence.UNSTATED),
+    ],
+)
+def test_a_stated_start_is_not_the_one_of_an_entry_without_a_start_time(
+    headers, body, evidence
+):
+    """Such an entry was taken for one of the start that answers."""
+    others = []
+    check = verification(UNDATED, others.append)
+    response = Response(200, headers, json.dumps(body).encode())
+    assert check.evaluate(response) is evidence
+    assert [other.born for other in others] == (
+        [6] if evidence is IncarnationEvidence.LATER else []
+    )
--- a/tests/test_restarted_in_place.py
+++ b/tests/test_restarted_in_place.py
@@ -179,11 +179,68 @@
             assert resume(lab, router, {RESUMES: request}) == (503, [])
 
 
+def state_start_in_one_entry(lab):
+    """Add an engine that gets no requests; its entry shows that starts are stated."""
+    options = {"service": "scribe", "model": "m", **ENGINE, "born": 1000}
+    lab.add_replica("stated", **options)
+    lab.set_state("stated", "draining")
+    for process in lab.routers.values():
+        wait_for(lambda p=process: '"stated"' in p.stderr, "the entry is read")
+
+
+@pytest.mark.parametrize(("engines", "restarted"), ONE_RESTARTED)
+def test_a_cut_stream_does_not_go_on_at_an_entry_without_a_start_time(
+    engines, restarted
+):
+    """Such an entry counted as one of the start that answers, whichever that was."""
+    with lab_of(engines, list_born=False, parts_born=False) as lab:
+        names = list(lab.replicas)
+        state_start_in_one_entry(lab)
+        client, _, engine = begin(lab)
+        others = [name for name in names if name != engine]
+        restart(lab, others[restarted])
+        lab.cut_streams(engine)
+        assert set(releases_until_end(client)) <= {"v1"}
+
+
+def test_no_stream_is_of_the_release_of_an_entry_without_a_start_time():
+    """A stream that began at a later start went on at the release of the entry."""
+    with lab_of(2, list_born=False, parts_born=False) as lab:
+        state_start_in_one_entry(lab)
+        restart(lab, "scribe-0")
+        streams = [begin(lab, f"r{number % 3}") for number in range(4)]
+        assert len({engine for _, _, engine in streams}) == 2
+        lab.cut_streams("scribe-0")
+        lab.cut_streams("scribe-1")
+        for client, request, engine in streams:
+            release = {"scribe-0": "v2", "scribe-1": "v1"}[engine]
+            assert set(releases_until_end(client)) <= {release}
+            status, found = resume(lab, "r0", {RESUMES: request})
+            assert set(found) <= {release}
+
+
+def test_streams_go_on_where_no_start_time_is_stated():
+    """Each start has an id of its own there, so that checks would cost for nothing."""
+    with lab_of(3, born=0) as lab:
+        client, request, engine = begin(lab)
+        lab.kill_replica(engine)
+        lab.add_replica("new", service="scribe", model="m", **ENGINE)
+        assert releases_until_end(client) == ["v1"] * (EVENTS - 2)
+        for router in lab.routers:
+            found = resume(lab, router, {RESUMES: request})
+            assert found == (200, ["v1"] * (EVENTS - 2))
+        assert lab.report_requests() == 0
+
+
 class Caller:
-    """Runs streams one after another; takes up those that are cut or that it cuts."""
+    """Runs streams one after another; takes up those that are cut or that it cuts.
+
+    A stream that can go on nowhere is given up, if ``gives_up``, or tried again.
+    """
 
-    def __init__(self, lab, seed):
+    def __init__(self, lab, seed, *, gives_up):
         self._lab, self._random = lab, Random(seed)
+        self._gives_up, self._is_refused = gives_up, False
         self.streams = []
         self.resumed = 0
 
@@ -194,7 +251,8 @@
     def _stream(self, stopping):
         """Return the ids and releases of one stream's events."""
         events, first_request, headers = [], "", PROMPT
-        while not stopping.is_set() and len(events) < EVENTS:
+        self._is_refused = False
+        while not (stopping.is_set() or self._is_refused or len(events) == EVENTS):
             request = self._read(events, headers)
             if events and not first_request:
                 first_request = request
@@ -209,6 +267,7 @@
         request = client.send(CHAT, request_body(), key=KEY, headers=headers)
         with suppress(IncompleteResponse, AssertionError):
             if client.head().status != 200:
+                self._is_refused = self._gives_up and bool(events)
                 sleep(0.05)
                 return request
             self.resumed += bool(events)
@@ -220,15 +279,23 @@
         return request
 
 
-@pytest.mark.parametrize("seed", range(3))
-def test_engines_that_crash_in_series_give_no_stream_of_two_releases(seed):
+@pytest.mark.parametrize(
+    ("seed", "list_born"), [(0, True), (1, True), (2, True), (3, False), (4, False)]
+)
+def test_engines_that_crash_in_series_give_no_stream_of_two_releases(seed, list_born):
     """Streams held events of both releases of an engine that had restarted."""
     random, stopping = Random(seed), Event()
-    with lab_of(6, ("v1", "v2")) as lab, ThreadPoolExecutor(CALLERS) as pool:
-        callers = [Caller(lab, f"{seed} {number}") for number in range(CALLERS)]
+    releases, options = ("v1", "v2"), {"list_born": list_born}
+    with lab_of(6, releases, **options) as lab, ThreadPoolExecutor(CALLERS) as pool:
+        callers = [
+            Caller(lab, f"{seed} {number}", gives_up=not list_born)
+            for number in range(CALLERS)
+        ]
         runs = [pool.submit(caller.run, stopping) for caller in callers]
         wait_for(lambda: all(caller.streams for caller in callers), "streams ended")
         release = {name: f"v{1 + n % 2}" for n, name in enumerate(lab.replicas)}
+        if not list_born:
+            state_start_in_one_entry(lab)
         try:
             for number in range(RESTARTS):
                 name = random.choice(sorted(release))
@@ -250,4 +317,5 @@
         for stream in streams:
             assert [event for event, _ in stream] == list(range(1, len(stream) + 1))
         assert sum(caller.resumed for caller in callers)
-        assert f'"{DecisionEvent.RESUMED.number}"' in lab.router_logs
+        if list_born:
+            assert f'"{DecisionEvent.RESUMED.number}"' in lab.router_logs
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -245,6 +245,81 @@
     assert choose(1.0, "m", None, set(), None, "v2").endpoint.born == NEW.born
 
 
+UNDATED = replace(OLD, born=0, version="v1")
+
+
+def list_of(*entries):
+    listed = EndpointList()
+    for entry in entries:
+        list(listed.put(entry))
+    return listed
+
+
+def start_of(listed):
+    """Return the start time and version that are known of the endpoint."""
+    found = listed.get(OLD.id)
+    return found.born, found.version
+
+
+def test_ids_name_starts_where_no_start_time_is_stated():
+    listed = list_of(UNDATED)
+    assert start_of(listed) == (0, "v1")
+    assert listed.version_of(UNDATED) == "v1" and not listed.states_starts
+    assert not list(listed.put(UNDATED))
+
+
+@pytest.mark.parametrize("source", ["entry before", "entry after", "answer"])
+def test_an_entry_without_a_start_time_has_no_version_where_others_state_one(source):
+    """It counted as one of the start that answers, whichever that was."""
+    match source:
+        case "entry before":
+            listed = list_of(OTHER, UNDATED)
+        case "entry after":
+            listed = list_of(UNDATED, OTHER)
+        case "answer":
+            listed = list_of(UNDATED)
+            list(listed.put_unlisted(replace(OTHER, version="")))
+    assert start_of(listed) == (0, "")
+    assert listed.version_of(UNDATED) == "", "also for a request that is under way"
+    assert listed.versions()["m"] >= {""}
+    assert not list(listed.put(UNDATED)), "not a restart"
+    assert start_of(listed) == (0, "")
+    restarted = replace(UNDATED, version="v2")
+    assert list(listed.put(restarted)) == [
+        ListChange("e", "gone"),
+        ListChange("e", "new"),
+    ]
+
+
+def test_an_entry_without_a_start_time_is_superseded_by_the_start_that_answers():
+    """The start has no known version until an entry names it; no state is lost."""
+    listed = list_of(OTHER, UNDATED)
+    changes = [ListChange("e", "start")]
+    assert list(listed.put_unlisted(UNLISTED)) == changes
+    assert start_of(listed) == (NEW.born, "") and listed.get("e").is_unlisted
+    assert not list(listed.put(UNDATED)), "names no start"
+    assert start_of(listed) == (NEW.born, "")
+    assert list(listed.put(replace(NEW, version="v1"))) == changes
+    assert start_of(listed) == (NEW.born, "v1")
+    assert not list(listed.put(replace(UNDATED, version="v2")))
+    assert start_of(listed) == (NEW.born, "v1")
+    list(listed.drop("e"))
+    list(listed.put(UNDATED))
+    assert start_of(listed) == (0, "")
+
+
+def test_false_evidence_on_an_entry_without_a_start_time_is_taken_back():
+    """A garbled report left the endpoint without a version for good."""
+    listed = list_of(OTHER, UNDATED)
+    list(listed.put_unlisted(UNLISTED))
+    assert not list(listed.restore("e", UNLISTED.born))
+    assert list(listed.restore("e", OLD.born))
+    list(listed.put_unlisted(replace(OLD, version="")))
+    assert start_of(listed) == (OLD.born, "")
+    list(listed.put(replace(OLD, version="v1")))
+    assert start_of(listed) == (OLD.born, "v1")
+
+
 def test_placements_of_an_earlier_process_are_not_reported_after_its_restart(fleet):
     fleet.book.on_request_sent(1.0, "r", Choice(OLD), PROMPT)
     assert fleet.book.recent_placements(1.0) == (("shared", "e"),)
