Streams of unlisted starts are not joined to the only version listed

Callers saw: a stream with events of two software versions. An engine starts again in place at another version, a stream begins there before the new start is listed, and its caller takes it up at another host. Where the caller does not name its stream, or its host has ended before it reported the stream (20 ms) or the reports are lost, no host knows the version, and the host took the only one that the list had shown for two timeouts.

Cause: no answer from the keepers of a request (a timer of 0.25 s) counted as "begun at a proven start". That the history of the list holds for all other streams was never stated by anyone.

Change: before the first event of such a stream reaches its caller, most of three keepers of the service have acknowledged its start. A host that does not know the version of a stream asks the keepers of the service, needs an answer of most of them (503 else), and takes the only version of the list only if all unproven starts of that time are listed with it. The history is therefore kept by start too, so that streams go on after a restart at the same version as soon as it is listed.

Cost: one exchange between hosts for the first stream of each host at an unlisted start; the answer fails with 502 after 0.25 s if most keepers do not answer, unless the stream is whole by then. Hosts repeat what they know to the keepers each 5 s for 120 s after the last such stream. Taking up a stream of unknown version needs one more exchange. Keepers of an earlier release do not answer, so that both fail while most keepers are of one. In services where only some engines state their start, streams of unknown version are refused as long as the others begin streams.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -120,9 +120,15 @@
         """Return the software versions of all listed endpoints, by service."""
         found: dict[str, set[str]] = {}
         for endpoint in self._listed.values():
-            found.setdefault(endpoint.service, set()).add(endpoint.version)
+            if not endpoint.is_unlisted:
+                found.setdefault(endpoint.service, set()).add(endpoint.version)
         return found
 
+    def starts(self) -> dict[str, str]:
+        """Return the software version of each listed start."""
+        listed = self._listed.values()
+        return {e.start: e.version for e in listed if not e.is_unlisted}
+
     def in_zones(self, zones: Container[str]) -> Iterator[ListedEndpoint]:
         """Yield all listed endpoints of some zones."""
         return (e for e in self._listed.values() if e.zone in zones)
--- a/greengageflow/core/version_affinity.py
+++ b/greengageflow/core/version_affinity.py
@@ -122,18 +122,34 @@
     """Software versions that were listed for each service over time.
 
     If a service had a single version for as long as a stream can last, that version
-    began each stream whose own version is unknown. This holds although an endpoint may
-    run another version before it is listed: a stream begins only at a start that is
-    verified to be the listed one, or else is recorded as ``UNPROVEN_VERSION``.
+    began each stream whose own version is unknown, unless a stream began at a start
+    that was not verified to be the listed one; see ``core.unproven_starts``.
     """
 
     def __init__(self) -> None:
         self._since: dict[str, float] = {}
         self._observed_at: dict[str, float] = {}
         self._last_seen: dict[str, dict[str, float]] = {}
+        self._starts: dict[str, tuple[str, float]] = {}
 
-    def observe(self, now: float, versions: Mapping[str, Set[str]]) -> None:
-        """Record the versions that a recent list has now, by service."""
+    def observe(
+        self,
+        now: float,
+        versions: Mapping[str, Set[str]],
+        starts: Mapping[str, str] | None = None,
+    ) -> None:
+        """Record what a recent list has now.
+
+        Args:
+            now: The time.
+            versions: Software versions by service.
+            starts: Software version of each start.
+        """
+        for start, version in (starts or {}).items():
+            self._starts[start] = version, now
+        for start, (_, last_seen_at) in list(self._starts.items()):
+            if now - last_seen_at > RETENTION_S:
+                del self._starts[start]
         for service, listed in versions.items():
             observed_at = self._observed_at.get(service, float("-inf"))
             if now - observed_at > HISTORY_MAX_GAP_S:
@@ -145,20 +161,30 @@
                 if now - last_seen_at > RETENTION_S:
                     del seen[version]
 
-    def only_version(self, now: float, service: str, within_s: float) -> str | None:
-        """Return the only version listed within a time, or None if there are several.
+    def only_version(
+        self,
+        now: float,
+        service: str,
+        within_s: float,
+        unproven_starts: Iterable[str] = (),
+    ) -> str | None:
+        """Return the only version within a time, or None if there are several.
 
-        Returns None also if this host has not observed the list for all that time.
+        Returns None also if this host has not observed the list for all that time, or
+        if the version of an unproven start is not known.
 
         Args:
             now: The time.
             service: Name of the service.
             within_s: Time for which there must have been no other version, in seconds.
+            unproven_starts: Starts at which streams began before they were listed.
         """
         if now - self._observed_at.get(service, float("-inf")) > HISTORY_MAX_GAP_S:
             return None
         if within_s > RETENTION_S or now - self._since[service] < within_s:
             return None
         seen = self._last_seen[service].items()
-        recent = [version for version, at in seen if now - at <= within_s]
-        return recent[0] if len(recent) == 1 else None
+        recent = {version for version, at in seen if now - at <= within_s}
+        recent.update(self._starts.get(s, ("", now))[0] for s in unproven_starts)
+        only = recent.pop() if len(recent) == 1 else None
+        return only or None
--- a/greengageflow/daemon/exchange_listener.py
+++ b/greengageflow/daemon/exchange_listener.py
@@ -11,6 +11,10 @@
 from greengageflow.core.place_messages import PlacementMessage
 from greengageflow.core.quarantine import CrashReport
 from greengageflow.core.store_updates import StoreUpdate
+from greengageflow.core.unproven_starts import (
+    UnprovenStartQuery,
+    UnprovenStartReport,
+)
 from greengageflow.core.version_affinity import (
     StreamVersionQuery,
     StreamVersionReport,
@@ -58,5 +62,11 @@
     def on_version_query(self, query: StreamVersionQuery) -> None:
         """Handle a query for the software version of a stream."""
 
+    def on_start_query(self, query: UnprovenStartQuery) -> None:
+        """Handle a query for unproven starts of endpoints."""
+
+    def on_start_report(self, report: UnprovenStartReport) -> None:
+        """Handle a report of unproven starts of endpoints."""
+
     def on_placement_message(self, message: PlacementMessage) -> None:
         """Handle a placement message of another router."""
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -33,6 +33,10 @@
 from greengageflow.core.sum_changes import FullSumRequest, SumDelta
 from greengageflow.core.sum_table import SumOutcome
 from greengageflow.core.tick_echo import NO_ECHO, ClockTick, Stamp, TickEcho
+from greengageflow.core.unproven_starts import (
+    UnprovenStartQuery,
+    UnprovenStartReport,
+)
 from greengageflow.core.version_affinity import (
     StreamVersionQuery,
     StreamVersionReport,
@@ -160,10 +164,16 @@
     def send_to(
         self,
         to: Address,
-        message: PlacementMessage | StreamVersionReport | StreamVersionQuery,
+        message: PlacementMessage
+        | StreamVersionReport
+        | StreamVersionQuery
+        | UnprovenStartQuery
+        | UnprovenStartReport,
     ) -> None:
         """Send one router a message without a delivery guarantee."""
-        if isinstance(message, PlacementRequest | StreamVersionQuery):
+        if isinstance(
+            message, PlacementRequest | StreamVersionQuery | UnprovenStartQuery
+        ):
             # A request of a caller waits for the answer.
             self._link.batching = False
         self._link.send(to, encode(message))
@@ -335,6 +345,12 @@
             case StreamVersionQuery():
                 self._listener.on_version_query(message)
                 return
+            case UnprovenStartQuery():
+                self._listener.on_start_query(message)
+                return
+            case UnprovenStartReport():
+                self._listener.on_start_report(message)
+                return
             case (
                 PlacementRequest()
                 | PlacementAnswer()
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -16,6 +16,7 @@
     RefuseJob,
     StartJob,
 )
+from greengageflow.core.unproven_starts import UNKNOWN_START
 from greengageflow.core.version_affinity import (
     UNPROVEN_VERSION,
     StreamVersion,
@@ -41,8 +42,10 @@
     with_stale_retry,
 )
 from greengageflow.daemon.forward_telemetry import ForwardTelemetry
+from greengageflow.daemon.held_reply import HeldReply
 from greengageflow.daemon.leaving_watch import LeavingWatch
 from greengageflow.daemon.placement import Placement
+from greengageflow.daemon.unproven_starts import UnprovenStarts
 from greengageflow.daemon.version_affinity import VersionAffinity
 from greengageflow.errors import NOT_RUN_STATUSES, ErrorKind, Ran, RouterError
 from greengageflow.net._caller_parts import BodyBudget
@@ -89,6 +92,8 @@
             before the first call.
         affinity: Knows which software version began a stream; must be set before the
             first call.
+        unproven_starts: Knows which starts of unknown version began streams; must be
+            set before the first call.
         on_other_start: Called with a start of an endpoint that answers before it is
             listed; must be set before the first call.
     """
@@ -97,6 +102,7 @@
     crashes: CrashWatch
     leaving: LeavingWatch
     affinity: VersionAffinity
+    unproven_starts: UnprovenStarts
     on_other_start: OnOtherStart
 
     def __init__(
@@ -172,18 +178,39 @@
     def _on_version(self, ctx: ForwardContext, stream: StreamVersion | None) -> None:
         """Submit a request that takes up a stream once the stream's version is known.
 
-        If it is not known, the version is taken that the service had all the time; with
-        several versions the request is refused.
+        If it is not known, the version is taken that the service had all the time,
+        also at unlisted starts; with several versions the request is refused.
         """
         if not self._is_open(ctx):
             return
+        if stream is None:
+            self.unproven_starts.share(
+                ctx.service, lambda shared: self._on_starts(ctx, shared)
+            )
+            return
         services = [backend.service for backend in ctx.route.backends]
-        if stream is not None and stream.service in services:
+        if stream.service in services:
             ctx.service, ctx.version = stream.service, stream.version
-        elif stream is None:
+        self._submit_at_version(ctx)
+
+    def _on_starts(self, ctx: ForwardContext, shared: bool) -> None:
+        """Submit a request that takes up a stream of which no host has the version.
+
+        Args:
+            ctx: The request.
+            shared: Whether this host has all unproven starts of the service.
+        """
+        if not self._is_open(ctx):
+            return
+        if shared:
+            within_s = STREAM_TIMEOUTS * ctx.route.timeout_s
+            starts = self.unproven_starts.starts(ctx.service, within_s)
             ctx.version = self._history.only_version(
-                self._timers.now, ctx.service, STREAM_TIMEOUTS * ctx.route.timeout_s
+                self._timers.now, ctx.service, within_s, starts
             )
+        self._submit_at_version(ctx)
+
+    def _submit_at_version(self, ctx: ForwardContext) -> None:
         if ctx.version:
             self._submit(ctx)
         else:
@@ -349,6 +376,34 @@
         if ctx.version:
             stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
             self.affinity.on_begun(stream)
+        if not is_proven:
+            start = attempt.endpoint.start if attempt.is_start_proven else UNKNOWN_START
+            self._hold_until_recorded(ctx, start)
+
+    def _hold_until_recorded(self, ctx: ForwardContext, start: str) -> None:
+        """Hold a stream's first events until other hosts have its unproven start.
+
+        This host may end at any time, and another one would take the version for that
+        of the list.
+        """
+        reply = ctx.reply
+        held = ctx.reply = HeldReply(reply)
+
+        def on_recorded(recorded: bool) -> None:
+            ctx.reply = reply
+            if recorded or held.is_finished:
+                held.release()
+            elif self._is_open(ctx):
+                self._on_not_recorded(ctx)
+            else:
+                held.error(_not_recorded_error())
+
+        self.unproven_starts.record(ctx.service, start, on_recorded)
+
+    def _on_not_recorded(self, ctx: ForwardContext) -> None:
+        self._stop_attempt(ctx)
+        ctx.phase, ctx.unconfirmed_end = Phase.SENT, None
+        self._answer_error(ctx, _not_recorded_error())
 
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle the end of an answer that is not streamed."""
@@ -747,6 +802,11 @@
         self.carry_out(self.placement.on_request_end(now, ctx.service, ctx.id))
 
 
+def _not_recorded_error() -> RouterError:
+    text = "the start of the endpoint is not listed, and no other host recorded it"
+    return RouterError(ErrorKind.ENDPOINT_FAILED, text)
+
+
 class _AttemptListener:
     """Passes events of an attempt to the forwarder unless a newer one replaced it."""
 
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -27,6 +27,10 @@
 from greengageflow.core.store_duty import StoreRole, read_interval_s
 from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.core.trust import KeyTrust
+from greengageflow.core.unproven_starts import (
+    UnprovenStartQuery,
+    UnprovenStartReport,
+)
 from greengageflow.core.version_affinity import (
     StreamVersionQuery,
     StreamVersionReport,
@@ -57,6 +61,7 @@
 from greengageflow.daemon.refused_accounts import RefusedAccounts
 from greengageflow.daemon.router_registry import RouterRegistry
 from greengageflow.daemon.store_view import StoreView
+from greengageflow.daemon.unproven_starts import UnprovenStarts
 from greengageflow.daemon.version_affinity import VersionAffinity
 from greengageflow.errors import ErrorKind, RouterError
 from greengageflow.events import Event as LogEvent
@@ -206,6 +211,9 @@
         self._affinity = self._forwarder.affinity = VersionAffinity(
             hello, self._timers, self._exchange
         )
+        self._unproven_starts = self._forwarder.unproven_starts = UnprovenStarts(
+            hello, self._timers, self._exchange
+        )
         self._crash_watch = self._forwarder.crashes = CrashWatch(
             self._quarantine,
             self._timers,
@@ -449,6 +457,14 @@
         """Handle a query for the software version of a stream."""
         self._affinity.receive_query(query)
 
+    def on_start_query(self, query: UnprovenStartQuery) -> None:
+        """Handle a query for unproven starts of endpoints."""
+        self._unproven_starts.receive_query(query)
+
+    def on_start_report(self, report: UnprovenStartReport) -> None:
+        """Handle a report of unproven starts of endpoints."""
+        self._unproven_starts.receive_report(report)
+
     def on_placement_message(self, message: PlacementMessage) -> None:
         """Handle a placement message of another router."""
         self._placement.receive(message)
@@ -551,7 +567,9 @@
 
     def _observe_versions(self) -> None:
         if clock() - self._store_view.list_confirmed_at <= LIST_MAX_AGE_S:
-            self._version_history.observe(self._timers.now, self._endpoints.versions())
+            self._version_history.observe(
+                self._timers.now, self._endpoints.versions(), self._endpoints.starts()
+            )
 
     @handler("started", channel="*")
     def _on_started(self, *_args: object) -> None:
@@ -565,6 +583,7 @@
         self._leaving_watch.start()
         self._evacuation_watch.start()
         self._registry.start()
+        self._unproven_starts.start()
         self._quarantine_store.start()
         self._timers.every(TICK_INTERVAL_S, self._on_tick)
         self._timers.every(FLUSH_INTERVAL_S, self._log.flush)
@@ -593,6 +612,7 @@
         self._forwarder.stopping = self._exchange.stopping = True
         self._placement.stop_placing()
         self._affinity.on_stop()
+        self._unproven_starts.send_all()
         self._stop_started_at = self._timers.now
         self._callers.close_after_answers()
         self._timers.after(BALANCER_DRAIN_S, self._refuse_new)
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -17,6 +17,10 @@
 from greengageflow.core.store_updates import StoreTopic, StoreUpdate
 from greengageflow.core.sum_changes import FullSumRequest, SumDelta, TableDelta, Work
 from greengageflow.core.tick_echo import ClockTick
+from greengageflow.core.unproven_starts import (
+    UnprovenStartQuery,
+    UnprovenStartReport,
+)
 from greengageflow.core.version_affinity import (
     StreamVersionQuery,
     StreamVersionReport,
@@ -64,6 +68,14 @@
     parse_placement_snapshot,
     placement_values,
 )
+from greengageflow.net.start_codec import (
+    UNPROVEN_START_QUERY,
+    UNPROVEN_START_REPORT,
+    parse_start_query,
+    parse_start_report,
+    start_query_values,
+    start_report_values,
+)
 from greengageflow.net.tick_codec import (
     CLOCK_TICK,
     clock_tick_values,
@@ -104,6 +116,8 @@
     | EvacuationReport
     | StreamVersionReport
     | StreamVersionQuery
+    | UnprovenStartQuery
+    | UnprovenStartReport
     | ClockTick
     | PlacementMessage
 )
@@ -140,6 +154,10 @@
             return packb(version_report_values(message))
         case StreamVersionQuery():
             return packb(version_query_values(message))
+        case UnprovenStartQuery():
+            return packb(start_query_values(message))
+        case UnprovenStartReport():
+            return packb(start_report_values(message))
         case ClockTick():
             return packb(clock_tick_values(message))
         case _:
@@ -461,6 +479,8 @@
     EVACUATION_REPORT: parse_evacuation_report,
     STREAM_VERSION_REPORT: parse_version_report,
     STREAM_VERSION_QUERY: parse_version_query,
+    UNPROVEN_START_QUERY: parse_start_query,
+    UNPROVEN_START_REPORT: parse_start_report,
     CLOCK_TICK: parse_clock_tick,
     PLACEMENT_REQUEST: parse_placement_request,
     PLACEMENT_ANSWER: parse_placement_answer,
--- a/tests/test_report_codec.py
+++ b/tests/test_report_codec.py
@@ -33,6 +33,11 @@
 from greengageflow.core.store_updates import StoreTopic, StoreUpdate
 from greengageflow.core.sum_changes import FullSumRequest, SumDelta, TableDelta
 from greengageflow.core.tick_echo import TICK_MODULUS, ClockTick, Stamp
+from greengageflow.core.unproven_starts import (
+    UnprovenStart,
+    UnprovenStartQuery,
+    UnprovenStartReport,
+)
 from greengageflow.core.version_affinity import (
     StreamVersion,
     StreamVersionQuery,
@@ -164,6 +169,13 @@
     ).map(tuple),
 )
 VERSION_QUERIES = st.builds(StreamVersionQuery, IPS, PORTS, NAMES)
+UNPROVEN_STARTS = st.lists(
+    st.builds(UnprovenStart, NAMES, st.integers(0, 99).map(float)), max_size=3
+).map(tuple)
+START_QUERIES = st.builds(
+    UnprovenStartQuery, IPS, PORTS, COUNTS, NAMES, UNPROVEN_STARTS
+)
+START_REPORTS = st.builds(UnprovenStartReport, NAMES, COUNTS, NAMES, UNPROVEN_STARTS)
 TICKS = st.integers(0, TICK_MODULUS - 1)
 CLOCK_TICKS = st.builds(ClockTick, IPS, PORTS, TICKS)
 STAMPS = st.builds(Stamp, TICKS, TICKS)
@@ -218,6 +230,8 @@
     | PART_CRASH_REPORTS
     | VERSION_REPORTS
     | VERSION_QUERIES
+    | START_QUERIES
+    | START_REPORTS
     | CLOCK_TICKS
     | PLACEMENT_REQUESTS
     | PLACEMENT_SNAPSHOTS
