Answers to callers may be delimited by the end of their connection

A streamed answer always had chunks, also where the endpoint had given neither a length nor chunks: the gateway's framing stated an end that it did not know. Nothing uses the new form yet.

`Reply.begin` takes `until_close`: no length and no chunks, `Connection: close`, raw bytes, and an end in order once everything is handed to the system. In that form a close in order means that the answer is whole, so each other close resets the connection: an abort, a caller that reads too slowly or has closed its side, a server that stops. `SO_LINGER` (1, 0) is set from the first byte to the end, so the system resets the connection of a process that is killed, too. `circuits` shuts a socket down before it closes it, which sends an end in order first; `CallerSockets` closes such a socket itself.

The head of a response says what delimits its body (`Head.framing`); it was known only at its end.

--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -15,6 +15,7 @@
 from greengageflow.net._http_parse import (
     BadMessage,
     Body,
+    Framing,
     RequestEnd,
     RequestHead,
     RequestParser,
@@ -81,7 +82,7 @@
         self._reply: Reply | None = None
         self._pipelined_bytes = 0
         self._was_blocked = False
-        self._streams_body = False
+        self._stream_framing = Framing.NO_BODY
         self._advancing = False
 
     def _set_phase(self, phase: Phase) -> None:
@@ -281,35 +282,55 @@
         is_last = limits.close_after_answer or limits.keep_alive_s <= 0
         return is_last or not (self._is_request_complete and self._head.keep_alive)
 
-    def send_head(self, status: int, headers: Iterable[Header], data: bytes) -> None:
-        """Start a streamed answer, with ``data`` as its first chunk unless empty."""
+    def send_head(
+        self, status: int, headers: Iterable[Header], data: bytes, *, until_close: bool
+    ) -> None:
+        """Start a streamed answer, with ``data`` as its first part unless empty."""
+        framing = Framing.CLOSE if until_close else Framing.CHUNKS
+        self._stream_framing = framing if self._has_body(status) else Framing.NO_BODY
         lines = [date_header(), *headers]
-        if status not in BODILESS_STATUSES:
+        if self._stream_framing is Framing.CLOSE:
+            # Closed in order before its end, the answer would look complete.
+            self._link.set_reset_on_close(True)
+        elif status not in BODILESS_STATUSES:
             lines.append(("transfer-encoding", "chunked"))
-        if self._limits().close_after_answer or not self._head.keep_alive:
+        if self._closes_after_stream:
             lines.append(CONNECTION_CLOSE)
-        self._streams_body = self._has_body(status)
-        self._link.send(response_head(status, lines) + self._chunk(data))
+        self._link.send(response_head(status, lines) + self._framed(data))
 
-    def _chunk(self, data: bytes) -> bytes:
-        # Always chunked: HTTP/1.0 requests for streams are rejected.
-        return chunk(data) if data and self._streams_body else b""
+    @property
+    def _closes_after_stream(self) -> bool:
+        is_delimiter = self._stream_framing is Framing.CLOSE
+        is_last = is_delimiter or self._limits().close_after_answer
+        return is_last or not self._head.keep_alive
+
+    def _framed(self, data: bytes) -> bytes:
+        match self._stream_framing:
+            case Framing.CLOSE:
+                return data
+            case Framing.CHUNKS if data:
+                # HTTP/1.0 requests for streams are rejected.
+                return chunk(data)
+        return b""
 
     def send_chunk(self, data: bytes) -> None:
-        """Send a chunk of a streamed answer."""
-        if framed := self._chunk(data):
+        """Send a part of a streamed answer."""
+        if framed := self._framed(data):
             self._link.send(framed)
 
     def send_end(self, data: bytes) -> None:
-        """Send the last chunk and end the streamed answer."""
-        if self._streams_body:
-            self._link.send(self._chunk(data) + LAST_CHUNK)
-        self._on_answered(
-            self._limits().close_after_answer or not self._head.keep_alive
-        )
+        """Send the last part and end the streamed answer."""
+        end = LAST_CHUNK if self._stream_framing is Framing.CHUNKS else b""
+        if rest := self._framed(data) + end:
+            self._link.send(rest)
+        self._on_answered(self._closes_after_stream)
 
     def abort(self, data: bytes) -> None:
         """Send ``data`` and close with the answer incomplete."""
+        if self._stream_framing is Framing.CLOSE:
+            self._end_call()
+            self._link.drop()
+            return
         if data:
             self.send_chunk(data)
         self._close()
@@ -329,10 +350,13 @@
             self._requests.feed(data)
         self._advance()
 
-    def _close(self) -> None:
+    def _end_call(self) -> None:
         self._call = self._reply = None
         self._release_body()
         self._set_phase(Phase.CLOSING)
+
+    def _close(self) -> None:
+        self._end_call()
         self._link.set_reading(True)
         self._link.finish()
 
--- a/greengageflow/net/_caller_link.py
+++ b/greengageflow/net/_caller_link.py
@@ -73,6 +73,7 @@
         Closing while bytes from the caller are unread would reset the connection, and
         the caller's kernel may then discard an answer that it has not read yet.
         """
+        self.set_reset_on_close(False)
         try:
             self.sock.shutdown(SHUT_WR)
         except OSError:
@@ -84,6 +85,15 @@
             self.open = False
             self._server._close(self.sock)
 
+    def set_reset_on_close(self, enabled: bool) -> None:
+        """Set whether any close resets the connection, except after ``finish``."""
+        if not self.open:
+            return
+        try:
+            self._server.set_reset_on_close(self.sock, enabled)
+        except OSError:
+            self.drop()
+
     def set_reading(self, enabled: bool) -> None:
         """Resume or pause reading from the socket."""
         if not self.open:
--- a/greengageflow/net/_caller_parts.py
+++ b/greengageflow/net/_caller_parts.py
@@ -78,6 +78,9 @@
     def drop(self) -> None:
         """Close immediately."""
 
+    def set_reset_on_close(self, enabled: bool) -> None:
+        """Set whether any close resets the connection, except after ``finish``."""
+
     def set_reading(self, enabled: bool) -> None:
         """Resume or pause reading from the socket."""
 
--- a/greengageflow/net/_http_parse.py
+++ b/greengageflow/net/_http_parse.py
@@ -92,6 +92,17 @@
     """End of a complete request."""
 
 
+class Framing(StrEnum):
+    """What delimits the body of a response."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    NO_BODY = "no_body"
+    """The status or the request's method allows no body."""
+    CLOSE = "close"
+    """The end of the connection, which also ends a truncated body."""
+
+
 @dataclass(frozen=True, slots=True)
 class Head:
     """Status and headers of a response.
@@ -99,27 +110,18 @@
     Args:
         status: HTTP status code.
         headers: Lower-case names and values, in the order received.
+        framing: What delimits the body, or None if that is not known.
     """
 
     status: int
     headers: HeaderLines
+    framing: Framing | None = None
 
     def header(self, name: str, default: str = "") -> str:
         """Return the first value of header ``name`` (in lower case)."""
         return next((value for key, value in self.headers if key == name), default)
 
 
-class Framing(StrEnum):
-    """What delimits the body of a response."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    NO_BODY = "no_body"
-    """The status or the request's method allows no body."""
-    CLOSE = "close"
-    """The end of the connection, which also ends a truncated body."""
-
-
 @dataclass(frozen=True, slots=True)
 class ResponseEnd:
     """End of a complete response.
@@ -402,7 +404,7 @@
         )
         self.until_close = not framing and status not in (204, 304)
         self.framing = self._framing(status)
-        self._events.append(Head(status, headers.lines()))
+        self._events.append(Head(status, headers.lines(), self.framing))
         has_body_framing = self.until_close or framing not in ([], ["0"])
         if self._no_body and has_body_framing:
             # This responds to HEAD and has no body. The parser does not know the
--- a/greengageflow/net/caller_sockets.py
+++ b/greengageflow/net/caller_sockets.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from socket import SO_SNDBUF, SOL_SOCKET, socket
+from socket import SO_LINGER, SO_SNDBUF, SOL_SOCKET, socket
+from struct import pack
 
 from circuits import handler
 from circuits.net.sockets import TCPServer
@@ -12,6 +13,9 @@
 SEND_BUFFER_BYTES = 131_072
 """Kernel send buffer of a caller's socket, in bytes."""
 
+RESET_ON_CLOSE, ORDERLY_CLOSE = pack("ii", 1, 0), pack("ii", 0, 0)
+"""Values of ``SO_LINGER``."""
+
 MAX_ACCEPT_QUEUE = 384
 """Accept queue length; one pass can reject that many connections in time."""
 
@@ -52,6 +56,7 @@
         )
         self._clients = SocketSet()
         self._is_accept_paused = False
+        self._reset_on_close: set[socket] = set()
         self._on_accepted = on_accepted
         self._on_connected = on_connected
         self._on_bytes = on_bytes
@@ -99,6 +104,30 @@
                     self.set_up(sock)
                     self._on_connected(sock)
 
+    def set_reset_on_close(self, sock: socket, enabled: bool) -> None:
+        """Set whether a connection is reset when it is closed or the process ends.
+
+        Raises:
+            OSError: The socket is closed.
+        """
+        if enabled is (sock in self._reset_on_close):
+            return
+        value = RESET_ON_CLOSE if enabled else ORDERLY_CLOSE
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, value)
+        if enabled:
+            self._reset_on_close.add(sock)
+        else:
+            self._reset_on_close.remove(sock)
+
+    def _close(self, sock: socket | None) -> None:
+        if sock in self._reset_on_close:
+            self._reset_on_close.remove(sock)
+            # ``circuits`` shuts a socket down before it closes it, which would end
+            # the connection in order.
+            self._poller.discard(sock)
+            sock.close()
+        super()._close(sock)
+
     def set_up(self, sock: socket) -> None:
         """Poll an accepted connection.
 
--- a/greengageflow/net/reply.py
+++ b/greengageflow/net/reply.py
@@ -33,14 +33,24 @@
     ) -> None:
         """Send a complete answer."""
 
-    def send_head(self, status: int, headers: Iterable[Header], data: bytes) -> None:
-        """Start a streamed answer, with ``data`` as its first chunk unless empty."""
+    def send_head(
+        self, status: int, headers: Iterable[Header], data: bytes, *, until_close: bool
+    ) -> None:
+        """Start a streamed answer, with ``data`` as its first part unless empty.
+
+        Args:
+            status: HTTP status code.
+            headers: Headers; those of the framing are added.
+            data: First bytes of the body.
+            until_close: True if the end of the connection delimits the body, False if
+                it is sent in chunks.
+        """
 
     def send_chunk(self, data: bytes) -> None:
-        """Send a chunk of a streamed answer."""
+        """Send a part of a streamed answer."""
 
     def send_end(self, data: bytes) -> None:
-        """Send the last chunk and end the streamed answer."""
+        """Send the last part and end the streamed answer."""
 
     def abort(self, data: bytes) -> None:
         """Send ``data`` and close with the answer incomplete."""
@@ -112,6 +122,7 @@
         """Called when a paused stream may resume."""
         self._sink: AnswerSink | None = sink
         self._streaming = False
+        self._until_close = False
         self._retry_after = retry_after
 
     @property
@@ -124,6 +135,11 @@
         """True once a streamed answer has started."""
         return self._streaming
 
+    @property
+    def until_close(self) -> bool:
+        """True if the end of the connection delimits the started answer."""
+        return self._until_close
+
     @property
     def blocked(self) -> bool:
         """True if the stream should pause until ``on_drain`` is called."""
@@ -184,17 +200,31 @@
         """Start a stream of server-sent events."""
         self.begin(200, (*STREAM_HEADERS, *headers))
 
-    def begin(self, status: int, headers: Iterable[Header], data: bytes = b"") -> None:
-        """Start an answer whose body is sent in chunks, of which ``data`` is the first.
+    def begin(
+        self,
+        status: int,
+        headers: Iterable[Header],
+        data: bytes = b"",
+        *,
+        until_close: bool = False,
+    ) -> None:
+        """Start an answer whose body is sent in parts, of which ``data`` is the first.
 
-        Sent with the head, the first chunk costs no system call of its own.
+        Sent with the head, the first part costs no system call of its own.
+
+        Args:
+            status: HTTP status code.
+            headers: Headers; those of the framing are added.
+            data: First part of the body.
+            until_close: Delimit the body by the end of the connection, not by chunks,
+                since nothing else shows its end.
         """
         if self._sink is not None and not self._streaming:
-            self._streaming = True
-            self._sink.send_head(status, headers, data)
+            self._streaming, self._until_close = True, until_close
+            self._sink.send_head(status, headers, data, until_close=until_close)
 
     def send_chunk(self, data: bytes) -> None:
-        """Send a chunk of a started answer; of an event stream, only whole events."""
+        """Send a part of a started answer; of an event stream, only whole events."""
         if self._sink is not None:
             self._sink.send_chunk(data)
 
--- a/tests/test_answer_writes.py
+++ b/tests/test_answer_writes.py
@@ -44,6 +44,9 @@
     def finish(self):
         self.is_finished = True
 
+    def set_reset_on_close(self, enabled):
+        pass
+
 
 class StreamingHandler:
     def on_call(self, call):
--- a/tests/test_http_parse.py
+++ b/tests/test_http_parse.py
@@ -77,7 +77,8 @@
 def parse_response(parts):
     parser = ResponseParser()
     parser.expect("GET")
-    assert list(parser.feed(HEAD)) == [Head(200, (("transfer-encoding", "chunked"),))]
+    lines = (("transfer-encoding", "chunked"),)
+    assert list(parser.feed(HEAD)) == [Head(200, lines, Framing.CHUNKS)]
     body = b""
     for part in parts:
         try:
@@ -376,7 +377,7 @@
     parser.expect("HEAD")
     data = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n"
     assert list(parser.feed(data)) == [
-        Head(200, (("content-length", "3"),)),
+        Head(200, (("content-length", "3"),), Framing.NO_BODY),
         ResponseEnd(keep_alive=False),
     ]
 
@@ -396,6 +397,7 @@
     """Only the end of the connection does not prove that a body is complete."""
     parser = ResponseParser()
     parser.expect(method)
-    list(parser.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + head + b"\r\n\r\n"))
-    assert parser.framing is framing
+    data = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + head + b"\r\n\r\n"
+    [found] = [e for e in parser.feed(data) if isinstance(e, Head)]
+    assert found.framing is parser.framing is framing
     assert parser.until_close == (framing is Framing.CLOSE)
