Unproven ends of answers are passed on as such, and contradicted by reports

Callers got a last chunk or a Content-Length, that is a complete answer, for an answer without a length that its living endpoint had closed early: between two events of a stream, right after the head, or in the middle of a plain body. Where another endpoint was asked for more events and failed, rejected, was late, or closed its connection as well, that counted as "there are no more".

Cause: the check after such an end asks only whether the endpoint lives. That it lives shows that its process did not end, not that the answer is whole. The gateway's own framing then stated more than it knew.

Change: - The caller's answer has the framing of the endpoint's: one that ended with its connection has no length and no chunks, and ends in order; a failure resets it. A stream that began with chunks, and whose end nothing shows, is broken off, so that its caller can resume it. - `runs` of an endpoint's report: a run that is still listed REPORT_LAG_S (0.7 s) after its connection ended was not at its end. Streams are checked a second time, plain answers if the first report lists their run. Listed, or no longer alive, counts as truncated: sent again or resumed where allowed, else 502 or a reset. A missing or malformed list says nothing. - Only the framed end of another endpoint confirms an end. If the asked one fails, the first one is checked again and its end stands unproven. At the deadline it stands without that check. - A stream that ends so before its first event is truncated, unless its caller takes it up. - The endpoint's place is free during the second check. The memory of a body stays reserved until its checks are done; it was released before. - The run of an unconfirmed end counts against the route's attempts only once, also if it is found truncated later.

The endpoints of the lab list runs, and can close in order after the head, in a body, go on with a run or end 0.2 s later. `may_end_early` of test_answer_proofs excuses the same ends as before, but not their framing, and not ends with one of these signs.

--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -1,23 +1,42 @@
-"""Checks whether an endpoint is alive whose answer ended with its connection.
+"""Checks an endpoint whose answer ended with its connection.
 
 Such an end does not show that the answer is complete: the connections of a process that
-ends are closed in the same way. A process that answers afterwards has ended its answer
-by itself.
+ends are closed in the same way. A process that answers afterwards, and no longer lists
+the run, has ended its answer by itself.
 """
 
 from collections.abc import Callable
 from dataclasses import replace
+from enum import Enum, auto
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.incarnation import IncarnationEvidence
 from greengageflow.net.http_messages import Failure, Response
 from greengageflow.net.http_pool import Exchange, HttpPool
-from greengageflow.platform.reports import incarnation_evidence, report_request
+from greengageflow.net.timers import Subscription, Timers
+from greengageflow.platform.reports import (
+    incarnation_evidence,
+    lists_run,
+    report_request,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 """Connect time-out of a check, in seconds."""
 ANSWER_TIMEOUT_S = 1.0
 """Time without progress after which a check fails, in seconds."""
+REPORT_LAG_S = 0.7
+"""Time after which a report no longer lists a run that has ended, in seconds."""
+
+
+class EndFinding(Enum):
+    """What a check of an endpoint shows about an answer that has ended."""
+
+    GONE = auto()
+    """Its process does not answer, or another start of it does."""
+    LISTED = auto()
+    """It lists the run, which had not ended at the time of its report."""
+    UNLISTED = auto()
+    """It is alive and does not list the run."""
 
 
 def is_alive(
@@ -42,28 +61,44 @@
 
 
 class EndCheck:
-    """Asks an endpoint once whether it is alive.
+    """Asks an endpoint once for its report.
 
     Args:
         endpoint: Endpoint whose answer ended.
-        on_done: Called once with the outcome, unless the check is cancelled.
+        request: Id of the request that it answered.
+        on_done: Called once with the finding, unless the check is cancelled.
         states_start: See ``is_alive``.
+        pool: Sends the request for the report.
+        timers: Timer service.
     """
 
     def __init__(
         self,
         endpoint: ListedEndpoint,
-        on_done: Callable[[bool], None],
+        request: str,
+        on_done: Callable[[EndFinding], None],
         *,
         states_start: bool,
+        pool: HttpPool,
+        timers: Timers,
     ) -> None:
         self._endpoint = endpoint
+        self._request = request
         self._states_start = states_start
-        self._on_done: Callable[[bool], None] | None = on_done
+        self._on_done: Callable[[EndFinding], None] | None = on_done
+        self._pool = pool
+        self._timers = timers
+        self._timer: Subscription | None = None
         self._exchange: Exchange | None = None
 
-    def start(self, pool: HttpPool) -> None:
-        """Send the question."""
+    def start(self, delay_s: float = 0.0) -> None:
+        """Ask for the report after a delay in seconds."""
+        if delay_s > 0:
+            self._timer = self._timers.after(delay_s, self._send)
+        else:
+            self._send()
+
+    def _send(self) -> None:
         # A kept connection may carry an answer that was sent before the process ended.
         request = replace(
             report_request(self._endpoint),
@@ -72,10 +107,10 @@
             retry_stale=False,
             until_close=True,
         )
-        self._exchange = pool.fetch(request, self._on_answer)
+        self._exchange = self._pool.fetch(request, self._on_answer)
 
     def cancel(self) -> None:
-        """End the check without an outcome."""
+        """End the check without a finding."""
         if self._exchange is not None:
             self._exchange.cancel()
         self._release()
@@ -83,10 +118,18 @@
     def _on_answer(self, answer: Response | Failure) -> None:
         on_done = self._on_done
         self._release()
-        alive = is_alive(answer, self._endpoint, states_start=self._states_start)
-        on_done(alive)
+        on_done(self._finding(answer))
+
+    def _finding(self, answer: Response | Failure) -> EndFinding:
+        if not is_alive(answer, self._endpoint, states_start=self._states_start):
+            return EndFinding.GONE
+        if lists_run(answer, self._request):
+            return EndFinding.LISTED
+        return EndFinding.UNLISTED
 
     def _release(self) -> None:
         # The exchange and its receiver refer to each other. Without this, the request
         # would stay in memory with them until a garbage collection.
         self._exchange = self._on_done = None
+        if self._timer is not None:
+            self._timer.cancel()
--- a/greengageflow/daemon/forward_context.py
+++ b/greengageflow/daemon/forward_context.py
@@ -40,10 +40,12 @@
     Args:
         attempt: Attempt that ended so.
         run_began_at: Time of its first event, or None.
+        ended_at: Time of the end.
     """
 
     attempt: EndpointAttempt
     run_began_at: float | None
+    ended_at: float
 
 
 @dataclass(slots=True, eq=False)
@@ -79,7 +81,8 @@
             after ``last_event``, so that the stream can't be resumed.
         end_check: Check of the endpoint whose answer has just ended, or None.
         unconfirmed_end: End of the stream at a live endpoint, while another one
-            is asked for events after it, or None.
+            is asked for events after it or the endpoint is checked again, or None. Its
+            run is not counted in ``runs`` yet.
         end_proof: What shows that the answer is complete, once it has ended.
         run_is_sound: The current attempt has run for so long that it crashed nothing.
     """
@@ -146,4 +149,5 @@
     @property
     def has_runs_left(self) -> bool:
         """Whether the route allows one more run."""
-        return self.runs < self.route.attempts
+        runs = self.runs + (self.unconfirmed_end is not None)
+        return runs < self.route.attempts
--- a/greengageflow/daemon/forward_telemetry.py
+++ b/greengageflow/daemon/forward_telemetry.py
@@ -235,16 +235,13 @@
             **fields,
         )
 
-    def on_end_checked(self, ctx: ForwardContext, alive: bool) -> None:
-        """Count an answer that ended with its connection.
-
-        Args:
-            ctx: The request.
-            alive: Whether its endpoint was found to live.
-        """
+    def on_unproven_end(self, ctx: ForwardContext) -> None:
+        """Count an answer that ended with its connection."""
         self._page.count(PageMetric.UNPROVEN_ENDS, ctx.service)
-        if not alive:
-            self._page.count(PageMetric.TRUNCATED_ENDS, ctx.service)
+
+    def on_truncated_end(self, ctx: ForwardContext) -> None:
+        """Count an answer that ended with its connection and counts as truncated."""
+        self._page.count(PageMetric.TRUNCATED_ENDS, ctx.service)
 
     def on_refused(self, now: float, ctx: ForwardContext, exc: RouterError) -> None:
         """Record a request that is answered with an error."""
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -22,7 +22,7 @@
     VersionHistory,
 )
 from greengageflow.daemon.crash_watch import CrashWatch
-from greengageflow.daemon.end_check import EndCheck
+from greengageflow.daemon.end_check import REPORT_LAG_S, EndCheck, EndFinding
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_context import (
     EndProof,
@@ -46,6 +46,7 @@
 from greengageflow.daemon.version_affinity import VersionAffinity
 from greengageflow.errors import NOT_RUN_STATUSES, ErrorKind, Ran, RouterError
 from greengageflow.net._caller_parts import BodyBudget
+from greengageflow.net._http_parse import Framing
 from greengageflow.net.endpoint_attempt import MAX_RESERVED_BYTES, EndpointAttempt
 from greengageflow.net.endpoint_response import ResponseInfo
 from greengageflow.net.event_frames import Frame
@@ -327,8 +328,7 @@
             ctx.first_event_at = now
             self._on_begun(ctx)
             self._telemetry.on_first_event(now, ctx)
-            head = attempt.head
-            ctx.reply.begin(head.status, headers_for_caller(head), events)
+            self._begin_reply(ctx, events)
         else:
             ctx.longest_pause_s = max(ctx.longest_pause_s, pause_s)
             if attempt.at_last_events:
@@ -350,12 +350,31 @@
             stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
             self.affinity.on_begun(stream)
 
+    @staticmethod
+    def _begin_reply(ctx: ForwardContext, data: bytes = b"") -> None:
+        """Start an answer that shows no more of its end than the endpoint's does."""
+        head = ctx.attempt.head
+        until_close = head.framing is Framing.CLOSE
+        headers = headers_for_caller(head)
+        ctx.reply.begin(head.status, headers, data, until_close=until_close)
+
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle the end of an answer that is not streamed."""
-        if ctx.attempt.is_end_proven or ctx.attempt.response_info.not_run:
+        if not ctx.attempt.needs_end_check:
             self._on_whole_answer(ctx, body)
-        else:
-            self._check_end(ctx, lambda: self._on_whole_answer(ctx, body))
+            return
+        ended_at = self._timers.now
+
+        def on_checked(finding: EndFinding) -> None:
+            if finding is EndFinding.UNLISTED:
+                self._on_whole_answer(ctx, body)
+            else:
+                self._check_again(
+                    ctx, ended_at, lambda: self._on_whole_answer(ctx, body)
+                )
+
+        self._telemetry.on_unproven_end(ctx)
+        self._check_end(ctx, on_checked)
 
     def _on_whole_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle a complete answer that is not streamed: pass it on or retry."""
@@ -408,7 +427,7 @@
     def _retry_or_wait(self, ctx: ForwardContext, status: int) -> None:
         """Retry a rejected request now or after a backoff, or answer an error."""
         if ctx.unconfirmed_end is not None:
-            self._finish_at_unconfirmed_end(ctx)
+            self._on_not_confirmed(ctx)
             return
         # The backoff is read before an endpoint is chosen. If it ended between the
         # choice and a later reading, there would be neither an endpoint nor a time to
@@ -449,7 +468,7 @@
 
     def _answer(self, ctx: ForwardContext, body: bytes) -> None:
         if ctx.unconfirmed_end is not None:
-            self._finish_at_unconfirmed_end(ctx)
+            self._on_not_confirmed(ctx)
             return
         head = ctx.attempt.head
         now = self._timers.now
@@ -460,53 +479,108 @@
             ctx.reply.abort()
         else:
             self._telemetry.on_finished(now, ctx, head.status)
-            ctx.reply.raw(head.status, headers_for_caller(head), body)
+            if ctx.attempt.is_end_proven:
+                ctx.reply.raw(head.status, headers_for_caller(head), body)
+            else:
+                self._begin_reply(ctx, body)
+                ctx.reply.finish()
         self._end(ctx)
 
     def on_end(self, ctx: ForwardContext) -> None:
         """Handle the end of a stream between two events."""
         if ctx.attempt.is_end_proven:
             self._finish_stream(ctx)
+        elif ctx.unconfirmed_end is not None:
+            self._on_not_confirmed(ctx)
+        else:
+            self._on_unproven_end(ctx)
+
+    def _on_unproven_end(self, ctx: ForwardContext) -> None:
+        end = UnconfirmedEnd(ctx.attempt, ctx.run_began_at, self._timers.now)
+
+        def on_checked(_finding: EndFinding) -> None:
+            # The report may be older than the end, so a listed run shows nothing yet.
+            ctx.unconfirmed_end = end
+            if not self._confirm_end(ctx):
+                self._on_not_confirmed(ctx)
+
+        self._telemetry.on_unproven_end(ctx)
+        if ctx.phase is not Phase.STREAMING and not ctx.resumes_stream:
+            self._on_truncated(ctx, "the stream ended before its first event")
         else:
-            self._check_end(ctx, lambda: self._on_unconfirmed_end(ctx))
+            self._check_end(ctx, on_checked)
 
-    def _check_end(self, ctx: ForwardContext, on_alive: Callable[[], None]) -> None:
-        """Treat an answer as truncated unless its endpoint is found to live."""
+    def _check_end(
+        self,
+        ctx: ForwardContext,
+        on_alive: Callable[[EndFinding], None],
+        delay_s: float = 0.0,
+    ) -> None:
+        """Treat an answer as truncated unless its endpoint is found to live.
+
+        Args:
+            ctx: The request.
+            on_alive: Called with what the endpoint's report shows.
+            delay_s: Time until the endpoint is asked, in seconds.
+        """
 
-        def on_done(alive: bool) -> None:
+        def on_done(finding: EndFinding) -> None:
             ctx.end_check = None
             ctx.end_proof = EndProof.NONE
-            self._telemetry.on_end_checked(ctx, alive)
-            if alive:
-                on_alive()
-                return
-            text = "the endpoint ended with its answer, which has no length"
-            self.on_failure(ctx, Failure(FailureKind.CUT, True, text))
+            # Releases the memory of the answer.
+            ctx.attempt.cancel()
+            if finding is EndFinding.GONE:
+                text = "the endpoint ended with its answer, which has no length"
+                self._on_truncated(ctx, text)
+            else:
+                on_alive(finding)
 
-        states_start = bool(ctx.attempt.verified_start)
         ctx.end_check = EndCheck(
-            ctx.attempt.endpoint, on_done, states_start=states_start
+            ctx.attempt.endpoint,
+            ctx.req.id,
+            on_done,
+            states_start=bool(ctx.attempt.verified_start),
+            pool=self._pool,
+            timers=self._timers,
         )
-        ctx.end_check.start(self._pool)
+        ctx.end_check.start(delay_s)
 
-    def _on_unconfirmed_end(self, ctx: ForwardContext) -> None:
-        """Finish a stream at an unproven end, unless another endpoint can be asked."""
-        if ctx.unconfirmed_end is not None or not self._confirm_end(ctx):
-            self._finish_stream(ctx)
+    def _check_again(
+        self, ctx: ForwardContext, ended_at: float, on_ended: Callable[[], None]
+    ) -> None:
+        """Treat an answer as truncated if its run is still listed some time later.
+
+        Args:
+            ctx: The request.
+            ended_at: Time at which the answer ended.
+            on_ended: Called if the endpoint is alive and no longer lists the run.
+        """
+
+        def on_checked(finding: EndFinding) -> None:
+            if finding is EndFinding.UNLISTED:
+                on_ended()
+            else:
+                self._on_truncated(ctx, "the run goes on after the end of its answer")
+
+        endpoint = ctx.attempt.endpoint
+        self.placement.on_request_released(ctx.id, endpoint, completed=True)
+        self._check_end(ctx, on_checked, ended_at + REPORT_LAG_S - self._timers.now)
+
+    def _on_truncated(self, ctx: ForwardContext, text: str) -> None:
+        ctx.unconfirmed_end = None
+        self._telemetry.on_truncated_end(ctx)
+        self.on_failure(ctx, Failure(FailureKind.CUT, True, text))
 
     def _confirm_end(self, ctx: ForwardContext) -> bool:
         """Ask another endpoint for events after a stream's end, if allowed."""
         is_resumable = ctx.route.retry_policy is RetryPolicy.RESUME
-        if not is_resumable or ctx.runs + 1 >= ctx.route.attempts:
+        if not is_resumable or not ctx.has_runs_left:
             return False
         endpoint = ctx.attempt.endpoint
-        ctx.unconfirmed_end = UnconfirmedEnd(ctx.attempt, ctx.run_began_at)
         choice = self._next_choice(ctx, ctx.avoid | {endpoint.id})
         if choice is None:
-            ctx.unconfirmed_end = None
             return False
         ctx.avoid.add(endpoint.id)
-        ctx.runs += 1
         self.placement.on_request_released(ctx.id, endpoint, completed=True)
         self._resend(ctx, choice, "the end of the stream is not proven")
         return True
@@ -514,17 +588,36 @@
     def _on_early_end(self, ctx: ForwardContext) -> None:
         """Count an endpoint as failed that ended a stream before its last event."""
         endpoint, ctx.unconfirmed_end = ctx.unconfirmed_end.attempt.endpoint, None
+        ctx.runs += 1
+        self._telemetry.on_truncated_end(ctx)
         suspended = self.placement.on_no_response(self._timers.now, ctx.id, endpoint)
         text = "the stream ended before its last event"
         self._telemetry.on_endpoint_failure(endpoint, text, suspended)
 
-    def _finish_at_unconfirmed_end(self, ctx: ForwardContext) -> None:
-        """Finish a stream where a live endpoint ended it."""
+    def _on_not_confirmed(self, ctx: ForwardContext) -> None:
+        """Check the endpoint that ended a stream again: no other one confirms the end.
+
+        Nothing else can tell an answer that ended too early.
+        """
+        end = self._return_to_unconfirmed_end(ctx)
+        self._check_again(ctx, end.ended_at, lambda: self._finish_unproven_stream(ctx))
+
+    def _return_to_unconfirmed_end(self, ctx: ForwardContext) -> UnconfirmedEnd:
         self._stop_attempt(ctx)
-        end, ctx.unconfirmed_end = ctx.unconfirmed_end, None
+        end = ctx.unconfirmed_end
         ctx.attempt, ctx.run_began_at = end.attempt, end.run_began_at
+        return end
+
+    def _finish_unproven_stream(self, ctx: ForwardContext) -> None:
+        """Finish a stream where a live endpoint ended it, or break it off."""
+        ctx.unconfirmed_end = None
         ctx.end_proof = EndProof.NONE
-        self._finish_stream(ctx)
+        if ctx.phase is Phase.STREAMING and not ctx.reply.until_close:
+            # The last chunk would show more than is known.
+            text = "nothing shows that the stream is complete"
+            self._answer_error(ctx, RouterError(ErrorKind.ENDPOINT_CUT, text))
+        else:
+            self._finish_stream(ctx)
 
     def _finish_stream(self, ctx: ForwardContext) -> None:
         head = ctx.attempt.head
@@ -538,7 +631,7 @@
         )
         self.crashes.on_successful_answer(ctx.identity, began_at)
         if ctx.phase is not Phase.STREAMING:
-            ctx.reply.begin(head.status, headers_for_caller(head))
+            self._begin_reply(ctx)
         else:
             self._telemetry.record_longest_pause(ctx)
         self._telemetry.on_finished(self._timers.now, ctx, head.status)
@@ -691,6 +784,10 @@
     def _on_deadline(self, ctx: ForwardContext) -> None:
         if ctx.id not in self._active:
             return
+        if ctx.unconfirmed_end is not None:
+            self._return_to_unconfirmed_end(ctx)
+            self._finish_unproven_stream(ctx)
+            return
         self._stop_attempt(ctx)
         if ctx.attempt is not None:
             ctx.may_have_run = True
@@ -709,7 +806,7 @@
             self._resume_elsewhere(ctx)
         for ctx in list(self._active.values()):
             if is_confirmation_overdue(ctx, now):
-                self._finish_at_unconfirmed_end(ctx)
+                self._on_not_confirmed(ctx)
         self.carry_out(self._dispatcher.pump(now))
 
     def _stop_attempt(self, ctx: ForwardContext) -> None:
@@ -722,7 +819,7 @@
 
     def _answer_error(self, ctx: ForwardContext, exc: RouterError) -> None:
         if ctx.unconfirmed_end is not None:
-            self._finish_at_unconfirmed_end(ctx)
+            self._on_not_confirmed(ctx)
             return
         if ctx.may_have_run and exc.claims_not_run:
             exc = RouterError(ErrorKind.ENDPOINT_FAILED, exc.message)
--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -13,6 +13,7 @@
 CLOSE = "close"
 RESET = "reset"
 EXIT = "exit"
+EARLY = "early"
 AT_ONCE = "at_once"
 LATE = "late"
 REJECTION = "rejection"
@@ -36,13 +37,18 @@
         exit_after: End the process after this many events of a stream, between two
             events.
         close_after: Close the connection in order after this many events of a stream
-            and go on serving other requests.
+            and go on serving other requests; 0 closes it after the head.
+        goes_on: The run of a stream that ``close_after`` has closed stays in reports.
+        exit_after_close_s: End the process this many seconds after ``close_after`` has
+            closed a stream.
+        hang_after: Send this many events of a stream, then nothing.
         extra: Send a second response with a foreign request id, ``at_once`` or
             ``late``, or a late ``rejection`` without an id.
         extra_s: Delay of a late second response in seconds.
         unframed: Send a response without a length. ``close`` ends it by closing the
-            connection, ``reset`` resets it after half of the body, and ``exit`` ends
-            the process there. ``fail`` sets its status.
+            connection, ``early`` closes it after half of the body, ``reset`` resets it
+            there, and ``exit`` ends the process there. ``fail`` sets its status.
+        padding: Number of spaces behind the body of a plain response.
         early: Respond as soon as the head has arrived, then read the body.
         hang: Start the request and never respond.
         fail: Respond with this status after executing the request, without a statement
@@ -68,9 +74,13 @@
     cut_after: int | None = None
     exit_after: int | None = None
     close_after: int | None = None
+    goes_on: bool = False
+    exit_after_close_s: float | None = None
+    hang_after: int | None = None
     extra: str = ""
     extra_s: float = 0.5
     unframed: str = ""
+    padding: int = 0
     early: bool = False
     hang: bool = False
     fail: int = 0
--- a/greengageflow/lab/_platform_generations.py
+++ b/greengageflow/lab/_platform_generations.py
@@ -31,6 +31,9 @@
     def after_event(self, work: Work) -> None:
         """Do what is due after an event that is not the last one."""
 
+    def after_close(self, work: Work) -> None:
+        """Do what is due after a stream was closed before its last event."""
+
     def end(self, work: Work, outcome: str) -> None:
         """End a request with an outcome."""
 
@@ -134,6 +137,11 @@
             self._replica.before_first_event(work)
             work.head_sent = True
             conn.send(head_bytes(200, self._headers(work)))
+        if work.events == work.faults.hang_after:
+            return
+        if work.faults.close_after == 0:
+            self._close_early(work)
+            return
         if work.events == work.faults.cut_after:
             self.cut_stream(work)
             return
@@ -141,8 +149,7 @@
             work.events += 1
             conn.send(self._framed(event))
         if work.events == work.faults.close_after:
-            self._replica.end(work, "cut")
-            conn.close()
+            self._close_early(work)
             return
         if job.generated < job.wanted:
             self._replica.after_event(work)
@@ -154,6 +161,11 @@
         self._replica.finish(work.call, b"0\r\n\r\n")
         self._replica.after_response(conn, work.faults)
 
+    def _close_early(self, work: Work) -> None:
+        self._replica.end(work, "cut")
+        work.call.conn.close()
+        self._replica.after_close(work)
+
     def _headers(self, work: Work) -> dict[str, str]:
         headers = {"Content-Type": "text/event-stream", **self._replica.headers(work)}
         if self._framing == CLOSE:
--- a/greengageflow/lab/_platform_plain.py
+++ b/greengageflow/lab/_platform_plain.py
@@ -4,6 +4,7 @@
 
 from greengageflow.lab._platform_faults import (
     AT_ONCE,
+    EARLY,
     EXIT,
     LATE,
     REJECTION,
@@ -85,7 +86,7 @@
             conn.send(half)
             fake.timers.after(EXIT_DELAY_S, fake.crash)
         else:
-            conn.send(self.data)
+            conn.send(half if faults.unframed == EARLY else self.data)
             conn.close()
 
 
--- a/greengageflow/lab/platform_client.py
+++ b/greengageflow/lab/platform_client.py
@@ -28,6 +28,13 @@
     headers: dict[str, str]
     body: bytes = b""
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether a length or chunks delimit the body, not the connection's end."""
+        return not self.headers.keys().isdisjoint(
+            ("content-length", "transfer-encoding")
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class PlatformEvent:
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -165,6 +165,7 @@
         self._work_by_connection: dict[ServerConnection, Work] = {}
         self._waiting: deque[Work] = deque()
         self._active: list[Work] = []
+        self._closed_runs: list[list] = []
         self._seal_numbers, self._response_numbers = count(), count(1)
         self._accepted_connections = 0
         self._late_refusals: dict[ServerConnection, bytes] = {}
@@ -340,6 +341,14 @@
             # The delay lets the event leave the process first.
             self.timers.after(EXIT_DELAY_S, self.crash)
 
+    def after_close(self, work: Work) -> None:
+        """Go on with the run, or end the process, if the faults ask for it."""
+        if work.faults.goes_on:
+            self._closed_runs.append([work.run.id, 1, work.events, 0])
+            self._update_report()
+        if work.faults.exit_after_close_s is not None:
+            self.timers.after(work.faults.exit_after_close_s, self.crash)
+
     def crash(self) -> None:
         """End the process at once, with the records of its requests."""
         for run in self._runs:
@@ -389,7 +398,8 @@
         run, call = work.run, work.call
         body = {"replica": self._name, "id": run.id, "method": call.method}
         body |= {"target": call.target, "body_sha256": run.body_sha256}
-        answer = PlainAnswer(json.dumps(body).encode(), self.headers(work))
+        data = json.dumps(body).encode() + b" " * work.faults.padding
+        answer = PlainAnswer(data, self.headers(work))
         self.end(work, "done")
         if answer.send(self, call, work.faults, next(self._response_numbers)):
             self.after_response(call.conn, work.faults)
@@ -413,7 +423,10 @@
             "kv_used": self._batch.reserved,
             "kv_total": self._batch.cache.capacity,
             "state": self._state,
-            "runs": [[work.run.id, job.reserved, work.events, 0] for work, job in jobs],
+            "runs": [
+                *([work.run.id, job.reserved, work.events, 0] for work, job in jobs),
+                *self._closed_runs,
+            ],
         }
 
     def on_control_call(self, call: Call) -> bytes:
--- a/greengageflow/lab/scripted_endpoint.py
+++ b/greengageflow/lab/scripted_endpoint.py
@@ -10,10 +10,11 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 from socket import SHUT_RDWR, SO_LINGER, SOL_SOCKET, create_server, socket
 from struct import pack
 from threading import Lock, Thread
-from time import sleep
+from time import monotonic, sleep
 
 from greengageflow.platform.names import (
     EXPECT_REPLICA,
@@ -32,6 +33,9 @@
 """Number of events of a stream."""
 FIRST_BORN_MS = 1_700_000_000_000
 PIECE_INTERVAL_S = 0.001
+REPORT_AGE_S = 0.3
+"""Age of the runs in a report, in seconds."""
+EXIT_LATER_S = 0.2
 STREAM_PREFIX = "/stream"
 """Paths below which a good answer is a stream of events."""
 MISDIRECTED = 421
@@ -46,7 +50,7 @@
 
 
 class End(StrEnum):
-    """How a run ends; the endpoint lives on except after ``EXIT``."""
+    """How a run ends; the endpoint lives on unless the process ends."""
 
     PROPER = "proper"
     EARLY = "early"
@@ -56,6 +60,10 @@
     RESET = "reset"
     EXIT = "exit"
     """The process ends; its connections are closed in order between two events."""
+    EXIT_LATER = "exit later"
+    """The connection is closed as after ``EARLY``, and the process ends soon after."""
+    GOES_ON = "goes on"
+    """The connection is closed as after ``EARLY``, and the run stays in reports."""
     RESTART = "restart"
     """The same, and another version starts in place, which is listed later."""
 
@@ -172,6 +180,7 @@
         self.name, self.service, self.generation = name, service, 0
         self._script, self._on_start = script, on_start
         self._conns: set[socket] = set()
+        self._listed_until: dict[str, float] = {}
         self._lock = Lock()
         self._listener = self._listen(0)
         self.port = self._listener.getsockname()[1]
@@ -216,6 +225,7 @@
         """Start in place with another version."""
         self.stop()
         self.generation += 1
+        self._listed_until = {}
         self._listener = self._listen(self.port)
         self._serve()
         self._on_start(self)
@@ -263,7 +273,7 @@
         """Answer one request; return whether the connection goes on."""
         names = {REPLICA_ID: self.name}
         if path in (REPORT_PATH, KV_LIST):
-            data = json.dumps({"held": [], **self._born}).encode()
+            data = json.dumps({"held": [], "runs": self._runs, **self._born}).encode()
             conn.sendall(_head(200, {**names, "Content-Length": len(data)}) + data)
             return True
         request = headers.get(REQUEST_ID, "")
@@ -281,7 +291,20 @@
             parts = whole_body(subject, self.version).splitlines(keepends=True)
         else:
             parts = [b"no"]
-        return _Answer(self, conn, run, request, parts).send()
+        listed_until = self._listed_until
+        listed_until[request] = inf
+        try:
+            return _Answer(self, conn, run, request, parts).send()
+        finally:
+            if run.end is not End.GOES_ON:
+                listed_until[request] = monotonic() + REPORT_AGE_S
+
+    @property
+    def _runs(self) -> list[list]:
+        """Runs as reports list them: request, tokens in memory, events, priority."""
+        now = monotonic()
+        listed = list(self._listed_until.items())
+        return [[request, 1, 1, 0] for request, until in listed if now < until]
 
 
 @dataclass(slots=True)
@@ -352,6 +375,10 @@
                 self.conn.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
             case End.EXIT:
                 self.endpoint.stop()
+            case End.EXIT_LATER:
+                self.conn.shutdown(SHUT_RDWR)
+                sleep(EXIT_LATER_S)
+                self.endpoint.stop()
             case End.RESTART:
                 self.endpoint.restart()
         return False
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -101,14 +101,23 @@
         """Whether the framing of the response shows that it is complete."""
         return self.framing is not Framing.CLOSE
 
+    @property
+    def needs_end_check(self) -> bool:
+        """Whether the endpoint must be asked if the response is complete.
+
+        Until ``cancel``, the memory of its body stays reserved.
+        """
+        return not (self.is_end_proven or self.response_info.not_run)
+
     def start(self) -> None:
         """Send the request."""
         request = replace(self._request, accepts=self._accepts, until_close=True)
         self._exchange = self._pool.open(request, self)
 
     def cancel(self) -> None:
-        """Cancel the request by closing the connection."""
+        """Cancel the request by closing the connection, and release its memory."""
         exchange = self._detach_exchange()
+        self._release_memory()
         if exchange is not None:
             exchange.cancel()
 
@@ -116,9 +125,11 @@
         # The exchange refers to this attempt. Without this, both would stay in memory
         # with the request until a garbage collection.
         exchange, self._exchange = self._exchange, None
+        return exchange
+
+    def _release_memory(self) -> None:
         self._budget.release(self._reserved_bytes)
         self._reserved_bytes = 0
-        return exchange
 
     def pause(self) -> None:
         """Stop reading until ``resume``."""
@@ -193,6 +204,8 @@
         """Handle the end of the response."""
         self.framing = self._exchange.framing
         self._detach_exchange()
+        if not self.needs_end_check:
+            self._release_memory()
         if self._frames is None:
             self._listener.on_answer(self, bytes(self._body))
         elif self._frames.has_unfinished_event:
@@ -208,4 +221,5 @@
     def on_failure(self, failure: Failure) -> None:
         """Handle a failure; the response is incomplete or missing."""
         self._detach_exchange()
+        self._release_memory()
         self._listener.on_failure(self, failure)
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -94,6 +94,29 @@
     return replace(endpoint, born=_born(response), version="", leaving=False)
 
 
+def lists_run(response: Response, request: str) -> bool:
+    """Return whether a report lists the run of a request.
+
+    The report's values are some hundred milliseconds old. One without a valid list says
+    nothing.
+    """
+    try:
+        match response.json():
+            case {"runs": list(runs)}:
+                return any(_run_request(run) == request for run in runs)
+    except (ValueError, RecursionError):
+        pass
+    return False
+
+
+def _run_request(run: object) -> str:
+    """Return the request id of an entry: id, tokens in memory, events, priority."""
+    match run:
+        case [str(request), *_]:
+            return request
+    return ""
+
+
 def _born(response: Response) -> int | None:
     """Return the start time that a report states, in Unix milliseconds, or None."""
     if response.status != HTTPStatus.OK:
--- a/tests/test_answer_proofs.py
+++ b/tests/test_answer_proofs.py
@@ -231,11 +231,15 @@
             is_whole = len(numbers) == EVENTS
         is_refused = results[-1].status != 200
         if not (results[-1].is_cut or is_refused or is_whole):
+            assert not results[-1].is_framed, "incomplete, and framed as whole"
             assert may_end_early(case), "incomplete, and looks complete"
 
 
 def may_end_early(case):
-    """Whether nothing can tell an early end: see "Left without a proof"."""
+    """Whether nothing can tell an early end, so that no framing states an end.
+
+    See "Left without a proof".
+    """
     # A plain answer has no events by which an end inside of one could be told.
     ends = {End.EARLY} if case.kind in (CHAT, TALE) else {End.EARLY, End.INSIDE}
     is_unproven = any(
@@ -255,12 +259,14 @@
         id: Request id.
         status: HTTP status; 0 if no head came.
         is_cut: Whether the answer has no regular end.
+        is_framed: Whether a length or chunks state the end of its body.
         body: Body, as far as it came.
     """
 
     id: str
     status: int
     is_cut: bool
+    is_framed: bool
     body: bytes
 
     @property
@@ -278,7 +284,7 @@
 
 
 def ask(client, path, subject, headers=None):
-    name, status, body, is_cut = token_hex(8), 0, b"", True
+    name, status, body, is_cut, is_framed = token_hex(8), 0, b"", True, False
     client.send(
         path,
         subject.encode(),
@@ -288,13 +294,14 @@
         deadline_ms=DEADLINE_MS,
     )
     try:
-        status = client.head().status
+        head = client.head()
+        status, is_framed = head.status, head.is_framed
         for piece in client.pieces():
             body += piece
         is_cut = False
     except IncompleteResponse:
         pass
-    return Result(name, status, is_cut, body)
+    return Result(name, status, is_cut, is_framed, body)
 
 
 @pytest.fixture(scope="module", name="world")
@@ -326,7 +333,8 @@
 
 def test_answers_that_end_with_their_connection_are_proven(world):
     """The connection of an ended process was taken for the end of its answer."""
-    runs = broken([Framing.CLOSE], [*LIVING_ENDS, End.EXIT]) | UNNAMED
+    ends = [*LIVING_ENDS, End.EXIT, End.EXIT_LATER, End.GOES_ON]
+    runs = broken([Framing.CLOSE], ends) | UNNAMED
     play_all(world, cases(runs), 100)
 
 
--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -2,6 +2,7 @@
 
 import json
 from contextlib import contextmanager
+from dataclasses import dataclass
 from functools import partial
 from itertools import count
 
@@ -23,6 +24,7 @@
 )
 from greengageflow.net.http_messages import Failure, FailureKind, Response
 from greengageflow.platform.names import REPLICA_ID
+from greengageflow.platform.reports import lists_run
 from tests.support import wait_for
 
 EVENTS = 12
@@ -46,25 +48,61 @@
         yield lab
 
 
-def send(lab, path, number=0, **options):
+@pytest.fixture
+def own_services():
+    """Services of a gateway that the test ends."""
+    with PlatformLab(PlatformShape(plain=2)) as lab:
+        yield lab
+
+
+def send(lab, path, number=0, shared="shared", **options):
     client = lab.client()
-    prompt = generation(EVENTS, ("shared", 50), (f"own-{number}", 10))
+    prompt = generation(EVENTS, (shared, 50), (f"own-{number}", 10))
     # Requests that differ, since one whose engines crash is quarantined.
     options = {"key": KEY, "headers": prompt, **options}
     return client, client.send(path, b"%d" % number, **options)
 
 
-def stream(lab, path, number=0):
-    """Return the event ids of a stream, and whether it looks complete."""
-    client, _ = send(lab, path, number)
-    received = []
+@dataclass(frozen=True)
+class Ended:
+    """How a stream ended at its caller.
+
+    Args:
+        events: Ids of its events.
+        is_cut: Whether it has no regular end.
+        is_framed: Whether its framing states an end.
+        status: HTTP status.
+    """
+
+    events: list
+    is_cut: bool
+    is_framed: bool
+    status: int = 200
+
+
+def receive(client):
+    """Read a stream to its end."""
+    events, is_cut = [], False
+    head = client.head()
     try:
-        assert client.head().status == 200
-        for event in client.events():
-            received.append(event.id)
+        for event in client.events() if head.status == 200 else client.pieces():
+            events += [event.id] if head.status == 200 else []
     except IncompleteResponse:
-        return received, False
-    return received, True
+        is_cut = True
+    return Ended(events, is_cut, head.is_framed, head.status)
+
+
+def ended(lab, path, number=0, shared="shared"):
+    """Request a stream and read it to its end."""
+    client, _ = send(lab, path, number, shared)
+    return receive(client)
+
+
+def stream(lab, path, number=0):
+    """Return the event ids of a stream, and whether it looks complete."""
+    found = ended(lab, path, number)
+    assert found.status == 200
+    return found.events, not found.is_cut
 
 
 def set_faults(lab, **faults):
@@ -82,6 +120,103 @@
         wait_for(lambda: len(lab.crashed_replicas) == 1, "an engine has exited")
 
 
+@pytest.mark.parametrize("path", [CHAT, NON_RESUMABLE_CHAT])
+def test_an_end_that_nothing_proves_is_not_framed(path):
+    """An engine that lives closed a stream early, and the last chunk was sent."""
+    with engines(1) as lab:
+        lab.set_faults("scribe-0", close_after=5)
+        assert ended(lab, path) == Ended(WHOLE[:5], is_cut=False, is_framed=False)
+        lab.set_faults("scribe-0")
+        assert ended(lab, path, 1) == Ended(WHOLE, is_cut=False, is_framed=False)
+
+
+@pytest.mark.parametrize("path", [CHAT, NON_RESUMABLE_CHAT])
+def test_a_stream_that_ends_before_its_first_event_is_not_complete(path):
+    """An engine closed its connection after the head, and the stream was empty."""
+    with engines(3) as lab:
+        lab.set_faults("scribe-0", close_after=0)
+        found = [ended(lab, path, n, shared=f"shared-{n}") for n in range(ATTEMPTS)]
+        whole = Ended(WHOLE, is_cut=False, is_framed=False)
+        failed = [one for one in found if one != whole]
+        assert bool(failed) == (path == NON_RESUMABLE_CHAT)
+        assert all(one.status == 502 for one in failed)
+
+
+LATER_EVIDENCE = [
+    {"goes_on": True},
+    {"exit_after_close_s": 0.2},
+]
+
+
+@pytest.mark.parametrize("evidence", LATER_EVIDENCE, ids="-".join)
+@pytest.mark.parametrize(
+    ("path", "number", "expected"),
+    [
+        (NON_RESUMABLE_CHAT, 2, (WHOLE[:5], False)),
+        (CHAT, 1, (WHOLE[:5], False)),
+        (CHAT, 2, (WHOLE, True)),
+    ],
+)
+def test_what_an_engine_shows_after_an_early_end_counts(
+    path, number, expected, evidence
+):
+    """A run that was still listed, or whose process ended soon, looked complete."""
+    with engines(number) as lab:
+        set_faults(lab, close_after=5, runs="first", **evidence)
+        assert stream(lab, path) == expected
+
+
+@pytest.mark.parametrize(
+    "evidence", [{}, *LATER_EVIDENCE], ids=lambda found: "-".join(found) or "none"
+)
+def test_a_failed_question_does_not_prove_an_end(evidence):
+    """The engine that was asked for more events failed, and the last chunk was sent."""
+    with two_engines() as lab:
+        lab.set_faults("scribe-0", close_after=5, runs="first", **evidence)
+        lab.set_faults("scribe-1", cut_after=0, runs="resumed")
+        for client, _ in asked_streams(lab):
+            found = receive(client)
+        assert found == Ended(WHOLE[:5], is_cut=bool(evidence), is_framed=False)
+
+
+def test_a_stream_with_chunks_does_not_get_its_last_one_without_a_proof():
+    """A stream that began with chunks went on at an engine that sends none."""
+    with two_engines() as lab:
+        lab.set_faults("scribe-1", cut_after=5, runs="first")
+        lab.set_faults("scribe-0", close_after=2, runs="resumed")
+        found = [ended(lab, CHAT, n, shared=f"shared-{n}") for n in range(ATTEMPTS)]
+        framed = [one for one in found if one.is_framed]
+        assert Ended(WHOLE[:7], is_cut=True, is_framed=True) in framed
+        assert all(one.is_cut for one in framed)
+
+
+def test_a_gateway_that_is_killed_does_not_end_a_stream_in_order():
+    """The connections of a killed process are closed in order."""
+    with engines(1) as lab:
+        lab.set_faults("scribe-0", hang_after=5)
+        client, _ = send(lab, CHAT)
+        client.head()
+        events = client.events()
+        assert [next(events).id for _ in WHOLE[:5]] == WHOLE[:5]
+        lab.routers["r0"].popen.kill()
+        with pytest.raises(IncompleteResponse):
+            next(events)
+
+
+def test_a_stop_ends_streams_without_a_length_in_order():
+    """A gateway that stops reset the connections of streams that were whole."""
+    with engines(2) as lab:
+        clients = [
+            send(lab, path, number)[0]
+            for number, path in enumerate([CHAT, NON_RESUMABLE_CHAT])
+        ]
+        heads = [client.head() for client in clients]
+        lab.terminate("r0")
+        for client, head in zip(clients, heads, strict=True):
+            assert head.status == 200 and not head.is_framed
+            assert [event.id for event in client.events()] == WHOLE
+
+
 @pytest.mark.parametrize("path", [CHAT, NON_RESUMABLE_CHAT])
 @pytest.mark.parametrize("number", [1, 3])
 def test_whole_streams_are_complete(path, number):
@@ -246,6 +381,47 @@
     assert all(answer is None or answer.status == 502 for answer in failed)
 
 
+@pytest.mark.parametrize("path", [SAFE, UNSAFE])
+@pytest.mark.parametrize("status", [0, 404])
+def test_half_of_a_plain_answer_is_not_framed(services, path, status):
+    """A service that lives closed an answer early, and a Content-Length was added."""
+    set_faults(services, unframed="early", fail=status)
+    answer = services.ask(path)
+    assert answer.status == (status or 200) and not answer.is_framed
+    with pytest.raises(json.JSONDecodeError):
+        json.loads(answer.body)
+
+
+PADDING = 6_000_000
+
+
+def large_answer(lab):
+    """Return a client that has read the head of a large answer without a length."""
+    set_faults(lab, unframed="close", padding=PADDING)
+    client = lab.client()
+    client.send(SAFE, key=KEY)
+    assert not client.head().is_framed
+    return client
+
+
+def test_a_gateway_that_is_killed_does_not_end_a_large_answer_in_order(own_services):
+    """The connections of a killed process are closed in order."""
+    client = large_answer(own_services)
+    own_services.routers["r0"].popen.kill()
+    with pytest.raises(IncompleteResponse):
+        list(client.pieces())
+
+
+def test_a_large_answer_without_a_length_is_whole_though_the_gateway_stops(
+    own_services,
+):
+    """The end of the gateway reset a connection whose caller had not read it all."""
+    client = large_answer(own_services)
+    own_services.terminate("r0")
+    body = b"".join(client.pieces())
+    assert body.endswith(b" " * PADDING) and json.loads(body)["target"] == SAFE
+
+
 @pytest.mark.parametrize("status", [200, 404, 500])
 def test_a_whole_answer_without_a_length_is_passed_on(services, status):
     """The same check must not turn whole answers and errors into failures."""
@@ -277,6 +453,26 @@
     assert is_alive(answer, endpoint, states_start=True) is proves
 
 
+@pytest.mark.parametrize(
+    ("runs", "expected"),
+    [
+        ([["r", 10, 3, 0]], True),
+        ([["q", 10, 3, 0], ["r"]], True),
+        ([["q", 10, 3, 0]], False),
+        ([], False),
+        ("r", False),
+        ([None, 7, "r", {"r": 1}, [["r"]], []], False),
+        (None, False),
+    ],
+)
+def test_a_report_that_can_not_be_read_lists_no_run(runs, expected):
+    """Another form of the list raised an error, or told of a run that had ended."""
+    assert lists_run(Response(200, (), json.dumps({"runs": runs}).encode()), "r") is (
+        expected
+    )
+    assert not lists_run(Response(200, (), b"[" * 100_000), "r")
+
+
 def test_checks_leave_half_of_the_retry_budget_to_failures():
     """Streams that ended well used up the retries of those that failed."""
     budget = FleetRetryBudget(ratio=0.1, slack=20, window_s=10)
