A check of an endpoint's end has a bound on its whole time

An endpoint that sent its report a byte at a time held the request whose answer had ended until its deadline: a check had a time without progress only. It fails now after CHECK_TIMEOUT_S (1.5 s) in all.

Evidence: test_a_check_ends_though_its_answer_goes_on. Without the timer: `AssertionError: condition not met` after 20 s of waiting.

--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -24,6 +24,8 @@
 """Connect time-out of a check, in seconds."""
 ANSWER_TIMEOUT_S = 1.0
 """Time without progress after which a check fails, in seconds."""
+CHECK_TIMEOUT_S = 1.5
+"""Time after which a check fails, in seconds."""
 REPORT_LAG_S = 0.7
 """Time after which a report no longer lists a run that has ended, in seconds."""
 
@@ -107,6 +109,7 @@
             retry_stale=False,
             until_close=True,
         )
+        self._timer = self._timers.after(CHECK_TIMEOUT_S, self._on_timeout)
         self._exchange = self._pool.fetch(request, self._on_answer)
 
     def cancel(self) -> None:
@@ -115,6 +118,11 @@
             self._exchange.cancel()
         self._release()
 
+    def _on_timeout(self) -> None:
+        on_done = self._on_done
+        self.cancel()
+        on_done(EndFinding.GONE)
+
     def _on_answer(self, answer: Response | Failure) -> None:
         on_done = self._on_done
         self._release()
--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -1,16 +1,19 @@
 """Answers that end with their connection, which does not show that they are whole."""
 
 import json
-from contextlib import contextmanager
+from contextlib import closing, contextmanager
 from dataclasses import dataclass
 from functools import partial
 from itertools import count
+from time import sleep
 
 import pytest
+from http_fakes import FakePeer, Loop
+from http_fakes import wait_for as wait_until
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.fleet_retry_budget import FleetRetryBudget
-from greengageflow.daemon.end_check import is_alive
+from greengageflow.daemon.end_check import EndCheck, EndFinding, is_alive
 from greengageflow.lab.platform_client import IncompleteResponse
 from greengageflow.lab.platform_lab import (
     CHAT,
@@ -473,6 +476,34 @@
     assert not lists_run(Response(200, (), b"[" * 100_000), "r")
 
 
+def trickle(conn, _number):
+    """Answer with a report that never ends, a byte at a time."""
+    conn.request()
+    conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+    while True:
+        conn.send(b" ")
+        sleep(0.05)
+
+
+def test_a_check_ends_though_its_answer_goes_on():
+    """A report that came a byte at a time held a request until its deadline."""
+    loop, peer, found = Loop(), FakePeer(trickle), []
+    loop.thread.start()
+    endpoint = ListedEndpoint("e", "s", "127.0.0.1", peer.port, "z")
+    check = EndCheck(
+        endpoint,
+        "r",
+        found.append,
+        states_start=False,
+        pool=loop.pool,
+        timers=loop.timers,
+    )
+    with closing(loop), closing(peer):
+        loop.call(check.start)
+        assert wait_until(lambda: found) == [EndFinding.GONE]
+        assert not loop.pool._active
+
+
 def test_checks_leave_half_of_the_retry_budget_to_failures():
     """Streams that ended well used up the retries of those that failed."""
     budget = FleetRetryBudget(ratio=0.1, slack=20, window_s=10)
