--- a/greengageflow/daemon/held_reply.py
+++ b/greengageflow/daemon/held_reply.py
@@ -15,6 +15,7 @@
 
     Attributes:
         is_finished: Whether the answer is complete.
+        until_close: Whether the end of the connection delimits the answer.
         on_drain: Called when a paused stream may resume.
     """
 
@@ -22,14 +23,23 @@
     """The stream pauses as soon as it has begun."""
 
     def __init__(self, reply: Reply) -> None:
-        self.is_finished = False
+        self.is_finished = self.until_close = False
         self.on_drain: Callable[[], None] | None = None
         self._reply = reply
         self._calls: list[Callable[[], None]] = []
 
-    def begin(self, status: int, headers: Iterable[Header], data: bytes = b"") -> None:
+    def begin(
+        self,
+        status: int,
+        headers: Iterable[Header],
+        data: bytes = b"",
+        *,
+        until_close: bool = False,
+    ) -> None:
         """Start an answer; see ``Reply.begin``."""
-        self._calls.append(partial(self._reply.begin, status, tuple(headers), data))
+        self.until_close = until_close
+        begin = partial(self._reply.begin, until_close=until_close)
+        self._calls.append(partial(begin, status, tuple(headers), data))
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk; see ``Reply.send_chunk``."""
