The operators' command takes no response that is cut short

Operators saw: a refusal of the log or of a router whose head was cut short counted as a refusal, so that an append was reported as not executed; an answer in chunks counted without its last line ends. The lab's calls took a head cut short, or an interim response, for a 200 or 103 with an empty body.

Cause: `http.client` takes the end of the connection for the end of a head, of trailers and of an open line, and interim responses other than 100 for the final one.

Change: one connection class for blocking calls, in the command, the lab and the tests that used `http.client` for gateways, raises `IncompleteRead`; the command then says that the effect is unknown.

--- a/greengageflow/lab/_processes.py
+++ b/greengageflow/lab/_processes.py
@@ -9,11 +9,13 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from pathlib import Path
 from tempfile import TemporaryFile
 from typing import IO, Any
 
+from greengageflow.net.blocking_http import BlockingConnection
+
 ROOT = Path(__file__).resolve().parents[2]
 TIMEOUT_S = 30.0
 
@@ -64,7 +66,7 @@
     Raises:
         OSError: The connection failed or was closed before a response.
     """
-    conn = HTTPConnection(*address, timeout=timeout_s)
+    conn = BlockingConnection(*address, timeout=timeout_s)
     data = None if body is None else json.dumps(body).encode()
     try:
         conn.request(method, path, data, headers or {})
--- a/greengageflow/lab/platform_lab.py
+++ b/greengageflow/lab/platform_lab.py
@@ -11,7 +11,6 @@
 from contextlib import closing, suppress
 from dataclasses import dataclass, field
 from functools import partial
-from http.client import HTTPConnection
 from pathlib import Path
 from struct import pack
 from subprocess import DEVNULL, STDOUT, Popen
@@ -32,6 +31,7 @@
 from greengageflow.lab._subnets import Subnet
 from greengageflow.lab.platform_client import PlatformAnswer, PlatformClient
 from greengageflow.lab.poison import CRASH_EXIT_STATUS
+from greengageflow.net.blocking_http import BlockingConnection
 from greengageflow.platform.names import (
     IDEMPOTENT,
     MODEL,
@@ -382,7 +382,7 @@
             pack(">IB", 1 + len(key) + len(value), len(key)) + key + value
             for key, value in records
         )
-        conn = HTTPConnection(*self.control_address(self.store), timeout=TIMEOUT_S)
+        conn = BlockingConnection(*self.control_address(self.store), timeout=TIMEOUT_S)
         with closing(conn):
             conn.request("POST", f"/records?topic={topic}", data)
             assert conn.getresponse().status == 200
--- a/greengageflow/ops/_platform_http.py
+++ b/greengageflow/ops/_platform_http.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from http.client import HTTPConnection, HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse
 from ipaddress import ip_address
 from types import MappingProxyType
 from typing import Any
@@ -11,6 +11,7 @@
 
 from greengageflow.core.fold import CONFIG_STREAM
 from greengageflow.core.log_records import LogRecord, OffsetTrimmed, Records
+from greengageflow.net.blocking_http import BlockingConnection
 from greengageflow.settings_file import Address
 
 _TIMEOUT_S = 5.0
@@ -70,7 +71,7 @@
     body: Any = None,
     headers: Mapping[str, str] = MappingProxyType({}),
 ) -> _Response:
-    conn = HTTPConnection(address.ip, address.port, timeout=_TIMEOUT_S)
+    conn = BlockingConnection(address.ip, address.port, timeout=_TIMEOUT_S)
     sent = False
     try:
         conn.connect()
--- a/tests/test_platform_fakes.py
+++ b/tests/test_platform_fakes.py
@@ -3,7 +3,6 @@
 import json
 from base64 import b64decode
 from hashlib import sha256
-from http.client import HTTPConnection
 from struct import unpack_from
 
 import pytest
@@ -18,6 +17,7 @@
     fakes_only,
     generation,
 )
+from greengageflow.net.blocking_http import BlockingConnection
 from greengageflow.platform.names import (
     DRAINING,
     EXPECT_REPLICA,
@@ -55,7 +55,7 @@
 
 def log_call(lab, method, path, body=None, *, source="127.0.0.1", timeout_s=20):
     host, port = lab.store.address
-    conn = HTTPConnection(host, port, timeout=timeout_s, source_address=(source, 0))
+    conn = BlockingConnection(host, port, timeout=timeout_s, source_address=(source, 0))
     conn.request(method, path, body)
     answer = conn.getresponse()
     return answer.status, answer.read()
--- a/tests/test_stop_faults.py
+++ b/tests/test_stop_faults.py
@@ -1,10 +1,10 @@
 """Graceful router shutdown under load, with real processes."""
 
 from concurrent.futures import ThreadPoolExecutor
-from http.client import HTTPConnection
 
 from greengageflow.lab.lab import LabPlan, account_api_key
 from greengageflow.lab.load_plan import ServiceLoad
+from greengageflow.net.blocking_http import BlockingConnection
 from tests.fleet_support import (
     ENGINE,
     BackgroundLoad,
@@ -57,7 +57,7 @@
 
 
 def idle_connection(lab, host):
-    conn = HTTPConnection(*lab.routers[host].address, timeout=30)
+    conn = BlockingConnection(*lab.routers[host].address, timeout=30)
     conn.request("GET", "/healthz")
     assert conn.getresponse().read() is not None
     return conn
