Engines whose reports lack their start time state it with their cached parts

Callers saw: streams that were cut by a restart of their engine at the same version, and were refused from then on, where the list states start times and reports do not.

Cause: only the report was asked which start answers. Where it does not say, the version of a stream is unproven, so that it goes on nowhere.

Changed: an engine whose report states no start time is asked for its cached parts on the same connection, whose answer states it. The next connections of the service are asked for that at once; if it states nothing either, it is asked once and only reports from then on, as before. Reports that state the start are all that is asked for.

test_a_stream_of_an_engine_that_does_not_state_its_start_is_not_joined keeps its meaning: its engines state the start in neither answer now.

--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -9,7 +9,7 @@
 from greengageflow.daemon.forward_context import ForwardContext, Phase
 from greengageflow.net.event_frames import Frame
 from greengageflow.net.http_messages import Failure, HttpRequest, Verification
-from greengageflow.platform.reports import start_verification
+from greengageflow.platform.reports import StartVerifications
 
 MIN_ATTEMPT_S = 0.05
 """Minimum time before the deadline that allows another attempt, in seconds."""
@@ -52,7 +52,12 @@
 
 
 def start_check(
-    ctx: ForwardContext, on_other_start: OnOtherStart, *, states_starts: bool
+    ctx: ForwardContext,
+    verifications: StartVerifications,
+    on_other_start: OnOtherStart,
+    *,
+    states_starts: bool,
+    is_engine: bool,
 ) -> Verification | None:
     """Return what verifies the endpoint's start, for a stream that may be resumed.
 
@@ -62,11 +67,12 @@
     """
     if not states_starts or ctx.route.retry_policy is not RetryPolicy.RESUME:
         return None
-    return start_verification(
+    return verifications.verification(
         ctx.choice.endpoint,
+        on_other_start,
+        is_engine=is_engine,
         required=ctx.phase is Phase.STREAMING or ctx.resumes_stream,
         timeout_s=VERIFICATION_TIMEOUT_S,
-        on_other_start=on_other_start,
     )
 
 
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -55,6 +55,7 @@
 from greengageflow.net.http_pool import HttpPool
 from greengageflow.net.timers import Timers
 from greengageflow.platform.answers import headers_for_caller, interpret_answer
+from greengageflow.platform.reports import StartVerifications
 from greengageflow.platform.requests import endpoint_request
 
 MAX_ATTEMPTS = 4
@@ -122,6 +123,7 @@
         self._telemetry = telemetry
         self._quarantine = quarantine
         self._history = history
+        self._verifications = StartVerifications()
         self._active: dict[str, ForwardContext] = {}
         self._by_call: dict[int, ForwardContext] = {}
 
@@ -286,9 +288,12 @@
             last_event=ctx.last_event,
             fetch_from=choice.fetch_from,
         )
-        states_starts = self._endpoints.states_starts
         verification = start_check(
-            ctx, self.on_other_start, states_starts=states_starts
+            ctx,
+            self._verifications,
+            self.on_other_start,
+            states_starts=self._endpoints.states_starts,
+            is_engine=self._dispatcher.is_engine(choice.endpoint),
         )
         ctx.attempt = EndpointAttempt(
             self._pool,
--- a/greengageflow/net/_verifier.py
+++ b/greengageflow/net/_verifier.py
@@ -112,6 +112,12 @@
         evidence: IncarnationEvidence,
     ) -> None:
         verification = exchange.request.verification
+        is_unstated = evidence is IncarnationEvidence.UNSTATED
+        if is_unstated and conn is not None and verification.fallback is not None:
+            request = replace(exchange.request, verification=verification.fallback)
+            exchange.request = request
+            self.verify(exchange, conn)
+            return
         if conn is None and evidence is IncarnationEvidence.SAME:
             # The server closed this connection; the next one may lead elsewhere.
             if not exchange.was_check_closed:
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -111,12 +111,15 @@
         start: Start of the endpoint that is expected.
         required: True if the main request must not be sent to an endpoint that does
             not state its start.
+        fallback: Verification on the same connection if the response to this one does
+            not state the start, or None.
     """
 
     request: "HttpRequest"
     evaluate: "Callable[[Response], IncarnationEvidence]"
     start: str
     required: bool
+    fallback: "Verification | None" = None
 
     def allows(self, verdict: Verdict | None) -> bool:
         """Whether the main request may be sent on a connection with this verdict."""
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -6,14 +6,21 @@
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.incarnation import IncarnationEvidence
-from greengageflow.net.http_messages import HttpRequest, Response, Verification
+from greengageflow.net.http_messages import (
+    Head,
+    HttpRequest,
+    Response,
+    Verification,
+)
 from greengageflow.platform.answers import MISDIRECTED
 from greengageflow.platform.names import (
     EXPECT_REPLICA,
+    KV_LIST,
     REPLICA_ID,
     REPORT_PATH,
     REQUEST_ID,
 )
+from greengageflow.platform.requests import cached_parts_request
 
 MAX_BORN_MS = 2**53
 """Latest start time that is believed, in Unix milliseconds."""
@@ -28,37 +35,79 @@
         endpoint.port,
         REPORT_PATH,
         headers,
-        # A late answer to an earlier request on the connection has that request's id.
-        accepts=lambda head: not head.header(REQUEST_ID),
+        accepts=_has_no_id,
     )
 
 
-def start_verification(
-    endpoint: ListedEndpoint,
-    *,
-    required: bool,
-    timeout_s: float,
-    on_other_start: Callable[[ListedEndpoint], None],
-) -> Verification:
-    """Return what verifies that a connection leads to the listed start of an endpoint.
+def _has_no_id(head: Head) -> bool:
+    # A late answer to an earlier request on the connection has that request's id.
+    return not head.header(REQUEST_ID)
 
-    An entry without a start time names no start, so nothing proves it.
 
-    Args:
-        endpoint: The endpoint.
-        required: True if an endpoint that does not state its start gets no request.
-        timeout_s: Maximum time without progress, in seconds.
-        on_other_start: Called with another start of the endpoint that answers.
-    """
+class StartVerifications:
+    """Verifies that connections lead to the listed starts of endpoints.
 
-    def evaluate(response: Response) -> IncarnationEvidence:
-        other = other_start(response, endpoint)
-        if other is not None:
-            on_other_start(other)
-        return incarnation_evidence(response, endpoint)
+    Endpoints state their start time in their reports. Engines whose reports lack it are
+    asked for their cached prompt parts on the same connection, unless engines of the
+    service have not stated it there either.
+    """
 
-    request = replace(report_request(endpoint), idle_timeout_s=timeout_s)
-    return Verification(request, evaluate, endpoint.start, required)
+    def __init__(self) -> None:
+        self._unstated: set[tuple[str, str]] = set()
+
+    def verification(
+        self,
+        endpoint: ListedEndpoint,
+        on_other_start: Callable[[ListedEndpoint], None],
+        *,
+        is_engine: bool,
+        required: bool,
+        timeout_s: float,
+    ) -> Verification:
+        """Return what verifies that a connection leads to the listed start.
+
+        An entry without a start time names no start, so nothing proves it.
+
+        Args:
+            endpoint: The endpoint.
+            on_other_start: Called with another start of it that answers.
+            is_engine: Whether it can list its cached prompt parts.
+            required: True if an endpoint that does not state its start gets no request.
+            timeout_s: Maximum time without progress of each check, in seconds.
+        """
+
+        def check(
+            request: HttpRequest, fallback: Verification | None = None
+        ) -> Verification:
+            def evaluate(response: Response) -> IncarnationEvidence:
+                other = other_start(response, endpoint)
+                if other is not None:
+                    on_other_start(other)
+                evidence = incarnation_evidence(response, endpoint)
+                self._note_source(endpoint.service, request.path, evidence)
+                return evidence
+
+            request = replace(request, idle_timeout_s=timeout_s)
+            return Verification(request, evaluate, endpoint.start, required, fallback)
+
+        report = report_request(endpoint)
+        if not is_engine or self._is_unstated(endpoint, KV_LIST):
+            return check(report)
+        parts = check(replace(cached_parts_request(endpoint), accepts=_has_no_id))
+        return (
+            parts if self._is_unstated(endpoint, REPORT_PATH) else check(report, parts)
+        )
+
+    def _is_unstated(self, endpoint: ListedEndpoint, path: str) -> bool:
+        return (endpoint.service, path) in self._unstated
+
+    def _note_source(
+        self, service: str, path: str, evidence: IncarnationEvidence
+    ) -> None:
+        if evidence is IncarnationEvidence.UNSTATED:
+            self._unstated.add((service, path))
+        elif evidence is not IncarnationEvidence.OTHER:
+            self._unstated.discard((service, path))
 
 
 def incarnation_evidence(
--- a/tests/test_connection_verification.py
+++ b/tests/test_connection_verification.py
@@ -3,6 +3,7 @@
 import gc
 import weakref
 from contextlib import closing
+from dataclasses import replace
 from functools import partial
 from threading import Event
 
@@ -142,6 +143,48 @@
     assert paths(peer)[3:] == ["/check"]
 
 
+def fetch_with_fallback(loop, peer, **options):
+    """Return the outcome of a request that has a second check, and what it proved."""
+    address = ("127.0.0.1", peer.port)
+    second = Verification(HttpRequest("GET", *address, "/check-2"), evaluate, "a", True)
+    first = replace(
+        second, request=HttpRequest("GET", *address, "/check"), fallback=second
+    )
+    request = HttpRequest("POST", *address, "/main", verification=first)
+    done, exchanges = [], []
+    loop.call(lambda: exchanges.append(loop.pool.fetch(request, done.append)))
+    return wait_for(lambda: done)[0], exchanges[0].verified_start
+
+
+@pytest.mark.parametrize("proof", [b"same", b"other", b"unstated"])
+def test_start_that_the_first_check_does_not_state_is_checked_again(loop, proof):
+    """Engines whose reports lack their start time state it elsewhere."""
+
+    def script(conn, _number):
+        while request := conn.request():
+            is_second = b"/check-2" in request
+            is_check = b"/check" in request
+            conn.answer(proof if is_second else b"unstated" if is_check else b"done")
+
+    peer = FakePeer(script)
+    result, verified = fetch_with_fallback(loop, peer)
+    assert paths(peer)[:2] == ["/check", "/check-2"]
+    assert len(peer.sources) == 1
+    match proof:
+        case b"same":
+            assert (result.body, verified) == (b"done", "a")
+        case b"other":
+            assert (result.kind, result.sent) == (FailureKind.OTHER_START, False)
+        case b"unstated":
+            assert (result.kind, result.sent) == (FailureKind.UNVERIFIED, False)
+
+
+def test_start_that_the_first_check_states_is_not_checked_again(loop):
+    peer = peer_of(b"same")
+    assert fetch_with_fallback(loop, peer)[1] == "a"
+    assert paths(peer) == ["/check", "/main"]
+
+
 def test_check_is_repeated_if_the_server_closes_its_connection(loop):
     """Some responses end their connection, also those of sound endpoints."""
 
@@ -277,7 +320,7 @@
     gc.enable()
 
 
-@pytest.mark.parametrize("text", [b"same", b"other", None])
+@pytest.mark.parametrize("text", [b"same", b"other", b"unstated", None])
 def test_ended_request_is_freed_without_a_garbage_collection(loop, text, no_collector):
     """The request and its body would stay in memory; None cancels it."""
     checked, ended = Event(), Event()
@@ -299,6 +342,7 @@
     address = ("127.0.0.1", FakePeer(script).port)
     check = HttpRequest("GET", *address, "/check")
     verification = Verification(check, evaluate, "a", required=True)
+    verification = replace(verification, fallback=verification)
     request = HttpRequest("POST", *address, "/main", verification=verification)
     exchange, reference = loop.call(open_exchange)
     if text is None:
--- a/tests/test_endpoint_reports.py
+++ b/tests/test_endpoint_reports.py
@@ -12,16 +12,16 @@
 from greengageflow.daemon.forward_context import Phase
 from greengageflow.daemon.forward_sending import start_check
 from greengageflow.net.http_messages import Head, Response
-from greengageflow.platform.names import REPLICA_ID, REQUEST_ID
-from greengageflow.platform.reports import start_verification
+from greengageflow.platform.names import KV_LIST, REPLICA_ID, REPORT_PATH, REQUEST_ID
+from greengageflow.platform.reports import StartVerifications
 
 LISTED = ListedEndpoint("e", "m", "127.0.0.1", 9, "z", born=5)
 UNDATED = replace(LISTED, born=0, version="v1")
 
 
 def verification(endpoint=LISTED, on_other_start=lambda _endpoint: None):
-    return start_verification(
-        endpoint, required=True, timeout_s=1.0, on_other_start=on_other_start
+    return StartVerifications().verification(
+        endpoint, on_other_start, is_engine=False, required=True, timeout_s=1.0
     )
 
 
@@ -75,7 +75,13 @@
         phase=Phase.SENT,
         resumes_stream=False,
     )
-    found = start_check(ctx, lambda _endpoint: None, states_starts=states_starts)
+    found = start_check(
+        ctx,
+        StartVerifications(),
+        lambda _endpoint: None,
+        states_starts=states_starts,
+        is_engine=True,
+    )
     assert (found is not None) is (states_starts and policy is RetryPolicy.RESUME)
 
 
@@ -100,3 +106,48 @@
     assert [other.born for other in others] == (
         [6] if evidence is IncarnationEvidence.LATER else []
     )
+
+
+class Engine:
+    """An engine that states its start in some of its answers."""
+
+    def __init__(self):
+        self.checks = StartVerifications()
+
+    def verify(self, stated):
+        """Return the paths that are asked in turn, and the last evidence."""
+        check = self.checks.verification(
+            LISTED, lambda _other: None, is_engine=True, required=True, timeout_s=1.0
+        )
+        paths = []
+        while check is not None:
+            paths.append(check.request.path)
+            body = {"born": 5} if check.request.path in stated else {}
+            evidence = check.evaluate(Response(200, (), json.dumps(body).encode()))
+            is_unstated = evidence is IncarnationEvidence.UNSTATED
+            check = check.fallback if is_unstated else None
+        return paths, evidence
+
+
+def test_start_that_the_report_lacks_is_asked_for_with_the_cached_parts():
+    """Streams of engines whose reports lack it were lost with their engine."""
+    engine = Engine()
+    asked = [engine.verify({KV_LIST}) for _ in range(2)]
+    assert asked[0] == ([REPORT_PATH, KV_LIST], IncarnationEvidence.SAME)
+    assert asked[1] == ([KV_LIST], IncarnationEvidence.SAME)
+
+
+def test_cached_parts_are_not_asked_for_again_where_nothing_states_the_start():
+    """Each check costs, and lists of cached parts delay an engine."""
+    engine = Engine()
+    asked = [engine.verify(set()) for _ in range(3)]
+    assert [paths for paths, _ in asked] == [
+        [REPORT_PATH, KV_LIST],
+        [REPORT_PATH],
+        [REPORT_PATH],
+    ]
+    assert {evidence for _, evidence in asked} == {IncarnationEvidence.UNSTATED}
+
+
+def test_report_that_states_the_start_is_all_that_is_asked_for():
+    assert Engine().verify({REPORT_PATH, KV_LIST})[0] == [REPORT_PATH]
--- a/tests/test_restarted_in_place.py
+++ b/tests/test_restarted_in_place.py
@@ -30,6 +30,7 @@
 PROMPT = generation(EVENTS, ("shared", 50), ("own", 10))
 CALLERS = 18
 RESTARTS = 10
+MAX_TAKEN_UP = 40
 ONE_RESTARTED = [(2, 0), (3, 0), (3, 1)]
 """Number of engines, and which one of those without the stream starts again."""
 
@@ -42,8 +43,10 @@
     return PlatformLab(shape)
 
 
-def restart(lab, name, *, release="v2", born=2000, register_after_ms=NEVER_MS):
-    options = {"service": "scribe", "model": "m", **ENGINE}
+def restart(
+    lab, name, *, release="v2", born=2000, register_after_ms=NEVER_MS, **stated
+):
+    options = {"service": "scribe", "model": "m", **ENGINE, **stated}
     lab.restart_replica(
         name,
         release=release,
@@ -168,7 +171,7 @@
 
 def test_a_stream_of_an_engine_that_does_not_state_its_start_is_not_joined():
     """Whether such an engine has started again can't be told."""
-    with lab_of(3, report_born=False) as lab:
+    with lab_of(3, report_born=False, parts_born=False) as lab:
         client, request, engine = begin(lab)
         assert len(releases_until_end(client)) == EVENTS - 2
         client, request, engine = begin(lab)
@@ -232,6 +235,44 @@
         assert lab.report_requests() == 0
 
 
+def finish(lab, client, request):
+    """Return the rest of a stream, which is taken up until it has ended."""
+    events = [(number, "v1") for number in (1, 2)]
+    for _ in range(MAX_TAKEN_UP):
+        with suppress(IncompleteResponse, AssertionError):
+            events.extend((e.id, release_of(e)) for e in client.events())
+        client.close()
+        if len(events) >= EVENTS:
+            break
+        client = lab.client("r0")
+        headers = {**PROMPT, LAST_EVENT_ID: events[-1][0], RESUMES: request}
+        client.send(CHAT, request_body(), key=KEY, headers=headers)
+        if client.head().status != 200:
+            sleep(0.05)
+    return events
+
+
+@pytest.mark.parametrize("options", [{}, {"report_born": False}])
+def test_streams_are_whole_though_engines_start_again_at_the_same_release(options):
+    """Streams of engines whose reports do not state their start ended with them."""
+    with lab_of(6, **options) as lab:
+        streams = [begin(lab, f"r{number % 3}") for number in range(12)]
+        used = {engine for _, _, engine in streams}
+        for number in range(3):
+            restart(
+                lab,
+                f"scribe-{number}",
+                release="v1",
+                born=2000,
+                register_after_ms=200,
+                **options,
+            )
+        whole = [(number, "v1") for number in range(1, EVENTS + 1)]
+        assert used & {"scribe-0", "scribe-1", "scribe-2"}
+        for client, request, _ in streams:
+            assert finish(lab, client, request) == whole
+
+
 class Caller:
     """Runs streams one after another; takes up those that are cut or that it cuts.
 
