Each call of the platform's store has a connection of its own

What could be seen: nothing was reported. The store's answers name no request. A second answer to a call, on a kept connection, that arrives after the next call was sent was taken for the answer to that call: records of the log at wrong offsets, the last ones never read, and an append that counted as written before the store had received it. An empty read that is taken so confirms keys and lists for too late a time.

Cause: a kept connection was only looked at for unread bytes before the next call was sent on it.

Evidence: pytest tests/test_late_answers.py before the change (a store that sends each answer once more when the next call has arrived): [('k0', 0), ..., ('k3', 5)] in place of k0 to k5, and offsets [0, 0, 1] in place of [0, 1, 2]. No store is known to do so.

Weighed: the data alone. A page that holds records beyond the end it states, offsets of appends and keys of pages could be checked, but a page of several, and an empty one, look the same as the right answer.

Change: a new connection for each call, which asks the store to close it. The retry on a new connection where a kept one had died, and its exception while the store fails, are no longer needed: test_read_after_a_failed_one_uses_a_new_connection asked for a reused connection after the store's return; test_every_read_uses_a_new_connection in its place asks for a new one at all times, which covers what the former guarded against.

--- a/greengageflow/daemon/topic_follower.py
+++ b/greengageflow/daemon/topic_follower.py
@@ -167,9 +167,6 @@
         self.calls += 1
         self.last_call_at = self._clock()
         outgoing = request(self._address, *call, b"", wait_s + CALL_TIMEOUT_S)
-        if self._backoff_s > MIN_BACKOFF_S:
-            # If all pooled connections are dead, each retry would cost one second.
-            outgoing = replace(outgoing, retry_stale=False)
         self._exchange = self._pool.fetch(
             outgoing,
             lambda result: self._on_result(result, on_response),
--- a/greengageflow/platform/store.py
+++ b/greengageflow/platform/store.py
@@ -68,15 +68,20 @@
 def request(
     address: tuple[str, int], method: str, target: str, body: bytes, timeout_s: float
 ) -> HttpRequest:
-    """Return the HTTP request for a call of the store."""
+    """Return the HTTP request for a call of the store.
+
+    Each call has a connection of its own: responses name no request, so a late copy of
+    one would be taken for the response to the next call.
+    """
     return HttpRequest(
         method,
         *address,
         target,
-        (),
+        (("connection", "close"),),
         body,
         connect_timeout_s=min(1.0, timeout_s),
         idle_timeout_s=timeout_s,
+        retry_stale=False,
     )
 
 
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -615,15 +615,14 @@
     assert [host.view.version for host in hosts] == [4, 4, 4]
 
 
-def test_read_after_a_failed_one_uses_a_new_connection(store, hosts):
-    """All pooled connections to the store are dead. A retry on another one would time
-    out as well, and revoked keys would be accepted for longer."""
+def test_every_read_uses_a_new_connection(store, hosts):
+    """A late answer on a kept connection would count for the next read. When all kept
+    connections were dead, a retry on another one timed out as well, and revoked keys
+    were accepted for longer."""
     host = hosts[0]
     run(store, hosts, 1.0)
-    host.retry_stale_flags.clear()
     store.down = True
     run(store, hosts, 3.0)
-    assert host.retry_stale_flags and not any(host.retry_stale_flags[2:])
     store.down = False
     run(store, hosts, 3.0)
-    assert host.retry_stale_flags[-1]
+    assert host.retry_stale_flags and not any(host.retry_stale_flags)
