A service's late answer is not taken for that of the next request

On the product's own interface, a second answer of a service, on a kept connection, that arrives after the next request was sent went to the caller of the next request; that request's own answer went to the one after it.

Cause: answers were matched to requests by their order alone.

Evidence: pytest tests/test_late_answers.py before the change, with a service that sends each answer once more when the next request has arrived: [b'/0', b'/0', b'/1'] in place of [b'/0', b'/1', b'/2'].

Change: a connection to a service is kept only after an answer that echoes the X-Request-Id of its request. On a kept connection an answer with another id is discarded, and one without an id ends the request as cut. The echo of the service is no longer passed on beside the router's own.

Protected actions had a new connection each already. The stand-in for a service echoes the id.

--- a/greengageflow/lab/standin_service.py
+++ b/greengageflow/lab/standin_service.py
@@ -79,6 +79,7 @@
                 "path": effect.path,
                 "key": effect.key,
             },
+            headers={"X-Request-Id": effect.request_id or ""},
         )
         if self._latency_s <= 0:
             return reply
--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -118,6 +118,8 @@
         self._broken = False
         self._until_close = False
         self._accepts: Callable[[Head], bool] | None = None
+        self._echo: tuple[str, str] | None = None
+        self._is_named = True
         self._skipping = False
         self._overhead_bytes = 0
         self._parser = ResponseParser()
@@ -158,6 +160,7 @@
         *,
         until_close: bool = False,
         accepts: Callable[[Head], bool] | None = None,
+        echo: tuple[str, str] | None = None,
     ) -> None:
         """Prepare a request for ``flush``; see ``HttpRequest`` for the arguments.
 
@@ -169,6 +172,7 @@
         self._parser.expect(method)
         self._until_close = until_close
         self._accepts = accepts
+        self._echo, self._is_named = echo, True
         self._skipping = False
         self._overhead_bytes = 0
         names = {name.lower() for name, _ in headers}
@@ -245,7 +249,7 @@
         for event in events:
             match event:
                 case Head() as head:
-                    self._skipping = not (self._accepts is None or self._accepts(head))
+                    self._skipping = not self._belongs_to_request(head)
                     if not self._skipping:
                         yield head
                 case Body():
@@ -268,6 +272,17 @@
         if self._peer_closed:
             yield from self._end_by_close()
 
+    def _belongs_to_request(self, head: Head) -> bool:
+        if self._echo is not None:
+            name, request_id = self._echo
+            echoed = head.header(name)
+            self._is_named = echoed == request_id
+            if self.reused and not echoed:
+                raise BadMessage("response on a kept connection names no request")
+            if self.reused and not self._is_named:
+                return False
+        return self._accepts is None or self._accepts(head)
+
     def _on_body_bytes(self, count: int) -> None:
         allowed = (1 + OVERHEAD_PER_BODY_BYTE) * count
         self._overhead_bytes = max(0, self._overhead_bytes - allowed)
@@ -287,7 +302,7 @@
     def _end(self, end: ResponseEnd, *, is_last: bool) -> End:
         # An idle connection must not keep its last request in memory.
         self._accepts = None
-        reusable = end.keep_alive and is_last
+        reusable = end.keep_alive and is_last and self._is_named
         reusable = reusable and not self._peer_closed and not self._unsent
         return End(reusable, self._parser.framing)
 
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -157,6 +157,10 @@
             responses are read to their end and discarded. None accepts all.
         request_id: Id by which ``accepts`` recognizes the response. A connection that
             may have carried it before is not reused. Empty if there is none.
+        echo_header: Lower-case name of the header in which a response may echo
+            ``request_id``. A connection is kept only after a response that does. On a
+            kept one, responses with another id are discarded, and one without an id is
+            invalid. Empty if no header does.
         first_sent_at: Monotonic time at which a request with this id was first sent,
             in seconds; infinite if none was.
         verification: Must have allowed a connection before the request is sent on it;
@@ -178,6 +182,7 @@
     until_close: bool = False
     accepts: Callable[[Head], bool] | None = None
     request_id: str = ""
+    echo_header: str = ""
     first_sent_at: float = inf
     verification: Verification | None = None
 
@@ -186,6 +191,11 @@
         """IP address and port of the server."""
         return self.ip, self.port
 
+    @property
+    def echo(self) -> tuple[str, str] | None:
+        """Name and value of the header by which a response names this request."""
+        return (self.echo_header, self.request_id) if self.echo_header else None
+
     def allows_stale_retry(self) -> bool:
         """Return whether to retry now that a reused connection was closed."""
         if not self.retry_stale:
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -181,6 +181,7 @@
                 request.body,
                 until_close=request.until_close,
                 accepts=request.accepts,
+                echo=request.echo,
             )
         except BadHead:
             self._close(conn)
--- a/greengageflow/net/service_client.py
+++ b/greengageflow/net/service_client.py
@@ -19,6 +19,8 @@
 from greengageflow.net.request_outcomes import Cut, Unreachable
 
 MAX_RESPONSE_BYTES = 8 * 1_048_576
+REQUEST_ID = "X-Request-Id"
+_ECHO_HEADER = REQUEST_ID.lower()
 
 Header = tuple[str, str]
 
@@ -37,6 +39,11 @@
             yield name, value
 
 
+def _response_headers(headers: Iterable[Header]) -> Iterator[Header]:
+    # The router names the request in its own answer.
+    return (row for row in end_to_end(headers) if row[0].lower() != _ECHO_HEADER)
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceRequest:
     """A request and the service endpoint to send it to.
@@ -88,13 +95,15 @@
             retry_stale=not self.protected,
             may_retry=self.may_retry,
             not_after=self.not_after,
+            request_id=self.request_id,
+            echo_header=_ECHO_HEADER,
         )
 
     def _headers(self) -> Iterator[Header]:
         for name, value in end_to_end(self.headers):
             if name.lower() not in _ROUTER_HEADERS:
                 yield name, value
-        yield "X-Request-Id", self.request_id
+        yield REQUEST_ID, self.request_id
         if self.traceparent:
             yield "traceparent", self.traceparent
         if self.idempotency_key:
@@ -155,7 +164,7 @@
                 wait_s = 0.0
                 if status == HTTPStatus.SERVICE_UNAVAILABLE:
                     wait_s = retry_after_s(outcome.header("retry-after"))
-                forwarded = tuple(end_to_end(headers))
+                forwarded = tuple(_response_headers(headers))
                 leaving = announces_shutdown(outcome)
                 on_done(ServiceAnswer(status, forwarded, body, leaving, wait_s))
             case Failure(sent=False, message=message):
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -11,6 +11,7 @@
 from greengageflow.daemon.shared_topic import SharedTopic
 from greengageflow.daemon.topic_follower import TopicFollower
 from greengageflow.net.http_messages import Response
+from greengageflow.net.service_client import ServiceAnswer, ServiceRequest, call_service
 from greengageflow.platform.names import LOG_APPEND, LOG_NEWEST, LOG_READ
 
 KEYS = [f"k{number}" for number in range(6)]
@@ -123,3 +124,27 @@
             wait_for(lambda n=number: len(done) > n)
     assert all(isinstance(row, Response) for row in done)
     assert [row.json()["offset"] for row in done] == [0, 1, 2]
+
+
+@pytest.mark.parametrize("echo", ["X-Request-Id: id-{}", "X-Request-Id: other", ""])
+def test_a_late_answer_of_a_service_is_not_taken_for_that_of_the_next_request(
+    loop, echo
+):
+    """A caller got the answer to another one's request."""
+
+    def answer(request):
+        target = request.split()[1]
+        header = echo.format(target[1:])
+        return response(target.encode(), f"{header}\r\n" if header else "")
+
+    done = []
+    with closing(peer(answer)) as service:
+        for number in range(3):
+            request = ServiceRequest(
+                "127.0.0.1", service.port, "GET", f"/{number}", f"id-{number}"
+            )
+            loop.call(lambda r=request: call_service(loop.pool, r, done.append))
+            wait_for(lambda n=number: len(done) > n)
+        assert len(service.sources) == (1 if "id-" in echo else 3)
+    assert all(isinstance(row, ServiceAnswer) for row in done)
+    assert [row.body for row in done] == [b"/0", b"/1", b"/2"]
