Pieces of a run that an engine began again are not joined to those before

What callers could see, on the product's own interface: a stream that goes on with the text of another run, complete. An engine that is configured to resume starts again in place, with the same release or without one; its process does not know the request, and runs it anew from piece 0 in place of answering 404. The pieces up to the position were dropped as duplicates, and the later ones passed on.

Cause: a resumed answer was trusted to be of the execution before. By the platform's pages it begins at the piece that X-Resume-From names; an answer that begins earlier is one of an engine that runs the request from 0.

Change: the first piece of a resumed answer must be the next one, else the request ends as cut.

Two tests had engines that answer a resumption from piece 0, which took exactly this for sound. test_truncated_stream_is_resumed_at_the_next_piece now answers from the piece that the header names, and repeats one after it; test_resumption_stops_after_tries_without_progress answers without pieces. Both still ask for what they did.

Left: an engine that runs the request again and skips to the position by itself can't be told.

--- a/greengageflow/net/_pieces.py
+++ b/greengageflow/net/_pieces.py
@@ -53,6 +53,10 @@
     """The stream has a gap or an invalid piece and cannot continue."""
 
 
+class RunRestarted(Exception):
+    """A resumed stream does not go on, but is one of another run."""
+
+
 class PieceFilter:
     """Passes only the pieces of one request, each once and in order.
 
@@ -76,12 +80,18 @@
         self.foreign = 0
         self.duplicates = 0
         self._id = request_id
+        self._is_resumed = False
+
+    def on_resume(self) -> None:
+        """Handle a resumption; its first piece must be the next one."""
+        self._is_resumed = self.next_seq > 0 and not self.finished
 
     def pieces(self, events: Iterator[ServerEvent]) -> Iterator[Piece]:
         """Yield the valid pieces in ``events``, up to the end marker.
 
         Raises:
             InvalidStream: A piece is missing or invalid.
+            RunRestarted: The pieces are those of a run that has begun again.
         """
         for event in events:
             if event.data == END_MARKER:
@@ -115,6 +125,9 @@
         if piece_id != self._id:
             self.foreign += 1
             return None
+        if self._is_resumed and seq < self.next_seq:
+            raise RunRestarted(f"resumed at piece {seq}, not {self.next_seq}")
+        self._is_resumed = False
         if seq < self.next_seq or self.finished:
             self.duplicates += 1
             return None
--- a/greengageflow/net/engine_client.py
+++ b/greengageflow/net/engine_client.py
@@ -15,6 +15,7 @@
     InvalidStream,
     Piece,
     PieceFilter,
+    RunRestarted,
     Usage,
     parse_usage,
 )
@@ -269,6 +270,8 @@
         self._resume_timer = None
         self._head = None
         self._events = EventStream()
+        if self.resumed:
+            self._filter.on_resume()
         self._exchange = self._pool.open(self._http_request(), self)
         if self._paused:
             self._exchange.pause()
@@ -343,6 +346,11 @@
                 pieces.append(piece)
         except (InvalidStream, EventTooLarge) as exc:
             error = str(exc)
+        except RunRestarted as exc:
+            # An engine that restarted runs the request again, with another text.
+            self._stop()
+            self._end(Cut(str(exc), Ran.YES))
+            return
         if pieces:
             self._pass_on(pieces)
         if error is not None:
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -163,15 +163,22 @@
     """An interrupted stream must be resumed at the next piece.
 
     The engine cuts the stream after the first pieces; the client resumes from the next
-    one and drops pieces that the second stream repeats.
+    one and drops a piece that the second stream repeats.
     """
-    rest = event(0) + event(1) + event(2, last=True) + DONE
+    pieces = [event(0), event(1), event(2, last=True)]
     if name == "last piece without mark":
-        rest = event(1, last=True) + DONE
-    second = CHUNKED + chunk(rest) + b"0\r\n\r\n"
-    call, listener, peer = run(
-        loop, stream_script(CHUNKED + TRUNCATED_STREAMS[name], second), resumes=True
-    )
+        pieces = [event(0), event(1, last=True)]
+
+    def script(conn, number):
+        request = conn.request()
+        if not number:
+            conn.send(CHUNKED + TRUNCATED_STREAMS[name])
+            return
+        start = int(request.partition(b"X-Resume-From: ")[2].split()[0])
+        rest = pieces[start:] or pieces[-1:]
+        conn.send(CHUNKED + chunk(b"".join(rest + rest[:1]) + DONE) + b"0\r\n\r\n")
+
+    call, listener, peer = run(loop, script, resumes=True)
     assert isinstance(listener.ends[0], Completed)
     assert listener.text in ("t0t1t2", "t0t1")
     assert call.resumed == 1
@@ -204,6 +211,18 @@
     assert listener.ends[0].ran is Ran.YES
 
 
+@pytest.mark.parametrize("name", [b"v1", b""])
+def test_pieces_of_a_run_that_an_engine_began_again_are_not_joined(loop, name):
+    """An engine that had started again in place ran the request once more."""
+    cut = release(name, event(0), event(1))
+    again = release(name, event(0), event(1), event(2, last=True), DONE)
+    _, listener, peer = run(
+        loop, stream_script(cut, again + b"0\r\n\r\n"), resumes=True
+    )
+    assert (listener.text, type(listener.ends[0])) == ("t0t1", Cut)
+    assert listener.ends[0].ran is Ran.YES and len(peer.requests) == 2
+
+
 def test_a_stream_without_pieces_may_begin_anew_at_another_release(loop):
     cut, whole = release(b"v1"), release(b"v2", event(0, last=True), DONE)
     _, listener, _ = run(loop, stream_script(cut, whole + b"0\r\n\r\n"), resumes=True)
@@ -211,9 +230,8 @@
 
 
 def test_resumption_stops_after_tries_without_progress(loop):
-    call, listener, peer = run(
-        loop, stream_script(CHUNKED + chunk(event(0))), resumes=True, resume_tries=2
-    )
+    parts = CHUNKED + chunk(event(0)), CHUNKED
+    _, listener, peer = run(loop, stream_script(*parts), resumes=True, resume_tries=2)
     assert isinstance(listener.ends[0], Cut)
     assert len(peer.requests) == 3
 
