--- a/tests/caller_server.py
+++ b/tests/caller_server.py
@@ -39,11 +39,11 @@
 
 
 class Server:
-    def __init__(self, limits=LIMITS):
+    def __init__(self, limits=LIMITS, **options):
         self.loop = Loop()
         self.handler = Handler()
         self.callers = CallerServer(
-            "127.0.0.1", 0, self.handler, self.loop.timers, limits=limits
+            "127.0.0.1", 0, self.handler, self.loop.timers, limits=limits, **options
         ).register(self.loop.app)
         self.loop.thread.start()
 
