--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -2,12 +2,13 @@
 
 import re
 from contextlib import closing
+from functools import partial
 from itertools import islice
 from secrets import token_hex
 
 import h11
 import pytest
-from caller_server import GET, Server
+from caller_server import GET, Server, post
 from http_fakes import FakePeer
 from test_answer_writes import END, EVENT, StartedCall, chunk
 from test_caller_limits import RejectPosts
@@ -50,6 +51,8 @@
 }
 
 
+INTERIM = b"HTTP/1.1 102 -\r\nx: y\r\n\r\nHTTP/1.1 103 -\r\ncontent-length: 5\r\n\r\n"
+BODY = b"body"
 RESTS = ["head", "event", "chunks"]
 
 
@@ -158,10 +161,14 @@
 
 
 class Engine:
-    """Answers HEAD with ``head`` and what follows it, other requests with an event."""
+    """Answers HEAD with ``head`` and what follows it, other requests with an event.
+
+    With another status than 200 it answers all requests so.
+    """
 
     def __init__(self):
-        self.head = self.rest = b""
+        self.status, self.head, self.rest = 200, "", b""
+        self.interim = b""
         self.peer = FakePeer(self._run)
         self.address = f"127.0.0.1:{self.peer.port}"
 
@@ -173,9 +180,9 @@
             marks = f"{REQUEST_ID}: {names and names[1].decode()}\r\n{SEAL}"
             if path.decode() in (REPORT_PATH, KV_LIST):
                 conn.answer(b'{"held": [], "born": %d}' % BORN)
-            elif method == b"HEAD":
-                head = f"HTTP/1.1 200 -\r\n{marks}{self.head}\r\n"
-                conn.send(head.encode() + self.rest)
+            elif method == b"HEAD" or self.status != 200:
+                head = f"HTTP/1.1 {self.status} -\r\n{marks}{self.head}\r\n"
+                conn.send(self.interim + head.encode() + self.rest)
                 if "close" in self.head:
                     return
             else:
@@ -200,19 +207,20 @@
         yield lab
 
 
-def exchange(lab, path):
-    """Return the answers to HEAD and to GET on one connection."""
+def exchange(lab, path, first, between=lambda: None):
+    """Return the answers to a request and to GET on one connection."""
     with closing(lab.client().sock) as sock:
         received = b""
-        for method, option in (("HEAD", ""), ("GET", "connection: close\r\n")):
+        for method, option in ((first, ""), ("GET", "connection: close\r\n")):
             name = f"{REQUEST_ID}: {token_hex(8)}\r\n{CREDENTIAL}: {KEY}\r\n{option}"
             head = f"{method} {path} HTTP/1.1\r\nhost: {HOST}\r\n{name}\r\n"
             sock.sendall(head.encode())
-            while method == "HEAD" and b"\r\n\r\n" not in received:
+            while not option and b"\r\n\r\n" not in received:
                 received += sock.recv(65_536)
+            between()
         while data := sock.recv(65_536):
             received += data
-    return responses(["HEAD", "GET"], received)
+    return responses([first, "GET"], received)
 
 
 @pytest.mark.parametrize("rest", [b"", EVENT % 1], ids=RESTS[:2])
@@ -221,4 +229,39 @@
 def test_the_answer_after_a_head_request_is_whole(lab, engine, path, head, rest):
     """The next answer on the connection began with the last chunk."""
     engine.head, engine.rest = head, rest
-    assert exchange(lab, path) == [(200, b""), (200, EVENT % 1)]
+    assert exchange(lab, path, "HEAD") == [(200, b""), (200, EVENT % 1)]
+
+
+@pytest.mark.parametrize("rest", [b"", EVENT % 1], ids=RESTS[:2])
+@pytest.mark.parametrize("interim", ["", "interim"])
+@pytest.mark.parametrize("head", ["none", "length"])
+@pytest.mark.parametrize("status", [204, 304])
+@pytest.mark.parametrize("path", ROUTES)
+def test_the_answer_after_one_without_a_body_is_whole(
+    lab, engine, path, status, head, interim, rest
+):
+    """The last chunk of a stream stood behind an answer that has no body."""
+    engine.status, engine.head, engine.rest = status, HEADS[head], rest
+    engine.interim = INTERIM if interim else b""
+    make_sound = partial(setattr, engine, "status", 200)
+    try:
+        answer, after = exchange(lab, path, "GET", between=make_sound)
+    finally:
+        engine.status, engine.interim = 200, b""
+    # Only successes and errors are passed on.
+    assert answer == (204, b"") if status == 204 else answer[0] == 502
+    assert after == (200, EVENT % 1)
+
+
+def test_the_answer_after_a_head_request_for_a_service_is_whole():
+    """The project's own interface sent a body that nobody reads."""
+    with closing(Server()) as server:
+        requests = [
+            post("/services/a/b", BODY, method="HEAD"),
+            post("/services/a/refuse", method="HEAD"),
+            post("/healthz", method="HEAD"),
+            post("/services/a/b", BODY, "Connection: close"),
+        ]
+        data = server.request(b"".join(requests))
+    received = responses(["HEAD"] * 3 + ["POST"], data)
+    assert received == [(200, b""), (429, b""), (200, b""), (200, b"POST /b " + BODY)]
