--- a/tests/test_heads_cut_short.py
+++ b/tests/test_heads_cut_short.py
@@ -23,7 +23,7 @@
 from greengageflow.core.order_owner import SendOrder
 from greengageflow.core.orders import Order
 from greengageflow.daemon.cached_parts import CachedPartsLoader
-from greengageflow.daemon.end_check import EndCheck
+from greengageflow.daemon.end_check import EndCheck, EndFinding
 from greengageflow.daemon.endpoint_watch import EndpointWatch
 from greengageflow.daemon.order_follower import _send_result, order_request
 from greengageflow.daemon.shared_topic import SharedTopic
@@ -65,7 +65,7 @@
 from greengageflow.platform.answers import interpret_answer
 from greengageflow.platform.interfaces import ReadyInterface
 from greengageflow.platform.names import READY_PATH, SERVERS_TOPIC
-from greengageflow.platform.reports import start_verification
+from greengageflow.platform.reports import StartVerifications
 from greengageflow.settings_file import Address
 
 BODY = b"hello"
@@ -362,15 +362,24 @@
 
 
 def verified(loop, port, done):
-    verification = start_verification(
-        listed(port), required=True, timeout_s=20, on_other_start=pytest.fail
+    verification = StartVerifications().verification(
+        listed(port), pytest.fail, is_engine=False, required=True, timeout_s=20
     )
     request = HttpRequest("POST", "127.0.0.1", port, "/", verification=verification)
     loop.pool.fetch(request, lambda result: done(isinstance(result, Response)))
 
 
 def end_check(loop, port, done):
-    EndCheck(listed(port), done, states_start=False).start(loop.pool)
+    check = EndCheck(
+        listed(port),
+        "r",
+        lambda finding: done(finding is not EndFinding.GONE),
+        on_other_start=pytest.fail,
+        states_start=False,
+        pool=loop.pool,
+        timers=loop.timers,
+    )
+    check.start()
 
 
 class Recorder:
--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -494,6 +494,7 @@
         endpoint,
         "r",
         found.append,
+        on_other_start=pytest.fail,
         states_start=False,
         pool=loop.pool,
         timers=loop.timers,
