--- a/tests/test_heads_cut_short.py
+++ b/tests/test_heads_cut_short.py
@@ -1,5 +1,6 @@
 """Messages cut short at any byte: none of the project's readers takes one for whole."""
 
+from collections import Counter
 from contextlib import closing, suppress
 from functools import partial
 from http.client import HTTPException
@@ -32,6 +33,7 @@
 from greengageflow.lab.platform_client import IncompleteResponse
 from greengageflow.lab.platform_lab import (
     CHAT,
+    KEY,
     NON_RESUMABLE_CHAT,
     SAFE,
     UNSAFE,
@@ -84,6 +86,7 @@
     "until close": OK + b"connection: close\r\n\r\n" + BODY,
 }
 STATUSES = {"refusal": 503, "no content": 204, "redirect": 302}
+SOCKET_BUFFER_BYTES = 1_048_576
 ENDS = ("close", "reset", "silence", "bytes")
 
 
@@ -259,10 +262,10 @@
         yield loop
 
 
-def fetch_all(loop, peer, count, **options):
+def fetch_all(loop, peer, count, method="GET", **options):
     """Return the list of results of requests that are sent at the same time."""
     results = []
-    request = HttpRequest("GET", "127.0.0.1", peer.port, "/", **options)
+    request = HttpRequest(method, "127.0.0.1", peer.port, "/", **options)
 
     def fetch():
         for _ in range(count):
@@ -318,6 +321,28 @@
     assert results[0].status == STATUSES.get(form, 200)
 
 
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize("form", RESPONSES)
+def test_the_pool_takes_none_while_it_sends_the_request(loop, form, end):
+    """A server that stops before it has read the request closes by a reset."""
+    response = RESPONSES[form]
+    cuts = cut_points(response)
+
+    def run(conn, number):
+        conn.sock.recv(100)
+        conn.send(response[: cuts[number]])
+        if end == "reset":
+            reset_on_close(conn.sock)
+
+    body = bytes(4 * SOCKET_BUFFER_BYTES)
+    with closing(FakePeer(run)) as peer:
+        results = fetch_all(
+            loop, peer, len(cuts), method="POST", body=body, until_close=True
+        )
+        wait_for(lambda: len(results) == len(cuts))
+    assert {failure.kind for failure in results} == {FailureKind.CUT}
+
+
 # Each reader's own verdict on a response that is cut short.
 
 
@@ -516,7 +541,8 @@
 
 
 IDENTIFIED = b"x-greengageflow-request-id: r\r\nx-greengageflow-response-seal: s\r\n"
-EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+EVENT_1 = b"id: 1\ndata: a\n\n"
+EVENTS = EVENT_1 + b"id: 2\ndata: b\n\n"
 IN_CHUNKS = b"transfer-encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
 JSON = {
     "report": b'{"born": 7}',
@@ -675,6 +701,43 @@
         return None
 
 
+def test_a_stream_whose_resumption_is_cut_short_does_not_look_complete():
+    """The end of a resumed run counted as that of the stream."""
+    runs = Counter()
+    first = OK + MARKS + IN_CHUNKS % (len(EVENT_1), EVENT_1)
+    second = OK + MARKS + IN_CHUNKS % (len(EVENTS), EVENTS)
+
+    def run(conn, _number):
+        while request := conn.request():
+            if request.startswith(b"GET"):
+                conn.answer(JSON["parts"])
+                continue
+            name = REQUEST_ID_LINE.search(request)[1]
+            runs[name] += 1
+            is_resumed = runs[name] > 1
+            response = second[:cut] if is_resumed else first[: -len(b"0\r\n\r\n")]
+            conn.send(response.replace(ID, name))
+            return
+
+    with (
+        PlatformLab(PlatformShape(plain=0)) as lab,
+        closing(FakePeer(run)) as one,
+        closing(FakePeer(run)) as other,
+    ):
+        for name, peer in (("one", one), ("other", other)):
+            address = f"127.0.0.1:{peer.port}"
+            row = name.encode(), entry(address, service="scribe", born=7)
+            lab.append_raw(SERVERS_TOPIC, row)
+        wait_for(lambda: one.requests and other.requests)
+        for cut in range(0, len(second), 7):
+            with closing(lab.client()) as client:
+                client.send(CHAT, b"%d" % cut, key=KEY)
+                assert client.head().status == 200
+                with pytest.raises(IncompleteResponse):
+                    assert list(client.events()) is None
+        assert min(runs.values()) > 1
+
+
 # Blocking calls.
 
 
