HTTP/1.0 requests for streams are rejected on the platform's interface too

Callers saw: an HTTP/1.0 request on a stream route got an answer in chunks, whose framing an HTTP/1.0 recipient takes for part of the stream.

Cause: `CallerConnection` relies on such requests being rejected; only the project's own interface did.

Evidence: pytest tests/test_head_requests.py -k 1_0 before: 4 failed (both kinds of stream route, with and without `Connection: keep-alive`), 4 passed (plain routes).

Change: 400 with the reason, as on the own interface, since the end of the connection can't show that a stream is complete. 8 pass.

--- a/greengageflow/core/forward_request.py
+++ b/greengageflow/core/forward_request.py
@@ -75,6 +75,7 @@
         last_event_text: The same as sent by the caller, also if it is not a number.
         resumes: Id of the request that began the stream that this one resumes, or
             empty.
+        http_1_0: True for an HTTP/1.0 request.
     """
 
     id: str
@@ -89,6 +90,7 @@
     last_event: int | None = None
     last_event_text: str = ""
     resumes: str = ""
+    http_1_0: bool = False
 
     @property
     def path(self) -> str:
--- a/greengageflow/daemon/forward_admission.py
+++ b/greengageflow/daemon/forward_admission.py
@@ -5,7 +5,11 @@
 from random import Random
 from types import MappingProxyType
 
-from greengageflow.core.forward_request import Prompt, request_identity
+from greengageflow.core.forward_request import (
+    ForwardRequest,
+    Prompt,
+    request_identity,
+)
 from greengageflow.core.routes import Route, RouteTable, Routing
 from greengageflow.core.service_scheduler import QUEUE_TARGET_FRACTION, Job
 from greengageflow.core.trust import KeyTrust
@@ -80,9 +84,8 @@
         req = call.request
         route = self.find_route(req.host, req.path)
         account = self.find_account(route, req.key)
-        if route.stream and req.last_event_text and req.last_event is None:
-            text = "the id of the last event is not a number, or too long"
-            raise RouterError(ErrorKind.BAD_REQUEST, text)
+        if route.stream:
+            _check_stream_request(req)
         now = self._timers.now
         wait_s = route.timeout_s
         if req.max_wait_s is not None:
@@ -218,3 +221,12 @@
         arrived_at + route.target_s - retrying_s,
         min(arrived_at + QUEUE_TARGET_FRACTION * route.target_s, deadline),
     )
+
+
+def _check_stream_request(req: ForwardRequest) -> None:
+    if req.http_1_0:
+        text = "a stream requires HTTP/1.1; over 1.0 a cut answer looks complete"
+        raise RouterError(ErrorKind.BAD_REQUEST, text)
+    if req.last_event_text and req.last_event is None:
+        text = "the id of the last event is not a number, or too long"
+        raise RouterError(ErrorKind.BAD_REQUEST, text)
--- a/greengageflow/platform/requests.py
+++ b/greengageflow/platform/requests.py
@@ -75,6 +75,7 @@
         last_event=parse_event_id(last_event_text),
         last_event_text=last_event_text,
         resumes=header(RESUMES).strip(),
+        http_1_0=req.http_1_0,
     )
 
 
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -253,6 +253,22 @@
     assert after == (200, EVENT % 1)
 
 
+@pytest.mark.parametrize("option", ["", "connection: keep-alive\r\n"])
+@pytest.mark.parametrize("path", ROUTES)
+def test_an_answer_over_http_1_0_has_no_chunks(lab, path, option):
+    """A recipient that knows no chunks took their framing for part of the stream."""
+    lines = f"{REQUEST_ID}: {token_hex(8)}\r\n{CREDENTIAL}: {KEY}\r\n{option}"
+    head = f"GET {path} HTTP/1.0\r\nhost: {HOST}\r\n{lines}\r\n"
+    with closing(lab.client().sock) as sock:
+        sock.sendall(head.encode())
+        received = sock.recv(65_536)
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert b"transfer-encoding" not in head.lower()
+    is_stream = path in (CHAT, NON_RESUMABLE_CHAT)
+    assert head.startswith(b"HTTP/1.1 %d " % (400 if is_stream else 200))
+    assert is_stream or body == EVENT % 1
+
+
 def test_the_answer_after_a_head_request_for_a_service_is_whole():
     """The project's own interface sent a body that nobody reads."""
     with closing(Server()) as server:
