An error for an invalid or unfinished HEAD request has no body

Callers saw: bytes after the 400, 408 or 431 that ends the answer to a HEAD request whose head is not valid, too large or incomplete.

Cause: the answer was framed without a method, as the head was never complete.

Evidence: pytest tests/test_head_requests.py -k invalid before: 4 of the 4 HEAD cases failed, GET passed.

--- a/greengageflow/net/_caller_conn.py
+++ b/greengageflow/net/_caller_conn.py
@@ -272,8 +272,9 @@
 
     def _has_body(self, status: int) -> bool:
         """Return whether an answer to the current request has a body."""
-        is_head = self._head is not None and self._head.method == "HEAD"
-        return status not in BODILESS_STATUSES and not is_head
+        head = self._head
+        method = head.method if head else self._requests.unfinished_method
+        return status not in BODILESS_STATUSES and method != "HEAD"
 
     @property
     def _closes_after_answer(self) -> bool:
--- a/greengageflow/net/_http_parse.py
+++ b/greengageflow/net/_http_parse.py
@@ -279,6 +279,13 @@
         """Whether part of another request has arrived."""
         return bool(self._events) or self.in_message
 
+    @property
+    def unfinished_method(self) -> str:
+        """Method of a request whose head is incomplete or invalid; empty if unknown."""
+        if not (self.in_message and self._target):
+            return ""
+        return self._parser.get_method().decode("latin-1")
+
     @property
     def has_pending_events(self) -> bool:
         """Whether ``next`` has a part of a body or the end of a request."""
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -130,6 +130,27 @@
     assert status == 400 and body
 
 
+@pytest.mark.parametrize("method", ["HEAD", "GET"])
+@pytest.mark.parametrize(
+    ("rest", "status"),
+    [
+        (b" / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        (b" / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", 400),
+        (b" / HTTP/1.1\r\na: " + b"a" * 20_000, 431),
+        (b" /" + b"a" * 20_000, 431),
+    ],
+    ids=["line", "hosts", "header", "target"],
+)
+def test_an_invalid_head_request_gets_no_body(rest, status, method):
+    """The error's body followed the head that ends the answer."""
+    call = StartedCall(GET_REQUEST)
+    call.reply.raw(200, (), b"before")
+    call.conn.receive(method.encode() + rest)
+    received = responses(["GET", method], b"".join(call.link.writes))
+    assert received[0] == (200, b"before") and received[1][0] == status
+    assert bool(received[1][1]) == (method == "GET")
+
+
 @pytest.mark.parametrize("may_shed", [False, True])
 def test_a_shed_head_request_gets_no_body(may_shed):
     """The rejection's body followed the head that ends the answer."""
