--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -130,6 +130,27 @@
     assert status == 400 and body
 
 
+@pytest.mark.parametrize("method", ["HEAD", "GET"])
+@pytest.mark.parametrize(
+    ("rest", "status"),
+    [
+        (b" / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        (b" / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", 400),
+        (b" / HTTP/1.1\r\na: " + b"a" * 20_000, 431),
+        (b" /" + b"a" * 20_000, 431),
+    ],
+    ids=["line", "hosts", "header", "target"],
+)
+def test_an_invalid_head_request_gets_no_body(rest, status, method):
+    """The error's body followed the head that ends the answer."""
+    call = StartedCall(GET_REQUEST)
+    call.reply.raw(200, (), b"before")
+    call.conn.receive(method.encode() + rest)
+    received = responses(["GET", method], b"".join(call.link.writes))
+    assert received[0] == (200, b"before") and received[1][0] == status
+    assert bool(received[1][1]) == (method == "GET")
+
+
 @pytest.mark.parametrize("may_shed", [False, True])
 def test_a_shed_head_request_gets_no_body(may_shed):
     """The rejection's body followed the head that ends the answer."""
@@ -253,6 +274,22 @@
     assert after == (200, EVENT % 1)
 
 
+@pytest.mark.parametrize("option", ["", "connection: keep-alive\r\n"])
+@pytest.mark.parametrize("path", ROUTES)
+def test_an_answer_over_http_1_0_has_no_chunks(lab, path, option):
+    """A recipient that knows no chunks took their framing for part of the stream."""
+    lines = f"{REQUEST_ID}: {token_hex(8)}\r\n{CREDENTIAL}: {KEY}\r\n{option}"
+    head = f"GET {path} HTTP/1.0\r\nhost: {HOST}\r\n{lines}\r\n"
+    with closing(lab.client().sock) as sock:
+        sock.sendall(head.encode())
+        received = sock.recv(65_536)
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert b"transfer-encoding" not in head.lower()
+    is_stream = path in (CHAT, NON_RESUMABLE_CHAT)
+    assert head.startswith(b"HTTP/1.1 %d " % (400 if is_stream else 200))
+    assert is_stream or body == EVENT % 1
+
+
 def test_the_answer_after_a_head_request_for_a_service_is_whole():
     """The project's own interface sent a body that nobody reads."""
     with closing(Server()) as server:
