Hosts report that endpoints state start times which their entries lack

Callers could see: streams with events of two versions at hosts that knew only entries without start times, while other hosts had seen one in an answer. Only hosts that place requests for an engine ask it for its cached parts, and without any start time in the list nothing else is asked.

Changed: StartTimesWatch sends a report (message type 35) to all hosts when an answer first states a start time, and to two random hosts a second as long as no entry has one. It sends nothing where no start time is stated, nor where the list has one (tested). Hosts of earlier releases drop messages of an unknown type. That versions are unknown from then on is logged as ENDPOINT_SEEN without a release.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -60,8 +60,8 @@
 
     Args:
         id: Endpoint id.
-        what: ``new``, ``cold``, ``leaving``, ``gone``, or ``start`` if an entry now
-            names the start of the endpoint, or the version of that start.
+        what: ``new``, ``cold``, ``leaving``, ``gone``, or ``start`` if the start of the
+            endpoint, or the version of that start, is now known or not known any more.
     """
 
     id: str
@@ -98,10 +98,11 @@
 
     Attributes:
         states_starts: Whether any endpoint has stated a start time.
+        lists_starts: Whether any entry has had one.
     """
 
     def __init__(self) -> None:
-        self.states_starts = False
+        self.states_starts = self.lists_starts = False
         # The marks are kept apart from the entries, since an entry may expire and come
         # back while its endpoint drains.
         self._leaving = _StartMarks()
@@ -202,14 +203,15 @@
             return listed.version
         return endpoint.version
 
-    def on_start_stated(self) -> None:
-        """Record that endpoints state start times."""
+    def on_start_stated(self) -> list[ListChange]:
+        """Record that endpoints state start times, and return the changes."""
         if self.states_starts:
-            return
+            return []
         self.states_starts = True
         for endpoint in list(self._listed.values()):
             self._listed[endpoint.id] = self._without_unproven_version(endpoint)
         self._usable.clear()
+        return [ListChange(endpoint, "start") for endpoint in self._listed]
 
     def _without_unproven_version(self, endpoint: ListedEndpoint) -> ListedEndpoint:
         if endpoint.born or not self.states_starts:
@@ -245,7 +247,7 @@
 
         Requests that depend on the version don't go there until it is listed.
         """
-        self.on_start_stated()
+        yield from self.on_start_stated()
         listed = self._listed.get(endpoint.id)
         if listed is None or listed.born >= endpoint.born:
             return
@@ -280,7 +282,8 @@
     def put(self, endpoint: ListedEndpoint) -> Iterator[ListChange]:
         """Add or update an entry, and yield the changes."""
         if endpoint.born:
-            self.on_start_stated()
+            yield from self.on_start_stated()
+            self.lists_starts |= not endpoint.is_unlisted
         before = self._listed.get(endpoint.id)
         if before is not None and endpoint.born < before.born:
             return
--- a/greengageflow/daemon/exchange_listener.py
+++ b/greengageflow/daemon/exchange_listener.py
@@ -10,6 +10,7 @@
 from greengageflow.core.peer_report import PeerReport
 from greengageflow.core.place_messages import PlacementMessage
 from greengageflow.core.quarantine import CrashReport
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.core.version_affinity import (
     StreamVersionQuery,
@@ -49,6 +50,9 @@
     def on_leaving_report(self, report: LeavingReport) -> None:
         """Handle a report of endpoints that announced that they leave."""
 
+    def on_start_times_report(self, report: StartTimesReport) -> None:
+        """Handle a report that endpoints state start times which entries lack."""
+
     def on_evacuation_report(self, report: EvacuationReport) -> None:
         """Handle a report of evacuated zones."""
 
--- a/greengageflow/daemon/fleet_exchange.py
+++ b/greengageflow/daemon/fleet_exchange.py
@@ -28,6 +28,7 @@
 from greengageflow.core.relay_sums import RelayAggregator, store_state_of
 from greengageflow.core.router_table import RELAYS_PER_ZONE, Hello, RouterTable
 from greengageflow.core.service_dispatcher import USAGE_DECAY_S
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.store_duty import READER_ZONES, StoreReport, StoreRole
 from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.core.sum_changes import FullSumRequest, SumDelta
@@ -187,6 +188,10 @@
         """Send which endpoints announced that they leave, to ``max_peers`` peers."""
         self._send(encode(report), self._sample_addresses(max_peers))
 
+    def send_start_times(self, report: StartTimesReport, max_peers: int | None) -> None:
+        """Send that endpoints state start times to ``max_peers`` peers."""
+        self._send(encode(report), self._sample_addresses(max_peers))
+
     def send_evacuations(self, report: EvacuationReport, max_peers: int | None) -> None:
         """Send which zones are evacuated to ``max_peers`` peers."""
         self._send(encode(report), self._sample_addresses(max_peers))
@@ -326,6 +331,9 @@
             case LeavingReport():
                 self._listener.on_leaving_report(message)
                 return
+            case StartTimesReport():
+                self._listener.on_start_times_report(message)
+                return
             case EvacuationReport():
                 self._listener.on_evacuation_report(message)
                 return
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -2,7 +2,7 @@
 
 import gc
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from functools import cached_property
 from signal import SIGHUP, signal
@@ -24,6 +24,7 @@
 from greengageflow.core.routes import Routing
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.slot_forecast import ForecastOutcome
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.store_duty import StoreRole, read_interval_s
 from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.core.trust import KeyTrust
@@ -56,6 +57,7 @@
 from greengageflow.daemon.quarantine_store import QuarantineStore
 from greengageflow.daemon.refused_accounts import RefusedAccounts
 from greengageflow.daemon.router_registry import RouterRegistry
+from greengageflow.daemon.start_times_watch import StartTimesWatch
 from greengageflow.daemon.store_view import StoreView
 from greengageflow.daemon.version_affinity import VersionAffinity
 from greengageflow.errors import ErrorKind, RouterError
@@ -222,6 +224,9 @@
             self._exchange,
             self._on_endpoint_leaving,
         )
+        self._start_times = StartTimesWatch(
+            self._endpoints, self._timers, self._exchange, self._on_answer_changes
+        )
         self._quarantine_store = QuarantineStore(
             self._pool,
             self._timers,
@@ -437,6 +442,10 @@
         """Handle a report of endpoints that announced that they leave."""
         self._leaving_watch.receive(report.endpoints)
 
+    def on_start_times_report(self, _report: StartTimesReport) -> None:
+        """Handle a report that endpoints state start times which entries lack."""
+        self._start_times.receive()
+
     def on_evacuation_report(self, report: EvacuationReport) -> None:
         """Handle a report of evacuated zones."""
         self._evacuation_watch.receive(report.records)
@@ -489,10 +498,14 @@
         # It may be cold until its entry states otherwise.
         cold_s = self._service_dispatcher.service(endpoint.service).cold_start_s
         found = replace(endpoint, cold_s=cold_s)
+        self._start_times.on_answer()
         changes = [
             *self._endpoints.restore(endpoint.id, endpoint.born),
             *self._endpoints.put_unlisted(found),
         ]
+        self._on_answer_changes(changes)
+
+    def _on_answer_changes(self, changes: Iterable[ListChange]) -> None:
         for change in changes:
             self._on_change(change, "answer")
 
@@ -564,6 +577,7 @@
         self._placement.start()
         self._crash_watch.start()
         self._leaving_watch.start()
+        self._start_times.start()
         self._evacuation_watch.start()
         self._registry.start()
         self._quarantine_store.start()
--- a/greengageflow/lab/_gateway_world.py
+++ b/greengageflow/lab/_gateway_world.py
@@ -20,6 +20,7 @@
 from greengageflow.core.quarantine import CrashReport
 from greengageflow.core.router_table import Hello
 from greengageflow.core.service_dispatcher import USAGE_DECAY_S
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.store_duty import read_interval_s
 from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.daemon.evacuation_watch import EvacuationWatch
@@ -344,6 +345,9 @@
     def on_leaving_report(self, report: LeavingReport) -> None:
         """Ignore the report: no endpoint leaves in this simulation."""
 
+    def on_start_times_report(self, report: StartTimesReport) -> None:
+        """Ignore the report: no endpoint states a start time in this simulation."""
+
     def on_store_update(self, update: StoreUpdate) -> None:
         """Apply an update that another router read from the store."""
         self.view.apply_update(update)
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -14,6 +14,7 @@
 from greengageflow.core.place_messages import PlacementMessage
 from greengageflow.core.quarantine import CrashReport
 from greengageflow.core.router_table import Hello
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.store_updates import StoreTopic, StoreUpdate
 from greengageflow.core.sum_changes import FullSumRequest, SumDelta, TableDelta, Work
 from greengageflow.core.tick_echo import ClockTick
@@ -64,6 +65,10 @@
     parse_placement_snapshot,
     placement_values,
 )
+from greengageflow.net.start_codec import (
+    START_TIMES_REPORT,
+    parse_start_times_report,
+)
 from greengageflow.net.tick_codec import (
     CLOCK_TICK,
     clock_tick_values,
@@ -101,6 +106,7 @@
     | StoreUpdate
     | CrashReport
     | LeavingReport
+    | StartTimesReport
     | EvacuationReport
     | StreamVersionReport
     | StreamVersionQuery
@@ -134,6 +140,8 @@
             return packb(crash_report_values(message))
         case LeavingReport():
             return packb(leaving_report_values(message))
+        case StartTimesReport():
+            return packb((START_TIMES_REPORT,))
         case EvacuationReport():
             return packb(evacuation_report_values(message))
         case StreamVersionReport():
@@ -458,6 +466,7 @@
     CRASH_REPORT: parse_crash_report,
     PART_CRASH_REPORT: parse_part_crash_report,
     LEAVING_REPORT: parse_leaving_report,
+    START_TIMES_REPORT: parse_start_times_report,
     EVACUATION_REPORT: parse_evacuation_report,
     STREAM_VERSION_REPORT: parse_version_report,
     STREAM_VERSION_QUERY: parse_version_query,
--- a/tests/test_report_codec.py
+++ b/tests/test_report_codec.py
@@ -30,6 +30,7 @@
     Quarantine,
 )
 from greengageflow.core.router_table import Hello
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.store_updates import StoreTopic, StoreUpdate
 from greengageflow.core.sum_changes import FullSumRequest, SumDelta, TableDelta
 from greengageflow.core.tick_echo import TICK_MODULUS, ClockTick, Stamp
@@ -217,6 +218,7 @@
     | CRASH_REPORTS
     | PART_CRASH_REPORTS
     | VERSION_REPORTS
+    | st.builds(StartTimesReport)
     | VERSION_QUERIES
     | CLOCK_TICKS
     | PLACEMENT_REQUESTS
--- a/tests/test_restarted_in_place.py
+++ b/tests/test_restarted_in_place.py
@@ -30,6 +30,7 @@
 PROMPT = generation(EVENTS, ("shared", 50), ("own", 10))
 CALLERS = 18
 RESTARTS = 10
+START_STATED = '"release":""'
 MAX_TAKEN_UP = 40
 ONE_RESTARTED = [(2, 0), (3, 0), (3, 1)]
 """Number of engines, and which one of those without the stream starts again."""
@@ -206,6 +207,24 @@
         assert set(releases_until_end(client)) <= {"v1"}
 
 
+@pytest.mark.parametrize(("engines", "restarted"), ONE_RESTARTED)
+def test_a_start_time_in_an_answer_counts_at_all_hosts(engines, restarted):
+    """Only the hosts that placed requests for the engine had asked it."""
+    with lab_of(engines, list_born=False) as lab:
+        lab.ask(CHAT, body=request_body(), headers=PROMPT)
+        for name, process in lab.routers.items():
+            wait_for(lambda p=process: START_STATED in p.stderr, f"{name} has got it")
+        streams = [begin(lab, router) for router in lab.routers]
+        used = streams[0][2]
+        others = [name for name in lab.replicas if name != used]
+        restart(lab, others[restarted])
+        for name in lab.replicas:
+            lab.cut_streams(name)
+        for client, _, engine in streams:
+            if engine != others[restarted]:
+                assert set(releases_until_end(client)) <= {"v1"}
+
+
 def test_no_stream_is_of_the_release_of_an_entry_without_a_start_time():
     """A stream that began at a later start went on at the release of the entry."""
     with lab_of(2, list_born=False, parts_born=False) as lab:
