Streams that began before a start time was stated go on nowhere

Callers could see: a stream with events of two versions, begun at an engine whose entry lacks its start time and that had started again in place, if a start time became known only afterwards.

Cause: the version that its entry named had been recorded when nothing showed yet that the entry might be of an earlier start.

Evidence: 'pytest tests/test_restarted_in_place.py -k before_a_start' failed with the change switched off: {'v1', 'v2'} <= {'v2'}.

Changed: once endpoints state start times and an entry without one is listed, the versions of all streams so far are unproven, here and in what is kept for other hosts. In fleets whose entries have start times from the first one read, nothing changes.

--- a/greengageflow/core/version_affinity.py
+++ b/greengageflow/core/version_affinity.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator, Mapping, Set
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import groupby
 from operator import attrgetter
 
@@ -84,6 +84,11 @@
         if len(self._streams) > MAX_STREAMS:
             self._streams.popitem(last=False)
 
+    def mark_unproven(self) -> None:
+        """Record that no stream's version is proven any more."""
+        for request, (at, stream) in self._streams.items():
+            self._streams[request] = at, replace(stream, version=UNPROVEN_VERSION)
+
     def get(self, now: float, request: str) -> StreamVersion | None:
         """Return the version of the stream that a request began, or None."""
         if request not in self._streams or self._is_expired(now, request):
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -359,6 +359,13 @@
         stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
         self.affinity.on_begun(stream)
 
+    def on_versions_unproven(self) -> None:
+        """Let no stream that has begun go on: ids do not tell starts apart."""
+        for ctx in self._active.values():
+            if ctx.version:
+                ctx.version = UNPROVEN_VERSION
+        self.affinity.on_versions_unproven()
+
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle the end of an answer that is not streamed."""
         if ctx.attempt.is_end_proven or ctx.attempt.response_info.not_run:
--- a/tests/test_restarted_in_place.py
+++ b/tests/test_restarted_in_place.py
@@ -241,6 +241,26 @@
             assert set(found) <= {release}
 
 
+def test_streams_that_began_before_a_start_time_was_stated_are_not_joined():
+    """Nothing had shown that the engine's entry is one of its start before."""
+    slow = {**ENGINE, "step_ms": 100}
+    with lab_of(2, list_born=False, parts_born=False, **slow) as lab:
+        restart(lab, "scribe-0", **slow)
+        streams = [begin(lab, f"r{number % 3}") for number in range(4)]
+        assert len({engine for _, _, engine in streams}) == 2
+        options = {"service": "scribe", "model": "m", **slow, "born": 1000}
+        lab.add_replica("stated", **options)
+        for process in lab.routers.values():
+            wait_for(lambda p=process: '"stated"' in p.stderr, "the entry is read")
+        lab.cut_streams("scribe-0")
+        lab.cut_streams("scribe-1")
+        for client, request, engine in streams:
+            release = {"scribe-0": "v2", "scribe-1": "v1"}[engine]
+            assert set(releases_until_end(client)) <= {release}
+            status, found = resume(lab, "r0", {RESUMES: request})
+            assert set(found) <= {release}
+
+
 def test_streams_go_on_where_no_start_time_is_stated():
     """Each start has an id of its own there, so that checks would cost for nothing."""
     with lab_of(3, born=0) as lab:
