--- a/greengageflow/daemon/exchange_listener.py
+++ b/greengageflow/daemon/exchange_listener.py
@@ -10,6 +10,7 @@
 from greengageflow.core.peer_report import PeerReport
 from greengageflow.core.place_messages import PlacementMessage
 from greengageflow.core.quarantine import CrashReport
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.store_updates import StoreUpdate
 from greengageflow.core.unproven_starts import (
     UnprovenStartQuery,
@@ -53,6 +54,9 @@
     def on_leaving_report(self, report: LeavingReport) -> None:
         """Handle a report of endpoints that announced that they leave."""
 
+    def on_start_times_report(self, report: StartTimesReport) -> None:
+        """Handle a report that endpoints state start times which entries lack."""
+
     def on_evacuation_report(self, report: EvacuationReport) -> None:
         """Handle a report of evacuated zones."""
 
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -426,6 +426,13 @@
         headers = headers_for_caller(head)
         ctx.reply.begin(head.status, headers, data, until_close=until_close)
 
+    def on_versions_unproven(self) -> None:
+        """Let no stream that has begun go on: ids do not tell starts apart."""
+        for ctx in self._active.values():
+            if ctx.version:
+                ctx.version = UNPROVEN_VERSION
+        self.affinity.on_versions_unproven()
+
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle the end of an answer that is not streamed."""
         if not ctx.attempt.needs_end_check:
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -14,6 +14,7 @@
 from greengageflow.core.place_messages import PlacementMessage
 from greengageflow.core.quarantine import CrashReport
 from greengageflow.core.router_table import Hello
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.store_updates import StoreTopic, StoreUpdate
 from greengageflow.core.sum_changes import FullSumRequest, SumDelta, TableDelta, Work
 from greengageflow.core.tick_echo import ClockTick
@@ -69,10 +70,12 @@
     placement_values,
 )
 from greengageflow.net.start_codec import (
+    START_TIMES_REPORT,
     UNPROVEN_START_QUERY,
     UNPROVEN_START_REPORT,
     parse_start_query,
     parse_start_report,
+    parse_start_times_report,
     start_query_values,
     start_report_values,
 )
@@ -113,6 +116,7 @@
     | StoreUpdate
     | CrashReport
     | LeavingReport
+    | StartTimesReport
     | EvacuationReport
     | StreamVersionReport
     | StreamVersionQuery
@@ -148,6 +152,8 @@
             return packb(crash_report_values(message))
         case LeavingReport():
             return packb(leaving_report_values(message))
+        case StartTimesReport():
+            return packb((START_TIMES_REPORT,))
         case EvacuationReport():
             return packb(evacuation_report_values(message))
         case StreamVersionReport():
@@ -476,6 +482,7 @@
     CRASH_REPORT: parse_crash_report,
     PART_CRASH_REPORT: parse_part_crash_report,
     LEAVING_REPORT: parse_leaving_report,
+    START_TIMES_REPORT: parse_start_times_report,
     EVACUATION_REPORT: parse_evacuation_report,
     STREAM_VERSION_REPORT: parse_version_report,
     STREAM_VERSION_QUERY: parse_version_query,
--- a/greengageflow/net/start_codec.py
+++ b/greengageflow/net/start_codec.py
@@ -1,9 +1,10 @@
-"""Messages about unproven starts of endpoints as values for msgpack."""
+"""Messages about starts of endpoints as values for msgpack."""
 
 from collections.abc import Iterable
 from math import isfinite
 from typing import Any
 
+from greengageflow.core.start_report import StartTimesReport
 from greengageflow.core.unproven_starts import (
     UnprovenStart,
     UnprovenStartQuery,
@@ -16,7 +17,7 @@
     read_addresses,
 )
 
-UNPROVEN_START_QUERY, UNPROVEN_START_REPORT = 35, 36
+UNPROVEN_START_QUERY, UNPROVEN_START_REPORT, START_TIMES_REPORT = 35, 36, 37
 
 
 def start_query_values(query: UnprovenStartQuery) -> tuple[Any, ...]:
@@ -73,3 +74,14 @@
     if not (isfinite(age) and age >= 0):
         raise ValueError("invalid age")
     return UnprovenStart(start, age)
+
+
+def parse_start_times_report(values: list[Any]) -> StartTimesReport:
+    """Return a report that start times are stated.
+
+    Raises:
+        ValueError: It has values.
+    """
+    if values:
+        raise ValueError("unexpected values")
+    return StartTimesReport()
