A body whose end is checked is held once

The attempt kept its buffer beside the copy that it passes on, for as long as the endpoint is checked (up to 3.7 s), though only one counts towards the limit of buffered responses. That limit has a test for it: with the reservation released at the end of the response, as before, it fails with `assert False == True` (budget.used 0).

--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -207,7 +207,8 @@
         if not self.needs_end_check:
             self._release_memory()
         if self._frames is None:
-            self._listener.on_answer(self, bytes(self._body))
+            body, self._body = bytes(self._body), bytearray()
+            self._listener.on_answer(self, body)
         elif self._frames.has_unfinished_event:
             self._on_cut("stream ended in the middle of an event")
         elif self._frames.ends_too_early:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -9,6 +9,7 @@
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.net._caller_parts import BodyBudget
+from greengageflow.net._http_parse import Framing
 from greengageflow.net.endpoint_attempt import (
     MAX_RESERVED_BYTES,
     UNRESERVED_RESPONSE_BYTES,
@@ -135,12 +136,11 @@
 class Attempts:
     """Attempts that share a budget, without a network."""
 
-    def __init__(self, count):
+    def __init__(self, count, framing=None):
         self.failed, self.answered = [], []
         self.budget = BodyBudget(MAX_RESERVED_BYTES)
-        pool = SimpleNamespace(
-            open=lambda *_: SimpleNamespace(cancel=lambda: None, at_last_data=False)
-        )
+        exchange = {"cancel": lambda: None, "at_last_data": False, "framing": framing}
+        pool = SimpleNamespace(open=lambda *_: SimpleNamespace(**exchange))
         self.all = [
             EndpointAttempt(
                 pool,
@@ -180,3 +180,19 @@
     for attempt in attempts.all:
         attempt.cancel()
     assert attempts.budget.used == 0
+
+
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CLOSE])
+@pytest.mark.parametrize("not_run", [True, False])
+def test_a_body_whose_end_is_checked_counts_until_then(framing, not_run):
+    """Bodies whose endpoints were checked for a second had no common bound."""
+    attempts = Attempts(1, framing)
+    [attempt] = attempts.all
+    attempt.response_info = SimpleNamespace(not_run=not_run)
+    attempt.on_data(bytes(2 * UNRESERVED_RESPONSE_BYTES))
+    attempt.on_end()
+    is_checked = framing is Framing.CLOSE and not not_run
+    assert attempts.answered == [attempt]
+    assert bool(attempts.budget.used) == is_checked
+    attempt.cancel()
+    assert attempts.budget.used == 0
