--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -53,8 +53,8 @@
 
 @pytest.fixture
 def own_services():
-    """Services of a gateway that the test ends."""
-    with PlatformLab(PlatformShape(plain=2)) as lab:
+    """One service endpoint of a gateway that the test ends."""
+    with PlatformLab(PlatformShape(plain=1)) as lab:
         yield lab
 
 
@@ -425,13 +425,15 @@
     assert body.endswith(b" " * PADDING) and json.loads(body)["target"] == SAFE
 
 
+@pytest.mark.parametrize("path", [SAFE, UNSAFE])
 @pytest.mark.parametrize("status", [200, 404, 500])
-def test_a_whole_answer_without_a_length_is_passed_on(services, status):
+def test_a_whole_answer_without_a_length_is_passed_on(services, path, status):
     """The same check must not turn whole answers and errors into failures."""
     set_faults(services, unframed="close", fail=status)
     for _ in range(ATTEMPTS):
-        answer = services.ask(UNSAFE)
+        answer = services.ask(path)
         assert answer.status == status and json.loads(answer.body)["id"] == answer.id
+        assert not answer.is_framed
 
 
 @pytest.mark.parametrize(
