--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -50,7 +50,6 @@
 from greengageflow.daemon.version_affinity import VersionAffinity
 from greengageflow.errors import NOT_RUN_STATUSES, ErrorKind, Ran, RouterError
 from greengageflow.net._caller_parts import BodyBudget
-from greengageflow.net._http_parse import Framing
 from greengageflow.net.endpoint_attempt import MAX_RESERVED_BYTES, EndpointAttempt
 from greengageflow.net.endpoint_response import ResponseInfo
 from greengageflow.net.event_frames import Frame
@@ -421,8 +420,7 @@
     @staticmethod
     def _begin_reply(ctx: ForwardContext, data: bytes = b"") -> None:
         """Start an answer that shows no more of its end than the endpoint's does."""
-        head = ctx.attempt.head
-        until_close = head.framing is Framing.CLOSE
+        head, until_close = ctx.attempt.head, ctx.attempt.until_close
         headers = headers_for_caller(head)
         ctx.reply.begin(head.status, headers, data, until_close=until_close)
 
--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -101,6 +101,11 @@
         """Whether the framing of the response shows that it is complete."""
         return self.framing is not Framing.CLOSE
 
+    @property
+    def until_close(self) -> bool:
+        """Whether the end of the connection delimits the body of the response."""
+        return self.head is not None and self.head.framing is Framing.CLOSE
+
     @property
     def needs_end_check(self) -> bool:
         """Whether the endpoint must be asked if the response is complete.
