--- a/greengageflow/net/endpoint_attempt.py
+++ b/greengageflow/net/endpoint_attempt.py
@@ -101,6 +101,11 @@
         """Whether the framing of the response shows that it is complete."""
         return self.framing is not Framing.CLOSE
 
+    @property
+    def until_close(self) -> bool:
+        """Whether the end of the connection delimits the body of the response."""
+        return self.head is not None and self.head.framing is Framing.CLOSE
+
     @property
     def needs_end_check(self) -> bool:
         """Whether the endpoint must be asked if the response is complete.
@@ -207,7 +212,8 @@
         if not self.needs_end_check:
             self._release_memory()
         if self._frames is None:
-            self._listener.on_answer(self, bytes(self._body))
+            body, self._body = bytes(self._body), bytearray()
+            self._listener.on_answer(self, body)
         elif self._frames.has_unfinished_event:
             self._on_cut("stream ended in the middle of an event")
         elif self._frames.ends_too_early:
