--- a/tests/test_heads_cut_short.py
+++ b/tests/test_heads_cut_short.py
@@ -33,6 +33,7 @@
 from greengageflow.lab.platform_client import IncompleteResponse
 from greengageflow.lab.platform_lab import (
     CHAT,
+    HOST,
     KEY,
     NON_RESUMABLE_CHAT,
     SAFE,
@@ -66,7 +67,12 @@
 )
 from greengageflow.platform.answers import interpret_answer
 from greengageflow.platform.interfaces import ReadyInterface
-from greengageflow.platform.names import READY_PATH, SERVERS_TOPIC
+from greengageflow.platform.names import (
+    CREDENTIAL,
+    READY_PATH,
+    REQUEST_ID,
+    SERVERS_TOPIC,
+)
 from greengageflow.platform.reports import StartVerifications
 from greengageflow.settings_file import Address
 
@@ -714,6 +720,28 @@
         assert len(engine.cut_ids) == 1 or path != UNSAFE
 
 
+@pytest.mark.parametrize("end", ["close", "reset", "half-close"])
+@pytest.mark.parametrize("form", ["length", "chunks", "trailers", "upgrade"])
+@pytest.mark.parametrize("path", ROUTES)
+def test_no_endpoint_gets_a_request_that_is_cut_short(lab, engine, path, form, end):
+    """An endpoint ran a part of a request."""
+    engine.response = OK + MARKS + LENGTH % (0, b"")
+    engine.cut = len(engine.response)
+    names = f"{CREDENTIAL}: {KEY}\r\n{REQUEST_ID}: cut\r\nhost: {HOST}\r\n".encode()
+    request = REQUESTS[form].replace(b"/services/a/b", path.encode())
+    request = request.replace(b"host: x\r\n", names)
+    for cut in range(0, len(request), 5):
+        with closing(lab.client().sock) as sock:
+            sock.sendall(request[:cut])
+            if end == "reset":
+                reset_on_close(sock)
+            if end == "half-close":
+                sock.shutdown(SHUT_WR)
+                assert not sock.recv(1)
+    assert status_of(lab, path) == 200
+    assert not any(b"request-id: cut" in request for request in engine.peer.requests)
+
+
 def status_of(lab, path):
     """Return the status of an answer, or None if it is cut."""
     try:
