Streams of a start that is listed after they began go on

Callers saw: streams that were cut, and refused when they were taken up, if they had begun at an engine that had started again in place and was not listed yet, also once it was.

Cause: the version of such a stream was unproven for good, though the start that began it is proven and its entry names the version a little later.

Changed: hosts remember which streams began at proven starts without a listed version. When the entry of the start is read they take its version, and the hosts that keep versions of streams are told; there a proven version replaces an unproven one.

--- a/greengageflow/core/version_affinity.py
+++ b/greengageflow/core/version_affinity.py
@@ -75,10 +75,13 @@
         return len(self._streams)
 
     def add(self, now: float, stream: StreamVersion) -> None:
-        """Add a stream; the first report on a stream holds."""
+        """Add a stream; the first report on a stream holds, unless it has no proof."""
         while self._streams and self._is_expired(now, next(iter(self._streams))):
             self._streams.popitem(last=False)
         if stream.request in self._streams:
+            began_at, before = self._streams[stream.request]
+            if before.version == UNPROVEN_VERSION:
+                self._streams[stream.request] = began_at, stream
             return
         self._streams[stream.request] = now, stream
         if len(self._streams) > MAX_STREAMS:
@@ -105,6 +108,31 @@
         return now - self._streams[request][0] >= RETENTION_S
 
 
+class UnlistedStreams:
+    """Streams that began at proven starts whose versions are not listed yet."""
+
+    def __init__(self) -> None:
+        self._streams: OrderedDict[str, tuple[float, str, StreamVersion]] = (
+            OrderedDict()
+        )
+
+    def add(self, now: float, start: str, stream: StreamVersion) -> None:
+        """Add a stream that began at a start of an endpoint."""
+        self._streams[stream.request] = now, start, stream
+        while self._is_oldest_expired(now) or len(self._streams) > MAX_STREAMS:
+            self._streams.popitem(last=False)
+
+    def _is_oldest_expired(self, now: float) -> bool:
+        began_at, _, _ = next(iter(self._streams.values()))
+        return now - began_at >= RETENTION_S
+
+    def on_listed(self, start: str, version: str) -> list[StreamVersion]:
+        """Remove the streams of a start that is listed now; return their versions."""
+        found = [name for name, row in self._streams.items() if row[1] == start]
+        streams = [self._streams.pop(name)[2] for name in found]
+        return [replace(stream, version=version) for stream in streams]
+
+
 def keepers_of(request: str, hosts: Iterable[Hello], count: int) -> list[Hello]:
     """Return the hosts that keep the version of a request's stream.
 
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -19,6 +19,7 @@
 from greengageflow.core.version_affinity import (
     UNPROVEN_VERSION,
     StreamVersion,
+    UnlistedStreams,
     VersionHistory,
 )
 from greengageflow.daemon.crash_watch import CrashWatch
@@ -124,6 +125,7 @@
         self._quarantine = quarantine
         self._history = history
         self._verifications = StartVerifications()
+        self._unlisted = UnlistedStreams()
         self._active: dict[str, ForwardContext] = {}
         self._by_call: dict[int, ForwardContext] = {}
 
@@ -358,6 +360,18 @@
         ctx.version = attempt.is_start_proven and version or UNPROVEN_VERSION
         stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
         self.affinity.on_begun(stream)
+        if attempt.verified_start and not version:
+            self._unlisted.add(self._timers.now, attempt.verified_start, stream)
+
+    def on_start_listed(self, endpoint: ListedEndpoint) -> None:
+        """Let streams go on that began at a start whose version is listed now."""
+        found = self._unlisted.on_listed(endpoint.start, endpoint.version)
+        for stream in found:
+            self.affinity.on_begun(stream)
+        versions = {stream.request: stream.version for stream in found}
+        for ctx in self._active.values():
+            if ctx.version == UNPROVEN_VERSION:
+                ctx.version = versions.get(ctx.req.id, UNPROVEN_VERSION)
 
     def on_versions_unproven(self) -> None:
         """Let no stream that has begun go on: ids do not tell starts apart."""
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -531,8 +531,11 @@
                 self._timers.now, listed.id, listed.cold_s
             )
         self._log.write(event, **fields)
-        if change.what == "start" and listed is not None and not listed.born:
-            self._forwarder.on_versions_unproven()
+        if change.what == "start" and listed is not None:
+            if listed.version:
+                self._forwarder.on_start_listed(listed)
+            elif not listed.born:
+                self._forwarder.on_versions_unproven()
         if change.what == "gone":
             self._service_dispatcher.forget_endpoint(change.id)
         if change.what == "new":
--- a/tests/test_restarted_in_place.py
+++ b/tests/test_restarted_in_place.py
@@ -312,6 +312,37 @@
             assert finish(lab, client, request) == whole
 
 
+def reads_of(process, name):
+    """Return how many entries a router has read that changed an endpoint's start."""
+    lines = process.stderr.splitlines()
+    return sum(
+        f'"endpoint":"{name}"' in line and '"release":"v1"' in line for line in lines
+    )
+
+
+@pytest.mark.parametrize("is_taken_up", [False, True])
+def test_streams_of_a_start_that_is_listed_later_go_on(is_taken_up):
+    """Their version was unknown for good, though their start is proven."""
+    slow = {**ENGINE, "step_ms": 100}
+    with lab_of(2, **slow) as lab:
+        restart(lab, "scribe-0", release="v1", register_after_ms=1500, **slow)
+        streams = [begin(lab, f"r{number % 3}") for number in range(4)]
+        if is_taken_up:
+            for client, _, _ in streams:
+                client.close(reset=True)
+        for process in lab.routers.values():
+            wait_for(lambda p=process: reads_of(p, "scribe-0") > 1, "listed again")
+        lab.cut_streams("scribe-0")
+        used = {engine for _, _, engine in streams}
+        assert "scribe-0" in used
+        for number, (client, request, _) in enumerate(streams):
+            if is_taken_up:
+                found = resume(lab, f"r{(number + 1) % 3}", {RESUMES: request})
+                assert found == (200, ["v1"] * (EVENTS - 2))
+            else:
+                assert releases_until_end(client) == ["v1"] * (EVENTS - 2)
+
+
 class Caller:
     """Runs streams one after another; takes up those that are cut or that it cuts.
 
--- a/tests/test_version_affinity.py
+++ b/tests/test_version_affinity.py
@@ -17,6 +17,7 @@
     UNPROVEN_VERSION,
     StreamVersion,
     StreamVersionTable,
+    UnlistedStreams,
     VersionHistory,
     keepers_of,
 )
@@ -185,3 +186,42 @@
         net.nodes["h0"].on_begun(StreamVersion(f"r{number}", "model", "v1"))
         net.run(0.05)
     assert all(net.find("h8", f"r{number}") == "v1" for number in range(50))
+
+
+UNPROVEN = StreamVersion("r", "m", UNPROVEN_VERSION)
+PROVEN = StreamVersion("r", "m", "v1")
+
+
+def test_a_proven_version_replaces_an_unproven_one_only():
+    table = StreamVersionTable()
+    table.add(1.0, UNPROVEN)
+    assert table.get(1.0, "r") == UNPROVEN
+    table.add(2.0, PROVEN)
+    assert table.get(2.0, "r") == PROVEN
+    for other in (UNPROVEN, StreamVersion("r", "m", "v2")):
+        table.add(3.0, other)
+        assert table.get(3.0, "r") == PROVEN
+    assert table.get(1.0 + RETENTION_S, "r") is None, "kept from its first report on"
+    table.add(4.0, PROVEN)
+    table.mark_unproven()
+    assert table.get(4.0, "r") == UNPROVEN
+
+
+def test_streams_of_a_start_get_the_version_that_is_listed_for_it():
+    streams = UnlistedStreams()
+    streams.add(1.0, "e 5", UNPROVEN)
+    assert not streams.on_listed("e 9", "v2")
+    assert streams.on_listed("e 5", "v1") == [PROVEN]
+    assert not streams.on_listed("e 5", "v1")
+
+
+def test_streams_of_a_start_that_is_never_listed_are_forgotten():
+    """They would fill the memory."""
+    streams = UnlistedStreams()
+    streams.add(1.0, "e 5", UNPROVEN)
+    streams.add(1.0 + RETENTION_S, "e 9", StreamVersion("q", "m", UNPROVEN_VERSION))
+    assert not streams.on_listed("e 5", "v1")
+    for number in range(MAX_STREAMS + 9):
+        stream = StreamVersion(f"{number}", "m", UNPROVEN_VERSION)
+        streams.add(1.0 + RETENTION_S, "e 9", stream)
+    assert len(streams.on_listed("e 9", "v1")) == MAX_STREAMS
