--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -20,6 +20,7 @@
 from greengageflow.core.version_affinity import (
     UNPROVEN_VERSION,
     StreamVersion,
+    UnlistedStreams,
     VersionHistory,
 )
 from greengageflow.daemon.crash_watch import CrashWatch
@@ -130,6 +131,7 @@
         self._quarantine = quarantine
         self._history = history
         self._verifications = StartVerifications()
+        self._unlisted = UnlistedStreams()
         self._active: dict[str, ForwardContext] = {}
         self._by_call: dict[int, ForwardContext] = {}
 
@@ -389,8 +391,11 @@
         ctx.version = version if is_proven else UNPROVEN_VERSION
         stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
         self.affinity.on_begun(stream)
-        if not is_proven:
-            self._hold_until_recorded(ctx, attempt.verified_start or UNKNOWN_START)
+        if is_proven:
+            return
+        if attempt.verified_start:
+            self._unlisted.add(self._timers.now, attempt.verified_start, stream)
+        self._hold_until_recorded(ctx, attempt.verified_start or UNKNOWN_START)
 
     def _hold_until_recorded(self, ctx: ForwardContext, start: str) -> None:
         """Hold a stream's first events until other hosts have its unproven start.
@@ -424,6 +429,16 @@
         headers = headers_for_caller(head)
         ctx.reply.begin(head.status, headers, data, until_close=until_close)
 
+    def on_start_listed(self, endpoint: ListedEndpoint) -> None:
+        """Let streams go on that began at a start whose version is listed now."""
+        found = self._unlisted.on_listed(endpoint.start, endpoint.version)
+        for stream in found:
+            self.affinity.on_begun(stream)
+        versions = {stream.request: stream.version for stream in found}
+        for ctx in self._active.values():
+            if ctx.version == UNPROVEN_VERSION:
+                ctx.version = versions.get(ctx.req.id, UNPROVEN_VERSION)
+
     def on_versions_unproven(self) -> None:
         """Let no stream that has begun go on: ids do not tell starts apart."""
         for ctx in self._active.values():
