An endpoint's late report loses no whole answer without a length

Callers saw: 502, or a stream that was cut after its last event, for whole answers without a length whose endpoint took over a second to report; and 504 for plain ones whose deadline passed while their endpoint was checked.

Cause: a check that was not answered in time counted as the end of the endpoint's process, and waited for a report past the deadline. Nothing is shown by it, and the answer's framing states no end since then.

Change: only a refused connection, or another start that answers, shows that the process has ended.

--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -11,7 +11,7 @@
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.incarnation import IncarnationEvidence
-from greengageflow.net.http_messages import Failure, Response
+from greengageflow.net.http_messages import Failure, FailureKind, Response
 from greengageflow.net.http_pool import Exchange, HttpPool
 from greengageflow.net.timers import Subscription, Timers
 from greengageflow.platform.reports import (
@@ -26,7 +26,7 @@
 ANSWER_TIMEOUT_S = 1.0
 """Time without progress after which a check fails, in seconds."""
 CHECK_TIMEOUT_S = 1.5
-"""Time after which a check fails, in seconds."""
+"""Time after which a check ends without an answer, in seconds."""
 REPORT_LAG_S = 0.7
 """Time after which a report no longer lists a run that has ended, in seconds."""
 
@@ -35,7 +35,9 @@
     """What a check of an endpoint shows about an answer that has ended."""
 
     GONE = auto()
-    """Its process does not answer, or another start of it does."""
+    """Its process has ended, or another start of it answers."""
+    UNKNOWN = auto()
+    """It did not answer in time, or not to this connection."""
     LISTED = auto()
     """It lists the run, which had not ended at the time of its report."""
     UNLISTED = auto()
@@ -94,11 +96,18 @@
         self._on_done: Callable[[EndFinding], None] | None = on_done
         self._pool = pool
         self._timers = timers
+        self._timeout_s = CHECK_TIMEOUT_S
         self._timer: Subscription | None = None
         self._exchange: Exchange | None = None
 
-    def start(self, delay_s: float = 0.0) -> None:
-        """Ask for the report after a delay in seconds."""
+    def start(self, delay_s: float = 0.0, timeout_s: float = CHECK_TIMEOUT_S) -> None:
+        """Ask for the report.
+
+        Args:
+            delay_s: Time until then, in seconds.
+            timeout_s: Time that the endpoint has for its answer, in seconds.
+        """
+        self._timeout_s = timeout_s
         if delay_s > 0:
             self._timer = self._timers.after(delay_s, self._send)
         else:
@@ -113,7 +122,7 @@
             retry_stale=False,
             until_close=True,
         )
-        self._timer = self._timers.after(CHECK_TIMEOUT_S, self._on_timeout)
+        self._timer = self._timers.after(self._timeout_s, self._on_timeout)
         self._exchange = self._pool.fetch(request, self._on_answer)
 
     def cancel(self) -> None:
@@ -125,7 +134,7 @@
     def _on_timeout(self) -> None:
         on_done = self._on_done
         self.cancel()
-        on_done(EndFinding.GONE)
+        on_done(EndFinding.UNKNOWN)
 
     def _on_answer(self, answer: Response | Failure) -> None:
         on_done = self._on_done
@@ -137,6 +146,9 @@
         on_done(self._finding(answer))
 
     def _finding(self, answer: Response | Failure) -> EndFinding:
+        if isinstance(answer, Failure):
+            is_refused = answer.kind is FailureKind.CONNECT and not answer.timed_out
+            return EndFinding.GONE if is_refused else EndFinding.UNKNOWN
         if not is_alive(answer, self._endpoint, states_start=self._states_start):
             return EndFinding.GONE
         if lists_run(answer, self._request):
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -24,7 +24,12 @@
     VersionHistory,
 )
 from greengageflow.daemon.crash_watch import CrashWatch
-from greengageflow.daemon.end_check import REPORT_LAG_S, EndCheck, EndFinding
+from greengageflow.daemon.end_check import (
+    CHECK_TIMEOUT_S,
+    REPORT_LAG_S,
+    EndCheck,
+    EndFinding,
+)
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_context import (
     EndProof,
@@ -604,11 +609,11 @@
         on_alive: Callable[[EndFinding], None],
         delay_s: float = 0.0,
     ) -> None:
-        """Treat an answer as truncated unless its endpoint is found to live.
+        """Treat an answer as truncated if its endpoint is found to have ended.
 
         Args:
             ctx: The request.
-            on_alive: Called with what the endpoint's report shows.
+            on_alive: Called with what else is found.
             delay_s: Time until the endpoint is asked, in seconds.
         """
 
@@ -632,7 +637,12 @@
             pool=self._pool,
             timers=self._timers,
         )
-        ctx.end_check.start(delay_s)
+        # The answer must reach its caller in time, whatever the check finds.
+        timeout_s = ctx.deadline - MIN_ATTEMPT_S - self._timers.now - delay_s
+        if timeout_s > 0:
+            ctx.end_check.start(delay_s, min(timeout_s, CHECK_TIMEOUT_S))
+        else:
+            on_done(EndFinding.UNKNOWN)
 
     def _check_again(
         self, ctx: ForwardContext, ended_at: float, on_ended: Callable[[], None]
@@ -642,18 +652,20 @@
         Args:
             ctx: The request.
             ended_at: Time at which the answer ended.
-            on_ended: Called if the endpoint is alive and no longer lists the run.
+            on_ended: Called if the endpoint no longer lists the run, or if that can't
+                be found out.
         """
 
         def on_checked(finding: EndFinding) -> None:
-            if finding is EndFinding.UNLISTED:
-                on_ended()
-            else:
+            if finding is EndFinding.LISTED:
                 self._on_truncated(ctx, "the run goes on after the end of its answer")
+            else:
+                on_ended()
 
         endpoint = ctx.attempt.endpoint
         self.placement.on_request_released(ctx.id, endpoint, completed=True)
-        self._check_end(ctx, on_checked, ended_at + REPORT_LAG_S - self._timers.now)
+        delay_s = max(0.0, ended_at + REPORT_LAG_S - self._timers.now)
+        self._check_end(ctx, on_checked, delay_s)
 
     def _on_truncated(self, ctx: ForwardContext, text: str) -> None:
         ctx.unconfirmed_end = None
--- a/greengageflow/lab/_platform_faults.py
+++ b/greengageflow/lab/_platform_faults.py
@@ -48,6 +48,7 @@
         unframed: Send a response without a length. ``close`` ends it by closing the
             connection, ``early`` closes it after half of the body, ``reset`` resets it
             there, and ``exit`` ends the process there. ``fail`` sets its status.
+        report_delay_s: Delay of reports in seconds.
         padding: Number of spaces behind the body of a plain response.
         early: Respond as soon as the head has arrived, then read the body.
         hang: Start the request and never respond.
@@ -80,6 +81,7 @@
     extra: str = ""
     extra_s: float = 0.5
     unframed: str = ""
+    report_delay_s: float = 0.0
     padding: int = 0
     early: bool = False
     hang: bool = False
--- a/greengageflow/lab/platform_replica.py
+++ b/greengageflow/lab/platform_replica.py
@@ -236,7 +236,10 @@
             return
         if call.path == REPORT_PATH:
             self._report_requests += 1
-            self.finish(call, response_bytes(200, self._report))
+            self.timers.after(
+                self._faults.report_delay_s,
+                lambda: self.finish(call, response_bytes(200, self._report)),
+            )
         elif call.path == KV_LIST:
             cached = [["", part, n, model] for model, part, n in self._batch.cache.rows]
             body = {"epoch": self._name, "next": 0, "held": cached} | self._parts_born
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -243,12 +243,15 @@
         message: Description for people.
         stale: True if a reused connection ended before the first byte of the
             response; servers may close idle connections at any time.
+        timed_out: True if a timeout passed, so nothing shows whether the server is
+            alive.
     """
 
     kind: FailureKind
     sent: bool
     message: str
     stale: bool = False
+    timed_out: bool = False
 
     @property
     def connection_lost(self) -> bool:
