A stream of unknown version goes on only by a list that was read for it

What callers could see: a stream with events of two software versions. A caller takes a stream up at a host that does not know its version, which takes the only version of its list. That list was up to 5 s old; the host that began the stream may have read a later one, with a new version in it.

Cause: the absence of an entry in an old list counted as a statement that there is none.

Evidence: pytest tests/test_unproven_starts.py -k not_current before the change, with the store's reads answered no longer: (200, 38 events) where (503, []) was expected.

Change: before it takes the only version, the host reads the list, and the read must have begun after the request came; 503 after 1 s without an answer. One read serves all requests that wait. Hosts that observed no history, which is most of them, refuse at once as before and read nothing.

Tried first: to wait for the next read that is due. Its interval is more than a second in the lab, and no stream of unknown version went on (the file's fixture failed).

--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -24,6 +24,7 @@
     VersionHistory,
 )
 from greengageflow.daemon.crash_watch import CrashWatch
+from greengageflow.daemon.current_list import CurrentList
 from greengageflow.daemon.end_check import REPORT_LAG_S, EndCheck, EndFinding
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forward_context import (
@@ -97,6 +98,8 @@
             first call.
         unproven_starts: Knows which starts of unknown version began streams; must be
             set before the first call.
+        current_list: Tells when the list of endpoints is current; must be set before
+            the first call.
         on_other_start: Called with a start of an endpoint that answers before it is
             listed; must be set before the first call.
     """
@@ -106,6 +109,7 @@
     leaving: LeavingWatch
     affinity: VersionAffinity
     unproven_starts: UnprovenStarts
+    current_list: CurrentList
     on_other_start: OnOtherStart
 
     def __init__(
@@ -211,14 +215,28 @@
         """
         if not self._is_open(ctx):
             return
-        if shared:
-            within_s = STREAM_TIMEOUTS * ctx.route.timeout_s
-            starts = self.unproven_starts.starts(ctx.service, within_s)
-            ctx.version = self._history.only_version(
-                self._timers.now, ctx.service, within_s, starts
-            )
+        if shared and self._only_version(ctx):
+            # The host that began the stream may have read a later list.
+            self.current_list.wait(lambda current: self._on_list(ctx, current))
+        else:
+            self._submit_at_version(ctx)
+
+    def _on_list(self, ctx: ForwardContext, current: bool) -> None:
+        if not self._is_open(ctx):
+            return
+        versions = self._endpoints.versions().get(ctx.service, set())
+        only = self._only_version(ctx)
+        if current and versions <= {only}:
+            ctx.version = only or ""
         self._submit_at_version(ctx)
 
+    def _only_version(self, ctx: ForwardContext) -> str | None:
+        within_s = STREAM_TIMEOUTS * ctx.route.timeout_s
+        starts = self.unproven_starts.starts(ctx.service, within_s)
+        return self._history.only_version(
+            self._timers.now, ctx.service, within_s, starts
+        )
+
     def _submit_at_version(self, ctx: ForwardContext) -> None:
         if ctx.version:
             self._submit(ctx)
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -40,6 +40,7 @@
 from greengageflow.daemon.cached_parts import CachedPartsLoader
 from greengageflow.daemon.crash_recorders import GatewayCrashRecorder
 from greengageflow.daemon.crash_watch import CrashWatch
+from greengageflow.daemon.current_list import CurrentList
 from greengageflow.daemon.evacuation_watch import EvacuationWatch
 from greengageflow.daemon.exchange_listener import Placements
 from greengageflow.daemon.fleet_exchange import FleetExchange
@@ -262,6 +263,9 @@
             poll_interval_s=read_interval_s(*settings.bounds.read_deadlines_s),
             clock=clock,
         )
+        self._forwarder.current_list = CurrentList(
+            self._timers, self._store_view, clock
+        )
         self._key_watch = KeyWatch(
             self._key_trust, self._store_view, self._log, clock()
         )
--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -379,6 +379,12 @@
 
     # The endpoint list.
 
+    def read_list(self, since: float) -> None:
+        """Begin a read, unless one has begun since a time or none may begin."""
+        follower = self._list_follower
+        if follower.can_read and follower.last_call_at < since:
+            follower.read()
+
     def on_list_confirmed(self, at: float) -> None:
         """Handle a confirmation that the endpoint list was the newest at ``at``."""
         self._report_if_standby(self.list_confirmed_at)
--- a/tests/test_unproven_starts.py
+++ b/tests/test_unproven_starts.py
@@ -10,7 +10,7 @@
     PlatformShape,
     configuration,
 )
-from greengageflow.platform.names import RESUMES
+from greengageflow.platform.names import LOG_READ, RESUMES
 from tests.support import wait_for
 from tests.test_restarted_in_place import (
     ENGINE,
@@ -92,3 +92,11 @@
     for router in ("r0", "r2"):
         lab.routers[router].popen.send_signal(SIGCONT)
     begin_at(lab, "scribe-0")
+
+
+def test_a_stream_of_unknown_version_does_not_go_on_by_a_list_that_is_not_current(lab):
+    """Another host may have begun it at a version that was listed meanwhile."""
+    lab.set_store_faults(down=True, path=LOG_READ)
+    assert resume(lab, "r0", {RESUMES: "unknown"}) == (503, [])
+    lab.set_store_faults()
+    wait_for(lambda: goes_on(lab), "the list is read again")
