A late copy of an engine's rejection does not reject the next request

What could be seen, on the product's own interface: a caller is told that its request has not run, while the engine runs it. Pieces and whole answers carry the id of their request; rejections carry none, so a second copy of one, on a kept connection, that arrives after the next request was sent counted for that one.

Change: a connection to an engine is closed after an answer with another status than 200. It costs a new connection after each rejection.

--- a/greengageflow/net/_http_conn.py
+++ b/greengageflow/net/_http_conn.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from errno import EINPROGRESS
+from http import HTTPStatus
 from socket import (
     AF_INET,
     IPPROTO_IP,
@@ -119,7 +120,7 @@
         self._until_close = False
         self._accepts: Callable[[Head], bool] | None = None
         self._echo: tuple[str, str] | None = None
-        self._is_named = True
+        self._keeps_rejected = self._may_keep = True
         self._skipping = False
         self._overhead_bytes = 0
         self._parser = ResponseParser()
@@ -161,6 +162,7 @@
         until_close: bool = False,
         accepts: Callable[[Head], bool] | None = None,
         echo: tuple[str, str] | None = None,
+        keeps_rejected: bool = True,
     ) -> None:
         """Prepare a request for ``flush``; see ``HttpRequest`` for the arguments.
 
@@ -172,7 +174,7 @@
         self._parser.expect(method)
         self._until_close = until_close
         self._accepts = accepts
-        self._echo, self._is_named = echo, True
+        self._echo, self._keeps_rejected = echo, keeps_rejected
         self._skipping = False
         self._overhead_bytes = 0
         names = {name.lower() for name, _ in headers}
@@ -273,14 +275,15 @@
             yield from self._end_by_close()
 
     def _belongs_to_request(self, head: Head) -> bool:
+        self._may_keep = self._keeps_rejected or head.status == HTTPStatus.OK
         if self._echo is not None:
             name, request_id = self._echo
             echoed = head.header(name)
-            self._is_named = echoed == request_id
             if self.reused and not echoed:
                 raise BadMessage("response on a kept connection names no request")
-            if self.reused and not self._is_named:
+            if self.reused and echoed != request_id:
                 return False
+            self._may_keep &= echoed == request_id
         return self._accepts is None or self._accepts(head)
 
     def _on_body_bytes(self, count: int) -> None:
@@ -302,7 +305,7 @@
     def _end(self, end: ResponseEnd, *, is_last: bool) -> End:
         # An idle connection must not keep its last request in memory.
         self._accepts = None
-        reusable = end.keep_alive and is_last and self._is_named
+        reusable = end.keep_alive and is_last and self._may_keep
         reusable = reusable and not self._peer_closed and not self._unsent
         return End(reusable, self._parser.framing)
 
--- a/greengageflow/net/engine_client.py
+++ b/greengageflow/net/engine_client.py
@@ -262,6 +262,7 @@
             request.connect_timeout_s,
             request.idle_timeout_s,
             retry_stale=not request.idempotency_key and not self.resumed,
+            keeps_rejected=False,
             may_retry=request.may_retry,
             not_after=None if self.resumed else request.not_after,
         )
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -164,6 +164,8 @@
             ``request_id``. A connection is kept only after a response that does. On a
             kept one, responses with another id are discarded, and one without an id is
             invalid. Empty if no header does.
+        keeps_rejected: False if a connection is closed after a response with another
+            status than 200, since a late copy of it would count for the next request.
         first_sent_at: Monotonic time at which a request with this id was first sent,
             in seconds; infinite if none was.
         verification: Must have allowed a connection before the request is sent on it;
@@ -186,6 +188,7 @@
     accepts: Callable[[Head], bool] | None = None
     request_id: str = ""
     echo_header: str = ""
+    keeps_rejected: bool = True
     first_sent_at: float = inf
     verification: Verification | None = None
 
--- a/greengageflow/net/http_pool.py
+++ b/greengageflow/net/http_pool.py
@@ -182,6 +182,7 @@
                 until_close=request.until_close,
                 accepts=request.accepts,
                 echo=request.echo,
+                keeps_rejected=request.keeps_rejected,
             )
         except BadHead:
             self._close(conn)
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -262,6 +262,35 @@
     assert len(peer.sources) == 3
 
 
+@pytest.mark.parametrize("stream", [True, False])
+def test_late_copy_of_a_rejection_does_not_reject_the_next_request(loop, stream):
+    """The caller was told that its request had not run, while the engine ran it."""
+    busy = b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n"
+    whole = json.dumps({"id": "r1", "choices": [{}]}).encode()
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(whole), whole)
+    if stream:
+        answer = COMPLETE_STREAM
+
+    def script(conn, number):
+        if not number:
+            conn.request()
+            conn.send(busy)
+            conn.request()
+            conn.send(busy)
+        else:
+            conn.request()
+        conn.send(answer)
+
+    _, listener, peer = run(loop, script, stream=stream)
+    assert isinstance(listener.ends[0], Refused)
+    request = EngineRequest("127.0.0.1", peer.port, "r1", {"stream": stream})
+    again = Listener()
+    call = EngineCall(loop.pool, loop.timers, request, again)
+    loop.call(call.start)
+    wait_for(lambda: again.ends)
+    assert isinstance(again.ends[0], Completed)
+
+
 def test_slow_caller_does_not_hold_the_engine_connection(loop):
     """A complete response must free its connection even if the caller is slow.
 
