A held stream that ended by close alone is not passed on unrecorded

A stream of an unlisted start is held until other hosts have the start. A whole one was passed on without that, since nobody takes it up; but where only the connection's end shows its end, it may be a part, and its caller may take it up.

--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -426,7 +426,7 @@
 
         def on_recorded(recorded: bool) -> None:
             ctx.reply = reply
-            if recorded or held.is_finished:
+            if recorded or (held.is_finished and not held.until_close):
                 held.release()
             elif self._is_open(ctx):
                 self._on_not_recorded(ctx)
