--- a/greengageflow/platform/store.py
+++ b/greengageflow/platform/store.py
@@ -149,8 +149,10 @@
             KeyedRecord(item["key"], b64decode(item["value"]) or None, item["offset"])
             for item in doc["items"]
         )
-        more = bool(doc.get("truncated")) and bool(items)
-        return Batch(items, int(doc["end"]), items[-1].key if more else "")
+        is_truncated = doc.get("truncated", False)
+        if type(is_truncated) is not bool or (is_truncated and not items):
+            raise ValueError("does not say where the next page starts")
+        return Batch(items, int(doc["end"]), items[-1].key if is_truncated else "")
     except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
         raise StoreAnswerError(f"not a list of records: {exc!r}") from exc
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -132,6 +132,16 @@
         parse_newest(Response(200, (), value))
 
 
+@pytest.mark.parametrize("truncated", [b"true", b"1", b'"false"', b"null"])
+def test_a_page_without_records_is_not_the_last_one_unless_it_says_so(truncated):
+    """All endpoints that it did not name were taken for removed."""
+    body = b'{"items": [], "truncated": %b, "end": 3}' % truncated
+    with pytest.raises(StoreAnswerError):
+        parse_newest(Response(200, (), body))
+    body = b'{"items": [], "truncated": false, "end": 3}'
+    assert parse_newest(Response(200, (), body)).after == ""
+
+
 @pytest.mark.parametrize(
     ("tenants", "keyed"),
     [({}, False), ({"tenants": None}, False), ({"tenants": []}, True)],
