--- a/tests/test_endpoint_reports.py
+++ b/tests/test_endpoint_reports.py
@@ -114,7 +114,7 @@
     def __init__(self):
         self.checks = StartVerifications()
 
-    def verify(self, stated):
+    def verify(self, stated, failing=()):
         """Return the paths that are asked in turn, and the last evidence."""
         check = self.checks.verification(
             LISTED, lambda _other: None, is_engine=True, required=True, timeout_s=1.0
@@ -123,7 +123,8 @@
         while check is not None:
             paths.append(check.request.path)
             body = {"born": 5} if check.request.path in stated else {}
-            evidence = check.evaluate(Response(200, (), json.dumps(body).encode()))
+            status = 429 if check.request.path in failing else 200
+            evidence = check.evaluate(Response(status, (), json.dumps(body).encode()))
             is_unstated = evidence is IncarnationEvidence.UNSTATED
             check = check.fallback if is_unstated else None
         return paths, evidence
@@ -151,3 +152,18 @@
 
 def test_report_that_states_the_start_is_all_that_is_asked_for():
     assert Engine().verify({REPORT_PATH, KV_LIST})[0] == [REPORT_PATH]
+
+
+def test_one_rejected_call_does_not_leave_all_later_starts_unproven():
+    """After one 429 the engines of the service were never asked for a start again."""
+    engine = Engine()
+    engine.verify({KV_LIST})
+    engine.verify({KV_LIST}, failing={KV_LIST})
+    assert engine.verify({KV_LIST})[1] is IncarnationEvidence.SAME
+
+
+def test_one_rejected_report_does_not_replace_reports_by_lists_of_cached_parts():
+    """Lists of cached parts delay an engine."""
+    engine = Engine()
+    engine.verify({REPORT_PATH, KV_LIST}, failing={REPORT_PATH})
+    assert engine.verify({REPORT_PATH, KV_LIST})[0] == [REPORT_PATH]
