--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -93,16 +93,17 @@
 class EndpointList:
     """The listed endpoints, by id.
 
-    Once any endpoint has stated a start time, ids may be shared by several starts, so
-    an entry without a start time names none: its version is unknown.
+    Once an endpoint of a service has stated a start time, ids may be shared by several
+    starts there, so an entry without a start time names none: its version is unknown.
 
     Attributes:
-        states_starts: Whether any endpoint has stated a start time.
-        lists_starts: Whether any entry has had one.
+        stating: Services of which an endpoint has stated a start time.
+        listing: Those of which an entry has had one.
     """
 
     def __init__(self) -> None:
-        self.states_starts = self.lists_starts = False
+        self.stating: set[str] = set()
+        self.listing: set[str] = set()
         # The marks are kept apart from the entries, since an entry may expire and come
         # back while its endpoint drains.
         self._leaving = _StartMarks()
@@ -202,25 +203,26 @@
 
     def version_of(self, endpoint: ListedEndpoint) -> str:
         """Return the listed version of this start, or an empty string if unknown."""
-        if not endpoint.born and self.states_starts:
+        if not endpoint.born and endpoint.service in self.stating:
             return ""
         listed = self._listed.get(endpoint.id)
         if listed is not None and listed.start == endpoint.start:
             return listed.version
         return endpoint.version
 
-    def on_start_stated(self) -> list[ListChange]:
-        """Record that endpoints state start times, and return the changes."""
-        if self.states_starts:
+    def on_start_stated(self, service: str) -> list[ListChange]:
+        """Record that endpoints of a service state start times; return the changes."""
+        if service in self.stating:
             return []
-        self.states_starts = True
-        for endpoint in list(self._listed.values()):
+        self.stating.add(service)
+        found = self.of_service(service)
+        for endpoint in found:
             self._listed[endpoint.id] = self._without_unproven_version(endpoint)
         self._usable.clear()
-        return [ListChange(endpoint, "start") for endpoint in self._listed]
+        return [ListChange(endpoint.id, "start") for endpoint in found]
 
     def _without_unproven_version(self, endpoint: ListedEndpoint) -> ListedEndpoint:
-        if endpoint.born or not self.states_starts:
+        if endpoint.born or endpoint.service not in self.stating:
             return endpoint
         self._unproven_versions[endpoint.id] = endpoint.version
         return replace(endpoint, version="")
@@ -253,7 +255,7 @@
 
         Requests that depend on the version don't go there until it is listed.
         """
-        yield from self.on_start_stated()
+        yield from self.on_start_stated(endpoint.service)
         listed = self._listed.get(endpoint.id)
         if listed is None or listed.born >= endpoint.born:
             return
@@ -288,8 +290,10 @@
     def put(self, endpoint: ListedEndpoint) -> Iterator[ListChange]:
         """Add or update an entry, and yield the changes."""
         if endpoint.born:
-            yield from self.on_start_stated()
-            self.lists_starts |= not endpoint.is_unlisted
+            yield from self.on_start_stated(endpoint.service)
+            if not endpoint.is_unlisted:
+                self.listing.add(endpoint.service)
+        endpoint = self._with_answered_start(endpoint)
         before = self._listed.get(endpoint.id)
         if before is not None and endpoint.born < before.born:
             return
@@ -320,6 +324,20 @@
         if endpoint.leaving:
             yield ListChange(endpoint.id, "leaving")
 
+    def _with_answered_start(self, endpoint: ListedEndpoint) -> ListedEndpoint:
+        """Return an entry without a start time as one of the start that answers."""
+        replaced = self._replaced.get(endpoint.id)
+        if endpoint.born or replaced is None or replaced.born:
+            return endpoint
+        same = (endpoint.address, endpoint.version, endpoint.service)
+        if same == (replaced.address, replaced.version, replaced.service):
+            self._replaced[endpoint.id] = endpoint
+            return replace(endpoint, born=self._listed[endpoint.id].born, version="")
+        # Another process, whose start is known once it answers.
+        del self._replaced[endpoint.id]
+        self._listed[endpoint.id] = replace(self._listed[endpoint.id], born=0)
+        return endpoint
+
     def _is_restart(self, before: ListedEndpoint, endpoint: ListedEndpoint) -> bool:
         """Return whether an entry is of another start than the entry before."""
         if endpoint.born > before.born > 0:
--- a/greengageflow/core/start_report.py
+++ b/greengageflow/core/start_report.py
@@ -5,4 +5,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTimesReport:
-    """Message to other hosts: an endpoint stated a start time that no entry has."""
+    """Message to other hosts: endpoints stated start times that no entry has.
+
+    Args:
+        services: Services of the endpoints.
+    """
+
+    services: tuple[str, ...]
--- a/greengageflow/core/version_affinity.py
+++ b/greengageflow/core/version_affinity.py
@@ -87,10 +87,12 @@
         if len(self._streams) > MAX_STREAMS:
             self._streams.popitem(last=False)
 
-    def mark_unproven(self) -> None:
-        """Record that no stream's version is proven any more."""
+    def mark_unproven(self, service: str) -> None:
+        """Record that the version of no stream of a service is proven any more."""
         for request, (at, stream) in self._streams.items():
-            self._streams[request] = at, replace(stream, version=UNPROVEN_VERSION)
+            if stream.service == service:
+                unproven = replace(stream, version=UNPROVEN_VERSION)
+                self._streams[request] = at, unproven
 
     def get(self, now: float, request: str) -> StreamVersion | None:
         """Return the version of the stream that a request began, or None."""
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -197,7 +197,7 @@
         """
         if not self._is_open(ctx):
             return
-        if stream is None and self._endpoints.states_starts:
+        if stream is None and ctx.service in self._endpoints.stating:
             self.unproven_starts.share(
                 ctx.service, lambda shared: self._on_starts(ctx, shared)
             )
@@ -348,7 +348,7 @@
             ctx,
             self._verifications,
             self.on_other_start,
-            states_starts=self._endpoints.states_starts,
+            states_starts=ctx.service in self._endpoints.stating,
             is_engine=self._dispatcher.is_engine(choice.endpoint),
         )
         ctx.attempt = EndpointAttempt(
@@ -462,12 +462,12 @@
             if ctx.version == UNPROVEN_VERSION:
                 ctx.version = versions.get(ctx.req.id, UNPROVEN_VERSION)
 
-    def on_versions_unproven(self) -> None:
-        """Let no stream that has begun go on: ids do not tell starts apart."""
+    def on_versions_unproven(self, service: str) -> None:
+        """Let no stream of a service go on: ids tell no starts apart."""
         for ctx in self._active.values():
-            if ctx.version:
+            if ctx.version and ctx.service == service:
                 ctx.version = UNPROVEN_VERSION
-        self.affinity.on_versions_unproven()
+        self.affinity.on_versions_unproven(service)
 
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle the end of an answer that is not streamed."""
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -454,9 +454,9 @@
         """Handle a report of endpoints that announced that they leave."""
         self._leaving_watch.receive(report.endpoints)
 
-    def on_start_times_report(self, _report: StartTimesReport) -> None:
+    def on_start_times_report(self, report: StartTimesReport) -> None:
         """Handle a report that endpoints state start times which entries lack."""
-        self._start_times.receive()
+        self._start_times.receive(report)
 
     def on_evacuation_report(self, report: EvacuationReport) -> None:
         """Handle a report of evacuated zones."""
@@ -518,7 +518,7 @@
         # It may be cold until its entry states otherwise.
         cold_s = self._service_dispatcher.service(endpoint.service).cold_start_s
         found = replace(endpoint, cold_s=cold_s)
-        self._start_times.on_answer()
+        self._start_times.on_answer(endpoint.service)
         changes = [
             *self._endpoints.restore(endpoint.id, endpoint.born),
             *self._endpoints.put_unlisted(found),
@@ -555,7 +555,7 @@
             if listed.version:
                 self._forwarder.on_start_listed(listed)
             elif not listed.born:
-                self._forwarder.on_versions_unproven()
+                self._forwarder.on_versions_unproven(listed.service)
         if change.what == "gone":
             self._service_dispatcher.forget_endpoint(change.id)
         if change.what == "new":
--- a/greengageflow/daemon/start_times_watch.py
+++ b/greengageflow/daemon/start_times_watch.py
@@ -23,7 +23,7 @@
     """Reports to other hosts that endpoints state start times in their answers.
 
     Hosts that got no such answer would take the entries of these endpoints for ones
-    that name a start. Where any entry has a start time, all hosts know from the list.
+    that name a start. Where an entry of the service has one, all hosts know from the list.
 
     Args:
         endpoints: Listed endpoints.
@@ -48,16 +48,19 @@
         """Begin to send reports to random hosts periodically, while they are needed."""
         self._timers.every(GOSSIP_INTERVAL_S, lambda: self._send(GOSSIP_FANOUT))
 
-    def on_answer(self) -> None:
+    def on_answer(self, service: str) -> None:
         """Handle an answer that states a start time."""
-        if not self._endpoints.states_starts:
-            self._on_changes(self._endpoints.on_start_stated())
+        if service not in self._endpoints.stating:
+            self._on_changes(self._endpoints.on_start_stated(service))
             self._send(None)
 
-    def receive(self) -> None:
+    def receive(self, report: StartTimesReport) -> None:
         """Handle a report of another host."""
-        self._on_changes(self._endpoints.on_start_stated())
+        for service in report.services:
+            self._on_changes(self._endpoints.on_start_stated(service))
 
     def _send(self, max_peers: int | None) -> None:
-        if self._endpoints.states_starts and not self._endpoints.lists_starts:
-            self._sender.send_start_times(StartTimesReport(), max_peers)
+        services = self._endpoints.stating - self._endpoints.listing
+        if services:
+            report = StartTimesReport(tuple(sorted(services)))
+            self._sender.send_start_times(report, max_peers)
--- a/greengageflow/daemon/version_affinity.py
+++ b/greengageflow/daemon/version_affinity.py
@@ -68,9 +68,9 @@
             self._timers.after(SEND_DELAY_S, self._send_unsent)
         self._unsent.append(stream)
 
-    def on_versions_unproven(self) -> None:
-        """Record that the versions of all streams so far are not proven."""
-        self._table.mark_unproven()
+    def on_versions_unproven(self, service: str) -> None:
+        """Record that the versions of a service's streams so far are not proven."""
+        self._table.mark_unproven(service)
 
     def on_stop(self) -> None:
         """Hand what this host keeps to the keepers that there are without it."""
--- a/greengageflow/net/report_codec.py
+++ b/greengageflow/net/report_codec.py
@@ -153,7 +153,7 @@
         case LeavingReport():
             return packb(leaving_report_values(message))
         case StartTimesReport():
-            return packb((START_TIMES_REPORT,))
+            return packb((START_TIMES_REPORT, *message.services))
         case EvacuationReport():
             return packb(evacuation_report_values(message))
         case StreamVersionReport():
--- a/greengageflow/net/start_codec.py
+++ b/greengageflow/net/start_codec.py
@@ -80,8 +80,8 @@
     """Return a report that start times are stated.
 
     Raises:
-        ValueError: It has values.
+        ValueError: A value is out of range.
+        TypeError: A value has the wrong type.
     """
-    if values:
-        raise ValueError("unexpected values")
-    return StartTimesReport()
+    check_names(values)
+    return StartTimesReport(tuple(values))
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -84,7 +84,8 @@
                 if other is not None:
                     on_other_start(other)
                 evidence = incarnation_evidence(response, endpoint)
-                self._note_source(endpoint.service, request.path, evidence)
+                if response.status == HTTPStatus.OK:
+                    self._note_source(endpoint.service, request.path, evidence)
                 return evidence
 
             request = replace(request, idle_timeout_s=timeout_s)
--- a/tests/test_report_codec.py
+++ b/tests/test_report_codec.py
@@ -230,7 +230,7 @@
     | CRASH_REPORTS
     | PART_CRASH_REPORTS
     | VERSION_REPORTS
-    | st.builds(StartTimesReport)
+    | st.builds(StartTimesReport, st.lists(NAMES).map(tuple))
     | VERSION_QUERIES
     | START_QUERIES
     | START_REPORTS
--- a/tests/test_start_times_watch.py
+++ b/tests/test_start_times_watch.py
@@ -24,9 +24,9 @@
         router.on_start_times_report = self.receive
         self.watch.start()
 
-    def receive(self, _report):
+    def receive(self, report):
         self.received += 1
-        self.watch.receive()
+        self.watch.receive(report)
 
     @property
     def version(self):
@@ -40,7 +40,7 @@
     hosts = [Host(router) for router in routers]
     network.run(8)
     assert {host.version for host in hosts} == {"v1"}
-    hosts[0].watch.on_answer()
+    hosts[0].watch.on_answer(ENTRY.service)
     network.run(8)
     assert {host.version for host in hosts} == {""}
     assert {len(host.changes) for host in hosts} == {1}
@@ -61,6 +61,6 @@
     network.run(8)
     if stated == "in an entry":
         list(hosts[0].listed.put(replace(endpoint("e1", born=5), version="v1")))
-        hosts[0].watch.on_answer()
+        hosts[0].watch.on_answer(ENTRY.service)
     network.run(8)
     assert not sum(host.received for host in hosts)
--- a/tests/test_started_again.py
+++ b/tests/test_started_again.py
@@ -264,7 +264,7 @@
 def test_ids_name_starts_where_no_start_time_is_stated():
     listed = list_of(UNDATED)
     assert start_of(listed) == (0, "v1")
-    assert listed.version_of(UNDATED) == "v1" and not listed.states_starts
+    assert listed.version_of(UNDATED) == "v1" and not listed.stating
     assert not list(listed.put(UNDATED))
 
 
--- a/tests/test_version_affinity.py
+++ b/tests/test_version_affinity.py
@@ -203,7 +203,7 @@
         assert table.get(3.0, "r") == PROVEN
     assert table.get(1.0 + RETENTION_S, "r") is None, "kept from its first report on"
     table.add(4.0, PROVEN)
-    table.mark_unproven()
+    table.mark_unproven(PROVEN.service)
     assert table.get(4.0, "r") == UNPROVEN
 
 
