--- a/greengageflow/daemon/start_times_watch.py
+++ b/greengageflow/daemon/start_times_watch.py
@@ -23,7 +23,8 @@
     """Reports to other hosts that endpoints state start times in their answers.
 
     Hosts that got no such answer would take the entries of these endpoints for ones
-    that name a start. Where an entry of the service has one, all hosts know from the list.
+    that name a start. Where an entry of the service has a start time, all hosts know
+    from the list.
 
     Args:
         endpoints: Listed endpoints.
--- a/tests/soak_seeds.py
+++ b/tests/soak_seeds.py
@@ -88,7 +88,7 @@
         "A key was accepted 2.39 s after it was revoked: connections to the store were "
         "silent, and by the log the poll and its first retry each timed out after 1 s.",
         "product: a read after a failed one uses a new connection",
-        "test_read_after_a_failed_one_uses_a_new_connection",
+        "test_every_read_uses_a_new_connection",
     ),
     FailedSeed(
         8007,
