Engines that do not list their cached parts are asked for them once

Callers could see nothing of it; each new connection of a resumable stream cost a request for a list that the engine does not know, and no report was asked for any more.

Cause: only responses with status 200 were counted as ones that do not state a start.

Evidence: the new test in 'pytest tests/test_endpoint_reports.py' failed before: the second connection was asked for the cached parts, not for a report.

Changed: all statuses count but those that are temporary (408, 429, 5xx).

--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -39,6 +39,12 @@
     )
 
 
+def _is_temporary(status: int) -> bool:
+    """Return whether a status says nothing of what other responses will state."""
+    temporary = (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS)
+    return status in temporary or status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
 def _has_no_id(head: Head) -> bool:
     # A late answer to an earlier request on the connection has that request's id.
     return not head.header(REQUEST_ID)
@@ -84,7 +90,7 @@
                 if other is not None:
                     on_other_start(other)
                 evidence = incarnation_evidence(response, endpoint)
-                if response.status == HTTPStatus.OK:
+                if not _is_temporary(response.status):
                     self._note_source(endpoint.service, request.path, evidence)
                 return evidence
 
--- a/tests/test_endpoint_reports.py
+++ b/tests/test_endpoint_reports.py
@@ -114,7 +114,7 @@
     def __init__(self):
         self.checks = StartVerifications()
 
-    def verify(self, stated, failing=()):
+    def verify(self, stated, failing=(), status=429):
         """Return the paths that are asked in turn, and the last evidence."""
         check = self.checks.verification(
             LISTED, lambda _other: None, is_engine=True, required=True, timeout_s=1.0
@@ -123,8 +123,8 @@
         while check is not None:
             paths.append(check.request.path)
             body = {"born": 5} if check.request.path in stated else {}
-            status = 429 if check.request.path in failing else 200
-            evidence = check.evaluate(Response(status, (), json.dumps(body).encode()))
+            code = status if check.request.path in failing else 200
+            evidence = check.evaluate(Response(code, (), json.dumps(body).encode()))
             is_unstated = evidence is IncarnationEvidence.UNSTATED
             check = check.fallback if is_unstated else None
         return paths, evidence
@@ -167,3 +167,10 @@
     engine = Engine()
     engine.verify({REPORT_PATH, KV_LIST}, failing={REPORT_PATH})
     assert engine.verify({REPORT_PATH, KV_LIST})[0] == [REPORT_PATH]
+
+
+def test_engines_that_do_not_list_their_cached_parts_are_asked_for_them_once():
+    """They would be asked on each connection, and never for a report again."""
+    engine = Engine()
+    asked = [engine.verify(set(), failing={KV_LIST}, status=404) for _ in range(2)]
+    assert [paths for paths, _ in asked] == [[REPORT_PATH, KV_LIST], [REPORT_PATH]]
