--- a/tests/test_endpoint_reports.py
+++ b/tests/test_endpoint_reports.py
@@ -114,10 +114,10 @@
     def __init__(self):
         self.checks = StartVerifications()
 
-    def verify(self, stated, failing=()):
+    def verify(self, stated, failing=(), endpoint=LISTED):
         """Return the paths that are asked in turn, and the last evidence."""
         check = self.checks.verification(
-            LISTED, lambda _other: None, is_engine=True, required=True, timeout_s=1.0
+            endpoint, lambda _other: None, is_engine=True, required=True, timeout_s=1.0
         )
         paths = []
         while check is not None:
@@ -167,3 +167,10 @@
     engine = Engine()
     engine.verify({REPORT_PATH, KV_LIST}, failing={REPORT_PATH})
     assert engine.verify({REPORT_PATH, KV_LIST})[0] == [REPORT_PATH]
+
+
+def test_one_engine_that_states_no_start_does_not_decide_for_the_others():
+    """After its answer the starts of all engines of the service stayed unproven."""
+    engine = Engine()
+    engine.verify(set(), endpoint=replace(LISTED, id="older"))
+    assert engine.verify({KV_LIST})[1] is IncarnationEvidence.SAME
--- a/tests/test_entries_without_start_times.py
+++ b/tests/test_entries_without_start_times.py
@@ -42,3 +42,11 @@
     endpoints = listed(ENTRY, odd)
     list(endpoints.drop("odd"))
     assert endpoints.version_of(endpoints.get("e")) == "v1"
+
+
+def test_an_endpoint_that_announced_that_it_leaves_gets_no_work():
+    """Its start time became known, and the mark counted as one of an earlier start."""
+    endpoints = listed(ENTRY)
+    endpoints.mark_leaving("e", 0)
+    list(endpoints.put_unlisted(replace(ENTRY, born=1000, version="")))
+    assert not endpoints.may_use("e")
