Late lists of cached parts, and engines without them, lose no stream

No list counts as one without a start time now, and the engine is asked for its report only from then on. test_late_cached_parts. - One engine that states no start there, such as one of an earlier release, ended the question for its whole service. What answers lack is noted by start now. test_endpoint_reports -k decide. - An endpoint that had announced that it leaves got work again once its start time was stated, as the mark is of an unknown start. The mark goes over to the start that answers. test_entries_without_start_times -k announced.

--- a/greengageflow/core/endpoint_list.py
+++ b/greengageflow/core/endpoint_list.py
@@ -263,6 +263,8 @@
             yield from self.put(endpoint)
         else:
             # The entry may have been written by this start, so no state is cleared.
+            if self._leaving.covers(listed.id, 0):
+                self._leaving.add(listed.id, endpoint.born)
             self._listed[listed.id] = replace(listed, born=endpoint.born)
             self._usable.clear()
             listed = replace(listed, version=self._unproven_versions[listed.id])
--- a/greengageflow/net/_verifier.py
+++ b/greengageflow/net/_verifier.py
@@ -99,7 +99,12 @@
         match result:
             case Failure(kind=kind, message=message):
                 self.counts[FAILED] += 1
-                self._fail(exchange, kind, f"verification: {message}")
+                on_failure = exchange.request.verification.on_failure
+                if on_failure is None:
+                    self._fail(exchange, kind, f"verification: {message}")
+                    return
+                on_failure()
+                self._on_evidence(exchange, None, IncarnationEvidence.UNSTATED)
             case Response():
                 evidence = exchange.request.verification.evaluate(result)
                 self.counts[evidence.name.lower()] += 1
--- a/greengageflow/net/http_messages.py
+++ b/greengageflow/net/http_messages.py
@@ -113,6 +113,8 @@
             not state its start.
         fallback: Verification on the same connection if the response to this one does
             not state the start, or None.
+        on_failure: Called if there is no response, which then counts as one that does
+            not state the start; None if the main request fails with it.
     """
 
     request: "HttpRequest"
@@ -120,6 +122,7 @@
     start: str
     required: bool
     fallback: "Verification | None" = None
+    on_failure: Callable[[], None] | None = None
 
     def allows(self, verdict: Verdict | None) -> bool:
         """Whether the main request may be sent on a connection with this verdict."""
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -24,6 +24,8 @@
 
 MAX_BORN_MS = 2**53
 """Latest start time that is believed, in Unix milliseconds."""
+MAX_NOTED_SOURCES = 8192
+"""Maximum number of answers that are known to lack the start time of an endpoint."""
 
 
 def report_request(endpoint: ListedEndpoint) -> HttpRequest:
@@ -54,12 +56,12 @@
     """Verifies that connections lead to the listed starts of endpoints.
 
     Endpoints state their start time in their reports. Engines whose reports lack it are
-    asked for their cached prompt parts on the same connection, unless engines of the
-    service have not stated it there either.
+    asked for their cached prompt parts on the same connection, unless they have not
+    stated it there either.
     """
 
     def __init__(self) -> None:
-        self._unstated: set[tuple[str, str]] = set()
+        self._unstated: dict[tuple[str, str], None] = {}
 
     def verification(
         self,
@@ -91,30 +93,36 @@
                     on_other_start(other)
                 evidence = incarnation_evidence(response, endpoint)
                 if not _is_temporary(response.status):
-                    self._note_source(endpoint.service, request.path, evidence)
+                    self._note_source(endpoint, request.path, evidence)
                 return evidence
 
             request = replace(request, idle_timeout_s=timeout_s)
             return Verification(request, evaluate, endpoint.start, required, fallback)
 
+        def on_failure() -> None:
+            self._note_source(endpoint, KV_LIST, IncarnationEvidence.UNSTATED)
+
         report = report_request(endpoint)
         if not is_engine or self._is_unstated(endpoint, KV_LIST):
             return check(report)
         parts = check(replace(cached_parts_request(endpoint), accepts=_has_no_id))
+        parts = replace(parts, on_failure=on_failure)
         return (
             parts if self._is_unstated(endpoint, REPORT_PATH) else check(report, parts)
         )
 
     def _is_unstated(self, endpoint: ListedEndpoint, path: str) -> bool:
-        return (endpoint.service, path) in self._unstated
+        return (endpoint.start, path) in self._unstated
 
     def _note_source(
-        self, service: str, path: str, evidence: IncarnationEvidence
+        self, endpoint: ListedEndpoint, path: str, evidence: IncarnationEvidence
     ) -> None:
         if evidence is IncarnationEvidence.UNSTATED:
-            self._unstated.add((service, path))
+            self._unstated[endpoint.start, path] = None
+            if len(self._unstated) > MAX_NOTED_SOURCES:
+                del self._unstated[next(iter(self._unstated))]
         elif evidence is not IncarnationEvidence.OTHER:
-            self._unstated.discard((service, path))
+            self._unstated.pop((endpoint.start, path), None)
 
 
 def incarnation_evidence(
--- a/tests/test_endpoint_reports.py
+++ b/tests/test_endpoint_reports.py
@@ -114,10 +114,10 @@
     def __init__(self):
         self.checks = StartVerifications()
 
-    def verify(self, stated, failing=(), status=429):
+    def verify(self, stated, failing=(), status=429, endpoint=LISTED):
         """Return the paths that are asked in turn, and the last evidence."""
         check = self.checks.verification(
-            LISTED, lambda _other: None, is_engine=True, required=True, timeout_s=1.0
+            endpoint, lambda _other: None, is_engine=True, required=True, timeout_s=1.0
         )
         paths = []
         while check is not None:
@@ -174,3 +174,10 @@
     engine = Engine()
     asked = [engine.verify(set(), failing={KV_LIST}, status=404) for _ in range(2)]
     assert [paths for paths, _ in asked] == [[REPORT_PATH, KV_LIST], [REPORT_PATH]]
+
+
+def test_one_engine_that_states_no_start_does_not_decide_for_the_others():
+    """After its answer the starts of all engines of the service stayed unproven."""
+    engine = Engine()
+    engine.verify(set(), endpoint=replace(LISTED, id="older"))
+    assert engine.verify({KV_LIST})[1] is IncarnationEvidence.SAME
