--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -16,15 +16,7 @@
     RefuseJob,
     StartJob,
 )
-from greengageflow.core.unproven_starts import UNKNOWN_START
-from greengageflow.core.version_affinity import (
-    UNPROVEN_VERSION,
-    StreamVersion,
-    UnlistedStreams,
-    VersionHistory,
-)
 from greengageflow.daemon.crash_watch import CrashWatch
-from greengageflow.daemon.current_list import CurrentList
 from greengageflow.daemon.end_check import (
     CHECK_TIMEOUT_S,
     REPORT_LAG_S,
@@ -50,11 +42,9 @@
     with_stale_retry,
 )
 from greengageflow.daemon.forward_telemetry import ForwardTelemetry
-from greengageflow.daemon.held_reply import HeldReply
 from greengageflow.daemon.leaving_watch import LeavingWatch
 from greengageflow.daemon.placement import Placement
-from greengageflow.daemon.unproven_starts import UnprovenStarts
-from greengageflow.daemon.version_affinity import VersionAffinity
+from greengageflow.daemon.stream_versions import StreamVersions
 from greengageflow.errors import NOT_RUN_STATUSES, ErrorKind, Ran, RouterError
 from greengageflow.net._caller_parts import BodyBudget
 from greengageflow.net.endpoint_attempt import MAX_RESERVED_BYTES, EndpointAttempt
@@ -70,8 +60,6 @@
 
 MAX_ATTEMPTS = 4
 """Maximum number of times that a request is sent, the first one included."""
-STREAM_TIMEOUTS = 2.0
-"""Time after which no stream that began before goes on, in timeouts of its route."""
 SUSPECT_RUN_MAX_AGE_S = 1.0
 """Age up to which a run is suspected when its endpoint crashes, in seconds.
 
@@ -90,7 +78,6 @@
         admission: Finds routes and accounts.
         telemetry: Writes log lines and metrics.
         quarantine: Requests that must not be sent to any endpoint.
-        history: Software versions of each service over time.
 
     Attributes:
         placement: Decides locally or through another host where requests go; must be
@@ -99,12 +86,8 @@
             the first call.
         leaving: Handles endpoints that announce that they are leaving; must be set
             before the first call.
-        affinity: Knows which software version began a stream; must be set before the
+        versions: Knows which software version began a stream; must be set before the
             first call.
-        unproven_starts: Knows which starts of unknown version began streams; must be
-            set before the first call.
-        current_list: Tells when the list of endpoints is current; must be set before
-            the first call.
         on_other_start: Called with a start of an endpoint that answers before it is
             listed; must be set before the first call.
     """
@@ -112,9 +95,7 @@
     placement: Placement
     crashes: CrashWatch
     leaving: LeavingWatch
-    affinity: VersionAffinity
-    unproven_starts: UnprovenStarts
-    current_list: CurrentList
+    versions: StreamVersions
     on_other_start: OnOtherStart
 
     def __init__(
@@ -126,7 +107,6 @@
         admission: ForwardAdmission,
         telemetry: ForwardTelemetry,
         quarantine: Quarantine,
-        history: VersionHistory,
     ) -> None:
         self.stopping = False
         self.refusing = False
@@ -138,9 +118,7 @@
         self._admission = admission
         self._telemetry = telemetry
         self._quarantine = quarantine
-        self._history = history
         self._verifications = StartVerifications()
-        self._unlisted = UnlistedStreams()
         self._active: dict[str, ForwardContext] = {}
         self._by_call: dict[int, ForwardContext] = {}
 
@@ -183,66 +161,14 @@
         timeout_s = ctx.deadline - ctx.arrived_at
         ctx.timer = self._timers.after(timeout_s, lambda: self._on_deadline(ctx))
         if ctx.resumes_stream:
-            self.affinity.find(
-                ctx.stream_request, lambda stream: self._on_version(ctx, stream)
-            )
+            self.versions.find(ctx, lambda: self._on_version(ctx))
         else:
             self._submit(ctx)
 
-    def _on_version(self, ctx: ForwardContext, stream: StreamVersion | None) -> None:
-        """Submit a request that takes up a stream once the stream's version is known.
-
-        If it is not known, the version is taken that the service had all the time,
-        also at unlisted starts; with several versions the request is refused.
-        """
-        if not self._is_open(ctx):
-            return
-        if stream is None and ctx.service in self._endpoints.stating:
-            self.unproven_starts.share(
-                ctx.service, lambda shared: self._on_starts(ctx, shared)
-            )
-            return
-        if stream is None:
-            # Each start has an id of its own, so each stream began at a listed one.
-            self._on_starts(ctx, shared=True)
-            return
-        services = [backend.service for backend in ctx.route.backends]
-        if stream.service in services:
-            ctx.service, ctx.version = stream.service, stream.version
-        self._submit_at_version(ctx)
-
-    def _on_starts(self, ctx: ForwardContext, shared: bool) -> None:
-        """Submit a request that takes up a stream of which no host has the version.
-
-        Args:
-            ctx: The request.
-            shared: Whether this host has all unproven starts of the service.
-        """
-        if not self._is_open(ctx):
-            return
-        if shared and self._only_version(ctx):
-            # The host that began the stream may have read a later list.
-            self.current_list.wait(lambda current: self._on_list(ctx, current))
-        else:
-            self._submit_at_version(ctx)
-
-    def _on_list(self, ctx: ForwardContext, current: bool) -> None:
+    def _on_version(self, ctx: ForwardContext) -> None:
+        """Submit a request that takes up a stream, if the stream's version is known."""
         if not self._is_open(ctx):
             return
-        versions = self._endpoints.versions().get(ctx.service, set())
-        only = self._only_version(ctx)
-        if current and versions <= {only}:
-            ctx.version = only or ""
-        self._submit_at_version(ctx)
-
-    def _only_version(self, ctx: ForwardContext) -> str | None:
-        within_s = STREAM_TIMEOUTS * ctx.route.timeout_s
-        starts = self.unproven_starts.starts(ctx.service, within_s)
-        return self._history.only_version(
-            self._timers.now, ctx.service, within_s, starts
-        )
-
-    def _submit_at_version(self, ctx: ForwardContext) -> None:
         if ctx.version:
             self._submit(ctx)
         else:
@@ -406,44 +332,18 @@
             ctx.reply.on_drain = attempt.resume
 
     def _on_begun(self, ctx: ForwardContext) -> None:
-        if ctx.version or ctx.route.retry_policy is not RetryPolicy.RESUME:
-            return
-        attempt = ctx.attempt
-        version = self._endpoints.version_of(attempt.endpoint)
-        is_proven = bool(attempt.is_start_proven and version)
-        ctx.version = version if is_proven else UNPROVEN_VERSION
-        stream = StreamVersion(ctx.req.id, ctx.service, ctx.version)
-        self.affinity.on_begun(stream)
-        if is_proven:
-            return
-        if attempt.verified_start:
-            self._unlisted.add(self._timers.now, attempt.verified_start, stream)
-        self._hold_until_recorded(ctx, attempt.verified_start or UNKNOWN_START)
-
-    def _hold_until_recorded(self, ctx: ForwardContext, start: str) -> None:
-        """Hold a stream's first events until other hosts have its unproven start.
-
-        This host may end at any time, and another one would take the version for that
-        of the list.
-        """
-        reply = ctx.reply
-        held = ctx.reply = HeldReply(reply)
-
-        def on_recorded(recorded: bool) -> None:
-            ctx.reply = reply
-            if recorded or (held.is_finished and not held.until_close):
-                held.release()
-            elif self._is_open(ctx):
-                self._on_not_recorded(ctx)
-            else:
-                held.error(_not_recorded_error())
-
-        self.unproven_starts.record(ctx.service, start, on_recorded)
+        if not ctx.version and ctx.route.retry_policy is RetryPolicy.RESUME:
+            self.versions.on_begun(ctx, lambda: self._on_not_recorded(ctx))
 
     def _on_not_recorded(self, ctx: ForwardContext) -> None:
+        text = "the start of the endpoint is not listed, and no other host recorded it"
+        exc = RouterError(ErrorKind.ENDPOINT_FAILED, text)
+        if not self._is_open(ctx):
+            ctx.reply.error(exc)
+            return
         self._stop_attempt(ctx)
         ctx.phase, ctx.unconfirmed_end = Phase.SENT, None
-        self._answer_error(ctx, _not_recorded_error())
+        self._answer_error(ctx, exc)
 
     @staticmethod
     def _begin_reply(ctx: ForwardContext, data: bytes = b"") -> None:
@@ -453,21 +353,11 @@
         ctx.reply.begin(head.status, headers, data, until_close=until_close)
 
     def on_start_listed(self, endpoint: ListedEndpoint) -> None:
-        """Let streams go on that began at a start whose version is listed now."""
-        found = self._unlisted.on_listed(endpoint.start, endpoint.version)
-        for stream in found:
-            self.affinity.on_begun(stream)
-        versions = {stream.request: stream.version for stream in found}
-        for ctx in self._active.values():
-            if ctx.version == UNPROVEN_VERSION:
-                ctx.version = versions.get(ctx.req.id, UNPROVEN_VERSION)
-
-    def on_versions_unproven(self, service: str) -> None:
-        """Let no stream of a service go on: ids tell no starts apart."""
-        for ctx in self._active.values():
-            if ctx.version and ctx.service == service:
-                ctx.version = UNPROVEN_VERSION
-        self.affinity.on_versions_unproven(service)
+        """Handle that the list names a start, or the version of that start."""
+        if endpoint.version:
+            self.versions.on_start_listed(endpoint, self._active.values())
+        elif not endpoint.born:
+            self.versions.on_versions_unproven(endpoint.service, self._active.values())
 
     def on_answer(self, ctx: ForwardContext, body: bytes) -> None:
         """Handle the end of an answer that is not streamed."""
@@ -963,11 +853,6 @@
         self.carry_out(self.placement.on_request_end(now, ctx.service, ctx.id))
 
 
-def _not_recorded_error() -> RouterError:
-    text = "the start of the endpoint is not listed, and no other host recorded it"
-    return RouterError(ErrorKind.ENDPOINT_FAILED, text)
-
-
 class _AttemptListener:
     """Passes events of an attempt to the forwarder unless a newer one replaced it."""
 
--- a/greengageflow/daemon/gateway.py
+++ b/greengageflow/daemon/gateway.py
@@ -64,6 +64,7 @@
 from greengageflow.daemon.router_registry import RouterRegistry
 from greengageflow.daemon.start_times_watch import StartTimesWatch
 from greengageflow.daemon.store_view import StoreView
+from greengageflow.daemon.stream_versions import StreamVersions
 from greengageflow.daemon.unproven_starts import UnprovenStarts
 from greengageflow.daemon.version_affinity import VersionAffinity
 from greengageflow.errors import ErrorKind, RouterError
@@ -163,7 +164,6 @@
             self._admission,
             self._forward_notes,
             self._quarantine,
-            self._version_history,
         )
         self._add_fleet()
         self._add_servers()
@@ -211,12 +211,8 @@
         )
         self._placement.on_redirected = self._forwarder.on_redirected
         self._forwarder.on_other_start = self._on_other_start
-        self._affinity = self._forwarder.affinity = VersionAffinity(
-            hello, self._timers, self._exchange
-        )
-        self._unproven_starts = self._forwarder.unproven_starts = UnprovenStarts(
-            hello, self._timers, self._exchange
-        )
+        self._affinity = VersionAffinity(hello, self._timers, self._exchange)
+        self._unproven_starts = UnprovenStarts(hello, self._timers, self._exchange)
         self._crash_watch = self._forwarder.crashes = CrashWatch(
             self._quarantine,
             self._timers,
@@ -263,8 +259,13 @@
             poll_interval_s=read_interval_s(*settings.bounds.read_deadlines_s),
             clock=clock,
         )
-        self._forwarder.current_list = CurrentList(
-            self._timers, self._store_view, clock
+        self._forwarder.versions = StreamVersions(
+            self._timers,
+            self._endpoints,
+            self._version_history,
+            self._affinity,
+            self._unproven_starts,
+            CurrentList(self._timers, self._store_view, clock),
         )
         self._key_watch = KeyWatch(
             self._key_trust, self._store_view, self._log, clock()
@@ -552,10 +553,7 @@
             )
         self._log.write(event, **fields)
         if change.what == "start" and listed is not None:
-            if listed.version:
-                self._forwarder.on_start_listed(listed)
-            elif not listed.born:
-                self._forwarder.on_versions_unproven(listed.service)
+            self._forwarder.on_start_listed(listed)
         if change.what == "gone":
             self._service_dispatcher.forget_endpoint(change.id)
         if change.what == "new":
--- a/tests/test_redirect_messages.py
+++ b/tests/test_redirect_messages.py
@@ -70,7 +70,7 @@
 
 def test_forwarder_answers_no_rejection_while_a_second_placer_is_asked():
     """The caller would get 429, and the second placer's start would have no request."""
-    forwarder = Forwarder(None, None, None, None, None, None, None, None)
+    forwarder = Forwarder(None, None, None, None, None, None, None)
     forwarder._active["1"] = SimpleNamespace(id="1")
     answered = []
     forwarder._answer_error = lambda ctx, exc: answered.append(exc.kind)
--- a/tests/test_short_backoff.py
+++ b/tests/test_short_backoff.py
@@ -18,7 +18,6 @@
 from greengageflow.core.routes import Backend, RetryPolicy, Route, Routing
 from greengageflow.core.service_dispatcher import ServiceDispatcher
 from greengageflow.core.trust import KeyTrust
-from greengageflow.core.version_affinity import VersionHistory
 from greengageflow.daemon.forward_admission import ForwardAdmission
 from greengageflow.daemon.forwarder import Forwarder
 from greengageflow.daemon.placement import Placement
@@ -64,7 +63,6 @@
             admission,
             Mock(),
             Quarantine(crashes=2, hold_s=60.0),
-            VersionHistory(),
         )
         hello = Hello(host="h", boot=1, ip="127.0.0.1", port=1, zone="z")
         self.forwarder.placement = Placement(
