--- a/tests/test_whole_unproven_answers.py
+++ b/tests/test_whole_unproven_answers.py
@@ -1,9 +1,14 @@
 """Whole answers without a length, of endpoints that live, reach their callers."""
 
+from contextlib import closing
 from time import sleep
 
 import pytest
+from http_fakes import FakePeer, Loop
+from http_fakes import wait_for as wait_until
 
+from greengageflow.core.endpoint_list import ListedEndpoint
+from greengageflow.daemon.end_check import EndCheck, EndFinding
 from greengageflow.lab.platform_client import IncompleteResponse
 from greengageflow.lab.platform_lab import (
     KEY,
@@ -106,3 +111,27 @@
         assert body_of(fleet, name, subject) == whole(name, subject)
     finally:
         fleet[2].is_late = False
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+def test_a_rejected_check_does_not_show_that_the_endpoint_has_ended(status):
+    """Whole streams of starts that had been verified were cut."""
+
+    def reject(conn, _number):
+        conn.request()
+        conn.send(b"HTTP/1.1 %d -\r\nContent-Length: 0\r\n\r\n" % status)
+
+    loop, peer, found = Loop(), FakePeer(reject), []
+    loop.thread.start()
+    check = EndCheck(
+        ListedEndpoint("e", "s", "127.0.0.1", peer.port, "z", born=7),
+        "r",
+        found.append,
+        on_other_start=pytest.fail,
+        states_start=True,
+        pool=loop.pool,
+        timers=loop.timers,
+    )
+    with closing(loop), closing(peer):
+        loop.call(check.start)
+        assert wait_until(lambda: found) != [EndFinding.GONE]
