--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum, auto
+from http import HTTPStatus
 
 from greengageflow.core.endpoint_list import ListedEndpoint
 from greengageflow.core.incarnation import IncarnationEvidence
@@ -37,7 +38,7 @@
     GONE = auto()
     """Its process has ended, or another start of it answers."""
     UNKNOWN = auto()
-    """It did not answer in time, or not to this connection."""
+    """It did not answer in time, or rejected the check."""
     LISTED = auto()
     """It lists the run, which had not ended at the time of its report."""
     UNLISTED = auto()
@@ -150,6 +151,10 @@
             is_refused = answer.kind is FailureKind.CONNECT and not answer.timed_out
             return EndFinding.GONE if is_refused else EndFinding.UNKNOWN
         if not is_alive(answer, self._endpoint, states_start=self._states_start):
+            evidence = incarnation_evidence(answer, self._endpoint)
+            is_rejection = answer.status != HTTPStatus.OK
+            if evidence is IncarnationEvidence.UNSTATED and is_rejection:
+                return EndFinding.UNKNOWN
             return EndFinding.GONE
         if lists_run(answer, self._request):
             return EndFinding.LISTED
--- a/greengageflow/daemon/forward_sending.py
+++ b/greengageflow/daemon/forward_sending.py
@@ -56,6 +56,7 @@
     verifications: StartVerifications,
     on_other_start: OnOtherStart,
     *,
+    now: float,
     states_starts: bool,
     is_engine: bool,
 ) -> Verification | None:
@@ -70,6 +71,7 @@
     return verifications.verification(
         ctx.choice.endpoint,
         on_other_start,
+        now=now,
         is_engine=is_engine,
         required=ctx.phase is Phase.STREAMING or ctx.resumes_stream,
         timeout_s=VERIFICATION_TIMEOUT_S,
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -274,6 +274,7 @@
             ctx,
             self._verifications,
             self.on_other_start,
+            now=now,
             states_starts=ctx.service in self._endpoints.stating,
             is_engine=self._dispatcher.is_engine(choice.endpoint),
         )
--- a/greengageflow/platform/reports.py
+++ b/greengageflow/platform/reports.py
@@ -24,6 +24,9 @@
 
 MAX_BORN_MS = 2**53
 """Latest start time that is believed, in Unix milliseconds."""
+PARTS_RETRY_S = 5.0
+"""Time after which an engine that did not list its cached parts is asked for them
+again, in seconds."""
 MAX_NOTED_SOURCES = 8192
 """Maximum number of answers that are known to lack the start time of an endpoint."""
 
@@ -62,12 +65,14 @@
 
     def __init__(self) -> None:
         self._unstated: dict[tuple[str, str], None] = {}
+        self._failed_at: dict[str, float] = {}
 
     def verification(
         self,
         endpoint: ListedEndpoint,
         on_other_start: Callable[[ListedEndpoint], None],
         *,
+        now: float,
         is_engine: bool,
         required: bool,
         timeout_s: float,
@@ -79,6 +84,7 @@
         Args:
             endpoint: The endpoint.
             on_other_start: Called with another start of it that answers.
+            now: The time, in seconds.
             is_engine: Whether it can list its cached prompt parts.
             required: True if an endpoint that does not state its start gets no request.
             timeout_s: Maximum time without progress of each check, in seconds.
@@ -100,10 +106,16 @@
             return Verification(request, evaluate, endpoint.start, required, fallback)
 
         def on_failure() -> None:
-            self._note_source(endpoint, KV_LIST, IncarnationEvidence.UNSTATED)
+            self._failed_at[endpoint.start] = now
+            if len(self._failed_at) > MAX_NOTED_SOURCES:
+                del self._failed_at[next(iter(self._failed_at))]
 
         report = report_request(endpoint)
-        if not is_engine or self._is_unstated(endpoint, KV_LIST):
+        failed_at = self._failed_at.get(endpoint.start, float("-inf"))
+        has_no_parts = now - failed_at < PARTS_RETRY_S or self._is_unstated(
+            endpoint, KV_LIST
+        )
+        if not is_engine or has_no_parts:
             return check(report)
         parts = check(replace(cached_parts_request(endpoint), accepts=_has_no_id))
         parts = replace(parts, on_failure=on_failure)
--- a/tests/test_endpoint_reports.py
+++ b/tests/test_endpoint_reports.py
@@ -20,9 +20,8 @@
 
 
 def verification(endpoint=LISTED, on_other_start=lambda _endpoint: None):
-    return StartVerifications().verification(
-        endpoint, on_other_start, is_engine=False, required=True, timeout_s=1.0
-    )
+    options = {"now": 0.0, "is_engine": False, "required": True, "timeout_s": 1.0}
+    return StartVerifications().verification(endpoint, on_other_start, **options)
 
 
 @pytest.mark.parametrize(
@@ -79,6 +78,7 @@
         ctx,
         StartVerifications(),
         lambda _endpoint: None,
+        now=0.0,
         states_starts=states_starts,
         is_engine=True,
     )
@@ -114,11 +114,13 @@
     def __init__(self):
         self.checks = StartVerifications()
 
-    def verify(self, stated, failing=(), status=429, endpoint=LISTED):
+    def check(self, endpoint=LISTED, now=0.0):
+        options = {"now": now, "is_engine": True, "required": True, "timeout_s": 1.0}
+        return self.checks.verification(endpoint, lambda _other: None, **options)
+
+    def verify(self, stated, failing=(), status=429, endpoint=LISTED, now=0.0):
         """Return the paths that are asked in turn, and the last evidence."""
-        check = self.checks.verification(
-            endpoint, lambda _other: None, is_engine=True, required=True, timeout_s=1.0
-        )
+        check = self.check(endpoint, now)
         paths = []
         while check is not None:
             paths.append(check.request.path)
@@ -181,3 +183,11 @@
     engine = Engine()
     engine.verify(set(), endpoint=replace(LISTED, id="older"))
     assert engine.verify({KV_LIST})[1] is IncarnationEvidence.SAME
+
+
+def test_one_late_list_of_cached_parts_does_not_leave_a_start_unproven_for_good():
+    """Each new connection waits for such a list, so it is not asked for at once."""
+    engine = Engine()
+    engine.check().fallback.on_failure()
+    assert engine.verify({KV_LIST}, now=1.0)[0] == [REPORT_PATH]
+    assert engine.verify({KV_LIST}, now=60.0)[1] is IncarnationEvidence.SAME
--- a/tests/test_heads_cut_short.py
+++ b/tests/test_heads_cut_short.py
@@ -397,6 +397,7 @@
     verification = StartVerifications().verification(
         listed(port),
         pytest.fail,
+        now=0.0,
         is_engine=False,
         required=True,
         timeout_s=WAIT_TIMEOUT_S,
@@ -409,7 +410,7 @@
     check = EndCheck(
         listed(port),
         "r",
-        lambda finding: done(finding is not EndFinding.GONE),
+        lambda finding: done(finding in (EndFinding.LISTED, EndFinding.UNLISTED)),
         on_other_start=pytest.fail,
         states_start=False,
         pool=loop.pool,
