--- a/greengageflow/core/unproven_starts.py
+++ b/greengageflow/core/unproven_starts.py
@@ -1,7 +1,7 @@
 """Starts of endpoints that began streams before their software version was known.
 
 Which version began a stream may be unknown to the host at which its caller resumes it.
-The versions that were listed tell it only if no stream began at a start that was not
+The versions that were listed show it only if no stream began at a start that was not
 listed. Hosts therefore record such starts at a few others, the keepers of the service,
 before a caller receives the first event of a stream from there.
 """
@@ -14,7 +14,7 @@
 UNKNOWN_START = ""
 """Stands for a start that no list identifies, so its version stays unknown."""
 MAX_STARTS = 64
-"""Maximum number of starts of one service that are told apart."""
+"""Maximum number of starts of one service that are distinguished."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengageflow/daemon/current_list.py
+++ b/greengageflow/daemon/current_list.py
@@ -20,11 +20,11 @@
     list_confirmed_at: float
 
     def read_list(self, since: float) -> None:
-        """Begin a read, unless one has begun since a time or none may begin."""
+        """Start a read, unless one was started since a time or none may be."""
 
 
 class CurrentList:
-    """Tells when the list of endpoints has been read again.
+    """Waits until the list of endpoints has been read again.
 
     Args:
         timers: Timer service.
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -607,7 +607,7 @@
     def _on_not_confirmed(self, ctx: ForwardContext) -> None:
         """Check the endpoint that ended a stream again: no other one confirms the end.
 
-        Nothing else can tell an answer that ended too early.
+        Nothing else can show that an answer ended too early.
         """
         end = self._return_to_unconfirmed_end(ctx)
         self._check_again(ctx, end.ended_at, lambda: self._finish_unproven_stream(ctx))
--- a/greengageflow/daemon/held_reply.py
+++ b/greengageflow/daemon/held_reply.py
@@ -20,7 +20,7 @@
     """
 
     blocked = True
-    """The stream pauses as soon as it has begun."""
+    """The stream pauses after its first events."""
 
     def __init__(self, reply: Reply) -> None:
         self.is_finished = self.until_close = False
--- a/greengageflow/daemon/store_view.py
+++ b/greengageflow/daemon/store_view.py
@@ -380,7 +380,7 @@
     # The endpoint list.
 
     def read_list(self, since: float) -> None:
-        """Begin a read, unless one has begun since a time or none may begin."""
+        """Start a read, unless one was started since a time or none may be."""
         follower = self._list_follower
         if follower.can_read and follower.last_call_at < since:
             follower.read()
--- a/greengageflow/daemon/stream_versions.py
+++ b/greengageflow/daemon/stream_versions.py
@@ -30,7 +30,7 @@
         history: Software versions of each service over time.
         affinity: Shares between hosts which version began a stream.
         unproven_starts: Shares between hosts which starts of unknown version did.
-        current_list: Tells when the list of endpoints has been read again.
+        current_list: Waits until the list of endpoints has been read again.
     """
 
     def __init__(
@@ -166,7 +166,7 @@
     def on_versions_unproven(
         self, service: str, active: Iterable[ForwardContext]
     ) -> None:
-        """Let no stream of a service go on: ids tell no starts apart."""
+        """Let no stream of a service go on: ids do not identify starts."""
         for ctx in active:
             if ctx.version and ctx.service == service:
                 ctx.version = UNPROVEN_VERSION
--- a/greengageflow/lab/scripted_endpoint.py
+++ b/greengageflow/lab/scripted_endpoint.py
@@ -50,7 +50,7 @@
 
 
 class End(StrEnum):
-    """How a run ends; the endpoint lives on unless the process ends."""
+    """How a run ends; the process goes on except where stated."""
 
     PROPER = "proper"
     EARLY = "early"
@@ -65,7 +65,7 @@
     GOES_ON = "goes on"
     """The connection is closed as after ``EARLY``, and the run stays in reports."""
     RESTART = "restart"
-    """The same, and another version starts in place, which is listed later."""
+    """As ``EXIT``, and another version starts in place, which is listed later."""
 
 
 class Extra(StrEnum):
--- a/greengageflow/net/_pieces.py
+++ b/greengageflow/net/_pieces.py
@@ -91,7 +91,7 @@
 
         Raises:
             InvalidStream: A piece is missing or invalid.
-            RunRestarted: The pieces are those of a run that has begun again.
+            RunRestarted: The pieces are those of a run that was started again.
         """
         for event in events:
             if event.data == END_MARKER:
