A check that states a start which the entry lacks does not end the endpoint

Callers saw (by reading, not played): 502 or a cut for the first whole answer without a length of an endpoint whose entry has no start time.

Cause: the check's report stated one, which counted as a later start than the listed one. The entry may be of that very start.

Evidence: test_a_start_that_its_entry_does_not_name_lives failed before.

--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -61,8 +61,12 @@
     if isinstance(answer, Failure):
         return False
     evidence = incarnation_evidence(answer, endpoint)
-    if evidence is IncarnationEvidence.UNSTATED:
-        return not states_start
+    match evidence:
+        case IncarnationEvidence.UNSTATED:
+            return not states_start
+        case IncarnationEvidence.LATER:
+            # An entry without a start time may be of the start that answers.
+            return not endpoint.born
     return evidence is IncarnationEvidence.SAME
 
 
--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -526,6 +526,12 @@
         assert not loop.pool._active
 
 
+def test_a_start_that_its_entry_does_not_name_lives():
+    """The first whole answer of such an endpoint was lost, as its check stated one."""
+    endpoint = ListedEndpoint("e", "s", "127.0.0.1", 1, "z", version="v1")
+    assert is_alive(Response(200, (), b'{"born": 7}'), endpoint)
+
+
 def test_checks_leave_half_of_the_retry_budget_to_failures():
     """Streams that ended well used up the retries of those that failed."""
     budget = FleetRetryBudget(ratio=0.1, slack=20, window_s=10)
