A check whose connection ends without a report twice shows a truncated answer

Its engine had crashed; the fault proxy in front of it accepted the check's connections and ended them.

Cause: since any check without an answer counted as a late report. Only a time-out shows nothing. A connection that ends is shown by a process that has ended behind a proxy, or by one at its limit of connections.

Change: it is a finding of its own.

The new test of the finding failed before (UNKNOWN).

--- a/greengageflow/daemon/end_check.py
+++ b/greengageflow/daemon/end_check.py
@@ -37,6 +37,8 @@
 
     GONE = auto()
     """Its process has ended, or another start of it answers."""
+    CUT = auto()
+    """It ended the check's connection, since it has ended or has too many."""
     UNKNOWN = auto()
     """It did not answer in time, or rejected the check."""
     LISTED = auto()
@@ -152,8 +154,7 @@
 
     def _finding(self, answer: Response | Failure) -> EndFinding:
         if isinstance(answer, Failure):
-            is_refused = answer.kind is FailureKind.CONNECT and not answer.timed_out
-            return EndFinding.GONE if is_refused else EndFinding.UNKNOWN
+            return self._finding_of_failure(answer)
         if not is_alive(answer, self._endpoint, states_start=self._states_start):
             evidence = incarnation_evidence(answer, self._endpoint)
             is_rejection = answer.status != HTTPStatus.OK
@@ -164,6 +165,17 @@
             return EndFinding.LISTED
         return EndFinding.UNLISTED
 
+    @staticmethod
+    def _finding_of_failure(failure: Failure) -> EndFinding:
+        match failure:
+            case Failure(timed_out=True):
+                return EndFinding.UNKNOWN
+            case Failure(kind=FailureKind.CONNECT):
+                return EndFinding.GONE
+            case Failure(kind=FailureKind.CUT):
+                return EndFinding.CUT
+        return EndFinding.UNKNOWN
+
     def _release(self) -> None:
         # The exchange and its receiver refer to each other. Without this, the request
         # would stay in memory with them until a garbage collection.
--- a/greengageflow/daemon/forwarder.py
+++ b/greengageflow/daemon/forwarder.py
@@ -556,20 +556,26 @@
     def _check_again(
         self, ctx: ForwardContext, ended_at: float, on_ended: Callable[[], None]
     ) -> None:
-        """Treat an answer as truncated if its run is still listed some time later.
+        """Treat an answer as truncated if its endpoint shows so some time later.
+
+        It does if it lists the run still, or ends this connection as well.
 
         Args:
             ctx: The request.
             ended_at: Time at which the answer ended.
-            on_ended: Called if the endpoint no longer lists the run, or if that can't
-                be found out.
+            on_ended: Called if nothing shows so.
         """
 
         def on_checked(finding: EndFinding) -> None:
-            if finding is EndFinding.LISTED:
-                self._on_truncated(ctx, "the run goes on after the end of its answer")
-            else:
-                on_ended()
+            match finding:
+                case EndFinding.LISTED:
+                    text = "the run goes on after the end of its answer"
+                    self._on_truncated(ctx, text)
+                case EndFinding.CUT:
+                    text = "the endpoint ended with its answer, which has no length"
+                    self._on_truncated(ctx, text)
+                case _:
+                    on_ended()
 
         endpoint = ctx.attempt.endpoint
         self.placement.on_request_released(ctx.id, endpoint, completed=True)
--- a/tests/soak_seeds.py
+++ b/tests/soak_seeds.py
@@ -103,4 +103,13 @@
         "than it had asked for at first, so that it ended at once.",
         "The soak's callers take up only streams that they wait for to the end.",
     ),
+    FailedSeed(
+        12103,
+        "A stream without a length was complete after 28 of 60 events: its engine had "
+        "crashed, and the check's connection, which the fault proxy accepted and then "
+        "ended, counted as a late report.",
+        "product: a connection that ends without a report a second time counts as the "
+        "end of the endpoint",
+        "test_a_connection_that_ends_without_a_report_is_no_answer_that_came_late",
+    ),
 )
--- a/tests/test_unproven_ends.py
+++ b/tests/test_unproven_ends.py
@@ -526,6 +526,29 @@
         assert not loop.pool._active
 
 
+def end_connection(conn, _number):
+    """Accept connections as a proxy does in front of a process that has ended."""
+    conn.request()
+
+
+def test_a_connection_that_ends_without_a_report_is_no_answer_that_came_late():
+    """A stream was complete whose engine had crashed behind a proxy that accepts."""
+    loop, peer, found = Loop(), FakePeer(end_connection), []
+    loop.thread.start()
+    check = EndCheck(
+        ListedEndpoint("e", "s", "127.0.0.1", peer.port, "z"),
+        "r",
+        found.append,
+        on_other_start=pytest.fail,
+        states_start=False,
+        pool=loop.pool,
+        timers=loop.timers,
+    )
+    with closing(loop), closing(peer):
+        loop.call(check.start)
+        assert wait_until(lambda: found) == [EndFinding.CUT]
+
+
 def test_a_start_that_its_entry_does_not_name_lives():
     """The first whole answer of such an endpoint was lost, as its check stated one."""
     endpoint = ListedEndpoint("e", "s", "127.0.0.1", 1, "z", version="v1")
